--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# Front door: every target installs what is missing, then builds.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+PACKAGES = cmake gcc make pkg-config libtalloc-dev libtevent-dev libzmq3-dev libmicrohttpd-dev \
+	libcurl4-openssl-dev libglib2.0-dev libjansson-dev libmsgpack-dev libcrypt-dev \
+	libcunit1-dev
+LINT_PACKAGES = clang-format clang-tidy clang cppcheck
+C_FILES = $(wildcard src/*.c src/*.h tests/*.c tests/*.h)
+
+.PHONY: all deps lint-deps build check demo bench soak plots format lint sanitize-check \
+	thread-check install clean
+
+all: build
+
+deps:
+	@tools/install_packages.sh $(PACKAGES)
+
+lint-deps:
+	@tools/install_packages.sh $(LINT_PACKAGES)
+
+build: deps
+	@cmake -S . -B $(BUILD) $(CMAKE_FLAGS) >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS)
+
+check: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+format: lint-deps
+	clang-format -i $(C_FILES)
+
+lint: lint-deps deps
+	clang-format --dry-run -Werror $(C_FILES)
+	@cmake -S . -B $(BUILD) $(CMAKE_FLAGS) >/dev/null
+	tools/lint.sh $(BUILD) $(JOBS)
+
+sanitize-check:
+	$(MAKE) check BUILD=$(BUILD)-asan CMAKE_FLAGS="-DJAYCOURSE_SANITIZE=address,undefined"
+
+thread-check:
+	$(MAKE) build BUILD=$(BUILD)-tsan CMAKE_FLAGS="-DJAYCOURSE_SANITIZE=thread"
+	ctest --test-dir $(BUILD)-tsan --output-on-failure -L threads
+
+install: build
+	DESTDIR=$(DESTDIR) cmake --install $(BUILD) $(if $(PREFIX),--prefix $(PREFIX))
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-asan $(BUILD)-tsan out
--- /dev/null
+++ b/src/httpc.c
@@ -0,0 +1,296 @@
+#include "httpc.h"
+
+#include <curl/curl.h>
+#include <string.h>
+
+#define CONNECT_TIMEOUT_MS 1000
+#define ANSWER_MAX_BYTES (16 * 1024 * 1024)
+
+struct httpc {
+	struct tevent_context *ev;
+	CURLM *multi;
+	struct tevent_timer *timer;
+	struct httpc_call *calls;
+};
+
+struct httpc_call {
+	struct httpc *client;
+	struct httpc_call *next;
+	struct httpc_call *prev;
+	CURL *easy;
+	struct curl_slist *headers;
+	struct httpc_request request;
+	char *body;
+	size_t len;
+	bool too_large;
+};
+
+struct watch {
+	struct httpc *client;
+	struct tevent_fd *fde;
+	curl_socket_t fd;
+};
+
+static void free_call(struct httpc_call *call)
+{
+	struct httpc *client = call->client;
+
+	if (call->prev)
+		call->prev->next = call->next;
+	else
+		client->calls = call->next;
+	if (call->next)
+		call->next->prev = call->prev;
+	curl_multi_remove_handle(client->multi, call->easy);
+	curl_easy_cleanup(call->easy);
+	curl_slist_free_all(call->headers);
+	talloc_free(call);
+}
+
+/* Errors that happen before the first byte of the request is on its way. */
+static int call_status(const struct httpc_call *call, CURLcode code)
+{
+	if (code == CURLE_OK)
+		return 0;
+	if (call->too_large)
+		return -ERR_TOO_LARGE;
+	if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
+	    code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL)
+		return -ERR_UNAVAILABLE;
+	if (code == CURLE_OPERATION_TIMEDOUT) {
+		curl_off_t connected = 0;
+
+		curl_easy_getinfo(call->easy, CURLINFO_PRETRANSFER_TIME_T, &connected);
+		return connected > 0 ? -ERR_OUTCOME_UNKNOWN : -ERR_UNAVAILABLE;
+	}
+	return -ERR_OUTCOME_UNKNOWN;
+}
+
+static void finish_call(struct httpc_call *call, CURLcode code)
+{
+	struct httpc_request request = call->request;
+	TALLOC_CTX *body = talloc_steal(NULL, call->body);
+	int status = call_status(call, code);
+	int http_status = httpc_status(call);
+	size_t len = call->len;
+
+	free_call(call);
+	if (request.done)
+		request.done(status, http_status, body ? (const char *)body : "", len, request.ctx);
+	talloc_free(body);
+}
+
+static void check_finished(struct httpc *client)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(client->multi, &left))) {
+		struct httpc_call *call;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, (char **)&call);
+		finish_call(call, message->data.result);
+	}
+}
+
+static void socket_event(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+			 void *data)
+{
+	struct watch *watch = data;
+	struct httpc *client = watch->client;
+	int mask = 0;
+	int running;
+
+	if (flags & TEVENT_FD_READ)
+		mask |= CURL_CSELECT_IN;
+	if (flags & TEVENT_FD_WRITE)
+		mask |= CURL_CSELECT_OUT;
+	curl_multi_socket_action(client->multi, watch->fd, mask, &running);
+	check_finished(client);
+}
+
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *data, void *socket_data)
+{
+	struct httpc *client = data;
+	struct watch *watch = socket_data;
+	uint16_t flags = 0;
+
+	if (what == CURL_POLL_REMOVE) {
+		talloc_free(watch);
+		curl_multi_assign(client->multi, fd, NULL);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		flags |= TEVENT_FD_READ;
+	if (what & CURL_POLL_OUT)
+		flags |= TEVENT_FD_WRITE;
+	if (!watch) {
+		watch = talloc_zero(client, struct watch);
+		watch->client = client;
+		watch->fd = fd;
+		watch->fde = tevent_add_fd(client->ev, watch, (int)fd, flags, socket_event, watch);
+		curl_multi_assign(client->multi, fd, watch);
+	}
+	tevent_fd_set_flags(watch->fde, flags);
+	return 0;
+}
+
+static void timer_event(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+			void *data)
+{
+	struct httpc *client = data;
+	int running;
+
+	client->timer = NULL;
+	curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	check_finished(client);
+}
+
+static int on_timer(CURLM *multi, long timeout_ms, void *data)
+{
+	struct httpc *client = data;
+	struct timeval at;
+
+	TALLOC_FREE(client->timer);
+	if (timeout_ms < 0)
+		return 0;
+	at = tevent_timeval_current_ofs((uint32_t)(timeout_ms / 1000),
+					(uint32_t)(timeout_ms % 1000) * 1000U);
+	client->timer = tevent_add_timer(client->ev, client, at, timer_event, client);
+	return 0;
+}
+
+static int client_destructor(struct httpc *client)
+{
+	while (client->calls)
+		free_call(client->calls);
+	curl_multi_cleanup(client->multi);
+	return 0;
+}
+
+struct httpc *httpc_create(TALLOC_CTX *mem, struct tevent_context *ev)
+{
+	struct httpc *client = talloc_zero(mem, struct httpc);
+
+	client->ev = ev;
+	client->multi = curl_multi_init();
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+	talloc_set_destructor(client, client_destructor);
+	return client;
+}
+
+static size_t collect(struct httpc_call *call, const char *data, size_t len)
+{
+	size_t max = call->request.answer_max ? call->request.answer_max : ANSWER_MAX_BYTES;
+
+	if (len > max - call->len) {
+		call->too_large = true;
+		return 0;
+	}
+	call->body = talloc_realloc(call, call->body, char, call->len + len + 1);
+	memcpy(call->body + call->len, data, len);
+	call->len += len;
+	call->body[call->len] = '\0';
+	return len;
+}
+
+static size_t on_write(char *data, size_t size, size_t count, void *ctx)
+{
+	struct httpc_call *call = ctx;
+	size_t len = size * count;
+
+	if (!call->request.on_data)
+		return collect(call, data, len);
+	if (!call->request.on_data(call, data, len, call->request.ctx))
+		return CURL_WRITEFUNC_PAUSE;
+	return len;
+}
+
+static void set_body(struct httpc_call *call)
+{
+	const struct httpc_request *request = &call->request;
+
+	if (!request->body && strcmp(request->method, "POST") != 0 &&
+	    strcmp(request->method, "PUT") != 0)
+		return;
+	curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)request->body_len);
+	curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS,
+			 request->body ? (const char *)request->body : "");
+}
+
+static void set_options(struct httpc_call *call)
+{
+	const struct httpc_request *request = &call->request;
+	uint32_t connect_ms =
+		request->connect_timeout_ms ? request->connect_timeout_ms : CONNECT_TIMEOUT_MS;
+	CURL *easy = call->easy;
+
+	curl_easy_setopt(easy, CURLOPT_URL, request->url);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_write);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
+	set_body(call);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
+	/* An "Expect" round trip before each body would add a round trip of latency. */
+	call->headers = curl_slist_append(NULL, "Expect:");
+	for (size_t i = 0; i < request->header_count; i++)
+		call->headers = curl_slist_append(call->headers, request->headers[i]);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
+}
+
+struct httpc_call *httpc_start(struct httpc *h, const struct httpc_request *request)
+{
+	struct httpc_call *call = talloc_zero(h, struct httpc_call);
+
+	call->client = h;
+	call->request = *request;
+	call->easy = curl_easy_init();
+	if (!call->easy) {
+		talloc_free(call);
+		return NULL;
+	}
+	set_options(call);
+	call->request.headers = NULL;
+	call->request.body = NULL;
+	call->next = h->calls;
+	if (h->calls)
+		h->calls->prev = call;
+	h->calls = call;
+	curl_multi_add_handle(h->multi, call->easy);
+	return call;
+}
+
+int httpc_status(const struct httpc_call *call)
+{
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	return (int)status;
+}
+
+const char *httpc_content_type(const struct httpc_call *call)
+{
+	const char *type = NULL;
+
+	curl_easy_getinfo(call->easy, CURLINFO_CONTENT_TYPE, &type);
+	return type ? type : "";
+}
+
+void httpc_resume(struct httpc_call *call)
+{
+	curl_easy_pause(call->easy, CURLPAUSE_CONT);
+}
+
+void httpc_cancel(struct httpc_call *call)
+{
+	free_call(call);
+}
--- /dev/null
+++ b/src/wire.c
@@ -0,0 +1,399 @@
+#include "wire.h"
+#include "log.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <zmq.h>
+
+#define SEND_BUFFER_MESSAGES 4096
+#define MESSAGE_MAX_BYTES (2 * 1024 * 1024)
+#define RECONNECT_MIN_MS 100
+#define RECONNECT_MAX_MS 2000
+#define BATCH_MESSAGES 64 /* messages read from one socket before other events get a turn */
+#define PEER_NAME_MAX 255 /* limit of a ZeroMQ routing id */
+
+struct link {
+	struct wire *wire;
+	struct link *next;
+	char *peer; /* NULL for the ROUTER */
+	void *socket;
+	struct tevent_fd *fde;
+	struct tevent_immediate *again;
+	bool again_scheduled;
+};
+
+struct wire {
+	struct tevent_context *ev;
+	void *zmq;
+	char *self;
+	char *address;
+	struct wire_handlers handlers;
+	struct metrics *metrics;
+	struct link *router;
+	struct link *links;
+	int received_bytes[2];
+	int sent_bytes[2];
+	int received[MSG_TYPE_COUNT];
+	int sent[MSG_TYPE_COUNT];
+	int malformed;
+};
+
+/* Index of the byte counters: 0 control, 1 the callers' own data. */
+static int traffic_class(enum msg_type type)
+{
+	return type >= MSG_REQUEST && type <= MSG_CANCEL;
+}
+
+static void define_counters(struct wire *wire)
+{
+	static const char *const classes[2] = {"control", "data"};
+	char labels[96];
+
+	for (int i = 0; i < 2; i++) {
+		snprintf(labels, sizeof(labels), "direction=\"received\",class=\"%s\"", classes[i]);
+		wire->received_bytes[i] =
+			metrics_define(wire->metrics, METRICS_COUNTER, "jaycourse_wire_bytes_total",
+				       labels, "Bytes of messages between processes");
+		snprintf(labels, sizeof(labels), "direction=\"sent\",class=\"%s\"", classes[i]);
+		wire->sent_bytes[i] =
+			metrics_define(wire->metrics, METRICS_COUNTER, "jaycourse_wire_bytes_total",
+				       labels, "Bytes of messages between processes");
+	}
+	for (int i = 1; i < MSG_TYPE_COUNT; i++) {
+		snprintf(labels, sizeof(labels), "direction=\"received\",type=\"%s\"",
+			 msg_type_name(i));
+		wire->received[i] = metrics_define(wire->metrics, METRICS_COUNTER,
+						   "jaycourse_wire_messages_total", labels,
+						   "Messages between processes");
+		snprintf(labels, sizeof(labels), "direction=\"sent\",type=\"%s\"",
+			 msg_type_name(i));
+		wire->sent[i] = metrics_define(wire->metrics, METRICS_COUNTER,
+					       "jaycourse_wire_messages_total", labels,
+					       "Messages between processes");
+	}
+	wire->malformed =
+		metrics_define(wire->metrics, METRICS_COUNTER, "jaycourse_wire_malformed_total", "",
+			       "Messages from peers that could not be decoded");
+}
+
+static void deliver(struct wire *wire, const char *peer, const uint8_t *data, size_t len)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	struct msg *msg;
+	struct err err;
+
+	if (msg_decode(mem, data, len, &msg, &err)) {
+		metrics_add(wire->metrics, wire->malformed, 1);
+		log_warn("wire_malformed", "", "from %s: %s", peer, err.message);
+	} else {
+		metrics_add(wire->metrics, wire->received_bytes[traffic_class(msg->type)], len);
+		metrics_add(wire->metrics, wire->received[msg->type], 1);
+		wire->handlers.on_message(peer, msg, wire->handlers.ctx);
+	}
+	talloc_free(mem);
+}
+
+/* Reads one frame; returns its ZeroMQ result and whether more frames follow. */
+static int receive_frame(void *socket, zmq_msg_t *frame, bool *more)
+{
+	int ret;
+
+	zmq_msg_init(frame);
+	ret = zmq_msg_recv(frame, socket, ZMQ_DONTWAIT);
+	*more = ret >= 0 && zmq_msg_more(frame);
+	return ret;
+}
+
+static void skip_frames(void *socket, bool more)
+{
+	while (more) {
+		zmq_msg_t frame;
+
+		if (receive_frame(socket, &frame, &more) < 0)
+			more = false;
+		zmq_msg_close(&frame);
+	}
+}
+
+static bool receive_one(struct link *link)
+{
+	char peer[PEER_NAME_MAX + 1] = "";
+	zmq_msg_t frame;
+	bool more;
+
+	if (receive_frame(link->socket, &frame, &more) < 0) {
+		zmq_msg_close(&frame);
+		return false;
+	}
+	if (!link->peer && more) {
+		snprintf(peer, sizeof(peer), "%.*s", (int)zmq_msg_size(&frame),
+			 (const char *)zmq_msg_data(&frame));
+		zmq_msg_close(&frame);
+		receive_frame(link->socket, &frame, &more);
+	} else if (link->peer) {
+		snprintf(peer, sizeof(peer), "%s", link->peer);
+	}
+	skip_frames(link->socket, more);
+	deliver(link->wire, peer, zmq_msg_data(&frame), zmq_msg_size(&frame));
+	zmq_msg_close(&frame);
+	return true;
+}
+
+static bool readable(struct link *link)
+{
+	int events = 0;
+	size_t size = sizeof(events);
+
+	if (zmq_getsockopt(link->socket, ZMQ_EVENTS, &events, &size))
+		return false;
+	return events & ZMQ_POLLIN;
+}
+
+static void read_link(struct link *link);
+
+static void read_again(struct tevent_context *ev, struct tevent_immediate *im, void *data)
+{
+	struct link *link = data;
+
+	link->again_scheduled = false;
+	read_link(link);
+}
+
+/*
+ * ZeroMQ's descriptor is edge triggered and also consumed by sends, so every operation on a
+ * socket has to be followed by a look at its events.
+ */
+static void schedule_read(struct link *link)
+{
+	if (link->again_scheduled || !readable(link))
+		return;
+	link->again_scheduled = true;
+	tevent_schedule_immediate(link->again, link->wire->ev, read_again, link);
+}
+
+static void read_link(struct link *link)
+{
+	/* A handler may close the link; keep its memory until the loop below has ended. */
+	TALLOC_CTX *guard = talloc_new(NULL);
+	int budget = BATCH_MESSAGES;
+
+	if (!talloc_reference(guard, link)) {
+		talloc_free(guard);
+		return;
+	}
+	while (link->socket && budget-- > 0 && readable(link)) {
+		if (!receive_one(link))
+			break;
+	}
+	if (link->socket)
+		schedule_read(link);
+	talloc_free(guard);
+}
+
+static void link_event(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *data)
+{
+	read_link(data);
+}
+
+static void close_link(struct link *link)
+{
+	TALLOC_FREE(link->fde);
+	TALLOC_FREE(link->again);
+	if (link->socket)
+		zmq_close(link->socket);
+	link->socket = NULL;
+}
+
+static int link_destructor(struct link *link)
+{
+	close_link(link);
+	return 0;
+}
+
+static void set_int(void *socket, int option, int value)
+{
+	zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+static void set_common_options(void *socket)
+{
+	int64_t max = MESSAGE_MAX_BYTES;
+
+	set_int(socket, ZMQ_SNDHWM, SEND_BUFFER_MESSAGES);
+	set_int(socket, ZMQ_RCVHWM, SEND_BUFFER_MESSAGES);
+	set_int(socket, ZMQ_LINGER, 0);
+	set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
+	set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+	zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof(max));
+}
+
+static struct link *open_link(struct wire *wire, int kind, const char *peer)
+{
+	struct link *link = talloc_zero(wire, struct link);
+	int fd = -1;
+	size_t size = sizeof(fd);
+
+	link->wire = wire;
+	link->peer = peer ? talloc_strdup(link, peer) : NULL;
+	link->socket = zmq_socket(wire->zmq, kind);
+	if (!link->socket) {
+		talloc_free(link);
+		return NULL;
+	}
+	talloc_set_destructor(link, link_destructor);
+	set_common_options(link->socket);
+	zmq_setsockopt(link->socket, ZMQ_ROUTING_ID, wire->self, strlen(wire->self));
+	zmq_getsockopt(link->socket, ZMQ_FD, &fd, &size);
+	link->again = tevent_create_immediate(link);
+	link->fde = tevent_add_fd(wire->ev, link, fd, TEVENT_FD_READ, link_event, link);
+	return link;
+}
+
+static int bind_router(struct wire *wire, const char *bind_address, struct err *err)
+{
+	char endpoint[128];
+	char bound[128] = "";
+	size_t size = sizeof(bound);
+
+	wire->router = open_link(wire, ZMQ_ROUTER, NULL);
+	if (!wire->router)
+		return err_set(err, ERR_SYSTEM, "raise the limit of open files",
+			       "cannot create a ZeroMQ socket: %s", zmq_strerror(errno));
+	set_int(wire->router->socket, ZMQ_ROUTER_MANDATORY, 1);
+	set_int(wire->router->socket, ZMQ_ROUTER_HANDOVER, 1);
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s", bind_address);
+	if (zmq_bind(wire->router->socket, endpoint))
+		return err_set(err, ERR_SYSTEM,
+			       "choose a free address of this host for peer_address",
+			       "cannot bind %s: %s", bind_address, zmq_strerror(errno));
+	zmq_getsockopt(wire->router->socket, ZMQ_LAST_ENDPOINT, bound, &size);
+	wire->address = talloc_strdup(wire, bound + strlen("tcp://"));
+	return 0;
+}
+
+static int wire_destructor(struct wire *wire)
+{
+	struct link *link;
+
+	while ((link = wire->links)) {
+		wire->links = link->next;
+		talloc_free(link);
+	}
+	TALLOC_FREE(wire->router);
+	zmq_ctx_term(wire->zmq);
+	return 0;
+}
+
+struct wire *wire_create(TALLOC_CTX *mem, struct tevent_context *ev, const char *self,
+			 const char *bind_address, const struct wire_handlers *handlers,
+			 struct metrics *metrics, struct err *err)
+{
+	struct wire *wire = talloc_zero(mem, struct wire);
+
+	wire->ev = ev;
+	wire->self = talloc_strdup(wire, self);
+	wire->handlers = *handlers;
+	wire->metrics = metrics;
+	wire->zmq = zmq_ctx_new();
+	talloc_set_destructor(wire, wire_destructor);
+	define_counters(wire);
+	if (bind_router(wire, bind_address, err)) {
+		talloc_free(wire);
+		return NULL;
+	}
+	return wire;
+}
+
+const char *wire_address(const struct wire *wire)
+{
+	return wire->address;
+}
+
+static struct link *find_link(const struct wire *wire, const char *peer)
+{
+	for (struct link *link = wire->links; link; link = link->next) {
+		if (!strcmp(link->peer, peer))
+			return link;
+	}
+	return NULL;
+}
+
+int wire_connect(struct wire *wire, const char *peer, const char *address)
+{
+	char endpoint[128];
+	struct link *link;
+
+	if (find_link(wire, peer))
+		return 0;
+	link = open_link(wire, ZMQ_DEALER, peer);
+	if (!link)
+		return -ERR_SYSTEM;
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
+	if (zmq_connect(link->socket, endpoint)) {
+		talloc_free(link);
+		return -ERR_SYSTEM;
+	}
+	link->next = wire->links;
+	wire->links = link;
+	return 0;
+}
+
+void wire_disconnect(struct wire *wire, const char *peer)
+{
+	for (struct link **at = &wire->links; *at; at = &(*at)->next) {
+		struct link *link = *at;
+
+		if (strcmp(link->peer, peer) != 0)
+			continue;
+		*at = link->next;
+		close_link(link);
+		talloc_unlink(wire, link);
+		return;
+	}
+}
+
+bool wire_connected(const struct wire *wire, const char *peer)
+{
+	return find_link(wire, peer) != NULL;
+}
+
+static int send_frames(struct link *link, const char *peer, const uint8_t *data, size_t len)
+{
+	if (!link->peer &&
+	    zmq_send(link->socket, peer, strlen(peer), ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0)
+		return errno == EHOSTUNREACH ? -ERR_NO_TARGET : -ERR_QUEUE_FULL;
+	if (zmq_send(link->socket, data, len, ZMQ_DONTWAIT) < 0)
+		return -ERR_QUEUE_FULL;
+	return 0;
+}
+
+int wire_send(struct wire *wire, const char *peer, const struct msg *msg)
+{
+	struct link *link = find_link(wire, peer);
+	uint8_t *data;
+	size_t len;
+	int ret;
+
+	if (!link)
+		link = wire->router;
+	ret = msg_encode(msg, wire, &data, &len);
+	if (ret)
+		return ret;
+	ret = send_frames(link, peer, data, len);
+	talloc_free(data);
+	if (!ret) {
+		metrics_add(wire->metrics, wire->sent_bytes[traffic_class(msg->type)], len);
+		metrics_add(wire->metrics, wire->sent[msg->type], 1);
+	}
+	schedule_read(link);
+	return ret;
+}
+
+void wire_destroy(struct wire *wire, int linger_ms)
+{
+	set_int(wire->router->socket, ZMQ_LINGER, linger_ms);
+	for (struct link *link = wire->links; link; link = link->next)
+		set_int(link->socket, ZMQ_LINGER, linger_ms);
+	talloc_free(wire);
+}
--- /dev/null
+++ b/tests/test_wire.c
@@ -0,0 +1,71 @@
+#include "wire.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+struct end {
+	struct wire *wire;
+	int received;
+	char peer[64];
+};
+
+static void on_message(const char *peer, struct msg *msg, void *ctx)
+{
+	struct end *end = ctx;
+	struct msg reply = {.type = MSG_HEARTBEAT_ACK};
+
+	end->received++;
+	snprintf(end->peer, sizeof(end->peer), "%s", peer);
+	if (msg->type != MSG_HEARTBEAT)
+		return;
+	reply.u.heartbeat_ack.sequence = msg->u.heartbeat.sequence;
+	wire_send(end->wire, peer, &reply);
+}
+
+static void open_end(TALLOC_CTX *mem, struct tevent_context *ev, struct end *end, const char *name)
+{
+	struct wire_handlers handlers = {.on_message = on_message, .ctx = end};
+
+	end->wire = wire_create(mem, ev, name, "127.0.0.1:0", &handlers, metrics_create(mem), NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(end->wire);
+}
+
+/* Guards against lost wake-ups of the edge-triggered descriptor under a burst of messages. */
+static void test_burst(void)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	struct tevent_context *ev = tevent_context_init(mem);
+	struct end server = {0};
+	struct end client = {0};
+	struct msg msg = {.type = MSG_HEARTBEAT};
+
+	open_end(mem, ev, &server, "server#1");
+	open_end(mem, ev, &client, "client#1");
+	CU_ASSERT_EQUAL(wire_connect(client.wire, "server#1", wire_address(server.wire)), 0);
+	for (int i = 0; i < 1000; i++) {
+		msg.u.heartbeat.sequence = (uint64_t)i;
+		CU_ASSERT_EQUAL(wire_send(client.wire, "server#1", &msg), 0);
+	}
+	while (client.received < 1000)
+		tevent_loop_once(ev);
+	CU_ASSERT_EQUAL(server.received, 1000);
+	CU_ASSERT_STRING_EQUAL(server.peer, "client#1");
+	CU_ASSERT_EQUAL(wire_send(server.wire, "nobody#1", &msg), -ERR_NO_TARGET);
+	wire_destroy(client.wire, 0);
+	wire_destroy(server.wire, 0);
+	talloc_free(mem);
+}
+
+int main(void)
+{
+	CU_pSuite suite;
+	unsigned int failures;
+
+	CU_initialize_registry();
+	suite = CU_add_suite("wire", NULL, NULL);
+	CU_add_test(suite, "burst", test_burst);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failures != 0;
+}
