--- a/src/httpc.c
+++ b/src/httpc.c
@@ -238,6 +238,7 @@
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request->fresh_connection ? 1L : 0L);
 	set_body(call);
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
 	/* An "Expect" round trip before each body would add a round trip of latency. */
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -26,6 +26,8 @@
  * @connect_timeout_ms: 0 means 1000
  * @answer_max: bytes of the answer to collect; a longer one fails with -ERR_TOO_LARGE;
  *	0 means 16 MiB. Not used with @on_data.
+ * @fresh_connection: open a new connection. libcurl silently resends a request when a
+ *	reused connection turns out dead, so requests that must not run twice need this.
  * @on_data: takes the answer piece by piece instead of collecting it; may be NULL. It
  *	returns false to pause; httpc_resume() then delivers the same piece again.
  * @done: called once, unless the call is cancelled. @status: 0 when a whole HTTP answer
@@ -43,6 +45,7 @@
 	uint32_t timeout_ms;
 	uint32_t connect_timeout_ms;
 	size_t answer_max;
+	bool fresh_connection;
 	bool (*on_data)(struct httpc_call *call, const void *data, size_t len, void *ctx);
 	void (*done)(int status, int http_status, const char *body, size_t len, void *ctx);
 	void *ctx;
