--- a/src/place.h
+++ b/src/place.h
@@ -62,7 +62,8 @@
 	uint64_t declared_ms;
 	uint64_t submitted_ms;
 	bool urgent;
-	bool checkpoint;
+	bool checkpoint;  /* can be stopped with a checkpoint and continued from it */
+	bool restartable; /* may be stopped without a checkpoint and run again from its start */
 };
 
 struct place_policy {
