tests: stand-in of the platform's key-value service

The store client, the duty and the configuration revisions need a store to run against. fake_store speaks the JSON gateway (range, txn, put, deleterange, leases, watch) from memory, with rate limits and faults that POST /fault switches: down, slow, lost write answers, lapsed leases.

--- /dev/null
+++ b/tests/fake_store.c
@@ -0,0 +1,517 @@
+#include "fields.h"
+#include "lib_kv.h"
+#include "util.h"
+
+#include <argp.h>
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <poll.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BODY_MAX (16 * 1024 * 1024)
+#define TICK_MS 20	/* granularity of lease expiry and of noticing closed watches */
+#define BURST_DIVISOR 5 /* a fifth of a second's calls may come at once */
+#define WRITES_DEFAULT 400
+#define READS_DEFAULT 2000
+
+struct bucket {
+	uint32_t per_s; /* 0: no limit */
+	double tokens;
+	uint64_t filled_ms;
+};
+
+struct faults {
+	int down;	  /* truth value, as json_unpack() writes it; answer 503 to everything */
+	int close;	  /* with down: close the connection without an answer */
+	int slow_ms;	  /* delay before a call takes effect */
+	int lose_answers; /* number of write answers still to be lost */
+};
+
+struct counts {
+	uint64_t reads;
+	uint64_t writes;
+	uint64_t watches; /* waiting now */
+	uint64_t watches_total;
+	uint64_t rejected; /* over the rate */
+	uint64_t refused;  /* while down */
+	uint64_t lost;	   /* answers lost */
+};
+
+struct server {
+	pthread_mutex_t lock; /* guards everything below */
+	pthread_cond_t changed;
+	struct kv *kv;
+	struct bucket writes;
+	struct bucket reads;
+	struct faults faults;
+	struct counts counts;
+	bool stopping;
+};
+
+struct upload {
+	GByteArray *body;
+	bool too_large;
+};
+
+struct watch {
+	struct server *server;
+	int fd; /* borrowed from the connection */
+	char *key;
+	char *range_end;
+	int64_t next_revision;
+	char *text; /* not yet sent */
+	size_t sent;
+};
+
+struct options {
+	const char *listen;
+	uint32_t writes_per_s;
+	uint32_t reads_per_s;
+};
+
+static bool take(struct bucket *bucket, uint64_t now_ms)
+{
+	double most = (double)bucket->per_s / BURST_DIVISOR + 1;
+
+	if (!bucket->per_s)
+		return true;
+	bucket->tokens += (double)(now_ms - bucket->filled_ms) * bucket->per_s / 1000.0;
+	bucket->filled_ms = now_ms;
+	if (bucket->tokens > most)
+		bucket->tokens = most;
+	if (bucket->tokens < 1)
+		return false;
+	bucket->tokens -= 1;
+	return true;
+}
+
+static enum MHD_Result reply_text(struct MHD_Connection *connection, int status, const char *text)
+{
+	struct MHD_Response *response =
+		MHD_create_response_from_buffer(strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
+	enum MHD_Result result;
+
+	MHD_add_response_header(response, "Content-Type", "application/json");
+	result = MHD_queue_response(connection, (unsigned int)status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+/* Takes over @json. */
+static enum MHD_Result reply(struct MHD_Connection *connection, int status, json_t *json)
+{
+	char *text = json_dumps(json, JSON_COMPACT);
+	enum MHD_Result result = reply_text(connection, status, text);
+
+	free(text);
+	json_decref(json);
+	return result;
+}
+
+static enum MHD_Result reply_error(struct MHD_Connection *connection, int status, const char *text)
+{
+	return reply(connection, status, json_pack("{s:s, s:i}", "error", text, "code", 14));
+}
+
+static json_t *fault_json(const struct faults *f)
+{
+	return json_pack("{s:b, s:b, s:i, s:i}", "down", f->down, "close", f->close, "slow_ms",
+			 f->slow_ms, "lose_answers", f->lose_answers);
+}
+
+static json_t *stats_json(struct server *s)
+{
+	const struct counts *c = &s->counts;
+
+	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "reads",
+			 (json_int_t)c->reads, "writes", (json_int_t)c->writes, "watches",
+			 (json_int_t)c->watches, "watches_total", (json_int_t)c->watches_total,
+			 "rejected", (json_int_t)c->rejected, "refused", (json_int_t)c->refused,
+			 "lost", (json_int_t)c->lost, "keys", (json_int_t)kv_count(s->kv),
+			 "revision", (json_int_t)kv_revision(s->kv));
+}
+
+/* Fields that are absent keep their state; expire_leases acts once. */
+static json_t *set_faults(struct server *s, const json_t *body)
+{
+	int expire = 0;
+
+	json_unpack((json_t *)body, "{s?b, s?b, s?i, s?i, s?b}", "down", &s->faults.down, "close",
+		    &s->faults.close, "slow_ms", &s->faults.slow_ms, "lose_answers",
+		    &s->faults.lose_answers, "expire_leases", &expire);
+	if (expire)
+		kv_expire(s->kv, 0, true);
+	pthread_cond_broadcast(&s->changed);
+	return fault_json(&s->faults);
+}
+
+static bool peer_closed(int fd)
+{
+	struct pollfd pfd = {.fd = fd, .events = POLLIN | POLLRDHUP};
+
+	return poll(&pfd, 1, 0) > 0 && (pfd.revents & (POLLRDHUP | POLLHUP | POLLERR));
+}
+
+static void wait_tick(struct server *s)
+{
+	struct timespec until;
+
+	clock_gettime(CLOCK_REALTIME, &until);
+	until.tv_nsec += TICK_MS * 1000000L;
+	if (until.tv_nsec >= 1000000000L) {
+		until.tv_nsec -= 1000000000L;
+		until.tv_sec++;
+	}
+	pthread_cond_timedwait(&s->changed, &s->lock, &until);
+}
+
+/* Takes over @result. */
+static void set_line(struct watch *w, json_t *result)
+{
+	json_t *line = json_pack("{s:o}", "result", result);
+	char *text = json_dumps(line, JSON_COMPACT);
+
+	g_free(w->text);
+	w->text = g_strconcat(text, "\n", NULL);
+	w->sent = 0;
+	free(text);
+	json_decref(line);
+}
+
+/* The next line of a watch; false while there is nothing to tell. */
+static bool next_line(struct watch *w)
+{
+	struct kv *kv = w->server->kv;
+	json_t *events;
+	json_t *result;
+
+	if (kv_revision(kv) < w->next_revision)
+		return false;
+	events = kv_events(kv, w->next_revision, w->key, w->range_end);
+	if (events && json_array_size(events) == 0) {
+		json_decref(events);
+		w->next_revision = kv_revision(kv) + 1;
+		return false;
+	}
+	result = json_pack("{s:o}", "header", kv_header(kv));
+	if (events) {
+		json_object_set_new(result, "events", events);
+	} else {
+		json_object_set_new(result, "canceled", json_true());
+		json_object_set_new(result, "compact_revision", json_string("1"));
+	}
+	w->next_revision = kv_revision(kv) + 1;
+	set_line(w, result);
+	return true;
+}
+
+static ssize_t read_watch(void *ctx, uint64_t position, char *buffer, size_t max)
+{
+	struct watch *w = ctx;
+	struct server *s = w->server;
+	size_t left;
+	bool ended;
+
+	pthread_mutex_lock(&s->lock);
+	while (!w->text[w->sent] && !s->stopping && !s->faults.down) {
+		if (next_line(w) || peer_closed(w->fd))
+			break;
+		wait_tick(s);
+	}
+	ended = s->stopping || s->faults.down || !w->text[w->sent];
+	pthread_mutex_unlock(&s->lock);
+	if (ended)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	left = strlen(w->text + w->sent);
+	if (left > max)
+		left = max;
+	memcpy(buffer, w->text + w->sent, left);
+	w->sent += left;
+	return (ssize_t)left;
+}
+
+static void free_watch(void *ctx)
+{
+	struct watch *w = ctx;
+
+	pthread_mutex_lock(&w->server->lock);
+	w->server->counts.watches--;
+	pthread_mutex_unlock(&w->server->lock);
+	g_free(w->key);
+	g_free(w->range_end);
+	g_free(w->text);
+	g_free(w);
+}
+
+static struct watch *create_watch(struct server *s, struct MHD_Connection *connection,
+				  const json_t *body)
+{
+	const json_t *create = json_object_get(body, "create_request");
+	struct watch *w = g_new0(struct watch, 1);
+
+	w->server = s;
+	w->fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+	w->key = kv_text(create, "key");
+	w->range_end = kv_text(create, "range_end");
+	w->next_revision = kv_number(create, "start_revision");
+	if (w->next_revision <= 0)
+		w->next_revision = kv_revision(s->kv) + 1;
+	set_line(w, json_pack("{s:o, s:b}", "header", kv_header(s->kv), "created", 1));
+	s->counts.watches++;
+	s->counts.watches_total++;
+	return w;
+}
+
+static enum MHD_Result start_watch(struct server *s, struct MHD_Connection *connection,
+				   const json_t *body)
+{
+	struct MHD_Response *response;
+	enum MHD_Result result;
+	struct watch *w;
+
+	pthread_mutex_lock(&s->lock);
+	w = create_watch(s, connection, body);
+	pthread_mutex_unlock(&s->lock);
+	response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 65536, read_watch, w,
+						     free_watch);
+	MHD_add_response_header(response, "Content-Type", "application/json");
+	result = MHD_queue_response(connection, MHD_HTTP_OK, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+enum admission {
+	ADMITTED,
+	ADMIT_DOWN,
+	ADMIT_CLOSE,
+	ADMIT_RATE,
+};
+
+static enum admission admit(struct server *s, bool write)
+{
+	if (s->faults.down) {
+		s->counts.refused++;
+		return s->faults.close ? ADMIT_CLOSE : ADMIT_DOWN;
+	}
+	if (!take(write ? &s->writes : &s->reads, util_clock_ms())) {
+		s->counts.rejected++;
+		return ADMIT_RATE;
+	}
+	if (write)
+		s->counts.writes++;
+	else
+		s->counts.reads++;
+	return ADMITTED;
+}
+
+/* Returns NULL when the answer is to be lost. */
+static json_t *run_call(struct server *s, const char *path, const json_t *body, bool write,
+			int *status)
+{
+	int64_t before = kv_revision(s->kv);
+	json_t *answer = kv_call(s->kv, path, body, util_clock_ms(), status);
+
+	if (kv_revision(s->kv) != before)
+		pthread_cond_broadcast(&s->changed);
+	if (!write || s->faults.lose_answers <= 0)
+		return answer;
+	s->faults.lose_answers--;
+	s->counts.lost++;
+	json_decref(answer);
+	return NULL;
+}
+
+static enum MHD_Result serve_call(struct server *s, struct MHD_Connection *connection,
+				  const char *path, const json_t *body)
+{
+	bool watch = !strcmp(path, "/v3/watch");
+	bool write = !watch && kv_is_write(path, body);
+	enum admission admission;
+	json_t *answer;
+	int status;
+	int slow_ms;
+
+	pthread_mutex_lock(&s->lock);
+	admission = admit(s, write);
+	slow_ms = s->faults.slow_ms;
+	pthread_mutex_unlock(&s->lock);
+	if (admission == ADMIT_CLOSE)
+		return MHD_NO;
+	if (admission == ADMIT_DOWN)
+		return reply_error(connection, MHD_HTTP_SERVICE_UNAVAILABLE, "unavailable");
+	if (admission == ADMIT_RATE)
+		return reply_error(connection, MHD_HTTP_TOO_MANY_REQUESTS, "too many requests");
+	if (slow_ms > 0)
+		usleep((useconds_t)slow_ms * 1000);
+	if (watch)
+		return start_watch(s, connection, body);
+	pthread_mutex_lock(&s->lock);
+	answer = run_call(s, path, body, write, &status);
+	pthread_mutex_unlock(&s->lock);
+	return answer ? reply(connection, status, answer) : MHD_NO;
+}
+
+static enum MHD_Result serve(struct server *s, struct MHD_Connection *connection, const char *path,
+			     const char *method, const json_t *body)
+{
+	bool post = !strcmp(method, "POST");
+	json_t *answer = NULL;
+
+	if (!strncmp(path, "/v3/", 4) && post && body)
+		return serve_call(s, connection, path, body);
+	pthread_mutex_lock(&s->lock);
+	if (!strcmp(path, "/fault"))
+		answer = post ? set_faults(s, body) : fault_json(&s->faults);
+	else if (!strcmp(path, "/stats"))
+		answer = stats_json(s);
+	pthread_mutex_unlock(&s->lock);
+	if (!answer)
+		return reply_error(connection, MHD_HTTP_NOT_FOUND, "no such call");
+	return reply(connection, MHD_HTTP_OK, answer);
+}
+
+static enum MHD_Result on_request(void *ctx, struct MHD_Connection *connection, const char *url,
+				  const char *method, const char *version, const char *data,
+				  size_t *len, void **state)
+{
+	struct upload *upload = *state;
+	enum MHD_Result result;
+	json_t *body;
+
+	if (!upload) {
+		upload = g_new0(struct upload, 1);
+		upload->body = g_byte_array_new();
+		*state = upload;
+		return MHD_YES;
+	}
+	if (*len > 0) {
+		if (upload->body->len + *len > BODY_MAX)
+			upload->too_large = true;
+		else
+			g_byte_array_append(upload->body, (const guint8 *)data, (guint)*len);
+		*len = 0;
+		return MHD_YES;
+	}
+	if (upload->too_large)
+		return reply_error(connection, MHD_HTTP_CONTENT_TOO_LARGE, "request too large");
+	body = json_loadb((const char *)upload->body->data, upload->body->len, 0, NULL);
+	result = serve(ctx, connection, url, method, body);
+	json_decref(body);
+	return result;
+}
+
+static void on_completed(void *ctx, struct MHD_Connection *connection, void **state,
+			 enum MHD_RequestTerminationCode code)
+{
+	struct upload *upload = *state;
+
+	if (!upload)
+		return;
+	g_byte_array_unref(upload->body);
+	g_free(upload);
+	*state = NULL;
+}
+
+static bool parse_address(const char *text, struct sockaddr_in *address)
+{
+	const char *colon = strrchr(text, ':');
+	char host[INET_ADDRSTRLEN] = "";
+
+	if (!fields_address_ok(text, NULL) || (size_t)(colon - text) >= sizeof(host))
+		return false;
+	memcpy(host, text, (size_t)(colon - text));
+	address->sin_family = AF_INET;
+	address->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
+	return inet_pton(AF_INET, host, &address->sin_addr) == 1;
+}
+
+static const struct argp_option option_list[] = {
+	{"listen", 'l', "IP:PORT", 0, "Address to serve; port 0 takes a free one", 0},
+	{"writes-per-s", 'w', "N", 0, "Writes answered a second; 0: no limit", 0},
+	{"reads-per-s", 'r', "N", 0, "Reads and watches answered a second; 0: no limit", 0},
+	{0},
+};
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct options *options = state->input;
+
+	switch (key) {
+	case 'l':
+		options->listen = arg;
+		return 0;
+	case 'w':
+		options->writes_per_s = (uint32_t)strtoul(arg, NULL, 10);
+		return 0;
+	case 'r':
+		options->reads_per_s = (uint32_t)strtoul(arg, NULL, 10);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+/* Leases lapse by the clock until a termination signal comes. */
+static void run_until_signal(struct server *s, sigset_t *signals)
+{
+	struct timespec tick = {.tv_nsec = TICK_MS * 1000000L};
+
+	while (sigtimedwait(signals, NULL, &tick) < 0) {
+		pthread_mutex_lock(&s->lock);
+		if (kv_expire(s->kv, util_clock_ms(), false))
+			pthread_cond_broadcast(&s->changed);
+		pthread_mutex_unlock(&s->lock);
+	}
+	pthread_mutex_lock(&s->lock);
+	s->stopping = true;
+	pthread_cond_broadcast(&s->changed);
+	pthread_mutex_unlock(&s->lock);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp argp = {
+		option_list, parse_option, NULL, "Key-value service for tests.", NULL, NULL, NULL};
+	struct options options = {"127.0.0.1:0", WRITES_DEFAULT, READS_DEFAULT};
+	static struct server s = {.lock = PTHREAD_MUTEX_INITIALIZER,
+				  .changed = PTHREAD_COND_INITIALIZER};
+	struct sockaddr_in address = {0};
+	char host[INET_ADDRSTRLEN];
+	struct MHD_Daemon *daemon;
+	sigset_t signals;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &options);
+	if (!parse_address(options.listen, &address)) {
+		fprintf(stderr, "fake_store: --listen needs an IPv4 address and a port\n");
+		return 2;
+	}
+	s.kv = kv_create();
+	s.writes.per_s = options.writes_per_s;
+	s.reads.per_s = options.reads_per_s;
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	daemon = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
+				  0, NULL, NULL, on_request, &s, MHD_OPTION_SOCK_ADDR, &address,
+				  MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+				  MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_END);
+	if (!daemon) {
+		fprintf(stderr, "fake_store: cannot listen on %s\n", options.listen);
+		return 1;
+	}
+	inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host));
+	printf("listening %s:%u\n", host,
+	       MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT)->port);
+	fflush(stdout);
+	run_until_signal(&s, &signals);
+	MHD_stop_daemon(daemon);
+	kv_destroy(s.kv);
+	return 0;
+}
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -91,7 +91,9 @@
 	char *report;
 	struct settings *s = settings_load(mem, SETTINGS_AGENT, NULL, flags, 7, &report);
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+	CU_ASSERT_PTR_NOT_NULL(s);
+	if (!s)
+		return;
 	CU_ASSERT_EQUAL(s->seed_count, 2);
 	CU_ASSERT_STRING_EQUAL(s->seeds[1], "127.0.0.1:4");
 	CU_ASSERT_STRING_EQUAL(s->advertise_address, "127.0.0.1:2");
