--- a/src/store.h
+++ b/src/store.h
@@ -15,7 +15,8 @@
  *
  * Speaks the etcd v3 JSON gateway over HTTP (libcurl multi on the loop). All functions run
  * on the loop thread; every callback is called exactly once, never before the call that
- * registered it has returned. Results:
+ * registered it has returned. Freeing the store drops calls under way without a callback.
+ * Results:
  *
  * 0: the call took effect.
  * -ERR_CONFLICT: the compares did not hold; nothing was written.
@@ -119,7 +120,8 @@
 /**
  * struct store_watch_handlers - callbacks of a watch
  * @on_change: a key changed; @kv->version is 0 when it was deleted
- * @on_resync: the watch was interrupted and changes may have been missed; read the range again
+ * @on_resync: called when the watch begins, and when it was interrupted and changes may have
+ *	been missed: read the range (again)
  */
 struct store_watch_handlers {
 	void (*on_change)(const struct store_kv *kv, void *ctx);
--- /dev/null
+++ b/tests/lib_fakestore.h
@@ -0,0 +1,38 @@
+#ifndef JAYCOURSE_TESTS_LIB_FAKESTORE_H
+#define JAYCOURSE_TESTS_LIB_FAKESTORE_H
+
+#include "store.h"
+
+#include <jansson.h>
+
+/** DOC: Starts the store stand-in as a process of a test, and switches its faults */
+
+#define LOOP_TIMEOUT_MS 30000 /* a test that waits longer has failed, also on a busy machine */
+
+struct fakestore;
+
+/**
+ * fakestore_start() - start fake_store on a free port; freeing it ends the process
+ * @flags: NULL-terminated further arguments, or NULL
+ */
+struct fakestore *fakestore_start(TALLOC_CTX *mem, struct tevent_context *ev,
+				  const char *const *flags);
+
+const char *fakestore_url(const struct fakestore *fake);
+
+/** fakestore_client() - a store client for it, owned by @mem; @timeout_ms 0: the default */
+struct store *fakestore_client(TALLOC_CTX *mem, struct fakestore *fake, uint32_t timeout_ms);
+
+/** fakestore_fault() - POST /fault, for example "{\"down\":true}" */
+void fakestore_fault(struct fakestore *fake, const char *json);
+
+/** fakestore_stat() - one number of GET /stats */
+int64_t fakestore_stat(struct fakestore *fake, const char *name);
+
+/** loop_until() - run the loop until @done is above 0; false after LOOP_TIMEOUT_MS */
+bool loop_until(struct tevent_context *ev, const int *done);
+
+/** loop_for() - run the loop for a fixed time, to see that something does not happen */
+void loop_for(struct tevent_context *ev, uint32_t ms);
+
+#endif
