--- a/tests/lib_kv.c
+++ b/tests/lib_kv.c
@@ -186,24 +186,24 @@
 	return lease->id;
 }
 
-int64_t kv_keepalive(struct kv *kv, int64_t id, uint64_t now_ms)
+int64_t kv_keepalive(struct kv *kv, int64_t lease, uint64_t now_ms)
 {
-	struct lease *lease = g_hash_table_lookup(kv->leases, &id);
+	struct lease *found = g_hash_table_lookup(kv->leases, &lease);
 
-	if (!lease)
+	if (!found)
 		return 0;
-	lease->expires_ms = now_ms + (uint64_t)lease->ttl_s * 1000U;
-	return lease->ttl_s;
+	found->expires_ms = now_ms + (uint64_t)found->ttl_s * 1000U;
+	return found->ttl_s;
 }
 
-bool kv_revoke(struct kv *kv, int64_t id)
+bool kv_revoke(struct kv *kv, int64_t lease)
 {
 	kv_begin(kv);
 	for (size_t i = kv->items->len; i > 0; i--) {
-		if (kv_at(kv, i - 1)->lease == id)
+		if (kv_at(kv, i - 1)->lease == lease)
 			delete_at(kv, i - 1);
 	}
-	return g_hash_table_remove(kv->leases, &id);
+	return g_hash_table_remove(kv->leases, &lease);
 }
 
 bool kv_expire(struct kv *kv, uint64_t now_ms, bool all)
@@ -255,8 +255,8 @@
 		const struct kv_item *event = g_ptr_array_index(kv->events, i);
 		json_t *json;
 
-		if (strcmp(event->key, key) < 0 ||
-		    (*range_end ? strcmp(event->key, range_end) >= 0 : strcmp(event->key, key)))
+		if (strcmp(event->key, key) < 0 || (*range_end ? strcmp(event->key, range_end) >= 0
+							       : strcmp(event->key, key) != 0))
 			continue;
 		json = json_pack("{s:o}", "kv", kv_item_json(event));
 		if (!event->value)
