place: first working decisions

Floating homes for guarantees, buddy placement, reclaim by eviction, reservations for large jobs, estimates, worker health and giving back idle workers. Not measured yet.

--- /dev/null
+++ b/src/pass.c
@@ -0,0 +1,468 @@
+#include "place_impl.h"
+
+#include <math.h>
+#include <string.h>
+
+#define SEARCHES_PER_STEP 48	  /* keeps one step within its time bound; the rest follows */
+#define EVICT_SEARCHES_PER_STEP 4 /* searches that weigh evictions cost several times more */
+#define LARGE_WAIT_MS 5000	  /* before room is kept for a large job */
+#define AGED_WAIT_MS 60000	  /* before room is kept for any other job */
+#define RESERVED_SHARE 0.34	  /* of the fleet's accelerators kept for large jobs at most */
+#define CHECK_MS 1000		  /* reservations and waiting jobs are looked at this often */
+#define IDLE_MS 10000		  /* nothing to do */
+#define URGENT_RETRY_MS 200
+#define CLEAR_SHARE 0.25 /* lost work accepted per unit of waiting time x width */
+#define AGE_SCALE_MS 600000.0 /* waiting this long outweighs a full share of the fleet */
+
+struct pass {
+	struct place *p;
+	uint64_t now_ms;
+	int searches;
+	int evict_searches;
+	bool unfinished;
+};
+
+static bool over_quota(const struct job *job)
+{
+	const struct organisation *org = job->org;
+
+	return org->quota &&
+	       org->used + job->shape.members * job->shape.accelerators > org->quota;
+}
+
+static bool ready(const struct pass *pass, const struct job *job)
+{
+	return !job->reservation && !job->given_up && job->not_before_ms <= pass->now_ms &&
+	       !over_quota(job);
+}
+
+static struct query make_query(const struct pass *pass, struct job *job, enum query_mode mode)
+{
+	return (struct query){
+		.mode = mode,
+		.shape = &job->shape,
+		.org = job->org,
+		.job = job,
+		.lend = pass->p->policy.lend_idle && sched_evictable(job),
+		.now_ms = pass->now_ms,
+		.expected_end_ms = pass->now_ms + estimate_remaining_ms(job, pass->now_ms),
+	};
+}
+
+static bool start_in(struct pass *pass, struct job *job, enum query_mode mode)
+{
+	struct query q = make_query(pass, job, mode);
+	struct member out[PLACE_MEMBERS_MAX];
+
+	pass->searches++;
+	if (!search_place(pass->p, &q, out) || !sched_room(job, out))
+		return false;
+	sched_start(pass->p, job, out);
+	return true;
+}
+
+/* Room within the organisation's own guarantee, if need be by eviction of borrowed work. */
+static bool place_guaranteed(struct pass *pass, struct job *job)
+{
+	struct query q = make_query(pass, job, QUERY_CELLS_EVICT);
+	struct member out[PLACE_MEMBERS_MAX];
+
+	if (start_in(pass, job, QUERY_CELLS))
+		return true;
+	pass->searches++;
+	if (!search_place(pass->p, &q, out))
+		return false;
+	if (guarantee_rehome_free(pass->p, job, pass->now_ms) && start_in(pass, job, QUERY_CELLS))
+		return true;
+	if (!search_place(pass->p, &q, out))
+		return false;
+	sched_reserve(pass->p, job, out, true);
+	sched_clear(pass->p, job, "its accelerators are guaranteed to another organisation");
+	sched_start_reserved(pass->p, job);
+	return true;
+}
+
+static bool smaller_failed(const struct place_shape *shape, const struct place_shape *failed)
+{
+	return shape->members >= failed->members && shape->accelerators >= failed->accelerators &&
+	       shape->cores >= failed->cores && shape->memory_mb >= failed->memory_mb &&
+	       shape->within >= failed->within;
+}
+
+/* A step only takes capacity, so what a smaller shape didn't get needs no search. */
+static bool known_failed(const struct place *p, const struct place_shape *shape, bool lend)
+{
+	for (size_t i = 0; i < p->failed_count; i++) {
+		if (p->failed[i].lend >= lend && smaller_failed(shape, &p->failed[i].shape))
+			return true;
+	}
+	return false;
+}
+
+static void remember_failed(struct place *p, const struct place_shape *shape, bool lend)
+{
+	if (p->failed_count == FAILED_SHAPES_MAX)
+		return;
+	p->failed[p->failed_count].shape = *shape;
+	p->failed[p->failed_count++].lend = lend;
+}
+
+static void guaranteed_pass(struct pass *pass, struct organisation *org)
+{
+	struct place_shape failed[4];
+	size_t failed_count = 0;
+	GList *next;
+
+	for (GList *at = org->waiting.head; at; at = next) {
+		struct job *job = at->data;
+		bool skip = false;
+
+		next = at->next;
+		if (!ready(pass, job))
+			continue;
+		for (size_t i = 0; i < failed_count; i++)
+			skip |= smaller_failed(&job->shape, &failed[i]);
+		if (skip || place_guaranteed(pass, job))
+			continue;
+		if (failed_count == G_N_ELEMENTS(failed))
+			break;
+		failed[failed_count++] = job->shape;
+	}
+}
+
+static void guaranteed_passes(struct pass *pass)
+{
+	struct place *p = pass->p;
+
+	for (guint i = 0; i < p->orgs->len; i++) {
+		struct organisation *org = p->orgs->pdata[(p->org_turn + i) % p->orgs->len];
+
+		if (!org->dirty || org->waiting.length == 0 || org->unit_count == 0)
+			continue;
+		if (pass->searches >= SEARCHES_PER_STEP) {
+			p->org_turn = (p->org_turn + i) % p->orgs->len;
+			pass->unfinished = true;
+			return;
+		}
+		org->dirty = false;
+		guaranteed_pass(pass, org);
+	}
+}
+
+static bool place_urgent(struct pass *pass, struct job *job)
+{
+	struct query q = make_query(pass, job, QUERY_EVICT);
+	struct member out[PLACE_MEMBERS_MAX];
+
+	if (start_in(pass, job, QUERY_FREE))
+		return true;
+	pass->evict_searches++;
+	if (!search_place(pass->p, &q, out))
+		return false;
+	sched_reserve(pass->p, job, out, true);
+	sched_clear(pass->p, job, "urgent work needs its accelerators");
+	sched_start_reserved(pass->p, job);
+	return true;
+}
+
+static void urgent_pass(struct pass *pass)
+{
+	struct place *p = pass->p;
+
+	for (guint i = 0; i < p->urgent->len;) {
+		struct job *job = p->urgent->pdata[i];
+		bool again = job->tried_gen != p->gen || pass->now_ms >= job->retry_ms;
+
+		if (!ready(pass, job) || !again) {
+			i++;
+			continue;
+		}
+		if (pass->evict_searches >= EVICT_SEARCHES_PER_STEP) {
+			pass->unfinished = true;
+			return;
+		}
+		job->tried_gen = p->gen;
+		job->retry_ms = pass->now_ms + URGENT_RETRY_MS;
+		if (!place_urgent(pass, job) || job->reservation)
+			i++;
+	}
+}
+
+static double org_key(const struct pass *pass, const struct organisation *org, double total)
+{
+	const struct job *oldest = g_queue_peek_head((GQueue *)&org->waiting);
+	double used = total > 0 ? org->borrowed / total : 0;
+	double waited = (double)(pass->now_ms - MIN(pass->now_ms, oldest->submitted_ms));
+
+	return used / org->share - waited / AGE_SCALE_MS;
+}
+
+static int compare_keys(const void *a, const void *b)
+{
+	const struct organisation *x = *(struct organisation *const *)a;
+	const struct organisation *y = *(struct organisation *const *)b;
+
+	if (x->key != y->key)
+		return x->key < y->key ? -1 : 1;
+	return x->index < y->index ? -1 : x->index > y->index;
+}
+
+static bool try_borrow(struct pass *pass, struct job *job)
+{
+	struct place *p = pass->p;
+	bool lend = p->policy.lend_idle && sched_evictable(job);
+
+	if (job->failed_on_count == 0 && known_failed(p, &job->shape, lend))
+		return false;
+	if (start_in(pass, job, QUERY_FREE))
+		return true;
+	if (job->failed_on_count == 0 && (lend || job->org->unit_count == 0))
+		remember_failed(p, &job->shape, lend);
+	return false;
+}
+
+/* Starts the first job of the organisation's queue that finds room. */
+static bool borrow_one(struct pass *pass, struct organisation *org)
+{
+	struct place *p = pass->p;
+
+	while (org->cursor) {
+		struct job *job = org->cursor->data;
+
+		if (pass->searches >= SEARCHES_PER_STEP) {
+			pass->unfinished = true;
+			return false;
+		}
+		org->cursor = org->cursor->next;
+		if (job->tried_gen == p->gen || job->urgent || !ready(pass, job))
+			continue;
+		if (try_borrow(pass, job))
+			return true;
+		job->tried_gen = p->gen;
+	}
+	return false;
+}
+
+static void borrow_pass(struct pass *pass)
+{
+	struct place *p = pass->p;
+	struct organisation **queue = talloc_array(p, struct organisation *, p->orgs->len + 1);
+	double total = topo_total_accelerators(p);
+	size_t count = 0;
+
+	p->failed_count = 0;
+	for (guint i = 0; i < p->orgs->len; i++) {
+		struct organisation *org = p->orgs->pdata[i];
+
+		org->cursor = org->waiting.head;
+		if (!org->cursor)
+			continue;
+		org->key = org_key(pass, org, total);
+		queue[count++] = org;
+	}
+	qsort(queue, count, sizeof(*queue), compare_keys);
+	while (count && !pass->unfinished) {
+		size_t kept = 0;
+
+		for (size_t i = 0; i < count && !pass->unfinished; i++) {
+			if (borrow_one(pass, queue[i]))
+				queue[kept++] = queue[i];
+		}
+		count = kept;
+	}
+	talloc_free(queue);
+}
+
+static bool wants_room(const struct pass *pass, const struct job *job)
+{
+	uint64_t waited = pass->now_ms - MIN(pass->now_ms, job->submitted_ms);
+
+	if (!ready(pass, job) || job->urgent)
+		return false;
+	return waited >= (sched_large(pass->p, job) ? LARGE_WAIT_MS : AGED_WAIT_MS);
+}
+
+static uint32_t reserved_accelerators(const struct place *p)
+{
+	uint32_t total = 0;
+
+	for (guint i = 0; i < p->reserved->len; i++) {
+		const struct job *job = p->reserved->pdata[i];
+
+		if (!job->reclaiming)
+			total += job->shape.members * job->shape.accelerators;
+	}
+	return total;
+}
+
+static struct job *oldest_wanting_room(const struct pass *pass)
+{
+	struct job *best = NULL;
+
+	for (guint i = 0; i < pass->p->orgs->len; i++) {
+		struct organisation *org = pass->p->orgs->pdata[i];
+		int looked = 0;
+
+		for (GList *at = org->waiting.head; at && looked < 16; at = at->next, looked++) {
+			struct job *job = at->data;
+
+			if (best && best->submitted_ms <= job->submitted_ms)
+				break;
+			if (job->retry_ms <= pass->now_ms && wants_room(pass, job))
+				best = job;
+		}
+	}
+	return best;
+}
+
+/* Evicts what is cheap to evict now; the limit grows with the time the job has waited. */
+static void clear_cheap(struct pass *pass, struct job *job)
+{
+	uint64_t waited = pass->now_ms - MIN(pass->now_ms, job->submitted_ms);
+	struct query q = make_query(pass, job, QUERY_EVICT);
+	double limit = CLEAR_SHARE * (double)waited * job->shape.members *
+		       MAX(job->shape.accelerators, 1);
+
+	for (uint32_t i = 0; i < job->shape.members; i++) {
+		const struct member *m = &job->reservation[i];
+
+		for (uint64_t rest = m->mask & m->worker->used; rest; rest &= rest - 1) {
+			struct job *holder = m->worker->holder[__builtin_ctzll(rest)];
+
+			if (holder->stopping || !search_may_evict(holder, &q))
+				continue;
+			if (search_evict_cost(pass->p, holder, pass->now_ms) > limit)
+				continue;
+			sched_evict(pass->p, holder, job, "room is made for a large job");
+		}
+	}
+}
+
+static void reserve_pass(struct pass *pass)
+{
+	struct place *p = pass->p;
+	double limit = RESERVED_SHARE * topo_total_accelerators(p);
+
+	while (pass->evict_searches < EVICT_SEARCHES_PER_STEP) {
+		struct job *job = oldest_wanting_room(pass);
+		struct member out[PLACE_MEMBERS_MAX];
+		struct query q;
+		uint32_t kept = reserved_accelerators(p);
+
+		if (!job)
+			return;
+		job->retry_ms = pass->now_ms + CHECK_MS;
+		if (kept && kept + job->shape.members * job->shape.accelerators > limit)
+			return;
+		q = make_query(pass, job, QUERY_DRAIN);
+		pass->evict_searches++;
+		if (!search_place(p, &q, out))
+			continue;
+		sched_reserve(p, job, out, false);
+		clear_cheap(pass, job);
+		sched_start_reserved(p, job);
+	}
+}
+
+static bool reservation_usable(const struct job *job)
+{
+	for (uint32_t i = 0; i < job->shape.members; i++) {
+		if (!topo_usable(job->reservation[i].worker))
+			return false;
+	}
+	return true;
+}
+
+static bool start_elsewhere(struct pass *pass, struct job *job)
+{
+	struct member *kept = talloc_memdup(pass->p, job->reservation,
+					    job->shape.members * sizeof(*kept));
+	uint64_t gen = pass->p->gen;
+	bool reclaiming = job->reclaiming;
+
+	topo_unreserve(pass->p, job);
+	pass->p->gen = gen;
+	if (start_in(pass, job, QUERY_FREE)) {
+		talloc_free(kept);
+		return true;
+	}
+	topo_reserve(pass->p, job, talloc_steal(job, kept));
+	job->reclaiming = reclaiming;
+	return false;
+}
+
+static void reservation_pass(struct pass *pass)
+{
+	struct place *p = pass->p;
+
+	for (guint i = p->reserved->len; i > 0; i--) {
+		struct job *job = i <= p->reserved->len ? p->reserved->pdata[i - 1] : NULL;
+
+		if (!job)
+			continue;
+		if (!reservation_usable(job) || over_quota(job)) {
+			topo_unreserve(p, job);
+			continue;
+		}
+		if (sched_start_reserved(p, job))
+			continue;
+		if (job->reclaiming) {
+			sched_clear(p, job, "guaranteed or urgent work needs its accelerators");
+			continue;
+		}
+		if (job->tried_gen != p->gen) {
+			job->tried_gen = p->gen;
+			if (start_elsewhere(pass, job))
+				continue;
+		}
+		clear_cheap(pass, job);
+	}
+}
+
+static void end_pass(struct place *p)
+{
+	while (p->dying->len) {
+		struct job *job = p->dying->pdata[p->dying->len - 1];
+
+		g_ptr_array_set_size(p->dying, (gint)p->dying->len - 1);
+		if (!job->given_up) {
+			sched_evict(p, job, NULL, "cancelled");
+			continue;
+		}
+		sched_emit(p, &(struct place_decision){
+				      .kind = PLACE_FAIL,
+				      .job = job->id,
+				      .attempt = job->attempt,
+				      .organisation = job->org->name,
+				      .reason = job->fail_reason,
+			      });
+		place_forget(p, job);
+	}
+}
+
+uint64_t sched_step(struct place *p, uint64_t now_ms)
+{
+	struct pass pass = {.p = p, .now_ms = now_ms};
+	uint64_t next;
+
+	topo_order(p);
+	end_pass(p);
+	guarantee_refresh(p, now_ms);
+	next = health_step(p, now_ms);
+	reservation_pass(&pass);
+	guaranteed_passes(&pass);
+	urgent_pass(&pass);
+	if (p->work_due || now_ms >= p->queue_pass_ms) {
+		p->work_due = false;
+		p->queue_pass_ms = now_ms + CHECK_MS;
+		borrow_pass(&pass);
+		reserve_pass(&pass);
+		p->work_due |= pass.unfinished;
+	}
+	next = MIN(next, giveback_step(p, now_ms));
+	if (pass.unfinished)
+		return 1;
+	if (p->urgent->len)
+		next = MIN(next, URGENT_RETRY_MS);
+	return MIN(next, p->waiting ? CHECK_MS : IDLE_MS);
+}
--- /dev/null
+++ b/src/place_impl.h
@@ -0,0 +1,327 @@
+#ifndef JAYCOURSE_PLACE_IMPL_H
+#define JAYCOURSE_PLACE_IMPL_H
+
+#include "place.h"
+#include "util.h"
+
+#include <glib.h>
+
+/* Private to the decision modules: place, topo, search, guarantee, sched, health, frag. */
+
+enum {
+	PLACE_EVICTIONS_MAX = 3,     /* optional evictions a job suffers; reclaims come on top */
+	PLACE_FAILED_WORKERS_MAX = 8 /* workers remembered per job that could not start it */
+};
+
+struct cell;
+struct job;
+
+struct zone {
+	char *name;
+};
+
+struct rack {
+	char *name;
+	int zone;
+};
+
+struct worker {
+	char *name;
+	int zone;
+	int rack;
+	uint32_t order; /* position in place->order: by zone, rack, name */
+	uint32_t accelerators;
+	uint32_t cores;
+	uint32_t memory;
+	bool up;
+	bool draining;
+	bool quarantined;
+	bool offered;
+	uint64_t all;	   /* mask of existing accelerators */
+	uint64_t used;	   /* granted */
+	uint64_t reported; /* reported in use without a grant */
+	uint64_t home;	   /* inside some organisation's home cell */
+	uint64_t reserved; /* kept for waiting jobs with a reservation */
+	uint64_t reported_ms;
+	uint64_t released_ms; /* latest release of accelerators */
+	uint64_t down_ms;
+	uint64_t idle_since_ms;
+	uint64_t offered_ms;
+	uint64_t returned_ms;
+	uint64_t avoid_until_ms; /* after a refused hold */
+	uint32_t cores_used;
+	uint32_t memory_used;
+	uint32_t cores_home;
+	uint32_t memory_home;
+	uint32_t cores_pinned; /* of work outside its own cell that may not be evicted */
+	uint32_t memory_pinned;
+	uint32_t cores_reserved;
+	uint32_t memory_reserved;
+	struct job *holder[PLACE_ACCELERATORS_MAX];
+	struct job *reserver[PLACE_ACCELERATORS_MAX];
+	GPtrArray *members; /* struct member, borrowed from jobs */
+	GPtrArray *cells;   /* struct cell, borrowed from units */
+	/* health */
+	double suspicion;
+	uint64_t success_ms;
+	uint64_t quarantine_until_ms;
+	uint32_t quarantine_count;
+	struct job *probe;
+	bool health_event; /* a change of state is to be emitted */
+};
+
+/* Part of a guarantee on one worker. */
+struct cell {
+	struct unit *unit;
+	struct worker *worker; /* NULL while the guarantee has no home */
+	uint64_t mask;
+	uint32_t cores;
+	uint32_t memory;
+	uint32_t cores_used; /* by attached members */
+	uint32_t memory_used;
+};
+
+/* One guaranteed shape of an organisation. */
+struct unit {
+	struct organisation *org;
+	struct place_shape shape;
+	bool met;
+	uint32_t index; /* among those of its organisation */
+	struct cell *cells; /* shape.members of them */
+};
+
+struct organisation {
+	char *name;
+	bool gone;
+	int32_t priority;
+	uint32_t quota;
+	double share;
+	uint64_t since_ms;
+	uint32_t index;
+	bool listed; /* in the set being applied */
+	double key;  /* order of the current pass */
+	struct unit **units;
+	size_t unit_count;
+	uint32_t used;	     /* accelerators granted */
+	uint32_t used_cores; /* cores granted */
+	uint32_t borrowed;   /* accelerators granted outside own cells */
+	GQueue waiting;	     /* struct job by submission time */
+	bool dirty;	     /* guaranteed work may have become placeable */
+	bool reported_unmet;
+	bool pinned_work; /* runs work that may not be evicted; set while homes are repacked */
+	GList *cursor; /* next waiting job of the current pass */
+};
+
+struct member {
+	struct job *job;
+	struct worker *worker;
+	uint64_t mask;
+	struct cell *cell; /* own cell the member lies in, or NULL */
+};
+
+enum job_state {
+	JOB_WAITING,
+	JOB_PLACED,  /* START emitted */
+	JOB_RUNNING, /* all members run */
+};
+
+struct class_estimate {
+	double log_ratio; /* mean of ln(actual / declared) */
+	double deviation; /* mean absolute deviation of it */
+	uint32_t samples;
+};
+
+struct job {
+	char *id;
+	struct organisation *org;
+	struct class_estimate *estimate;
+	struct place_shape shape;
+	uint64_t declared_ms;
+	uint64_t submitted_ms;
+	bool urgent;
+	bool checkpoint;
+	bool restartable;
+	enum job_state state;
+	bool stopping;	/* EVICT emitted */
+	bool cancelled; /* EVICT is due or emitted because of a cancellation */
+	bool ever_started;
+	bool probing;
+	bool reclaiming; /* reservation for guaranteed or urgent work: victims go at once */
+	bool given_up;	 /* waits for its PLACE_FAIL */
+	const char *fail_reason;
+	uint32_t attempt;
+	uint32_t evictions;
+	uint32_t start_failures;
+	uint32_t good_failures; /* of them on workers that run other work */
+	uint32_t refusals;
+	uint64_t tried_gen;
+	uint64_t not_before_ms;
+	uint64_t waiting_since_ms;
+	uint64_t placed_ms;
+	uint64_t started_ms;
+	uint64_t saved_ms;    /* run time saved by checkpoints */
+	uint64_t run_base_ms; /* of it, when the attempt began */
+	uint64_t retry_ms;    /* next costly search */
+	uint64_t reserved_ms;
+	struct worker *failed_on[PLACE_FAILED_WORKERS_MAX];
+	uint32_t failed_on_count;
+	struct member *members; /* placed: shape.members */
+	struct member *reservation;
+	GList *link; /* in org->waiting */
+};
+
+/* One place where members can go: a worker or a cell of it. */
+struct slot {
+	struct worker *worker;
+	struct cell *cell;
+	uint64_t mask;
+	uint32_t cores;
+	uint32_t memory;
+	double score;
+	int offset; /* -1: no room */
+};
+
+enum query_mode {
+	QUERY_FREE,  /* free accelerators, lent ones if the job can be evicted */
+	QUERY_EVICT, /* also those of work that may be evicted */
+	QUERY_DRAIN, /* also those of any work that is expected to end */
+	QUERY_CELLS, /* own cells, free of all work */
+	QUERY_CELLS_EVICT,
+	QUERY_HOME_FREE, /* home for a guarantee in free space */
+	QUERY_HOME,	 /* home for a guarantee anywhere but on work that cannot be evicted */
+};
+
+struct query {
+	enum query_mode mode;
+	const struct place_shape *shape;
+	struct organisation *org;
+	struct job *job;   /* NULL for homes */
+	struct unit *unit; /* for homes */
+	bool lend;	   /* other organisations' cells may be used */
+	uint64_t now_ms;
+	uint64_t expected_end_ms;
+};
+
+struct failed_shape {
+	struct place_shape shape;
+	bool lend;
+};
+
+enum {
+	FAILED_SHAPES_MAX = 48,
+	FITTING_SHAPES_MAX = 128,
+};
+
+struct place {
+	struct place_policy policy;
+	struct util_rng rng;
+	GPtrArray *workers; /* struct worker */
+	GHashTable *worker_names;
+	struct worker **order;
+	size_t order_count;
+	bool order_dirty;
+	GPtrArray *zones;
+	GPtrArray *racks;
+	GPtrArray *orgs;
+	GHashTable *org_names;
+	GHashTable *jobs;
+	GHashTable *estimates;
+	GPtrArray *reserved; /* jobs with a reservation */
+	GPtrArray *urgent;   /* waiting urgent jobs */
+	GPtrArray *dying;    /* jobs whose PLACE_FAIL or EVICT is due */
+	struct unit **units; /* by priority, then age */
+	size_t unit_count;
+	size_t cell_count; /* of all units */
+	size_t units_unmet;
+	uint64_t units_tried_gen;
+	bool homes_dirty;
+	bool work_due;	  /* a pass over the queue is due */
+	uint64_t gen;	  /* grows when capacity becomes free */
+	uint32_t waiting; /* jobs */
+	uint32_t placed;
+	uint32_t org_turn;
+	uint32_t offered;
+	uint32_t worker_width; /* accelerators of the largest worker */
+	struct place_shape largest_lately;
+	uint64_t evictions;
+	uint64_t now_ms;
+	uint64_t queue_pass_ms;
+	struct slot *slots; /* scratch, order_count of them or more */
+	struct slot *scratch;
+	size_t slot_capacity;
+	struct failed_shape failed[FAILED_SHAPES_MAX];
+	size_t failed_count;
+	struct place_shape fitting[FITTING_SHAPES_MAX]; /* known to fit an idle fleet */
+	size_t fitting_count;
+	size_t fitting_next;
+	void (*emit)(const struct place_decision *decision, void *ctx);
+	void *emit_ctx;
+};
+
+/* topo.c */
+struct worker *topo_worker(struct place *p, const char *name, bool create);
+void topo_update(struct place *p, struct worker *w, const struct place_worker_spec *spec);
+void topo_order(struct place *p);
+void topo_reserve_slots(struct place *p, size_t count);
+bool topo_usable(const struct worker *w);
+uint64_t topo_run(uint32_t offset, uint32_t length);
+double topo_potential(uint64_t free_mask);
+int topo_longest_run(uint64_t mask);
+void topo_grant(struct place *p, struct job *job, struct member *members);
+void topo_release(struct place *p, struct job *job);
+void topo_reserve(struct place *p, struct job *job, struct member *members);
+void topo_unreserve(struct place *p, struct job *job);
+uint32_t topo_total_accelerators(const struct place *p);
+
+/* search.c */
+bool search_place(struct place *p, const struct query *q, struct member *out);
+bool search_capacity(struct place *p, const struct place_shape *shape);
+double search_evict_cost(const struct place *p, const struct job *victim, uint64_t now_ms);
+bool search_may_evict(const struct job *victim, const struct query *q);
+
+/* guarantee.c */
+void guarantee_build(struct place *p, const struct place_organisation_spec *specs, size_t count);
+void guarantee_refresh(struct place *p, uint64_t now_ms);
+bool guarantee_rehome_free(struct place *p, struct job *job, uint64_t now_ms);
+bool guarantee_move_off(struct place *p, struct worker *w, uint64_t now_ms);
+uint32_t guarantee_idle_accelerators(const struct organisation *org);
+
+/* estimate.c */
+struct class_estimate *estimate_get(struct place *p, const char *org, const char *class_name);
+void estimate_learn(struct class_estimate *e, uint64_t declared_ms, uint64_t actual_ms);
+uint64_t estimate_run_ms(const struct job *job);
+uint64_t estimate_remaining_ms(const struct job *job, uint64_t now_ms);
+
+/* health.c */
+void health_started(struct place *p, struct job *job, uint64_t now_ms);
+void health_start_failed(struct place *p, struct job *job, struct worker *w, uint64_t now_ms);
+void health_program_failed(struct place *p, struct worker *w);
+uint64_t health_step(struct place *p, uint64_t now_ms);
+bool health_avoids(const struct job *job, const struct worker *w);
+
+/* sched.c */
+void sched_enqueue(struct place *p, struct job *job, uint64_t now_ms);
+void sched_dequeue(struct place *p, struct job *job);
+void sched_emit(struct place *p, struct place_decision *decision);
+void sched_evict(struct place *p, struct job *victim, const struct job *for_job, const char *reason);
+bool sched_evictable(const struct job *job);
+bool sched_guaranteed(const struct job *job);
+bool sched_large(const struct place *p, const struct job *job);
+
+bool sched_room(const struct job *job, const struct member *members);
+void sched_start(struct place *p, struct job *job, const struct member *members);
+void sched_clear(struct place *p, struct job *job, const char *reason);
+void sched_reserve(struct place *p, struct job *job, const struct member *members, bool reclaiming);
+bool sched_start_reserved(struct place *p, struct job *job);
+
+/* pass.c */
+uint64_t sched_step(struct place *p, uint64_t now_ms);
+
+/* place.c */
+void place_forget(struct place *p, struct job *job);
+void place_give_up(struct place *p, struct job *job, const char *reason);
+
+/* giveback.c */
+uint64_t giveback_step(struct place *p, uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/sched.c
@@ -0,0 +1,294 @@
+#include "place_impl.h"
+
+#include <string.h>
+
+#define URGENT_GRACE_MS 2000 /* leaves half of the 4.1 s start bound for the start itself */
+
+void sched_emit(struct place *p, struct place_decision *decision)
+{
+	if (!decision->job)
+		decision->job = "";
+	if (!decision->worker)
+		decision->worker = "";
+	if (!decision->organisation)
+		decision->organisation = "";
+	if (!decision->for_job)
+		decision->for_job = "";
+	if (!decision->reason)
+		decision->reason = "";
+	if (p->emit)
+		p->emit(decision, p->emit_ctx);
+}
+
+bool sched_evictable(const struct job *job)
+{
+	return job->checkpoint || job->restartable;
+}
+
+/* True if the job runs inside its organisation's guarantee. */
+bool sched_guaranteed(const struct job *job)
+{
+	return job->members && job->members[0].cell;
+}
+
+bool sched_large(const struct place *p, const struct job *job)
+{
+	const struct place_shape *shape = &job->shape;
+	uint32_t whole = 8;
+
+	if (p && p->worker_width)
+		whole = p->worker_width;
+	if (shape->accelerators == 0)
+		return false;
+	return shape->accelerators >= whole ||
+	       (shape->members > 1 && shape->accelerators * 2 > whole);
+}
+
+static bool queued_before(const struct job *a, const struct job *b)
+{
+	if (a->submitted_ms != b->submitted_ms)
+		return a->submitted_ms < b->submitted_ms;
+	return strcmp(a->id, b->id) < 0;
+}
+
+/* Jobs come back to their old place in the queue, so the walk starts at the end they are near. */
+static GList *insert_sorted(GQueue *queue, struct job *job)
+{
+	GList *at;
+
+	if (job->attempt == 0) {
+		for (at = queue->tail; at && queued_before(job, at->data); at = at->prev)
+			;
+		g_queue_insert_after(queue, at, job);
+		return at ? at->next : queue->head;
+	}
+	for (at = queue->head; at && !queued_before(job, at->data); at = at->next)
+		;
+	g_queue_insert_before(queue, at, job);
+	return at ? at->prev : queue->tail;
+}
+
+void sched_enqueue(struct place *p, struct job *job, uint64_t now_ms)
+{
+	job->state = JOB_WAITING;
+	job->tried_gen = 0;
+	job->waiting_since_ms = now_ms;
+	job->link = insert_sorted(&job->org->waiting, job);
+	job->org->dirty = true;
+	if (job->urgent)
+		g_ptr_array_add(p->urgent, job);
+	p->waiting++;
+	p->work_due = true;
+}
+
+void sched_dequeue(struct place *p, struct job *job)
+{
+	if (!job->link)
+		return;
+	if (job->org->cursor == job->link)
+		job->org->cursor = job->link->next;
+	g_queue_delete_link(&job->org->waiting, job->link);
+	job->link = NULL;
+	if (job->urgent)
+		g_ptr_array_remove(p->urgent, job);
+	p->waiting--;
+}
+
+void sched_evict(struct place *p, struct job *victim, const struct job *for_job, const char *reason)
+{
+	uint32_t grace = p->policy.reclaim_grace_ms;
+
+	if (victim->stopping)
+		return;
+	victim->stopping = true;
+	if (for_job) {
+		victim->evictions++;
+		p->evictions++;
+		if (for_job->urgent)
+			grace = MIN(grace, URGENT_GRACE_MS);
+	}
+	sched_emit(p, &(struct place_decision){
+			      .kind = PLACE_EVICT,
+			      .job = victim->id,
+			      .attempt = victim->attempt,
+			      .organisation = victim->org->name,
+			      .for_job = for_job ? for_job->id : "",
+			      .checkpoint = victim->checkpoint,
+			      .grace_ms = grace,
+			      .reason = reason,
+		      });
+}
+
+static void emit_start(struct place *p, struct job *job)
+{
+	struct place_assignment members[PLACE_MEMBERS_MAX];
+
+	for (uint32_t i = 0; i < job->shape.members; i++)
+		members[i] = (struct place_assignment){.worker = job->members[i].worker->name,
+						       .mask = job->members[i].mask};
+	sched_emit(p, &(struct place_decision){
+			      .kind = PLACE_START,
+			      .job = job->id,
+			      .attempt = job->attempt,
+			      .members = members,
+			      .member_count = job->shape.members,
+			      .organisation = job->org->name,
+		      });
+}
+
+/* Is the room of all members free now? Members of one worker add up. */
+bool sched_room(const struct job *job, const struct member *members)
+{
+	for (uint32_t i = 0; i < job->shape.members; i++) {
+		const struct worker *w = members[i].worker;
+		uint64_t cores = 0;
+		uint64_t memory = 0;
+
+		if (!topo_usable(w) && !job->probing)
+			return false;
+		if (members[i].mask & (w->used | w->reported))
+			return false;
+		for (uint32_t k = 0; k < job->shape.members; k++) {
+			if (members[k].worker != w)
+				continue;
+			cores += job->shape.cores;
+			memory += job->shape.memory_mb;
+		}
+		if (w->cores_used + cores > w->cores || w->memory_used + memory > w->memory)
+			return false;
+	}
+	return true;
+}
+
+/* Grants the members, of which a copy is kept, and emits the start. */
+void sched_start(struct place *p, struct job *job, const struct member *members)
+{
+	size_t size = job->shape.members * sizeof(*members);
+	struct member *own = talloc_memdup(job, members, size);
+
+	for (uint32_t i = 0; i < job->shape.members; i++)
+		own[i].job = job;
+	sched_dequeue(p, job);
+	job->attempt++;
+	job->state = JOB_PLACED;
+	job->stopping = false;
+	job->placed_ms = p->now_ms;
+	job->started_ms = 0;
+	topo_grant(p, job, own);
+	emit_start(p, job);
+}
+
+static bool core_victim(const struct job *job, const struct job *victim, bool cells)
+{
+	struct query q = {
+		.mode = cells ? QUERY_CELLS_EVICT : QUERY_EVICT,
+		.org = job->org,
+		.job = (struct job *)job,
+	};
+
+	return search_may_evict(victim, &q) && !victim->stopping;
+}
+
+/* Evicts the cheapest work of a worker until the cores and memory asked for become free. */
+static void evict_for_cores(struct place *p, struct job *job, struct worker *w, uint64_t cores,
+			    uint64_t memory, bool cells, const char *reason)
+{
+	for (;;) {
+		uint64_t used_cores = 0;
+		uint64_t used_memory = 0;
+		struct job *best = NULL;
+		double best_cost = 0;
+
+		for (guint i = 0; i < w->members->len; i++) {
+			const struct member *m = w->members->pdata[i];
+			double cost;
+
+			if (m->job->stopping)
+				continue;
+			used_cores += m->job->shape.cores;
+			used_memory += m->job->shape.memory_mb;
+			if (!core_victim(job, m->job, cells))
+				continue;
+			cost = search_evict_cost(p, m->job, p->now_ms);
+			if (best && cost >= best_cost)
+				continue;
+			best = m->job;
+			best_cost = cost;
+		}
+		if (used_cores + cores <= w->cores && used_memory + memory <= w->memory)
+			return;
+		if (!best)
+			return;
+		sched_evict(p, best, job, reason);
+	}
+}
+
+static void evict_holders(struct place *p, struct job *job, const struct member *m, bool cells,
+			  const char *reason)
+{
+	for (uint64_t rest = m->mask & m->worker->used; rest; rest &= rest - 1) {
+		struct job *holder = m->worker->holder[__builtin_ctzll(rest)];
+
+		if (core_victim(job, holder, cells))
+			sched_evict(p, holder, job, reason);
+	}
+}
+
+/* Clears the room of a reservation at once; what may not be evicted stays until it ends. */
+void sched_clear(struct place *p, struct job *job, const char *reason)
+{
+	bool cells = job->reservation[0].cell != NULL;
+
+	for (uint32_t i = 0; i < job->shape.members; i++)
+		evict_holders(p, job, &job->reservation[i], cells, reason);
+	for (uint32_t i = 0; i < job->shape.members; i++) {
+		struct worker *w = job->reservation[i].worker;
+		uint64_t members = 0;
+		bool first = true;
+
+		for (uint32_t k = 0; k < job->shape.members; k++) {
+			if (job->reservation[k].worker != w)
+				continue;
+			members++;
+			first &= k >= i;
+		}
+		if (first)
+			evict_for_cores(p, job, w, members * job->shape.cores,
+					members * job->shape.memory_mb, cells, reason);
+	}
+}
+
+/* Reserves the members; reservations of other jobs on the same accelerators give way. */
+void sched_reserve(struct place *p, struct job *job, const struct member *members, bool reclaiming)
+{
+	size_t size = job->shape.members * sizeof(*members);
+	struct member *own = talloc_memdup(job, members, size);
+
+	for (uint32_t i = 0; i < job->shape.members; i++) {
+		own[i].job = job;
+		for (uint64_t rest = own[i].mask; rest; rest &= rest - 1) {
+			struct job *other = own[i].worker->reserver[__builtin_ctzll(rest)];
+
+			if (other)
+				topo_unreserve(p, other);
+		}
+	}
+	topo_reserve(p, job, own);
+	job->reclaiming = reclaiming;
+	job->reserved_ms = p->now_ms;
+}
+
+/* Starts a job on its reservation if all of it is free. */
+bool sched_start_reserved(struct place *p, struct job *job)
+{
+	struct member members[PLACE_MEMBERS_MAX];
+	uint64_t gen = p->gen;
+
+	if (!sched_room(job, job->reservation))
+		return false;
+	memcpy(members, job->reservation, job->shape.members * sizeof(*members));
+	topo_unreserve(p, job);
+	p->gen = gen;
+	sched_start(p, job, members);
+	return true;
+}
