--- /dev/null
+++ b/src/bench_fit.h
@@ -0,0 +1,30 @@
+#ifndef JAYCOURSE_BENCH_FIT_H
+#define JAYCOURSE_BENCH_FIT_H
+
+#include "place.h"
+
+/* What is free on one worker. */
+struct bench_free {
+	struct place_worker_spec spec;
+	uint64_t mask; /* free accelerators */
+	uint32_t cores;
+	uint32_t memory_mb;
+	bool up;
+};
+
+/**
+ * bench_fit() - find room for all members of a shape
+ * @workers: searched in order; left unchanged
+ * @best_fit: prefer the workers with the fewest free accelerators
+ * @index: receives the index of the worker of each member
+ * @mask: receives the accelerators of each member
+ *
+ * Return: true if all members fit.
+ */
+bool bench_fit(const struct bench_free *workers, size_t count, const struct place_shape *shape,
+	       bool best_fit, size_t *index, uint64_t *mask);
+
+/** bench_fit_full_mask() - mask with the lowest @accelerators bits set */
+uint64_t bench_fit_full_mask(uint32_t accelerators);
+
+#endif
--- a/src/place.h
+++ b/src/place.h
@@ -27,7 +27,11 @@
 	PLACE_WITHIN_WORKER,
 };
 
-/* Cores, memory and accelerators are per member. Accelerators of a member are contiguous. */
+/*
+ * Cores, memory and accelerators are per member. Accelerators of a member are contiguous;
+ * 0 accelerators is a member that needs only cores and memory (its mask is 0). Several
+ * members may share a worker.
+ */
 struct place_shape {
 	uint32_t members;
 	uint32_t accelerators;
