--- a/src/bench_workload.c
+++ b/src/bench_workload.c
@@ -6,6 +6,7 @@
 #include <inttypes.h>
 #include <jansson.h>
 #include <math.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 
--- /dev/null
+++ b/tests/lib_cluster.c
@@ -0,0 +1,272 @@
+#include "lib_cluster.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WORKERS_PER_RACK 3
+#define KNOWN_TIMEOUT_MS 30000
+#define STOP_TIMEOUT_MS 20000
+
+static const char *const nefeli_zones[] = {"naxos", "tinos", "andros"};
+static const char *const sonhario_zones[] = {"porto-a", "braga-b", "guimaraes-c"};
+
+static const char *operator_token(const struct cluster *c)
+{
+	return strcmp(c->example, "nefeli") ? "sonhario-operator-token" : "nefeli-operator-token";
+}
+
+bool cluster_start_entry(struct cluster *c, unsigned int index)
+{
+	char node[64];
+	char zone[64];
+	char store[128];
+	char label[64];
+	const char *const arguments[] = {"--set", node,
+					 "--set", "region=region-1",
+					 "--set", zone,
+					 "--set", "http_address=127.0.0.1:0",
+					 "--set", "peer_address=127.0.0.1:0",
+					 "--set", store,
+					 NULL};
+
+	snprintf(node, sizeof(node), "node=entry-%u", index);
+	snprintf(zone, sizeof(zone), "zone=%s", c->zones[index % 3]);
+	snprintf(store, sizeof(store), "store_endpoints=http://%s", c->store.address[0]);
+	snprintf(label, sizeof(label), "entry-%u", index);
+	return proc_start(&c->entries[index], "jaycourse-entry", label, arguments);
+}
+
+static bool start_agent(struct cluster *c, struct cluster_target *t)
+{
+	char node[64];
+	char zone[64];
+	char rack[64];
+	char store[128];
+	char seeds[128];
+	char label[64];
+	const char *const arguments[] = {"--set", node,
+					 "--set", "region=region-1",
+					 "--set", zone,
+					 "--set", rack,
+					 "--set", "http_address=127.0.0.1:0",
+					 "--set", "peer_address=127.0.0.1:0",
+					 "--set", store,
+					 "--set", seeds,
+					 NULL};
+
+	snprintf(node, sizeof(node), "node=agent-%s", t->name);
+	snprintf(zone, sizeof(zone), "zone=%s", t->zone);
+	snprintf(rack, sizeof(rack), "rack=%s", t->rack);
+	snprintf(store, sizeof(store), "store_endpoints=http://%s", c->store.address[0]);
+	snprintf(seeds, sizeof(seeds), "seeds=%s", c->entries[0].address[0]);
+	snprintf(label, sizeof(label), "agent-%s", t->name);
+	return proc_start(&t->agent, "jaycourse-agent", label, arguments);
+}
+
+static bool start_target(const struct cluster *c, struct cluster_target *t)
+{
+	char agent[128];
+	const char *const worker[] = {"--listen", "127.0.0.1:0", "--agent", agent,
+				      "--target", t->name,	 NULL};
+	const char *const service[] = {"--listen",  "127.0.0.1:0", "--agent",	agent,
+				       "--target",  t->name,	   "--service", c->service,
+				       "--work-ms", c->work_ms,	   NULL};
+
+	snprintf(agent, sizeof(agent), "http://%s", t->agent.address[0]);
+	if (t->is_worker)
+		return proc_start(&t->target, "fake_worker", t->name, worker);
+	return proc_start(&t->target, "fake_service", t->name, service);
+}
+
+bool cluster_start_target(struct cluster *c, unsigned int index)
+{
+	struct cluster_target *t = &c->targets[index];
+
+	return start_agent(c, t) && start_target(c, t);
+}
+
+static void name_target(struct cluster *c, unsigned int index, bool is_worker)
+{
+	struct cluster_target *t = &c->targets[index];
+	unsigned int number = index;
+
+	t->is_worker = is_worker;
+	for (unsigned int i = 0; i < index && is_worker; i++)
+		number -= !c->targets[i].is_worker;
+	t->zone = c->zones[(is_worker ? number / WORKERS_PER_RACK : number) % 3];
+	snprintf(t->name, sizeof(t->name), "%s-%02u", is_worker ? "worker" : "instance", number);
+	snprintf(t->rack, sizeof(t->rack), "%s-r%u", t->zone, number / WORKERS_PER_RACK);
+}
+
+struct target_wait {
+	const struct cluster *c;
+	unsigned int entry;
+	unsigned int count;
+};
+
+static bool targets_known(void *ctx)
+{
+	const struct target_wait *wait = ctx;
+
+	return cluster_alive_targets(wait->c, wait->entry) >= wait->count;
+}
+
+static bool wait_targets(const struct cluster *c)
+{
+	for (unsigned int i = 0; i < c->entry_count; i++) {
+		struct target_wait wait = {.c = c, .entry = i, .count = c->target_count};
+
+		if (!wait_until(targets_known, &wait, KNOWN_TIMEOUT_MS)) {
+			fprintf(stderr, "entry %u knows %u of %u targets\n", i,
+				cluster_alive_targets(c, i), c->target_count);
+			return false;
+		}
+	}
+	return true;
+}
+
+static bool apply_example(struct cluster *c)
+{
+	char folder[128];
+	char out[8192];
+	const char *const arguments[] = {"config", "apply", folder, NULL};
+	int code;
+
+	snprintf(folder, sizeof(folder), "examples/%s", c->example);
+	code = cluster_cli(c, 0, operator_token(c), arguments, out, sizeof(out));
+	if (code)
+		fprintf(stderr, "config apply: exit code %d\n%s\n", code, out);
+	return code == 0;
+}
+
+bool cluster_start(struct cluster *c, const struct cluster_options *options)
+{
+	const char *const store[] = {"--listen", "127.0.0.1:0", NULL};
+	bool nefeli = !strcmp(options->example, "nefeli");
+
+	memset(c, 0, sizeof(*c));
+	c->example = options->example;
+	c->zones = nefeli ? nefeli_zones : sonhario_zones;
+	c->service = nefeli ? "harvest-planner" : "diary-press";
+	c->work_ms = options->work_ms ? options->work_ms : "20";
+	if (!proc_start(&c->store, "fake_store", "store", store))
+		return false;
+	c->entry_count = options->entries;
+	for (unsigned int i = 0; i < c->entry_count; i++) {
+		if (!cluster_start_entry(c, i))
+			return false;
+	}
+	if (!apply_example(c))
+		return false;
+	c->target_count = options->services + options->workers;
+	for (unsigned int i = 0; i < c->target_count; i++) {
+		name_target(c, i, i >= options->services);
+		if (!cluster_start_target(c, i))
+			return false;
+	}
+	return wait_targets(c);
+}
+
+static bool stop_all(struct proc *proc)
+{
+	if (proc->pid <= 0)
+		return true;
+	/* A frozen process cannot handle SIGTERM. */
+	proc_signal(proc, SIGCONT);
+	return proc_stop(proc, STOP_TIMEOUT_MS) == 0;
+}
+
+bool cluster_stop(struct cluster *c)
+{
+	bool clean = true;
+
+	for (unsigned int i = 0; i < c->entry_count; i++)
+		clean = stop_all(&c->entries[i]) && clean;
+	for (unsigned int i = 0; i < c->target_count; i++) {
+		clean = stop_all(&c->targets[i].target) && clean;
+		clean = stop_all(&c->targets[i].agent) && clean;
+	}
+	return stop_all(&c->store) && clean;
+}
+
+int cluster_cli(const struct cluster *c, unsigned int entry, const char *token,
+		const char *const *arguments, char *out, size_t out_len)
+{
+	const char *argv[PROC_ARGUMENTS + 1];
+	char url[128];
+	size_t n = 0;
+
+	snprintf(url, sizeof(url), "http://%s", c->entries[entry].address[0]);
+	argv[n++] = "--entry";
+	argv[n++] = url;
+	argv[n++] = "--token";
+	argv[n++] = token;
+	for (size_t i = 0; arguments[i] && n < PROC_ARGUMENTS; i++)
+		argv[n++] = arguments[i];
+	argv[n] = NULL;
+	return proc_run("jaycourse", argv, out, out_len);
+}
+
+json_t *cluster_json(const struct cluster *c, unsigned int entry, const char *token,
+		     const char *path)
+{
+	char authorization[160];
+	char url[256];
+	const char *const headers[] = {authorization, NULL};
+	struct http_reply reply;
+	json_t *json = NULL;
+
+	snprintf(authorization, sizeof(authorization), "Authorization: Bearer %s", token);
+	snprintf(url, sizeof(url), "http://%s%s", c->entries[entry].address[0], path);
+	reply = http_call("GET", url, headers, NULL, 5000);
+	if (reply.status == 200)
+		json = json_loads(reply.body, 0, NULL);
+	http_free(&reply);
+	return json;
+}
+
+bool cluster_fault(const struct proc *stand_in, const char *json)
+{
+	char url[128];
+	struct http_reply reply;
+	bool ok;
+
+	snprintf(url, sizeof(url), "http://%s/fault", stand_in->address[0]);
+	reply = http_call("POST", url, NULL, json, 5000);
+	ok = reply.status == 200;
+	http_free(&reply);
+	return ok;
+}
+
+json_t *cluster_history(const struct proc *stand_in)
+{
+	char url[128];
+	struct http_reply reply;
+	json_t *json = NULL;
+
+	snprintf(url, sizeof(url), "http://%s/history", stand_in->address[0]);
+	reply = http_call("GET", url, NULL, NULL, 5000);
+	if (reply.status == 200)
+		json = json_loads(reply.body, 0, NULL);
+	http_free(&reply);
+	return json;
+}
+
+unsigned int cluster_alive_targets(const struct cluster *c, unsigned int entry)
+{
+	json_t *reply = cluster_json(c, entry, operator_token(c), "/v1/targets");
+	json_t *list = json_is_array(reply) ? reply : json_object_get(reply, "targets");
+	unsigned int alive = 0;
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(list, i, item)
+	{
+		const char *state = json_string_value(json_object_get(item, "state"));
+
+		alive += state && !strcmp(state, "alive");
+	}
+	json_decref(reply);
+	return alive;
+}
--- /dev/null
+++ b/tests/lib_cluster.h
@@ -0,0 +1,75 @@
+#ifndef JAYCOURSE_LIB_CLUSTER_H
+#define JAYCOURSE_LIB_CLUSTER_H
+
+#include "lib_proc.h"
+
+#include <jansson.h>
+#include <signal.h>
+
+/**
+ * DOC: A whole small deployment on loopback: store stand-in, entries, agents and targets
+ */
+
+#define CLUSTER_ENTRIES_MAX 4
+#define CLUSTER_TARGETS_MAX 64
+
+struct cluster_target {
+	struct proc agent;
+	struct proc target; /* fake_service or fake_worker */
+	bool is_worker;
+	char name[32];
+	const char *zone;
+	char rack[48];
+};
+
+struct cluster_options {
+	const char *example; /* "nefeli" or "sonhario": folder under examples/ */
+	unsigned int entries;
+	unsigned int services; /* request-serving instances */
+	unsigned int workers;
+	const char *work_ms; /* of a request at the instances, "20" if NULL */
+};
+
+struct cluster {
+	struct proc store;
+	struct proc entries[CLUSTER_ENTRIES_MAX];
+	struct cluster_target targets[CLUSTER_TARGETS_MAX];
+	unsigned int entry_count;
+	unsigned int target_count;
+	const char *example;
+	const char *service;
+	const char *const *zones;
+	const char *work_ms;
+};
+
+/** cluster_start() - start everything, apply the example's configuration, wait until all targets
+ * are known */
+bool cluster_start(struct cluster *c, const struct cluster_options *options);
+
+/** cluster_start_entry() - start (again) the entry with an index */
+bool cluster_start_entry(struct cluster *c, unsigned int index);
+
+/** cluster_start_target() - start (again) the agent and target with an index */
+bool cluster_start_target(struct cluster *c, unsigned int index);
+
+/** cluster_stop() - SIGTERM to all in a safe order; true if all exited with 0 */
+bool cluster_stop(struct cluster *c);
+
+/** cluster_cli() - run the command line against entry @entry with a token; its exit code */
+int cluster_cli(const struct cluster *c, unsigned int entry, const char *token,
+		const char *const *arguments, char *out, size_t out_len);
+
+/** cluster_json() - GET from an entry with a token; NULL unless the status is 200 */
+json_t *cluster_json(const struct cluster *c, unsigned int entry, const char *token,
+		     const char *path);
+
+/** cluster_fault() - POST a fault setting to a stand-in */
+bool cluster_fault(const struct proc *stand_in, const char *json);
+
+/** cluster_history() - GET /history of a stand-in */
+json_t *cluster_history(const struct proc *stand_in);
+
+/** cluster_target_count() - targets in state alive that an entry knows */
+unsigned int cluster_alive_targets(const struct cluster *c, unsigned int entry);
+
+#endif
--- /dev/null
+++ b/tests/lib_proc.h
@@ -0,0 +1,71 @@
+#ifndef JAYCOURSE_LIB_PROC_H
+#define JAYCOURSE_LIB_PROC_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+/**
+ * DOC: Processes of the system under test
+ *
+ * Programs are taken from the folder in the environment variable JAYCOURSE_BIN (default build/bin).
+ * Each prints its addresses on its first line of output. Standard error goes to a log file
+ * in a temporary folder that is printed when a wait fails.
+ */
+
+#define PROC_ADDRESSES 2
+#define PROC_ARGUMENTS 48
+
+struct proc {
+	pid_t pid;
+	char name[64];
+	char log[256];
+	char address[PROC_ADDRESSES][64]; /* "ip:port" in the order printed */
+};
+
+/**
+ * proc_start() - start a program and wait for its first line
+ * @name: file name of the program
+ * @label: unique name of the log file
+ * @arguments: NULL-terminated, without the program's name
+ *
+ * Return: true when it printed "listening …" within 20 s.
+ */
+bool proc_start(struct proc *proc, const char *name, const char *label,
+		const char *const *arguments);
+
+/** proc_signal() - send a signal to a started process */
+void proc_signal(const struct proc *proc, int signal);
+
+/** proc_stop() - SIGTERM, then wait up to @timeout_ms; exit code, or -1 when it had to be killed */
+int proc_stop(struct proc *proc, uint32_t timeout_ms);
+
+/** proc_kill() - SIGKILL and reap */
+void proc_kill(struct proc *proc);
+
+/** proc_run() - run a program to its end with its output in @out; returns the exit code */
+int proc_run(const char *name, const char *const *arguments, char *out, size_t out_len);
+
+/** proc_log_folder() - folder of the log files, made on first use */
+const char *proc_log_folder(void);
+
+struct http_reply {
+	int status; /* HTTP status, or 0 when no whole answer came */
+	char *body; /* NUL terminated */
+	size_t len;
+};
+
+/**
+ * http_call() - one blocking HTTP call
+ * @headers: NULL-terminated list, may be NULL
+ * @body: may be NULL
+ */
+struct http_reply http_call(const char *method, const char *url, const char *const *headers,
+			    const char *body, uint32_t timeout_ms);
+
+void http_free(struct http_reply *reply);
+
+/** wait_until() - call @check every 20 ms until it is true; false after @timeout_ms */
+bool wait_until(bool (*check)(void *ctx), void *ctx, uint32_t timeout_ms);
+
+#endif
