--- a/src/bench_cmd.h
+++ b/src/bench_cmd.h
@@ -11,5 +11,6 @@
 int bench_cmd_place(int argc, char **argv);
 int bench_cmd_workload(int argc, char **argv);
 int bench_cmd_table(int argc, char **argv);
+int bench_cmd_load(int argc, char **argv);
 
 #endif
--- a/src/main_bench.c
+++ b/src/main_bench.c
@@ -13,6 +13,7 @@
 	{"place", bench_cmd_place, "replay a workload against a placement policy"},
 	{"workload", bench_cmd_workload, "write a fleet and a workload made from a seed"},
 	{"table", bench_cmd_table, "compare with first-fit and check the bounds"},
+	{"load", bench_cmd_load, "send requests and measure what the system adds"},
 };
 
 static void usage(FILE *out)
