--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,16 @@
 check: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+demo: build
+	tools/demo.sh $(BUILD)/bin
+
+bench: build
+	$(BUILD)/bin/jaycourse-bench table
+
+plots: build
+	@tools/install_packages.sh gnuplot-nox
+	tools/plots.sh $(BUILD)/bin out
+
 format: lint-deps
 	clang-format -i $(C_FILES)
 
