member, route, queue, retry: membership table and pure request modules

The entry host needs a table of targets, a choice of target, bounded queues and a retry budget. They are pure (time is passed in), so that they can be tested alone.

--- a/src/member.h
+++ b/src/member.h
@@ -38,14 +38,68 @@
 	uint32_t in_flight;
 	uint64_t accelerators_free;
 	int64_t clock_offset_ms; /* agent clock estimate = util_clock_ms() + this; never ahead */
+	bool reachable;		 /* the agent has sent its clock to this entry itself */
 };
 
 struct member_handlers {
 	/* A target appeared or changed state; on the loop thread. */
 	void (*on_target)(const struct member_target *target, void *ctx);
+	/* The load last reported for an agent; may be NULL. */
+	void (*on_load)(const char *peer, uint32_t in_flight, void *ctx);
 	void *ctx;
 };
 
+#define MEMBER_SUSPECT_MS 2500 /* without a heartbeat; design section 5 */
+#define MEMBER_REMOVE_MS 30000
+/* The agent of a lost home entry needs one detection period to move to the next entry. */
+#define MEMBER_HOME_LOST_MS (2 * MEMBER_SUSPECT_MS)
+
+/**
+ * member_create() - create an empty table
+ * @self: peer name of this entry, copied
+ */
+struct member *member_create(TALLOC_CTX *mem, const char *self);
+
+/*
+ * Events, on the loop thread. @peer is the sender's peer name and @now_ms is util_clock_ms().
+ * Reports of an incarnation older than the one known are ignored.
+ */
+
+void member_hello(struct member *m, const struct msg_hello *hello, uint64_t now_ms);
+
+void member_announce(struct member *m, const struct msg_announce *announce, uint64_t now_ms);
+
+/** member_heartbeat() - makes this entry the agent's home; false when the agent is unknown */
+bool member_heartbeat(struct member *m, const char *peer, const struct msg_heartbeat *heartbeat,
+		      uint64_t now_ms);
+
+/** member_delta() - rows of another entry's agents */
+void member_delta(struct member *m, const char *peer, const struct msg_target_delta *delta,
+		  uint64_t now_ms);
+
+/** member_digest() - true when this table differs from the sender's and has to be pulled */
+bool member_digest(struct member *m, const char *peer, const struct msg_digest *digest,
+		   uint64_t now_ms);
+
+/** member_tick() - apply the time limits; call every few hundred milliseconds */
+void member_tick(struct member *m, uint64_t now_ms);
+
+/**
+ * member_take_delta() - own rows for the other entries
+ * @full: all own rows instead of those changed since the last call with @full false
+ * @out: row array owned by @mem; its strings are borrowed until the next event
+ *
+ * Return: number of rows.
+ */
+size_t member_take_delta(struct member *m, TALLOC_CTX *mem, bool full,
+			 struct msg_target_delta *out);
+
+/** member_own_digest() - fill row_count and rows_hash with those of the own rows */
+void member_own_digest(struct member *m, struct msg_digest *out);
+
+/** member_state_name() - "alive", "suspect", "leaving" or "gone" */
+const char *member_state_name(enum msg_target_state state);
+
 /** member_targets() - copies of all rows of a kind, owned by @mem; returns their number */
 size_t member_targets(struct member *m, TALLOC_CTX *mem, enum msg_target_kind kind,
 		      struct member_target **out);
--- /dev/null
+++ b/src/queue.c
@@ -0,0 +1,359 @@
+#include "queue.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+/* An organisation's weight below this would need too many rounds for one turn. */
+#define WEIGHT_MIN 0.01
+
+/*
+ * One tree a service: band (urgent or not), organisation, class. Nodes on the first two
+ * levels choose among their children by deficit round robin; flows hold the items. Nodes
+ * are kept when empty: their number is bounded by the configuration.
+ */
+struct queue_flow {
+	char *name;
+	struct queue_flow *parent;
+	struct lane *lane;
+	double weight;
+	double deficit;
+	size_t waiting;	     /* items below */
+	GPtrArray *children; /* NULL for flows that hold items */
+	guint turn;	     /* child served next */
+	struct queue_item *head;
+	struct queue_item *tail;
+};
+
+struct lane {
+	char *service;
+	struct queue_flow *bands[2]; /* 0: not urgent, 1: urgent */
+	unsigned int floor_credit;   /* percent of a turn owed to the band that is not urgent */
+};
+
+struct queue {
+	GHashTable *lanes;
+	size_t waiting;
+	uint32_t total;
+};
+
+static int queue_destructor(struct queue *q)
+{
+	g_hash_table_destroy(q->lanes);
+	return 0;
+}
+
+struct queue *queue_create(TALLOC_CTX *mem)
+{
+	struct queue *q = talloc_zero(mem, struct queue);
+
+	q->lanes = g_hash_table_new(g_str_hash, g_str_equal);
+	talloc_set_destructor(q, queue_destructor);
+	return q;
+}
+
+void queue_set_total(struct queue *q, uint32_t total)
+{
+	q->total = total;
+}
+
+static int flow_destructor(struct queue_flow *flow)
+{
+	if (flow->children)
+		g_ptr_array_free(flow->children, TRUE);
+	return 0;
+}
+
+static struct queue_flow *new_flow(TALLOC_CTX *mem, const char *name, struct queue_flow *parent,
+				   bool inner)
+{
+	struct queue_flow *flow = talloc_zero(mem, struct queue_flow);
+
+	flow->name = talloc_strdup(flow, name);
+	flow->parent = parent;
+	flow->weight = 1;
+	if (inner)
+		flow->children = g_ptr_array_new();
+	if (parent) {
+		flow->lane = parent->lane;
+		g_ptr_array_add(parent->children, flow);
+	}
+	talloc_set_destructor(flow, flow_destructor);
+	return flow;
+}
+
+static struct lane *find_lane(struct queue *q, const char *service)
+{
+	struct lane *lane = g_hash_table_lookup(q->lanes, service);
+
+	if (lane)
+		return lane;
+	lane = talloc_zero(q, struct lane);
+	lane->service = talloc_strdup(lane, service);
+	for (int i = 0; i < 2; i++) {
+		lane->bands[i] = new_flow(lane, "", NULL, true);
+		lane->bands[i]->lane = lane;
+	}
+	g_hash_table_insert(q->lanes, lane->service, lane);
+	return lane;
+}
+
+static struct queue_flow *find_child(const struct queue_flow *parent, const char *name)
+{
+	for (guint i = 0; i < parent->children->len; i++) {
+		struct queue_flow *child = g_ptr_array_index(parent->children, i);
+
+		if (!strcmp(child->name, name))
+			return child;
+	}
+	return NULL;
+}
+
+static struct queue_flow *child_of(struct queue_flow *parent, const char *name, bool inner)
+{
+	struct queue_flow *child = find_child(parent, name);
+
+	return child ? child : new_flow(parent, name, parent, inner);
+}
+
+static double usable_weight(double weight)
+{
+	if (!(weight > 0))
+		return 1;
+	return weight < WEIGHT_MIN ? WEIGHT_MIN : weight;
+}
+
+static struct queue_flow *flow_at(struct queue *q, const struct queue_place *place)
+{
+	struct lane *lane = find_lane(q, place->service);
+	struct queue_flow *organisation =
+		child_of(lane->bands[place->urgent], place->organisation, true);
+	struct queue_flow *flow = child_of(organisation, place->class_name, false);
+
+	organisation->weight = usable_weight(place->share);
+	flow->weight = usable_weight(place->weight);
+	return flow;
+}
+
+static void count(struct queue *q, struct queue_flow *flow, int change)
+{
+	q->waiting += (size_t)change;
+	for (; flow; flow = flow->parent) {
+		flow->waiting += (size_t)change;
+		/* An idle flow keeps no credit, or it could later push others aside. */
+		if (!flow->waiting)
+			flow->deficit = 0;
+	}
+}
+
+int queue_push(struct queue *q, struct queue_item *item, const struct queue_place *place,
+	       struct err *err)
+{
+	struct queue_flow *flow;
+
+	if (q->total && q->waiting >= q->total)
+		return err_set(err, ERR_QUEUE_FULL, "retry later with backoff",
+			       "%zu requests wait on this entry host, which is its limit",
+			       q->waiting);
+	flow = flow_at(q, place);
+	if (place->max_queue && flow->waiting >= place->max_queue)
+		return err_set(err, ERR_QUEUE_FULL,
+			       "retry later with backoff, or have an operator raise max_queue",
+			       "%zu requests of class %s wait already for this organisation",
+			       flow->waiting, place->class_name);
+	item->flow = flow;
+	item->next = NULL;
+	item->prev = flow->tail;
+	if (flow->tail)
+		flow->tail->next = item;
+	else
+		flow->head = item;
+	flow->tail = item;
+	count(q, flow, 1);
+	return 0;
+}
+
+void queue_push_front(struct queue *q, struct queue_item *item, const struct queue_place *place)
+{
+	struct queue_flow *flow = flow_at(q, place);
+
+	item->flow = flow;
+	item->prev = NULL;
+	item->next = flow->head;
+	if (flow->head)
+		flow->head->prev = item;
+	else
+		flow->tail = item;
+	flow->head = item;
+	count(q, flow, 1);
+}
+
+void queue_remove(struct queue *q, struct queue_item *item)
+{
+	struct queue_flow *flow = item->flow;
+
+	if (!flow)
+		return;
+	if (item->prev)
+		item->prev->next = item->next;
+	else
+		flow->head = item->next;
+	if (item->next)
+		item->next->prev = item->prev;
+	else
+		flow->tail = item->prev;
+	item->flow = NULL;
+	item->next = NULL;
+	item->prev = NULL;
+	count(q, flow, -1);
+}
+
+/* Deficit round robin among children with waiting items; the node must have some. */
+static struct queue_flow *next_child(struct queue_flow *node)
+{
+	for (;;) {
+		struct queue_flow *child =
+			g_ptr_array_index(node->children, node->turn % node->children->len);
+
+		if (child->waiting && child->deficit >= 1) {
+			child->deficit -= 1;
+			return child;
+		}
+		node->turn = (node->turn + 1) % node->children->len;
+		child = g_ptr_array_index(node->children, node->turn);
+		if (child->waiting)
+			child->deficit += child->weight;
+	}
+}
+
+static struct queue_flow *choose_band(struct lane *lane)
+{
+	struct queue_flow *other = lane->bands[0];
+	struct queue_flow *urgent = lane->bands[1];
+
+	if (!urgent->waiting || !other->waiting)
+		return urgent->waiting ? urgent : other;
+	lane->floor_credit += QUEUE_FLOOR_PERCENT;
+	if (lane->floor_credit < 100)
+		return urgent;
+	lane->floor_credit -= 100;
+	return other;
+}
+
+struct queue_item *queue_pop(struct queue *q, const char *service)
+{
+	struct lane *lane = g_hash_table_lookup(q->lanes, service);
+	struct queue_flow *band;
+	struct queue_item *item;
+
+	if (!lane)
+		return NULL;
+	band = choose_band(lane);
+	if (!band->waiting)
+		return NULL;
+	item = next_child(next_child(band))->head;
+	queue_remove(q, item);
+	return item;
+}
+
+static struct queue_item *expired_in(const struct queue_flow *flow, uint64_t now_ms)
+{
+	if (!flow->waiting)
+		return NULL;
+	for (struct queue_item *item = flow->head; item; item = item->next) {
+		if (item->deadline_ms <= now_ms)
+			return item;
+	}
+	for (guint i = 0; flow->children && i < flow->children->len; i++) {
+		struct queue_item *item = expired_in(g_ptr_array_index(flow->children, i), now_ms);
+
+		if (item)
+			return item;
+	}
+	return NULL;
+}
+
+struct queue_item *queue_pop_expired(struct queue *q, uint64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, q->lanes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct lane *lane = value;
+
+		for (int i = 0; i < 2; i++) {
+			struct queue_item *item = expired_in(lane->bands[i], now_ms);
+
+			if (!item)
+				continue;
+			queue_remove(q, item);
+			return item;
+		}
+	}
+	return NULL;
+}
+
+size_t queue_waiting(const struct queue *q, const char *service)
+{
+	const struct lane *lane;
+
+	if (!service)
+		return q->waiting;
+	lane = g_hash_table_lookup(q->lanes, service);
+	return lane ? lane->bands[0]->waiting + lane->bands[1]->waiting : 0;
+}
+
+/* Items of @node served before one more item of @child: its own, times the others' weights. */
+static double ahead_in(const struct queue_flow *node, const struct queue_flow *child,
+		       double own_waiting, double own_weight)
+{
+	double ahead = own_waiting;
+
+	for (guint i = 0; i < node->children->len; i++) {
+		const struct queue_flow *other = g_ptr_array_index(node->children, i);
+		double turns = ceil((own_waiting + 1) / own_weight) * other->weight;
+
+		if (other != child)
+			ahead += fmin((double)other->waiting, turns);
+	}
+	return ahead;
+}
+
+size_t queue_ahead(const struct queue *q, const struct queue_place *place)
+{
+	const struct lane *lane = g_hash_table_lookup(q->lanes, place->service);
+	const struct queue_flow *band;
+	const struct queue_flow *organisation;
+	const struct queue_flow *flow = NULL;
+	double ahead = 0;
+
+	if (!lane)
+		return 0;
+	band = lane->bands[place->urgent];
+	organisation = find_child(band, place->organisation);
+	if (organisation)
+		flow = find_child(organisation, place->class_name);
+	if (organisation)
+		ahead = ahead_in(organisation, flow, flow ? (double)flow->waiting : 0,
+				 usable_weight(place->weight));
+	ahead = ahead_in(band, organisation, ahead, usable_weight(place->share));
+	if (!place->urgent)
+		ahead += fmin((double)lane->bands[1]->waiting,
+			      (ahead + 1) * (100 - QUEUE_FLOOR_PERCENT) / QUEUE_FLOOR_PERCENT);
+	return (size_t)ahead;
+}
+
+void queue_each_service(struct queue *q, void (*visit)(const char *service, void *ctx), void *ctx)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, q->lanes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct lane *lane = value;
+
+		if (queue_waiting(q, lane->service))
+			visit(lane->service, ctx);
+	}
+}
