filter, dispatch, attempt: request path from the filters to the answer

Filters run on the HTTP threads over sharded tables; queueing, choice of target, claims, retries and hedging run on the loop thread. msg_chunk tells the status and type of the answer in its first chunk, because an answer longer than the credit has to begin before its END arrives.

--- /dev/null
+++ b/src/filter.h
@@ -0,0 +1,51 @@
+#ifndef JAYCOURSE_FILTER_H
+#define JAYCOURSE_FILTER_H
+
+#include "configrepo.h"
+#include "metrics.h"
+#include "request.h"
+
+/**
+ * DOC: Filters that a request passes before it may wait for a target
+ *
+ * Run on the HTTP threads; their tables are sharded, with a lock for each shard. A filter
+ * that refuses a request fills its err, and the request has certainly not run.
+ */
+
+struct filter {
+	const char *name;
+	int (*run)(struct filter *f, struct request *r, void *ctx);
+};
+
+struct filters;
+
+struct filters *filters_create(TALLOC_CTX *mem, struct configrepo *configs,
+			       struct metrics *metrics);
+
+/**
+ * filters_request() - the chain for a service request, up to the quota
+ *
+ * Return: 0, or the negative error code of the filter that refused it.
+ */
+int filters_request(struct filters *f, struct request *r);
+
+/**
+ * filters_authenticate() - take the configuration in force and find out whose call it is
+ *
+ * Also used alone for the other endpoints. Return: 0, -ERR_DENIED, or -ERR_UNAVAILABLE when
+ * there is no configuration yet or too many unknown tokens are being checked.
+ */
+int filters_authenticate(struct filters *f, struct request *r);
+
+/** filters_done() - the request is over: gives back its share of the quota and configuration */
+void filters_done(struct filters *f, struct request *r);
+
+/** filters_set_entries() - number of live entries; each applies its part of the quotas */
+void filters_set_entries(struct filters *f, uint32_t entries);
+
+/** filters_set_leaving() - refuse new work because the process shuts down */
+void filters_set_leaving(struct filters *f);
+
+bool filters_leaving(const struct filters *f);
+
+#endif
--- a/src/msg.c
+++ b/src/msg.c
@@ -163,6 +163,8 @@
 	FIELD_U64(struct msg_chunk, id),
 	FIELD_U64(struct msg_chunk, offset),
 	FIELD_BYTES(struct msg_chunk, data),
+	FIELD_U64(struct msg_chunk, status),
+	FIELD_STRING(struct msg_chunk, content_type),
 };
 
 static const struct field end_fields[] = {
--- a/src/msg.h
+++ b/src/msg.h
@@ -237,6 +237,8 @@
 	uint64_t id;
 	uint64_t offset;
 	struct msg_bytes data;
+	uint64_t status; /* HTTP status of the target's answer, at offset 0; 0: not told yet */
+	const char *content_type; /* likewise */
 };
 
 struct msg_end {
--- a/src/queue.c
+++ b/src/queue.c
@@ -256,44 +256,6 @@
 	return item;
 }
 
-static struct queue_item *expired_in(const struct queue_flow *flow, uint64_t now_ms)
-{
-	if (!flow->waiting)
-		return NULL;
-	for (struct queue_item *item = flow->head; item; item = item->next) {
-		if (item->deadline_ms <= now_ms)
-			return item;
-	}
-	for (guint i = 0; flow->children && i < flow->children->len; i++) {
-		struct queue_item *item = expired_in(g_ptr_array_index(flow->children, i), now_ms);
-
-		if (item)
-			return item;
-	}
-	return NULL;
-}
-
-struct queue_item *queue_pop_expired(struct queue *q, uint64_t now_ms)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, q->lanes);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct lane *lane = value;
-
-		for (int i = 0; i < 2; i++) {
-			struct queue_item *item = expired_in(lane->bands[i], now_ms);
-
-			if (!item)
-				continue;
-			queue_remove(q, item);
-			return item;
-		}
-	}
-	return NULL;
-}
-
 size_t queue_waiting(const struct queue *q, const char *service)
 {
 	const struct lane *lane;
--- a/src/queue.h
+++ b/src/queue.h
@@ -26,7 +26,6 @@
 	struct queue_item *next;
 	struct queue_item *prev;
 	struct queue_flow *flow; /* NULL when not queued */
-	uint64_t deadline_ms;
 	void *owner;
 };
 
@@ -59,9 +58,6 @@
 /** queue_remove() - take out an item that is queued */
 void queue_remove(struct queue *q, struct queue_item *item);
 
-/** queue_pop_expired() - remove and return one item whose deadline has passed, or NULL */
-struct queue_item *queue_pop_expired(struct queue *q, uint64_t now_ms);
-
 /** queue_waiting() - items waiting for a service, or for all when @service is NULL */
 size_t queue_waiting(const struct queue *q, const char *service);
 
--- a/src/request.c
+++ b/src/request.c
@@ -98,6 +98,8 @@
 {
 	if (atomic_fetch_sub(&r->refs, 1) != 1)
 		return;
+	if (r->on_free)
+		r->on_free(r, r->on_free_ctx);
 	free_chunks(r);
 	g_free(r->body);
 	pthread_mutex_destroy(&r->lock);
--- a/src/request.h
+++ b/src/request.h
@@ -48,6 +48,7 @@
 	REQUEST_DONE,
 };
 
+struct dispatch;
 struct request;
 
 /* One sending of a request to an agent; loop thread only. */
@@ -60,9 +61,11 @@
 	bool querying; /* ATTEMPT_INFO is awaited */
 	uint64_t sent_us;
 	uint64_t heard_ms;
+	uint64_t due_ms;   /* bound for STARTED or ATTEMPT_INFO; 0: none */
 	uint64_t received; /* bytes, and the next offset expected */
 	uint64_t checksum;
-	struct tevent_timer *timer; /* bound for STARTED or ATTEMPT_INFO */
+	int status; /* of the answer, told by its first chunk; 0: not yet */
+	char type[128];
 };
 
 struct request_chunk {
@@ -118,12 +121,11 @@
 	bool claimed;
 	uint32_t claim_serial;
 	int64_t claim_revision; /* of the claim to replace; 0: to create */
-	struct tevent_timer *deadline_timer;
-	struct tevent_timer *step_timer; /* backoff or hedge */
+	uint64_t step_ms; /* end of the backoff, or time to hedge; 0: none */
 	uint64_t credited;
+	struct dispatch *dispatch; /* borrowed; set on submission */
 	struct request *next;
 	struct request *prev;
-	void *owner;
 
 	/* Answer, under the lock. */
 	pthread_mutex_t lock;
@@ -142,6 +144,10 @@
 	uint64_t consumed;
 	/* Wakes the HTTP side; called with the lock held, only while suspended. */
 	void (*wake)(struct request *r);
+	/* Called by the thread that gives back the last reference. */
+	void (*on_free)(struct request *r, void *ctx);
+	void *on_free_ctx;
+	uint64_t reported; /* HTTP thread: consumed bytes the loop thread has been told */
 };
 
 /** request_create() - a request with one reference */
