--- a/src/httpc.c
+++ b/src/httpc.c
@@ -286,6 +286,16 @@
 	return type ? type : "";
 }
 
+bool httpc_delimited(const struct httpc_call *call)
+{
+	struct curl_header *header;
+
+	return curl_easy_header(call->easy, "Content-Length", 0, CURLH_HEADER, -1, &header) ==
+		       CURLHE_OK ||
+	       curl_easy_header(call->easy, "Transfer-Encoding", 0, CURLH_HEADER, -1, &header) ==
+		       CURLHE_OK;
+}
+
 void httpc_resume(struct httpc_call *call)
 {
 	curl_easy_pause(call->easy, CURLPAUSE_CONT);
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -63,6 +63,13 @@
 /** httpc_content_type() - of the answer, "" if none; usable in @on_data, borrowed */
 const char *httpc_content_type(const struct httpc_call *call);
 
+/**
+ * httpc_delimited() - true when the answer's header tells how it ends (a length or chunks)
+ *
+ * Without either, an answer cut by a closed connection looks whole. Usable in @on_data.
+ */
+bool httpc_delimited(const struct httpc_call *call);
+
 /** httpc_resume() - continue a call paused by @on_data */
 void httpc_resume(struct httpc_call *call);
 
