--- a/src/msg.h
+++ b/src/msg.h
@@ -94,6 +94,7 @@
 	MSG_MEMBER_FAILED,	 /* the task ended by itself with an error */
 	MSG_MEMBER_START_FAILED, /* the worker or agent could not start it; nothing runs */
 	MSG_MEMBER_LOST,	 /* stopped because the gang's ring broke */
+	MSG_MEMBER_UNKNOWN,	 /* the agent has no record: it has restarted since */
 };
 
 struct msg_bytes {
