--- a/src/config.h
+++ b/src/config.h
@@ -155,4 +155,11 @@
 			const struct config_organisation **organisation,
 			const struct config_operator **op);
 
+/**
+ * config_hash_token() - salted hash of a token for the fields "tokens" and "token"
+ *
+ * Return: the hash owned by @mem, or NULL when the token is empty or over 256 bytes.
+ */
+char *config_hash_token(TALLOC_CTX *mem, const char *token);
+
 #endif
