--- a/src/config.c
+++ b/src/config.c
@@ -79,32 +79,61 @@
 	return strcmp(*(const char *const *)a, *(const char *const *)b);
 }
 
-/* Names in order, in an array owned by @mem; NULL when the set is absurd. */
-static const char **sorted_names(struct config_merge *m, json_t *files, size_t *count)
+/* Names in order, in an array owned by @mem. */
+static const char **sorted_names(TALLOC_CTX *mem, const json_t *files, size_t *count)
 {
-	const char **names =
-		talloc_zero_array(m->config, const char *, json_object_size(files) + 1);
-	size_t total = 0;
+	const char **names = talloc_zero_array(mem, const char *, json_object_size(files) + 1);
 	const char *name;
 	json_t *content;
 
 	*count = 0;
-	json_object_foreach(files, name, content)
-	{
-		names[(*count)++] = name;
-		total += strlen(name) + json_string_length(content);
-	}
-	m->file = "";
-	if (*count > FILES_MAX)
+	json_object_foreach((json_t *)files, name, content) names[(*count)++] = name;
+	qsort(names, *count, sizeof(names[0]), by_name);
+	return names;
+}
+
+static void check_sizes(struct config_merge *m, const json_t *files)
+{
+	size_t total = 0;
+	const char *name;
+	json_t *content;
+
+	json_object_foreach((json_t *)files, name, content) total +=
+		strlen(name) + json_string_length(content);
+	if (json_object_size(files) > FILES_MAX)
 		config_problem_add(m, "", "the folder holds more than 2000 files",
 				   "Merge decisions that are no longer changed apart.");
 	if (total > TOTAL_MAX_BYTES)
 		config_problem_add(m, "", "the folder holds more than 700 KB",
 				   "Remove decisions that are no longer needed.");
-	if (m->problems->count > 0)
-		return NULL;
-	qsort(names, *count, sizeof(names[0]), by_name);
-	return names;
+}
+
+static void read_files(struct config_merge *m)
+{
+	size_t count;
+	const char **names = sorted_names(m->config, m->config->files, &count);
+
+	for (size_t i = 0; i < count; i++)
+		read_file(m, names[i], json_object_get(m->config->files, names[i]));
+	config_check(m);
+}
+
+char *config_digest(TALLOC_CTX *mem, const json_t *files)
+{
+	TALLOC_CTX *scratch = talloc_new(NULL);
+	uint64_t hash = 0;
+	size_t count;
+	const char **names = sorted_names(scratch, files, &count);
+
+	for (size_t i = 0; i < count; i++) {
+		const json_t *content = json_object_get(files, names[i]);
+		const char *text = json_string_value(content);
+
+		hash = util_hash64(names[i], strlen(names[i]), hash);
+		hash = util_hash64(text ? text : "", json_string_length(content), hash);
+	}
+	talloc_free(scratch);
+	return talloc_asprintf(mem, "%016" PRIx64, hash);
 }
 
 static void set_defaults(struct config *c)
@@ -127,19 +156,6 @@
 	};
 }
 
-static const char *digest_of(struct config *c, const char **names, size_t count)
-{
-	uint64_t hash = 0;
-
-	for (size_t i = 0; i < count; i++) {
-		json_t *content = json_object_get(c->files, names[i]);
-
-		hash = util_hash64(names[i], strlen(names[i]), hash);
-		hash = util_hash64(json_string_value(content), json_string_length(content), hash);
-	}
-	return talloc_asprintf(c, "%016" PRIx64, hash);
-}
-
 static int config_destructor(struct config *c)
 {
 	json_decref(c->files);
@@ -150,8 +166,6 @@
 {
 	struct config *c = talloc_zero(mem, struct config);
 	struct config_merge m = {.mem = mem, .config = c, .problems = problems, .file = ""};
-	const char **names;
-	size_t count = 0;
 
 	*problems = (struct config_problems){0};
 	set_defaults(c);
@@ -161,16 +175,14 @@
 	if (!json_is_object(files))
 		config_problem_add(&m, "", "the files are not an object of name to content",
 				   "Send {\"NAME.json\": \"content\", …}.");
-	names = sorted_names(&m, c->files, &count);
-	for (size_t i = 0; names && i < count; i++)
-		read_file(&m, names[i], json_object_get(c->files, names[i]));
-	if (names)
-		config_check(&m);
+	check_sizes(&m, c->files);
+	if (problems->count == 0)
+		read_files(&m);
 	if (problems->count > 0) {
 		talloc_free(c);
 		return NULL;
 	}
-	c->digest = digest_of(c, names, count);
+	c->digest = config_digest(c, c->files);
 	return c;
 }
 
--- a/src/config_internal.h
+++ b/src/config_internal.h
@@ -60,6 +60,9 @@
 /** config_check() - complete the draft and check what needs the merged whole */
 void config_check(struct config_merge *m);
 
+/** config_digest() - hash of all names and contents in 16 hex digits, owned by @mem */
+char *config_digest(TALLOC_CTX *mem, const json_t *files);
+
 /**
  * config_line() - line of a field in a JSON text
  * @path: for example "quota.jobs" or "guarantees[1].cores"
--- a/src/configfields.c
+++ b/src/configfields.c
@@ -229,7 +229,7 @@
 	shape->memory_mb *= 1024;
 	if (shape->within == PLACE_WITHIN_WORKER &&
 	    (uint64_t)shape->members * shape->accelerators > PLACE_ACCELERATORS_MAX) {
-		strcat(prefix, "members");
+		snprintf(prefix, sizeof(prefix), "guarantees[%zu].members", index);
 		config_problem_add(m, prefix, "makes a shape that no single worker can hold",
 				   "Reduce it, or choose \"within\": \"rack\".");
 	}
