--- a/tests/fake_service.c
+++ b/tests/fake_service.c
@@ -252,6 +252,7 @@
 	};
 	struct fake_server *server;
 
+	fake_block_signals();
 	fake_parse(argc, argv, options, sizeof(options) / sizeof(options[0]));
 	s.slots = (unsigned int)strtoul(slots, NULL, 10);
 	s.connections = (unsigned int)strtoul(connections, NULL, 10);
--- a/tests/fake_worker.c
+++ b/tests/fake_worker.c
@@ -409,6 +409,7 @@
 	struct fake_server *server;
 	pthread_t thread;
 
+	fake_block_signals();
 	fake_parse(argc, argv, options, sizeof(options) / sizeof(options[0]));
 	n.accelerators = (unsigned int)strtoul(accelerators, NULL, 10);
 	n.cores = strtol(cores, NULL, 10);
--- /dev/null
+++ b/tests/lib_agent.c
@@ -0,0 +1,336 @@
+#include "lib_agent.h"
+#include "lib_fake.h"
+#include "util.h"
+
+#include <CUnit/Basic.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define WAIT_MS 20000
+#define STEP_MS 20
+#define STOP_MS 20000
+#define SEED_CONNECTIONS 16U
+
+static void serve_entries(const struct fake_request *request, struct fake_reply *reply, void *ctx)
+{
+	const struct agent_rig *rig = ctx;
+	json_t *list = json_array();
+
+	for (unsigned int i = 0; i < rig->entry_count; i++)
+		json_array_append_new(list, json_pack("{s:s, s:s}", "peer", rig->entries[i].peer,
+						      "peer_address",
+						      wire_address(rig->entries[i].wire)));
+	fake_reply_json(reply, 200, list);
+}
+
+static void send_entries(struct rig_entry *entry, const char *peer)
+{
+	struct agent_rig *rig = entry->rig;
+	const char *ids[AGENT_ENTRIES_MAX];
+	const char *addresses[AGENT_ENTRIES_MAX];
+	struct msg msg = {.type = MSG_ENTRIES};
+
+	for (unsigned int i = 0; i < rig->entry_count; i++) {
+		ids[i] = rig->entries[i].peer;
+		addresses[i] = wire_address(rig->entries[i].wire);
+	}
+	msg.u.entries.version = 1;
+	msg.u.entries.ids = (struct msg_strings){ids, rig->entry_count};
+	msg.u.entries.addresses = (struct msg_strings){addresses, rig->entry_count};
+	wire_send(entry->wire, peer, &msg);
+}
+
+static void take_clock(struct agent_rig *rig, uint64_t clock_ms)
+{
+	rig->clock_offset = (int64_t)clock_ms - (int64_t)util_clock_ms();
+}
+
+static void take_hello(struct rig_entry *entry, const char *peer, const struct msg *msg)
+{
+	entry->hellos++;
+	snprintf(entry->rig->agent_peer, sizeof(entry->rig->agent_peer), "%s", peer);
+	take_clock(entry->rig, msg->u.hello.clock_ms);
+	send_entries(entry, peer);
+}
+
+static void take_heartbeat(struct rig_entry *entry, const char *peer, const struct msg *msg)
+{
+	struct msg ack = {.type = MSG_HEARTBEAT_ACK};
+
+	entry->heartbeats++;
+	take_clock(entry->rig, msg->u.heartbeat.clock_ms);
+	ack.u.heartbeat_ack.sequence = msg->u.heartbeat.sequence;
+	ack.u.heartbeat_ack.entries_version = 1;
+	if (!entry->silent)
+		wire_send(entry->wire, peer, &ack);
+}
+
+static void keep(struct agent_rig *rig, struct msg *msg)
+{
+	rig->inbox = talloc_realloc(rig->mem, rig->inbox, struct msg *, rig->inbox_count + 1);
+	rig->inbox[rig->inbox_count++] = talloc_steal(rig->mem, msg);
+}
+
+static void on_message(const char *peer, struct msg *msg, void *ctx)
+{
+	struct rig_entry *entry = ctx;
+
+	if (msg->type == MSG_HELLO)
+		take_hello(entry, peer, msg);
+	else if (msg->type == MSG_HEARTBEAT)
+		take_heartbeat(entry, peer, msg);
+	else if (msg->type == MSG_ANNOUNCE)
+		entry->target_state = msg->u.announce.state;
+	else
+		keep(entry->rig, msg);
+}
+
+static void start_entry(struct agent_rig *rig, unsigned int index)
+{
+	struct rig_entry *entry = &rig->entries[index];
+	struct wire_handlers handlers = {.on_message = on_message, .ctx = entry};
+
+	entry->rig = rig;
+	entry->metrics = metrics_create(rig->mem);
+	snprintf(entry->peer, sizeof(entry->peer), "entry-%u#1", index);
+	entry->wire = wire_create(rig->mem, rig->ev, entry->peer, "127.0.0.1:0", &handlers,
+				  entry->metrics, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(entry->wire);
+}
+
+static void step_event(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+		       void *data)
+{
+	bool *due = data;
+
+	*due = true;
+}
+
+/* One turn of the loop, at most STEP_MS long. */
+static void step(struct agent_rig *rig)
+{
+	bool due = false;
+	struct tevent_timer *timer = tevent_add_timer(
+		rig->ev, rig->mem, tevent_timeval_current_ofs(0, STEP_MS * 1000), step_event, &due);
+
+	tevent_loop_once(rig->ev);
+	if (!due)
+		talloc_free(timer);
+}
+
+bool rig_until(struct agent_rig *rig, bool (*check)(struct agent_rig *rig, void *ctx), void *ctx,
+	       uint32_t timeout_ms)
+{
+	uint64_t deadline = util_clock_ms() + timeout_ms;
+
+	while (!check(rig, ctx)) {
+		if (util_clock_ms() > deadline)
+			return false;
+		step(rig);
+	}
+	return true;
+}
+
+static bool all_connected(struct agent_rig *rig, void *ctx)
+{
+	for (unsigned int i = 0; i < rig->entry_count; i++) {
+		if (rig->entries[i].hellos == 0)
+			return false;
+	}
+	return true;
+}
+
+void rig_start(struct agent_rig *rig, unsigned int entries)
+{
+	char seeds[128];
+	const char *const arguments[] = {"--set", "node=agent-1",
+					 "--set", "region=region-1",
+					 "--set", "zone=zone-1",
+					 "--set", "rack=rack-1",
+					 "--set", "http_address=127.0.0.1:0",
+					 "--set", "peer_address=127.0.0.1:0",
+					 "--set", seeds,
+					 NULL};
+
+	memset(rig, 0, sizeof(*rig));
+	rig->mem = talloc_new(NULL);
+	rig->ev = tevent_context_init(rig->mem);
+	for (unsigned int i = 0; i < entries; i++)
+		start_entry(rig, i);
+	rig->entry_count = entries;
+	rig->seed = fake_server_start("127.0.0.1:0", SEED_CONNECTIONS, serve_entries, rig);
+	snprintf(seeds, sizeof(seeds), "seeds=%s", fake_server_url(rig->seed) + strlen("http://"));
+	CU_ASSERT_FATAL(proc_start(&rig->agent, "jaycourse-agent", "agent", arguments));
+	CU_ASSERT_FATAL(rig_until(rig, all_connected, NULL, WAIT_MS));
+}
+
+static bool announced(struct agent_rig *rig, void *ctx)
+{
+	return rig->entries[0].target_state == MSG_TARGET_ALIVE;
+}
+
+void rig_start_service(struct agent_rig *rig, const char *slots)
+{
+	char agent[128];
+	const char *const arguments[] = {"--agent",   agent,	    "--service", "svc",
+					 "--target",  "instance-1", "--slots",	 slots,
+					 "--work-ms", "0",	    NULL};
+
+	snprintf(agent, sizeof(agent), "http://%s", rig->agent.address[0]);
+	CU_ASSERT_FATAL(proc_start(&rig->target, "fake_service", "service", arguments));
+	CU_ASSERT_FATAL(rig_until(rig, announced, NULL, WAIT_MS));
+}
+
+void rig_stop(struct agent_rig *rig)
+{
+	if (rig->agent.pid > 0)
+		CU_ASSERT_EQUAL(proc_stop(&rig->agent, STOP_MS), 0);
+	if (rig->target.pid > 0)
+		CU_ASSERT_EQUAL(proc_stop(&rig->target, STOP_MS), 0);
+	fake_server_stop(rig->seed);
+	for (unsigned int i = 0; i < rig->entry_count; i++)
+		wire_destroy(rig->entries[i].wire, 0);
+	talloc_free(rig->mem);
+}
+
+void rig_send(struct agent_rig *rig, const struct msg *msg)
+{
+	CU_ASSERT_EQUAL(wire_send(rig->entries[0].wire, rig->agent_peer, msg), 0);
+}
+
+struct msg rig_request(const struct agent_rig *rig, uint64_t id, const char *body)
+{
+	struct msg msg = {.type = MSG_REQUEST};
+	struct msg_request *request = &msg.u.request;
+
+	request->id = id;
+	request->service = "svc";
+	request->class_name = "class-a";
+	request->organisation = "org-a";
+	request->expiry_ms = (uint64_t)((int64_t)util_clock_ms() + rig->clock_offset) + WAIT_MS;
+	request->timeout_ms = WAIT_MS;
+	request->content_type = "application/json";
+	request->body.data = (const uint8_t *)body;
+	request->body.len = strlen(body);
+	return msg;
+}
+
+static uint64_t request_id(const struct msg *msg)
+{
+	/* The id is the first field of each of these messages. */
+	return msg->type >= MSG_STARTED && msg->type <= MSG_ATTEMPT_INFO ? msg->u.started.id : 0;
+}
+
+const struct msg *rig_find(const struct agent_rig *rig, enum msg_type type, uint64_t id)
+{
+	for (size_t i = 0; i < rig->inbox_count; i++) {
+		if (rig->inbox[i]->type == type && request_id(rig->inbox[i]) == id)
+			return rig->inbox[i];
+	}
+	return NULL;
+}
+
+struct wanted {
+	enum msg_type type;
+	uint64_t id;
+};
+
+static bool arrived(struct agent_rig *rig, void *ctx)
+{
+	const struct wanted *wanted = ctx;
+
+	return rig_find(rig, wanted->type, wanted->id) != NULL;
+}
+
+const struct msg *rig_wait(struct agent_rig *rig, enum msg_type type, uint64_t id)
+{
+	struct wanted wanted = {type, id};
+
+	if (!rig_until(rig, arrived, &wanted, WAIT_MS))
+		fprintf(stderr, "no %s for request %llu; log %s\n", msg_type_name(type),
+			(unsigned long long)id, rig->agent.log);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(rig_find(rig, type, id));
+	return rig_find(rig, type, id);
+}
+
+size_t rig_count(const struct agent_rig *rig, enum msg_type type, uint64_t id)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < rig->inbox_count; i++)
+		count += rig->inbox[i]->type == type && request_id(rig->inbox[i]) == id;
+	return count;
+}
+
+/* Length and checksum of the chunks received so far. */
+static uint64_t add_up(const struct agent_rig *rig, uint64_t id, uint64_t *hash)
+{
+	uint64_t length = 0;
+
+	*hash = 0;
+	for (size_t i = 0; i < rig->inbox_count; i++) {
+		const struct msg_chunk *chunk = &rig->inbox[i]->u.chunk;
+
+		if (rig->inbox[i]->type != MSG_CHUNK || chunk->id != id)
+			continue;
+		CU_ASSERT_EQUAL(chunk->offset, length);
+		CU_ASSERT(chunk->data.len <= 64 * 1024);
+		*hash = util_hash64(chunk->data.data, chunk->data.len, *hash);
+		length += chunk->data.len;
+	}
+	return length;
+}
+
+uint64_t rig_received(const struct agent_rig *rig, uint64_t id)
+{
+	uint64_t hash;
+
+	return add_up(rig, id, &hash);
+}
+
+bool rig_whole(const struct agent_rig *rig, uint64_t id)
+{
+	const struct msg *end = rig_find(rig, MSG_END, id);
+	uint64_t hash;
+	uint64_t length = add_up(rig, id, &hash);
+
+	return end && end->u.end.code == 0 && end->u.end.length == length &&
+	       end->u.end.checksum == hash;
+}
+
+size_t rig_runs(const struct agent_rig *rig, const char *echo)
+{
+	char url[128];
+	struct http_reply reply;
+	json_t *root;
+	json_t *item;
+	size_t count = 0;
+	size_t i;
+
+	snprintf(url, sizeof(url), "http://%s/history", rig->target.address[0]);
+	reply = http_call("GET", url, NULL, NULL, WAIT_MS);
+	CU_ASSERT_EQUAL_FATAL(reply.status, 200);
+	root = json_loads(reply.body, 0, NULL);
+	json_array_foreach(json_object_get(root, "requests"), i, item)
+	{
+		const char *text = json_string_value(json_object_get(item, "echo"));
+
+		count += text && !strcmp(text, echo);
+	}
+	json_decref(root);
+	http_free(&reply);
+	return count;
+}
+
+void rig_fault(const struct agent_rig *rig, const char *json)
+{
+	char url[128];
+	struct http_reply reply;
+
+	snprintf(url, sizeof(url), "http://%s/fault", rig->target.address[0]);
+	reply = http_call("POST", url, NULL, json, WAIT_MS);
+	CU_ASSERT_EQUAL(reply.status, 200);
+	http_free(&reply);
+}
--- /dev/null
+++ b/tests/lib_agent.h
@@ -0,0 +1,84 @@
+#ifndef JAYCOURSE_LIB_AGENT_H
+#define JAYCOURSE_LIB_AGENT_H
+
+#include "lib_proc.h"
+#include "wire.h"
+
+/**
+ * DOC: One agent process with a target, and entries played by the test
+ *
+ * Each entry is a wire of the test's own; the seed that names them is served over HTTP by
+ * the test as well.
+ */
+
+#define AGENT_ENTRIES_MAX 2
+
+struct agent_rig;
+
+/* One entry as played by the test. */
+struct rig_entry {
+	struct agent_rig *rig;
+	struct wire *wire;
+	struct metrics *metrics;
+	char peer[32];
+	bool silent; /* answers no heartbeats */
+	unsigned int heartbeats;
+	unsigned int hellos;
+	uint64_t target_state; /* of the last ANNOUNCE; 0 before */
+};
+
+struct agent_rig {
+	TALLOC_CTX *mem;
+	struct tevent_context *ev;
+	struct fake_server *seed;
+	struct rig_entry entries[AGENT_ENTRIES_MAX];
+	unsigned int entry_count;
+	struct proc agent;
+	struct proc target;
+	char agent_peer[128]; /* "" until the first HELLO */
+	int64_t clock_offset; /* agent clock minus own clock, never ahead */
+	struct msg **inbox;   /* other messages, in order of arrival; owned by @mem */
+	size_t inbox_count;
+};
+
+/** rig_start() - agent without a target; waits until it has connected to all entries */
+void rig_start(struct agent_rig *rig, unsigned int entries);
+
+/** rig_start_service() - fake_service "svc" beside the agent; waits until it is announced */
+void rig_start_service(struct agent_rig *rig, const char *slots);
+
+/** rig_stop() - end all processes and check that the agent exits with 0 */
+void rig_stop(struct agent_rig *rig);
+
+/** rig_send() - from the first entry to the agent */
+void rig_send(struct agent_rig *rig, const struct msg *msg);
+
+/** rig_request() - a REQUEST that fake_service admits; callers change what they need */
+struct msg rig_request(const struct agent_rig *rig, uint64_t id, const char *body);
+
+/** rig_until() - run the loop until @check is true; false after @timeout_ms */
+bool rig_until(struct agent_rig *rig, bool (*check)(struct agent_rig *rig, void *ctx), void *ctx,
+	       uint32_t timeout_ms);
+
+/** rig_find() - first message of a type for a request id, or NULL */
+const struct msg *rig_find(const struct agent_rig *rig, enum msg_type type, uint64_t id);
+
+/** rig_wait() - like rig_find() but waits for it; fails the test when it does not arrive */
+const struct msg *rig_wait(struct agent_rig *rig, enum msg_type type, uint64_t id);
+
+/** rig_count() - messages of a type for a request id */
+size_t rig_count(const struct agent_rig *rig, enum msg_type type, uint64_t id);
+
+/** rig_received() - bytes of an answer so far, checking that its chunks are in order */
+uint64_t rig_received(const struct agent_rig *rig, uint64_t id);
+
+/** rig_whole() - true when the END of an answer fits the chunks received */
+bool rig_whole(const struct agent_rig *rig, uint64_t id);
+
+/** rig_runs() - how often the service began a request whose body has this echo */
+size_t rig_runs(const struct agent_rig *rig, const char *echo);
+
+/** rig_fault() - set a fault of the target */
+void rig_fault(const struct agent_rig *rig, const char *json);
+
+#endif
--- a/tests/lib_fake.c
+++ b/tests/lib_fake.c
@@ -180,6 +180,14 @@
 	sigaddset(set, SIGINT);
 }
 
+void fake_block_signals(void)
+{
+	sigset_t set;
+
+	end_signals(&set);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+}
+
 struct fake_server *fake_server_start(const char *listen, unsigned int connections,
 				      void (*handle)(const struct fake_request *request,
 						     struct fake_reply *reply, void *ctx),
@@ -189,10 +197,7 @@
 	char host[INET_ADDRSTRLEN];
 	struct sockaddr_in address;
 	unsigned int port;
-	sigset_t set;
 
-	end_signals(&set);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	server->handle = handle;
--- a/tests/lib_fake.h
+++ b/tests/lib_fake.h
@@ -49,8 +49,11 @@
 
 struct fake_server;
 
+/** fake_block_signals() - leave SIGTERM and SIGINT to fake_wait(); call before any thread starts */
+void fake_block_signals(void);
+
 /**
- * fake_server_start() - block SIGTERM and SIGINT, listen, print "listening ip:port"
+ * fake_server_start() - listen and print "listening ip:port"
  * @connections: limit of open connections
  *
  * Return: the server; exits with a message when the address cannot be bound.
