--- a/src/home.c
+++ b/src/home.c
@@ -90,17 +90,21 @@
 	send_announce(h, entry);
 }
 
-/* The live entry with the highest weight; if all have failed, the one that failed first. */
+/* Live entries by weight; those that have failed come last, the one that failed first leading. */
+static bool preferred(const struct entry *a, const struct entry *b)
+{
+	if (a->failed_since_ms != b->failed_since_ms)
+		return !a->failed_since_ms ||
+		       (b->failed_since_ms && a->failed_since_ms < b->failed_since_ms);
+	return a->weight > b->weight;
+}
+
 static struct entry *choose_home(const struct home *h)
 {
-	struct entry *best = NULL;
+	struct entry *best = h->entries;
 
-	for (struct entry *e = h->entries; e; e = e->next) {
-		if (!best)
-			best = e;
-		else if (!e->failed_since_ms)
-			best = best->failed_since_ms || e->weight > best->weight ? e : best;
-		else if (best->failed_since_ms > e->failed_since_ms)
+	for (struct entry *e = best; e; e = e->next) {
+		if (preferred(e, best))
 			best = e;
 	}
 	return best;
--- a/src/worker.c
+++ b/src/worker.c
@@ -411,18 +411,15 @@
 	talloc_free(id);
 }
 
+/* A renewal refused because the task has ended says nothing; the list tells how it ended. */
 static void on_renewed(int status, int http_status, const char *body, size_t len, void *ctx)
 {
 	struct task *task = ctx;
 
 	task->renew = NULL;
-	if (!status && http_status == 200) {
+	if (!status && http_status == 200)
 		task->renewed_ms =
 			task->lapses_ms - RENEW_TIMEOUT_MS - WORKER_LEASE_MS - LAPSE_MARGIN_MS;
-		return;
-	}
-	if (!status && http_status == 404 && task->phase == PHASE_RUNNING)
-		report_ended(task, WORKER_TASK_UNKNOWN, "the worker does not know the task");
 }
 
 static void renew_task(struct task *task)
--- /dev/null
+++ b/tests/test_agent_home.c
@@ -0,0 +1,108 @@
+#include "home.h"
+#include "lib_agent.h"
+#include "util.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#define WAIT_MS 20000
+#define NODES 3000
+
+static struct agent_rig rig;
+
+/* Guards against entries that get far more than their share of agents, or change too many. */
+static void test_choose(void)
+{
+	const char *peers[] = {"entry-0#11", "entry-1#12", "entry-2#13", "entry-3#14"};
+	unsigned int counts[4] = {0};
+	unsigned int moved = 0;
+
+	for (int i = 0; i < NODES; i++) {
+		char node[32];
+		size_t of_four;
+
+		snprintf(node, sizeof(node), "agent-%d", i);
+		of_four = home_choose(peers, 4, node);
+		counts[of_four]++;
+		if (of_four != 3)
+			moved += home_choose(peers, 3, node) != of_four;
+	}
+	for (int i = 0; i < 4; i++)
+		CU_ASSERT(counts[i] > NODES / 5 && counts[i] < NODES / 3);
+	CU_ASSERT_EQUAL(moved, 0);
+}
+
+static bool any_heartbeat(struct agent_rig *r, void *ctx)
+{
+	return r->entries[0].heartbeats + r->entries[1].heartbeats > 0;
+}
+
+static unsigned int home_index(void)
+{
+	const char *peers[] = {rig.entries[0].peer, rig.entries[1].peer};
+
+	return (unsigned int)home_choose(peers, 2, "agent-1");
+}
+
+static void test_start(void)
+{
+	rig_start(&rig, 2);
+}
+
+static bool heartbeat_at(struct agent_rig *r, void *ctx)
+{
+	return r->entries[*(const unsigned int *)ctx].heartbeats > 0;
+}
+
+/* Guards against an agent that stays with a home entry that has gone. */
+static void test_failover(void)
+{
+	unsigned int home = home_index();
+	unsigned int other = 1 - home;
+
+	CU_ASSERT(rig_until(&rig, any_heartbeat, NULL, WAIT_MS));
+	CU_ASSERT_EQUAL(rig.entries[other].heartbeats, 0);
+	rig.entries[home].silent = true;
+	CU_ASSERT(rig_until(&rig, heartbeat_at, &other, WAIT_MS));
+}
+
+/* Guards against never returning to an entry that answers again. */
+static void test_return(void)
+{
+	unsigned int home = home_index();
+	struct msg msg = {.type = MSG_ENTRIES};
+	const char *ids[] = {rig.entries[0].peer, rig.entries[1].peer};
+	const char *addresses[] = {wire_address(rig.entries[0].wire),
+				   wire_address(rig.entries[1].wire)};
+
+	rig.entries[home].silent = false;
+	rig.entries[home].heartbeats = 0;
+	msg.u.entries.version = 2;
+	msg.u.entries.ids = (struct msg_strings){ids, 2};
+	msg.u.entries.addresses = (struct msg_strings){addresses, 2};
+	CU_ASSERT_EQUAL(wire_send(rig.entries[home].wire, rig.agent_peer, &msg), 0);
+	CU_ASSERT(rig_until(&rig, heartbeat_at, &home, WAIT_MS));
+}
+
+static void test_stop(void)
+{
+	rig_stop(&rig);
+}
+
+int main(void)
+{
+	CU_pSuite suite;
+	unsigned int failures;
+
+	CU_initialize_registry();
+	suite = CU_add_suite("agent_home", NULL, NULL);
+	CU_add_test(suite, "choose", test_choose);
+	CU_add_test(suite, "start", test_start);
+	CU_add_test(suite, "failover", test_failover);
+	CU_add_test(suite, "return", test_return);
+	CU_add_test(suite, "stop", test_stop);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures() + CU_get_number_of_suites_failed();
+	CU_cleanup_registry();
+	return failures != 0;
+}
--- /dev/null
+++ b/tests/test_slots.c
@@ -0,0 +1,104 @@
+#include "slots.h"
+
+#include <CUnit/Basic.h>
+
+static const struct slots_capacity capacity = {
+	.slots = 2,
+	.connections = 3,
+	.accelerators = 8,
+	.cores = 16,
+	.memory_mb = 1000,
+};
+
+struct hold_case {
+	uint64_t mask;
+	uint32_t cores;
+	uint32_t memory_mb;
+	int status;
+	uint64_t free_after;
+};
+
+/* Guards against giving one accelerator, core or MB away twice, and against partial holds. */
+static void test_hold(void)
+{
+	static const struct hold_case cases[] = {
+		{0x0f, 8, 500, 0, 0xf0},
+		{0x18, 1, 1, -ERR_NO_TARGET, 0xf0},
+		{0x100, 1, 1, -ERR_NO_TARGET, 0xf0},
+		{0x10, 9, 1, -ERR_NO_TARGET, 0xf0},
+		{0x10, 1, 501, -ERR_NO_TARGET, 0xf0},
+		{0xf0, 8, 500, 0, 0},
+	};
+	struct slots *s = slots_create(NULL);
+	struct err err;
+
+	slots_set_capacity(s, &capacity);
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const struct hold_case *c = &cases[i];
+
+		CU_ASSERT_EQUAL(slots_hold(s, c->mask, c->cores, c->memory_mb, &err), c->status);
+		CU_ASSERT_EQUAL(slots_free_mask(s), c->free_after);
+	}
+	slots_drop(s, 0x0f, 8, 500);
+	CU_ASSERT_EQUAL(slots_free_mask(s), 0x0f);
+	CU_ASSERT_EQUAL(slots_hold(s, 0x01, 8, 500, &err), 0);
+	talloc_free(s);
+}
+
+/* Guards against more requests than slots or connections. */
+static void test_requests(void)
+{
+	struct slots *s = slots_create(NULL);
+	struct slots_capacity few = capacity;
+
+	CU_ASSERT_EQUAL(slots_take_request(s), -ERR_NO_TARGET);
+	slots_set_capacity(s, &capacity);
+	CU_ASSERT_EQUAL(slots_take_request(s), 0);
+	CU_ASSERT_EQUAL(slots_take_request(s), 0);
+	CU_ASSERT_EQUAL(slots_take_request(s), -ERR_NO_TARGET);
+	few.slots = 8;
+	few.connections = 2;
+	slots_set_capacity(s, &few);
+	CU_ASSERT_EQUAL(slots_take_request(s), -ERR_NO_TARGET);
+	slots_give_request(s);
+	CU_ASSERT_EQUAL(slots_in_flight(s), 1);
+	CU_ASSERT_EQUAL(slots_take_request(s), 0);
+	talloc_free(s);
+}
+
+/* Guards against freeing what still runs when a worker announces less than before. */
+static void test_shrink(void)
+{
+	struct slots_capacity few = capacity;
+	struct slots *s = slots_create(NULL);
+
+	slots_set_capacity(s, &capacity);
+	CU_ASSERT_EQUAL(slots_hold(s, 0xf0, 12, 900, NULL), 0);
+	few.accelerators = 4;
+	few.cores = 8;
+	slots_set_capacity(s, &few);
+	CU_ASSERT_EQUAL(slots_free_mask(s), 0x0f);
+	CU_ASSERT_EQUAL(slots_hold(s, 0x01, 1, 1, NULL), -ERR_NO_TARGET);
+	slots_drop(s, 0xf0, 12, 900);
+	CU_ASSERT_EQUAL(slots_hold(s, 0x0f, 8, 1000, NULL), 0);
+	few.accelerators = 64;
+	slots_set_capacity(s, &few);
+	CU_ASSERT_EQUAL(slots_free_mask(s), ~(uint64_t)0x0f);
+	talloc_free(s);
+}
+
+int main(void)
+{
+	CU_pSuite suite;
+	unsigned int failures;
+
+	CU_initialize_registry();
+	suite = CU_add_suite("slots", NULL, NULL);
+	CU_add_test(suite, "hold", test_hold);
+	CU_add_test(suite, "requests", test_requests);
+	CU_add_test(suite, "shrink", test_shrink);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failures != 0;
+}
--- /dev/null
+++ b/tests/test_worker.c
@@ -0,0 +1,317 @@
+#include "lib_proc.h"
+#include "util.h"
+#include "worker.h"
+
+#include <CUnit/Basic.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define WAIT_MS 20000
+#define PENDING 1000 /* not a status */
+
+static struct proc fake;
+static TALLOC_CTX *mem;
+static struct tevent_context *ev;
+static struct worker *worker;
+
+struct result {
+	int status;
+	uint64_t checkpoint_ms;
+};
+
+/* Last callbacks of the worker client. */
+static struct {
+	char id[64];
+	enum worker_task_state state;
+	unsigned int usage;
+	uint32_t percent;
+} seen;
+
+static void on_task(const char *id, enum worker_task_state state, const char *reason, void *ctx)
+{
+	snprintf(seen.id, sizeof(seen.id), "%s", id);
+	seen.state = state;
+}
+
+static void on_usage(const char *id, uint32_t percent, uint64_t checkpoint_ms, void *ctx)
+{
+	seen.usage++;
+	seen.percent = percent;
+}
+
+static void on_start(int status, const char *reason, void *ctx)
+{
+	struct result *result = ctx;
+
+	result->status = status;
+}
+
+static void on_stop(int status, uint64_t checkpoint_ms, void *ctx)
+{
+	struct result *result = ctx;
+
+	result->status = status;
+	result->checkpoint_ms = checkpoint_ms;
+}
+
+static void wake(struct tevent_context *context, struct tevent_timer *te, struct timeval now,
+		 void *data)
+{
+}
+
+static bool until(bool (*check)(const void *ctx), const void *ctx)
+{
+	uint64_t deadline = util_clock_ms() + WAIT_MS;
+
+	while (!check(ctx)) {
+		if (util_clock_ms() > deadline)
+			return false;
+		tevent_add_timer(ev, mem, tevent_timeval_current_ofs(0, 20000), wake, NULL);
+		tevent_loop_once(ev);
+	}
+	return true;
+}
+
+static bool is_done(const void *ctx)
+{
+	return ((const struct result *)ctx)->status != PENDING;
+}
+
+static bool has_ended(const void *ctx)
+{
+	return !strcmp(seen.id, ctx);
+}
+
+static bool has_usage(const void *ctx)
+{
+	return seen.usage > 0;
+}
+
+static bool has_percent(const void *ctx)
+{
+	return seen.percent == *(const uint32_t *)ctx;
+}
+
+static int run_start(const char *id, uint64_t mask, uint32_t cores, const char *payload)
+{
+	struct worker_task_spec spec = {
+		.id = id,
+		.accelerator_mask = mask,
+		.cores = cores,
+		.memory_mb = 100,
+		.payload = payload,
+	};
+	struct result result = {.status = PENDING};
+
+	worker_start(worker, &spec, on_start, &result);
+	CU_ASSERT(until(is_done, &result));
+	return result.status;
+}
+
+static struct result run_stop(const char *id, bool checkpoint)
+{
+	struct result result = {.status = PENDING};
+
+	worker_stop(worker, id, checkpoint, 1000, on_stop, &result);
+	CU_ASSERT(until(is_done, &result));
+	return result;
+}
+
+static json_t *history(void)
+{
+	char url[128];
+	struct http_reply reply;
+	json_t *root;
+
+	snprintf(url, sizeof(url), "http://%s/history", fake.address[0]);
+	reply = http_call("GET", url, NULL, NULL, WAIT_MS);
+	root = json_loads(reply.body, 0, NULL);
+	http_free(&reply);
+	return root;
+}
+
+/* State of a task in the worker's history, "" if it never started. */
+static void task_state(const char *id, char state[32])
+{
+	json_t *root = history();
+	json_t *item;
+	size_t i;
+
+	state[0] = '\0';
+	json_array_foreach(json_object_get(root, "tasks"), i, item)
+	{
+		if (!strcmp(json_string_value(json_object_get(item, "id")), id))
+			snprintf(state, 32, "%s",
+				 json_string_value(json_object_get(item, "state")));
+	}
+	json_decref(root);
+}
+
+static bool time_passed(const void *ctx)
+{
+	return util_clock_ms() >= *(const uint64_t *)ctx;
+}
+
+static bool has_lapsed(const void *ctx)
+{
+	char state[32];
+
+	task_state(ctx, state);
+	return !strcmp(state, "stopped");
+}
+
+static void create_worker(void)
+{
+	struct worker_handlers handlers = {.on_task = on_task, .on_usage = on_usage};
+	char url[128];
+
+	snprintf(url, sizeof(url), "http://%s", fake.address[0]);
+	worker = worker_create(mem, ev, url, &handlers, metrics_create(mem));
+}
+
+static void test_start(void)
+{
+	const char *const arguments[] = {"--target", "worker-1", "--usage-lag-ms", "100", NULL};
+
+	mem = talloc_new(NULL);
+	ev = tevent_context_init(mem);
+	CU_ASSERT_FATAL(proc_start(&fake, "fake_worker", "worker", arguments));
+	create_worker();
+}
+
+struct start_case {
+	const char *id;
+	uint64_t mask;
+	uint32_t cores;
+	int status;
+};
+
+/* Guards against reporting a task as started that the worker's admission check refused. */
+static void test_admission(void)
+{
+	static const struct start_case cases[] = {
+		{"a.1.0", 0x0f, 64, 0},
+		{"b.1.0", 0x08, 1, -ERR_NO_TARGET},
+		{"c.1.0", 0x100, 1, -ERR_NO_TARGET},
+		{"d.1.0", 0x10, 65, -ERR_NO_TARGET},
+		{"e.1.0", 0xf0, 64, 0},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		CU_ASSERT_EQUAL(run_start(cases[i].id, cases[i].mask, cases[i].cores, "{}"),
+				cases[i].status);
+	CU_ASSERT_EQUAL(run_stop("a.1.0", false).status, 0);
+	CU_ASSERT_EQUAL(run_stop("e.1.0", false).status, 0);
+}
+
+/* Guards against ends, failures and usage that are not reported. */
+static void test_reports(void)
+{
+	const uint32_t throttled = 40;
+
+	CU_ASSERT_EQUAL(run_start("f.1.0", 1, 1, "{\"run_ms\":100}"), 0);
+	CU_ASSERT(until(has_ended, "f.1.0"));
+	CU_ASSERT_EQUAL(seen.state, WORKER_TASK_DONE);
+	CU_ASSERT_EQUAL(run_start("g.1.0", 1, 1, "{\"never_runs\":true}"), 0);
+	CU_ASSERT(until(has_ended, "g.1.0"));
+	CU_ASSERT_EQUAL(seen.state, WORKER_TASK_FAILED);
+	CU_ASSERT_EQUAL(run_start("h.1.0", 1, 1, "{}"), 0);
+	CU_ASSERT(until(has_usage, NULL));
+	worker_throttle(worker, "h.1.0", throttled);
+	CU_ASSERT(until(has_percent, &throttled));
+	CU_ASSERT(run_stop("h.1.0", true).checkpoint_ms > 0);
+}
+
+/* Guards against a task that starts after the agent has given it up. */
+static void test_late_start(void)
+{
+	CU_ASSERT_EQUAL(run_stop("i.1.0", false).status, 0);
+	CU_ASSERT(run_start("i.1.0", 1, 1, "{}") < 0);
+}
+
+static bool two_done(const void *ctx)
+{
+	const struct result *results = ctx;
+
+	return is_done(&results[0]) && is_done(&results[1]);
+}
+
+/* Guards against a task left running by a stop that overtakes its start. */
+static void test_stop_while_starting(void)
+{
+	struct worker_task_spec spec = {.id = "j.1.0", .accelerator_mask = 1, .payload = "{}"};
+	struct result results[2] = {{.status = PENDING}, {.status = PENDING}};
+	char state[32];
+
+	worker_start(worker, &spec, on_start, &results[0]);
+	worker_stop(worker, "j.1.0", false, 0, on_stop, &results[1]);
+	CU_ASSERT(until(two_done, results));
+	task_state("j.1.0", state);
+	CU_ASSERT_STRING_NOT_EQUAL(state, "running");
+}
+
+/* Guards against a start reported as failed while the task runs after all. */
+static void test_frozen_worker(void)
+{
+	struct worker_task_spec spec = {.id = "k.1.0", .accelerator_mask = 1, .payload = "{}"};
+	struct result result = {.status = PENDING};
+	char state[32];
+
+	proc_signal(&fake, SIGSTOP);
+	worker_start(worker, &spec, on_start, &result);
+	CU_ASSERT(until(is_done, &result));
+	CU_ASSERT(result.status < 0);
+	proc_signal(&fake, SIGCONT);
+	/* The start waits in the worker's socket; a new call is served after it. */
+	CU_ASSERT_EQUAL(run_start("l.1.0", 2, 1, "{}"), 0);
+	CU_ASSERT_EQUAL(run_stop("k.1.0", false).status, 0);
+	CU_ASSERT_EQUAL(run_stop("l.1.0", false).status, 0);
+	task_state("k.1.0", state);
+	CU_ASSERT_STRING_NOT_EQUAL(state, "running");
+}
+
+/* Guards against tasks of a dead agent that run on. */
+static void test_lease(void)
+{
+	char state[32];
+	uint64_t until_ms;
+
+	CU_ASSERT_EQUAL(run_start("m.1.0", 1, 1, "{}"), 0);
+	until_ms = util_clock_ms() + WORKER_LEASE_MS + 1000;
+	CU_ASSERT(until(time_passed, &until_ms));
+	task_state("m.1.0", state);
+	CU_ASSERT_STRING_EQUAL(state, "running");
+	talloc_free(worker);
+	CU_ASSERT(until(has_lapsed, "m.1.0"));
+	create_worker();
+}
+
+static void test_stop(void)
+{
+	talloc_free(worker);
+	CU_ASSERT_EQUAL(proc_stop(&fake, WAIT_MS), 0);
+	talloc_free(mem);
+}
+
+int main(void)
+{
+	CU_pSuite suite;
+	unsigned int failures;
+
+	CU_initialize_registry();
+	suite = CU_add_suite("worker", NULL, NULL);
+	CU_add_test(suite, "start", test_start);
+	CU_add_test(suite, "admission", test_admission);
+	CU_add_test(suite, "reports", test_reports);
+	CU_add_test(suite, "late_start", test_late_start);
+	CU_add_test(suite, "stop_while_starting", test_stop_while_starting);
+	CU_add_test(suite, "frozen_worker", test_frozen_worker);
+	CU_add_test(suite, "lease", test_lease);
+	CU_add_test(suite, "stop", test_stop);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failures != 0;
+}
