agent: configured limits, claim lifetime, chunk heads and retiring entries

Records of idempotency keys live as long as the configuration keeps the entries' claims; a full table drops its oldest records and then answers "may have run" for keys it does not know. An entry that leaves the list keeps its connection until its requests have their answers, so that its shutdown interrupts none. The first chunk carries the HTTP status.

--- a/src/agent.c
+++ b/src/agent.c
@@ -5,6 +5,7 @@
 #include "httpc.h"
 #include "log.h"
 #include "proxy.h"
+#include "slice.h"
 #include "util.h"
 
 #include <inttypes.h>
@@ -37,6 +38,7 @@
 	struct worker *worker; /* NULL unless the target is a worker that announces itself */
 	uint64_t tick_ms;
 	uint64_t config_revision;
+	struct slice *slice;	   /* NULL until an entry has sent one */
 	uint64_t leaving_since_ms; /* 0 while not shutting down */
 	void (*done)(void *ctx);
 	void *done_ctx;
@@ -81,13 +83,25 @@
 	gangagent_set_worker(agent->gang, agent->worker);
 }
 
+/* What the target announced, within what the configuration allows. */
+static struct slots_capacity capacity(const struct agent *agent)
+{
+	const struct target_info *info = target_info(agent->target);
+	struct slots_capacity result = info->capacity;
+
+	if (agent->slice && info->kind == MSG_TARGET_SERVICE)
+		slice_limit(agent->slice, info->service, &result);
+	return result;
+}
+
 /* Brings the modules in line with the target's state. */
 static void apply_target(struct agent *agent, bool restarted)
 {
 	const struct target_info *info = target_info(agent->target);
 	int usable = target_usable(agent->target, util_clock_ms());
+	struct slots_capacity allowed = capacity(agent);
 
-	slots_set_capacity(agent->slots, &info->capacity);
+	slots_set_capacity(agent->slots, &allowed);
 	if (restarted || info->kind != MSG_TARGET_WORKER || usable == -ERR_NO_TARGET)
 		drop_worker(agent);
 	if (info->kind == MSG_TARGET_WORKER && usable != -ERR_NO_TARGET)
@@ -136,24 +150,33 @@
 {
 	struct agent *agent = ctx;
 	const struct target_info *info = target_info(agent->target);
+	struct slots_capacity allowed;
 	bool usable;
 
 	if (!info)
 		return false;
+	allowed = capacity(agent);
 	usable = target_usable(agent->target, util_clock_ms()) == 0 && !agent->leaving_since_ms;
 	out->kind = info->kind;
 	out->service = info->service;
 	out->target = info->name;
 	out->target_incarnation = info->incarnation;
 	out->state = usable ? MSG_TARGET_ALIVE : MSG_TARGET_LEAVING;
-	out->slots = info->capacity.slots;
-	out->connections = info->capacity.connections;
-	out->accelerators = info->capacity.accelerators;
-	out->cores = info->capacity.cores;
-	out->memory_mb = info->capacity.memory_mb;
+	out->slots = allowed.slots;
+	out->connections = allowed.connections;
+	out->accelerators = allowed.accelerators;
+	out->cores = allowed.cores;
+	out->memory_mb = allowed.memory_mb;
 	return true;
 }
 
+static bool busy(const char *peer, void *ctx)
+{
+	const struct agent *agent = ctx;
+
+	return streams_peer(agent->streams, peer);
+}
+
 static void fill_heartbeat(struct msg_heartbeat *out, void *ctx)
 {
 	struct agent *agent = ctx;
@@ -164,10 +187,24 @@
 	out->config_revision = agent->config_revision;
 }
 
-static void take_config(struct agent *agent, const struct msg_config_slice *slice)
+static void take_config(struct agent *agent, const struct msg_config_slice *msg)
 {
-	if (slice->revision > agent->config_revision)
-		agent->config_revision = slice->revision;
+	struct slice *slice;
+
+	if (msg->revision <= agent->config_revision)
+		return;
+	slice = slice_parse(agent, msg->json.data, msg->json.len);
+	if (!slice) {
+		log_warn("config_slice", "", "revision %" PRIu64 " does not parse", msg->revision);
+		return;
+	}
+	talloc_free(agent->slice);
+	agent->slice = slice;
+	agent->config_revision = msg->revision;
+	outcomes_set_ttl(agent->outcomes, slice_key_ttl_ms(slice));
+	log_info("config_applied", "", "revision %" PRIu64, msg->revision);
+	if (target_info(agent->target))
+		apply_target(agent, false);
 }
 
 static void on_message(const char *peer, struct msg *msg, void *ctx)
@@ -339,6 +376,7 @@
 		.address = agent->address,
 		.fill_announce = fill_announce,
 		.fill_heartbeat = fill_heartbeat,
+		.busy = busy,
 		.ctx = agent,
 	};
 
--- a/src/home.c
+++ b/src/home.c
@@ -4,8 +4,10 @@
 
 #include <string.h>
 
-#define PROBE_MS 30000	  /* between introductions to an entry that did not answer */
-#define HELLO_MIN_MS 5000 /* between repeated introductions to one entry */
+#define PROBE_MS 30000	    /* between introductions to an entry that did not answer */
+#define HELLO_MIN_MS 5000   /* between repeated introductions to one entry */
+#define HELLO_ASKED_MS 1000 /* likewise, when the entry seems not to know this agent */
+#define RETIRE_MS 60000	    /* an entry no longer listed may still finish its requests */
 
 struct entry {
 	struct entry *next;
@@ -15,6 +17,7 @@
 	uint64_t failed_since_ms; /* did not answer as home and was not heard since; 0: live */
 	uint64_t hello_ms;
 	uint64_t entries_version; /* of the last ENTRIES from it */
+	uint64_t retired_ms;	  /* since when it is not listed any more; 0: listed */
 };
 
 struct home {
@@ -101,10 +104,10 @@
 
 static struct entry *choose_home(const struct home *h)
 {
-	struct entry *best = h->entries;
+	struct entry *best = NULL;
 
-	for (struct entry *e = best; e; e = e->next) {
-		if (preferred(e, best))
+	for (struct entry *e = h->entries; e; e = e->next) {
+		if (!e->retired_ms && (!best || preferred(e, best)))
 			best = e;
 	}
 	return best;
@@ -153,9 +156,13 @@
 
 static void add_entry(struct home *h, const char *peer, const char *address)
 {
-	struct entry *entry;
+	struct entry *entry = find_entry(h, peer);
 
-	if (find_entry(h, peer))
+	if (entry && entry->retired_ms) {
+		entry->retired_ms = 0;
+		send_hello(h, entry);
+	}
+	if (entry)
 		return;
 	remove_predecessor(h, address);
 	if (wire_connect(h->deps.wire, peer, address)) {
@@ -180,13 +187,23 @@
 	return false;
 }
 
-static void remove_unlisted(struct home *h, const char **peers, size_t count)
+/* An entry that shuts down is not listed, but its requests still get their answers. */
+static void retire_unlisted(struct home *h, const char **peers, size_t count)
+{
+	for (struct entry *e = h->entries; e; e = e->next) {
+		if (!e->retired_ms && !listed(e->peer, peers, count))
+			e->retired_ms = util_clock_ms();
+	}
+}
+
+static void remove_retired(struct home *h, uint64_t now_ms)
 {
 	struct entry *next;
 
 	for (struct entry *e = h->entries; e; e = next) {
 		next = e->next;
-		if (!listed(e->peer, peers, count))
+		if (e->retired_ms && now_ms - e->retired_ms >= RETIRE_MS &&
+		    !h->deps.busy(e->peer, h->deps.ctx))
 			remove_entry(h, e);
 	}
 }
@@ -197,7 +214,7 @@
 	uint64_t now = util_clock_ms();
 
 	if (whole)
-		remove_unlisted(h, peers, count);
+		retire_unlisted(h, peers, count);
 	for (size_t i = 0; i < count; i++)
 		add_entry(h, peers[i], addresses[i]);
 	set_home(h, choose_home(h), now);
@@ -291,7 +308,7 @@
 static void probe_failed(struct home *h, uint64_t now_ms)
 {
 	for (struct entry *e = h->entries; e; e = e->next) {
-		if (e->failed_since_ms && now_ms - e->hello_ms >= PROBE_MS)
+		if (e->failed_since_ms && !e->retired_ms && now_ms - e->hello_ms >= PROBE_MS)
 			send_hello(h, e);
 	}
 }
@@ -301,6 +318,7 @@
 	if (h->home)
 		check_answers(h, now_ms);
 	probe_failed(h, now_ms);
+	remove_retired(h, now_ms);
 	set_home(h, choose_home(h), now_ms);
 	if (h->home)
 		send_heartbeat(h, now_ms);
@@ -325,10 +343,14 @@
 static void take_entries(struct home *h, struct entry *entry, const struct msg_entries *entries)
 {
 	size_t count = entries->ids.count;
+	uint64_t now = util_clock_ms();
 
 	if (count == 0 || count != entries->addresses.count)
 		return;
 	entry->entries_version = entries->version;
+	/* A list in place of an answer to a heartbeat: the entry has dropped this agent's row. */
+	if (h->waiting_since_ms && entry == h->home && now - entry->hello_ms >= HELLO_ASKED_MS)
+		send_hello(h, entry);
 	/* Only the home entry's view may remove others: it answers us, others may be cut off. */
 	set_entries(h, entries->ids.items, entries->addresses.items, count, entry == h->home);
 }
--- a/src/home.h
+++ b/src/home.h
@@ -33,6 +33,8 @@
 	bool (*fill_announce)(struct msg_announce *out, void *ctx);
 	/* Fills the load in HEARTBEAT. */
 	void (*fill_heartbeat)(struct msg_heartbeat *out, void *ctx);
+	/* True while messages to an entry are outstanding, so that its connection is needed. */
+	bool (*busy)(const char *peer, void *ctx);
 	void *ctx;
 };
 
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -268,7 +268,8 @@
 	int ret = 0;
 
 	if (request->key_hash)
-		ret = outcomes_start(p->deps.outcomes, request->key_hash, run->answer);
+		ret = outcomes_start(p->deps.outcomes, request->key_hash, run->answer,
+				     util_clock_ms());
 	if (!ret)
 		run->call = call_target(run, request);
 	if (!run->call) {
@@ -464,7 +465,7 @@
 		return MSG_ATTEMPT_FENCED;
 	if (state == OUTCOME_NONE && !query->fence)
 		return 0;
-	/* A key that cannot be fenced may still run here later, so it must not move. */
+	/* A key that cannot be fenced may have run or may still run here, so it must not move. */
 	if (state == OUTCOME_NONE)
 		return outcomes_fence(p->deps.outcomes, query->key_hash, util_clock_ms())
 			       ? MSG_ATTEMPT_ANSWER_DROPPED
--- /dev/null
+++ b/src/slice.c
@@ -0,0 +1,61 @@
+#include "slice.h"
+
+#include <jansson.h>
+
+struct slice {
+	json_t *root;
+};
+
+static int slice_destructor(struct slice *slice)
+{
+	json_decref(slice->root);
+	return 0;
+}
+
+struct slice *slice_parse(TALLOC_CTX *mem, const uint8_t *json, size_t len)
+{
+	json_t *root = json_loadb((const char *)json, len, 0, NULL);
+	struct slice *slice;
+
+	if (!json_is_object(root)) {
+		json_decref(root);
+		return NULL;
+	}
+	slice = talloc_zero(mem, struct slice);
+	slice->root = root;
+	talloc_set_destructor(slice, slice_destructor);
+	return slice;
+}
+
+static void lower(json_t *service, const char *field, uint32_t *value)
+{
+	json_int_t limit = json_integer_value(json_object_get(service, field));
+
+	if (limit > 0 && limit < (json_int_t)*value)
+		*value = (uint32_t)limit;
+}
+
+void slice_limit(const struct slice *slice, const char *service, struct slots_capacity *capacity)
+{
+	json_t *found = json_object_get(json_object_get(slice->root, "services"), service);
+
+	lower(found, "slots", &capacity->slots);
+	lower(found, "connections", &capacity->connections);
+}
+
+uint64_t slice_key_ttl_ms(const struct slice *slice)
+{
+	json_t *classes = json_object_get(slice->root, "classes");
+	json_int_t longest = 0;
+	const char *name;
+	json_t *item;
+
+	json_object_foreach(classes, name, item)
+	{
+		json_int_t ttl = json_integer_value(json_object_get(item, "idempotency_ttl_s"));
+
+		if (ttl > longest)
+			longest = ttl;
+	}
+	return (uint64_t)longest * 1000;
+}
--- a/src/stream.c
+++ b/src/stream.c
@@ -162,6 +162,10 @@
 	msg.u.chunk.offset = r->offset;
 	msg.u.chunk.data.data = a->data + (r->offset - a->base);
 	msg.u.chunk.data.len = len;
+	if (r->offset == 0) {
+		msg.u.chunk.status = (uint64_t)a->http_status;
+		msg.u.chunk.content_type = a->content_type;
+	}
 	ret = wire_send(a->streams->wire, r->peer, &msg);
 	if (ret)
 		return ret;
@@ -415,6 +419,15 @@
 	}
 }
 
+bool streams_peer(const struct streams *s, const char *peer)
+{
+	for (const struct reader *r = s->readers; r; r = r->next) {
+		if (!strcmp(r->peer, peer))
+			return true;
+	}
+	return false;
+}
+
 uint32_t streams_active(const struct streams *s)
 {
 	uint32_t count = 0;
--- a/src/stream.h
+++ b/src/stream.h
@@ -11,7 +11,7 @@
  * DOC: Answers on their way to entries
  *
  * An answer is filled by one run at the target and read by any number of readers (entries).
- * Each reader gets STARTED's CHUNK and END messages within the credit it has given. An
+ * Each reader gets CHUNK and END messages within the credit it has given. An
  * answer is reference counted: the run, the table of outcomes and each reader hold it.
  */
 
@@ -40,6 +40,9 @@
 /** streams_known() - true while the reader has not got its END */
 bool streams_known(const struct streams *s, const char *peer, uint64_t id);
 
+/** streams_peer() - true while an entry waits for any answer */
+bool streams_peer(const struct streams *s, const char *peer);
+
 /** streams_tick() - drop readers that have given no credit for long */
 void streams_tick(struct streams *s, uint64_t now_ms);
 
--- a/tests/test_outcome.c
+++ b/tests/test_outcome.c
@@ -20,7 +20,7 @@
 static int run_key(struct outcomes *o, uint64_t key, size_t len, uint64_t now)
 {
 	struct answer *answer = filled_answer(len);
-	int ret = outcomes_start(o, key, answer);
+	int ret = outcomes_start(o, key, answer, now);
 
 	answer_finish(answer, 0);
 	outcomes_finish(o, key, now);
@@ -33,6 +33,7 @@
 {
 	struct outcomes *o = outcomes_create(NULL, RECORDS, CACHE_BYTES);
 	struct answer *answer;
+	uint64_t later = OUTCOME_MIN_MS + 10;
 
 	for (uint64_t key = 1; key < RECORDS; key++)
 		CU_ASSERT_EQUAL(run_key(o, key, 10, key), 0);
@@ -41,11 +42,31 @@
 	CU_ASSERT_EQUAL(outcomes_fence(o, 99, 10), -ERR_QUEUE_FULL);
 	CU_ASSERT_EQUAL(outcomes_fence(o, 1, 10), -ERR_EXISTS);
 	CU_ASSERT_EQUAL(run_key(o, RECORDS, 10, 10), -ERR_EXISTS);
-	outcomes_tick(o, OUTCOME_TTL_MS + 1);
+	/* From here on key 1 is dropped, so an unknown key may have run. */
+	CU_ASSERT_EQUAL(run_key(o, 99, 10, later), 0);
 	CU_ASSERT_EQUAL(outcomes_find(o, 1, &answer), OUTCOME_NONE);
-	CU_ASSERT_EQUAL(outcomes_find(o, 2, &answer), OUTCOME_FINISHED);
+	CU_ASSERT_EQUAL(outcomes_fence(o, 1, later), -ERR_OUTCOME_UNKNOWN);
+	CU_ASSERT_EQUAL(outcomes_fence(o, 2, later), -ERR_EXISTS);
 	CU_ASSERT_EQUAL(outcomes_find(o, RECORDS, &answer), OUTCOME_FENCED);
-	CU_ASSERT_EQUAL(run_key(o, 99, 10, 10), 0);
+	outcomes_tick(o, OUTCOME_TTL_MS + 3);
+	CU_ASSERT_EQUAL(outcomes_find(o, 3, &answer), OUTCOME_NONE);
+	CU_ASSERT_EQUAL(outcomes_find(o, 99, &answer), OUTCOME_FINISHED);
+	CU_ASSERT_EQUAL(outcomes_fence(o, 1, OUTCOME_TTL_MS + 3), 0);
+	talloc_free(o);
+}
+
+/* Guards against records that end before the entries' claims on their keys. */
+static void test_ttl(void)
+{
+	struct outcomes *o = outcomes_create(NULL, 0, 0);
+	struct answer *answer;
+
+	outcomes_set_ttl(o, 2 * OUTCOME_MIN_MS);
+	CU_ASSERT_EQUAL(run_key(o, 1, 10, 0), 0);
+	outcomes_tick(o, 2 * OUTCOME_MIN_MS - 1);
+	CU_ASSERT_EQUAL(outcomes_find(o, 1, &answer), OUTCOME_FINISHED);
+	outcomes_tick(o, 2 * OUTCOME_MIN_MS);
+	CU_ASSERT_EQUAL(outcomes_find(o, 1, &answer), OUTCOME_NONE);
 	talloc_free(o);
 }
 
@@ -73,7 +94,7 @@
 	struct answer *answer = filled_answer(1);
 	struct answer *found;
 
-	CU_ASSERT_EQUAL(outcomes_start(o, 5, answer), 0);
+	CU_ASSERT_EQUAL(outcomes_start(o, 5, answer, 1), 0);
 	CU_ASSERT_EQUAL(outcomes_find(o, 5, &found), OUTCOME_RUNNING);
 	CU_ASSERT_PTR_EQUAL(found, answer);
 	outcomes_forget(o, 5);
@@ -94,6 +115,7 @@
 	CU_initialize_registry();
 	suite = CU_add_suite("outcome", NULL, NULL);
 	CU_add_test(suite, "full", test_full);
+	CU_add_test(suite, "ttl", test_ttl);
 	CU_add_test(suite, "cache", test_cache);
 	CU_add_test(suite, "forget", test_forget);
 	CU_basic_run_tests();
