--- a/src/bench_fit.h
+++ b/src/bench_fit.h
@@ -3,7 +3,10 @@
 
 #include "place.h"
 
-/* What is free on one worker. */
+/*
+ * What is free on one worker. Workers of one zone or rack share the pointer to its name, as
+ * bench_fleet_load() sets it, so that groups are told apart without comparing strings.
+ */
 struct bench_free {
 	struct place_worker_spec spec;
 	uint64_t mask; /* free accelerators */
