--- /dev/null
+++ b/src/api.c
@@ -0,0 +1,513 @@
+#include "api_int.h"
+#include "log.h"
+#include "util.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BACKLOG 1024
+#define CONNECTIONS_MAX 4096
+/* Callers come through a few balancer addresses, so one address may hold most connections. */
+#define CONNECTIONS_PER_ADDRESS_MAX 3072
+#define CONNECTION_MEMORY (16 * 1024) /* bytes; also the limit of a call's header */
+#define CONNECTION_IDLE_S 30
+#define READER_BLOCK (16 * 1024)
+#define HEADERS_COUNTED 7
+
+/* One HTTP call; owned by its connection. */
+struct call {
+	struct api *api;
+	struct request *r;
+	const struct api_endpoint *endpoint;
+	GByteArray *body;
+	size_t body_max;
+	bool too_large;
+	bool started;
+	bool answered;
+};
+
+static void resume(struct request *r)
+{
+	MHD_resume_connection(r->connection);
+}
+
+static void suspend(struct request *r)
+{
+	MHD_suspend_connection(r->connection);
+}
+
+static void on_free(struct request *r, void *ctx)
+{
+	struct api *api = ctx;
+
+	filters_done(api->deps.filters, r);
+}
+
+/* Headers that count for jaycourse and where their values go. */
+struct header_scan {
+	struct request *r;
+	unsigned int seen[HEADERS_COUNTED];
+};
+
+static const char *const counted_headers[HEADERS_COUNTED] = {
+	"Authorization",	   "Idempotency-Key", "X-Jaycourse-Class", "X-Jaycourse-Idempotent",
+	"X-Jaycourse-Deadline-Ms", "Content-Length",  "Content-Type",
+};
+
+static void take_header(struct request *r, size_t which, const char *value)
+{
+	const char **fields[HEADERS_COUNTED] = {
+		&r->token,	   &r->key, &r->class_name,   &r->idempotent_text,
+		&r->deadline_text, NULL,    &r->content_type,
+	};
+
+	if (which == 0 && !strncasecmp(value, "Bearer ", 7))
+		r->token = talloc_strdup(r, value + 7);
+	else if (which != 0 && fields[which])
+		*fields[which] = talloc_strdup(r, value);
+}
+
+static enum MHD_Result scan_header(void *cls, enum MHD_ValueKind kind, const char *key,
+				   const char *value)
+{
+	struct header_scan *scan = cls;
+
+	for (size_t i = 0; i < HEADERS_COUNTED; i++) {
+		if (strcasecmp(key, counted_headers[i]) != 0)
+			continue;
+		if (scan->seen[i]++)
+			scan->r->problem = counted_headers[i];
+		else
+			take_header(scan->r, i, value ? value : "");
+	}
+	if (!strcasecmp(key, "Transfer-Encoding") && scan->seen[5])
+		scan->r->problem = "Content-Length";
+	return MHD_YES;
+}
+
+static void take_headers(struct request *r, struct MHD_Connection *connection)
+{
+	struct header_scan scan = {.r = r};
+	const char *timeout;
+
+	MHD_get_connection_values(connection, MHD_HEADER_KIND, scan_header, &scan);
+	if (scan.seen[5] &&
+	    MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Transfer-Encoding"))
+		r->problem = "Content-Length";
+	timeout = MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, "timeout_ms");
+	if (timeout)
+		r->timeout_text = talloc_strdup(r, timeout);
+	if (!r->content_type)
+		r->content_type = "";
+}
+
+static size_t body_limit(struct api *api, const struct api_endpoint *endpoint)
+{
+	struct config *config;
+	size_t most = API_REQUEST_BODY_MAX;
+
+	if (!endpoint || endpoint->access != API_REQUEST)
+		return API_BODY_MAX;
+	config = configrepo_current(api->deps.configs);
+	if (!config)
+		return most;
+	if (config->limits.body_bytes && config->limits.body_bytes < most)
+		most = config->limits.body_bytes;
+	configrepo_release(api->deps.configs, config);
+	return most;
+}
+
+static struct request *new_request(struct api *api, struct MHD_Connection *connection)
+{
+	struct request *r = request_create();
+
+	snprintf(r->id, sizeof(r->id), "%.64s.%" PRIx64, api->deps.self,
+		 (uint64_t)atomic_fetch_add(&api->serial, 1) + 1);
+	r->connection = connection;
+	r->fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+	r->wake = resume;
+	r->on_free = on_free;
+	r->on_free_ctx = api;
+	return r;
+}
+
+static void set_path_error(struct request *r, const char *method, bool path_known)
+{
+	if (path_known) {
+		r->http_status = 405;
+		err_set(&r->err, ERR_INVALID, "see docs/operators.md for the methods",
+			"the path does not support %.16s", method);
+	} else {
+		err_set(&r->err, ERR_NOT_FOUND, "see docs/operators.md for the paths",
+			"there is no such path");
+	}
+}
+
+static struct call *new_call(struct api *api, struct MHD_Connection *connection, const char *url,
+			     const char *method)
+{
+	struct call *call = g_new0(struct call, 1);
+	char *argument = NULL;
+	bool path_known = false;
+
+	atomic_fetch_add(&api->active, 1);
+	call->api = api;
+	call->r = new_request(api, connection);
+	call->endpoint = api_find_endpoint(call->r, method, url, &argument, &path_known);
+	call->r->argument = argument;
+	call->body = g_byte_array_new();
+	call->body_max = body_limit(api, call->endpoint);
+	take_headers(call->r, connection);
+	if (!call->endpoint)
+		set_path_error(call->r, method, path_known);
+	return call;
+}
+
+static void fail_now(struct call *call)
+{
+	request_fail(call->r, &call->r->err, REQUEST_NOT_RUN);
+	call->started = true;
+}
+
+static void refuse_large(struct call *call)
+{
+	metrics_refusal(call->api->deps.metrics, err_name(ERR_TOO_LARGE));
+	err_set(&call->r->err, ERR_TOO_LARGE, "send a smaller body",
+		"the body has more than %zu bytes", call->body_max);
+	fail_now(call);
+}
+
+/* A body whose announced length is over the limit is refused before it is read. */
+static void check_length(struct call *call, struct MHD_Connection *connection)
+{
+	const char *text =
+		MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Content-Length");
+
+	if (text && strtoull(text, NULL, 10) > call->body_max)
+		refuse_large(call);
+}
+
+static ssize_t read_answer(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct call *call = cls;
+	struct request *r = call->r;
+	ssize_t got;
+
+	do {
+		got = request_read(r, buf, max);
+	} while (!got && request_wait(r, true, suspend));
+	if (got > 0 && r->dispatch)
+		dispatch_consumed(r->dispatch, r);
+	if (got == -1)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	if (got == -2)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	return got;
+}
+
+static enum MHD_Result send_answer(struct call *call, struct MHD_Connection *connection)
+{
+	struct request *r = call->r;
+	uint64_t length = r->length == REQUEST_LENGTH_UNKNOWN ? MHD_SIZE_UNKNOWN : r->length;
+	struct MHD_Response *response =
+		MHD_create_response_from_callback(length, READER_BLOCK, read_answer, call, NULL);
+	enum MHD_Result ret;
+	char retry[16];
+
+	if (!response)
+		return MHD_NO;
+	call->answered = true;
+	if (r->answer_type[0])
+		MHD_add_response_header(response, "Content-Type", r->answer_type);
+	MHD_add_response_header(response, "X-Jaycourse-Request", r->id);
+	if (r->retry_after_s) {
+		snprintf(retry, sizeof(retry), "%" PRIu32, r->retry_after_s);
+		MHD_add_response_header(response, "Retry-After", retry);
+	}
+	if (r->status == 401)
+		MHD_add_response_header(response, "WWW-Authenticate", "Bearer");
+	if (filters_leaving(call->api->deps.filters))
+		MHD_add_response_header(response, "Connection", "close");
+	ret = MHD_queue_response(connection, (unsigned int)r->status, response);
+	MHD_destroy_response(response);
+	return ret;
+}
+
+struct loop_call {
+	struct api *api;
+	struct request *r; /* own reference */
+	const struct api_endpoint *endpoint;
+};
+
+static void run_on_loop(void *arg)
+{
+	struct loop_call *lc = arg;
+
+	if (lc->endpoint->access == API_REQUEST) {
+		dispatch_submit(lc->api->deps.dispatch, lc->r);
+	} else {
+		lc->endpoint->run(lc->api, lc->r);
+		request_unref(lc->r);
+	}
+	g_free(lc);
+}
+
+static void push(struct call *call)
+{
+	struct loop_call *lc = g_new0(struct loop_call, 1);
+
+	lc->api = call->api;
+	lc->r = request_ref(call->r);
+	lc->endpoint = call->endpoint;
+	loopq_push(call->api->deps.loop, run_on_loop, lc);
+}
+
+static int admit(struct call *call)
+{
+	struct filters *filters = call->api->deps.filters;
+	enum api_access access = call->endpoint->access;
+	int ret = 0;
+
+	if (access == API_REQUEST) {
+		call->r->service = call->r->argument;
+		return filters_request(filters, call->r);
+	}
+	if (access == API_OPEN)
+		return 0;
+	ret = filters_authenticate(filters, call->r);
+	if (access == API_BOOTSTRAP && !call->r->config)
+		return 0;
+	if (!ret && call->r->problem)
+		ret = err_set(&call->r->err, ERR_INVALID, "send the header once",
+			      "the header %s is given more than once", call->r->problem);
+	if (!ret)
+		ret = api_authorise(call->endpoint, call->r);
+	if (ret)
+		metrics_refusal(call->api->deps.metrics, err_name(ret));
+	return ret;
+}
+
+/* The whole call has been read. Returns true when it went to the loop thread. */
+static bool start(struct call *call)
+{
+	struct request *r = call->r;
+
+	call->started = true;
+	r->body_len = call->body->len;
+	r->body = g_byte_array_free(call->body, FALSE);
+	call->body = NULL;
+	if (!call->endpoint || admit(call)) {
+		fail_now(call);
+		return false;
+	}
+	if (call->endpoint->on_loop || call->endpoint->access == API_REQUEST)
+		return true;
+	call->endpoint->run(call->api, r);
+	return false;
+}
+
+static enum MHD_Result proceed(struct call *call, struct MHD_Connection *connection)
+{
+	bool to_loop = false;
+
+	if (call->answered)
+		return MHD_YES;
+	if (!call->started) {
+		api_conns_read(call->api->conns, connection);
+		if (call->too_large)
+			refuse_large(call);
+		else
+			to_loop = start(call);
+	}
+	/* Suspended before the loop thread can answer, or its wake-up would be lost. */
+	if (request_wait(call->r, false, suspend))
+		return send_answer(call, connection);
+	if (to_loop)
+		push(call);
+	return MHD_YES;
+}
+
+static void take_body(struct call *call, const char *data, size_t len)
+{
+	if (call->too_large || !call->body)
+		return;
+	if (call->body->len + len > call->body_max) {
+		call->too_large = true;
+		g_byte_array_set_size(call->body, 0);
+		return;
+	}
+	g_byte_array_append(call->body, (const guint8 *)data, (guint)len);
+}
+
+static enum MHD_Result on_call(void *cls, struct MHD_Connection *connection, const char *url,
+			       const char *method, const char *version, const char *data,
+			       size_t *len, void **con_cls)
+{
+	struct call *call = *con_cls;
+
+	if (!call) {
+		call = new_call(cls, connection, url, method);
+		*con_cls = call;
+		check_length(call, connection);
+		return call->started ? send_answer(call, connection) : MHD_YES;
+	}
+	if (*len) {
+		take_body(call, data, *len);
+		*len = 0;
+		return MHD_YES;
+	}
+	return proceed(call, connection);
+}
+
+static void abandon(void *arg)
+{
+	struct request *r = arg;
+
+	if (r->dispatch)
+		dispatch_abandon(r->dispatch, r);
+	request_unref(r);
+}
+
+static void on_completed(void *cls, struct MHD_Connection *connection, void **con_cls,
+			 enum MHD_RequestTerminationCode toe)
+{
+	struct call *call = *con_cls;
+	struct api *api = cls;
+
+	if (!call)
+		return;
+	*con_cls = NULL;
+	if (toe != MHD_REQUEST_TERMINATED_COMPLETED_OK && call->started)
+		loopq_push(api->deps.loop, abandon, request_ref(call->r));
+	if (call->body)
+		g_byte_array_free(call->body, TRUE);
+	request_unref(call->r);
+	g_free(call);
+	atomic_fetch_sub(&api->active, 1);
+}
+
+static bool parse_address(const char *text, struct sockaddr_in *out)
+{
+	char host[64];
+	const char *colon = strrchr(text, ':');
+	char *end = NULL;
+	unsigned long port;
+
+	if (!colon || (size_t)(colon - text) >= sizeof(host))
+		return false;
+	snprintf(host, sizeof(host), "%.*s", (int)(colon - text), text);
+	port = strtoul(colon + 1, &end, 10);
+	*out = (struct sockaddr_in){.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+	return colon[1] && !*end && port <= UINT16_MAX && inet_pton(AF_INET, host, &out->sin_addr);
+}
+
+char *api_listen(TALLOC_CTX *mem, const char *address, int *fd, struct err *err)
+{
+	struct sockaddr_in bound;
+	socklen_t len = sizeof(bound);
+	char host[INET_ADDRSTRLEN];
+	int one = 1;
+
+	if (!parse_address(address, &bound)) {
+		err_set(err, ERR_INVALID, "write http_address as ip:port", "%s is not an address",
+			address);
+		return NULL;
+	}
+	*fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (*fd >= 0)
+		setsockopt(*fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (*fd < 0 || bind(*fd, (struct sockaddr *)&bound, sizeof(bound)) ||
+	    listen(*fd, BACKLOG) || getsockname(*fd, (struct sockaddr *)&bound, &len)) {
+		err_set(err, ERR_SYSTEM, "choose a free address of this host for http_address",
+			"cannot listen on %s: %s", address, g_strerror(errno));
+		if (*fd >= 0)
+			close(*fd);
+		return NULL;
+	}
+	inet_ntop(AF_INET, &bound.sin_addr, host, sizeof(host));
+	return talloc_asprintf(mem, "%s:%u", host, ntohs(bound.sin_port));
+}
+
+static int read_file(const char *path, char **out, struct err *err)
+{
+	if (g_file_get_contents(path, out, NULL, NULL))
+		return 0;
+	return err_set(err, ERR_INVALID, "name a readable PEM file", "cannot read %s", path);
+}
+
+static int load_tls(struct api *api, struct err *err)
+{
+	const struct settings *s = api->deps.settings;
+	int ret;
+
+	if (!s->tls_certificate)
+		return 0;
+	ret = read_file(s->tls_certificate, &api->certificate, err);
+	return ret ? ret : read_file(s->tls_key, &api->key, err);
+}
+
+static struct MHD_Daemon *start_daemon(struct api *api, int fd)
+{
+	unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+	uint32_t threads = api->deps.settings->http_threads;
+	struct MHD_OptionItem tls[] = {
+		{MHD_OPTION_HTTPS_MEM_CERT, 0, api->certificate},
+		{MHD_OPTION_HTTPS_MEM_KEY, 0, api->key},
+		{MHD_OPTION_END, 0, NULL},
+	};
+	struct MHD_OptionItem none[] = {{MHD_OPTION_END, 0, NULL}};
+
+	if (api->certificate)
+		flags |= MHD_USE_TLS;
+	return MHD_start_daemon(
+		flags, 0, NULL, NULL, on_call, api, MHD_OPTION_LISTEN_SOCKET, fd,
+		MHD_OPTION_THREAD_POOL_SIZE, threads ? threads : 4, MHD_OPTION_CONNECTION_LIMIT,
+		(unsigned int)CONNECTIONS_MAX, MHD_OPTION_PER_IP_CONNECTION_LIMIT,
+		(unsigned int)CONNECTIONS_PER_ADDRESS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)CONNECTION_MEMORY, MHD_OPTION_CONNECTION_TIMEOUT,
+		(unsigned int)CONNECTION_IDLE_S, MHD_OPTION_NOTIFY_COMPLETED, on_completed, api,
+		MHD_OPTION_NOTIFY_CONNECTION, api_conns_notify, api->conns,
+		MHD_OPTION_URI_LOG_CALLBACK, api_conns_uri, api->conns, MHD_OPTION_ARRAY,
+		api->certificate ? tls : none, MHD_OPTION_END);
+}
+
+struct api *api_create(TALLOC_CTX *mem, const struct api_deps *deps, int fd, struct err *err)
+{
+	struct api *api = talloc_zero(mem, struct api);
+
+	api->deps = *deps;
+	api->conns = api_conns_create(api, deps->ev, deps->metrics);
+	if (!load_tls(api, err))
+		api->daemon = start_daemon(api, fd);
+	else
+		close(fd);
+	if (api->daemon)
+		return api;
+	if (!err->code)
+		err_set(err, ERR_SYSTEM, "check the TLS files and the limits of the process",
+			"the HTTP server does not start");
+	talloc_free(api);
+	return NULL;
+}
+
+uint32_t api_active(const struct api *api)
+{
+	return atomic_load(&api->active);
+}
+
+void api_destroy(struct api *api)
+{
+	MHD_stop_daemon(api->daemon);
+	g_free(api->certificate);
+	g_free(api->key);
+	talloc_free(api);
+}
--- a/src/claim.c
+++ b/src/claim.c
@@ -339,8 +339,7 @@
 		tevent_schedule_immediate(c->flush, c->ev, flush_now, c);
 }
 
-void claims_take(struct claims *c, uint64_t hash, const struct claim_record *record,
-		 uint32_t ttl_s,
+void claims_take(struct claims *c, uint64_t hash, const struct claim_record *record, uint32_t ttl_s,
 		 void (*done)(int status, const struct claim_record *found, void *ctx), void *ctx)
 {
 	struct take *take = talloc_zero(c, struct take);
--- a/src/claim.h
+++ b/src/claim.h
@@ -39,8 +39,7 @@
  * @done: status 0: @found is the own record with its revision; -ERR_CONFLICT: @found is
  *	another's claim; -ERR_UNAVAILABLE: the claim is not ours, and nothing may be sent
  */
-void claims_take(struct claims *c, uint64_t hash, const struct claim_record *record,
-		 uint32_t ttl_s,
+void claims_take(struct claims *c, uint64_t hash, const struct claim_record *record, uint32_t ttl_s,
 		 void (*done)(int status, const struct claim_record *found, void *ctx), void *ctx);
 
 /** claims_drop() - delete the own claim of a request that certainly did not run */
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -400,9 +400,8 @@
 static void start_tick(struct dispatch *d)
 {
 	if (!d->tick && d->active)
-		d->tick = tevent_add_timer(d->deps.ev, d,
-					   tevent_timeval_current_ofs(0, TICK_MS * 1000), on_tick,
-					   d);
+		d->tick = tevent_add_timer(
+			d->deps.ev, d, tevent_timeval_current_ofs(0, TICK_MS * 1000), on_tick, d);
 }
 
 /* Refuses a request that would still wait or run at its deadline. */
--- a/src/filter.c
+++ b/src/filter.c
@@ -310,8 +310,7 @@
 	if (r->deadline_text) {
 		errno = 0;
 		value = strtoull(r->deadline_text, &end, 10);
-		if (errno || !end || *end || r->deadline_text[0] < '0' ||
-		    r->deadline_text[0] > '9')
+		if (errno || !end || *end || r->deadline_text[0] < '0' || r->deadline_text[0] > '9')
 			return err_set(&r->err, ERR_INVALID, "send whole milliseconds from now",
 				       "X-Jaycourse-Deadline-Ms is not a number");
 		if (!value)
@@ -381,9 +380,8 @@
 int filters_request(struct filters *f, struct request *r)
 {
 	static struct filter chain[] = {
-		{"leaving", refuse_leaving},	   {"authenticate", authenticate},
-		{"class", find_class},		   {"limits", check_limits},
-		{"deadline", check_deadline},	   {"quota", take_quota},
+		{"leaving", refuse_leaving}, {"authenticate", authenticate}, {"class", find_class},
+		{"limits", check_limits},    {"deadline", check_deadline},   {"quota", take_quota},
 	};
 
 	for (size_t i = 0; i < sizeof(chain) / sizeof(chain[0]); i++) {
--- a/src/member.c
+++ b/src/member.c
@@ -289,9 +289,9 @@
 		return;
 	pthread_mutex_lock(&m->lock);
 	if (!visible(row) && announce->accelerators)
-		row->data.accelerators_free =
-			announce->accelerators >= 64 ? UINT64_MAX
-						     : (1ULL << announce->accelerators) - 1;
+		row->data.accelerators_free = announce->accelerators >= 64
+						      ? UINT64_MAX
+						      : (1ULL << announce->accelerators) - 1;
 	take_announce(row, announce);
 	set_clock(row, announce->clock_ms, now_ms);
 	seen(row, now_ms);
--- /dev/null
+++ b/src/peers.h
@@ -0,0 +1,52 @@
+#ifndef JAYCOURSE_PEERS_H
+#define JAYCOURSE_PEERS_H
+
+#include "configrepo.h"
+#include "member.h"
+#include "settings.h"
+
+#include <jansson.h>
+
+/**
+ * DOC: Membership between processes
+ *
+ * Registers this entry in the store, keeps connections to the other entries, exchanges the
+ * target table and configuration revisions with them, and serves the membership messages of
+ * agents. Runs on the loop thread.
+ */
+
+struct peers;
+
+/* All pointers are borrowed and must outlive the peers. */
+struct peers_deps {
+	struct tevent_context *ev;
+	struct wire *wire;
+	struct store *store;
+	struct member *members;
+	struct configrepo *configs;
+	struct metrics *metrics;
+	const struct settings *settings;
+	const char *self; /* peer name of this entry */
+	uint64_t incarnation;
+	const char *peer_address; /* told to others */
+	const char *http_address;
+	/* The number of live entries, this one included, has changed. */
+	void (*on_entries)(uint32_t count, void *ctx);
+	void *ctx;
+};
+
+struct peers *peers_create(TALLOC_CTX *mem, const struct peers_deps *deps);
+
+/** peers_message() - true if the message is one of membership or configuration */
+bool peers_message(struct peers *p, const char *peer, const struct msg *msg);
+
+/** peers_entries() - live entries as a JSON array of {"peer","peer_address",…}; new reference */
+json_t *peers_entries(struct peers *p);
+
+/** peers_registered() - true once this entry is listed in the store */
+bool peers_registered(const struct peers *p);
+
+/** peers_leave() - take this entry off the list; agents choose other homes */
+void peers_leave(struct peers *p);
+
+#endif
--- a/src/request.c
+++ b/src/request.c
@@ -238,8 +238,8 @@
 	body = request_error_json(err, outcome, r->id);
 	if (request_retryable((int)err->code, outcome))
 		r->retry_after_s = 1;
-	request_reply_json(
-		r, r->http_status ? r->http_status : request_http_status((int)err->code), body);
+	request_reply_json(r, r->http_status ? r->http_status : request_http_status((int)err->code),
+			   body);
 	json_decref(body);
 }
 
--- a/src/request.h
+++ b/src/request.h
@@ -102,11 +102,11 @@
 	uint64_t deadline_ms; /* util_clock_ms() */
 	uint8_t *body;	      /* g_malloc() */
 	size_t body_len;
-	int fd;			/* caller's connection */
-	void *connection;	/* of the HTTP server */
-	void *http;		/* private to the HTTP side */
-	struct err err;		/* why a filter refused it */
-	int http_status;	/* of a refusal, 0: derived from the code */
+	int fd;		  /* caller's connection */
+	void *connection; /* of the HTTP server */
+	void *http;	  /* private to the HTTP side */
+	struct err err;	  /* why a filter refused it */
+	int http_status;  /* of a refusal, 0: derived from the code */
 
 	/* Loop thread. */
 	enum request_state state;
@@ -121,7 +121,7 @@
 	bool claimed;
 	uint32_t claim_serial;
 	int64_t claim_revision; /* of the claim to replace; 0: to create */
-	uint64_t step_ms; /* end of the backoff, or time to hedge; 0: none */
+	uint64_t step_ms;	/* end of the backoff, or time to hedge; 0: none */
 	uint64_t credited;
 	struct dispatch *dispatch; /* borrowed; set on submission */
 	struct request *next;
--- a/src/route.c
+++ b/src/route.c
@@ -373,8 +373,8 @@
 	if (!t->samples)
 		t->latency_us = latency_us;
 	else
-		t->latency_us = t->latency_us - (t->latency_us >> EWMA_SHIFT) +
-				(latency_us >> EWMA_SHIFT);
+		t->latency_us =
+			t->latency_us - (t->latency_us >> EWMA_SHIFT) + (latency_us >> EWMA_SHIFT);
 	t->samples++;
 }
 
--- a/src/route.h
+++ b/src/route.h
@@ -23,8 +23,8 @@
 
 enum route_result {
 	ROUTE_OK,
-	ROUTE_FAILED,	/* counts towards ejection */
-	ROUTE_NEUTRAL,	/* not run, or cancelled: says nothing about the target */
+	ROUTE_FAILED,  /* counts towards ejection */
+	ROUTE_NEUTRAL, /* not run, or cancelled: says nothing about the target */
 };
 
 /**
