--- a/src/attempt.c
+++ b/src/attempt.c
@@ -33,8 +33,8 @@
 
 	if (!a->id)
 		return;
-	/* A run that is only followed belongs to another request. */
-	if (cancel && !a->joined) {
+	/* An agent keeps a run that others follow or that must not run twice. */
+	if (cancel) {
 		msg.u.cancel.id = a->id;
 		wire_send(d->deps.wire, a->peer, &msg);
 	}
@@ -198,10 +198,14 @@
 {
 	struct request *r = a->request;
 	char *peer = talloc_strdup(r, a->peer);
-	bool full = m->code == ERR_NO_TARGET || m->code == ERR_QUEUE_FULL;
+	bool full;
 
 	attempt_close(d, a, ROUTE_NEUTRAL, false);
 	route_load(d->route, peer, (uint32_t)m->in_flight, util_clock_ms());
+	full = m->code == ERR_NO_TARGET && route_full(d->route, peer);
+	/* The agent is there but cannot reach its target. */
+	if (m->code == ERR_NO_TARGET && !full)
+		route_fault(d->route, peer, util_clock_ms());
 	if (m->code == ERR_LEAVING)
 		route_refused(d->route, peer);
 	if (!full)
--- a/src/route.c
+++ b/src/route.c
@@ -212,7 +212,8 @@
 
 static double score(const struct target *t, uint64_t fallback_us)
 {
-	uint64_t latency = t->samples ? t->latency_us : fallback_us;
+	/* A target without samples looks good enough to be tried once from another zone. */
+	uint64_t latency = t->samples ? t->latency_us : fallback_us / (2 * ZONE_FACTOR);
 
 	return (double)(load_of(t) + 1) / (double)limit_of(t) * (double)(latency ? latency : 1);
 }
@@ -415,6 +416,23 @@
 		judge(r, t, now_ms);
 }
 
+bool route_full(const struct route *r, const char *peer)
+{
+	const struct target *t = g_hash_table_lookup(r->by_peer, peer);
+
+	return t && load_of(t) >= limit_of(t);
+}
+
+void route_fault(struct route *r, const char *peer, uint64_t now_ms)
+{
+	struct target *t = g_hash_table_lookup(r->by_peer, peer);
+
+	if (!t || t->ejected)
+		return;
+	t->failures++;
+	judge(r, t, now_ms);
+}
+
 bool route_has_room(struct route *r, const char *service_name, uint64_t now_ms)
 {
 	const struct service *service = g_hash_table_lookup(r->services, service_name);
--- a/src/route.h
+++ b/src/route.h
@@ -62,6 +62,12 @@
 void route_done(struct route *r, const char *peer, enum route_result result, uint64_t latency_us,
 		uint64_t now_ms);
 
+/** route_full() - true when all slots of the target are taken as far as is known */
+bool route_full(const struct route *r, const char *peer);
+
+/** route_fault() - a failure of the target that was seen without running a request */
+void route_fault(struct route *r, const char *peer, uint64_t now_ms);
+
 /** route_has_room() - true when route_choose() without exclusions would find a target */
 bool route_has_room(struct route *r, const char *service, uint64_t now_ms);
 
