--- a/src/entry.c
+++ b/src/entry.c
@@ -113,6 +113,20 @@
 			 e);
 }
 
+/* A configured port of 0 stands for the port that was bound. */
+static char *told_address(struct entry_host *e)
+{
+	const char *bound = wire_address(e->wire);
+	const char *set = e->settings->advertise_address;
+	const char *colon = set ? strrchr(set, ':') : NULL;
+
+	if (!colon)
+		return talloc_strdup(e, bound);
+	if (strcmp(colon, ":0") != 0)
+		return talloc_strdup(e, set);
+	return talloc_asprintf(e, "%.*s%s", (int)(colon - set), set, strrchr(bound, ':'));
+}
+
 static int open_transport(struct entry_host *e, struct err *err)
 {
 	const struct settings *s = e->settings;
@@ -122,7 +136,7 @@
 	e->wire = wire_create(e, e->ev, e->self, s->peer_address, &handlers, e->metrics, err);
 	if (!e->wire)
 		return -(int)err->code;
-	e->peer_address = s->advertise_address ? s->advertise_address : wire_address(e->wire);
+	e->peer_address = told_address(e);
 	e->store = store_create(e, e->ev, &options, e->metrics, err);
 	return e->store ? 0 : -(int)err->code;
 }
