cli: command line program

One program for jobs, requests, the fleet and the configuration, with tables or JSON, exit codes that tell whether a call ran, and remedies on standard error. A submission always carries an idempotency key, so that a lost answer can be repeated through another entry host.

--- /dev/null
+++ b/src/cli_fleet.c
@@ -0,0 +1,266 @@
+#include "cli.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HEADERS_MAX 4
+#define COUNT_OF(array) (sizeof(array) / sizeof((array)[0]))
+
+struct request_arguments {
+	const char *service;
+	const char *data;
+	const char *class_name;
+	const char *key;
+	const char *idempotent;
+	const char *deadline_ms;
+	const char *type;
+};
+
+static const struct argp_option request_options[] = {
+	{"class", 'c', "NAME", 0, "Class of the request", 0},
+	{"data", 'd', "TEXT|@FILE|-", 0, "Body of the request", 0},
+	{"type", 'T', "TYPE", 0, "Content type of the body; application/json if not given", 0},
+	{"key", 'k', "KEY", 0, "Idempotency key", 0},
+	{"idempotent", 'i', "yes|no", 0, "May it run more than once?", 0},
+	{"deadline-ms", 'D', "N", 0, "Refuse it when it cannot be answered in this time", 0},
+	{0},
+};
+
+static error_t parse_request(int key, char *arg, struct argp_state *state)
+{
+	struct request_arguments *a = state->input;
+
+	switch (key) {
+	case 'c':
+		a->class_name = arg;
+		return 0;
+	case 'd':
+		a->data = arg;
+		return 0;
+	case 'T':
+		a->type = arg;
+		return 0;
+	case 'k':
+		a->key = arg;
+		return 0;
+	case 'i':
+		if (strcmp(arg, "yes") != 0 && strcmp(arg, "no") != 0)
+			argp_error(state, "--idempotent takes yes or no");
+		a->idempotent = arg;
+		return 0;
+	case 'D':
+		a->deadline_ms = arg;
+		return 0;
+	case ARGP_KEY_ARG:
+		if (a->service)
+			argp_usage(state);
+		a->service = arg;
+		return 0;
+	case ARGP_KEY_END:
+		if (!a->service)
+			argp_error(state, "name a service");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp request_parser = {
+	.options = request_options,
+	.parser = parse_request,
+	.args_doc = "SERVICE",
+	.doc = "Send a request to a service and print the answer.\v"
+	       "Example: jaycourse request harvest-planner --class net-angle-check --data "
+	       "'{\"panel\":7}'",
+};
+
+static void add_header(struct cli *cli, const char **headers, size_t *count, const char *name,
+		       const char *value)
+{
+	if (value)
+		headers[(*count)++] = talloc_asprintf(cli->mem, "%s: %s", name, value);
+}
+
+static int run_request(struct cli *cli, int argc, char **argv)
+{
+	struct request_arguments a = {.data = "", .type = "application/json"};
+	const char *headers[HEADERS_MAX + 1];
+	struct cli_call call = {.method = "POST", .headers = headers};
+	struct cli_answer answer;
+	int code;
+
+	cli_parse(cli, &request_parser, argc, argv, &a);
+	call.path =
+		talloc_asprintf(cli->mem, "/v1/services/%s/requests", cli_escape(cli, a.service));
+	call.body = cli_read_argument(cli, a.data, &call.body_len);
+	if (!call.body)
+		return cli_error(CLI_USAGE, "Give the text itself, @FILE or - for standard input.",
+				 "the data %s cannot be read", a.data);
+	add_header(cli, headers, &call.header_count, "Content-Type", a.type);
+	add_header(cli, headers, &call.header_count, "X-Jaycourse-Class", a.class_name);
+	add_header(cli, headers, &call.header_count, "Idempotency-Key", a.key);
+	add_header(cli, headers, &call.header_count, "X-Jaycourse-Idempotent", a.idempotent);
+	add_header(cli, headers, &call.header_count, "X-Jaycourse-Deadline-Ms", a.deadline_ms);
+	/* A key or the caller's word makes a second attempt through another entry safe. */
+	call.repeatable = a.key || (a.idempotent && !strcmp(a.idempotent, "yes"));
+	code = cli_send(cli, &call, &answer);
+	if (!code)
+		fwrite(answer.body, 1, answer.len, stdout);
+	return code;
+}
+
+static error_t parse_none(int key, char *arg, struct argp_state *state)
+{
+	if (key == ARGP_KEY_ARG)
+		argp_usage(state);
+	return key == ARGP_KEY_ARG ? 0 : ARGP_ERR_UNKNOWN;
+}
+
+/* A call whose answer holds a list of rows in field @name. */
+static int show_table(struct cli *cli, const char *path, const char *name,
+		      const struct cli_column *columns, size_t count)
+{
+	struct cli_answer answer;
+	int code = cli_get(cli, path, &answer);
+
+	if (code)
+		return code;
+	if (cli->json)
+		cli_print_json(answer.json);
+	else
+		cli_print_table(json_object_get(answer.json, name), columns, count);
+	return CLI_OK;
+}
+
+static const struct argp targets_parser = {
+	.parser = parse_none,
+	.doc = "List the targets that this entry host knows.\vExample: jaycourse targets",
+};
+
+static int run_targets(struct cli *cli, int argc, char **argv)
+{
+	static const struct cli_column columns[] = {
+		{"TARGET", "name"},
+		{"KIND", "kind"},
+		{"SERVICE", "service"},
+		{"STATE", "state"},
+		{"ZONE", "zone"},
+		{"RACK", "rack"},
+		{"SLOTS", "slots"},
+		{"IN FLIGHT", "in_flight"},
+		{"ACCELERATORS", "accelerators"},
+		{"FREE", "accelerators_free"},
+	};
+
+	cli_parse(cli, &targets_parser, argc, argv, NULL);
+	return show_table(cli, "/v1/targets", "targets", columns, COUNT_OF(columns));
+}
+
+static const struct argp organisations_parser = {
+	.parser = parse_none,
+	.doc = "List the organisations with guarantees and quotas; guarantees are written "
+	       "MEMBERSxACCELERATORS.\vExample: jaycourse organisations",
+};
+
+static int run_organisations(struct cli *cli, int argc, char **argv)
+{
+	static const struct cli_column columns[] = {
+		{"ORGANISATION", "name"},
+		{"GUARANTEES", "guarantee"},
+		{"PRIORITY", "priority"},
+		{"SHARE", "share"},
+		{"MAX ACCELERATORS", "quota.accelerators"},
+		{"MAX JOBS", "quota.jobs"},
+		{"MAX REQUESTS", "quota.requests_in_flight"},
+	};
+
+	cli_parse(cli, &organisations_parser, argc, argv, NULL);
+	return show_table(cli, "/v1/organisations", "organisations", columns, COUNT_OF(columns));
+}
+
+static const struct argp fragmentation_parser = {
+	.parser = parse_none,
+	.doc = "Show the share of free accelerators that no shape in demand can use.\v"
+	       "Example: jaycourse fragmentation",
+};
+
+static int run_fragmentation(struct cli *cli, int argc, char **argv)
+{
+	struct cli_answer answer;
+	int code;
+
+	cli_parse(cli, &fragmentation_parser, argc, argv, NULL);
+	code = cli_get(cli, "/v1/fragmentation", &answer);
+	if (code)
+		return code;
+	if (cli->json)
+		cli_print_json(answer.json);
+	else
+		cli_print_object(answer.json);
+	return CLI_OK;
+}
+
+struct drain_arguments {
+	const char *kind;
+	const char *name;
+};
+
+static error_t parse_drain(int key, char *arg, struct argp_state *state)
+{
+	struct drain_arguments *a = state->input;
+
+	if (key == ARGP_KEY_ARG && !a->kind)
+		a->kind = arg;
+	else if (key == ARGP_KEY_ARG && !a->name)
+		a->name = arg;
+	else if (key == ARGP_KEY_ARG)
+		argp_usage(state);
+	else if (key == ARGP_KEY_END && !a->name)
+		argp_error(state, "name what to drain");
+	else if (key != ARGP_KEY_END)
+		return ARGP_ERR_UNKNOWN;
+	return 0;
+}
+
+static const struct argp drain_parser = {
+	.parser = parse_drain,
+	.args_doc = "target|rack|zone NAME",
+	.doc = "Give a target, a rack or a zone no new work, by a new revision of the "
+	       "configuration.\vExample: jaycourse drain rack naxos-2",
+};
+
+static int run_drain(struct cli *cli, int argc, char **argv)
+{
+	static const char *const headers[] = {"Content-Type: application/json"};
+	struct drain_arguments a = {0};
+	struct cli_call call = {
+		.method = "POST", .path = "/v1/drain", .headers = headers, .header_count = 1};
+	struct cli_answer answer;
+	json_t *body;
+	char *text;
+	int code;
+
+	cli_parse(cli, &drain_parser, argc, argv, &a);
+	body = json_pack("{s:s, s:s}", "kind", a.kind, "name", a.name);
+	text = json_dumps(body, JSON_COMPACT);
+	call.body = text;
+	call.body_len = strlen(text);
+	code = cli_send(cli, &call, &answer);
+	if (!code && cli->json)
+		cli_print_json(answer.json);
+	else if (!code)
+		cli_print_object(answer.json);
+	free(text);
+	json_decref(body);
+	return code;
+}
+
+const struct cli_command cli_fleet_commands[] = {
+	{"request", "send a quick request and print the answer", run_request},
+	{"targets", "list targets", run_targets},
+	{"organisations", "list organisations", run_organisations},
+	{"fragmentation", "show the fragmentation of the fleet", run_fragmentation},
+	{"drain", "give a target, a rack or a zone no new work", run_drain},
+	{0},
+};
--- /dev/null
+++ b/src/cli_http.c
@@ -0,0 +1,169 @@
+#include "cli.h"
+#include "httpc.h"
+#include "util.h"
+
+#include <ctype.h>
+#include <stdio.h>
+#include <string.h>
+
+#define TIMEOUT_MS 30000
+#define HEADERS_MAX 16
+#define HTTP_BAD_REQUEST 400
+#define HTTP_UNAUTHORIZED 401
+#define HTTP_FORBIDDEN 403
+#define HTTP_NOT_FOUND 404
+#define HTTP_CONFLICT 409
+#define HTTP_TOO_LARGE 413
+#define HTTP_UNPROCESSABLE 422
+
+struct exchange {
+	struct cli *cli;
+	struct cli_answer *answer;
+	int status;
+	bool done;
+};
+
+char *cli_escape(struct cli *cli, const char *text)
+{
+	char *out = talloc_strdup(cli->mem, "");
+
+	for (; *text; text++) {
+		if (isalnum((unsigned char)*text) || strchr("-._~", *text))
+			out = talloc_asprintf_append_buffer(out, "%c", *text);
+		else
+			out = talloc_asprintf_append_buffer(out, "%%%02X", (unsigned char)*text);
+	}
+	return out;
+}
+
+static void on_done(int status, int http_status, const char *body, size_t len, void *ctx)
+{
+	struct exchange *x = ctx;
+
+	x->done = true;
+	x->status = status;
+	x->answer->http_status = http_status;
+	x->answer->body = talloc_strndup(x->cli->mem, "", 0);
+	x->answer->body = talloc_realloc(x->cli->mem, x->answer->body, char, len + 1);
+	memcpy(x->answer->body, body, len);
+	x->answer->body[len] = '\0';
+	x->answer->len = len;
+}
+
+static int exchange(struct cli *cli, const char *entry, const struct cli_call *call,
+		    struct cli_answer *answer)
+{
+	struct exchange x = {.cli = cli, .answer = answer};
+	TALLOC_CTX *mem = talloc_new(cli->mem);
+	struct tevent_context *ev = tevent_context_init(mem);
+	struct httpc *http = httpc_create(mem, ev);
+	const char *headers[HEADERS_MAX] = {0};
+	struct httpc_request request = {
+		.method = call->method,
+		.url = talloc_asprintf(mem, "%s%s", entry, call->path),
+		.headers = headers,
+		.body = call->body,
+		.body_len = call->body_len,
+		.timeout_ms = call->timeout_ms ? call->timeout_ms : TIMEOUT_MS,
+		.connect_timeout_ms = 3000,
+		.fresh_connection = true,
+		.done = on_done,
+		.ctx = &x,
+	};
+
+	for (size_t i = 0; i < call->header_count; i++)
+		headers[request.header_count++] = call->headers[i];
+	if (cli->token[0])
+		headers[request.header_count++] =
+			talloc_asprintf(mem, "Authorization: Bearer %s", cli->token);
+	if (!httpc_start(http, &request))
+		x.status = -ERR_SYSTEM;
+	else
+		while (!x.done)
+			tevent_loop_once(ev);
+	talloc_free(mem);
+	return x.status;
+}
+
+static const char *error_text(const json_t *error, const char *name, const char *otherwise)
+{
+	const char *text = json_string_value(json_object_get(error, name));
+
+	return text && *text ? text : otherwise;
+}
+
+static int exit_code(int http_status, const char *outcome)
+{
+	if (http_status == HTTP_UNAUTHORIZED || http_status == HTTP_FORBIDDEN)
+		return CLI_DENIED;
+	if (http_status == HTTP_NOT_FOUND)
+		return CLI_NOT_FOUND;
+	if (http_status == HTTP_CONFLICT)
+		return CLI_CONFLICT;
+	if (!strcmp(outcome, "unknown"))
+		return CLI_OUTCOME_UNKNOWN;
+	/* Repeating wrong input cannot help, although it did not run either. */
+	if (http_status == HTTP_BAD_REQUEST || http_status == HTTP_TOO_LARGE ||
+	    http_status == HTTP_UNPROCESSABLE)
+		return CLI_FAILED;
+	return strcmp(outcome, "not_run") ? CLI_FAILED : CLI_NOT_RUN;
+}
+
+static int report_answer(struct cli *cli, const struct cli_answer *answer)
+{
+	const json_t *error = json_object_get(answer->json, "error");
+	const char *details = json_string_value(json_object_get(answer->json, "details"));
+	const char *outcome = error_text(error, "outcome", "unknown");
+	int code = exit_code(answer->http_status, outcome);
+
+	if (cli->json && answer->json)
+		cli_print_json(answer->json);
+	if (details && *details)
+		fprintf(stderr, "%s%s", details, details[strlen(details) - 1] == '\n' ? "" : "\n");
+	return cli_error(code, error_text(error, "remedy", "See the log of the entry host."),
+			 "%s (HTTP %d, %s)", error_text(error, "message", "the call failed"),
+			 answer->http_status, error_text(error, "code", "no details"));
+}
+
+static int report_transport(int status, const char *entry)
+{
+	if (status == -ERR_UNAVAILABLE)
+		return cli_error(CLI_NOT_RUN, "Check --entry, or try again later.",
+				 "no entry host could be reached, the last tried was %s", entry);
+	return cli_error(CLI_OUTCOME_UNKNOWN,
+			 "Look up what happened before repeating; with the same --key it is safe.",
+			 "%s did not give a complete answer (%s)", entry, err_name(status));
+}
+
+int cli_send(struct cli *cli, const struct cli_call *call, struct cli_answer *answer)
+{
+	int status = -ERR_UNAVAILABLE;
+	size_t i = 0;
+
+	*answer = (struct cli_answer){0};
+	if (cli->entry_count == 0)
+		return cli_error(CLI_USAGE, "Give --entry URL or set JAYCOURSE_ENTRY.",
+				 "no entry host is named");
+	for (; i < cli->entry_count; i++) {
+		status = exchange(cli, cli->entries[i], call, answer);
+		if (!status || (status != -ERR_UNAVAILABLE && !call->repeatable))
+			break;
+	}
+	if (status)
+		return report_transport(status, cli->entries[i < cli->entry_count ? i : i - 1]);
+	answer->json = json_loadb(answer->body, answer->len, 0, NULL);
+	if (answer->http_status / 100 == 2)
+		return CLI_OK;
+	return report_answer(cli, answer);
+}
+
+int cli_get(struct cli *cli, const char *path, struct cli_answer *answer)
+{
+	struct cli_call call = {.method = "GET", .path = path, .repeatable = true};
+	int code = cli_send(cli, &call, answer);
+
+	if (!code && !answer->json)
+		return cli_error(CLI_FAILED, "Check that --entry names an entry host.",
+				 "the answer is not JSON");
+	return code;
+}
--- /dev/null
+++ b/src/cli_job.c
@@ -0,0 +1,370 @@
+#include "cli.h"
+#include "util.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WAIT_STEP_MS 20000
+#define WAIT_MARGIN_MS 10000 /* the entry answers later than its own timeout */
+#define SIZE_MAX_ARG 1000000UL
+#define COUNT_OF(array) (sizeof(array) / sizeof((array)[0]))
+
+struct submission {
+	json_t *body;
+	const char *key;
+	const char *payload;
+	bool wait;
+};
+
+struct job_arguments {
+	const char *id;
+	uint64_t timeout_s; /* 0: no limit */
+};
+
+static unsigned long number(const char *text, struct argp_state *state)
+{
+	char *end;
+	unsigned long value;
+
+	errno = 0;
+	value = strtoul(text, &end, 10);
+	if (!*text || *end || *text == '-' || errno || value > SIZE_MAX_ARG * 1000)
+		argp_error(state, "\"%s\" is not a number in range", text);
+	return value;
+}
+
+static const struct argp_option submit_options[] = {
+	{"class", 'c', "NAME", 0, "Class of the job (required)", 0},
+	{"members", 'm', "N", 0, "Members of the gang; 1 if not given", 0},
+	{"accelerators", 'a', "N", 0, "Adjacent accelerators of each member; 1 if not given", 0},
+	{"cores", 'C', "N", 0, "Processor cores of each member", 0},
+	{"memory-gb", 'M', "N", 0, "Memory of each member", 0},
+	{"within", 'w', "zone|rack|worker", 0, "Where all members have to be", 0},
+	{"declared-s", 'd', "SECONDS", 0, "Expected run time", 0},
+	{"urgent", 'u', NULL, 0, "Start within seconds", 0},
+	{"payload", 'p', "JSON|@FILE|-", 0, "Handed to each task", 0},
+	{"key", 'k', "KEY", 0, "Idempotency key; a random one if not given", 0},
+	{"wait", 'W', NULL, 0, "Wait until the job has ended", 0},
+	{0},
+};
+
+static void set_number(struct submission *s, const char *name, const char *text,
+		       struct argp_state *state)
+{
+	json_object_set_new(s->body, name, json_integer((json_int_t)number(text, state)));
+}
+
+static error_t parse_submit(int key, char *arg, struct argp_state *state)
+{
+	struct submission *s = state->input;
+
+	switch (key) {
+	case 'c':
+		json_object_set_new(s->body, "class", json_string(arg));
+		return 0;
+	case 'm':
+		set_number(s, "members", arg, state);
+		return 0;
+	case 'a':
+		set_number(s, "accelerators", arg, state);
+		return 0;
+	case 'C':
+		set_number(s, "cores", arg, state);
+		return 0;
+	case 'M':
+		set_number(s, "memory_gb", arg, state);
+		return 0;
+	case 'd':
+		set_number(s, "declared_s", arg, state);
+		return 0;
+	case 'w':
+		json_object_set_new(s->body, "within", json_string(arg));
+		return 0;
+	case 'u':
+		json_object_set_new(s->body, "urgent", json_true());
+		return 0;
+	case 'p':
+		s->payload = arg;
+		return 0;
+	case 'k':
+		s->key = arg;
+		return 0;
+	case 'W':
+		s->wait = true;
+		return 0;
+	case ARGP_KEY_ARG:
+		argp_usage(state);
+		return 0;
+	case ARGP_KEY_END:
+		if (!json_object_get(s->body, "class"))
+			argp_error(state, "--class is required");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp submit_parser = {
+	.options = submit_options,
+	.parser = parse_submit,
+	.doc = "Submit a job.\vExample: jaycourse submit --class yield-forecast --members 2 "
+	       "--accelerators 8 --within rack --declared-s 7200",
+};
+
+static void print_job(struct cli *cli, const json_t *job)
+{
+	if (cli->json)
+		cli_print_json(job);
+	else
+		cli_print_object(job);
+}
+
+/* With a key of its own the command may repeat a submission whose answer was lost. */
+static const char *random_key(struct cli *cli)
+{
+	uint64_t bits;
+
+	util_random_bytes(&bits, sizeof(bits));
+	return talloc_asprintf(cli->mem, "cli-%016" PRIx64, bits);
+}
+
+static int set_payload(struct cli *cli, struct submission *s)
+{
+	size_t len;
+	char *text = cli_read_argument(cli, s->payload, &len);
+	json_t *payload = text ? json_loadb(text, len, 0, NULL) : NULL;
+
+	if (!payload)
+		return cli_error(CLI_USAGE, "Give a JSON object, @FILE or - for standard input.",
+				 "the payload cannot be read as JSON");
+	json_object_set_new(s->body, "payload", payload);
+	return CLI_OK;
+}
+
+static int wait_for(struct cli *cli, const char *id, uint64_t timeout_s);
+
+static int send_submission(struct cli *cli, const struct submission *s)
+{
+	char *text = json_dumps(s->body, JSON_COMPACT);
+	const char *headers[] = {"Content-Type: application/json",
+				 talloc_asprintf(cli->mem, "Idempotency-Key: %s", s->key)};
+	struct cli_call call = {.method = "POST",
+				.path = "/v1/jobs",
+				.headers = headers,
+				.header_count = COUNT_OF(headers),
+				.body = text,
+				.body_len = strlen(text),
+				.repeatable = true};
+	struct cli_answer answer;
+	int code = cli_send(cli, &call, &answer);
+
+	free(text);
+	if (code == CLI_OUTCOME_UNKNOWN)
+		fprintf(stderr, "  the key of this submission is %s\n", s->key);
+	if (code)
+		return code;
+	if (s->wait)
+		return wait_for(cli, json_string_value(json_object_get(answer.json, "id")), 0);
+	print_job(cli, answer.json);
+	return CLI_OK;
+}
+
+static int run_submit(struct cli *cli, int argc, char **argv)
+{
+	struct submission s = {.body = json_pack("{s:i, s:i}", "members", 1, "accelerators", 1)};
+	int code = CLI_OK;
+
+	cli_parse(cli, &submit_parser, argc, argv, &s);
+	if (s.payload)
+		code = set_payload(cli, &s);
+	if (!s.key)
+		s.key = random_key(cli);
+	if (!code)
+		code = send_submission(cli, &s);
+	json_decref(s.body);
+	return code;
+}
+
+static const struct argp_option wait_options[] = {
+	{"timeout-s", 't', "SECONDS", 0, "Give up waiting after this time", 0},
+	{0},
+};
+
+static error_t parse_job(int key, char *arg, struct argp_state *state)
+{
+	struct job_arguments *a = state->input;
+
+	switch (key) {
+	case 't':
+		a->timeout_s = number(arg, state);
+		return 0;
+	case ARGP_KEY_ARG:
+		if (a->id)
+			argp_usage(state);
+		a->id = arg;
+		return 0;
+	case ARGP_KEY_END:
+		if (!a->id)
+			argp_error(state, "name a job");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static bool has_ended(const char *state)
+{
+	return state &&
+	       (!strcmp(state, "done") || !strcmp(state, "failed") || !strcmp(state, "cancelled"));
+}
+
+/* Waits in steps, so that each step may go through another entry. */
+static int wait_for(struct cli *cli, const char *id, uint64_t timeout_s)
+{
+	uint64_t end_ms = util_clock_ms() + timeout_s * 1000;
+	char *path;
+
+	if (!id)
+		return cli_error(CLI_FAILED, "Look for the job with: jaycourse jobs",
+				 "the answer names no job");
+	path = talloc_asprintf(cli->mem, "/v1/jobs/%s/wait?timeout_ms=%d", cli_escape(cli, id),
+			       WAIT_STEP_MS);
+	while (!timeout_s || util_clock_ms() < end_ms) {
+		struct cli_call call = {.method = "GET",
+					.path = path,
+					.timeout_ms = WAIT_STEP_MS + WAIT_MARGIN_MS,
+					.repeatable = true};
+		struct cli_answer answer;
+		int code = cli_send(cli, &call, &answer);
+		const char *state = json_string_value(json_object_get(answer.json, "state"));
+
+		if (code)
+			return code;
+		if (has_ended(state)) {
+			print_job(cli, answer.json);
+			return strcmp(state, "done") ? CLI_FAILED : CLI_OK;
+		}
+		json_decref(answer.json);
+	}
+	return cli_error(CLI_FAILED, "Wait again; the job goes on.", "job %s has not ended", id);
+}
+
+static const struct argp wait_parser = {
+	.options = wait_options,
+	.parser = parse_job,
+	.args_doc = "JOB",
+	.doc = "Wait until a job has ended; exit status 1 when it failed or was cancelled.\v"
+	       "Example: jaycourse wait 9f86d081884c7d65 --timeout-s 3600",
+};
+
+static int run_wait(struct cli *cli, int argc, char **argv)
+{
+	struct job_arguments a = {0};
+
+	cli_parse(cli, &wait_parser, argc, argv, &a);
+	return wait_for(cli, a.id, a.timeout_s);
+}
+
+static int job_call(struct cli *cli, const char *method, const char *id, const char *suffix)
+{
+	char *path = talloc_asprintf(cli->mem, "/v1/jobs/%s%s", cli_escape(cli, id), suffix);
+	struct cli_call call = {.method = method, .path = path, .repeatable = true};
+	struct cli_answer answer;
+	int code = cli_send(cli, &call, &answer);
+
+	if (!code)
+		print_job(cli, answer.json);
+	return code;
+}
+
+static const struct argp status_parser = {
+	.parser = parse_job,
+	.args_doc = "JOB",
+	.doc = "Show a job.\vExample: jaycourse status 9f86d081884c7d65 --output json",
+};
+
+static int run_status(struct cli *cli, int argc, char **argv)
+{
+	struct job_arguments a = {0};
+
+	cli_parse(cli, &status_parser, argc, argv, &a);
+	return job_call(cli, "GET", a.id, "");
+}
+
+static const struct argp explain_parser = {
+	.parser = parse_job,
+	.args_doc = "JOB",
+	.doc = "Tell why a job waits, or where it runs and why there.\v"
+	       "Example: jaycourse explain 9f86d081884c7d65",
+};
+
+static int run_explain(struct cli *cli, int argc, char **argv)
+{
+	struct job_arguments a = {0};
+
+	cli_parse(cli, &explain_parser, argc, argv, &a);
+	return job_call(cli, "GET", a.id, "/explain");
+}
+
+static const struct argp cancel_parser = {
+	.parser = parse_job,
+	.args_doc = "JOB",
+	.doc = "Cancel a job.\vExample: jaycourse cancel 9f86d081884c7d65",
+};
+
+static int run_cancel(struct cli *cli, int argc, char **argv)
+{
+	struct job_arguments a = {0};
+
+	cli_parse(cli, &cancel_parser, argc, argv, &a);
+	return job_call(cli, "DELETE", a.id, "");
+}
+
+static error_t parse_none(int key, char *arg, struct argp_state *state)
+{
+	if (key == ARGP_KEY_ARG)
+		argp_usage(state);
+	return key == ARGP_KEY_ARG ? 0 : ARGP_ERR_UNKNOWN;
+}
+
+static const struct argp jobs_parser = {
+	.parser = parse_none,
+	.doc = "List the jobs of the token's organisation, or all for an operator.\v"
+	       "Example: jaycourse jobs",
+};
+
+static int run_jobs(struct cli *cli, int argc, char **argv)
+{
+	static const struct cli_column columns[] = {
+		{"JOB", "id"},	      {"ORGANISATION", "organisation"}, {"CLASS", "class"},
+		{"STATE", "state"},   {"ATTEMPT", "attempt"},		{"MEMBERS", "members"},
+		{"REASON", "reason"},
+	};
+	struct cli_answer answer;
+	const json_t *jobs;
+	int code;
+
+	cli_parse(cli, &jobs_parser, argc, argv, NULL);
+	code = cli_get(cli, "/v1/jobs", &answer);
+	if (code)
+		return code;
+	jobs = json_object_get(answer.json, "jobs");
+	if (cli->json)
+		cli_print_json(answer.json);
+	else
+		cli_print_table(jobs, columns, COUNT_OF(columns));
+	return CLI_OK;
+}
+
+const struct cli_command cli_job_commands[] = {
+	{"submit", "submit a job", run_submit},
+	{"wait", "wait until a job has ended", run_wait},
+	{"status", "show a job", run_status},
+	{"cancel", "cancel a job", run_cancel},
+	{"jobs", "list jobs", run_jobs},
+	{"explain", "tell why a job waits or where it runs", run_explain},
+	{0},
+};
