--- a/tests/lib_cluster.c
+++ b/tests/lib_cluster.c
@@ -11,7 +11,7 @@
 static const char *const nefeli_zones[] = {"naxos", "tinos", "andros"};
 static const char *const sonhario_zones[] = {"porto-a", "braga-b", "guimaraes-c"};
 
-static const char *operator_token(const struct cluster *c)
+const char *cluster_operator_token(const struct cluster *c)
 {
 	return strcmp(c->example, "nefeli") ? "sonhario-operator-token" : "nefeli-operator-token";
 }
@@ -134,12 +134,30 @@
 	int code;
 
 	snprintf(folder, sizeof(folder), "examples/%s", c->example);
-	code = cluster_cli(c, 0, operator_token(c), arguments, out, sizeof(out));
+	code = cluster_cli(c, 0, cluster_operator_token(c), arguments, out, sizeof(out));
 	if (code)
 		fprintf(stderr, "config apply: exit code %d\n%s\n", code, out);
 	return code == 0;
 }
 
+static bool find_organisation(struct cluster *c)
+{
+	json_t *reply = cluster_json(c, 0, cluster_operator_token(c), "/v1/organisations");
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(json_object_get(reply, "organisations"), i, item)
+	{
+		if (!json_array_size(json_object_get(item, "guarantee")) || c->organisation[0])
+			continue;
+		snprintf(c->organisation, sizeof(c->organisation), "%s",
+			 json_string_value(json_object_get(item, "name")));
+		snprintf(c->token, sizeof(c->token), "%s-token", c->organisation);
+	}
+	json_decref(reply);
+	return c->organisation[0] != '\0';
+}
+
 bool cluster_start(struct cluster *c, const struct cluster_options *options)
 {
 	const char *const store[] = {"--listen", "127.0.0.1:0", NULL};
@@ -159,6 +177,8 @@
 	}
 	if (!apply_example(c))
 		return false;
+	if (!find_organisation(c))
+		return false;
 	c->target_count = options->services + options->workers;
 	for (unsigned int i = 0; i < c->target_count; i++) {
 		name_target(c, i, i >= options->services);
@@ -226,6 +246,104 @@
 	return json;
 }
 
+struct http_reply cluster_request(const struct cluster *c, unsigned int entry,
+				  const char *class_name, const char *key, const char *idempotent,
+				  const char *body)
+{
+	char authorization[128];
+	char class_header[128];
+	char key_header[128];
+	char idempotent_header[64];
+	char url[256];
+	const char *headers[6] = {authorization, class_header, "Content-Type: application/json"};
+	size_t n = 3;
+
+	snprintf(authorization, sizeof(authorization), "Authorization: Bearer %s", c->token);
+	snprintf(class_header, sizeof(class_header), "X-Jaycourse-Class: %s", class_name);
+	if (key) {
+		snprintf(key_header, sizeof(key_header), "Idempotency-Key: %s", key);
+		headers[n++] = key_header;
+	}
+	if (idempotent) {
+		snprintf(idempotent_header, sizeof(idempotent_header), "X-Jaycourse-Idempotent: %s",
+			 idempotent);
+		headers[n++] = idempotent_header;
+	}
+	headers[n] = NULL;
+	snprintf(url, sizeof(url), "http://%s/v1/services/%s/requests",
+		 c->entries[entry].address[0], c->service);
+	return http_call("POST", url, headers, body, 30000);
+}
+
+int cluster_submit(const struct cluster *c, unsigned int entry, const char *key, const char *body,
+		   char id[32])
+{
+	char authorization[128];
+	char key_header[128];
+	char url[256];
+	const char *headers[4] = {authorization, "Content-Type: application/json"};
+	struct http_reply reply;
+	json_t *json;
+	int status;
+
+	snprintf(authorization, sizeof(authorization), "Authorization: Bearer %s", c->token);
+	if (key) {
+		snprintf(key_header, sizeof(key_header), "Idempotency-Key: %s", key);
+		headers[2] = key_header;
+	}
+	snprintf(url, sizeof(url), "http://%s/v1/jobs", c->entries[entry].address[0]);
+	reply = http_call("POST", url, headers, body, 30000);
+	json = json_loads(reply.body, 0, NULL);
+	id[0] = '\0';
+	if (json_is_string(json_object_get(json, "id")))
+		snprintf(id, 32, "%s", json_string_value(json_object_get(json, "id")));
+	json_decref(json);
+	status = reply.status;
+	http_free(&reply);
+	return status;
+}
+
+const char *cluster_job_state(const struct cluster *c, unsigned int entry, const char *id)
+{
+	static char state[32];
+	char path[64];
+	json_t *json;
+
+	snprintf(path, sizeof(path), "/v1/jobs/%s", id);
+	json = cluster_json(c, entry, c->token, path);
+	state[0] = '\0';
+	if (json_is_string(json_object_get(json, "state")))
+		snprintf(state, sizeof(state), "%s",
+			 json_string_value(json_object_get(json, "state")));
+	json_decref(json);
+	return state;
+}
+
+struct job_wait {
+	const struct cluster *c;
+	unsigned int entry;
+	const char *id;
+	const char *state;
+};
+
+static bool job_has_state(void *ctx)
+{
+	const struct job_wait *wait = ctx;
+
+	return !strcmp(cluster_job_state(wait->c, wait->entry, wait->id), wait->state);
+}
+
+bool cluster_wait_job(const struct cluster *c, unsigned int entry, const char *id,
+		      const char *state, uint32_t timeout_ms)
+{
+	struct job_wait wait = {.c = c, .entry = entry, .id = id, .state = state};
+
+	if (wait_until(job_has_state, &wait, timeout_ms))
+		return true;
+	fprintf(stderr, "job %s is %s, not %s\n", id, cluster_job_state(c, entry, id), state);
+	return false;
+}
+
 bool cluster_fault(const struct proc *stand_in, const char *json)
 {
 	char url[128];
@@ -255,7 +373,7 @@
 
 unsigned int cluster_alive_targets(const struct cluster *c, unsigned int entry)
 {
-	json_t *reply = cluster_json(c, entry, operator_token(c), "/v1/targets");
+	json_t *reply = cluster_json(c, entry, cluster_operator_token(c), "/v1/targets");
 	json_t *list = json_is_array(reply) ? reply : json_object_get(reply, "targets");
 	unsigned int alive = 0;
 	json_t *item;
--- a/tests/lib_cluster.h
+++ b/tests/lib_cluster.h
@@ -40,6 +40,8 @@
 	const char *service;
 	const char *const *zones;
 	const char *work_ms;
+	char organisation[64]; /* the first one that holds a guarantee */
+	char token[80];	       /* its token */
 };
 
 /** cluster_start() - start everything, apply the example's configuration, wait until all targets
@@ -63,6 +65,31 @@
 json_t *cluster_json(const struct cluster *c, unsigned int entry, const char *token,
 		     const char *path);
 
+/** cluster_operator_token() - token of the example's operator */
+const char *cluster_operator_token(const struct cluster *c);
+
+/**
+ * cluster_request() - send one quick request through an entry
+ * @class_name: class of work
+ * @key: idempotency key, or NULL
+ * @idempotent: "yes", "no" or NULL for the class's default
+ * @body: JSON for the stand-in
+ */
+struct http_reply cluster_request(const struct cluster *c, unsigned int entry,
+				  const char *class_name, const char *key, const char *idempotent,
+				  const char *body);
+
+/** cluster_submit() - submit a job through the HTTP API; its id in @id, the HTTP status returned */
+int cluster_submit(const struct cluster *c, unsigned int entry, const char *key, const char *body,
+		   char id[32]);
+
+/** cluster_job_state() - state of a job as an entry reports it, "" if unknown */
+const char *cluster_job_state(const struct cluster *c, unsigned int entry, const char *id);
+
+/** cluster_wait_job() - wait until a job has a state */
+bool cluster_wait_job(const struct cluster *c, unsigned int entry, const char *id,
+		      const char *state, uint32_t timeout_ms);
+
 /** cluster_fault() - POST a fault setting to a stand-in */
 bool cluster_fault(const struct proc *stand_in, const char *json);
 
