--- a/tests/lib_agent.c
+++ b/tests/lib_agent.c
@@ -61,6 +61,11 @@
 
 	entry->heartbeats++;
 	take_clock(entry->rig, msg->u.heartbeat.clock_ms);
+	/* As a real entry does for an agent that it has no row of. */
+	if (entry->hellos == 0) {
+		send_entries(entry, peer);
+		return;
+	}
 	ack.u.heartbeat_ack.sequence = msg->u.heartbeat.sequence;
 	ack.u.heartbeat_ack.entries_version = 1;
 	if (!entry->silent)
@@ -87,19 +92,30 @@
 		keep(entry->rig, msg);
 }
 
-static void start_entry(struct agent_rig *rig, unsigned int index)
+static void start_entry(struct agent_rig *rig, unsigned int index, unsigned int incarnation,
+			const char *address)
 {
 	struct rig_entry *entry = &rig->entries[index];
 	struct wire_handlers handlers = {.on_message = on_message, .ctx = entry};
 
+	memset(entry, 0, sizeof(*entry));
 	entry->rig = rig;
 	entry->metrics = metrics_create(rig->mem);
-	snprintf(entry->peer, sizeof(entry->peer), "entry-%u#1", index);
-	entry->wire = wire_create(rig->mem, rig->ev, entry->peer, "127.0.0.1:0", &handlers,
+	snprintf(entry->peer, sizeof(entry->peer), "entry-%u#%u", index, incarnation);
+	entry->wire = wire_create(rig->mem, rig->ev, entry->peer, address, &handlers,
 				  entry->metrics, NULL);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(entry->wire);
 }
 
+void rig_restart_entry(struct agent_rig *rig, unsigned int index)
+{
+	char address[64];
+
+	snprintf(address, sizeof(address), "%s", wire_address(rig->entries[index].wire));
+	wire_destroy(rig->entries[index].wire, 0);
+	start_entry(rig, index, 2, address);
+}
+
 static void step_event(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
 		       void *data)
 {
@@ -142,30 +158,45 @@
 	return true;
 }
 
-void rig_start(struct agent_rig *rig, unsigned int entries)
+void rig_prepare(struct agent_rig *rig, unsigned int entries)
 {
-	char seeds[128];
-	const char *const arguments[] = {"--set", "node=agent-1",
-					 "--set", "region=region-1",
-					 "--set", "zone=zone-1",
-					 "--set", "rack=rack-1",
-					 "--set", "http_address=127.0.0.1:0",
-					 "--set", "peer_address=127.0.0.1:0",
-					 "--set", seeds,
-					 NULL};
-
 	memset(rig, 0, sizeof(*rig));
 	rig->mem = talloc_new(NULL);
 	rig->ev = tevent_context_init(rig->mem);
 	for (unsigned int i = 0; i < entries; i++)
-		start_entry(rig, i);
+		start_entry(rig, i, 1, "127.0.0.1:0");
 	rig->entry_count = entries;
 	rig->seed = fake_server_start("127.0.0.1:0", SEED_CONNECTIONS, serve_entries, rig);
-	snprintf(seeds, sizeof(seeds), "seeds=%s", fake_server_url(rig->seed) + strlen("http://"));
+}
+
+void rig_start_agent(struct agent_rig *rig, const char *seed, const char *store)
+{
+	char seeds[128];
+	char stores[128];
+	const char *arguments[] = {"--set", "node=agent-1",
+				   "--set", "region=region-1",
+				   "--set", "zone=zone-1",
+				   "--set", "rack=rack-1",
+				   "--set", "http_address=127.0.0.1:0",
+				   "--set", "peer_address=127.0.0.1:0",
+				   "--set", seeds,
+				   NULL,    stores,
+				   NULL};
+
+	snprintf(seeds, sizeof(seeds), "seeds=%s", seed);
+	snprintf(stores, sizeof(stores), "store_endpoints=%s", store ? store : "");
+	if (store)
+		arguments[14] = "--set";
 	CU_ASSERT_FATAL(proc_start(&rig->agent, "jaycourse-agent", "agent", arguments));
 	CU_ASSERT_FATAL(rig_until(rig, all_connected, NULL, WAIT_MS));
 }
 
+void rig_start(struct agent_rig *rig, unsigned int entries)
+{
+	rig_prepare(rig, entries);
+	rig_start_agent(rig, fake_server_url(rig->seed) + strlen("http://"), NULL);
+}
+
 static bool announced(struct agent_rig *rig, void *ctx)
 {
 	return rig->entries[0].target_state == MSG_TARGET_ALIVE;
--- a/tests/lib_agent.h
+++ b/tests/lib_agent.h
@@ -41,9 +41,22 @@
 	size_t inbox_count;
 };
 
-/** rig_start() - agent without a target; waits until it has connected to all entries */
+/** rig_prepare() - the entries and the seed, without any process */
+void rig_prepare(struct agent_rig *rig, unsigned int entries);
+
+/**
+ * rig_start_agent() - agent without a target; waits until it has connected to all entries
+ * @seed: "ip:port"
+ * @store: endpoint of the store, NULL for none
+ */
+void rig_start_agent(struct agent_rig *rig, const char *seed, const char *store);
+
+/** rig_start() - rig_prepare() and rig_start_agent() with the test's own seed */
 void rig_start(struct agent_rig *rig, unsigned int entries);
 
+/** rig_restart_entry() - replace an entry by a new incarnation at the same address */
+void rig_restart_entry(struct agent_rig *rig, unsigned int index);
+
 /** rig_start_service() - fake_service "svc" beside the agent; waits until it is announced */
 void rig_start_service(struct agent_rig *rig, const char *slots);
 
--- a/tests/test_agent_home.c
+++ b/tests/test_agent_home.c
@@ -84,11 +84,64 @@
 	CU_ASSERT(rig_until(&rig, heartbeat_at, &home, WAIT_MS));
 }
 
+static bool hello_at(struct agent_rig *r, void *ctx)
+{
+	return r->entries[*(const unsigned int *)ctx].hellos > 0;
+}
+
+/* Guards against taking a restarted entry for the one that was there before. */
+static void test_restart(void)
+{
+	unsigned int home = home_index();
+
+	rig_restart_entry(&rig, home);
+	CU_ASSERT(rig_until(&rig, hello_at, &home, WAIT_MS));
+}
+
 static void test_stop(void)
 {
 	rig_stop(&rig);
 }
 
+static void on_written(int status, const struct store_result *result, void *ctx)
+{
+	CU_ASSERT_EQUAL(status, 0);
+}
+
+static void register_entry(const char *endpoint)
+{
+	struct store_options options = {.endpoints = &endpoint, .endpoint_count = 1};
+	struct store_cb cb = {.done = on_written};
+	struct store *store =
+		store_create(rig.mem, rig.ev, &options, metrics_create(rig.mem), NULL);
+	char *value = talloc_asprintf(rig.mem, "{\"peer\":\"%s\",\"peer_address\":\"%s\"}",
+				      rig.entries[0].peer, wire_address(rig.entries[0].wire));
+	struct store_op op = {
+		.kind = STORE_PUT,
+		.key = "entry/entry-0",
+		.value = value,
+		.value_len = strlen(value),
+	};
+
+	store_txn(store, NULL, 0, &op, 1, cb);
+}
+
+/* Guards against an agent that is lost when no seed answers (port 1 refuses connections). */
+static void test_store(void)
+{
+	const char *const arguments[] = {"--listen", "127.0.0.1:0", NULL};
+	struct proc store;
+	char endpoint[128];
+
+	CU_ASSERT_FATAL(proc_start(&store, "fake_store", "store", arguments));
+	snprintf(endpoint, sizeof(endpoint), "http://%s", store.address[0]);
+	rig_prepare(&rig, 1);
+	register_entry(endpoint);
+	rig_start_agent(&rig, "127.0.0.1:1", endpoint);
+	rig_stop(&rig);
+	proc_stop(&store, WAIT_MS);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -100,7 +153,9 @@
 	CU_add_test(suite, "start", test_start);
 	CU_add_test(suite, "failover", test_failover);
 	CU_add_test(suite, "return", test_return);
+	CU_add_test(suite, "restart", test_restart);
 	CU_add_test(suite, "stop", test_stop);
+	CU_add_test(suite, "store", test_store);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures() + CU_get_number_of_suites_failed();
 	CU_cleanup_registry();
