--- a/tests/lib_proc.c
+++ b/tests/lib_proc.c
@@ -217,6 +217,7 @@
 	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
 	CURL *easy = curl_easy_init();
 	long status = 0;
+	CURLcode code;
 
 	for (size_t i = 0; headers && headers[i]; i++)
 		list = curl_slist_append(list, headers[i]);
@@ -231,8 +232,11 @@
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &reply);
-	if (curl_easy_perform(easy) == CURLE_OK)
+	code = curl_easy_perform(easy);
+	if (code == CURLE_OK)
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	else if (code == CURLE_COULDNT_CONNECT)
+		status = -1;
 	reply.status = (int)status;
 	curl_easy_cleanup(easy);
 	curl_slist_free_all(list);
--- a/tests/lib_proc.h
+++ b/tests/lib_proc.h
@@ -50,7 +50,7 @@
 const char *proc_log_folder(void);
 
 struct http_reply {
-	int status; /* HTTP status, or 0 when no whole answer came */
+	int status; /* HTTP status; 0: no whole answer came; -1: no connection, nothing was sent */
 	char *body; /* NUL terminated */
 	size_t len;
 };
