--- a/tests/lib_callers.h
+++ b/tests/lib_callers.h
@@ -19,7 +19,11 @@
 	const char *class_name;
 	const char *idempotent; /* "yes", "no" or NULL */
 	bool keys;		/* send an idempotency key with each request */
-	bool retry_refused;	/* as a balancer does: a refusal is sent to the next entry */
+	/*
+	 * Behave like callers behind a balancer: only entries whose readiness endpoint says so get
+	 * requests, and what was refused or not sent is sent to the next entry.
+	 */
+	bool balanced;
 };
 
 struct callers_summary {
