--- /dev/null
+++ b/tests/measure_slopes.c
@@ -0,0 +1,391 @@
+/* Measures what membership costs an entry, an agent and the store as the number of agents grows. */
+#include "lib_cluster.h"
+#include "util.h"
+
+#include <argp.h>
+#include <errno.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define AGENTS_MAX 256
+#define SIZES_MAX 8
+#define SETTLE_MS 15000 /* heartbeats lengthen their period after 10 s without change */
+
+struct arguments {
+	unsigned int sizes[SIZES_MAX];
+	unsigned int size_count;
+	unsigned int entries;
+	unsigned int seconds;
+};
+
+struct sample {
+	double entry_cpu_percent;
+	double entry_bytes_per_s;
+	double entry_rss_mb;
+	double agent_cpu_percent;
+	double agent_bytes_per_s;
+	double agent_rss_mb;
+	double store_calls_per_s;
+};
+
+static struct cluster cluster;
+static struct proc agents[AGENTS_MAX];
+static atomic_uint agent_count;
+static atomic_bool announcing;
+
+static bool start_agent(unsigned int i)
+{
+	char node[64];
+	char zone[64];
+	char rack[64];
+	char store[128];
+	char seeds[128];
+	char label[64];
+	const char *const arguments[] = {"--set", node,
+					 "--set", "region=region-1",
+					 "--set", zone,
+					 "--set", rack,
+					 "--set", "http_address=127.0.0.1:0",
+					 "--set", "peer_address=127.0.0.1:0",
+					 "--set", store,
+					 "--set", seeds,
+					 NULL};
+
+	snprintf(node, sizeof(node), "node=agent-%03u", i);
+	snprintf(zone, sizeof(zone), "zone=%s", cluster.zones[i % 3]);
+	snprintf(rack, sizeof(rack), "rack=r%u", i / 9);
+	snprintf(store, sizeof(store), "store_endpoints=http://%s", cluster.store.address[0]);
+	snprintf(seeds, sizeof(seeds), "seeds=%s", cluster.entries[0].address[0]);
+	snprintf(label, sizeof(label), "agent-%03u", i);
+	return proc_start(&agents[i], "jaycourse-agent", label, arguments);
+}
+
+/* Plays the workers beside all agents: announces each of them every second. */
+static void *announce(void *ctx)
+{
+	while (atomic_load(&announcing)) {
+		uint64_t start = util_clock_ms();
+		unsigned int count = atomic_load(&agent_count);
+		uint64_t took;
+
+		for (unsigned int i = 0; i < count; i++) {
+			char body[320];
+			char url[128];
+			struct http_reply reply;
+
+			snprintf(url, sizeof(url), "http://%s/v1/announce", agents[i].address[0]);
+			snprintf(body, sizeof(body),
+				 "{\"kind\":\"worker\",\"target\":\"w%03u\","
+				 "\"url\":\"http://127.0.0.1:9\",\"incarnation\":1,"
+				 "\"state\":\"alive\",\"accelerators\":8,\"cores\":128,"
+				 "\"memory_mb\":524288}",
+				 i);
+			reply = http_call("POST", url, NULL, body, 1000);
+			http_free(&reply);
+		}
+		took = util_clock_ms() - start;
+		if (took < 1000)
+			usleep((useconds_t)(1000 - took) * 1000U);
+	}
+	return NULL;
+}
+
+static double cpu_seconds(const struct proc *proc)
+{
+	char path[64];
+	char line[1024] = "";
+	unsigned long user = 0;
+	unsigned long system = 0;
+	const char *rest;
+	FILE *file;
+
+	snprintf(path, sizeof(path), "/proc/%d/stat", proc->pid);
+	file = fopen(path, "r");
+	if (!file)
+		return 0;
+	if (!fgets(line, sizeof(line), file))
+		line[0] = '\0';
+	fclose(file);
+	rest = strrchr(line, ')');
+	if (!rest || sscanf(rest, ") %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user,
+			    &system) != 2)
+		return 0;
+	return (double)(user + system) / (double)sysconf(_SC_CLK_TCK);
+}
+
+static double rss_mb(const struct proc *proc)
+{
+	char path[64];
+	unsigned long pages = 0;
+	FILE *file;
+
+	snprintf(path, sizeof(path), "/proc/%d/statm", proc->pid);
+	file = fopen(path, "r");
+	if (!file)
+		return 0;
+	if (fscanf(file, "%*u %lu", &pages) != 1)
+		pages = 0;
+	fclose(file);
+	return (double)pages * (double)sysconf(_SC_PAGESIZE) / 1e6;
+}
+
+/* Bytes of control messages, both directions, by the process's own counters. */
+static double control_bytes(const struct proc *proc)
+{
+	char url[128];
+	struct http_reply reply;
+	double sum = 0;
+	char *save = NULL;
+
+	snprintf(url, sizeof(url), "http://%s/metrics", proc->address[0]);
+	reply = http_call("GET", url, NULL, NULL, 5000);
+	for (char *line = strtok_r(reply.body, "\n", &save); line;
+	     line = strtok_r(NULL, "\n", &save)) {
+		if (!strncmp(line, "jaycourse_wire_bytes_total", 26) &&
+		    strstr(line, "class=\"control\""))
+			sum += strtod(strrchr(line, ' '), NULL);
+	}
+	http_free(&reply);
+	return sum;
+}
+
+static double store_calls(void)
+{
+	char url[128];
+	struct http_reply reply;
+	json_t *json;
+	double sum;
+
+	snprintf(url, sizeof(url), "http://%s/stats", cluster.store.address[0]);
+	reply = http_call("GET", url, NULL, NULL, 5000);
+	json = json_loads(reply.body, 0, NULL);
+	http_free(&reply);
+	sum = json_number_value(json_object_get(json, "reads")) +
+	      json_number_value(json_object_get(json, "writes"));
+	json_decref(json);
+	return sum;
+}
+
+static double sum_of(double (*figure)(const struct proc *proc), const struct proc *procs,
+		     unsigned int count)
+{
+	double sum = 0;
+
+	for (unsigned int i = 0; i < count; i++)
+		sum += figure(&procs[i]);
+	return sum;
+}
+
+static struct sample measure(unsigned int count, unsigned int seconds)
+{
+	double entry_cpu = sum_of(cpu_seconds, cluster.entries, cluster.entry_count);
+	double entry_bytes = sum_of(control_bytes, cluster.entries, cluster.entry_count);
+	double agent_cpu = sum_of(cpu_seconds, agents, count);
+	double agent_bytes = sum_of(control_bytes, agents, count);
+	double calls = store_calls();
+	uint64_t start = util_clock_ms();
+	double entries = cluster.entry_count;
+	struct sample sample;
+	double span;
+
+	sleep(seconds);
+	span = (double)(util_clock_ms() - start) / 1000.0;
+	sample.entry_cpu_percent =
+		100.0 * (sum_of(cpu_seconds, cluster.entries, cluster.entry_count) - entry_cpu) /
+		span / entries;
+	sample.entry_bytes_per_s =
+		(sum_of(control_bytes, cluster.entries, cluster.entry_count) - entry_bytes) / span /
+		entries;
+	sample.entry_rss_mb = sum_of(rss_mb, cluster.entries, cluster.entry_count) / entries;
+	sample.agent_cpu_percent =
+		100.0 * (sum_of(cpu_seconds, agents, count) - agent_cpu) / span / count;
+	sample.agent_bytes_per_s =
+		(sum_of(control_bytes, agents, count) - agent_bytes) / span / count;
+	sample.agent_rss_mb = sum_of(rss_mb, agents, count) / count;
+	sample.store_calls_per_s = (store_calls() - calls) / span;
+	return sample;
+}
+
+struct target_wait {
+	unsigned int entry;
+	unsigned int count;
+};
+
+static bool all_known(void *ctx)
+{
+	const struct target_wait *wait = ctx;
+
+	return cluster_alive_targets(&cluster, wait->entry) >= wait->count;
+}
+
+static bool grow(unsigned int count)
+{
+	for (unsigned int i = atomic_load(&agent_count); i < count; i++) {
+		if (!start_agent(i))
+			return false;
+		atomic_store(&agent_count, i + 1);
+	}
+	for (unsigned int e = 0; e < cluster.entry_count; e++) {
+		struct target_wait wait = {.entry = e, .count = count};
+
+		if (!wait_until(all_known, &wait, 60000)) {
+			fprintf(stderr, "entry %u knows %u of %u agents\n", e,
+				cluster_alive_targets(&cluster, e), count);
+			return false;
+		}
+	}
+	return true;
+}
+
+struct fit {
+	double intercept;
+	double slope;
+	double residual; /* largest distance of a point from the line */
+};
+
+static struct fit fit_line(const unsigned int *x, const double *y, unsigned int n)
+{
+	double mean_x = 0;
+	double mean_y = 0;
+	double covariance = 0;
+	double variance = 0;
+	struct fit fit = {0};
+
+	for (unsigned int i = 0; i < n; i++) {
+		mean_x += x[i] / (double)n;
+		mean_y += y[i] / n;
+	}
+	for (unsigned int i = 0; i < n; i++) {
+		covariance += (x[i] - mean_x) * (y[i] - mean_y);
+		variance += (x[i] - mean_x) * (x[i] - mean_x);
+	}
+	fit.slope = variance > 0 ? covariance / variance : 0;
+	fit.intercept = mean_y - fit.slope * mean_x;
+	for (unsigned int i = 0; i < n; i++) {
+		double distance = y[i] - fit.intercept - fit.slope * x[i];
+
+		if (distance < 0)
+			distance = -distance;
+		if (distance > fit.residual)
+			fit.residual = distance;
+	}
+	return fit;
+}
+
+static const struct {
+	const char *name;
+	size_t offset;
+} figures[] = {
+	{"entry_cpu_percent", offsetof(struct sample, entry_cpu_percent)},
+	{"entry_bytes_per_s", offsetof(struct sample, entry_bytes_per_s)},
+	{"entry_rss_mb", offsetof(struct sample, entry_rss_mb)},
+	{"agent_cpu_percent", offsetof(struct sample, agent_cpu_percent)},
+	{"agent_bytes_per_s", offsetof(struct sample, agent_bytes_per_s)},
+	{"agent_rss_mb", offsetof(struct sample, agent_rss_mb)},
+	{"store_calls_per_s", offsetof(struct sample, store_calls_per_s)},
+};
+
+static void report(const struct arguments *a, const struct sample *samples)
+{
+	json_t *json = json_object();
+
+	for (size_t f = 0; f < sizeof(figures) / sizeof(figures[0]); f++) {
+		json_t *points = json_array();
+		double values[SIZES_MAX];
+		struct fit fit;
+
+		for (unsigned int i = 0; i < a->size_count; i++) {
+			values[i] =
+				*(const double *)((const char *)&samples[i] + figures[f].offset);
+			json_array_append_new(points,
+					      json_pack("[i, f]", (int)a->sizes[i], values[i]));
+		}
+		fit = fit_line(a->sizes, values, a->size_count);
+		json_object_set_new(json, figures[f].name,
+				    json_pack("{s:o, s:f, s:f, s:f}", "points", points, "intercept",
+					      fit.intercept, "slope", fit.slope, "residual",
+					      fit.residual));
+	}
+	json_object_set_new(json, "entries", json_integer((json_int_t)a->entries));
+	json_dumpf(json, stdout, JSON_INDENT(1) | JSON_REAL_PRECISION(5));
+	putchar('\n');
+	json_decref(json);
+}
+
+enum option_key {
+	OPT_SIZES = 256,
+	OPT_ENTRIES,
+	OPT_SECONDS,
+};
+
+static const struct argp_option options[] = {
+	{"sizes", OPT_SIZES, "N,N,…", 0, "Numbers of agents; default 25,50,100,200", 0},
+	{"entries", OPT_ENTRIES, "N", 0, "Number of entries; default 4", 0},
+	{"seconds", OPT_SECONDS, "N", 0, "Length of each measurement; default 20", 0},
+	{0},
+};
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct arguments *a = state->input;
+	char *save = NULL;
+
+	switch (key) {
+	case OPT_SIZES:
+		a->size_count = 0;
+		for (char *word = strtok_r(arg, ",", &save); word && a->size_count < SIZES_MAX;
+		     word = strtok_r(NULL, ",", &save))
+			a->sizes[a->size_count++] = (unsigned int)strtoul(word, NULL, 10);
+		return 0;
+	case OPT_ENTRIES:
+		a->entries = (unsigned int)strtoul(arg, NULL, 10);
+		return 0;
+	case OPT_SECONDS:
+		a->seconds = (unsigned int)strtoul(arg, NULL, 10);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+int main(int argc, char **argv)
+{
+	const struct argp argp = {
+		options, parse, NULL, "Measure the slopes of membership over the number of agents.",
+		NULL,	 NULL,	NULL};
+	struct arguments a = {
+		.sizes = {25, 50, 100, 200}, .size_count = 4, .entries = 4, .seconds = 20};
+	struct sample samples[SIZES_MAX];
+	pthread_t thread;
+	int code = 0;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &a);
+	{
+		struct cluster_options cluster_options = {.example = "nefeli",
+							  .entries = a.entries};
+
+		if (!cluster_start(&cluster, &cluster_options))
+			return 1;
+	}
+	atomic_store(&announcing, true);
+	pthread_create(&thread, NULL, announce, NULL);
+	for (unsigned int i = 0; i < a.size_count && !code; i++) {
+		if (a.sizes[i] > AGENTS_MAX || !grow(a.sizes[i])) {
+			code = 1;
+			break;
+		}
+		usleep(SETTLE_MS * 1000U);
+		samples[i] = measure(a.sizes[i], a.seconds);
+	}
+	if (!code)
+		report(&a, samples);
+	atomic_store(&announcing, false);
+	pthread_join(thread, NULL);
+	for (unsigned int i = 0; i < atomic_load(&agent_count); i++)
+		proc_kill(&agents[i]);
+	return cluster_stop(&cluster) ? code : 1;
+}
