--- a/src/api.c
+++ b/src/api.c
@@ -25,6 +25,8 @@
 
 /* One HTTP call; owned by its connection. */
 struct call {
+	struct call *next;
+	struct call *prev;
 	struct api *api;
 	struct request *r;
 	const struct api_endpoint *endpoint;
@@ -152,6 +154,28 @@
 	}
 }
 
+static void link_call(struct api *api, struct call *call)
+{
+	pthread_mutex_lock(&api->lock);
+	call->next = api->calls;
+	if (api->calls)
+		api->calls->prev = call;
+	api->calls = call;
+	pthread_mutex_unlock(&api->lock);
+}
+
+static void unlink_call(struct api *api, struct call *call)
+{
+	pthread_mutex_lock(&api->lock);
+	if (call->prev)
+		call->prev->next = call->next;
+	else
+		api->calls = call->next;
+	if (call->next)
+		call->next->prev = call->prev;
+	pthread_mutex_unlock(&api->lock);
+}
+
 static struct call *new_call(struct api *api, struct MHD_Connection *connection, const char *url,
 			     const char *method)
 {
@@ -169,6 +193,7 @@
 	take_headers(call->r, connection);
 	if (!call->endpoint)
 		set_path_error(call->r, method, path_known);
+	link_call(api, call);
 	return call;
 }
 
@@ -223,8 +248,11 @@
 	enum MHD_Result ret;
 	char retry[16];
 
-	if (!response)
+	if (!response || !r->ready) {
+		if (response)
+			MHD_destroy_response(response);
 		return MHD_NO;
+	}
 	call->answered = true;
 	if (r->answer_type[0])
 		MHD_add_response_header(response, "Content-Type", r->answer_type);
@@ -390,6 +418,7 @@
 		loopq_push(api->deps.loop, abandon, request_ref(call->r));
 	if (call->body)
 		g_byte_array_free(call->body, TRUE);
+	unlink_call(api, call);
 	request_unref(call->r);
 	g_free(call);
 	atomic_fetch_sub(&api->active, 1);
@@ -485,6 +514,7 @@
 	struct api *api = talloc_zero(mem, struct api);
 
 	api->deps = *deps;
+	pthread_mutex_init(&api->lock, NULL);
 	api->conns = api_conns_create(api, deps->ev, deps->metrics);
 	if (!load_tls(api, err))
 		api->daemon = start_daemon(api, fd);
@@ -504,10 +534,21 @@
 	return atomic_load(&api->active);
 }
 
+/* The server cannot stop while connections are suspended; a cut call is never suspended again. */
+static void cut_all(struct api *api)
+{
+	pthread_mutex_lock(&api->lock);
+	for (struct call *call = api->calls; call; call = call->next)
+		request_cut(call->r);
+	pthread_mutex_unlock(&api->lock);
+}
+
 void api_destroy(struct api *api)
 {
+	cut_all(api);
 	MHD_stop_daemon(api->daemon);
 	g_free(api->certificate);
 	g_free(api->key);
+	pthread_mutex_destroy(&api->lock);
 	talloc_free(api);
 }
--- a/src/api_int.h
+++ b/src/api_int.h
@@ -19,6 +19,8 @@
 	char *certificate;
 	char *key;
 	atomic_uint active;
+	pthread_mutex_t lock; /* guards calls */
+	struct call *calls;
 	atomic_ullong serial;
 };
 
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -81,7 +81,7 @@
 		.expiry_ms = (uint64_t)((int64_t)(now + start) + clock_offset_ms),
 		.timeout_ms = left,
 		.content_type = r->content_type,
-		.body = {.data = r->body, .len = r->body_len},
+		.body = {.data = r->body ? r->body : (const uint8_t *)"", .len = r->body_len},
 	};
 	ret = wire_send(d->deps.wire, peer, &msg);
 	if (ret) {
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -169,8 +169,9 @@
 	if (!attempt_send(d, r, peer, clock_offset_ms))
 		return;
 	route_done(d->route, peer, ROUTE_NEUTRAL, 0, util_clock_ms());
-	dispatch_exclude(r, peer);
-	dispatch_retry(d, r, "not_delivered");
+	route_unreachable(d->route, peer, util_clock_ms());
+	metrics_retry(d->deps.metrics, "not_delivered");
+	dispatch_requeue(d, r);
 }
 
 static bool same_request(const struct request *r, const struct claim_record *found)
@@ -270,14 +271,14 @@
 
 static void on_deadline(struct dispatch *d, struct request *r)
 {
-	bool out = r->state == REQUEST_SENT;
+	bool out = r->state == REQUEST_SENT || r->may_have_run;
 
 	err_set(&r->err, ERR_DEADLINE,
 		out ? "check the effect before retrying, or use an idempotency key"
 		    : "retry, with more time if this happens often",
-		out ? "the target had not answered by the deadline"
+		out ? "no target had answered whole by the deadline"
 		    : "no target was free before the deadline");
-	dispatch_refuse(d, r, out || r->may_have_run ? REQUEST_UNKNOWN : REQUEST_NOT_RUN);
+	dispatch_refuse(d, r, out ? REQUEST_UNKNOWN : REQUEST_NOT_RUN);
 }
 
 /* Sends an idempotent request that takes long to a second target as well. */
@@ -453,12 +454,14 @@
 		.share = r->organisation->share,
 		.max_queue = r->class_->max_queue,
 	};
+	/* The request may end below, but its names are still needed. */
+	request_ref(r);
 	if (check_store(d, r) || check_feasible(d, r) ||
-	    queue_push(d->queue, &r->item, &r->place, &r->err)) {
+	    queue_push(d->queue, &r->item, &r->place, &r->err))
 		dispatch_refuse(d, r, REQUEST_NOT_RUN);
-		return;
-	}
-	dispatch_pump(d, r->service);
+	else
+		dispatch_pump(d, r->service);
+	request_unref(r);
 }
 
 void dispatch_abandon(struct dispatch *d, struct request *r)
--- a/src/entry.c
+++ b/src/entry.c
@@ -12,6 +12,7 @@
 /* Time for the load balancer to see readyz turn 503 before the last call may end. */
 #define LEAVE_NOTICE_MS 500
 #define LEAVE_CHECK_MS 20
+#define FAREWELL_MS 200 /* for the last messages to agents and the store */
 #define WIRE_LINGER_MS 500
 
 struct entry_host {
@@ -78,6 +79,14 @@
 	e->jobs_closed = true;
 }
 
+static void on_farewell(struct tevent_context *ev, struct tevent_timer *te, struct timeval current,
+			void *data)
+{
+	struct entry_host *e = data;
+
+	e->finished = true;
+}
+
 static void check_leaving(struct tevent_context *ev, struct tevent_timer *te,
 			  struct timeval current, void *data)
 {
@@ -89,7 +98,9 @@
 		log_warn("shutdown_grace_over", "", "%" PRIu32 " calls are cut off",
 			 api_active(e->api));
 	if ((idle && gone >= LEAVE_NOTICE_MS) || gone >= e->settings->shutdown_grace_ms) {
-		e->finished = true;
+		peers_leave(e->peers);
+		tevent_add_timer(ev, e, tevent_timeval_current_ofs(0, FAREWELL_MS * 1000),
+				 on_farewell, e);
 		return;
 	}
 	tevent_add_timer(ev, e, tevent_timeval_current_ofs(0, LEAVE_CHECK_MS * 1000), check_leaving,
@@ -107,7 +118,6 @@
 	e->leave_ms = util_clock_ms();
 	log_info("shutdown_started", "", "%" PRIu32 " calls in progress", api_active(e->api));
 	filters_set_leaving(e->filters);
-	peers_leave(e->peers);
 	jobs_shutdown(e->jobs, on_jobs_closed, e);
 	tevent_add_timer(ev, e, tevent_timeval_current_ofs(0, LEAVE_CHECK_MS * 1000), check_leaving,
 			 e);
--- a/src/msg.c
+++ b/src/msg.c
@@ -416,7 +416,7 @@
 {
 	if (object->type != MSGPACK_OBJECT_STR || object->via.str.size > MSG_STRING_MAX)
 		return -ERR_INVALID;
-	if (memchr(object->via.str.ptr, 0, object->via.str.size))
+	if (object->via.str.size && memchr(object->via.str.ptr, 0, object->via.str.size))
 		return -ERR_INVALID;
 	*out = talloc_strndup(mem, object->via.str.ptr, object->via.str.size);
 	return 0;
--- a/src/peers.c
+++ b/src/peers.c
@@ -318,6 +318,48 @@
 		log_debug("entry_lease_kept", "", "the lease of this entry runs out by itself");
 }
 
+static void send_entries(struct peers *p, const char *agent)
+{
+	struct msg msg = {.type = MSG_ENTRIES};
+	const char **ids = talloc_array(p, const char *, p->entries->len + 1);
+	const char **addresses = talloc_array(ids, const char *, p->entries->len + 1);
+	size_t count = 0;
+	uint64_t *told = g_new(uint64_t, 1);
+
+	if (!p->leaving) {
+		ids[0] = p->deps.self;
+		addresses[count++] = p->deps.peer_address;
+	}
+	for (guint i = 0; i < p->entries->len; i++) {
+		const struct entry *e = g_ptr_array_index(p->entries, i);
+
+		ids[count] = e->peer;
+		addresses[count++] = e->peer_address;
+	}
+	msg.u.entries.version = p->version;
+	msg.u.entries.ids = (struct msg_strings){ids, count};
+	msg.u.entries.addresses = (struct msg_strings){addresses, count};
+	wire_send(p->deps.wire, agent, &msg);
+	talloc_free(ids);
+	*told = p->version;
+	g_hash_table_replace(p->told, g_strdup(agent), told);
+}
+
+/* Agents drop the connection to an entry that is not listed, so this comes last. */
+static void tell_agents(struct peers *p)
+{
+	guint count = 0;
+	gpointer *agents = g_hash_table_get_keys_as_array(p->told, &count);
+
+	for (guint i = 0; i < count; i++) {
+		char *agent = g_strdup(agents[i]);
+
+		send_entries(p, agent);
+		g_free(agent);
+	}
+	g_free(agents);
+}
+
 void peers_leave(struct peers *p)
 {
 	struct store_cb cb = {on_revoked, p};
@@ -330,6 +372,7 @@
 		store_lease_revoke(p->deps.store, p->lease, cb);
 	p->lease = 0;
 	list_changed(p);
+	tell_agents(p);
 }
 
 static void to_all(struct peers *p, const struct msg *msg)
@@ -457,33 +500,6 @@
 	return list;
 }
 
-static void send_entries(struct peers *p, const char *agent)
-{
-	struct msg msg = {.type = MSG_ENTRIES};
-	const char **ids = talloc_array(p, const char *, p->entries->len + 1);
-	const char **addresses = talloc_array(ids, const char *, p->entries->len + 1);
-	size_t count = 0;
-	uint64_t *told = g_new(uint64_t, 1);
-
-	if (!p->leaving) {
-		ids[0] = p->deps.self;
-		addresses[count++] = p->deps.peer_address;
-	}
-	for (guint i = 0; i < p->entries->len; i++) {
-		const struct entry *e = g_ptr_array_index(p->entries, i);
-
-		ids[count] = e->peer;
-		addresses[count++] = e->peer_address;
-	}
-	msg.u.entries.version = p->version;
-	msg.u.entries.ids = (struct msg_strings){ids, count};
-	msg.u.entries.addresses = (struct msg_strings){addresses, count};
-	wire_send(p->deps.wire, agent, &msg);
-	talloc_free(ids);
-	*told = p->version;
-	g_hash_table_replace(p->told, g_strdup(agent), told);
-}
-
 static json_t *slice_of(const struct config *c)
 {
 	json_t *services = json_object();
--- a/src/peers.h
+++ b/src/peers.h
@@ -46,7 +46,11 @@
 /** peers_registered() - true once this entry is listed in the store */
 bool peers_registered(const struct peers *p);
 
-/** peers_leave() - take this entry off the list; agents choose other homes */
+/**
+ * peers_leave() - take this entry off the list; agents choose other homes
+ *
+ * Agents close their connections to it, so all requests must have ended.
+ */
 void peers_leave(struct peers *p);
 
 #endif
--- a/src/request.c
+++ b/src/request.c
@@ -248,7 +248,7 @@
 	bool now;
 
 	pthread_mutex_lock(&r->lock);
-	now = for_data ? r->buffered || r->ended : r->ready;
+	now = r->ended || (for_data ? r->buffered > 0 : r->ready);
 	if (!now) {
 		r->suspended = true;
 		suspend(r);
--- a/src/request.h
+++ b/src/request.h
@@ -189,7 +189,8 @@
  * @suspend: called with the lock held when the caller has to wait
  * @for_data: wait for bytes instead of for the header
  *
- * Return: true when there is something to do now.
+ * Return: true when there is something to do now. When the header was waited for and the
+ * request is not ready then, the connection is to be closed.
  */
 bool request_wait(struct request *r, bool for_data, void (*suspend)(struct request *r));
 
--- a/src/route.c
+++ b/src/route.c
@@ -18,6 +18,8 @@
  * entries' requests on it end unnoticed, and the agent refuses what it cannot take.
  */
 #define FULL_REPORT_MS 100
+/* A failed delivery ends at once, so a dead agent would look idle and attract all requests. */
+#define UNREACHABLE_MS 500
 
 struct target {
 	char *peer;
@@ -41,6 +43,7 @@
 	bool ejected;
 	bool probing;
 	uint64_t eject_until_ms;
+	uint64_t avoid_until_ms;
 };
 
 struct service {
@@ -194,7 +197,7 @@
 
 static bool usable(const struct target *t, bool may_probe, uint64_t now_ms)
 {
-	if (!takes_work(t) || !has_slot(t, now_ms))
+	if (!takes_work(t) || !has_slot(t, now_ms) || now_ms < t->avoid_until_ms)
 		return false;
 	if (!t->ejected)
 		return true;
@@ -433,6 +436,14 @@
 	judge(r, t, now_ms);
 }
 
+void route_unreachable(struct route *r, const char *peer, uint64_t now_ms)
+{
+	struct target *t = g_hash_table_lookup(r->by_peer, peer);
+
+	if (t)
+		t->avoid_until_ms = now_ms + UNREACHABLE_MS;
+}
+
 bool route_has_room(struct route *r, const char *service_name, uint64_t now_ms)
 {
 	const struct service *service = g_hash_table_lookup(r->services, service_name);
--- a/src/route.h
+++ b/src/route.h
@@ -68,6 +68,9 @@
 /** route_fault() - a failure of the target that was seen without running a request */
 void route_fault(struct route *r, const char *peer, uint64_t now_ms);
 
+/** route_unreachable() - a message to the agent could not be delivered; avoid it for a while */
+void route_unreachable(struct route *r, const char *peer, uint64_t now_ms);
+
 /** route_has_room() - true when route_choose() without exclusions would find a target */
 bool route_has_room(struct route *r, const char *service, uint64_t now_ms);
 
