agent: prefer entries that have answered; worker: JSON of the task API apart

A list may name entries that have gone; choosing one as home cost 3 s of heartbeats. Readers that stall get an END, so the entry learns that no more follows.

--- a/src/home.c
+++ b/src/home.c
@@ -14,7 +14,8 @@
 	char *peer;
 	char *address;
 	uint64_t weight;
-	uint64_t failed_since_ms; /* did not answer as home and was not heard since; 0: live */
+	uint64_t failed_since_ms; /* did not answer as home and was not heard since; 0: neither */
+	bool heard;		  /* sent something: a list may name entries that have gone */
 	uint64_t hello_ms;
 	uint64_t entries_version; /* of the last ENTRIES from it */
 	uint64_t retired_ms;	  /* since when it is not listed any more; 0: listed */
@@ -93,12 +94,16 @@
 	send_announce(h, entry);
 }
 
-/* Live entries by weight; those that have failed come last, the one that failed first leading. */
+/* Entries that answer come first, by weight; those that do not, the one that failed first. */
 static bool preferred(const struct entry *a, const struct entry *b)
 {
-	if (a->failed_since_ms != b->failed_since_ms)
-		return !a->failed_since_ms ||
-		       (b->failed_since_ms && a->failed_since_ms < b->failed_since_ms);
+	bool a_live = a->heard && !a->failed_since_ms;
+	bool b_live = b->heard && !b->failed_since_ms;
+
+	if (a_live != b_live)
+		return a_live;
+	if (!a_live && a->failed_since_ms != b->failed_since_ms)
+		return a->failed_since_ms < b->failed_since_ms;
 	return a->weight > b->weight;
 }
 
@@ -160,6 +165,7 @@
 
 	if (entry && entry->retired_ms) {
 		entry->retired_ms = 0;
+		entry->heard = false;
 		send_hello(h, entry);
 	}
 	if (entry)
@@ -308,7 +314,9 @@
 static void probe_failed(struct home *h, uint64_t now_ms)
 {
 	for (struct entry *e = h->entries; e; e = e->next) {
-		if (e->failed_since_ms && !e->retired_ms && now_ms - e->hello_ms >= PROBE_MS)
+		bool live = e->heard && !e->failed_since_ms;
+
+		if (!live && !e->retired_ms && now_ms - e->hello_ms >= PROBE_MS)
 			send_hello(h, e);
 	}
 }
@@ -359,8 +367,10 @@
 {
 	struct entry *entry = find_entry(h, peer);
 
-	if (entry)
+	if (entry) {
 		entry->failed_since_ms = 0;
+		entry->heard = true;
+	}
 	if (msg->type != MSG_HEARTBEAT_ACK && msg->type != MSG_ENTRIES)
 		return false;
 	if (!entry)
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -7,6 +7,8 @@
 #include <string.h>
 
 #define TIMEOUT_DEFAULT_MS 60000
+#define TIMEOUT_MAX_MS 86400000
+#define PURGE_MS 1000
 #define SEEN_MAX 65536 /* remembered request ids */
 #define HEADER_MAX (MSG_STRING_MAX + 64)
 #define ID_TEXT_MAX 24
@@ -30,6 +32,7 @@
 	struct proxy_deps deps;
 	struct run *runs;
 	GHashTable *seen; /* hash of peer and id, to the expiry of the request */
+	uint64_t purged_ms;
 	bool leaving;
 	int started;
 	int finished;
@@ -203,6 +206,14 @@
 	remove_run(run);
 }
 
+static uint32_t timeout_of(const struct msg_request *request)
+{
+	if (request->timeout_ms == 0)
+		return TIMEOUT_DEFAULT_MS;
+	return request->timeout_ms < TIMEOUT_MAX_MS ? (uint32_t)request->timeout_ms
+						    : TIMEOUT_MAX_MS;
+}
+
 static struct httpc_call *call_target(struct run *run, const struct msg_request *request)
 {
 	struct proxy *p = run->proxy;
@@ -214,8 +225,7 @@
 		.header_count = 4,
 		.body = request->body.len ? (const void *)request->body.data : "",
 		.body_len = request->body.len,
-		.timeout_ms =
-			request->timeout_ms ? (uint32_t)request->timeout_ms : TIMEOUT_DEFAULT_MS,
+		.timeout_ms = timeout_of(request),
 		.fresh_connection = !run->idempotent,
 		.on_data = on_data,
 		.done = on_done,
@@ -348,16 +358,6 @@
 		start_run(p, peer, request);
 }
 
-static void send_lost_answer(struct proxy *p, const char *peer, uint64_t id)
-{
-	struct msg msg = {.type = MSG_END};
-
-	msg.u.end.id = id;
-	msg.u.end.code = ERR_OUTCOME_UNKNOWN;
-	msg.u.end.in_flight = slots_in_flight(p->deps.slots);
-	wire_send(p->deps.wire, peer, &msg);
-}
-
 /* A key that runs or has run here is answered from that run. */
 static void take_known_key(struct proxy *p, const char *peer, const struct msg_request *request,
 			   enum outcome_state state, struct answer *answer)
@@ -373,7 +373,7 @@
 	if (answer && answer_whole(answer))
 		answer_read(answer, peer, request->id);
 	else
-		send_lost_answer(p, peer, request->id);
+		stream_end(p->deps.streams, peer, request->id, ERR_OUTCOME_UNKNOWN);
 }
 
 static void take_request(struct proxy *p, const char *peer, const struct msg_request *request)
@@ -410,16 +410,6 @@
 	return NULL;
 }
 
-static void send_cancelled(struct proxy *p, const char *peer, uint64_t id, enum err_code code)
-{
-	struct msg msg = {.type = MSG_END};
-
-	msg.u.end.id = id;
-	msg.u.end.code = code;
-	msg.u.end.in_flight = slots_in_flight(p->deps.slots);
-	wire_send(p->deps.wire, peer, &msg);
-}
-
 /* Closing the connection is the only way to stop the target's work. */
 static void stop_run(struct run *run)
 {
@@ -449,11 +439,11 @@
 	answer = streams_leave(p->deps.streams, peer, id);
 	run = answer ? find_run(p, answer) : NULL;
 	if (!run || !run->idempotent || answer_readers(answer) > 0) {
-		send_cancelled(p, peer, id, ERR_OUTCOME_UNKNOWN);
+		stream_end(p->deps.streams, peer, id, ERR_OUTCOME_UNKNOWN);
 		return;
 	}
 	stop_run(run);
-	send_cancelled(p, peer, id, ERR_CANCELLED);
+	stream_end(p->deps.streams, peer, id, ERR_CANCELLED);
 }
 
 static enum msg_attempt_state query_state(struct proxy *p, const struct msg_attempt_query *query,
@@ -519,6 +509,9 @@
 
 void proxy_tick(struct proxy *p, uint64_t now_ms)
 {
+	if (now_ms - p->purged_ms < PURGE_MS)
+		return;
+	p->purged_ms = now_ms;
 	g_hash_table_foreach_remove(p->seen, seen_expired, &now_ms);
 	outcomes_tick(p->deps.outcomes, now_ms);
 	streams_tick(p->deps.streams, now_ms);
--- a/src/stream.c
+++ b/src/stream.c
@@ -328,6 +328,16 @@
 	wire_send(s->wire, peer, &msg);
 }
 
+void stream_end(struct streams *s, const char *peer, uint64_t id, enum err_code code)
+{
+	struct msg msg = {.type = MSG_END};
+
+	msg.u.end.id = id;
+	msg.u.end.code = code;
+	msg.u.end.in_flight = slots_in_flight(s->slots);
+	wire_send(s->wire, peer, &msg);
+}
+
 void answer_not_run(struct answer *a, enum err_code code, const char *reason)
 {
 	struct streams *s = a->streams;
@@ -415,6 +425,7 @@
 		log_warn("reader_stalled", "", "entry %s gave no credit for request %llu", r->peer,
 			 (unsigned long long)r->id);
 		metrics_refusal(s->metrics, "reader_stalled");
+		stream_end(s, r->peer, r->id, ERR_OUTCOME_UNKNOWN);
 		streams_leave(s, r->peer, r->id);
 	}
 }
--- a/src/stream.h
+++ b/src/stream.h
@@ -43,7 +43,7 @@
 /** streams_peer() - true while an entry waits for any answer */
 bool streams_peer(const struct streams *s, const char *peer);
 
-/** streams_tick() - drop readers that have given no credit for long */
+/** streams_tick() - end readers that have given no credit for long */
 void streams_tick(struct streams *s, uint64_t now_ms);
 
 /** streams_active() - readers that have not got their END */
@@ -96,4 +96,7 @@
 void stream_not_run(struct streams *s, const char *peer, uint64_t id, enum err_code code,
 		    const char *reason);
 
+/** stream_end() - send one END that says why there is no whole answer */
+void stream_end(struct streams *s, const char *peer, uint64_t id, enum err_code code);
+
 #endif
--- a/src/worker.c
+++ b/src/worker.c
@@ -2,9 +2,9 @@
 #include "httpc.h"
 #include "log.h"
 #include "util.h"
+#include "workerjson.h"
 
 #include <glib.h>
-#include <inttypes.h>
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
@@ -148,14 +148,6 @@
 	return started;
 }
 
-/* An integer field of a JSON answer, 0 when there is none. */
-static uint64_t read_number(json_t *root, const char *field)
-{
-	json_int_t value = json_integer_value(json_object_get(root, field));
-
-	return value > 0 ? (uint64_t)value : 0;
-}
-
 static void finish_stop(struct task *task, int status, uint64_t checkpoint_ms)
 {
 	void (*start_done)(int, const char *, void *) = task->start_done;
@@ -200,7 +192,7 @@
 		return;
 	}
 	root = json_loadb(body, len, 0, NULL);
-	finish_stop(task, 0, read_number(root, "checkpoint_ms"));
+	finish_stop(task, 0, workerjson_number(root, "checkpoint_ms"));
 	json_decref(root);
 }
 
@@ -299,14 +291,6 @@
 		stop_done(0, 0, stop_ctx);
 }
 
-/* Reason text of the worker's error answer. */
-static const char *error_text(json_t *root)
-{
-	const char *text = json_string_value(json_object_get(root, "error"));
-
-	return text ? text : "the worker refused the task";
-}
-
 static void on_started(int status, int http_status, const char *body, size_t len, void *ctx)
 {
 	struct task *task = ctx;
@@ -323,34 +307,16 @@
 	} else {
 		root = json_loadb(body, len, 0, NULL);
 		start_failed(task, http_status == 409 ? -ERR_NO_TARGET : -ERR_FAILED,
-			     error_text(root));
+			     workerjson_error(root));
 		json_decref(root);
 	}
 }
 
-static char *start_body(const struct worker_task_spec *spec)
-{
-	json_t *payload = json_loads(spec->payload ? spec->payload : "", 0, NULL);
-	char mask[24];
-	json_t *root;
-	char *text;
-
-	snprintf(mask, sizeof(mask), "%" PRIx64, spec->accelerator_mask);
-	if (!payload)
-		payload = json_string(spec->payload ? spec->payload : "");
-	root = json_pack("{s:s, s:i, s:i, s:i, s:o}", "accelerator_mask", mask, "cores",
-			 (int)spec->cores, "memory_mb", (int)spec->memory_mb, "lease_ms",
-			 WORKER_LEASE_MS, "payload", payload ? payload : json_null());
-	text = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	return text;
-}
-
 void worker_start(struct worker *w, const struct worker_task_spec *spec,
 		  void (*done)(int status, const char *reason, void *ctx), void *ctx)
 {
 	struct task *task = add_task(w, spec->id, PHASE_STARTING);
-	char *body = start_body(spec);
+	char *body = workerjson_start(spec);
 	struct call call = {
 		.method = "PUT",
 		.path = "",
@@ -441,22 +407,6 @@
 	task->renew = call_task(task->worker, task->id, &call);
 }
 
-static enum worker_task_state read_state(const char *text)
-{
-	static const char *const names[] = {
-		[WORKER_TASK_RUNNING] = "running",
-		[WORKER_TASK_DONE] = "done",
-		[WORKER_TASK_FAILED] = "failed",
-		[WORKER_TASK_STOPPED] = "stopped",
-	};
-
-	for (int i = WORKER_TASK_RUNNING; text && i <= WORKER_TASK_STOPPED; i++) {
-		if (!strcmp(names[i], text))
-			return i;
-	}
-	return WORKER_TASK_UNKNOWN;
-}
-
 /* Only tasks that ran when the list was asked for are judged by it. */
 static struct task *judged_task(const struct worker *w, const char *id)
 {
@@ -472,7 +422,7 @@
 	const char *id = json_string_value(json_object_get(item, "id"));
 	const char *reason = json_string_value(json_object_get(item, "reason"));
 	enum worker_task_state state =
-		read_state(json_string_value(json_object_get(item, "state")));
+		workerjson_state(json_string_value(json_object_get(item, "state")));
 	struct task *task = judged_task(w, id);
 	json_t *usage = json_object_get(item, "usage_percent");
 
@@ -481,23 +431,8 @@
 	if (state != WORKER_TASK_RUNNING)
 		report_ended(task, state, reason ? reason : "");
 	else if (json_is_integer(usage))
-		w->handlers.on_usage(id, (uint32_t)read_number(item, "usage_percent"),
-				     read_number(item, "checkpoint_ms"), w->handlers.ctx);
-}
-
-static bool contains(json_t *list, const char *id)
-{
-	json_t *item;
-	size_t i;
-
-	json_array_foreach(list, i, item)
-	{
-		const char *name = json_string_value(json_object_get(item, "id"));
-
-		if (name && !strcmp(name, id))
-			return true;
-	}
-	return false;
+		w->handlers.on_usage(id, (uint32_t)workerjson_number(item, "usage_percent"),
+				     workerjson_number(item, "checkpoint_ms"), w->handlers.ctx);
 }
 
 static void report_missing(struct worker *w, json_t *list)
@@ -505,7 +440,7 @@
 	struct task *task = w->tasks;
 
 	while (task) {
-		if (judged_task(w, task->id) && !contains(list, task->id)) {
+		if (judged_task(w, task->id) && !workerjson_contains(list, task->id)) {
 			report_ended(task, WORKER_TASK_UNKNOWN,
 				     "the worker does not know the task");
 			task = w->tasks; /* the callback may have changed the list */
--- /dev/null
+++ b/src/workerjson.c
@@ -0,0 +1,68 @@
+#include "workerjson.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+uint64_t workerjson_number(json_t *root, const char *field)
+{
+	json_int_t value = json_integer_value(json_object_get(root, field));
+
+	return value > 0 ? (uint64_t)value : 0;
+}
+
+const char *workerjson_error(json_t *root)
+{
+	const char *text = json_string_value(json_object_get(root, "error"));
+
+	return text ? text : "the worker refused the task";
+}
+
+char *workerjson_start(const struct worker_task_spec *spec)
+{
+	json_t *payload = json_loads(spec->payload ? spec->payload : "", 0, NULL);
+	char mask[24];
+	json_t *root;
+	char *text;
+
+	snprintf(mask, sizeof(mask), "%" PRIx64, spec->accelerator_mask);
+	if (!payload)
+		payload = json_string(spec->payload ? spec->payload : "");
+	root = json_pack("{s:s, s:i, s:i, s:i, s:o}", "accelerator_mask", mask, "cores",
+			 (int)spec->cores, "memory_mb", (int)spec->memory_mb, "lease_ms",
+			 WORKER_LEASE_MS, "payload", payload ? payload : json_null());
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
+
+enum worker_task_state workerjson_state(const char *text)
+{
+	static const char *const names[] = {
+		[WORKER_TASK_RUNNING] = "running",
+		[WORKER_TASK_DONE] = "done",
+		[WORKER_TASK_FAILED] = "failed",
+		[WORKER_TASK_STOPPED] = "stopped",
+	};
+
+	for (int i = WORKER_TASK_RUNNING; text && i <= WORKER_TASK_STOPPED; i++) {
+		if (!strcmp(names[i], text))
+			return i;
+	}
+	return WORKER_TASK_UNKNOWN;
+}
+
+bool workerjson_contains(json_t *list, const char *id)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(list, i, item)
+	{
+		const char *name = json_string_value(json_object_get(item, "id"));
+
+		if (name && !strcmp(name, id))
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/workerjson.h
@@ -0,0 +1,27 @@
+#ifndef JAYCOURSE_WORKERJSON_H
+#define JAYCOURSE_WORKERJSON_H
+
+#include "worker.h"
+
+#include <jansson.h>
+
+/**
+ * DOC: JSON of the worker's task API
+ */
+
+/** workerjson_number() - an integer field, 0 when it is missing or negative */
+uint64_t workerjson_number(json_t *root, const char *field);
+
+/** workerjson_error() - reason in an error answer, borrowed from @root */
+const char *workerjson_error(json_t *root);
+
+/** workerjson_start() - body of PUT /tasks/ID; the caller frees it */
+char *workerjson_start(const struct worker_task_spec *spec);
+
+/** workerjson_state() - state by its name in the list of tasks */
+enum worker_task_state workerjson_state(const char *text);
+
+/** workerjson_contains() - true if the list of tasks holds a task */
+bool workerjson_contains(json_t *list, const char *id);
+
+#endif
--- a/tests/test_agent_home.c
+++ b/tests/test_agent_home.c
@@ -32,9 +32,9 @@
 	CU_ASSERT_EQUAL(moved, 0);
 }
 
-static bool any_heartbeat(struct agent_rig *r, void *ctx)
+static bool settled(struct agent_rig *r, void *ctx)
 {
-	return r->entries[0].heartbeats + r->entries[1].heartbeats > 0;
+	return r->entries[*(const unsigned int *)ctx].heartbeats >= 3;
 }
 
 static unsigned int home_index(void)
@@ -60,7 +60,10 @@
 	unsigned int home = home_index();
 	unsigned int other = 1 - home;
 
-	CU_ASSERT(rig_until(&rig, any_heartbeat, NULL, WAIT_MS));
+	CU_ASSERT(rig_until(&rig, settled, &home, WAIT_MS));
+	rig.entries[other].heartbeats = 0;
+	rig.entries[home].heartbeats = 0;
+	CU_ASSERT(rig_until(&rig, settled, &home, WAIT_MS));
 	CU_ASSERT_EQUAL(rig.entries[other].heartbeats, 0);
 	rig.entries[home].silent = true;
 	CU_ASSERT(rig_until(&rig, heartbeat_at, &other, WAIT_MS));
