--- a/tests/test_agent_admission.c
+++ b/tests/test_agent_admission.c
@@ -232,6 +232,27 @@
 	CU_ASSERT_EQUAL(rig_runs(&rig, "cancelled"), 0);
 }
 
+static void list_entries(const char *peer, const char *address)
+{
+	struct msg msg = {.type = MSG_ENTRIES};
+
+	msg.u.entries.ids = (struct msg_strings){&peer, 1};
+	msg.u.entries.addresses = (struct msg_strings){&address, 1};
+	rig_send(&rig, &msg);
+}
+
+/* Guards against losing the answers of an entry that shuts down and is no longer listed. */
+static void test_retired_entry(void)
+{
+	request(750, "{\"work_ms\":300,\"answer_bytes\":300000}");
+	rig_wait(&rig, MSG_STARTED, 750);
+	list_entries("entry-9#1", "127.0.0.1:1");
+	credit(750, 300000);
+	rig_wait(&rig, MSG_END, 750);
+	CU_ASSERT(rig_whole(&rig, 750));
+	list_entries(rig.entries[0].peer, wire_address(rig.entries[0].wire));
+}
+
 static bool resumed(struct agent_rig *r, void *ctx)
 {
 	return r->entries[0].hellos > *(const unsigned int *)ctx;
@@ -318,6 +339,7 @@
 	CU_add_test(suite, "status", test_status);
 	CU_add_test(suite, "credit", test_credit);
 	CU_add_test(suite, "cancel", test_cancel);
+	CU_add_test(suite, "retired_entry", test_retired_entry);
 	CU_add_test(suite, "frozen", test_frozen);
 	CU_add_test(suite, "silent_target", test_silent_target);
 	CU_add_test(suite, "leaving", test_leaving);
