--- a/src/gang.c
+++ b/src/gang.c
@@ -82,14 +82,20 @@
 	h->fault = fault;
 }
 
-/* Longest run of neighbouring lost members in the ring. */
-static uint32_t longest_lost_run(const struct gang_holder *h)
+/* A lost member's task may run, and a done member pings, until its predecessor is silent. */
+static bool may_ping(uint8_t seen)
+{
+	return is_lost(seen) || seen == GANG_SEEN_DONE;
+}
+
+/* Longest run of neighbours in the ring that may still ping each other. */
+static uint32_t longest_pinging_run(const struct gang_holder *h)
 {
 	uint32_t longest = 0;
 	uint32_t run = 0;
 
 	for (uint32_t i = 0; i < 2 * h->members; i++) {
-		run = is_lost(h->seen[i % h->members]) ? run + 1 : 0;
+		run = may_ping(h->seen[i % h->members]) ? run + 1 : 0;
 		if (run > longest)
 			longest = run;
 	}
@@ -104,21 +110,19 @@
 }
 
 /*
- * All reachable members have no task. In a run of lost members the first one misses its
- * predecessor, stops, and is missed by the next: each costs one detection time. A frozen
+ * All reachable members have no task. In a run of lost or done members the first one
+ * misses its predecessor, stops, and is missed by the next: each costs one detection time. A frozen
  * agent's task ends with the worker's lease.
  */
 static void fence(struct gang_holder *h, uint64_t now_ms, struct gang_out out)
 {
-	uint32_t lost = longest_lost_run(h);
-
-	if (lost == 0) {
+	if (count_seen(h, is_lost) == 0) {
 		end(h, out);
 		return;
 	}
 	h->phase = GANG_PHASE_FENCING;
-	h->deadline_ms = now_ms + (uint64_t)lost * GANG_PREDECESSOR_MS + GANG_LINGER_MS +
-			 GANG_PING_MS + GANG_LEASE_MS;
+	h->deadline_ms = now_ms + (uint64_t)longest_pinging_run(h) * GANG_PREDECESSOR_MS +
+			 GANG_LINGER_MS + GANG_PING_MS + GANG_LEASE_MS;
 }
 
 static void check_stopped(struct gang_holder *h, uint64_t now_ms, struct gang_out out)
@@ -151,6 +155,7 @@
 		return;
 	}
 	h->phase = GANG_PHASE_STARTING;
+	h->start_sent = true;
 	h->deadline_ms = now_ms + GANG_START_WAIT_MS;
 	repeat(h, now_ms, out);
 }
@@ -176,7 +181,7 @@
 	h->attempt = attempt;
 	h->members = members;
 	h->fault = -1;
-	h->restored = true;
+	h->start_sent = true; /* perhaps, by the former holder */
 	start_all(h, now_ms, out);
 	if (running)
 		h->deadline_ms = 0;
@@ -209,8 +214,6 @@
 		return;
 	if (status == 0)
 		start_all(h, now_ms, out);
-	else if (status == -ERR_OUTCOME_UNKNOWN)
-		h->deadline_ms = now_ms + GANG_REPEAT_MS;
 	else
 		give_up_hold(h, h->stop_asked ? PLACE_STOPPED : PLACE_HOLD_REFUSED, -1, out);
 }
@@ -357,10 +360,11 @@
 
 static void time_out(struct gang_holder *h, uint64_t now_ms, struct gang_out out)
 {
+	enum gang_seen answered = h->phase == GANG_PHASE_HOLDING ? GANG_SEEN_HELD : GANG_SEEN_READY;
 	int fault = -1;
 
 	for (uint32_t i = 0; i < h->members && fault < 0; i++) {
-		if (h->seen[i] == GANG_SEEN_NOTHING)
+		if (h->seen[i] < answered)
 			fault = (int)i;
 	}
 	h->deadline_ms = 0;
@@ -368,9 +372,6 @@
 	case GANG_PHASE_HOLDING:
 		give_up_hold(h, PLACE_HOLD_REFUSED, fault, out);
 		break;
-	case GANG_PHASE_GRANTING:
-		act(out, GANG_READ_GRANT, 0);
-		break;
 	case GANG_PHASE_STARTING:
 		decide(h, PLACE_START_FAILED, fault);
 		stop_all(h, now_ms, out);
@@ -411,13 +412,16 @@
 	struct gang_result result = {
 		.outcome = h->outcome ? (enum place_outcome)(h->outcome - 1) : PLACE_STOPPED,
 		.fault = h->fault,
-		.may_have_run = h->granted && !all_seen(h, GANG_SEEN_UNSTARTED),
+		.may_have_run = h->start_sent && !all_seen(h, GANG_SEEN_UNSTARTED),
 		.checkpointed = h->checkpoint && all_seen(h, GANG_SEEN_STOPPED),
-		.certain = !(any_seen(h, GANG_SEEN_SILENT) &&
-			     count_seen(h, is_lost) == h->members && !any_seen(h, GANG_SEEN_DEAD)),
+		.certain = !any_seen(h, GANG_SEEN_SILENT),
 	};
 
-	for (uint32_t i = 0; i < h->members; i++)
+	for (uint32_t i = 0; i < h->members; i++) {
 		result.checkpointed = result.checkpointed && h->checkpointed[i];
+		/* Any other member breaks the ring, which stops the silent ones. */
+		if (h->seen[i] != GANG_SEEN_SILENT && h->seen[i] != GANG_SEEN_DONE)
+			result.certain = true;
+	}
 	return result;
 }
--- a/src/gang.h
+++ b/src/gang.h
@@ -29,17 +29,18 @@
  *   member or a message is lost during that round, until the ring breaks, at most
  *   GANG_PREDECESSOR_MS + GANG_PING_MS (4 s);
  * - a gang with a dead member: at most 4 s when GANG_BROKEN arrives. Each lost GANG_BROKEN
- *   costs at most GANG_PREDECESSOR_MS for each following member of the ring;
+ *   costs at most GANG_PREDECESSOR_MS for each following member of the ring. A further agent
+ *   that dies while it stops its task leaves the task to the worker's lease (3 s);
  * - a gang stopped in part, after a STOP that some members missed: at most GANG_LINGER_MS
  *   more than that, so that a repeated STOP (and its checkpoint) comes before the ring breaks;
  * - accelerators held without a task: hold TTL + GANG_RING_MS.
  *
  * Two attempts of a job. The holder ends an attempt only when each member has confirmed that
  * it has no task, or is lost and the time has passed in which the ring and the worker's lease
- * stop its task. So two attempts never run at the same time, with one exception: when all
- * members of a gang are out of reach and none of their agents is known to have died,
- * gang_result.certain is false, and the gang may go on beyond the partition, since running
- * gangs need no holder. Only work that may run twice is started again then.
+ * stop its task. So two attempts never run at the same time, with one exception: when each
+ * member is out of reach or done, and no agent is known to have died, nothing breaks the ring.
+ * gang_result.certain is then false, and the gang may go on beyond the partition, since
+ * running gangs need no holder. Only work that may run twice is started again then.
  */
 
 #define GANG_REPEAT_MS 500	 /* HOLD, START and STOP are repeated this often */
@@ -68,7 +69,6 @@
 	GANG_SEND_RELEASE,
 	GANG_SEND_STOP,	  /* with @checkpoint and @grace_ms */
 	GANG_WRITE_GRANT, /* answer with gang_holder_written() */
-	GANG_READ_GRANT,  /* the write's answer was lost; answer with gang_holder_written() */
 	GANG_RUNNING,	  /* all members run */
 	GANG_ENDED,	  /* see gang_holder_result(); record it, then gang_holder_recorded() */
 	/* Of a member. */
@@ -150,7 +150,7 @@
 	uint8_t outcome; /* decided outcome + 1; 0 while none */
 	bool checkpoint;
 	bool granted; /* the grant is written */
-	bool restored;
+	bool start_sent;
 	bool stop_asked;
 	uint8_t seen[PLACE_MEMBERS_MAX];	 /* readable; enum gang_seen */
 	uint8_t checkpointed[PLACE_MEMBERS_MAX]; /* a checkpoint came with the STOPPED */
@@ -170,9 +170,8 @@
 			 struct gang_out out);
 
 /**
- * gang_holder_written() - result of GANG_WRITE_GRANT or GANG_READ_GRANT
- * @status: 0: written; -ERR_OUTCOME_UNKNOWN: not known, it is read (again);
- *	otherwise certainly not written and never will be
+ * gang_holder_written() - outcome of GANG_WRITE_GRANT, once it is known
+ * @status: 0: written; otherwise certainly not written and never will be
  */
 void gang_holder_written(struct gang_holder *h, int status, uint64_t now_ms, struct gang_out out);
 
@@ -232,7 +231,10 @@
 		      uint32_t ttl_ms, uint64_t now_ms);
 
 /**
- * gang_member_start() - START of the same attempt; always answered with the state
+ * gang_member_start() - START of the same attempt
+ *
+ * A repeated START is answered with the state at once, the first one when the task has started
+ * or will not start.
  *
  * The caller has compared the epoch with the highest it has seen and found the record of the
  * same attempt.
--- a/src/gangmember.c
+++ b/src/gangmember.c
@@ -80,6 +80,7 @@
 	switch (m->phase) {
 	case GANG_MEMBER_HELD:
 	case GANG_MEMBER_READY:
+		m->ping_ms = 0;
 		end(m, MSG_MEMBER_START_FAILED, now_ms, out);
 		break;
 	case GANG_MEMBER_STARTING:
@@ -147,6 +148,7 @@
 			close_ring(m, now_ms, out);
 		else if (m->index == 0 || m->token)
 			pass_token(m, now_ms, out);
+		return; /* the task's start or the end of the wait is told */
 	}
 	tell(m, out);
 }
@@ -177,7 +179,7 @@
 	/* START may still be under way here: then only the token is noted. */
 	if (m->members && (from + 1) % m->members != m->index)
 		return;
-	if (m->phase == GANG_MEMBER_ENDED && m->final != MSG_MEMBER_DONE && !m->ping_ms) {
+	if (m->phase >= GANG_MEMBER_STOPPING && !m->ping_ms) {
 		answer_broken(from, out);
 		return;
 	}
@@ -188,7 +190,8 @@
 
 void gang_member_broken(struct gang_member *m, uint64_t now_ms, struct gang_out out)
 {
-	if (m->phase >= GANG_MEMBER_STOPPING)
+	/* A stop that was asked for is not cut short, nor is its checkpoint. */
+	if (m->phase == GANG_MEMBER_STOPPING)
 		return;
 	m->ping_ms = 0;
 	leave(m, MSG_MEMBER_LOST, now_ms, out);
@@ -203,9 +206,11 @@
 		m->grace_ms = grace_ms;
 		m->linger_ms = now_ms + GANG_LINGER_MS;
 		leave(m, MSG_MEMBER_STOPPED, now_ms, out);
-	} else {
-		tell(m, out);
+		return;
 	}
+	if (!m->linger_ms)
+		m->linger_ms = now_ms + GANG_LINGER_MS;
+	tell(m, out);
 }
 
 void gang_member_supersede(struct gang_member *m, uint64_t now_ms, struct gang_out out)
@@ -265,8 +270,12 @@
 
 static bool watches(const struct gang_member *m)
 {
-	return m->members > 1 && !m->stop &&
-	       (m->phase == GANG_MEMBER_STARTING || m->phase == GANG_MEMBER_RUNNING);
+	if (m->members < 2 || m->stop)
+		return false;
+	/* A done member must not hide from the others that its predecessor is gone. */
+	if (m->phase == GANG_MEMBER_ENDED)
+		return m->final == MSG_MEMBER_DONE && m->ping_ms;
+	return m->phase == GANG_MEMBER_STARTING || m->phase == GANG_MEMBER_RUNNING;
 }
 
 static void tick_ping(struct gang_member *m, uint64_t now_ms, struct gang_out out)
