--- a/tests/lib_cluster.c
+++ b/tests/lib_cluster.c
@@ -130,7 +130,7 @@
 {
 	char folder[128];
 	char out[8192];
-	const char *const arguments[] = {"config", "apply", folder, NULL};
+	const char *const arguments[] = {"config", "apply", folder, "--base", "0", NULL};
 	int code;
 
 	snprintf(folder, sizeof(folder), "examples/%s", c->example);
@@ -218,12 +218,12 @@
 	size_t n = 0;
 
 	snprintf(url, sizeof(url), "http://%s", c->entries[entry].address[0]);
+	for (size_t i = 0; arguments[i] && n < PROC_ARGUMENTS - 4; i++)
+		argv[n++] = arguments[i];
 	argv[n++] = "--entry";
 	argv[n++] = url;
 	argv[n++] = "--token";
 	argv[n++] = token;
-	for (size_t i = 0; arguments[i] && n < PROC_ARGUMENTS; i++)
-		argv[n++] = arguments[i];
 	argv[n] = NULL;
 	return proc_run("jaycourse", argv, out, out_len);
 }
--- /dev/null
+++ b/tests/test_e2e_config.c
@@ -0,0 +1,216 @@
+#include "lib_cluster.h"
+#include "util.h"
+
+#include <CUnit/Basic.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define IN_FORCE_BOUND_MS 6000 /* an accepted configuration is in force everywhere */
+#define ENTRIES 3
+
+static struct cluster cluster;
+
+static int start(void)
+{
+	struct cluster_options options = {.example = "nefeli", .entries = ENTRIES, .services = 2};
+
+	return cluster_start(&cluster, &options) ? 0 : 1;
+}
+
+static int stop(void)
+{
+	return cluster_stop(&cluster) ? 0 : 1;
+}
+
+static uint64_t revision(unsigned int entry)
+{
+	json_t *json =
+		cluster_json(&cluster, entry, cluster_operator_token(&cluster), "/v1/config");
+	uint64_t number = (uint64_t)json_integer_value(json_object_get(json, "revision"));
+
+	json_decref(json);
+	return number;
+}
+
+/* Applies the files in force plus one that sets the weight of a class; returns the HTTP status. */
+static int apply(unsigned int entry, uint64_t base, const char *file, double weight,
+		 uint64_t *new_revision)
+{
+	json_t *current =
+		cluster_json(&cluster, entry, cluster_operator_token(&cluster), "/v1/config");
+	json_t *files = json_deep_copy(json_object_get(current, "files"));
+	char authorization[128];
+	char content[160];
+	char url[128];
+	const char *const headers[] = {authorization, NULL};
+	struct http_reply reply;
+	json_t *body;
+	json_t *json;
+	char *text;
+	int status;
+
+	snprintf(content, sizeof(content),
+		 "{\"decision\":\"class\",\"name\":\"net-angle-check\",\"weight\":%.2f}", weight);
+	json_object_set_new(files, file, json_string(content));
+	body = json_pack("{s:o, s:I, s:s}", "files", files, "base_revision", (json_int_t)base,
+			 "message", "weight");
+	text = json_dumps(body, JSON_COMPACT);
+	snprintf(authorization, sizeof(authorization), "Authorization: Bearer %s",
+		 cluster_operator_token(&cluster));
+	snprintf(url, sizeof(url), "http://%s/v1/config", cluster.entries[entry].address[0]);
+	reply = http_call("POST", url, headers, text, 20000);
+	json = json_loads(reply.body, 0, NULL);
+	*new_revision = (uint64_t)json_integer_value(json_object_get(json, "revision"));
+	status = reply.status;
+	if (status != 200)
+		fprintf(stderr, "apply: %d %.300s\n", status, reply.body);
+	json_decref(json);
+	http_free(&reply);
+	free(text);
+	json_decref(body);
+	json_decref(current);
+	return status;
+}
+
+struct force_wait {
+	uint64_t revision;
+	unsigned int first;
+};
+
+/* Revision in force at an agent, from its gauge. */
+static uint64_t agent_revision(const struct proc *agent)
+{
+	char url[128];
+	struct http_reply reply;
+	const char *at;
+	uint64_t number = 0;
+
+	snprintf(url, sizeof(url), "http://%s/metrics", agent->address[0]);
+	reply = http_call("GET", url, NULL, NULL, 5000);
+	at = strstr(reply.body, "\njaycourse_config_revision ");
+	if (at)
+		number = strtoull(at + strlen("\njaycourse_config_revision "), NULL, 10);
+	http_free(&reply);
+	return number;
+}
+
+static bool in_force(void *ctx)
+{
+	const struct force_wait *wait = ctx;
+
+	for (unsigned int i = wait->first; i < cluster.entry_count; i++) {
+		if (revision(i) < wait->revision)
+			return false;
+	}
+	for (unsigned int i = 0; i < cluster.target_count; i++) {
+		if (agent_revision(&cluster.targets[i].agent) < wait->revision)
+			return false;
+	}
+	return true;
+}
+
+/* Guards against nodes that learn of an accepted configuration too late. */
+static void test_in_force(void)
+{
+	for (unsigned int i = 0; i < 5; i++) {
+		struct force_wait wait = {0};
+
+		CU_ASSERT_EQUAL(apply(i % ENTRIES, 0, "70-weight.json", 1.0 + i, &wait.revision),
+				200);
+		CU_ASSERT(wait_until(in_force, &wait, IN_FORCE_BOUND_MS));
+	}
+}
+
+struct race {
+	unsigned int entry;
+	uint64_t base;
+	int status;
+	uint64_t revision;
+	char file[32];
+	double weight;
+};
+
+static void *race(void *ctx)
+{
+	struct race *r = ctx;
+
+	r->status = apply(r->entry, r->base, r->file, r->weight, &r->revision);
+	return NULL;
+}
+
+/* Guards against two racing operators that both win, or a change that is half applied. */
+static void test_race(void)
+{
+	for (int round = 0; round < 5; round++) {
+		struct race racers[ENTRIES];
+		pthread_t threads[ENTRIES];
+		uint64_t base = revision(0);
+		struct force_wait wait = {0};
+		unsigned int won = 0;
+
+		for (unsigned int i = 0; i < ENTRIES; i++) {
+			racers[i] = (struct race){.entry = i, .base = base, .weight = 2.0 + i};
+			snprintf(racers[i].file, sizeof(racers[i].file), "8%u-race.json", i);
+			pthread_create(&threads[i], NULL, race, &racers[i]);
+		}
+		for (unsigned int i = 0; i < ENTRIES; i++)
+			pthread_join(threads[i], NULL);
+		for (unsigned int i = 0; i < ENTRIES; i++) {
+			CU_ASSERT(racers[i].status == 200 || racers[i].status == 409);
+			won += racers[i].status == 200;
+			if (racers[i].status == 200)
+				wait.revision = racers[i].revision;
+		}
+		CU_ASSERT_EQUAL(won, 1);
+		CU_ASSERT_EQUAL(wait.revision, base + 1);
+		CU_ASSERT(wait_until(in_force, &wait, IN_FORCE_BOUND_MS));
+	}
+}
+
+/* Guards against a change that is applied twice, or reported as failed, when its answer is lost. */
+static void test_lost_answer(void)
+{
+	uint64_t base = revision(0);
+	uint64_t number = 0;
+
+	CU_ASSERT(cluster_fault(&cluster.store, "{\"lose_answers\":1}"));
+	CU_ASSERT_EQUAL(apply(0, base, "90-lost.json", 3.5, &number), 200);
+	CU_ASSERT_EQUAL(number, base + 1);
+}
+
+/* Guards against an outage or a restart that brings an older revision back. */
+static void test_never_back(void)
+{
+	uint64_t before = revision(0);
+	struct force_wait wait = {.revision = before};
+
+	CU_ASSERT(wait_until(in_force, &wait, IN_FORCE_BOUND_MS));
+	CU_ASSERT(cluster_fault(&cluster.store, "{\"down\":true}"));
+	CU_ASSERT_EQUAL(proc_stop(&cluster.entries[2], 20000), 0);
+	CU_ASSERT(cluster_start_entry(&cluster, 2));
+	for (unsigned int i = 0; i < 2; i++)
+		CU_ASSERT_EQUAL(revision(i), before);
+	CU_ASSERT(cluster_fault(&cluster.store, "{\"down\":false}"));
+	CU_ASSERT(wait_until(in_force, &wait, IN_FORCE_BOUND_MS));
+	CU_ASSERT(revision(2) >= before);
+}
+
+int main(void)
+{
+	CU_pSuite suite;
+	unsigned int failures;
+
+	CU_initialize_registry();
+	suite = CU_add_suite("config", start, stop);
+	CU_add_test(suite, "in force", test_in_force);
+	CU_add_test(suite, "race", test_race);
+	CU_add_test(suite, "lost answer", test_lost_answer);
+	CU_add_test(suite, "never back", test_never_back);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures() + CU_get_number_of_suites_failed();
+	CU_cleanup_registry();
+	return failures != 0;
+}
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -62,7 +62,7 @@
 
 say "Operators check and apply the configuration folder examples/nefeli"
 "$bin/jaycourse" config check examples/nefeli
-"$bin/jaycourse" --token "$operator" config apply examples/nefeli
+JAYCOURSE_TOKEN=$operator "$bin/jaycourse" config apply --base 0 examples/nefeli
 
 instances=()
 for i in 0 1 2; do
@@ -83,19 +83,19 @@
 		--target "worker-$i" --accelerators 8 --cores 128 --memory-mb 524288
 done
 for ((tries = 0; tries < 200; tries++)); do
-	[ "$("$bin/jaycourse" --token "$operator" targets | grep -c alive || true)" -ge 9 ] && break
+	[ "$(JAYCOURSE_TOKEN=$operator "$bin/jaycourse" targets | grep -c alive || true)" -ge 9 ] && break
 	sleep 0.1
 done
 
 say "Nine targets have announced themselves"
-"$bin/jaycourse" --token "$operator" targets
+JAYCOURSE_TOKEN=$operator "$bin/jaycourse" targets
 
 say "$organisation submits an overnight yield forecast: a gang of 2 members with 8 accelerators each"
-job=$("$bin/jaycourse" --token "$token" --output json submit --class yield-forecast --members 2 \
+job=$(JAYCOURSE_TOKEN=$token "$bin/jaycourse" submit --output json --class yield-forecast --members 2 \
 	--accelerators 8 --cores 64 --memory-gb 256 --within rack --declared-s 2 --payload '{"run_ms":1500}' |
 	sed -n 's/.*"id": *"\([0-9a-f]*\)".*/\1/p')
-"$bin/jaycourse" --token "$token" explain "$job"
-"$bin/jaycourse" --token "$token" wait "$job"
+JAYCOURSE_TOKEN=$token "$bin/jaycourse" explain "$job"
+JAYCOURSE_TOKEN=$token "$bin/jaycourse" wait "$job"
 
 say "A burst of 400 net-angle checks through both entries, each with its own answer"
 "$bin/jaycourse-bench" load --url "http://${entries[0]}/v1/services/harvest-planner/requests" \
@@ -103,12 +103,12 @@
 	--class net-angle-check --rate 400 --requests 400 --work-ms 2
 
 say "A job over the organisation's quota is refused, and the refusal says so"
-"$bin/jaycourse" --token "$token" submit --class yield-forecast --members 32 --accelerators 8 \
+JAYCOURSE_TOKEN=$token "$bin/jaycourse" submit --class yield-forecast --members 32 --accelerators 8 \
 	--cores 8 --memory-gb 8 --declared-s 60 || echo "(exit code $?)"
 
 say "Fragmentation and history of the configuration"
-"$bin/jaycourse" --token "$operator" fragmentation
-"$bin/jaycourse" --token "$operator" config history
+JAYCOURSE_TOKEN=$operator "$bin/jaycourse" fragmentation
+JAYCOURSE_TOKEN=$operator "$bin/jaycourse" config history
 
 say "Shutting down"
 started=("${pids[@]}")
