filter, api: check unknown tokens on a thread of their own

A check takes up to half a second with 370 organisations and blocked an HTTP thread. The connection is suspended meanwhile. Answers that cannot be retried go out at the next tick instead of with their first chunk, so that a short cut answer still gets an error.

--- a/src/api.c
+++ b/src/api.c
@@ -314,6 +314,8 @@
 	ret = filters_authenticate(filters, call->r);
 	if (access == API_BOOTSTRAP && !call->r->config)
 		return 0;
+	if (ret == FILTERS_PENDING)
+		return ret;
 	if (!ret && call->r->problem)
 		ret = err_set(&call->r->err, ERR_INVALID, "send the header once",
 			      "the header %s is given more than once", call->r->problem);
@@ -324,42 +326,72 @@
 	return ret;
 }
 
-/* The whole call has been read. Returns true when it went to the loop thread. */
-static bool start(struct call *call)
+static void keep_body(struct call *call)
 {
-	struct request *r = call->r;
+	if (!call->body)
+		return;
+	call->r->body_len = call->body->len;
+	call->r->body = g_byte_array_free(call->body, FALSE);
+	call->body = NULL;
+}
 
+enum progress {
+	ANSWERED,  /* the answer is there */
+	FOR_LOOP,  /* the loop thread has to answer */
+	SUSPENDED, /* until the token has been checked */
+};
+
+/* Suspended before the check can end, or its wake-up would be lost. */
+static enum progress check_token(struct call *call)
+{
+	struct request *r = request_ref(call->r);
+
+	request_suspend(r, suspend);
+	if (!filters_check(call->api->deps.filters, r))
+		return SUSPENDED;
+	fail_now(call);
+	request_unref(r);
+	return SUSPENDED;
+}
+
+/* The whole call has been read. */
+static enum progress start(struct call *call)
+{
+	int ret = call->endpoint ? admit(call) : -ERR_NOT_FOUND;
+
+	if (ret == FILTERS_PENDING)
+		return check_token(call);
 	call->started = true;
-	r->body_len = call->body->len;
-	r->body = g_byte_array_free(call->body, FALSE);
-	call->body = NULL;
-	if (!call->endpoint || admit(call)) {
+	if (ret) {
 		fail_now(call);
-		return false;
+		return ANSWERED;
 	}
 	if (call->endpoint->on_loop || call->endpoint->access == API_REQUEST)
-		return true;
-	call->endpoint->run(call->api, r);
-	return false;
+		return FOR_LOOP;
+	call->endpoint->run(call->api, call->r);
+	return ANSWERED;
 }
 
 static enum MHD_Result proceed(struct call *call, struct MHD_Connection *connection)
 {
-	bool to_loop = false;
+	enum progress progress = ANSWERED;
 
 	if (call->answered)
 		return MHD_YES;
 	if (!call->started) {
 		api_conns_read(call->api->conns, connection);
+		keep_body(call);
 		if (call->too_large)
 			refuse_large(call);
 		else
-			to_loop = start(call);
+			progress = start(call);
 	}
+	if (progress == SUSPENDED)
+		return MHD_YES;
 	/* Suspended before the loop thread can answer, or its wake-up would be lost. */
 	if (request_wait(call->r, false, suspend))
 		return send_answer(call, connection);
-	if (to_loop)
+	if (progress == FOR_LOOP)
 		push(call);
 	return MHD_YES;
 }
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -223,19 +223,18 @@
 	}
 }
 
-static void begin_early(struct request *r, struct request_attempt *a, const struct msg_chunk *m)
+static void begin_unended(struct request_attempt *a)
 {
-	if (m->status && !m->offset) {
-		a->status = (int)m->status;
-		g_strlcpy(a->type, m->content_type, sizeof(a->type));
-	}
-	/* An answer that may be retried is held back as long as that is possible. */
-	if (a->received < REQUEST_HOLD_BACK && (r->idempotent || !a->status))
-		return;
-	request_begin(r, a->status ? a->status : 200,
+	request_begin(a->request, a->status ? a->status : 200,
 		      a->type[0] ? a->type : "application/octet-stream", REQUEST_LENGTH_UNKNOWN);
 }
 
+void attempt_tick(struct request_attempt *a)
+{
+	if (a->received && a->status && !a->request->idempotent)
+		begin_unended(a);
+}
+
 static void on_chunk(struct dispatch *d, struct request_attempt *a, const struct msg_chunk *m)
 {
 	struct request *r = a->request;
@@ -257,7 +256,12 @@
 	}
 	a->checksum = util_hash64(m->data.data, m->data.len, a->checksum);
 	a->received += m->data.len;
-	begin_early(r, a, m);
+	if (m->status && !m->offset) {
+		a->status = (int)m->status;
+		g_strlcpy(a->type, m->content_type, sizeof(a->type));
+	}
+	if (a->received >= REQUEST_HOLD_BACK)
+		begin_unended(a);
 }
 
 static void complete(struct dispatch *d, struct request_attempt *a, const struct msg_end *m)
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -312,6 +312,8 @@
 
 		if (a->id && a->due_ms && now >= a->due_ms)
 			attempt_overdue(d, a);
+		else if (a->id)
+			attempt_tick(a);
 	}
 	if (r->state == REQUEST_DONE || !r->step_ms || now < r->step_ms)
 		return;
--- a/src/dispatch_int.h
+++ b/src/dispatch_int.h
@@ -71,6 +71,14 @@
 void attempt_close(struct dispatch *d, struct request_attempt *a, enum route_result result,
 		   bool cancel);
 
+/**
+ * attempt_tick() - pass on an answer that has no END yet
+ *
+ * Only one that cannot be retried; the others are held back up to REQUEST_HOLD_BACK. Short
+ * answers end before the next tick, so that a cut one still gets a proper error.
+ */
+void attempt_tick(struct request_attempt *a);
+
 /** attempt_overdue() - the bound of the attempt has passed */
 void attempt_overdue(struct dispatch *d, struct request_attempt *a);
 
--- a/src/filter.c
+++ b/src/filter.c
@@ -12,10 +12,10 @@
 #define SHARDS 16
 #define AUTH_SLOTS 256 /* cached tokens of a shard */
 /*
- * Checking an unknown token hashes it once for each known one. Two threads at most do so at
- * a time, which leaves the others to callers whose tokens are cached.
+ * Checking an unknown token may hash it once for each known one, half a second with 370
+ * organisations. One thread does so, and a flood of wrong tokens delays only new ones.
  */
-#define AUTH_SLOW_MAX 2
+#define CHECKS_WAITING_MAX 256
 #define DENIED_CACHE_MS 5000
 #define TOKEN_MAX 512
 
@@ -37,7 +37,7 @@
 	struct configrepo *configs;
 	struct metrics *metrics;
 	uint64_t seeds[2];
-	atomic_int slow_checks;
+	GThreadPool *checks;
 	atomic_uint entries;
 	atomic_bool leaving;
 	struct shard shards[SHARDS];
@@ -45,6 +45,7 @@
 
 static int filters_destructor(struct filters *f)
 {
+	g_thread_pool_free(f->checks, FALSE, TRUE);
 	for (int i = 0; i < SHARDS; i++) {
 		for (int j = 0; j < AUTH_SLOTS; j++)
 			g_free((char *)f->shards[i].auth[j].name);
@@ -54,6 +55,8 @@
 	return 0;
 }
 
+static void check_token(gpointer data, gpointer ctx);
+
 struct filters *filters_create(TALLOC_CTX *mem, struct configrepo *configs, struct metrics *metrics)
 {
 	struct filters *f = talloc_zero(mem, struct filters);
@@ -62,6 +65,7 @@
 	f->metrics = metrics;
 	util_random_bytes(f->seeds, sizeof(f->seeds));
 	atomic_init(&f->entries, 1);
+	f->checks = g_thread_pool_new(check_token, f, 1, TRUE, NULL);
 	for (int i = 0; i < SHARDS; i++) {
 		pthread_mutex_init(&f->shards[i].lock, NULL);
 		f->shards[i].in_flight =
@@ -157,23 +161,30 @@
 	pthread_mutex_unlock(&shard->lock);
 }
 
-static int check_slowly(struct filters *f, struct request *r, const uint64_t *hash)
+static void check_token(gpointer data, gpointer ctx)
 {
-	int ret;
+	struct request *r = data;
+	struct filters *f = ctx;
+	uint64_t hash[2];
 
-	if (atomic_fetch_add(&f->slow_checks, 1) >= AUTH_SLOW_MAX) {
-		atomic_fetch_sub(&f->slow_checks, 1);
-		return err_set(&r->err, ERR_UNAVAILABLE, "retry in a second",
-			       "too many tokens are being checked for the first time");
-	}
-	ret = config_authenticate(r->config, r->token, &r->organisation, &r->operator_);
-	atomic_fetch_sub(&f->slow_checks, 1);
-	if (ret) {
+	if (config_authenticate(r->config, r->token, &r->organisation, &r->operator_)) {
 		r->organisation = NULL;
 		r->operator_ = NULL;
 	}
+	hash_token(f, r->token, hash);
 	remember(f, r, hash);
-	return ret;
+	r->identified = true;
+	request_resume(r);
+	request_unref(r);
+}
+
+int filters_check(struct filters *f, struct request *r)
+{
+	if (g_thread_pool_unprocessed(f->checks) >= CHECKS_WAITING_MAX)
+		return err_set(&r->err, ERR_UNAVAILABLE, "retry in a second",
+			       "too many tokens wait for their first check");
+	g_thread_pool_push(f->checks, r, NULL);
+	return 0;
 }
 
 static int denied(struct request *r)
@@ -187,19 +198,21 @@
 {
 	uint64_t hash[2];
 	bool is_denied = false;
-	int ret;
 
-	r->config = configrepo_current(f->configs);
+	if (!r->config)
+		r->config = configrepo_current(f->configs);
 	if (!r->config)
 		return err_set(&r->err, ERR_UNAVAILABLE, "retry, or apply a configuration",
 			       "this entry host has no configuration yet");
 	if (!r->token || strlen(r->token) > TOKEN_MAX)
 		return denied(r);
-	hash_token(f, r->token, hash);
-	if (look_up(f, r, hash, &is_denied))
-		return is_denied ? denied(r) : 0;
-	ret = check_slowly(f, r, hash);
-	return ret == -ERR_DENIED ? denied(r) : ret;
+	if (!r->identified) {
+		hash_token(f, r->token, hash);
+		if (!look_up(f, r, hash, &is_denied))
+			return FILTERS_PENDING;
+		r->identified = true;
+	}
+	return r->organisation || r->operator_ ? 0 : denied(r);
 }
 
 static int authenticate(struct filter *filter, struct request *r, void *ctx)
@@ -389,7 +402,8 @@
 
 		if (!ret)
 			continue;
-		metrics_refusal(f->metrics, err_name(ret));
+		if (ret < 0)
+			metrics_refusal(f->metrics, err_name(ret));
 		return ret;
 	}
 	return 0;
--- a/src/filter.h
+++ b/src/filter.h
@@ -22,21 +22,32 @@
 struct filters *filters_create(TALLOC_CTX *mem, struct configrepo *configs,
 			       struct metrics *metrics);
 
+#define FILTERS_PENDING 1 /* the token has to be checked by filters_check() first */
+
 /**
  * filters_request() - the chain for a service request, up to the quota
  *
- * Return: 0, or the negative error code of the filter that refused it.
+ * Return: 0, FILTERS_PENDING, or the negative error code of the filter that refused it.
  */
 int filters_request(struct filters *f, struct request *r);
 
 /**
  * filters_authenticate() - take the configuration in force and find out whose call it is
  *
- * Also used alone for the other endpoints. Return: 0, -ERR_DENIED, or -ERR_UNAVAILABLE when
- * there is no configuration yet or too many unknown tokens are being checked.
+ * Also used alone for the other endpoints. Return: 0, FILTERS_PENDING, -ERR_DENIED, or
+ * -ERR_UNAVAILABLE when there is no configuration yet.
  */
 int filters_authenticate(struct filters *f, struct request *r);
 
+/**
+ * filters_check() - check a token that is not in the cache, on a thread of its own
+ *
+ * Takes over a reference to @r and calls request_resume() when the result is known.
+ *
+ * Return: 0, or -ERR_UNAVAILABLE when too many tokens wait; then @r stays the caller's.
+ */
+int filters_check(struct filters *f, struct request *r);
+
 /** filters_done() - the request is over: gives back its share of the quota and configuration */
 void filters_done(struct filters *f, struct request *r);
 
--- a/src/request.c
+++ b/src/request.c
@@ -257,6 +257,21 @@
 	return now;
 }
 
+void request_suspend(struct request *r, void (*suspend)(struct request *r))
+{
+	pthread_mutex_lock(&r->lock);
+	r->suspended = true;
+	suspend(r);
+	pthread_mutex_unlock(&r->lock);
+}
+
+void request_resume(struct request *r)
+{
+	pthread_mutex_lock(&r->lock);
+	wake(r);
+	pthread_mutex_unlock(&r->lock);
+}
+
 static size_t take_locked(struct request *r, uint8_t *out, size_t max)
 {
 	size_t total = 0;
--- a/src/request.h
+++ b/src/request.h
@@ -94,6 +94,7 @@
 	const char *argument; /* variable segment of the path */
 	const char *timeout_text;
 	const char *problem; /* name of a duplicated header, or NULL */
+	bool identified;     /* the token has been checked; neither owner set: denied */
 	bool needs_claim;
 	bool idempotent;
 	bool quota_counted;
@@ -194,6 +195,12 @@
  */
 bool request_wait(struct request *r, bool for_data, void (*suspend)(struct request *r));
 
+/** request_suspend() - HTTP side: suspend in any case, until request_resume() */
+void request_suspend(struct request *r, void (*suspend)(struct request *r));
+
+/** request_resume() - wake the HTTP side if it is suspended */
+void request_resume(struct request *r);
+
 /**
  * request_read() - HTTP side: take bytes of the answer
  *
