--- a/src/agent.c
+++ b/src/agent.c
@@ -44,6 +44,7 @@
 	void *done_ctx;
 	int in_flight;
 	int gang_members;
+	int revision_gauge;
 };
 
 static void on_task(const char *id, enum worker_task_state state, const char *reason, void *ctx)
@@ -202,6 +203,7 @@
 	agent->slice = slice;
 	agent->config_revision = msg->revision;
 	outcomes_set_ttl(agent->outcomes, slice_key_ttl_ms(slice));
+	metrics_set(agent->metrics, agent->revision_gauge, msg->revision);
 	log_info("config_applied", "", "revision %" PRIu64, msg->revision);
 	if (target_info(agent->target))
 		apply_target(agent, false);
@@ -390,6 +392,9 @@
 	agent->gang_members =
 		metrics_define(agent->metrics, METRICS_GAUGE, "jaycourse_gang_members", "",
 			       "Gang members held, starting or running here");
+	agent->revision_gauge =
+		metrics_define(agent->metrics, METRICS_GAUGE, "jaycourse_config_revision", "",
+			       "Revision of the configuration in force here");
 }
 
 struct agent *agent_create(TALLOC_CTX *mem, struct tevent_context *ev,
--- a/src/configrepo.c
+++ b/src/configrepo.c
@@ -93,6 +93,7 @@
 	repo->held = held;
 	pthread_mutex_unlock(&repo->lock);
 	release_held(old);
+	metrics_set(repo->metrics, repo->revision_gauge, revision);
 	log_info("config_in_force", "", "revision %" PRIu64, revision);
 	if (repo->on_change)
 		repo->on_change(revision, repo->ctx);
@@ -292,6 +293,9 @@
 	repo->ev = ev;
 	repo->store = store;
 	repo->metrics = metrics ? metrics : metrics_create(repo);
+	repo->revision_gauge =
+		metrics_define(repo->metrics, METRICS_GAUGE, "jaycourse_config_revision", "",
+			       "Revision of the configuration in force here");
 	repo->on_change = on_change;
 	repo->ctx = ctx;
 	repo->files = json_object();
--- a/src/configrepo_internal.h
+++ b/src/configrepo_internal.h
@@ -15,6 +15,7 @@
 	struct tevent_context *ev;
 	struct store *store;
 	struct metrics *metrics;
+	int revision_gauge;
 	void (*on_change)(uint64_t revision, void *ctx);
 	void *ctx;
 	struct store_watch *watch;
