--- a/src/pass.c
+++ b/src/pass.c
@@ -5,13 +5,13 @@
 
 #define SEARCHES_PER_STEP 48	  /* keeps one step within its time bound; the rest follows */
 #define EVICT_SEARCHES_PER_STEP 4 /* searches that weigh evictions cost several times more */
-#define LARGE_WAIT_MS 5000	  /* before room is kept for a large job */
-#define AGED_WAIT_MS 60000	  /* before room is kept for any other job */
-#define RESERVED_SHARE 0.34	  /* of the fleet's accelerators kept for large jobs at most */
+#define WANTING_LOOKS 256	  /* oldest waiting jobs of an organisation that are looked at */
+#define EARMARKED_SHARE 0.34	  /* of the fleet's accelerators drain for large jobs at most */
 #define CHECK_MS 1000		  /* reservations and waiting jobs are looked at this often */
 #define IDLE_MS 10000		  /* nothing to do */
 #define URGENT_RETRY_MS 200
-#define CLEAR_SHARE 0.25 /* lost work accepted per unit of waiting time x width */
+#define CLEAR_BASE_MS 120000.0 /* lost work and overhead accepted at once, per accelerator */
+#define CLEAR_SHARE 0.25       /* and more with each ms of waiting */
 #define AGE_SCALE_MS 600000.0 /* waiting this long outweighs a full share of the fleet */
 
 struct pass {
@@ -36,22 +36,9 @@
 	       !over_quota(job);
 }
 
-static struct query make_query(const struct pass *pass, struct job *job, enum query_mode mode)
-{
-	return (struct query){
-		.mode = mode,
-		.shape = &job->shape,
-		.org = job->org,
-		.job = job,
-		.lend = pass->p->policy.lend_idle && sched_evictable(job),
-		.now_ms = pass->now_ms,
-		.expected_end_ms = pass->now_ms + estimate_remaining_ms(job, pass->now_ms),
-	};
-}
-
 static bool start_in(struct pass *pass, struct job *job, enum query_mode mode)
 {
-	struct query q = make_query(pass, job, mode);
+	struct query q = sched_query(pass->p, job, mode);
 	struct member out[PLACE_MEMBERS_MAX];
 
 	pass->searches++;
@@ -64,9 +51,12 @@
 /* Room within the organisation's own guarantee, if need be by eviction of borrowed work. */
 static bool place_guaranteed(struct pass *pass, struct job *job)
 {
-	struct query q = make_query(pass, job, QUERY_CELLS_EVICT);
+	struct query q = sched_query(pass->p, job, QUERY_CELLS_EVICT);
 	struct member out[PLACE_MEMBERS_MAX];
 
+	/* What moves easily leaves the guarantee to work that doesn't, while there is free room. */
+	if (q.moves_easily && start_in(pass, job, QUERY_FREE))
+		return true;
 	if (start_in(pass, job, QUERY_CELLS))
 		return true;
 	pass->searches++;
@@ -151,7 +141,7 @@
 
 static bool place_urgent(struct pass *pass, struct job *job)
 {
-	struct query q = make_query(pass, job, QUERY_EVICT);
+	struct query q = sched_query(pass->p, job, QUERY_EVICT);
 	struct member out[PLACE_MEMBERS_MAX];
 
 	if (start_in(pass, job, QUERY_FREE))
@@ -275,21 +265,19 @@
 
 static bool wants_room(const struct pass *pass, const struct job *job)
 {
-	uint64_t waited = pass->now_ms - MIN(pass->now_ms, job->submitted_ms);
-
 	if (!ready(pass, job) || job->urgent)
 		return false;
-	return waited >= (sched_large(pass->p, job) ? LARGE_WAIT_MS : AGED_WAIT_MS);
+	return sched_large(pass->p, job) || sched_overdue(job, pass->now_ms);
 }
 
-static uint32_t reserved_accelerators(const struct place *p)
+static uint32_t earmarked_accelerators(const struct place *p)
 {
 	uint32_t total = 0;
 
 	for (guint i = 0; i < p->reserved->len; i++) {
 		const struct job *job = p->reserved->pdata[i];
 
-		if (!job->reclaiming)
+		if (!job->clearing)
 			total += job->shape.members * job->shape.accelerators;
 	}
 	return total;
@@ -303,7 +291,8 @@
 		struct organisation *org = pass->p->orgs->pdata[i];
 		int looked = 0;
 
-		for (GList *at = org->waiting.head; at && looked < 16; at = at->next, looked++) {
+		for (GList *at = org->waiting.head; at && looked < WANTING_LOOKS;
+		     at = at->next, looked++) {
 			struct job *job = at->data;
 
 			if (best && best->submitted_ms <= job->submitted_ms)
@@ -315,53 +304,70 @@
 	return best;
 }
 
-/* Evicts what is cheap to evict now; the limit grows with the time the job has waited. */
-static void clear_cheap(struct pass *pass, struct job *job)
+/* Is the room held only by work that may go now? Lost work must pay off against the wait. */
+static bool may_clear(const struct pass *pass, const struct job *job, const struct member *members)
 {
 	uint64_t waited = pass->now_ms - MIN(pass->now_ms, job->submitted_ms);
-	struct query q = make_query(pass, job, QUERY_EVICT);
-	double limit = CLEAR_SHARE * (double)waited * job->shape.members *
-		       MAX(job->shape.accelerators, 1);
+	struct query q = sched_query(pass->p, (struct job *)job, QUERY_EVICT);
+	double limit = CLEAR_BASE_MS + CLEAR_SHARE * (double)waited;
+	double cost = 0;
 
 	for (uint32_t i = 0; i < job->shape.members; i++) {
-		const struct member *m = &job->reservation[i];
+		const struct member *m = &members[i];
 
 		for (uint64_t rest = m->mask & m->worker->used; rest; rest &= rest - 1) {
 			struct job *holder = m->worker->holder[__builtin_ctzll(rest)];
 
-			if (holder->stopping || !search_may_evict(holder, &q))
-				continue;
-			if (search_evict_cost(pass->p, holder, pass->now_ms) > limit)
-				continue;
-			sched_evict(pass->p, holder, job, "room is made for a large job");
+			if (!search_may_evict(holder, &q))
+				return false;
+			cost += search_evict_cost(pass->p, holder, pass->now_ms) /
+				MAX(1, holder->shape.members * holder->shape.accelerators);
 		}
 	}
+	return cost <= limit * job->shape.members * MAX(1, job->shape.accelerators);
 }
 
-static void reserve_pass(struct pass *pass)
+static bool clear_now(struct pass *pass, struct job *job)
+{
+	struct query q = sched_query(pass->p, job, QUERY_EVICT);
+	struct member out[PLACE_MEMBERS_MAX];
+
+	pass->evict_searches++;
+	if (!search_place(pass->p, &q, out) || !may_clear(pass, job, out))
+		return false;
+	sched_reserve(pass->p, job, out, true);
+	sched_clear(pass->p, job, "room is made for a job that waits for adjacent accelerators");
+	sched_start_reserved(pass->p, job);
+	return true;
+}
+
+static void earmark(struct pass *pass, struct job *job)
 {
 	struct place *p = pass->p;
-	double limit = RESERVED_SHARE * topo_total_accelerators(p);
+	struct query q = sched_query(p, job, QUERY_DRAIN);
+	double limit = EARMARKED_SHARE * topo_total_accelerators(p);
+	uint32_t kept = earmarked_accelerators(p);
+	struct member out[PLACE_MEMBERS_MAX];
+
+	if (kept && kept + job->shape.members * job->shape.accelerators > limit)
+		return;
+	pass->evict_searches++;
+	if (search_place(p, &q, out))
+		sched_reserve(p, job, out, false);
+}
 
+static void reserve_pass(struct pass *pass)
+{
 	while (pass->evict_searches < EVICT_SEARCHES_PER_STEP) {
 		struct job *job = oldest_wanting_room(pass);
-		struct member out[PLACE_MEMBERS_MAX];
-		struct query q;
-		uint32_t kept = reserved_accelerators(p);
 
 		if (!job)
 			return;
 		job->retry_ms = pass->now_ms + CHECK_MS;
-		if (kept && kept + job->shape.members * job->shape.accelerators > limit)
-			return;
-		q = make_query(pass, job, QUERY_DRAIN);
-		pass->evict_searches++;
-		if (!search_place(p, &q, out))
-			continue;
-		sched_reserve(p, job, out, false);
-		clear_cheap(pass, job);
-		sched_start_reserved(p, job);
+		if (!clear_now(pass, job) && sched_large(pass->p, job))
+			earmark(pass, job);
 	}
+	pass->unfinished = true;
 }
 
 static bool reservation_usable(const struct job *job)
@@ -373,22 +379,32 @@
 	return true;
 }
 
-static bool start_elsewhere(struct pass *pass, struct job *job)
+/* An earmark ends when there is room elsewhere, or all that is left on it may go. */
+static void review_earmark(struct pass *pass, struct job *job)
 {
-	struct member *kept = talloc_memdup(pass->p, job->reservation,
-					    job->shape.members * sizeof(*kept));
-	uint64_t gen = pass->p->gen;
-	bool reclaiming = job->reclaiming;
-
-	topo_unreserve(pass->p, job);
-	pass->p->gen = gen;
-	if (start_in(pass, job, QUERY_FREE)) {
+	struct place *p = pass->p;
+	uint64_t gen = p->gen;
+	struct member *kept;
+	size_t size = job->shape.members * sizeof(*kept);
+
+	if (may_clear(pass, job, job->reservation)) {
+		kept = talloc_memdup(p, job->reservation, size);
+		topo_unreserve(p, job);
+		sched_reserve(p, job, kept, true);
 		talloc_free(kept);
-		return true;
+		sched_clear(p, job, "room is made for a job that waits for adjacent accelerators");
+		sched_start_reserved(p, job);
+		return;
 	}
-	topo_reserve(pass->p, job, talloc_steal(job, kept));
-	job->reclaiming = reclaiming;
-	return false;
+	if (job->retry_ms > pass->now_ms || pass->evict_searches >= EVICT_SEARCHES_PER_STEP)
+		return;
+	job->retry_ms = pass->now_ms + CHECK_MS;
+	kept = talloc_memdup(p, job->reservation, size);
+	topo_unreserve(p, job);
+	p->gen = gen;
+	if (!start_in(pass, job, QUERY_FREE) && !clear_now(pass, job))
+		sched_reserve(p, job, kept, false);
+	talloc_free(kept);
 }
 
 static void reservation_pass(struct pass *pass)
@@ -400,22 +416,14 @@
 
 		if (!job)
 			continue;
-		if (!reservation_usable(job) || over_quota(job)) {
+		if (!reservation_usable(job) || over_quota(job))
 			topo_unreserve(p, job);
+		else if (sched_start_reserved(p, job))
 			continue;
-		}
-		if (sched_start_reserved(p, job))
-			continue;
-		if (job->reclaiming) {
+		else if (job->clearing)
 			sched_clear(p, job, "guaranteed or urgent work needs its accelerators");
-			continue;
-		}
-		if (job->tried_gen != p->gen) {
-			job->tried_gen = p->gen;
-			if (start_elsewhere(pass, job))
-				continue;
-		}
-		clear_cheap(pass, job);
+		else
+			review_earmark(pass, job);
 	}
 }
 
--- a/src/place_impl.h
+++ b/src/place_impl.h
@@ -9,7 +9,9 @@
 /* Private to the decision modules: place, topo, search, guarantee, sched, health, frag. */
 
 enum {
-	PLACE_EVICTIONS_MAX = 3,     /* optional evictions a job suffers; reclaims come on top */
+	PLACE_EVICTIONS_FREE = 4,    /* optional evictions of any job that can be checkpointed */
+	PLACE_EVICTIONS_RESTART = 2, /* of one that loses its work; reclaims come on top */
+	PLACE_EVICTION_PER_MS = 300000, /* run time that earns one more optional eviction */
 	PLACE_FAILED_WORKERS_MAX = 8 /* workers remembered per job that could not start it */
 };
 
@@ -41,7 +43,8 @@
 	uint64_t used;	   /* granted */
 	uint64_t reported; /* reported in use without a grant */
 	uint64_t home;	   /* inside some organisation's home cell */
-	uint64_t reserved; /* kept for waiting jobs with a reservation */
+	uint64_t reserved; /* being cleared for jobs that start next */
+	uint64_t earmarked; /* drains for a large job; work that moves away easily may use it */
 	uint64_t reported_ms;
 	uint64_t released_ms; /* latest release of accelerators */
 	uint64_t down_ms;
@@ -146,7 +149,7 @@
 	bool cancelled; /* EVICT is due or emitted because of a cancellation */
 	bool ever_started;
 	bool probing;
-	bool reclaiming; /* reservation for guaranteed or urgent work: victims go at once */
+	bool clearing; /* the reservation is being cleared; otherwise it is an earmark that drains */
 	bool given_up;	 /* waits for its PLACE_FAIL */
 	const char *fail_reason;
 	uint32_t attempt;
@@ -192,14 +195,17 @@
 };
 
 struct query {
+	const struct place *p;
 	enum query_mode mode;
 	const struct place_shape *shape;
 	struct organisation *org;
 	struct job *job;   /* NULL for homes */
 	struct unit *unit; /* for homes */
 	bool lend;	   /* other organisations' cells may be used */
+	bool large;	   /* the job is */
+	bool overdue;	   /* the job is */
+	bool moves_easily; /* the job does */
 	uint64_t now_ms;
-	uint64_t expected_end_ms;
 };
 
 struct failed_shape {
@@ -269,7 +275,7 @@
 int topo_longest_run(uint64_t mask);
 void topo_grant(struct place *p, struct job *job, struct member *members);
 void topo_release(struct place *p, struct job *job);
-void topo_reserve(struct place *p, struct job *job, struct member *members);
+void topo_reserve(struct place *p, struct job *job, struct member *members, bool clearing);
 void topo_unreserve(struct place *p, struct job *job);
 uint32_t topo_total_accelerators(const struct place *p);
 
@@ -311,7 +317,10 @@
 bool sched_room(const struct job *job, const struct member *members);
 void sched_start(struct place *p, struct job *job, const struct member *members);
 void sched_clear(struct place *p, struct job *job, const char *reason);
-void sched_reserve(struct place *p, struct job *job, const struct member *members, bool reclaiming);
+void sched_reserve(struct place *p, struct job *job, const struct member *members, bool clearing);
+struct query sched_query(const struct place *p, struct job *job, enum query_mode mode);
+bool sched_overdue(const struct job *job, uint64_t now_ms);
+bool sched_moves_easily(const struct place *p, const struct job *job);
 bool sched_start_reserved(struct place *p, struct job *job);
 
 /* pass.c */
--- a/src/sched.c
+++ b/src/sched.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define OVERDUE_FACTOR 8      /* a job starves at 10 times its declared run time */
+#define OVERDUE_MIN_MS 5000   /* for jobs that declare next to nothing */
 #define URGENT_GRACE_MS 2000 /* leaves half of the 4.1 s start bound for the start itself */
 
 void sched_emit(struct place *p, struct place_decision *decision)
@@ -44,6 +46,20 @@
 	       (shape->members > 1 && shape->accelerators * 2 > whole);
 }
 
+/* Waits so long that it may displace work submitted after it: just short of starving. */
+bool sched_overdue(const struct job *job, uint64_t now_ms)
+{
+	uint64_t limit = MAX(job->declared_ms * OVERDUE_FACTOR, OVERDUE_MIN_MS);
+
+	return job->attempt == 0 && now_ms > job->submitted_ms + limit;
+}
+
+/* Small work that a checkpoint saves can run on room that is kept for a large job. */
+bool sched_moves_easily(const struct place *p, const struct job *job)
+{
+	return job->checkpoint && !sched_large(p, job);
+}
+
 static bool queued_before(const struct job *a, const struct job *b)
 {
 	if (a->submitted_ms != b->submitted_ms)
@@ -178,13 +194,25 @@
 	emit_start(p, job);
 }
 
-static bool core_victim(const struct job *job, const struct job *victim, bool cells)
+struct query sched_query(const struct place *p, struct job *job, enum query_mode mode)
 {
-	struct query q = {
-		.mode = cells ? QUERY_CELLS_EVICT : QUERY_EVICT,
+	return (struct query){
+		.p = p,
+		.mode = mode,
+		.shape = &job->shape,
 		.org = job->org,
-		.job = (struct job *)job,
+		.job = job,
+		.lend = p->policy.lend_idle && sched_evictable(job),
+		.large = sched_large(p, job),
+		.overdue = sched_overdue(job, p->now_ms),
+		.moves_easily = sched_moves_easily(p, job),
+		.now_ms = p->now_ms,
 	};
+}
+
+static bool may_displace(const struct place *p, const struct job *job, const struct job *victim, bool cells)
+{
+	struct query q = sched_query(p, (struct job *)job, cells ? QUERY_CELLS_EVICT : QUERY_EVICT);
 
 	return search_may_evict(victim, &q) && !victim->stopping;
 }
@@ -207,7 +235,7 @@
 				continue;
 			used_cores += m->job->shape.cores;
 			used_memory += m->job->shape.memory_mb;
-			if (!core_victim(job, m->job, cells))
+			if (!may_displace(p, job, m->job, cells))
 				continue;
 			cost = search_evict_cost(p, m->job, p->now_ms);
 			if (best && cost >= best_cost)
@@ -229,7 +257,7 @@
 	for (uint64_t rest = m->mask & m->worker->used; rest; rest &= rest - 1) {
 		struct job *holder = m->worker->holder[__builtin_ctzll(rest)];
 
-		if (core_victim(job, holder, cells))
+		if (may_displace(p, job, holder, cells))
 			sched_evict(p, holder, job, reason);
 	}
 }
@@ -259,7 +287,7 @@
 }
 
 /* Reserves the members; reservations of other jobs on the same accelerators give way. */
-void sched_reserve(struct place *p, struct job *job, const struct member *members, bool reclaiming)
+void sched_reserve(struct place *p, struct job *job, const struct member *members, bool clearing)
 {
 	size_t size = job->shape.members * sizeof(*members);
 	struct member *own = talloc_memdup(job, members, size);
@@ -273,8 +301,7 @@
 				topo_unreserve(p, other);
 		}
 	}
-	topo_reserve(p, job, own);
-	job->reclaiming = reclaiming;
+	topo_reserve(p, job, own, clearing);
 	job->reserved_ms = p->now_ms;
 }
 
--- a/src/search.c
+++ b/src/search.c
@@ -7,21 +7,45 @@
 #define CHECKPOINT_COST_MS 5000.0 /* work lost when a checkpoint is taken first */
 #define EVICTION_COST_MS 20000.0  /* restart overhead, so that idle room is preferred */
 #define LENT_PENALTY 6.0	  /* score of a run in a lent cell: it may be reclaimed */
+#define EARMARK_PENALTY 20.0	  /* a run in earmarked room moves away before long */
 #define IDLE_WORKER_PENALTY 0.5	  /* per idle worker of the rack that would be broken into */
 
+/* Bounds how often a job is stopped for others beyond reclaims of guarantees. */
+static bool eviction_budget_left(const struct job *victim, uint64_t now_ms)
+{
+	uint64_t ran = victim->saved_ms;
+
+	if (!victim->checkpoint)
+		return victim->evictions < PLACE_EVICTIONS_RESTART;
+	if (victim->started_ms && now_ms > victim->started_ms)
+		ran += now_ms - victim->started_ms;
+	return victim->evictions < PLACE_EVICTIONS_FREE + ran / PLACE_EVICTION_PER_MS;
+}
+
+/* An organisation's large job may move its small ones out of its own cells. */
+static bool may_evict_from_cells(const struct job *victim, const struct query *q)
+{
+	if (victim->org != q->org || !sched_guaranteed(victim))
+		return true;
+	return q->large && victim->checkpoint && !victim->urgent && !sched_large(q->p, victim) &&
+	       eviction_budget_left(victim, q->now_ms);
+}
+
 bool search_may_evict(const struct job *victim, const struct query *q)
 {
-	if (victim->stopping)
+	if (victim->stopping || victim->cancelled)
 		return true;
-	if (!sched_evictable(victim) || victim->cancelled)
-		return victim->cancelled;
-	if (q->mode == QUERY_CELLS_EVICT)
-		return victim->org != q->org || !sched_guaranteed(victim);
-	if (sched_guaranteed(victim) || victim->urgent)
+	if (!sched_evictable(victim))
 		return false;
-	if (victim->evictions >= PLACE_EVICTIONS_MAX)
+	if (q->mode == QUERY_CELLS_EVICT)
+		return may_evict_from_cells(victim, q);
+	if (sched_guaranteed(victim) || victim->urgent || !eviction_budget_left(victim, q->now_ms))
 		return false;
-	return q->job->urgent || !sched_large(NULL, victim);
+	if (q->job->urgent)
+		return true;
+	if (q->overdue && victim->submitted_ms > q->job->submitted_ms)
+		return true;
+	return q->large && !sched_large(q->p, victim);
 }
 
 /* Accelerator-milliseconds of work that evicting the job loses. */
@@ -111,7 +135,7 @@
 		return false;
 	slot->mask = w->all & ~w->home;
 	if (q->mode == QUERY_HOME_FREE)
-		slot->mask &= ~(w->used | w->reserved | w->reported);
+		slot->mask &= ~(w->used | w->reserved | w->earmarked | w->reported);
 	else
 		slot->mask &= ~blocked_mask(w, q);
 	slot->cores = sub(w->cores, w->cores_home + w->cores_pinned);
@@ -131,6 +155,8 @@
 	if (!topo_usable(w) || w->avoid_until_ms > q->now_ms || health_avoids(q->job, w))
 		return false;
 	slot->mask = w->all & ~(w->reserved | w->reported);
+	if (!q->job->urgent && !q->moves_easily)
+		slot->mask &= ~w->earmarked;
 	slot->cores = sub(w->cores, w->cores_reserved);
 	slot->memory = sub(w->memory, w->memory_reserved);
 	if (!q->lend || pinned)
@@ -165,7 +191,7 @@
 	for (uint64_t rest = c->mask & w->reserved; rest; rest &= rest - 1) {
 		int i = __builtin_ctzll(rest);
 
-		if (w->reserver[i]->org == q->org || q->mode == QUERY_CELLS)
+		if (w->reserver[i]->reservation[0].cell || q->mode == QUERY_CELLS)
 			slot->mask &= ~(1ULL << i);
 	}
 	if (q->mode == QUERY_CELLS) {
@@ -222,6 +248,8 @@
 		score += p->policy.weight_fragmentation * IDLE_WORKER_PENALTY;
 	if (!slot->cell && q->job && (w->home & run))
 		score += p->policy.weight_completion * LENT_PENALTY;
+	if (w->earmarked & run)
+		score += EARMARK_PENALTY;
 	score += 0.001 * (double)__builtin_ctzll(run) / 64;
 	if (mode_evicts(q->mode))
 		score = displaced_cost(p, w, run, q) + score;
--- a/src/topo.c
+++ b/src/topo.c
@@ -262,14 +262,19 @@
 	job->org->dirty = true;
 }
 
-void topo_reserve(struct place *p, struct job *job, struct member *members)
+void topo_reserve(struct place *p, struct job *job, struct member *members, bool clearing)
 {
 	job->reservation = members;
+	job->clearing = clearing;
 	for (uint32_t i = 0; i < job->shape.members; i++) {
 		struct worker *w = members[i].worker;
 
 		for (uint64_t rest = members[i].mask; rest; rest &= rest - 1)
 			w->reserver[__builtin_ctzll(rest)] = job;
+		if (!clearing) {
+			w->earmarked |= members[i].mask;
+			continue;
+		}
 		w->reserved |= members[i].mask;
 		w->cores_reserved += job->shape.cores;
 		w->memory_reserved += job->shape.memory_mb;
@@ -286,12 +291,15 @@
 
 		for (uint64_t rest = job->reservation[i].mask; rest; rest &= rest - 1)
 			w->reserver[__builtin_ctzll(rest)] = NULL;
+		w->earmarked &= ~job->reservation[i].mask;
+		if (!job->clearing)
+			continue;
 		w->reserved &= ~job->reservation[i].mask;
 		w->cores_reserved -= job->shape.cores;
 		w->memory_reserved -= job->shape.memory_mb;
 	}
 	TALLOC_FREE(job->reservation);
-	job->reclaiming = false;
+	job->clearing = false;
 	g_ptr_array_remove(p->reserved, job);
 	p->gen++;
 	p->work_due = true;
