--- a/src/check.c
+++ b/src/check.c
@@ -247,7 +247,7 @@
 
 static char *explain_placed(const struct job *job, TALLOC_CTX *mem)
 {
-	const char *state = job->stopping	       ? "is being stopped"
+	const char *state = job->stopping		? "is being stopped"
 			    : job->state == JOB_RUNNING ? "runs"
 							: "starts";
 	const char *kind = sched_guaranteed(job) ? "inside its organisation's guarantee"
@@ -284,11 +284,12 @@
 				       "other workers; check its program and image.",
 				       job->start_failures);
 	if (!sched_evictable(job))
-		return talloc_asprintf(mem,
-				       "The job waits for %u x %u accelerators that no guarantee of "
-				       "others covers, since it may run only once; a class with "
-				       "checkpoint or restart would find room sooner.",
-				       s->members, s->accelerators);
+		return talloc_asprintf(
+			mem,
+			"The job waits for %u x %u accelerators that no guarantee of "
+			"others covers, since it may run only once; a class with "
+			"checkpoint or restart would find room sooner.",
+			s->members, s->accelerators);
 	return talloc_asprintf(mem,
 			       "The job waits for %u x %u adjacent free accelerators, behind the "
 			       "fair shares of %u waiting jobs; smaller members or a wider place "
--- a/src/giveback.c
+++ b/src/giveback.c
@@ -7,8 +7,7 @@
 static bool idle_long(const struct place *p, const struct worker *w, uint64_t now_ms)
 {
 	return topo_usable(w) && w->members->len == 0 && w->reserved == 0 && w->reported == 0 &&
-	       w->cores_reserved == 0 &&
-	       now_ms >= w->idle_since_ms + p->policy.give_back_idle_ms &&
+	       w->cores_reserved == 0 && now_ms >= w->idle_since_ms + p->policy.give_back_idle_ms &&
 	       now_ms >= w->returned_ms + p->policy.give_back_idle_ms;
 }
 
--- a/src/health.c
+++ b/src/health.c
@@ -3,9 +3,9 @@
 #define SUSPECT_FAILURE 0.5   /* a failure that may be the job's fault */
 #define SUSPECT_CONFIRMED 1.0 /* added when the job then runs on another worker */
 #define QUARANTINE_AT 2.0
-#define GOOD_BELOW 1.0	 /* suspicion of a worker whose failures count against the job */
-#define GOOD_FAILURES 3	 /* of a job on good workers before it is given up */
-#define FAILURES_MAX 12	 /* of a job on any workers */
+#define GOOD_BELOW 1.0	/* suspicion of a worker whose failures count against the job */
+#define GOOD_FAILURES 3 /* of a job on good workers before it is given up */
+#define FAILURES_MAX 12 /* of a job on any workers */
 #define QUARANTINE_MS 30000
 #define QUARANTINE_DOUBLINGS 5	 /* at most 16 minutes */
 #define PROBATION_AFTER_MS 60000 /* readmitted on probation when no job can serve as a probe */
@@ -96,7 +96,9 @@
 	bool good;
 
 	job->start_failures++;
-	job->not_before_ms = now_ms + MIN(250ULL << MIN(job->start_failures, 8), 30000);
+	/* The first failures may well be a worker's fault, so other workers are tried at once. */
+	if (job->start_failures > 2)
+		job->not_before_ms = now_ms + MIN(250ULL << MIN(job->start_failures, 8), 30000);
 	if (!w)
 		good = true;
 	else
@@ -197,13 +199,14 @@
 static void report(struct place *p, struct worker *w)
 {
 	w->health_event = false;
-	sched_emit(p, &(struct place_decision){
-			      .kind = w->quarantined ? PLACE_QUARANTINE : PLACE_READMIT,
-			      .worker = w->name,
-			      .reason = w->quarantined ? "it fails work that runs elsewhere"
-						       : "a probe ran, or its failures were not its "
-							 "fault",
-		      });
+	sched_emit(p,
+		   &(struct place_decision){
+			   .kind = w->quarantined ? PLACE_QUARANTINE : PLACE_READMIT,
+			   .worker = w->name,
+			   .reason = w->quarantined ? "it fails work that runs elsewhere"
+						    : "a probe ran, or its failures were not its "
+						      "fault",
+		   });
 }
 
 uint64_t health_step(struct place *p, uint64_t now_ms)
--- a/src/pass.c
+++ b/src/pass.c
@@ -12,7 +12,7 @@
 #define URGENT_RETRY_MS 200
 #define CLEAR_BASE_MS 120000.0 /* lost work and overhead accepted at once, per accelerator */
 #define CLEAR_SHARE 0.25       /* and more with each ms of waiting */
-#define AGE_SCALE_MS 600000.0 /* waiting this long outweighs a full share of the fleet */
+#define AGE_SCALE_MS 600000.0  /* waiting this long outweighs a full share of the fleet */
 
 struct pass {
 	struct place *p;
@@ -26,8 +26,7 @@
 {
 	const struct organisation *org = job->org;
 
-	return org->quota &&
-	       org->used + job->shape.members * job->shape.accelerators > org->quota;
+	return org->quota && org->used + job->shape.members * job->shape.accelerators > org->quota;
 }
 
 static bool ready(const struct pass *pass, const struct job *job)
@@ -48,6 +47,45 @@
 	return true;
 }
 
+static double displacement(const struct pass *pass, const struct job *job,
+			   const struct member *members)
+{
+	double cost = 0;
+
+	for (uint32_t i = 0; i < job->shape.members; i++) {
+		const struct member *m = &members[i];
+		const struct job *last = NULL;
+
+		for (uint64_t rest = m->mask & m->worker->used; rest; rest &= rest - 1) {
+			const struct job *holder = m->worker->holder[__builtin_ctzll(rest)];
+
+			if (holder != last)
+				cost += search_evict_cost(pass->p, holder, pass->now_ms);
+			last = holder;
+		}
+	}
+	return cost;
+}
+
+/*
+ * Would the job displace less work outside its guarantee than inside? Then the guarantee stays
+ * lent, for instance to a large job. @members receives the better room.
+ */
+static bool cheaper_elsewhere(struct pass *pass, struct job *job, struct member *members)
+{
+	struct query q = sched_query(pass->p, job, QUERY_EVICT);
+	struct member out[PLACE_MEMBERS_MAX];
+
+	q.entitled = true;
+	pass->searches++;
+	if (!search_place(pass->p, &q, out))
+		return false;
+	if (displacement(pass, job, out) >= displacement(pass, job, members))
+		return false;
+	memcpy(members, out, job->shape.members * sizeof(*out));
+	return true;
+}
+
 /* Room within the organisation's own guarantee, if need be by eviction of borrowed work. */
 static bool place_guaranteed(struct pass *pass, struct job *job)
 {
@@ -66,6 +104,8 @@
 		return true;
 	if (!search_place(pass->p, &q, out))
 		return false;
+	if (sched_evictable(job) && cheaper_elsewhere(pass, job, out))
+		job->entitled = true;
 	sched_reserve(pass->p, job, out, true);
 	sched_clear(pass->p, job, "its accelerators are guaranteed to another organisation");
 	sched_start_reserved(pass->p, job);
@@ -139,16 +179,34 @@
 	}
 }
 
+static bool urgent_room(struct pass *pass, struct query *q, struct member *out)
+{
+	pass->searches++;
+	q->mode = QUERY_FREE;
+	if (search_place(pass->p, q, out) && sched_room(q->job, out))
+		return true;
+	q->mode = QUERY_EVICT;
+	pass->evict_searches++;
+	return search_place(pass->p, q, out);
+}
+
+/* Room that no reclaim needs comes first: an urgent job must not be stopped before it starts. */
 static bool place_urgent(struct pass *pass, struct job *job)
 {
-	struct query q = sched_query(pass->p, job, QUERY_EVICT);
+	struct query q = sched_query(pass->p, job, QUERY_FREE);
 	struct member out[PLACE_MEMBERS_MAX];
+	bool lend = q.lend;
 
-	if (start_in(pass, job, QUERY_FREE))
+	q.lend = false;
+	if (!urgent_room(pass, &q, out)) {
+		q.lend = lend;
+		if (!lend || !urgent_room(pass, &q, out))
+			return false;
+	}
+	if (q.mode == QUERY_FREE) {
+		sched_start(pass->p, job, out);
 		return true;
-	pass->evict_searches++;
-	if (!search_place(pass->p, &q, out))
-		return false;
+	}
 	sched_reserve(pass->p, job, out, true);
 	sched_clear(pass->p, job, "urgent work needs its accelerators");
 	sched_start_reserved(pass->p, job);
@@ -267,7 +325,7 @@
 {
 	if (!ready(pass, job) || job->urgent)
 		return false;
-	return sched_large(pass->p, job) || sched_overdue(job, pass->now_ms);
+	return sched_large(pass->p, job) || sched_overdue(pass->p, job, pass->now_ms);
 }
 
 static uint32_t earmarked_accelerators(const struct place *p)
@@ -324,6 +382,8 @@
 				MAX(1, holder->shape.members * holder->shape.accelerators);
 		}
 	}
+	if (q.overdue)
+		return true;
 	return cost <= limit * job->shape.members * MAX(1, job->shape.accelerators);
 }
 
@@ -333,8 +393,11 @@
 	struct member out[PLACE_MEMBERS_MAX];
 
 	pass->evict_searches++;
-	if (!search_place(pass->p, &q, out) || !may_clear(pass, job, out))
-		return false;
+	if (!search_place(pass->p, &q, out) || !may_clear(pass, job, out)) {
+		q.mode = QUERY_CELLS_EVICT;
+		if (!q.overdue || !search_place(pass->p, &q, out))
+			return false;
+	}
 	sched_reserve(pass->p, job, out, true);
 	sched_clear(pass->p, job, "room is made for a job that waits for adjacent accelerators");
 	sched_start_reserved(pass->p, job);
--- a/src/place.c
+++ b/src/place.c
@@ -208,8 +208,7 @@
 			       "Ask for 1 to 64 members of at most 64 accelerators each.",
 			       "the shape %u x %u is out of range", s->members, s->accelerators);
 	if (g_hash_table_lookup(p->jobs, spec->id))
-		return err_set(err, ERR_EXISTS, "Use a new id.", "job %s exists already",
-			       spec->id);
+		return err_set(err, ERR_EXISTS, "Use a new id.", "job %s exists already", spec->id);
 	return 0;
 }
 
--- a/src/place_impl.h
+++ b/src/place_impl.h
@@ -9,10 +9,10 @@
 /* Private to the decision modules: place, topo, search, guarantee, sched, health, frag. */
 
 enum {
-	PLACE_EVICTIONS_FREE = 4,    /* optional evictions of any job that can be checkpointed */
-	PLACE_EVICTIONS_RESTART = 2, /* of one that loses its work; reclaims come on top */
+	PLACE_EVICTIONS_FREE = 4,	/* optional evictions of any job that can be checkpointed */
+	PLACE_EVICTIONS_RESTART = 2,	/* of one that loses its work; reclaims come on top */
 	PLACE_EVICTION_PER_MS = 300000, /* run time that earns one more optional eviction */
-	PLACE_FAILED_WORKERS_MAX = 8 /* workers remembered per job that could not start it */
+	PLACE_FAILED_WORKERS_MAX = 8	/* workers remembered per job that could not start it */
 };
 
 struct cell;
@@ -39,11 +39,11 @@
 	bool draining;
 	bool quarantined;
 	bool offered;
-	uint64_t all;	   /* mask of existing accelerators */
-	uint64_t used;	   /* granted */
-	uint64_t reported; /* reported in use without a grant */
-	uint64_t home;	   /* inside some organisation's home cell */
-	uint64_t reserved; /* being cleared for jobs that start next */
+	uint64_t all;	    /* mask of existing accelerators */
+	uint64_t used;	    /* granted */
+	uint64_t reported;  /* reported in use without a grant */
+	uint64_t home;	    /* inside some organisation's home cell */
+	uint64_t reserved;  /* being cleared for jobs that start next */
 	uint64_t earmarked; /* drains for a large job; work that moves away easily may use it */
 	uint64_t reported_ms;
 	uint64_t released_ms; /* latest release of accelerators */
@@ -89,7 +89,7 @@
 	struct organisation *org;
 	struct place_shape shape;
 	bool met;
-	uint32_t index; /* among those of its organisation */
+	uint32_t index;	    /* among those of its organisation */
 	struct cell *cells; /* shape.members of them */
 };
 
@@ -112,7 +112,7 @@
 	bool dirty;	     /* guaranteed work may have become placeable */
 	bool reported_unmet;
 	bool pinned_work; /* runs work that may not be evicted; set while homes are repacked */
-	GList *cursor; /* next waiting job of the current pass */
+	GList *cursor;	  /* next waiting job of the current pass */
 };
 
 struct member {
@@ -148,15 +148,19 @@
 	bool stopping;	/* EVICT emitted */
 	bool cancelled; /* EVICT is due or emitted because of a cancellation */
 	bool ever_started;
+	bool counted_large; /* in place->large_used */
+	bool entitled;	    /* runs on borrowed room although its guarantee has room */
 	bool probing;
-	bool clearing; /* the reservation is being cleared; otherwise it is an earmark that drains */
-	bool given_up;	 /* waits for its PLACE_FAIL */
+	bool clearing; /* the reservation is being cleared; otherwise it is an earmark that drains
+			*/
+	bool given_up; /* waits for its PLACE_FAIL */
 	const char *fail_reason;
 	uint32_t attempt;
 	uint32_t evictions;
 	uint32_t start_failures;
 	uint32_t good_failures; /* of them on workers that run other work */
 	uint32_t refusals;
+	uint64_t order_ms; /* place in the queue */
 	uint64_t tried_gen;
 	uint64_t not_before_ms;
 	uint64_t waiting_since_ms;
@@ -205,6 +209,7 @@
 	bool large;	   /* the job is */
 	bool overdue;	   /* the job is */
 	bool moves_easily; /* the job does */
+	bool entitled;	   /* the job fits its guarantee, but displaces less work elsewhere */
 	uint64_t now_ms;
 };
 
@@ -245,6 +250,7 @@
 	uint64_t gen;	  /* grows when capacity becomes free */
 	uint32_t waiting; /* jobs */
 	uint32_t placed;
+	uint32_t large_used; /* accelerators of large jobs that are placed */
 	uint32_t org_turn;
 	uint32_t offered;
 	uint32_t worker_width; /* accelerators of the largest worker */
@@ -309,7 +315,8 @@
 void sched_enqueue(struct place *p, struct job *job, uint64_t now_ms);
 void sched_dequeue(struct place *p, struct job *job);
 void sched_emit(struct place *p, struct place_decision *decision);
-void sched_evict(struct place *p, struct job *victim, const struct job *for_job, const char *reason);
+void sched_evict(struct place *p, struct job *victim, const struct job *for_job,
+		 const char *reason);
 bool sched_evictable(const struct job *job);
 bool sched_guaranteed(const struct job *job);
 bool sched_large(const struct place *p, const struct job *job);
@@ -319,7 +326,7 @@
 void sched_clear(struct place *p, struct job *job, const char *reason);
 void sched_reserve(struct place *p, struct job *job, const struct member *members, bool clearing);
 struct query sched_query(const struct place *p, struct job *job, enum query_mode mode);
-bool sched_overdue(const struct job *job, uint64_t now_ms);
+bool sched_overdue(const struct place *p, const struct job *job, uint64_t now_ms);
 bool sched_moves_easily(const struct place *p, const struct job *job);
 bool sched_start_reserved(struct place *p, struct job *job);
 
--- a/src/sched.c
+++ b/src/sched.c
@@ -2,8 +2,12 @@
 
 #include <string.h>
 
-#define OVERDUE_FACTOR 8      /* a job starves at 10 times its declared run time */
-#define OVERDUE_MIN_MS 5000   /* for jobs that declare next to nothing */
+#define OVERDUE_FACTOR 8	 /* a job starves at 10 times its declared run time */
+#define OVERDUE_MIN_MS 5000	 /* for jobs that declare next to nothing */
+#define LARGE_OVERDUE_MS 3600000 /* before a large job may displace younger large ones */
+#define LARGE_SHARE_MIN 0.3	 /* of the fleet that large jobs may clear, by the weights */
+#define LARGE_SHARE_SPAN 0.6
+#define ORDER_MS_MAX 3600000 /* a declared run time delays a job in the queue by this at most */
 #define URGENT_GRACE_MS 2000 /* leaves half of the 4.1 s start bound for the start itself */
 
 void sched_emit(struct place *p, struct place_decision *decision)
@@ -47,10 +51,13 @@
 }
 
 /* Waits so long that it may displace work submitted after it: just short of starving. */
-bool sched_overdue(const struct job *job, uint64_t now_ms)
+bool sched_overdue(const struct place *p, const struct job *job, uint64_t now_ms)
 {
 	uint64_t limit = MAX(job->declared_ms * OVERDUE_FACTOR, OVERDUE_MIN_MS);
 
+	if (sched_large(p, job))
+		limit = MIN(limit, LARGE_OVERDUE_MS);
+
 	return job->attempt == 0 && now_ms > job->submitted_ms + limit;
 }
 
@@ -62,8 +69,8 @@
 
 static bool queued_before(const struct job *a, const struct job *b)
 {
-	if (a->submitted_ms != b->submitted_ms)
-		return a->submitted_ms < b->submitted_ms;
+	if (a->order_ms != b->order_ms)
+		return a->order_ms < b->order_ms;
 	return strcmp(a->id, b->id) < 0;
 }
 
@@ -86,8 +93,10 @@
 
 void sched_enqueue(struct place *p, struct job *job, uint64_t now_ms)
 {
+	job->order_ms = job->submitted_ms + MIN(job->declared_ms, ORDER_MS_MAX);
 	job->state = JOB_WAITING;
 	job->tried_gen = 0;
+	job->entitled = false;
 	job->waiting_since_ms = now_ms;
 	job->link = insert_sorted(&job->org->waiting, job);
 	job->org->dirty = true;
@@ -188,12 +197,25 @@
 	job->attempt++;
 	job->state = JOB_PLACED;
 	job->stopping = false;
+	job->entitled = false;
 	job->placed_ms = p->now_ms;
 	job->started_ms = 0;
 	topo_grant(p, job, own);
 	emit_start(p, job);
 }
 
+/* Large jobs displace small ones up to a share of the fleet; more when they have waited long. */
+static bool large_may_displace(const struct place *p, const struct job *job)
+{
+	double weights = p->policy.weight_completion + p->policy.weight_fragmentation;
+	double weight = weights > 0 ? p->policy.weight_fragmentation / weights : 0.5;
+	double share = LARGE_SHARE_MIN + LARGE_SHARE_SPAN * weight;
+	uint32_t width = job->shape.members * job->shape.accelerators;
+
+	return sched_overdue(p, job, p->now_ms) ||
+	       p->large_used + width <= share * topo_total_accelerators(p);
+}
+
 struct query sched_query(const struct place *p, struct job *job, enum query_mode mode)
 {
 	return (struct query){
@@ -203,14 +225,16 @@
 		.org = job->org,
 		.job = job,
 		.lend = p->policy.lend_idle && sched_evictable(job),
-		.large = sched_large(p, job),
-		.overdue = sched_overdue(job, p->now_ms),
+		.large = sched_large(p, job) && large_may_displace(p, job),
+		.overdue = sched_overdue(p, job, p->now_ms),
 		.moves_easily = sched_moves_easily(p, job),
+		.entitled = job->entitled,
 		.now_ms = p->now_ms,
 	};
 }
 
-static bool may_displace(const struct place *p, const struct job *job, const struct job *victim, bool cells)
+static bool may_displace(const struct place *p, const struct job *job, const struct job *victim,
+			 bool cells)
 {
 	struct query q = sched_query(p, (struct job *)job, cells ? QUERY_CELLS_EVICT : QUERY_EVICT);
 
@@ -310,12 +334,15 @@
 {
 	struct member members[PLACE_MEMBERS_MAX];
 	uint64_t gen = p->gen;
+	bool entitled;
 
 	if (!sched_room(job, job->reservation))
 		return false;
+	entitled = job->entitled;
 	memcpy(members, job->reservation, job->shape.members * sizeof(*members));
 	topo_unreserve(p, job);
 	p->gen = gen;
 	sched_start(p, job, members);
+	job->entitled = entitled;
 	return true;
 }
--- a/src/search.c
+++ b/src/search.c
@@ -4,31 +4,55 @@
 #include <string.h>
 
 #define NO_ROOM 1e18
-#define CHECKPOINT_COST_MS 5000.0 /* work lost when a checkpoint is taken first */
-#define EVICTION_COST_MS 20000.0  /* restart overhead, so that idle room is preferred */
-#define LENT_PENALTY 6.0	  /* score of a run in a lent cell: it may be reclaimed */
-#define EARMARK_PENALTY 20.0	  /* a run in earmarked room moves away before long */
-#define IDLE_WORKER_PENALTY 0.5	  /* per idle worker of the rack that would be broken into */
+#define CHECKPOINT_COST_MS 5000.0	/* work lost when a checkpoint is taken first */
+#define EVICTION_COST_MS 20000.0	/* restart overhead, so that idle room is preferred */
+#define URGENT_VICTIM_COST_MS 3600000.0 /* urgent work is displaced last */
+#define GUARANTEED_VICTIM_COST_MS 20000.0
+#define AGE_COST 0.05 /* of the time since submission: older work is displaced later */
+#define TURN_MS 300000
+#define SUSPICION_PENALTY 30.0	/* score per failure of a worker that may be its fault */
+#define LENT_PENALTY 6.0	/* score of a run in a lent cell: it may be reclaimed */
+#define EARMARK_PENALTY 20.0	/* a run in earmarked room moves away before long */
+#define IDLE_WORKER_PENALTY 0.5 /* per idle worker of the rack that would be broken into */
+
+static uint32_t job_width(const struct job *job)
+{
+	return job->shape.members * MAX(job->shape.accelerators, 1);
+}
 
 /* Bounds how often a job is stopped for others beyond reclaims of guarantees. */
-static bool eviction_budget_left(const struct job *victim, uint64_t now_ms)
+static bool eviction_budget_left(const struct job *victim, const struct query *q)
 {
+	uint64_t now_ms = q->now_ms;
 	uint64_t ran = victim->saved_ms;
+	uint32_t extra = q->overdue || q->entitled || (q->job && q->job->urgent)
+				 ? PLACE_EVICTIONS_FREE * 4
+				 : 0;
 
 	if (!victim->checkpoint)
 		return victim->evictions < PLACE_EVICTIONS_RESTART;
 	if (victim->started_ms && now_ms > victim->started_ms)
 		ran += now_ms - victim->started_ms;
-	return victim->evictions < PLACE_EVICTIONS_FREE + ran / PLACE_EVICTION_PER_MS;
+	return victim->evictions < PLACE_EVICTIONS_FREE + extra + ran / PLACE_EVICTION_PER_MS;
 }
 
-/* An organisation's large job may move its small ones out of its own cells. */
+/* In its own cells an organisation's large or overdue job goes before others of its own. */
 static bool may_evict_from_cells(const struct job *victim, const struct query *q)
 {
 	if (victim->org != q->org || !sched_guaranteed(victim))
 		return true;
-	return q->large && victim->checkpoint && !victim->urgent && !sched_large(q->p, victim) &&
-	       eviction_budget_left(victim, q->now_ms);
+	if (!victim->checkpoint || victim->urgent || !eviction_budget_left(victim, q))
+		return false;
+	if (q->overdue && victim->submitted_ms > q->job->submitted_ms)
+		return true;
+	return q->large && !sched_large(q->p, victim);
+}
+
+/* Small work that has run for a while gives its place to a job that would starve. */
+static bool had_a_turn(const struct job *victim, const struct query *q)
+{
+	return sched_moves_easily(q->p, victim) && victim->started_ms &&
+	       q->now_ms > victim->started_ms + TURN_MS;
 }
 
 bool search_may_evict(const struct job *victim, const struct query *q)
@@ -39,13 +63,20 @@
 		return false;
 	if (q->mode == QUERY_CELLS_EVICT)
 		return may_evict_from_cells(victim, q);
-	if (sched_guaranteed(victim) || victim->urgent || !eviction_budget_left(victim, q->now_ms))
+	if (victim->urgent || !eviction_budget_left(victim, q))
 		return false;
+	/* Small work leaves its guarantee for a large job: it gets room elsewhere at once. */
+	if (sched_guaranteed(victim))
+		return q->large && sched_moves_easily(q->p, victim);
+	if (q->entitled && !sched_large(q->p, victim) && !victim->entitled)
+		return true;
 	if (q->job->urgent)
 		return true;
-	if (q->overdue && victim->submitted_ms > q->job->submitted_ms)
+	if (q->overdue && (victim->submitted_ms > q->job->submitted_ms || had_a_turn(victim, q)))
 		return true;
-	return q->large && !sched_large(q->p, victim);
+	if (!q->large)
+		return false;
+	return !sched_large(q->p, victim) || job_width(victim) < job_width(q->job);
 }
 
 /* Accelerator-milliseconds of work that evicting the job loses. */
@@ -59,6 +90,11 @@
 	if (!victim->checkpoint && victim->started_ms && now_ms > victim->started_ms)
 		lost = (double)(now_ms - victim->started_ms);
 	lost += EVICTION_COST_MS * (1 + victim->evictions);
+	lost += AGE_COST * (double)(now_ms - MIN(now_ms, victim->submitted_ms));
+	if (victim->urgent)
+		lost += URGENT_VICTIM_COST_MS;
+	if (sched_guaranteed(victim))
+		lost += GUARANTEED_VICTIM_COST_MS;
 	return lost * width;
 }
 
@@ -171,8 +207,7 @@
 	}
 	if (!q->lend || pinned) {
 		slot->cores = MIN(slot->cores, sub(w->cores, w->cores_home + w->cores_pinned));
-		slot->memory =
-			MIN(slot->memory, sub(w->memory, w->memory_home + w->memory_pinned));
+		slot->memory = MIN(slot->memory, sub(w->memory, w->memory_home + w->memory_pinned));
 	}
 	return true;
 }
@@ -250,6 +285,7 @@
 		score += p->policy.weight_completion * LENT_PENALTY;
 	if (w->earmarked & run)
 		score += EARMARK_PENALTY;
+	score += SUSPICION_PENALTY * w->suspicion;
 	score += 0.001 * (double)__builtin_ctzll(run) / 64;
 	if (mode_evicts(q->mode))
 		score = displaced_cost(p, w, run, q) + score;
@@ -305,9 +341,9 @@
 	for (size_t i = 0; i < count && room < shape->members; i++) {
 		if (slots[i].offset < 0)
 			continue;
-		room += shape->accelerators
-				? (uint64_t)__builtin_popcountll(slots[i].mask) / shape->accelerators
-				: shape->members;
+		room += shape->accelerators ? (uint64_t)__builtin_popcountll(slots[i].mask) /
+						      shape->accelerators
+					    : shape->members;
 	}
 	return room >= shape->members;
 }
@@ -411,8 +447,8 @@
 		}
 		if (!group_may_hold(&p->slots[begin], end - begin, q->shape))
 			continue;
-		score = fill_group(p, &p->slots[begin], end - begin, q,
-				   prune ? best : NO_ROOM, trial);
+		score = fill_group(p, &p->slots[begin], end - begin, q, prune ? best : NO_ROOM,
+				   trial);
 		if (score >= best)
 			continue;
 		best = score;
@@ -441,7 +477,7 @@
 
 	if (x->worker->rack != y->worker->rack)
 		return x->worker->zone != y->worker->zone ? x->worker->zone - y->worker->zone
-							   : x->worker->rack - y->worker->rack;
+							  : x->worker->rack - y->worker->rack;
 	return strcmp(x->worker->name, y->worker->name);
 }
 
--- a/src/topo.c
+++ b/src/topo.c
@@ -247,6 +247,9 @@
 	for (uint32_t i = 0; i < job->shape.members; i++)
 		hold(p, &members[i], true);
 	p->placed++;
+	job->counted_large = sched_large(p, job);
+	if (job->counted_large)
+		p->large_used += job->shape.members * job->shape.accelerators;
 }
 
 void topo_release(struct place *p, struct job *job)
@@ -256,6 +259,8 @@
 	for (uint32_t i = 0; i < job->shape.members; i++)
 		hold(p, &job->members[i], false);
 	TALLOC_FREE(job->members);
+	if (job->counted_large)
+		p->large_used -= job->shape.members * job->shape.accelerators;
 	p->placed--;
 	p->gen++;
 	p->work_due = true;
