--- a/src/health.c
+++ b/src/health.c
@@ -9,11 +9,15 @@
 #define QUARANTINE_MS 30000
 #define QUARANTINE_DOUBLINGS 5	 /* at most 16 minutes */
 #define PROBATION_AFTER_MS 60000 /* readmitted on probation when no job can serve as a probe */
+#define AVOID_MS 20000 /* a job stays away from workers it failed on */
 #define PROBE_LOOKS 64		 /* waiting jobs looked at for a probe */
 #define QUARANTINED_SHARE 3	 /* at most one worker of this many */
 
-bool health_avoids(const struct job *job, const struct worker *w)
+/* In a small fleet the avoided workers may be the only ones that fit, so avoidance ends. */
+bool health_avoids(const struct job *job, const struct worker *w, uint64_t now_ms)
 {
+	if (now_ms > job->failed_ms + AVOID_MS)
+		return false;
 	for (uint32_t i = 0; i < job->failed_on_count; i++) {
 		if (job->failed_on[i] == w)
 			return true;
@@ -62,11 +66,11 @@
 }
 
 /* Older entries go first; in a small fleet at least half of the workers stay allowed. */
-static void remember(struct place *p, struct job *job, struct worker *w)
+static void remember(struct place *p, struct job *job, struct worker *w, uint64_t now_ms)
 {
 	uint32_t limit = (uint32_t)MIN(p->order_count / 2, PLACE_FAILED_WORKERS_MAX);
 
-	if (limit == 0 || health_avoids(job, w))
+	if (limit == 0 || health_avoids(job, w, now_ms))
 		return;
 	if (job->failed_on_count >= limit) {
 		for (uint32_t i = 1; i < job->failed_on_count; i++)
@@ -96,6 +100,7 @@
 	bool good;
 
 	job->start_failures++;
+	job->failed_ms = now_ms;
 	/* The first failures may well be a worker's fault, so other workers are tried at once. */
 	if (job->start_failures > 2)
 		job->not_before_ms = now_ms + MIN(250ULL << MIN(job->start_failures, 8), 30000);
@@ -109,7 +114,7 @@
 		good = false;
 	} else if (w) {
 		w->suspicion += SUSPECT_FAILURE;
-		remember(p, job, w);
+		remember(p, job, w, now_ms);
 		if (w->suspicion >= QUARANTINE_AT)
 			quarantine(p, w, now_ms);
 	}
--- a/src/pass.c
+++ b/src/pass.c
@@ -435,6 +435,9 @@
 
 static bool reservation_usable(const struct job *job)
 {
+	if (!sched_evictable(job) && !job->reservation[0].cell &&
+	    !search_outside_homes(job, job->reservation))
+		return false;
 	for (uint32_t i = 0; i < job->shape.members; i++) {
 		if (!topo_usable(job->reservation[i].worker))
 			return false;
--- a/src/place_impl.h
+++ b/src/place_impl.h
@@ -172,6 +172,7 @@
 	uint64_t reserved_ms;
 	struct worker *failed_on[PLACE_FAILED_WORKERS_MAX];
 	uint32_t failed_on_count;
+	uint64_t failed_ms; /* latest failed start */
 	struct member *members; /* placed: shape.members */
 	struct member *reservation;
 	GList *link; /* in org->waiting */
@@ -287,6 +288,7 @@
 
 /* search.c */
 bool search_place(struct place *p, const struct query *q, struct member *out);
+bool search_outside_homes(const struct job *job, const struct member *members);
 bool search_capacity(struct place *p, const struct place_shape *shape);
 double search_evict_cost(const struct place *p, const struct job *victim, uint64_t now_ms);
 bool search_may_evict(const struct job *victim, const struct query *q);
@@ -309,7 +311,7 @@
 void health_start_failed(struct place *p, struct job *job, struct worker *w, uint64_t now_ms);
 void health_program_failed(struct place *p, struct worker *w);
 uint64_t health_step(struct place *p, uint64_t now_ms);
-bool health_avoids(const struct job *job, const struct worker *w);
+bool health_avoids(const struct job *job, const struct worker *w, uint64_t now_ms);
 
 /* sched.c */
 void sched_enqueue(struct place *p, struct job *job, uint64_t now_ms);
--- a/src/search.c
+++ b/src/search.c
@@ -164,6 +164,24 @@
 	return w->home & ~own;
 }
 
+/* Homes can move over a reservation: is it still outside the guarantees of others? */
+bool search_outside_homes(const struct job *job, const struct member *members)
+{
+	for (uint32_t i = 0; i < job->shape.members; i++) {
+		const struct worker *w = members[i].worker;
+		uint32_t count = 0;
+
+		for (uint32_t k = 0; k < job->shape.members; k++)
+			count += members[k].worker == w;
+		if (members[i].mask & others_home(w, job->org))
+			return false;
+		if (w->cores_home + w->cores_pinned + count * job->shape.cores > w->cores ||
+		    w->memory_home + w->memory_pinned + count * job->shape.memory_mb > w->memory)
+			return false;
+	}
+	return true;
+}
+
 /* Homes may not overlap each other, and not work of others that may not be evicted. */
 static bool home_slot(const struct worker *w, const struct query *q, struct slot *slot)
 {
@@ -188,7 +206,7 @@
 {
 	bool pinned = !sched_evictable(q->job);
 
-	if (!topo_usable(w) || w->avoid_until_ms > q->now_ms || health_avoids(q->job, w))
+	if (!topo_usable(w) || w->avoid_until_ms > q->now_ms || health_avoids(q->job, w, q->now_ms))
 		return false;
 	slot->mask = w->all & ~(w->reserved | w->reported);
 	if (!q->job->urgent && !q->moves_easily)
@@ -217,7 +235,7 @@
 {
 	const struct worker *w = c->worker;
 
-	if (!w || !topo_usable(w) || w->avoid_until_ms > q->now_ms || health_avoids(q->job, w))
+	if (!w || !topo_usable(w) || w->avoid_until_ms > q->now_ms || health_avoids(q->job, w, q->now_ms))
 		return false;
 	slot->cell = c;
 	slot->mask = c->mask;
