configrepo, examples: first configuration, guarantees of a reduced fleet

Without a base revision, a node that has no configuration yet now refuses to replace one it did not know: a restarted entry would have overwritten it. When the guarantees in force do not fit the announced workers either, changes are accepted, because lost workers must not lock operators out.

--- a/src/cli.h
+++ b/src/cli.h
@@ -62,6 +62,7 @@
 	const char *body; /* NULL for none */
 	size_t body_len;
 	uint32_t timeout_ms; /* 0: 30 s */
+	bool may_be_down;    /* an answer of 503 is no problem; the caller looks at it */
 	bool repeatable;     /* may be sent again to another entry after an unknown outcome */
 };
 
--- a/src/cli_config.c
+++ b/src/cli_config.c
@@ -141,7 +141,7 @@
 static const struct argp_option apply_options[] = {
 	{"message", 'm', "TEXT", 0, "Reason, kept in the history", 0},
 	{"base", 'b', "REVISION", 0,
-	 "Apply only on top of this revision; the one in force if not given, 0 for the first", 0},
+	 "Apply only on top of this revision; the one in force if not given", 0},
 	{0},
 };
 
@@ -153,19 +153,21 @@
 	       "Example: jaycourse config apply examples/nefeli --message 'lend idle capacity'",
 };
 
-/* Without a base the folder is applied only if nobody else applies one meanwhile. */
+/*
+ * Without a base the folder is applied only if nobody else applies one meanwhile. An entry
+ * that has no configuration takes base 0 as "the first", and refuses if there is one.
+ */
 static int find_base(struct cli *cli, struct folder_arguments *a)
 {
+	struct cli_call call = {
+		.method = "GET", .path = "/v1/config", .repeatable = true, .may_be_down = true};
 	struct cli_answer answer;
 	int code;
 
 	if (a->base != BASE_UNSET)
 		return CLI_OK;
-	code = cli_get(cli, "/v1/config", &answer);
-	if (code == CLI_NOT_RUN)
-		fputs("  For the very first configuration use --base 0.\n", stderr);
-	if (!code)
-		a->base = json_integer_value(json_object_get(answer.json, "revision"));
+	code = cli_send(cli, &call, &answer);
+	a->base = json_integer_value(json_object_get(answer.json, "revision"));
 	return code;
 }
 
--- a/src/cli_http.c
+++ b/src/cli_http.c
@@ -8,13 +8,11 @@
 
 #define TIMEOUT_MS 30000
 #define HEADERS_MAX 16
-#define HTTP_BAD_REQUEST 400
 #define HTTP_UNAUTHORIZED 401
 #define HTTP_FORBIDDEN 403
 #define HTTP_NOT_FOUND 404
 #define HTTP_CONFLICT 409
-#define HTTP_TOO_LARGE 413
-#define HTTP_UNPROCESSABLE 422
+#define HTTP_UNAVAILABLE 503
 
 struct exchange {
 	struct cli *cli;
@@ -102,10 +100,6 @@
 		return CLI_CONFLICT;
 	if (!strcmp(outcome, "unknown"))
 		return CLI_OUTCOME_UNKNOWN;
-	/* Repeating wrong input cannot help, although it did not run either. */
-	if (http_status == HTTP_BAD_REQUEST || http_status == HTTP_TOO_LARGE ||
-	    http_status == HTTP_UNPROCESSABLE)
-		return CLI_FAILED;
 	return strcmp(outcome, "not_run") ? CLI_FAILED : CLI_NOT_RUN;
 }
 
@@ -154,6 +148,8 @@
 	answer->json = json_loadb(answer->body, answer->len, 0, NULL);
 	if (answer->http_status / 100 == 2)
 		return CLI_OK;
+	if (answer->http_status == HTTP_UNAVAILABLE && call->may_be_down)
+		return CLI_OK;
 	return report_answer(cli, answer);
 }
 
--- a/src/cli_out.c
+++ b/src/cli_out.c
@@ -13,13 +13,13 @@
 
 int cli_error(int code, const char *remedy, const char *format, ...)
 {
+	char message[1024];
 	va_list args;
 
-	fputs("jaycourse: ", stderr);
 	va_start(args, format);
-	vfprintf(stderr, format, args);
+	vsnprintf(message, sizeof(message), format, args);
 	va_end(args);
-	fprintf(stderr, "\n  remedy: %s\n", remedy);
+	fprintf(stderr, "jaycourse: %s\n  remedy: %s\n", message, remedy);
 	return code;
 }
 
--- a/src/configapply.c
+++ b/src/configapply.c
@@ -24,13 +24,15 @@
 	char *by;
 	char *message;
 	uint64_t base;
+	bool first; /* this node had no configuration when it was asked */
 	char operation[2 * OPERATION_BYTES + 1];
 	uint64_t started_ms;
 	uint64_t revision; /* being written, 0: none yet */
 	char *record;
 	char *key;
 	uint32_t attempts;
-	bool unknown; /* a write may still take effect */
+	bool next_reading; /* waits for the reading after the one under way */
+	bool unknown;	   /* a write may still take effect */
 	struct tevent_immediate *immediate;
 	struct tevent_timer *timer;
 	int status;
@@ -81,6 +83,8 @@
 
 static void wait_for_sync(struct config_job *job)
 {
+	/* A reading under way may have passed the newest record already. */
+	job->next_reading = job->repo->syncing;
 	job->next = job->repo->waiting;
 	job->repo->waiting = job;
 	configrepo_sync(job->repo);
@@ -174,7 +178,7 @@
 	uint64_t revision = job->revision;
 
 	/* The watch may have brought the record already, or a newer one may be known. */
-	if (repo->head + 1 == revision && !repo->syncing)
+	if (repo->head + 1 == revision)
 		configrepo_advance(repo, job->record, strlen(job->record));
 	else if (repo->head < revision)
 		configrepo_sync(repo);
@@ -235,7 +239,8 @@
 	struct configrepo_apply request = {
 		.files = job->files, .by = job->by, .message = job->message};
 
-	if (job->base && job->base != repo->head) {
+	/* Without a base, a node that has just started must not replace what it did not know. */
+	if ((job->base && job->base != repo->head) || (!job->base && job->first && repo->head)) {
 		finish_conflict(job);
 		return;
 	}
@@ -254,6 +259,13 @@
 	write_revision(job);
 }
 
+static void wait_longer(struct config_job *job)
+{
+	job->next_reading = false;
+	job->next = job->repo->waiting;
+	job->repo->waiting = job;
+}
+
 void configapply_synced(struct configrepo *repo, int status)
 {
 	struct config_job *job = repo->waiting;
@@ -264,6 +276,8 @@
 
 		if (status)
 			give_up(job, -ERR_UNAVAILABLE);
+		else if (job->next_reading)
+			wait_longer(job);
 		else if (job->revision) /* lost the race for this revision */
 			finish_conflict(job);
 		else
@@ -285,22 +299,43 @@
 	return text;
 }
 
+/*
+ * The planned fleet, when there is one, was checked by config_parse(). When the guarantees in
+ * force do not fit the announced workers either, workers are lost, and operators must still be
+ * able to change the configuration.
+ */
+static int check_announced(struct config_job *job, const struct config *config,
+			   const struct configrepo_apply *request)
+{
+	struct config *current;
+	struct err err;
+	int status;
+
+	if (config->fleet_count > 0 || request->worker_count == 0)
+		return 0;
+	status = config_check_guarantees(config, request->workers, request->worker_count, &err);
+	current = status ? configrepo_current(job->repo) : NULL;
+	if (current &&
+	    config_check_guarantees(current, request->workers, request->worker_count, NULL))
+		status = 0;
+	configrepo_release(job->repo, current);
+	if (status)
+		job->text = talloc_asprintf(job, "%s. %s\n", err.message, err.remedy);
+	return status;
+}
+
 /* Checks the folder before anything is written. */
 static int check(struct config_job *job, const struct configrepo_apply *request)
 {
 	TALLOC_CTX *mem = talloc_new(job);
 	struct config_problems problems;
 	struct config *config = config_parse(mem, request->files, &problems);
-	struct err err;
-	int status = config ? 0 : -ERR_INVALID;
+	int status = -ERR_INVALID;
 
-	if (!config)
+	if (config)
+		status = check_announced(job, config, request);
+	else
 		job->text = problem_text(job, &problems);
-	if (config && request->worker_count > 0)
-		status = config_check_guarantees(config, request->workers, request->worker_count,
-						 &err);
-	if (config && status)
-		job->text = talloc_asprintf(job, "%s. %s\n", err.message, err.remedy);
 	talloc_free(mem);
 	return status;
 }
@@ -336,6 +371,7 @@
 	job->by = talloc_strdup(job, request->by ? request->by : "");
 	job->message = talloc_strdup(job, request->message ? request->message : "");
 	job->base = request->base_revision;
+	job->first = configrepo_revision(repo) == 0;
 	job->started_ms = util_clock_ms();
 	job->done = done;
 	job->ctx = ctx;
--- a/src/configrepo.c
+++ b/src/configrepo.c
@@ -246,8 +246,7 @@
 
 	if (kv->version == 0 || revision <= repo->head)
 		return;
-	if (repo->syncing || revision != repo->head + 1 ||
-	    !configrepo_advance(repo, kv->value, kv->value_len))
+	if (revision != repo->head + 1 || !configrepo_advance(repo, kv->value, kv->value_len))
 		configrepo_sync(repo);
 }
 
--- a/src/configrepo.h
+++ b/src/configrepo.h
@@ -43,11 +43,15 @@
 int configrepo_offer(struct configrepo *repo, uint64_t revision, json_t *files);
 
 struct configrepo_apply {
-	json_t *files;		/* the whole folder, borrowed */
-	uint64_t base_revision; /* revision the operator started from; 0: whatever is current */
+	json_t *files; /* the whole folder, borrowed */
+	/* Revision the operator started from. 0: whatever is current, or on a node that has no
+	 * configuration yet: only if there is none. */
+	uint64_t base_revision;
 	const char *by;
 	const char *message;
-	const struct place_worker_spec *workers; /* announced fleet for the guarantee check */
+	/* Announced fleet for the guarantee check, used when no fleet is planned. A change is not
+	 * refused for guarantees when those in force do not fit it either. */
+	const struct place_worker_spec *workers;
 	size_t worker_count;
 };
 
--- a/src/main_cli.c
+++ b/src/main_cli.c
@@ -1,6 +1,5 @@
 #include "cli.h"
 
-#include <locale.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -105,7 +104,7 @@
 
 static void usage(FILE *out)
 {
-	fputs("Usage: jaycourse COMMAND [OPTION...]\n\nCommands:\n", out);
+	fputs("Usage: jaycourse [COMMON OPTION...] COMMAND [OPTION...]\n\nCommands:\n", out);
 	for (size_t g = 0; g < sizeof(groups) / sizeof(groups[0]); g++) {
 		for (const struct cli_command *c = groups[g]; c->name; c++)
 			fprintf(out, "  %-15s %s\n", c->name, c->summary);
@@ -147,23 +146,74 @@
 	return CLI_USAGE;
 }
 
+/* What stands before the command. */
+struct front {
+	struct cli *cli;
+	int command; /* index of its first word, 0: none */
+	bool help;
+	bool version;
+};
+
+static const struct argp_option front_options[] = {
+	{"help", 'h', NULL, 0, NULL, 0},
+	{"version", 'V', NULL, 0, NULL, 0},
+	{0},
+};
+
+static error_t parse_front(int key, char *arg, struct argp_state *state)
+{
+	struct front *front = state->input;
+
+	switch (key) {
+	case ARGP_KEY_INIT:
+		state->child_inputs[0] = front->cli;
+		return 0;
+	case 'h':
+		front->help = true;
+		return 0;
+	case 'V':
+		front->version = true;
+		return 0;
+	case ARGP_KEY_ARG:
+		front->command = state->next - 1;
+		state->next = state->argc; /* the rest belongs to the command */
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static int run(struct cli *cli, int argc, char **argv)
+{
+	static const struct argp_child children[] = {{&cli_common, 0, NULL, 0}, {0}};
+	static const struct argp argp = {
+		.options = front_options, .parser = parse_front, .children = children};
+	struct front front = {.cli = cli};
+
+	argp_parse(&argp, argc, argv, ARGP_IN_ORDER | ARGP_NO_HELP, NULL, &front);
+	if (front.version) {
+		puts(argp_program_version);
+		return CLI_OK;
+	}
+	if (front.help) {
+		usage(stdout);
+		return CLI_OK;
+	}
+	if (!front.command) {
+		usage(stderr);
+		return CLI_USAGE;
+	}
+	return run_command(cli, argc - front.command + 1, argv + front.command - 1);
+}
+
 int main(int argc, char **argv)
 {
 	struct cli cli = {.mem = talloc_new(NULL)};
 	int code;
 
-	setlocale(LC_CTYPE, "");
 	signal(SIGPIPE, SIG_IGN);
 	argp_err_exit_status = CLI_USAGE;
-	if (argc > 1 && (!strcmp(argv[1], "--help") || !strcmp(argv[1], "-h"))) {
-		usage(stdout);
-		code = CLI_OK;
-	} else if (argc > 1 && !strcmp(argv[1], "--version")) {
-		puts(argp_program_version);
-		code = CLI_OK;
-	} else {
-		code = run_command(&cli, argc, argv);
-	}
+	code = run(&cli, argc, argv);
 	talloc_free(cli.mem);
 	if (fflush(stdout) && !code)
 		code = cli_error(CLI_FAILED, "Check where the output goes.",
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -285,6 +285,52 @@
 	talloc_free(mem);
 }
 
+struct example {
+	const char *folder;
+	const char *operator_token;
+	const char *organisation;
+};
+
+static const struct example examples[] = {
+	{"examples/nefeli", "nefeli-operator-token", "amorgos-growers"},
+	{"examples/sonhario", "sonhario-operator-token", "ribeira-press"},
+};
+
+static void check_example(const struct example *example, const struct config *c)
+{
+	const struct config_organisation *org;
+	const struct config_operator *op;
+	char token[64];
+
+	CU_ASSERT_EQUAL(c->organisation_count, 4);
+	CU_ASSERT_EQUAL(c->fleet_count, 10);
+	CU_ASSERT_TRUE(c->policy.lend_idle && c->policy.give_back);
+	CU_ASSERT_EQUAL(config_authenticate(c, example->operator_token, &org, &op), 0);
+	CU_ASSERT_TRUE(op && op->role == CONFIG_OPERATOR);
+	snprintf(token, sizeof(token), "%s-token", example->organisation);
+	CU_ASSERT_EQUAL(config_authenticate(c, token, &org, &op), 0);
+	CU_ASSERT_TRUE(org && !strcmp(org->name, example->organisation));
+}
+
+/* Guards against examples that no longer pass the check, or whose tokens do not fit. */
+static void test_examples(void)
+{
+	for (size_t i = 0; i < sizeof(examples) / sizeof(examples[0]); i++) {
+		TALLOC_CTX *mem = talloc_new(NULL);
+		struct config_problems problems = {0};
+		json_t *files = NULL;
+		struct config *c = NULL;
+
+		CU_ASSERT_EQUAL(config_read_folder(examples[i].folder, &files, NULL), 0);
+		c = config_parse(mem, files, &problems);
+		CU_ASSERT_PTR_NOT_NULL(c);
+		if (c)
+			check_example(&examples[i], c);
+		json_decref(files);
+		talloc_free(mem);
+	}
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -297,6 +343,7 @@
 	CU_add_test(suite, "tokens", test_tokens);
 	CU_add_test(suite, "diff", test_diff);
 	CU_add_test(suite, "sizes", test_sizes);
+	CU_add_test(suite, "examples", test_examples);
 	CU_add_test(suite, "fuzz", test_fuzz);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
--- a/tests/test_configrepo.c
+++ b/tests/test_configrepo.c
@@ -144,6 +144,71 @@
 	talloc_free(w.mem);
 }
 
+/* A node that has just started must not replace a configuration that it does not know yet. */
+static void test_first(void)
+{
+	struct world w;
+	struct node late;
+	struct outcome o;
+
+	setup(&w);
+	CU_ASSERT_EQUAL(apply(&w, &w.a, 5, 0, &o), 0);
+	join(&w, &late);
+	CU_ASSERT_EQUAL(apply(&w, &late, 6, 0, &o), -ERR_CONFLICT);
+	CU_ASSERT_EQUAL(o.revision, 1);
+	CU_ASSERT_EQUAL(apply(&w, &late, 6, 1, &o), 0);
+	talloc_free(w.mem);
+}
+
+static void set_workers(struct place_worker_spec *workers, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		workers[i] = (struct place_worker_spec){.name = i ? "w1" : "w0",
+							.zone = "z",
+							.rack = "r",
+							.accelerators = 8,
+							.cores = 64,
+							.memory_mb = 65536};
+}
+
+static json_t *guarantee_files(int members)
+{
+	char text[160];
+
+	snprintf(text, sizeof(text),
+		 "{\"decision\":\"organisation\",\"name\":\"o\",\"guarantees\":[{\"members\":%d,"
+		 "\"accelerators\":8}]}",
+		 members);
+	return json_pack("{s:s}", "o.json", text);
+}
+
+/* Promises that do not fit are refused, but lost workers must not lock operators out. */
+static void test_guarantees(void)
+{
+	struct place_worker_spec workers[2];
+	struct configrepo_apply request = {.workers = workers, .worker_count = 2};
+	static const struct {
+		size_t workers;
+		int members;
+		int status;
+	} steps[] = {{2, 3, -ERR_NEVER_FITS}, {2, 2, 0}, {2, 3, -ERR_NEVER_FITS}, {1, 3, 0}};
+	struct world w;
+
+	setup(&w);
+	set_workers(workers, 2);
+	for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+		struct outcome o = {0};
+
+		request.files = guarantee_files(steps[i].members);
+		request.worker_count = steps[i].workers;
+		configrepo_apply(w.a.repo, &request, on_applied, &o);
+		CU_ASSERT_TRUE(loop_until(w.ev, &o.done));
+		CU_ASSERT_EQUAL(o.status, steps[i].status);
+		json_decref(request.files);
+	}
+	talloc_free(w.mem);
+}
+
 /* Of racing operators exactly one wins, and the other learns the winner's number and content. */
 static void test_race(void)
 {
@@ -250,7 +315,9 @@
 	int64_t reads;
 
 	setup(&w);
-	for (int i = 1; i <= 130; i++) {
+	CU_ASSERT_EQUAL(apply(&w, &w.a, 1, 0, &o), 0);
+	CU_ASSERT_TRUE(wait_revision(&w, &w.b, 1));
+	for (int i = 2; i <= 130; i++) {
 		struct node *node = i % 2 ? &w.a : &w.b;
 
 		while (apply(&w, node, i, 0, &o) == -ERR_UNAVAILABLE)
@@ -327,6 +394,8 @@
 	CU_initialize_registry();
 	suite = CU_add_suite("configrepo", NULL, NULL);
 	CU_add_test(suite, "spread", test_spread);
+	CU_add_test(suite, "first", test_first);
+	CU_add_test(suite, "guarantees", test_guarantees);
 	CU_add_test(suite, "race", test_race);
 	CU_add_test(suite, "lost answer", test_lost_answer);
 	CU_add_test(suite, "outage", test_outage);
