--- /dev/null
+++ b/tests/test_cli.c
@@ -0,0 +1,195 @@
+#include "lib_proc.h"
+
+#include <CUnit/Basic.h>
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ERROR(code, outcome)                                                            \
+	"{\"error\":{\"kind\":\"k\",\"code\":\"" code "\",\"message\":\"the message\"," \
+	"\"remedy\":\"the cure\",\"outcome\":\"" outcome "\",\"request\":\"r\"}}"
+#define JOB(state)                                                                               \
+	"{\"id\":\"00000000000000aa\",\"organisation\":\"o\",\"class\":\"c\",\"state\":\"" state \
+	"\",\"attempt\":1,\"members\":[{\"worker\":\"w1\",\"mask\":255}],\"reason\":\"\"}"
+
+struct row {
+	const char *arguments[8];
+	int http_status; /* 0: the connection is closed without an answer */
+	const char *body;
+	int exit_code;
+	const char *expected; /* part of the output */
+};
+
+static const struct row rows[] = {
+	{{"jobs"}, 200, "{\"jobs\":[" JOB("running") "]}", 0, "w1"},
+	{{"jobs", "--output", "json"}, 200, "{\"jobs\":[]}", 0, "\"jobs\": []"},
+	{{"--output", "json", "jobs"}, 200, "{\"jobs\":[]}", 0, "\"jobs\": []"},
+	{{"status", "aa"}, 200, JOB("waiting"), 0, "waiting"},
+	{{"status", "aa"}, 404, ERROR("not_found", "failed"), 6, "remedy: the cure"},
+	{{"status"}, 200, "{}", 2, "name a job"},
+	{{"wait", "aa"}, 200, JOB("done"), 0, "done"},
+	{{"wait", "aa"}, 200, JOB("failed"), 1, "failed"},
+	{{"cancel", "aa"}, 401, ERROR("denied", "not_run"), 5, "the message"},
+	{{"explain", "aa"}, 403, ERROR("denied", "not_run"), 5, "the message"},
+	{{"submit", "--class", "c"}, 202, JOB("accepted"), 0, "00000000000000aa"},
+	{{"submit", "--class", "c", "--wait"}, 202, JOB("cancelled"), 1, "cancelled"},
+	{{"submit"}, 202, "{}", 2, "--class is required"},
+	{{"submit", "--class", "c", "--members", "-1"}, 202, "{}", 2, "not a number in range"},
+	{{"submit", "--class", "c", "--payload", "{"}, 202, "{}", 2, "payload"},
+	{{"submit", "--class", "c"}, 429, ERROR("over_quota", "not_run"), 3, "remedy: the cure"},
+	{{"submit", "--class", "c"}, 504, ERROR("outcome_unknown", "unknown"), 4, "key of this"},
+	{{"submit", "--class", "c"}, 0, "", 4, "key of this submission is cli-"},
+	{{"request", "s", "--data", "x"}, 200, "answer", 0, "answer"},
+	{{"request", "s"}, 502, ERROR("failed", "failed"), 1, "the message"},
+	{{"request", "s"}, 0, "", 4, "did not give a complete answer"},
+	{{"request", "s", "--data", "@/no/such/file"}, 200, "", 2, "cannot be read"},
+	{{"targets"}, 200, "{\"targets\":[{\"name\":\"t1\",\"state\":\"alive\"}]}", 0, "alive"},
+	{{"organisations"},
+	 200,
+	 "{\"organisations\":[{\"name\":\"o\",\"guarantee\":[{\"members\":2,"
+	 "\"accelerators\":8}],\"quota\":{\"jobs\":5}}]}",
+	 0,
+	 "2x8"},
+	{{"fragmentation"}, 200, "{\"fragmentation\":0.125}", 0, "0.125"},
+	{{"drain", "rack", "r1"}, 200, "{\"revision\":7}", 0, "7"},
+	{{"drain", "rack"}, 200, "{}", 2, "name what to drain"},
+	{{"config", "history"}, 200, "{\"history\":[{\"revision\":3,\"when\":0}]}", 0, "1970-01"},
+	{{"config", "diff", "examples/nefeli"}, 200, "{\"files\":{}}", 0, "+ 00-limits.json"},
+	{{"config", "apply", "examples/nefeli", "--base", "1"},
+	 409,
+	 ERROR("conflict", "not_run"),
+	 7,
+	 "the message"},
+	{{"config", "apply", "examples/nefeli", "--base", "1"}, 200, "{\"revision\":2}", 0, "2"},
+	{{"config", "check", "examples/sonhario"}, 200, "", 0, "no problems"},
+	{{"config", "check", "/no/such"}, 200, "", 6, "remedy"},
+	{{"frobnicate"}, 200, "", 2, "Usage:"},
+	{{"--help"}, 200, "", 0, "Commands:"},
+	{{"--version"}, 200, "", 0, "jaycourse"},
+};
+
+static _Atomic(const struct row *) current;
+static char url[64];
+
+static enum MHD_Result on_request(void *ctx, struct MHD_Connection *connection, const char *path,
+				  const char *method, const char *version, const char *data,
+				  size_t *len, void **state)
+{
+	const struct row *row = atomic_load(&current);
+	struct MHD_Response *response;
+	enum MHD_Result result;
+
+	if (!*state || *len > 0) {
+		*state = ctx;
+		*len = 0;
+		return MHD_YES;
+	}
+	if (!row->http_status)
+		return MHD_NO;
+	response = MHD_create_response_from_buffer(strlen(row->body), (void *)row->body,
+						   MHD_RESPMEM_PERSISTENT);
+	result = MHD_queue_response(connection, (unsigned int)row->http_status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static void run_row(const struct row *row)
+{
+	char out[8192] = "";
+	int code;
+
+	atomic_store(&current, row);
+	code = proc_run("jaycourse", row->arguments, out, sizeof(out));
+	if (code != row->exit_code || !strstr(out, row->expected))
+		fprintf(stderr, "%s %s: exit code %d, expected %d\n%s\n", row->arguments[0],
+			row->arguments[1] ? row->arguments[1] : "", code, row->exit_code, out);
+	CU_ASSERT_EQUAL(code, row->exit_code);
+	CU_ASSERT_PTR_NOT_NULL(strstr(out, row->expected));
+}
+
+/* Guards against exit codes that call an unknown outcome "not run", or the reverse. */
+static void test_rows(void)
+{
+	for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		run_row(&rows[i]);
+}
+
+static const char *const commands[][2] = {
+	{"submit"},
+	{"wait"},
+	{"status"},
+	{"cancel"},
+	{"jobs"},
+	{"explain"},
+	{"request"},
+	{"targets"},
+	{"organisations"},
+	{"fragmentation"},
+	{"drain"},
+	{"config", "check"},
+	{"config", "diff"},
+	{"config", "apply"},
+	{"config", "history"},
+	{"token", "hash"},
+};
+
+/* Guards against a command whose help has no example. */
+static void test_help(void)
+{
+	for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++) {
+		const char *arguments[4] = {commands[i][0]};
+		size_t n = 1;
+		char out[8192] = "";
+
+		if (commands[i][1])
+			arguments[n++] = commands[i][1];
+		arguments[n] = "--help";
+		CU_ASSERT_EQUAL(proc_run("jaycourse", arguments, out, sizeof(out)), 0);
+		CU_ASSERT_PTR_NOT_NULL(strstr(out, "Example: "));
+	}
+}
+
+/* A call that certainly did not go out is "not run", and another entry is tried. */
+static void test_entries(void)
+{
+	static const struct row jobs = {{"jobs"}, 200, "{\"jobs\":[]}", 0, "JOB"};
+	const char *dead[] = {"--entry", "http://127.0.0.1:1", "jobs", NULL};
+	const char *both[] = {"--entry", "http://127.0.0.1:1", "--entry", url, "jobs", NULL};
+	char out[1024];
+
+	atomic_store(&current, &jobs);
+	CU_ASSERT_EQUAL(proc_run("jaycourse", dead, out, sizeof(out)), 3);
+	CU_ASSERT_EQUAL(proc_run("jaycourse", both, out, sizeof(out)), 0);
+	unsetenv("JAYCOURSE_ENTRY");
+	CU_ASSERT_EQUAL(proc_run("jaycourse", dead + 2, out, sizeof(out)), 2);
+}
+
+int main(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct MHD_Daemon *daemon =
+		MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL, on_request,
+				 &current, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_END);
+	CU_pSuite suite;
+	unsigned int failures;
+
+	if (!daemon)
+		return 1;
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u",
+		 MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT)->port);
+	setenv("JAYCOURSE_ENTRY", url, 1);
+	CU_initialize_registry();
+	suite = CU_add_suite("cli", NULL, NULL);
+	CU_add_test(suite, "rows", test_rows);
+	CU_add_test(suite, "help", test_help);
+	CU_add_test(suite, "entries", test_entries);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	MHD_stop_daemon(daemon);
+	return failures != 0;
+}
