--- a/src/api.c
+++ b/src/api.c
@@ -25,6 +25,8 @@
 
 /* One HTTP call; owned by its connection. */
 struct call {
+	struct call *next;
+	struct call *prev;
 	struct api *api;
 	struct request *r;
 	const struct api_endpoint *endpoint;
@@ -152,6 +154,28 @@
 	}
 }
 
+static void link_call(struct api *api, struct call *call)
+{
+	pthread_mutex_lock(&api->lock);
+	call->next = api->calls;
+	if (api->calls)
+		api->calls->prev = call;
+	api->calls = call;
+	pthread_mutex_unlock(&api->lock);
+}
+
+static void unlink_call(struct api *api, struct call *call)
+{
+	pthread_mutex_lock(&api->lock);
+	if (call->prev)
+		call->prev->next = call->next;
+	else
+		api->calls = call->next;
+	if (call->next)
+		call->next->prev = call->prev;
+	pthread_mutex_unlock(&api->lock);
+}
+
 static struct call *new_call(struct api *api, struct MHD_Connection *connection, const char *url,
 			     const char *method)
 {
@@ -169,6 +193,7 @@
 	take_headers(call->r, connection);
 	if (!call->endpoint)
 		set_path_error(call->r, method, path_known);
+	link_call(api, call);
 	return call;
 }
 
@@ -223,8 +248,11 @@
 	enum MHD_Result ret;
 	char retry[16];
 
-	if (!response)
+	if (!response || !r->ready) {
+		if (response)
+			MHD_destroy_response(response);
 		return MHD_NO;
+	}
 	call->answered = true;
 	if (r->answer_type[0])
 		MHD_add_response_header(response, "Content-Type", r->answer_type);
@@ -286,6 +314,8 @@
 	ret = filters_authenticate(filters, call->r);
 	if (access == API_BOOTSTRAP && !call->r->config)
 		return 0;
+	if (ret == FILTERS_PENDING)
+		return ret;
 	if (!ret && call->r->problem)
 		ret = err_set(&call->r->err, ERR_INVALID, "send the header once",
 			      "the header %s is given more than once", call->r->problem);
@@ -296,42 +326,72 @@
 	return ret;
 }
 
-/* The whole call has been read. Returns true when it went to the loop thread. */
-static bool start(struct call *call)
+static void keep_body(struct call *call)
 {
-	struct request *r = call->r;
+	if (!call->body)
+		return;
+	call->r->body_len = call->body->len;
+	call->r->body = g_byte_array_free(call->body, FALSE);
+	call->body = NULL;
+}
+
+enum progress {
+	ANSWERED,  /* the answer is there */
+	FOR_LOOP,  /* the loop thread has to answer */
+	SUSPENDED, /* until the token has been checked */
+};
 
+/* Suspended before the check can end, or its wake-up would be lost. */
+static enum progress check_token(struct call *call)
+{
+	struct request *r = request_ref(call->r);
+
+	request_suspend(r, suspend);
+	if (!filters_check(call->api->deps.filters, r))
+		return SUSPENDED;
+	fail_now(call);
+	request_unref(r);
+	return SUSPENDED;
+}
+
+/* The whole call has been read. */
+static enum progress start(struct call *call)
+{
+	int ret = call->endpoint ? admit(call) : -ERR_NOT_FOUND;
+
+	if (ret == FILTERS_PENDING)
+		return check_token(call);
 	call->started = true;
-	r->body_len = call->body->len;
-	r->body = g_byte_array_free(call->body, FALSE);
-	call->body = NULL;
-	if (!call->endpoint || admit(call)) {
+	if (ret) {
 		fail_now(call);
-		return false;
+		return ANSWERED;
 	}
 	if (call->endpoint->on_loop || call->endpoint->access == API_REQUEST)
-		return true;
-	call->endpoint->run(call->api, r);
-	return false;
+		return FOR_LOOP;
+	call->endpoint->run(call->api, call->r);
+	return ANSWERED;
 }
 
 static enum MHD_Result proceed(struct call *call, struct MHD_Connection *connection)
 {
-	bool to_loop = false;
+	enum progress progress = ANSWERED;
 
 	if (call->answered)
 		return MHD_YES;
 	if (!call->started) {
 		api_conns_read(call->api->conns, connection);
+		keep_body(call);
 		if (call->too_large)
 			refuse_large(call);
 		else
-			to_loop = start(call);
+			progress = start(call);
 	}
+	if (progress == SUSPENDED)
+		return MHD_YES;
 	/* Suspended before the loop thread can answer, or its wake-up would be lost. */
 	if (request_wait(call->r, false, suspend))
 		return send_answer(call, connection);
-	if (to_loop)
+	if (progress == FOR_LOOP)
 		push(call);
 	return MHD_YES;
 }
@@ -390,6 +450,7 @@
 		loopq_push(api->deps.loop, abandon, request_ref(call->r));
 	if (call->body)
 		g_byte_array_free(call->body, TRUE);
+	unlink_call(api, call);
 	request_unref(call->r);
 	g_free(call);
 	atomic_fetch_sub(&api->active, 1);
@@ -485,6 +546,7 @@
 	struct api *api = talloc_zero(mem, struct api);
 
 	api->deps = *deps;
+	pthread_mutex_init(&api->lock, NULL);
 	api->conns = api_conns_create(api, deps->ev, deps->metrics);
 	if (!load_tls(api, err))
 		api->daemon = start_daemon(api, fd);
@@ -504,10 +566,21 @@
 	return atomic_load(&api->active);
 }
 
+/* The server cannot stop while connections are suspended; a cut call is never suspended again. */
+static void cut_all(struct api *api)
+{
+	pthread_mutex_lock(&api->lock);
+	for (struct call *call = api->calls; call; call = call->next)
+		request_cut(call->r);
+	pthread_mutex_unlock(&api->lock);
+}
+
 void api_destroy(struct api *api)
 {
+	cut_all(api);
 	MHD_stop_daemon(api->daemon);
 	g_free(api->certificate);
 	g_free(api->key);
+	pthread_mutex_destroy(&api->lock);
 	talloc_free(api);
 }
