--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -18,57 +18,57 @@
 struct row {
 	const char *arguments[8];
 	int http_status; /* 0: the connection is closed without an answer */
-	const char *body;
 	int exit_code;
+	const char *body;
 	const char *expected; /* part of the output */
 };
 
 static const struct row rows[] = {
-	{{"jobs"}, 200, "{\"jobs\":[" JOB("running") "]}", 0, "w1"},
-	{{"jobs", "--output", "json"}, 200, "{\"jobs\":[]}", 0, "\"jobs\": []"},
-	{{"--output", "json", "jobs"}, 200, "{\"jobs\":[]}", 0, "\"jobs\": []"},
-	{{"status", "aa"}, 200, JOB("waiting"), 0, "waiting"},
-	{{"status", "aa"}, 404, ERROR("not_found", "failed"), 6, "remedy: the cure"},
-	{{"status"}, 200, "{}", 2, "name a job"},
-	{{"wait", "aa"}, 200, JOB("done"), 0, "done"},
-	{{"wait", "aa"}, 200, JOB("failed"), 1, "failed"},
-	{{"cancel", "aa"}, 401, ERROR("denied", "not_run"), 5, "the message"},
-	{{"explain", "aa"}, 403, ERROR("denied", "not_run"), 5, "the message"},
-	{{"submit", "--class", "c"}, 202, JOB("accepted"), 0, "00000000000000aa"},
-	{{"submit", "--class", "c", "--wait"}, 202, JOB("cancelled"), 1, "cancelled"},
-	{{"submit"}, 202, "{}", 2, "--class is required"},
-	{{"submit", "--class", "c", "--members", "-1"}, 202, "{}", 2, "not a number in range"},
-	{{"submit", "--class", "c", "--payload", "{"}, 202, "{}", 2, "payload"},
-	{{"submit", "--class", "c"}, 429, ERROR("over_quota", "not_run"), 3, "remedy: the cure"},
-	{{"submit", "--class", "c"}, 504, ERROR("outcome_unknown", "unknown"), 4, "key of this"},
-	{{"submit", "--class", "c"}, 0, "", 4, "key of this submission is cli-"},
-	{{"request", "s", "--data", "x"}, 200, "answer", 0, "answer"},
-	{{"request", "s"}, 502, ERROR("failed", "failed"), 1, "the message"},
-	{{"request", "s"}, 0, "", 4, "did not give a complete answer"},
-	{{"request", "s", "--data", "@/no/such/file"}, 200, "", 2, "cannot be read"},
-	{{"targets"}, 200, "{\"targets\":[{\"name\":\"t1\",\"state\":\"alive\"}]}", 0, "alive"},
+	{{"jobs"}, 200, 0, "{\"jobs\":[" JOB("running") "]}", "w1"},
+	{{"jobs", "--output", "json"}, 200, 0, "{\"jobs\":[]}", "\"jobs\": []"},
+	{{"--output", "json", "jobs"}, 200, 0, "{\"jobs\":[]}", "\"jobs\": []"},
+	{{"status", "aa"}, 200, 0, JOB("waiting"), "waiting"},
+	{{"status", "aa"}, 404, 6, ERROR("not_found", "failed"), "remedy: the cure"},
+	{{"status"}, 200, 2, "{}", "name a job"},
+	{{"wait", "aa"}, 200, 0, JOB("done"), "done"},
+	{{"wait", "aa"}, 200, 1, JOB("failed"), "failed"},
+	{{"cancel", "aa"}, 401, 5, ERROR("denied", "not_run"), "the message"},
+	{{"explain", "aa"}, 403, 5, ERROR("denied", "not_run"), "the message"},
+	{{"submit", "--class", "c"}, 202, 0, JOB("accepted"), "00000000000000aa"},
+	{{"submit", "--class", "c", "--wait"}, 202, 1, JOB("cancelled"), "cancelled"},
+	{{"submit"}, 202, 2, "{}", "--class is required"},
+	{{"submit", "--class", "c", "--members", "-1"}, 202, 2, "{}", "not a number in range"},
+	{{"submit", "--class", "c", "--payload", "{"}, 202, 2, "{}", "payload"},
+	{{"submit", "--class", "c"}, 429, 3, ERROR("over_quota", "not_run"), "remedy: the cure"},
+	{{"submit", "--class", "c"}, 504, 4, ERROR("outcome_unknown", "unknown"), "key of this"},
+	{{"submit", "--class", "c"}, 0, 4, "", "key of this submission is cli-"},
+	{{"request", "s", "--data", "x"}, 200, 0, "answer", "answer"},
+	{{"request", "s"}, 502, 1, ERROR("failed", "failed"), "the message"},
+	{{"request", "s"}, 0, 4, "", "did not give a complete answer"},
+	{{"request", "s", "--data", "@/no/such/file"}, 200, 2, "", "cannot be read"},
+	{{"targets"}, 200, 0, "{\"targets\":[{\"name\":\"t1\",\"state\":\"alive\"}]}", "alive"},
 	{{"organisations"},
 	 200,
+	 0,
 	 "{\"organisations\":[{\"name\":\"o\",\"guarantee\":[{\"members\":2,"
 	 "\"accelerators\":8}],\"quota\":{\"jobs\":5}}]}",
-	 0,
 	 "2x8"},
-	{{"fragmentation"}, 200, "{\"fragmentation\":0.125}", 0, "0.125"},
-	{{"drain", "rack", "r1"}, 200, "{\"revision\":7}", 0, "7"},
-	{{"drain", "rack"}, 200, "{}", 2, "name what to drain"},
-	{{"config", "history"}, 200, "{\"history\":[{\"revision\":3,\"when\":0}]}", 0, "1970-01"},
-	{{"config", "diff", "examples/nefeli"}, 200, "{\"files\":{}}", 0, "+ 00-limits.json"},
+	{{"fragmentation"}, 200, 0, "{\"fragmentation\":0.125}", "0.125"},
+	{{"drain", "rack", "r1"}, 200, 0, "{\"revision\":7}", "7"},
+	{{"drain", "rack"}, 200, 2, "{}", "name what to drain"},
+	{{"config", "history"}, 200, 0, "{\"history\":[{\"revision\":3,\"when\":0}]}", "1970-01"},
+	{{"config", "diff", "examples/nefeli"}, 200, 0, "{\"files\":{}}", "+ 00-limits.json"},
 	{{"config", "apply", "examples/nefeli", "--base", "1"},
 	 409,
-	 ERROR("conflict", "not_run"),
 	 7,
+	 ERROR("conflict", "not_run"),
 	 "the message"},
-	{{"config", "apply", "examples/nefeli", "--base", "1"}, 200, "{\"revision\":2}", 0, "2"},
-	{{"config", "check", "examples/sonhario"}, 200, "", 0, "no problems"},
-	{{"config", "check", "/no/such"}, 200, "", 6, "remedy"},
-	{{"frobnicate"}, 200, "", 2, "Usage:"},
-	{{"--help"}, 200, "", 0, "Commands:"},
-	{{"--version"}, 200, "", 0, "jaycourse"},
+	{{"config", "apply", "examples/nefeli", "--base", "1"}, 200, 0, "{\"revision\":2}", "2"},
+	{{"config", "check", "examples/sonhario"}, 200, 0, "", "no problems"},
+	{{"config", "check", "/no/such"}, 200, 6, "", "remedy"},
+	{{"frobnicate"}, 200, 2, "", "Usage:"},
+	{{"--help"}, 200, 0, "", "Commands:"},
+	{{"--version"}, 200, 0, "", "jaycourse"},
 };
 
 static _Atomic(const struct row *) current;
@@ -155,7 +155,7 @@
 /* A call that certainly did not go out is "not run", and another entry is tried. */
 static void test_entries(void)
 {
-	static const struct row jobs = {{"jobs"}, 200, "{\"jobs\":[]}", 0, "JOB"};
+	static const struct row jobs = {{"jobs"}, 200, 0, "{\"jobs\":[]}", "JOB"};
 	const char *dead[] = {"--entry", "http://127.0.0.1:1", "jobs", NULL};
 	const char *both[] = {"--entry", "http://127.0.0.1:1", "--entry", url, "jobs", NULL};
 	char out[1024];
