store: reconnect watches after an outage

A store host that vanished leaves a watch's connection silent, and only the renewal every 15 to 30 s noticed it, beyond the 6 s in which a configuration has to spread.

--- a/src/store.c
+++ b/src/store.c
@@ -75,11 +75,15 @@
 			store->endpoint = (endpoint + 1) % store->endpoint_count;
 		store_breaker_failure(&store->breaker, now_ms);
 	}
-	if (was_open && success)
+	if (was_open && success) {
 		log_info("store_reachable", "", "the store answers again");
-	if (!was_open && store->breaker.open_until_ms > 0)
+		store_watches_renew(store);
+	}
+	if (!was_open && store->breaker.open_until_ms > 0) {
+		store->opened_ms = now_ms;
 		log_warn("store_unreachable", "", "%u store calls failed in a row; pausing calls",
 			 store->breaker.failures);
+	}
 }
 
 static void finish(struct store_call *call, int status, const struct store_result *result)
--- a/src/store_internal.h
+++ b/src/store_internal.h
@@ -8,6 +8,7 @@
 /** DOC: Shared by store.c and storewatch.c only */
 
 struct store_call;
+struct store_watch;
 
 /* Calls that wait for a token of their bucket, oldest first. */
 struct store_queue {
@@ -29,6 +30,8 @@
 	struct store_queue writes;
 	struct store_queue reads;
 	struct store_breaker breaker;
+	uint64_t opened_ms; /* when the breaker opened last */
+	struct store_watch *watches;
 	struct util_rng rng;
 };
 
@@ -45,6 +48,9 @@
 struct tevent_timer *store_timer(struct tevent_context *ev, TALLOC_CTX *mem, uint32_t delay_ms,
 				 tevent_timer_handler_t handler, void *ctx);
 
+/** store_watches_renew() - reconnect the watches that are older than the last outage */
+void store_watches_renew(struct store *store);
+
 void store_count(struct store *store, const char *kind);
 
 #endif
--- a/src/storewatch.c
+++ b/src/storewatch.c
@@ -8,12 +8,15 @@
 
 #define RECONNECT_BASE_MS 50
 #define RECONNECT_MAX_MS 1000
+#define RENEW_SPREAD_MS 500 /* after an outage not all processes reconnect at once */
 #define LINE_MAX_BYTES (64 * 1024 * 1024)
 /* A peer that vanished without closing leaves the connection silent, so it is renewed. */
 #define RENEW_MS 30000
 
 struct store_watch {
 	struct store *store;
+	struct store_watch *next;
+	struct store_watch *prev;
 	char *prefix;
 	struct store_watch_handlers handlers;
 	struct httpc_call *call; /* NULL: waiting to connect */
@@ -21,7 +24,8 @@
 	struct tevent_immediate *immediate; /* handlers must not run inside libcurl's callbacks */
 	char *buffer;
 	size_t len;
-	int64_t next_revision;	  /* 0: from now on, with a resync */
+	int64_t next_revision; /* 0: from now on, with a resync */
+	uint64_t connected_ms;
 	int64_t created_revision; /* of the store when the watch was confirmed */
 	size_t endpoint;
 	uint32_t failures;
@@ -37,6 +41,12 @@
 {
 	if (w->deleted)
 		*w->deleted = true;
+	if (w->prev)
+		w->prev->next = w->next;
+	else
+		w->store->watches = w->next;
+	if (w->next)
+		w->next->prev = w->prev;
 	if (w->call)
 		httpc_cancel(w->call);
 	if (w->probe)
@@ -83,6 +93,18 @@
 	connect_later(w, 0);
 }
 
+void store_watches_renew(struct store *store)
+{
+	for (struct store_watch *w = store->watches; w; w = w->next) {
+		if (!w->created || w->connected_ms > store->opened_ms)
+			continue;
+		TALLOC_FREE(w->timer);
+		w->timer = store_timer(store->ev, w,
+				       (uint32_t)util_rng_below(&store->rng, RENEW_SPREAD_MS),
+				       on_renew, w);
+	}
+}
+
 static void on_slow(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
 		    void *ctx)
 {
@@ -261,6 +283,7 @@
 	request.body_len = strlen(request.body);
 	store_count(store, "watch");
 	w->endpoint = store->endpoint;
+	w->connected_ms = util_clock_ms();
 	w->call = httpc_start(store->http, &request);
 	w->timer = store_timer(store->ev, w, store->timeout_ms, on_slow, w);
 	talloc_free(scratch);
@@ -298,6 +321,10 @@
 	w->prefix = talloc_strdup(w, prefix);
 	w->handlers = *handlers;
 	w->immediate = tevent_create_immediate(w);
+	w->next = store->watches;
+	if (w->next)
+		w->next->prev = w;
+	store->watches = w;
 	talloc_set_destructor(w, watch_destructor);
 	connect_later(w, 0);
 	return w;
--- a/tests/lib_fakestore.c
+++ b/tests/lib_fakestore.c
@@ -164,6 +164,11 @@
 	json_decref(call(fake, "POST", "/fault", json));
 }
 
+void fakestore_pause(struct fakestore *fake, bool pause)
+{
+	kill(fake->pid, pause ? SIGSTOP : SIGCONT);
+}
+
 int64_t fakestore_stat(struct fakestore *fake, const char *name)
 {
 	json_t *stats = call(fake, "GET", "/stats", NULL);
--- a/tests/lib_fakestore.h
+++ b/tests/lib_fakestore.h
@@ -26,6 +26,9 @@
 /** fakestore_fault() - POST /fault, for example "{\"down\":true}" */
 void fakestore_fault(struct fakestore *fake, const char *json);
 
+/** fakestore_pause() - stop the process, or let it go on */
+void fakestore_pause(struct fakestore *fake, bool pause);
+
 /** fakestore_stat() - one number of GET /stats */
 int64_t fakestore_stat(struct fakestore *fake, const char *name);
 
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -1,5 +1,5 @@
 #include "lib_fakestore.h"
-#include "storelimit.h"
+#include "store_internal.h"
 
 #include <CUnit/Basic.h>
 #include <stdio.h>
@@ -331,6 +331,33 @@
 	talloc_free(w.mem);
 }
 
+/* A watch may be dead without a sign when the store comes back, so it must connect anew. */
+static void test_watch_renewed(void)
+{
+	struct world w;
+	struct seen seen = {0};
+	struct store_watch_handlers handlers = {on_change, on_resync, &seen};
+	struct outcome o;
+	int status = -1;
+
+	setup(&w, NULL, 100);
+	store_watch_create(w.mem, w.store, "w/", &handlers);
+	CU_ASSERT_TRUE(loop_until(w.ev, &seen.resyncs));
+	fakestore_pause(w.fake, true);
+	while (w.store->opened_ms == 0)
+		get(&w, "key", &o);
+	fakestore_pause(w.fake, false);
+	while (status) {
+		loop_for(w.ev, 20);
+		status = get(&w, "key", &o);
+	}
+	for (int i = 0; i < 1000 && fakestore_stat(w.fake, "watches_total") < 2; i++)
+		loop_for(w.ev, 10);
+	CU_ASSERT_TRUE(fakestore_stat(w.fake, "watches_total") >= 2);
+	CU_ASSERT_EQUAL(seen.resyncs, 1);
+	talloc_free(w.mem);
+}
+
 /* Guards against a breaker that never closes, or whose delay grows without bound. */
 static void test_breaker_times(void)
 {
@@ -374,6 +401,7 @@
 	CU_add_test(suite, "rates", test_rates);
 	CU_add_test(suite, "endpoints", test_endpoints);
 	CU_add_test(suite, "watch", test_watch);
+	CU_add_test(suite, "watch renewed", test_watch_renewed);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
