--- a/src/filter.c
+++ b/src/filter.c
@@ -1,4 +1,5 @@
 #include "filter.h"
+#include "auth.h"
 #include "claim.h"
 #include "util.h"
 
@@ -10,34 +11,17 @@
 #include <string.h>
 
 #define SHARDS 16
-#define AUTH_SLOTS 256 /* cached tokens of a shard */
-/*
- * Checking an unknown token may hash it once for each known one, half a second with 370
- * organisations. One thread does so, and a flood of wrong tokens delays only new ones.
- */
-#define CHECKS_WAITING_MAX 256
-#define DENIED_CACHE_MS 5000
 #define TOKEN_MAX 512
 
-struct auth_slot {
-	uint64_t hash[2]; /* of the token, with seeds of this process */
-	uint64_t revision;
-	const char *name; /* of the organisation or operator, owned by the slot's shard */
-	bool is_operator;
-	uint64_t denied_until_ms; /* 0: the token is valid */
-};
-
 struct shard {
 	pthread_mutex_t lock;
-	struct auth_slot auth[AUTH_SLOTS];
 	GHashTable *in_flight; /* organisation to count */
 };
 
 struct filters {
 	struct configrepo *configs;
 	struct metrics *metrics;
-	uint64_t seeds[2];
-	GThreadPool *checks;
+	struct auth *auth;
 	atomic_uint entries;
 	atomic_bool leaving;
 	struct shard shards[SHARDS];
@@ -45,27 +29,22 @@
 
 static int filters_destructor(struct filters *f)
 {
-	g_thread_pool_free(f->checks, FALSE, TRUE);
+	TALLOC_FREE(f->auth);
 	for (int i = 0; i < SHARDS; i++) {
-		for (int j = 0; j < AUTH_SLOTS; j++)
-			g_free((char *)f->shards[i].auth[j].name);
 		g_hash_table_destroy(f->shards[i].in_flight);
 		pthread_mutex_destroy(&f->shards[i].lock);
 	}
 	return 0;
 }
 
-static void check_token(gpointer data, gpointer ctx);
-
 struct filters *filters_create(TALLOC_CTX *mem, struct configrepo *configs, struct metrics *metrics)
 {
 	struct filters *f = talloc_zero(mem, struct filters);
 
 	f->configs = configs;
 	f->metrics = metrics;
-	util_random_bytes(f->seeds, sizeof(f->seeds));
 	atomic_init(&f->entries, 1);
-	f->checks = g_thread_pool_new(check_token, f, 1, TRUE, NULL);
+	f->auth = auth_create(f);
 	for (int i = 0; i < SHARDS; i++) {
 		pthread_mutex_init(&f->shards[i].lock, NULL);
 		f->shards[i].in_flight =
@@ -98,95 +77,6 @@
 		       "this entry host is shutting down");
 }
 
-static const struct config_operator *operator_named(const struct config *c, const char *name)
-{
-	for (size_t i = 0; i < c->operator_count; i++) {
-		if (!strcmp(c->operators[i].name, name))
-			return &c->operators[i];
-	}
-	return NULL;
-}
-
-static void hash_token(const struct filters *f, const char *token, uint64_t *hash)
-{
-	for (int i = 0; i < 2; i++)
-		hash[i] = util_hash64(token, strlen(token), f->seeds[i]);
-}
-
-static struct auth_slot *slot_of(struct shard *shard, const uint64_t *hash)
-{
-	return &shard->auth[hash[1] % AUTH_SLOTS];
-}
-
-/* Returns 1 when the cache knows the answer, which is then in @r, or in *@denied. */
-static int look_up(struct filters *f, struct request *r, const uint64_t *hash, bool *denied)
-{
-	struct shard *shard = &f->shards[hash[0] % SHARDS];
-	struct auth_slot *slot = slot_of(shard, hash);
-	int found = 0;
-
-	pthread_mutex_lock(&shard->lock);
-	if (!memcmp(slot->hash, hash, sizeof(slot->hash)) &&
-	    slot->revision == r->config->revision) {
-		*denied = slot->denied_until_ms != 0;
-		if (*denied)
-			found = util_clock_ms() < slot->denied_until_ms;
-		else if (slot->is_operator)
-			r->operator_ = operator_named(r->config, slot->name);
-		else
-			r->organisation = config_organisation(r->config, slot->name);
-		found = found || r->operator_ || r->organisation;
-	}
-	pthread_mutex_unlock(&shard->lock);
-	return found;
-}
-
-static void remember(struct filters *f, const struct request *r, const uint64_t *hash)
-{
-	struct shard *shard = &f->shards[hash[0] % SHARDS];
-	struct auth_slot *slot = slot_of(shard, hash);
-	const char *name = "";
-
-	if (r->operator_)
-		name = r->operator_->name;
-	else if (r->organisation)
-		name = r->organisation->name;
-	pthread_mutex_lock(&shard->lock);
-	g_free((char *)slot->name);
-	memcpy(slot->hash, hash, sizeof(slot->hash));
-	slot->revision = r->config->revision;
-	slot->name = g_strdup(name);
-	slot->is_operator = r->operator_ != NULL;
-	slot->denied_until_ms = *name ? 0 : util_clock_ms() + DENIED_CACHE_MS;
-	pthread_mutex_unlock(&shard->lock);
-}
-
-static void check_token(gpointer data, gpointer ctx)
-{
-	struct request *r = data;
-	struct filters *f = ctx;
-	uint64_t hash[2];
-
-	if (config_authenticate(r->config, r->token, &r->organisation, &r->operator_)) {
-		r->organisation = NULL;
-		r->operator_ = NULL;
-	}
-	hash_token(f, r->token, hash);
-	remember(f, r, hash);
-	r->identified = true;
-	request_resume(r);
-	request_unref(r);
-}
-
-int filters_check(struct filters *f, struct request *r)
-{
-	if (g_thread_pool_unprocessed(f->checks) >= CHECKS_WAITING_MAX)
-		return err_set(&r->err, ERR_UNAVAILABLE, "retry in a second",
-			       "too many tokens wait for their first check");
-	g_thread_pool_push(f->checks, r, NULL);
-	return 0;
-}
-
 static int denied(struct request *r)
 {
 	return err_set(&r->err, ERR_DENIED,
@@ -194,11 +84,13 @@
 		       r->token ? "the token is not known" : "the call carries no bearer token");
 }
 
-int filters_authenticate(struct filters *f, struct request *r)
+int filters_check(struct filters *f, struct request *r)
 {
-	uint64_t hash[2];
-	bool is_denied = false;
+	return auth_check(f->auth, r);
+}
 
+int filters_authenticate(struct filters *f, struct request *r)
+{
 	if (!r->config)
 		r->config = configrepo_current(f->configs);
 	if (!r->config)
@@ -206,12 +98,9 @@
 			       "this entry host has no configuration yet");
 	if (!r->token || strlen(r->token) > TOKEN_MAX)
 		return denied(r);
-	if (!r->identified) {
-		hash_token(f, r->token, hash);
-		if (!look_up(f, r, hash, &is_denied))
-			return FILTERS_PENDING;
-		r->identified = true;
-	}
+	if (!r->identified && !auth_look_up(f->auth, r))
+		return FILTERS_PENDING;
+	r->identified = true;
 	return r->organisation || r->operator_ ? 0 : denied(r);
 }
 
