--- /dev/null
+++ b/tests/test_target.c
@@ -0,0 +1,143 @@
+#include "announce.h"
+#include "slice.h"
+
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#define START 100000 /* any clock value, ms */
+
+struct parse_case {
+	const char *body;
+	const char *field; /* named by the error; NULL: accepted */
+};
+
+#define SERVICE "\"kind\":\"service\",\"target\":\"t\",\"service\":\"s\","
+#define URL "\"url\":\"http://10.0.0.1:80\","
+#define REST "\"incarnation\":5,\"state\":\"alive\","
+
+/* Guards against targets that enter the table with a field missing or out of range. */
+static void test_parse(void)
+{
+	static const struct parse_case cases[] = {
+		{"{" SERVICE URL REST "\"slots\":8,\"connections\":64}", NULL},
+		{"{\"kind\":\"worker\",\"target\":\"t\"," URL REST
+		 "\"accelerators\":8,\"cores\":128,\"memory_mb\":1000}",
+		 NULL},
+		{"", "JSON"},
+		{"[]", "JSON"},
+		{"{" SERVICE URL REST "\"slots\":8,\"slots\":8}", "JSON"},
+		{"{\"kind\":\"other\"}", "kind"},
+		{"{\"kind\":\"service\",\"target\":\"\"}", "target"},
+		{"{\"kind\":\"service\",\"target\":\"t\"}", "service"},
+		{"{" SERVICE "\"url\":\"https://10.0.0.1:80\"}", "url"},
+		{"{" SERVICE "\"url\":\"http://name:80\"}", "url"},
+		{"{" SERVICE "\"url\":\"http://10.0.0.1:80/x\"}", "url"},
+		{"{" SERVICE "\"url\":\"http://10.0.0.1:99999\"}", "url"},
+		{"{" SERVICE URL "\"incarnation\":0}", "incarnation"},
+		{"{" SERVICE URL "\"incarnation\":1,\"state\":\"gone\"}", "state"},
+		{"{" SERVICE URL REST "\"connections\":64}", "slots"},
+		{"{" SERVICE URL REST "\"slots\":-1,\"connections\":64}", "slots"},
+		{"{" SERVICE URL REST "\"slots\":8}", "connections"},
+		{"{\"kind\":\"worker\",\"target\":\"t\"," URL REST
+		 "\"accelerators\":65,\"cores\":1,\"memory_mb\":1}",
+		 "accelerators"},
+		{"{\"kind\":\"worker\",\"target\":\"t\"," URL REST "\"accelerators\":8}", "cores"},
+	};
+	TALLOC_CTX *mem = talloc_new(NULL);
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct target_info info;
+		struct err err = {0};
+		int ret = announce_parse(mem, cases[i].body, strlen(cases[i].body), &info, &err);
+
+		CU_ASSERT_EQUAL(ret, cases[i].field ? -ERR_INVALID : 0);
+		if (cases[i].field)
+			CU_ASSERT_PTR_NOT_NULL(strstr(err.message, cases[i].field));
+		if (cases[i].field)
+			CU_ASSERT(strlen(err.remedy) > 0);
+	}
+	talloc_free(mem);
+}
+
+struct announce_case {
+	const char *name;
+	uint64_t incarnation;
+	uint64_t at_ms;
+	int status;
+	unsigned int changes;
+	int usable;
+	bool leaving;
+};
+
+/* Guards against taking a silent, leaving, restarted or foreign target for the usable one. */
+static void test_states(void)
+{
+	static const struct announce_case cases[] = {
+		{"a", 5, 0, 0, TARGET_CHANGED | TARGET_RESTARTED, 0, false},
+		{"a", 5, 1000, 0, 0, 0, false},
+		{"b", 1, 1500, -ERR_CONFLICT, 0, 0, false},
+		{"a", 4, 1600, -ERR_STALE, 0, 0, false},
+		{"a", 5, 2000, 0, TARGET_CHANGED, -ERR_LEAVING, true},
+		{"a", 5, 3000, 0, TARGET_CHANGED, 0, false},
+		{"a", 6, 3500, 0, TARGET_CHANGED | TARGET_RESTARTED, 0, false},
+		{"a", 6, 3500 + TARGET_SILENCE_MS + 1, 0, TARGET_CHANGED, 0, false},
+		{"b", 1, 20000, 0, TARGET_CHANGED | TARGET_RESTARTED, 0, false},
+	};
+	struct target *t = target_create(NULL);
+	struct target_info info = {.kind = MSG_TARGET_SERVICE, .service = "s", .url = "u"};
+	uint64_t last = 0;
+
+	CU_ASSERT_EQUAL(target_usable(t, START), -ERR_NO_TARGET);
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		unsigned int changes;
+
+		info.name = cases[i].name;
+		info.incarnation = cases[i].incarnation;
+		info.leaving = cases[i].leaving;
+		last = START + cases[i].at_ms;
+		CU_ASSERT_EQUAL(target_announce(t, &info, last, &changes, NULL), cases[i].status);
+		CU_ASSERT_EQUAL(changes, cases[i].changes);
+		CU_ASSERT_EQUAL(target_usable(t, last), cases[i].usable);
+	}
+	CU_ASSERT_EQUAL(target_check(t, last + TARGET_SILENCE_MS), 0);
+	CU_ASSERT_EQUAL(target_usable(t, last + TARGET_SILENCE_MS + 1), -ERR_NO_TARGET);
+	CU_ASSERT_EQUAL(target_check(t, last + TARGET_SILENCE_MS + 1), TARGET_CHANGED);
+	CU_ASSERT_EQUAL(target_check(t, last + TARGET_SILENCE_MS + 2), 0);
+	talloc_free(t);
+}
+
+/* Guards against slots beyond the configuration, and keys forgotten before their claims. */
+static void test_slice(void)
+{
+	static const char text[] = "{\"services\":{\"s\":{\"slots\":4,\"connections\":0}},"
+				   "\"classes\":{\"a\":{\"idempotency_ttl_s\":60},"
+				   "\"b\":{\"idempotency_ttl_s\":7200},\"c\":{}}}";
+	struct slots_capacity capacity = {.slots = 8, .connections = 64};
+	struct slice *slice = slice_parse(NULL, (const uint8_t *)text, strlen(text));
+
+	CU_ASSERT_PTR_NULL(slice_parse(NULL, (const uint8_t *)"[]", 2));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(slice);
+	slice_limit(slice, "other", &capacity);
+	CU_ASSERT_EQUAL(capacity.slots, 8);
+	slice_limit(slice, "s", &capacity);
+	CU_ASSERT_EQUAL(capacity.slots, 4);
+	CU_ASSERT_EQUAL(capacity.connections, 64);
+	CU_ASSERT_EQUAL(slice_key_ttl_ms(slice), 7200000);
+	talloc_free(slice);
+}
+
+int main(void)
+{
+	CU_pSuite suite;
+	unsigned int failures;
+
+	CU_initialize_registry();
+	suite = CU_add_suite("target", NULL, NULL);
+	CU_add_test(suite, "parse", test_parse);
+	CU_add_test(suite, "states", test_states);
+	CU_add_test(suite, "slice", test_slice);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failures != 0;
+}
