--- a/tests/lib_agent.c
+++ b/tests/lib_agent.c
@@ -60,6 +60,7 @@
 	struct msg ack = {.type = MSG_HEARTBEAT_ACK};
 
 	entry->heartbeats++;
+	entry->in_flight = msg->u.heartbeat.in_flight;
 	take_clock(entry->rig, msg->u.heartbeat.clock_ms);
 	/* As a real entry does for an agent that it has no row of. */
 	if (entry->hellos == 0) {
--- a/tests/lib_agent.h
+++ b/tests/lib_agent.h
@@ -25,6 +25,7 @@
 	unsigned int heartbeats;
 	unsigned int hellos;
 	uint64_t target_state; /* of the last ANNOUNCE; 0 before */
+	uint64_t in_flight;    /* of the last HEARTBEAT */
 };
 
 struct agent_rig {
--- a/tests/test_agent_random.c
+++ b/tests/test_agent_random.c
@@ -106,6 +106,13 @@
 	return true;
 }
 
+/* After a heartbeat that was sent when nothing ran any more. */
+static bool idle(struct agent_rig *r, void *ctx)
+{
+	return r->entries[0].heartbeats > *(const unsigned int *)ctx &&
+	       r->entries[0].in_flight == 0;
+}
+
 static void credit(uint64_t id, uint64_t bytes)
 {
 	struct msg msg = {.type = MSG_CREDIT, .u.credit = {.id = id, .bytes = bytes}};
@@ -144,6 +151,7 @@
 {
 	struct util_rng rng = {seed};
 	struct pace pace;
+	unsigned int heartbeats;
 
 	for (uint64_t id = 1; id <= STEPS; id++) {
 		if (util_rng_below(&rng, 12) == 0)
@@ -162,6 +170,8 @@
 	}
 	credit_all();
 	CU_ASSERT(rig_until(&rig, all_finished, NULL, WAIT_MS));
+	heartbeats = rig.entries[0].heartbeats;
+	CU_ASSERT(rig_until(&rig, idle, &heartbeats, WAIT_MS));
 }
 
 static bool answer_has(uint64_t id, const char *echo)
@@ -224,7 +234,7 @@
 
 /*
  * Guards against any order of copies, cancellations, credit, queries and cut answers that runs
- * work twice, runs what was refused or fenced, or mixes answers.
+ * work twice, runs what was refused or fenced, mixes answers, or leaves a slot taken.
  */
 static void test_random(void)
 {
