--- a/tests/lib_agent.c
+++ b/tests/lib_agent.c
@@ -215,6 +215,18 @@
 	CU_ASSERT_FATAL(rig_until(rig, announced, NULL, WAIT_MS));
 }
 
+void rig_start_worker(struct agent_rig *rig)
+{
+	char agent[128];
+	const char *const arguments[] = {"--agent",	   agent,      "--target",
+					 "worker-1",	   "--listen", "127.0.0.1:0",
+					 "--usage-lag-ms", "100",      NULL};
+
+	snprintf(agent, sizeof(agent), "http://%s", rig->agent.address[0]);
+	CU_ASSERT_FATAL(proc_start(&rig->target, "fake_worker", "worker", arguments));
+	CU_ASSERT_FATAL(rig_until(rig, announced, NULL, WAIT_MS));
+}
+
 void rig_stop(struct agent_rig *rig)
 {
 	if (rig->agent.pid > 0)
--- a/tests/lib_agent.h
+++ b/tests/lib_agent.h
@@ -61,6 +61,9 @@
 /** rig_start_service() - fake_service "svc" beside the agent; waits until it is announced */
 void rig_start_service(struct agent_rig *rig, const char *slots);
 
+/** rig_start_worker() - fake_worker beside the agent; waits until it is announced */
+void rig_start_worker(struct agent_rig *rig);
+
 /** rig_stop() - end all processes and check that the agent exits with 0 */
 void rig_stop(struct agent_rig *rig);
 
--- /dev/null
+++ b/tests/test_agent_gang.c
@@ -0,0 +1,273 @@
+#include "lib_agent.h"
+#include "util.h"
+
+#include <CUnit/Basic.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define WAIT_MS 20000
+#define HOLD_TTL_MS 5000
+#define BROKEN_BOUND_MS 4000 /* a gang with a dead member has stopped after this */
+
+static struct agent_rig rig;
+
+static void hold(const char *job, uint64_t member, uint64_t mask, const char *payload)
+{
+	struct msg msg = {.type = MSG_HOLD};
+
+	msg.u.hold = (struct msg_hold){
+		.epoch = 1,
+		.job = job,
+		.attempt = 1,
+		.member = member,
+		.organisation = "org-a",
+		.class_name = "class-a",
+		.accelerator_mask = mask,
+		.cores = 8,
+		.memory_mb = 1000,
+		.ttl_ms = HOLD_TTL_MS,
+		.checkpoint = 1,
+		.payload = {(const uint8_t *)payload, strlen(payload)},
+	};
+	rig_send(&rig, &msg);
+}
+
+static void send_start(const char *job, uint64_t member, size_t members)
+{
+	const char *nodes[] = {"agent-1", "agent-1"};
+	const char *addresses[] = {rig.agent.address[1], rig.agent.address[1]};
+	struct msg msg = {.type = MSG_START};
+
+	msg.u.start = (struct msg_start){
+		.epoch = 1,
+		.job = job,
+		.attempt = 1,
+		.member = member,
+		.nodes = {nodes, members},
+		.addresses = {addresses, members},
+	};
+	rig_send(&rig, &msg);
+}
+
+struct wanted {
+	enum msg_type type;
+	const char *job;
+	uint64_t member;
+	uint64_t state; /* of MEMBER_STATUS */
+};
+
+static bool matches(const struct msg *msg, const struct wanted *w)
+{
+	if (msg->type != w->type)
+		return false;
+	if (msg->type == MSG_MEMBER_STATUS)
+		return !strcmp(msg->u.member_status.job, w->job) &&
+		       msg->u.member_status.member == w->member &&
+		       msg->u.member_status.state == w->state;
+	if (msg->type == MSG_HELD)
+		return !strcmp(msg->u.held.job, w->job) && msg->u.held.member == w->member;
+	return !strcmp(msg->u.hold_refused.job, w->job) && msg->u.hold_refused.member == w->member;
+}
+
+static const struct msg *find(const struct wanted *wanted)
+{
+	for (size_t i = 0; i < rig.inbox_count; i++) {
+		if (matches(rig.inbox[i], wanted))
+			return rig.inbox[i];
+	}
+	return NULL;
+}
+
+static bool arrived(struct agent_rig *r, void *ctx)
+{
+	return find(ctx) != NULL;
+}
+
+static const struct msg *wait_for(enum msg_type type, const char *job, uint64_t member,
+				  uint64_t state)
+{
+	struct wanted wanted = {type, job, member, state};
+
+	if (!rig_until(&rig, arrived, &wanted, WAIT_MS))
+		fprintf(stderr, "no %s for %s member %llu state %llu\n", msg_type_name(type), job,
+			(unsigned long long)member, (unsigned long long)state);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(find(&wanted));
+	return find(&wanted);
+}
+
+static void run_gang(const char *job, uint64_t mask, size_t members, const char *payload)
+{
+	for (uint64_t i = 0; i < members; i++)
+		hold(job, i, mask << i, payload);
+	for (uint64_t i = 0; i < members; i++)
+		wait_for(MSG_HELD, job, i, 0);
+	for (uint64_t i = 0; i < members; i++)
+		send_start(job, i, members);
+	for (uint64_t i = 0; i < members; i++)
+		wait_for(MSG_MEMBER_STATUS, job, i, MSG_MEMBER_RUNNING);
+}
+
+/* State of a task at the worker, "" if it never started there. */
+static void task_state(const char *id, char state[32])
+{
+	char url[128];
+	struct http_reply reply;
+	json_t *root;
+	json_t *item;
+	size_t i;
+
+	snprintf(url, sizeof(url), "http://%s/history", rig.target.address[0]);
+	reply = http_call("GET", url, NULL, NULL, WAIT_MS);
+	root = json_loads(reply.body, 0, NULL);
+	state[0] = '\0';
+	json_array_foreach(json_object_get(root, "tasks"), i, item)
+	{
+		if (!strcmp(json_string_value(json_object_get(item, "id")), id))
+			snprintf(state, 32, "%s",
+				 json_string_value(json_object_get(item, "state")));
+	}
+	json_decref(root);
+	http_free(&reply);
+}
+
+static bool task_stopped(struct agent_rig *r, void *ctx)
+{
+	char state[32];
+
+	task_state(ctx, state);
+	return !strcmp(state, "stopped");
+}
+
+static void test_start(void)
+{
+	rig_start(&rig, 1);
+	rig_start_worker(&rig);
+}
+
+/* Guards against members that do not start, or ends that the holder is not told. */
+static void test_run(void)
+{
+	run_gang("0a", 1, 2, "{\"run_ms\":300}");
+	wait_for(MSG_MEMBER_STATUS, "0a", 0, MSG_MEMBER_DONE);
+	wait_for(MSG_MEMBER_STATUS, "0a", 1, MSG_MEMBER_DONE);
+}
+
+/* Guards against a task that cannot run and holds its accelerators for ever. */
+static void test_never_runs(void)
+{
+	hold("0b", 0, 1, "{\"never_runs\":true}");
+	wait_for(MSG_HELD, "0b", 0, 0);
+	send_start("0b", 0, 1);
+	wait_for(MSG_MEMBER_STATUS, "0b", 0, MSG_MEMBER_FAILED);
+}
+
+/* Guards against a stop that loses the checkpoint or leaves the task running. */
+static void test_stop_task(void)
+{
+	struct msg msg = {.type = MSG_STOP};
+	const struct msg *status;
+	char state[32];
+
+	run_gang("0c", 1, 1, "{\"resume_ms\":50}");
+	msg.u.stop = (struct msg_stop){1, "0c", 1, 1000, 1};
+	rig_send(&rig, &msg);
+	status = wait_for(MSG_MEMBER_STATUS, "0c", 0, MSG_MEMBER_STOPPED);
+	CU_ASSERT(status->u.member_status.checkpoint_ms >= 50);
+	task_state("0c.1.0", state);
+	CU_ASSERT_STRING_EQUAL(state, "stopped");
+}
+
+/* Guards against giving accelerators away twice. */
+static void test_refused(void)
+{
+	hold("0d", 0, 0xff, "{}");
+	wait_for(MSG_HELD, "0d", 0, 0);
+	hold("0e", 0, 0x80, "{}");
+	CU_ASSERT_EQUAL(wait_for(MSG_HOLD_REFUSED, "0e", 0, 0)->u.hold_refused.code, ERR_NO_TARGET);
+	rig_send(&rig, &(struct msg){.type = MSG_RELEASE, .u.release = {1, "0d", 1}});
+	hold("0f", 0, 0x80, "{}");
+	wait_for(MSG_HELD, "0f", 0, 0);
+	rig_send(&rig, &(struct msg){.type = MSG_RELEASE, .u.release = {1, "0f", 1}});
+}
+
+static bool time_passed(struct agent_rig *r, void *ctx)
+{
+	return util_clock_ms() > *(const uint64_t *)ctx;
+}
+
+/* Guards against tasks that run on while their agent is frozen, or count as running after it. */
+static void test_frozen_agent(void)
+{
+	char id[] = "10.1.0";
+	uint64_t frozen_at;
+	uint64_t thaw_at;
+
+	run_gang("10", 1, 1, "{}");
+	frozen_at = util_clock_ms();
+	proc_signal(&rig.agent, SIGSTOP);
+	CU_ASSERT(rig_until(&rig, task_stopped, id, WAIT_MS));
+	CU_ASSERT(util_clock_ms() - frozen_at <= BROKEN_BOUND_MS);
+	thaw_at = util_clock_ms() + 500;
+	CU_ASSERT(rig_until(&rig, time_passed, &thaw_at, WAIT_MS));
+	proc_signal(&rig.agent, SIGCONT);
+	wait_for(MSG_MEMBER_STATUS, "10", 0, MSG_MEMBER_LOST);
+}
+
+static bool target_alive(struct agent_rig *r, void *ctx)
+{
+	return r->entries[0].target_state == MSG_TARGET_ALIVE;
+}
+
+/* Guards against members that count as running on a worker that is gone, and new ones there. */
+static void test_silent_worker(void)
+{
+	CU_ASSERT(rig_until(&rig, target_alive, NULL, WAIT_MS));
+	run_gang("11", 1, 1, "{}");
+	rig_fault(&rig, "{\"silent\":true}");
+	wait_for(MSG_MEMBER_STATUS, "11", 0, MSG_MEMBER_LOST);
+	hold("12", 0, 1, "{}");
+	wait_for(MSG_HOLD_REFUSED, "12", 0, 0);
+	CU_ASSERT(rig_until(&rig, task_stopped, "11.1.0", WAIT_MS));
+	rig_fault(&rig, "{\"silent\":false}");
+}
+
+/* Guards against new members on a worker that leaves. */
+static void test_leaving(void)
+{
+	rig.entries[0].target_state = 0;
+	CU_ASSERT(rig_until(&rig, target_alive, NULL, WAIT_MS));
+	run_gang("13", 1, 1, "{\"run_ms\":1000}");
+	proc_signal(&rig.agent, SIGTERM);
+	hold("14", 0, 2, "{}");
+	wait_for(MSG_HOLD_REFUSED, "14", 0, 0);
+	wait_for(MSG_MEMBER_STATUS, "13", 0, MSG_MEMBER_DONE);
+}
+
+static void test_stop(void)
+{
+	rig_stop(&rig);
+}
+
+int main(void)
+{
+	CU_pSuite suite;
+	unsigned int failures;
+
+	CU_initialize_registry();
+	suite = CU_add_suite("agent_gang", NULL, NULL);
+	CU_add_test(suite, "start", test_start);
+	CU_add_test(suite, "run", test_run);
+	CU_add_test(suite, "never_runs", test_never_runs);
+	CU_add_test(suite, "stop_task", test_stop_task);
+	CU_add_test(suite, "refused", test_refused);
+	CU_add_test(suite, "frozen_agent", test_frozen_agent);
+	CU_add_test(suite, "silent_worker", test_silent_worker);
+	CU_add_test(suite, "leaving", test_leaving);
+	CU_add_test(suite, "stop", test_stop);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failures != 0;
+}
