--- a/tests/lib_agent.c
+++ b/tests/lib_agent.c
@@ -60,6 +60,7 @@
 	struct msg ack = {.type = MSG_HEARTBEAT_ACK};
 
 	entry->heartbeats++;
+	entry->in_flight = msg->u.heartbeat.in_flight;
 	take_clock(entry->rig, msg->u.heartbeat.clock_ms);
 	/* As a real entry does for an agent that it has no row of. */
 	if (entry->hellos == 0) {
@@ -214,6 +215,18 @@
 	CU_ASSERT_FATAL(rig_until(rig, announced, NULL, WAIT_MS));
 }
 
+void rig_start_worker(struct agent_rig *rig)
+{
+	char agent[128];
+	const char *const arguments[] = {"--agent",	   agent,      "--target",
+					 "worker-1",	   "--listen", "127.0.0.1:0",
+					 "--usage-lag-ms", "100",      NULL};
+
+	snprintf(agent, sizeof(agent), "http://%s", rig->agent.address[0]);
+	CU_ASSERT_FATAL(proc_start(&rig->target, "fake_worker", "worker", arguments));
+	CU_ASSERT_FATAL(rig_until(rig, announced, NULL, WAIT_MS));
+}
+
 void rig_stop(struct agent_rig *rig)
 {
 	if (rig->agent.pid > 0)
