--- /dev/null
+++ b/src/jobs.c
@@ -0,0 +1,300 @@
+#include "jobs_int.h"
+#include "log.h"
+#include "util.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define DUTY_TTL_S 3
+#define CLOSE_POLL_MS 50
+#define CLOSE_MAX_MS 5000
+#define RELOAD_MS 500
+
+struct tevent_timer *jobs_timer(struct jobs *jobs, TALLOC_CTX *mem, uint64_t delay_ms,
+				tevent_timer_handler_t handler, void *ctx)
+{
+	struct timeval at = tevent_timeval_current_ofs((uint32_t)(delay_ms / 1000),
+						       (uint32_t)(delay_ms % 1000) * 1000);
+
+	return tevent_add_timer(jobs->deps.ev, mem, at, handler, ctx);
+}
+
+int jobs_send_holder(struct jobs *jobs, const struct msg *msg)
+{
+	if (!jobs->holder_peer[0])
+		return -ERR_UNAVAILABLE;
+	if (!wire_connected(jobs->deps.wire, jobs->holder_peer))
+		wire_connect(jobs->deps.wire, jobs->holder_peer, jobs->holder_address);
+	return wire_send(jobs->deps.wire, jobs->holder_peer, msg) ? -ERR_UNAVAILABLE : 0;
+}
+
+static void set_holder(struct jobs *jobs, const char *peer, const char *address)
+{
+	talloc_free(jobs->holder_peer);
+	talloc_free(jobs->holder_address);
+	jobs->holder_peer = talloc_strdup(jobs, peer);
+	jobs->holder_address = talloc_strdup(jobs, address);
+}
+
+static void on_gained(uint64_t epoch, void *ctx)
+{
+	struct jobs *jobs = ctx;
+
+	TALLOC_FREE(jobs->holder);
+	if (jobs->closing)
+		return;
+	set_holder(jobs, "", "");
+	jobs->holder = job_holder_create(jobs, epoch);
+}
+
+static void on_lost(void *ctx)
+{
+	struct jobs *jobs = ctx;
+
+	TALLOC_FREE(jobs->holder);
+}
+
+static void on_holder(const char *node, const char *address, uint64_t epoch, void *ctx)
+{
+	set_holder(ctx, node, address);
+}
+
+static void on_reload(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+		      void *data)
+{
+	struct jobs *jobs = data;
+
+	jobs->reload_timer = NULL;
+	if (!jobs->holder || !duty_epoch(jobs->duty))
+		return;
+	metrics_retry(jobs->deps.metrics, "jobs_reload");
+	TALLOC_FREE(jobs->holder);
+	jobs->holder = job_holder_create(jobs, duty_epoch(jobs->duty));
+}
+
+void jobs_reload(struct jobs *jobs)
+{
+	if (!jobs->reload_timer)
+		jobs->reload_timer = jobs_timer(jobs, jobs, RELOAD_MS, on_reload, jobs);
+}
+
+static void on_target(const struct member_target *target, void *ctx)
+{
+	struct jobs *jobs = ctx;
+
+	if (jobs->holder)
+		job_holder_target(jobs->holder, target);
+}
+
+struct jobs *jobs_create(TALLOC_CTX *mem, const struct jobs_deps *deps)
+{
+	struct jobs *jobs = talloc_zero(mem, struct jobs);
+	struct duty_handlers handlers = {on_gained, on_lost, on_holder, jobs};
+	struct member_handlers members = {.on_target = on_target, .ctx = jobs};
+	char *name = talloc_asprintf(jobs, "placement/%s", deps->region);
+
+	jobs->deps = *deps;
+	set_holder(jobs, "", "");
+	jobs->submits = job_submits_create(jobs);
+	jobs->queries = job_queries_create(jobs);
+	member_subscribe(deps->members, &members);
+	jobs->duty = duty_create(jobs, deps->ev, deps->store, name, deps->self, deps->address,
+				 DUTY_TTL_S, &handlers);
+	talloc_free(name);
+	return jobs;
+}
+
+/* Equal organisation and key give the same id on every entry, so a repeat finds the first. */
+static void set_id(struct job_record *job, const char *key)
+{
+	uint64_t id;
+
+	if (key[0])
+		id = util_hash64(key, strlen(key), util_hash_str(job->organisation));
+	else
+		util_random_bytes(&id, sizeof(id));
+	job->id = talloc_asprintf(job, "%016" PRIx64, id);
+}
+
+static void refuse(struct jobs *jobs, const struct err *err, struct jobs_cb cb)
+{
+	json_t *json = job_error(err, false);
+
+	cb.done(-(int)err->code, json, cb.ctx);
+	json_decref(json);
+}
+
+/* A submission that waits for the holder's word on the organisation's quota. */
+struct admission {
+	struct jobs *jobs;
+	struct job_record *job;
+	uint64_t deadline_ms;
+	struct jobs_cb cb;
+};
+
+static void on_admitted(int status, json_t *reply, void *ctx)
+{
+	struct admission *a = ctx;
+
+	if (status)
+		a->cb.done(status, reply, a->cb.ctx);
+	else
+		job_submits_add(a->jobs->submits, a->job, a->deadline_ms, a->cb);
+	talloc_free(a);
+}
+
+static bool has_job_quota(const struct config *config, const char *organisation)
+{
+	const struct config_organisation *org = config_organisation(config, organisation);
+
+	return org && org->quota_jobs;
+}
+
+static struct job_record *check(struct jobs *jobs, const struct jobs_submission *s, bool *quota,
+				struct err *err)
+{
+	struct config *config = configrepo_current(jobs->deps.configs);
+	struct job_record *job;
+
+	if (!config || jobs->closing) {
+		err_set(err, ERR_UNAVAILABLE, "retry; another entry host may answer",
+			jobs->closing ? "this entry host is shutting down"
+				      : "no configuration has been read yet");
+		if (config)
+			configrepo_release(jobs->deps.configs, config);
+		return NULL;
+	}
+	job = job_from_body(jobs, s->body, s->organisation, config, jobs->deps.members, err);
+	*quota = has_job_quota(config, s->organisation);
+	configrepo_release(jobs->deps.configs, config);
+	return job;
+}
+
+void jobs_submit(struct jobs *jobs, const struct jobs_submission *submission, struct jobs_cb cb)
+{
+	struct err err = {0};
+	bool quota = false;
+	struct job_record *job = check(jobs, submission, &quota, &err);
+	struct jobs_cb admitted = {.done = on_admitted};
+	struct admission *a;
+
+	if (!job) {
+		refuse(jobs, &err, cb);
+		return;
+	}
+	set_id(job, submission->idempotency_key);
+	if (!quota) {
+		job_submits_add(jobs->submits, job, util_clock_ms() + submission->deadline_ms, cb);
+		return;
+	}
+	a = talloc_zero(jobs, struct admission);
+	a->jobs = jobs;
+	a->job = job;
+	a->deadline_ms = util_clock_ms() + submission->deadline_ms;
+	a->cb = cb;
+	admitted.ctx = a;
+	job_queries_ask(jobs->queries, "admit", job->id, job->organisation, 0, admitted);
+}
+
+void jobs_query(struct jobs *jobs, const char *verb, const char *job, const char *organisation,
+		struct jobs_cb cb)
+{
+	job_queries_ask(jobs->queries, verb, job, organisation, 0, cb);
+}
+
+void jobs_wait(struct jobs *jobs, const char *job, const char *organisation, uint32_t timeout_ms,
+	       struct jobs_cb cb)
+{
+	job_queries_ask(jobs->queries, "get", job, organisation, timeout_ms, cb);
+}
+
+static void on_query(struct jobs *jobs, const char *peer, const struct msg_job_query *query)
+{
+	struct err err;
+	struct msg msg = {.type = MSG_JOB_INFO};
+	json_t *json;
+	char *text;
+
+	if (jobs->holder) {
+		job_serve(jobs->holder, peer, query);
+		return;
+	}
+	err_set(&err, ERR_UNAVAILABLE, "retry in a second", "this entry does not hold the duty");
+	json = job_error(&err, false);
+	text = json_dumps(json, JSON_COMPACT);
+	msg.u.job_info = (struct msg_job_info){
+		.id = query->id,
+		.code = ERR_UNAVAILABLE,
+		.json = {(const uint8_t *)text, strlen(text)},
+	};
+	wire_send(jobs->deps.wire, peer, &msg);
+	free(text);
+	json_decref(json);
+}
+
+static void on_info(struct jobs *jobs, const struct msg_job_info *info)
+{
+	json_t *json = json_loadb((const char *)info->json.data, info->json.len, 0, NULL);
+
+	if (!json)
+		json = json_object();
+	job_queries_answer(jobs->queries, info->id, -(int)info->code, json);
+	json_decref(json);
+}
+
+bool jobs_message(struct jobs *jobs, const char *peer, struct msg *msg)
+{
+	switch (msg->type) {
+	case MSG_JOB_HINT:
+		if (jobs->holder)
+			job_holder_read_segments(jobs->holder);
+		return true;
+	case MSG_JOB_QUERY:
+		on_query(jobs, peer, &msg->u.job_query);
+		return true;
+	case MSG_JOB_INFO:
+		on_info(jobs, &msg->u.job_info);
+		return true;
+	case MSG_HELD:
+	case MSG_HOLD_REFUSED:
+	case MSG_MEMBER_STATUS:
+		if (jobs->holder)
+			job_gang_message(jobs->holder, peer, msg);
+		return true;
+	default:
+		return false;
+	}
+}
+
+static void on_resigned(void *ctx)
+{
+	struct jobs *jobs = ctx;
+
+	TALLOC_FREE(jobs->holder);
+	jobs->closed(jobs->closed_ctx);
+}
+
+static void on_close(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+		     void *data)
+{
+	struct jobs *jobs = data;
+
+	bool idle = job_submits_idle(jobs->submits) &&
+		    (!jobs->holder || job_shards_idle(jobs->holder->shards));
+
+	if (idle || util_clock_ms() >= jobs->close_by_ms) {
+		duty_resign(jobs->duty, on_resigned, jobs);
+		return;
+	}
+	jobs->close_timer = jobs_timer(jobs, jobs, CLOSE_POLL_MS, on_close, jobs);
+}
+
+void jobs_shutdown(struct jobs *jobs, void (*done)(void *ctx), void *ctx)
+{
+	jobs->closing = true;
+	jobs->closed = done;
+	jobs->closed_ctx = ctx;
+	jobs->close_by_ms = util_clock_ms() + CLOSE_MAX_MS;
+	jobs->close_timer = jobs_timer(jobs, jobs, 0, on_close, jobs);
+}
