--- a/src/jobduty.c
+++ b/src/jobduty.c
@@ -598,8 +598,8 @@
 	h->segments = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	h->workers = g_hash_table_new(g_str_hash, g_str_equal);
 	h->gangs = g_ptr_array_new();
-	h->shards = job_shards_create(jobs, h->records);
-	h->link = talloc_zero(jobs, struct job_link);
+	h->shards = job_shards_create(h, jobs, h->records);
+	h->link = talloc_zero(jobs->deps.store, struct job_link);
 	h->link->h = h;
 	talloc_set_destructor(h, holder_destructor);
 	on_tick(NULL, NULL, (struct timeval){0}, h);
--- a/src/jobs_int.h
+++ b/src/jobs_int.h
@@ -103,7 +103,7 @@
 struct job_shards;
 
 /** job_shards_create() - empty; @records maps ids to records, borrowed */
-struct job_shards *job_shards_create(struct jobs *jobs, GHashTable *records);
+struct job_shards *job_shards_create(TALLOC_CTX *mem, struct jobs *jobs, GHashTable *records);
 
 /** job_shards_loaded() - a shard as read from the store */
 void job_shards_loaded(struct job_shards *s, uint32_t shard, int64_t mod_revision);
--- a/src/jobstore.c
+++ b/src/jobstore.c
@@ -53,18 +53,20 @@
 static int shards_destructor(struct job_shards *s)
 {
 	s->link->s = NULL;
+	if (!s->calling)
+		talloc_free(s->link);
 	g_ptr_array_free(s->segments, TRUE);
 	return 0;
 }
 
-struct job_shards *job_shards_create(struct jobs *jobs, GHashTable *records)
+struct job_shards *job_shards_create(TALLOC_CTX *mem, struct jobs *jobs, GHashTable *records)
 {
-	struct job_shards *s = talloc_zero(jobs, struct job_shards);
+	struct job_shards *s = talloc_zero(mem, struct job_shards);
 
 	s->jobs = jobs;
 	s->records = records;
 	s->segments = g_ptr_array_new_with_free_func(g_free);
-	s->link = talloc_zero(jobs, struct link);
+	s->link = talloc_zero(jobs->deps.store, struct link);
 	s->link->s = s;
 	for (int i = 0; i < JOBS_SHARDS; i++)
 		snprintf(s->shards[i].key, sizeof(s->shards[i].key), "jobs/%02d", i);
