--- a/src/guarantee.c
+++ b/src/guarantee.c
@@ -38,7 +38,7 @@
 
 		if (c->unit->org != m->job->org || (m->mask & ~c->mask))
 			continue;
-		if (shape->accelerators == 0 && c->mask)
+		if (!search_inside(shape, &c->unit->shape))
 			continue;
 		if (c->cores - c->cores_used < shape->cores)
 			continue;
--- a/src/place_impl.h
+++ b/src/place_impl.h
@@ -288,6 +288,7 @@
 
 /* search.c */
 bool search_place(struct place *p, const struct query *q, struct member *out);
+bool search_inside(const struct place_shape *job, const struct place_shape *guarantee);
 bool search_outside_homes(const struct job *job, const struct member *members);
 bool search_capacity(struct place *p, const struct place_shape *shape);
 double search_evict_cost(const struct place *p, const struct job *victim, uint64_t now_ms);
--- a/src/search.c
+++ b/src/search.c
@@ -410,6 +410,14 @@
 	return x->worker->order < y->worker->order ? -1 : x->worker->order > y->worker->order;
 }
 
+/* Work of another shape than the guaranteed one only borrows, also from its own organisation. */
+bool search_inside(const struct place_shape *job, const struct place_shape *guarantee)
+{
+	return job->members <= guarantee->members && job->accelerators <= guarantee->accelerators &&
+	       (job->accelerators > 0 || guarantee->accelerators == 0) &&
+	       (job->members == 1 || job->within <= guarantee->within);
+}
+
 static size_t collect_cells(struct place *p, const struct query *q)
 {
 	size_t n = 0;
@@ -417,6 +425,8 @@
 	for (size_t u = 0; u < q->org->unit_count; u++) {
 		struct unit *unit = q->org->units[u];
 
+		if (!search_inside(q->shape, &unit->shape))
+			continue;
 		for (uint32_t c = 0; c < unit->shape.members; c++) {
 			struct slot *slot = &p->slots[n];
 
