--- a/src/guarantee.c
+++ b/src/guarantee.c
@@ -492,16 +492,29 @@
 	return w->cells->len == 0;
 }
 
-/* Accelerators of the organisation's homes that its own work doesn't use. */
-uint32_t guarantee_idle_accelerators(const struct organisation *org)
+bool guarantee_holds_shape(const struct organisation *org, const struct place_shape *shape)
 {
-	uint32_t total = 0;
-
 	for (size_t i = 0; i < org->unit_count; i++) {
-		if (org->units[i]->met)
-			total += (uint32_t)unit_size(org->units[i]);
+		if (search_inside(shape, &org->units[i]->shape))
+			return true;
 	}
-	return total - MIN(total, org->used - org->borrowed);
+	return false;
+}
+
+/*
+ * May the waiting job evict others? Only while the organisation's use, wherever it runs, stays
+ * within its guarantee; otherwise an organisation that borrows much would claim twice.
+ */
+bool guarantee_entitles(const struct job *job)
+{
+	return job->org->used_inside + job->shape.members * job->shape.accelerators <=
+	       job->org->guaranteed;
+}
+
+/* Does the placed job count as use of its organisation's guarantee, although it runs outside? */
+bool guarantee_covers(const struct job *job)
+{
+	return job->counted_inside && job->org->used_inside <= job->org->guaranteed;
 }
 
 static int compare_priority(const void *a, const void *b)
@@ -590,11 +603,13 @@
 	for (guint i = 0; i < p->orgs->len; i++) {
 		struct organisation *org = p->orgs->pdata[i];
 
+		org->guaranteed = 0;
 		p->units = talloc_realloc(p, p->units, struct unit *,
 					  p->unit_count + org->unit_count + 1);
 		for (size_t k = 0; k < org->unit_count; k++) {
 			p->units[p->unit_count++] = org->units[k];
 			p->cell_count += org->units[k]->shape.members;
+			org->guaranteed += (uint32_t)unit_size(org->units[k]);
 		}
 	}
 	qsort(p->units, p->unit_count, sizeof(p->units[0]), compare_priority);
--- a/src/pass.c
+++ b/src/pass.c
@@ -98,7 +98,7 @@
 	if (start_in(pass, job, QUERY_CELLS))
 		return true;
 	pass->searches++;
-	if (!search_place(pass->p, &q, out))
+	if (!guarantee_entitles(job) || !search_place(pass->p, &q, out))
 		return false;
 	if (guarantee_rehome_free(pass->p, job, pass->now_ms) && start_in(pass, job, QUERY_CELLS))
 		return true;
--- a/src/place_impl.h
+++ b/src/place_impl.h
@@ -108,6 +108,8 @@
 	uint32_t used;	     /* accelerators granted */
 	uint32_t used_cores; /* cores granted */
 	uint32_t borrowed;   /* accelerators granted outside own cells */
+	uint32_t used_inside; /* of jobs whose shape a guaranteed shape could hold, anywhere */
+	uint32_t guaranteed;  /* accelerators of all guaranteed shapes */
 	GQueue waiting;	     /* struct job by submission time */
 	bool dirty;	     /* guaranteed work may have become placeable */
 	bool reported_unmet;
@@ -148,7 +150,8 @@
 	bool stopping;	/* EVICT emitted */
 	bool cancelled; /* EVICT is due or emitted because of a cancellation */
 	bool ever_started;
-	bool counted_large; /* in place->large_used */
+	bool counted_large;  /* in place->large_used */
+	bool counted_inside; /* in org->used_inside */
 	bool entitled;	    /* runs on borrowed room although its guarantee has room */
 	bool probing;
 	bool clearing; /* the reservation is being cleared; otherwise it is an earmark that drains
@@ -299,7 +302,9 @@
 void guarantee_refresh(struct place *p, uint64_t now_ms);
 bool guarantee_rehome_free(struct place *p, struct job *job, uint64_t now_ms);
 bool guarantee_move_off(struct place *p, struct worker *w, uint64_t now_ms);
-uint32_t guarantee_idle_accelerators(const struct organisation *org);
+bool guarantee_holds_shape(const struct organisation *org, const struct place_shape *shape);
+bool guarantee_entitles(const struct job *job);
+bool guarantee_covers(const struct job *job);
 
 /* estimate.c */
 struct class_estimate *estimate_get(struct place *p, const char *org, const char *class_name);
--- a/src/search.c
+++ b/src/search.c
@@ -68,7 +68,9 @@
 	/* Small work leaves its guarantee for a large job: it gets room elsewhere at once. */
 	if (sched_guaranteed(victim))
 		return q->large && sched_moves_easily(q->p, victim);
-	if (q->entitled && !sched_large(q->p, victim) && !victim->entitled)
+	if (guarantee_covers(victim) && !q->large && !q->job->urgent)
+		return false;
+	if (q->entitled && !sched_large(q->p, victim))
 		return true;
 	if (q->job->urgent)
 		return true;
@@ -93,7 +95,7 @@
 	lost += AGE_COST * (double)(now_ms - MIN(now_ms, victim->submitted_ms));
 	if (victim->urgent)
 		lost += URGENT_VICTIM_COST_MS;
-	if (sched_guaranteed(victim))
+	if (sched_guaranteed(victim) || guarantee_covers(victim))
 		lost += GUARANTEED_VICTIM_COST_MS;
 	return lost * width;
 }
--- a/src/topo.c
+++ b/src/topo.c
@@ -250,6 +250,9 @@
 	job->counted_large = sched_large(p, job);
 	if (job->counted_large)
 		p->large_used += job->shape.members * job->shape.accelerators;
+	job->counted_inside = guarantee_holds_shape(job->org, &job->shape);
+	if (job->counted_inside)
+		job->org->used_inside += job->shape.members * job->shape.accelerators;
 }
 
 void topo_release(struct place *p, struct job *job)
@@ -261,6 +264,8 @@
 	TALLOC_FREE(job->members);
 	if (job->counted_large)
 		p->large_used -= job->shape.members * job->shape.accelerators;
+	if (job->counted_inside)
+		job->org->used_inside -= job->shape.members * job->shape.accelerators;
 	p->placed--;
 	p->gen++;
 	p->work_due = true;
