--- a/src/pass.c
+++ b/src/pass.c
@@ -325,7 +325,8 @@
 {
 	if (!ready(pass, job) || job->urgent)
 		return false;
-	return sched_large(pass->p, job) || sched_overdue(pass->p, job, pass->now_ms);
+	return sched_large(pass->p, job) || sched_aged(job, pass->now_ms) ||
+	       sched_overdue(pass->p, job, pass->now_ms);
 }
 
 static uint32_t earmarked_accelerators(const struct place *p)
--- a/src/place_impl.h
+++ b/src/place_impl.h
@@ -105,13 +105,13 @@
 	double key;  /* order of the current pass */
 	struct unit **units;
 	size_t unit_count;
-	uint32_t used;	     /* accelerators granted */
-	uint32_t used_cores; /* cores granted */
-	uint32_t borrowed;   /* accelerators granted outside own cells */
+	uint32_t used;	      /* accelerators granted */
+	uint32_t used_cores;  /* cores granted */
+	uint32_t borrowed;    /* accelerators granted outside own cells */
 	uint32_t used_inside; /* of jobs whose shape a guaranteed shape could hold, anywhere */
 	uint32_t guaranteed;  /* accelerators of all guaranteed shapes */
-	GQueue waiting;	     /* struct job by submission time */
-	bool dirty;	     /* guaranteed work may have become placeable */
+	GQueue waiting;	      /* struct job by submission time */
+	bool dirty;	      /* guaranteed work may have become placeable */
 	bool reported_unmet;
 	bool pinned_work; /* runs work that may not be evicted; set while homes are repacked */
 	GList *cursor;	  /* next waiting job of the current pass */
@@ -152,7 +152,7 @@
 	bool ever_started;
 	bool counted_large;  /* in place->large_used */
 	bool counted_inside; /* in org->used_inside */
-	bool entitled;	    /* runs on borrowed room although its guarantee has room */
+	bool entitled;	     /* runs on borrowed room although its guarantee has room */
 	bool probing;
 	bool clearing; /* the reservation is being cleared; otherwise it is an earmark that drains
 			*/
@@ -163,7 +163,6 @@
 	uint32_t start_failures;
 	uint32_t good_failures; /* of them on workers that run other work */
 	uint32_t refusals;
-	uint64_t order_ms; /* place in the queue */
 	uint64_t tried_gen;
 	uint64_t not_before_ms;
 	uint64_t waiting_since_ms;
@@ -175,7 +174,7 @@
 	uint64_t reserved_ms;
 	struct worker *failed_on[PLACE_FAILED_WORKERS_MAX];
 	uint32_t failed_on_count;
-	uint64_t failed_ms; /* latest failed start */
+	uint64_t failed_ms;	/* latest failed start */
 	struct member *members; /* placed: shape.members */
 	struct member *reservation;
 	GList *link; /* in org->waiting */
@@ -212,6 +211,7 @@
 	bool lend;	   /* other organisations' cells may be used */
 	bool large;	   /* the job is */
 	bool overdue;	   /* the job is */
+	bool aged;	   /* the job is */
 	bool moves_easily; /* the job does */
 	bool entitled;	   /* the job fits its guarantee, but displaces less work elsewhere */
 	uint64_t now_ms;
@@ -335,6 +335,7 @@
 void sched_reserve(struct place *p, struct job *job, const struct member *members, bool clearing);
 struct query sched_query(const struct place *p, struct job *job, enum query_mode mode);
 bool sched_overdue(const struct place *p, const struct job *job, uint64_t now_ms);
+bool sched_aged(const struct job *job, uint64_t now_ms);
 bool sched_moves_easily(const struct place *p, const struct job *job);
 bool sched_start_reserved(struct place *p, struct job *job);
 
--- a/src/sched.c
+++ b/src/sched.c
@@ -4,10 +4,10 @@
 
 #define OVERDUE_FACTOR 8	 /* a job starves at 10 times its declared run time */
 #define OVERDUE_MIN_MS 5000	 /* for jobs that declare next to nothing */
-#define LARGE_OVERDUE_MS 3600000 /* before a large job may displace younger large ones */
-#define LARGE_SHARE_MIN 0.3	 /* of the fleet that large jobs may clear, by the weights */
+#define LARGE_OVERDUE_MS 7200000 /* before a large job may displace younger large ones */
+#define LARGE_SHARE_MIN 0.1	 /* of the fleet that large jobs may clear, by the weights */
 #define LARGE_SHARE_SPAN 0.6
-#define ORDER_MS_MAX 3600000 /* a declared run time delays a job in the queue by this at most */
+#define AGED_MS 600000	     /* before a job may displace narrower ones */
 #define URGENT_GRACE_MS 2000 /* leaves half of the 4.1 s start bound for the start itself */
 
 void sched_emit(struct place *p, struct place_decision *decision)
@@ -58,7 +58,14 @@
 	if (sched_large(p, job))
 		limit = MIN(limit, LARGE_OVERDUE_MS);
 
-	return job->attempt == 0 && now_ms > job->submitted_ms + limit;
+	return !job->ever_started && now_ms > job->submitted_ms + limit;
+}
+
+/* Has waited long enough to displace younger and narrower work, which fills gaps sooner. */
+bool sched_aged(const struct job *job, uint64_t now_ms)
+{
+	return job->shape.members * job->shape.accelerators > 1 &&
+	       now_ms > job->submitted_ms + AGED_MS;
 }
 
 /* Small work that a checkpoint saves can run on room that is kept for a large job. */
@@ -69,8 +76,8 @@
 
 static bool queued_before(const struct job *a, const struct job *b)
 {
-	if (a->order_ms != b->order_ms)
-		return a->order_ms < b->order_ms;
+	if (a->submitted_ms != b->submitted_ms)
+		return a->submitted_ms < b->submitted_ms;
 	return strcmp(a->id, b->id) < 0;
 }
 
@@ -93,7 +100,6 @@
 
 void sched_enqueue(struct place *p, struct job *job, uint64_t now_ms)
 {
-	job->order_ms = job->submitted_ms + MIN(job->declared_ms, ORDER_MS_MAX);
 	job->state = JOB_WAITING;
 	job->tried_gen = 0;
 	job->entitled = false;
@@ -227,6 +233,7 @@
 		.lend = p->policy.lend_idle && sched_evictable(job),
 		.large = sched_large(p, job) && large_may_displace(p, job),
 		.overdue = sched_overdue(p, job, p->now_ms),
+		.aged = sched_aged(job, p->now_ms),
 		.moves_easily = sched_moves_easily(p, job),
 		.entitled = job->entitled,
 		.now_ms = p->now_ms,
--- a/src/search.c
+++ b/src/search.c
@@ -8,8 +8,9 @@
 #define EVICTION_COST_MS 20000.0	/* restart overhead, so that idle room is preferred */
 #define URGENT_VICTIM_COST_MS 3600000.0 /* urgent work is displaced last */
 #define GUARANTEED_VICTIM_COST_MS 20000.0
-#define AGE_COST 0.05 /* of the time since submission: older work is displaced later */
-#define TURN_MS 300000
+#define AGE_COST 0.05		/* of the time since submission: older work is displaced later */
+#define MIN_RUN_MS 120000	/* run time before work is displaced for work that is not urgent */
+#define TURN_MS 300000		/* run time after which small work yields to a starving job */
 #define SUSPICION_PENALTY 30.0	/* score per failure of a worker that may be its fault */
 #define LENT_PENALTY 6.0	/* score of a run in a lent cell: it may be reclaimed */
 #define EARMARK_PENALTY 20.0	/* a run in earmarked room moves away before long */
@@ -55,6 +56,19 @@
 	       q->now_ms > victim->started_ms + TURN_MS;
 }
 
+/* Work that has barely started is left alone, or two jobs would take turns without progress. */
+static bool just_placed(const struct job *victim, const struct query *q)
+{
+	uint64_t least = q->job->urgent ? 0 : MIN_RUN_MS;
+
+	return victim->state != JOB_RUNNING || q->now_ms < victim->started_ms + least;
+}
+
+static bool younger_for_overdue(const struct job *victim, const struct query *q)
+{
+	return q->overdue && victim->submitted_ms > q->job->submitted_ms;
+}
+
 bool search_may_evict(const struct job *victim, const struct query *q)
 {
 	if (victim->stopping || victim->cancelled)
@@ -63,18 +77,24 @@
 		return false;
 	if (q->mode == QUERY_CELLS_EVICT)
 		return may_evict_from_cells(victim, q);
-	if (victim->urgent || !eviction_budget_left(victim, q))
+	if (victim->urgent || !eviction_budget_left(victim, q) || just_placed(victim, q))
 		return false;
-	/* Small work leaves its guarantee for a large job: it gets room elsewhere at once. */
+	/* Small work leaves its guarantee for a large or starving job: it gets room at once. */
 	if (sched_guaranteed(victim))
-		return q->large && sched_moves_easily(q->p, victim);
+		return (q->large || younger_for_overdue(victim, q)) &&
+		       sched_moves_easily(q->p, victim);
+	if (younger_for_overdue(victim, q))
+		return true;
 	if (guarantee_covers(victim) && !q->large && !q->job->urgent)
 		return false;
 	if (q->entitled && !sched_large(q->p, victim))
 		return true;
 	if (q->job->urgent)
 		return true;
-	if (q->overdue && (victim->submitted_ms > q->job->submitted_ms || had_a_turn(victim, q)))
+	if (q->overdue && had_a_turn(victim, q))
+		return true;
+	if (q->aged && victim->submitted_ms > q->job->submitted_ms &&
+	    job_width(victim) < job_width(q->job) && sched_moves_easily(q->p, victim))
 		return true;
 	if (!q->large)
 		return false;
@@ -237,7 +257,8 @@
 {
 	const struct worker *w = c->worker;
 
-	if (!w || !topo_usable(w) || w->avoid_until_ms > q->now_ms || health_avoids(q->job, w, q->now_ms))
+	if (!w || !topo_usable(w) || w->avoid_until_ms > q->now_ms ||
+	    health_avoids(q->job, w, q->now_ms))
 		return false;
 	slot->cell = c;
 	slot->mask = c->mask;
