--- a/src/place_impl.h
+++ b/src/place_impl.h
@@ -105,11 +105,13 @@
 	double key;  /* order of the current pass */
 	struct unit **units;
 	size_t unit_count;
-	uint32_t used;	     /* accelerators granted */
-	uint32_t used_cores; /* cores granted */
-	uint32_t borrowed;   /* accelerators granted outside own cells */
-	GQueue waiting;	     /* struct job by submission time */
-	bool dirty;	     /* guaranteed work may have become placeable */
+	uint32_t used;	      /* accelerators granted */
+	uint32_t used_cores;  /* cores granted */
+	uint32_t borrowed;    /* accelerators granted outside own cells */
+	uint32_t used_inside; /* of jobs whose shape a guaranteed shape could hold, anywhere */
+	uint32_t guaranteed;  /* accelerators of all guaranteed shapes */
+	GQueue waiting;	      /* struct job by submission time */
+	bool dirty;	      /* guaranteed work may have become placeable */
 	bool reported_unmet;
 	bool pinned_work; /* runs work that may not be evicted; set while homes are repacked */
 	GList *cursor;	  /* next waiting job of the current pass */
@@ -148,8 +150,9 @@
 	bool stopping;	/* EVICT emitted */
 	bool cancelled; /* EVICT is due or emitted because of a cancellation */
 	bool ever_started;
-	bool counted_large; /* in place->large_used */
-	bool entitled;	    /* runs on borrowed room although its guarantee has room */
+	bool counted_large;  /* in place->large_used */
+	bool counted_inside; /* in org->used_inside */
+	bool entitled;	     /* runs on borrowed room although its guarantee has room */
 	bool probing;
 	bool clearing; /* the reservation is being cleared; otherwise it is an earmark that drains
 			*/
@@ -160,7 +163,6 @@
 	uint32_t start_failures;
 	uint32_t good_failures; /* of them on workers that run other work */
 	uint32_t refusals;
-	uint64_t order_ms; /* place in the queue */
 	uint64_t tried_gen;
 	uint64_t not_before_ms;
 	uint64_t waiting_since_ms;
@@ -172,7 +174,7 @@
 	uint64_t reserved_ms;
 	struct worker *failed_on[PLACE_FAILED_WORKERS_MAX];
 	uint32_t failed_on_count;
-	uint64_t failed_ms; /* latest failed start */
+	uint64_t failed_ms;	/* latest failed start */
 	struct member *members; /* placed: shape.members */
 	struct member *reservation;
 	GList *link; /* in org->waiting */
@@ -209,6 +211,7 @@
 	bool lend;	   /* other organisations' cells may be used */
 	bool large;	   /* the job is */
 	bool overdue;	   /* the job is */
+	bool aged;	   /* the job is */
 	bool moves_easily; /* the job does */
 	bool entitled;	   /* the job fits its guarantee, but displaces less work elsewhere */
 	uint64_t now_ms;
@@ -288,6 +291,7 @@
 
 /* search.c */
 bool search_place(struct place *p, const struct query *q, struct member *out);
+bool search_inside(const struct place_shape *job, const struct place_shape *guarantee);
 bool search_outside_homes(const struct job *job, const struct member *members);
 bool search_capacity(struct place *p, const struct place_shape *shape);
 double search_evict_cost(const struct place *p, const struct job *victim, uint64_t now_ms);
@@ -298,7 +302,9 @@
 void guarantee_refresh(struct place *p, uint64_t now_ms);
 bool guarantee_rehome_free(struct place *p, struct job *job, uint64_t now_ms);
 bool guarantee_move_off(struct place *p, struct worker *w, uint64_t now_ms);
-uint32_t guarantee_idle_accelerators(const struct organisation *org);
+bool guarantee_holds_shape(const struct organisation *org, const struct place_shape *shape);
+bool guarantee_entitles(const struct job *job);
+bool guarantee_covers(const struct job *job);
 
 /* estimate.c */
 struct class_estimate *estimate_get(struct place *p, const char *org, const char *class_name);
@@ -329,6 +335,7 @@
 void sched_reserve(struct place *p, struct job *job, const struct member *members, bool clearing);
 struct query sched_query(const struct place *p, struct job *job, enum query_mode mode);
 bool sched_overdue(const struct place *p, const struct job *job, uint64_t now_ms);
+bool sched_aged(const struct job *job, uint64_t now_ms);
 bool sched_moves_easily(const struct place *p, const struct job *job);
 bool sched_start_reserved(struct place *p, struct job *job);
 
