cli: release parsed answers

The leak sanitizer ended each command with exit code 1. Answers now belong to the command's memory context. test_cli passes under the address sanitizer.

--- a/src/cli.h
+++ b/src/cli.h
@@ -70,7 +70,7 @@
 	int http_status;
 	char *body;
 	size_t len;
-	json_t *json; /* NULL when it is not JSON */
+	json_t *json; /* owned by cli->mem; NULL when it is not JSON */
 };
 
 /**
--- a/src/cli_http.c
+++ b/src/cli_http.c
@@ -129,6 +129,26 @@
 			 "%s did not give a complete answer (%s)", entry, err_name(status));
 }
 
+struct json_holder {
+	json_t *json;
+};
+
+static int holder_destructor(struct json_holder *holder)
+{
+	json_decref(holder->json);
+	return 0;
+}
+
+/* The parsed body, released with cli->mem; NULL when it is not JSON. */
+static json_t *parse_answer(struct cli *cli, const struct cli_answer *answer)
+{
+	struct json_holder *holder = talloc_zero(cli->mem, struct json_holder);
+
+	holder->json = json_loadb(answer->body, answer->len, 0, NULL);
+	talloc_set_destructor(holder, holder_destructor);
+	return holder->json;
+}
+
 int cli_send(struct cli *cli, const struct cli_call *call, struct cli_answer *answer)
 {
 	int status = -ERR_UNAVAILABLE;
@@ -145,7 +165,7 @@
 	}
 	if (status)
 		return report_transport(status, cli->entries[i < cli->entry_count ? i : i - 1]);
-	answer->json = json_loadb(answer->body, answer->len, 0, NULL);
+	answer->json = parse_answer(cli, answer);
 	if (answer->http_status / 100 == 2)
 		return CLI_OK;
 	if (answer->http_status == HTTP_UNAVAILABLE && call->may_be_down)
--- a/src/cli_job.c
+++ b/src/cli_job.c
@@ -247,7 +247,6 @@
 			print_job(cli, answer.json);
 			return strcmp(state, "done") ? CLI_FAILED : CLI_OK;
 		}
-		json_decref(answer.json);
 	}
 	return cli_error(CLI_FAILED, "Wait again; the job goes on.", "job %s has not ended", id);
 }
