cli, configrepo: shorter tables, and a conflict tells what came first

The history listed all changed files in one line of 400 columns; cells are cut at 60. The text of a conflict names the winning revision before the difference. test_cli and test_configrepo pass.

--- a/src/cli_config.c
+++ b/src/cli_config.c
@@ -229,7 +229,7 @@
 {
 	static const struct cli_column columns[] = {
 		{"REVISION", "revision"}, {"WHEN", "when"},	  {"BY", "by"},
-		{"CHANGED", "changed"},	  {"REMOVED", "removed"}, {"MESSAGE", "message"},
+		{"MESSAGE", "message"},	  {"CHANGED", "changed"}, {"REMOVED", "removed"},
 	};
 	struct cli_answer answer;
 	int code;
--- a/src/cli_out.c
+++ b/src/cli_out.c
@@ -7,6 +7,7 @@
 #include <time.h>
 
 #define COLUMNS_MAX 16
+#define CELL_MAX 60 /* wider cells are cut; --output json shows all */
 #define READ_BLOCK 65536
 #define READ_MAX (64 * 1024 * 1024)
 #define WHEN_FIELD "when" /* milliseconds since 1970 */
@@ -186,6 +187,8 @@
 				r ? value_text(cells, columns[i].path, lookup(row, columns[i].path))
 				  : talloc_strdup(cells, columns[i].title);
 
+			if (strlen(cell) > CELL_MAX)
+				memcpy(cell + CELL_MAX - 3, "...", sizeof("..."));
 			if (strlen(cell) > widths[i])
 				widths[i] = strlen(cell);
 			cells[r * count + i] = cell;
--- a/src/configapply.c
+++ b/src/configapply.c
@@ -64,7 +64,10 @@
 static void finish_conflict(struct config_job *job)
 {
 	struct configrepo *repo = job->repo;
-	char *text = config_diff(job, repo->files, job->files);
+	char *text = talloc_asprintf(job,
+				     "Revision %" PRIu64 " came first. Applied on top of it, this "
+				     "folder would change:\n%s",
+				     repo->head, config_diff(job, repo->files, job->files));
 
 	finish(job, -ERR_CONFLICT, repo->head, text);
 }
--- a/src/configrev.c
+++ b/src/configrev.c
@@ -24,7 +24,7 @@
 /* Takes over @json. */
 static char *dump(TALLOC_CTX *mem, json_t *json)
 {
-	char *text = json_dumps(json, JSON_COMPACT);
+	char *text = json_dumps(json, JSON_COMPACT | JSON_SORT_KEYS);
 	char *copy = talloc_strdup(mem, text);
 
 	free(text);
