--- a/src/configrepo.c
+++ b/src/configrepo.c
@@ -93,6 +93,7 @@
 	repo->held = held;
 	pthread_mutex_unlock(&repo->lock);
 	release_held(old);
+	metrics_set(repo->metrics, repo->revision_gauge, revision);
 	log_info("config_in_force", "", "revision %" PRIu64, revision);
 	if (repo->on_change)
 		repo->on_change(revision, repo->ctx);
@@ -246,8 +247,7 @@
 
 	if (kv->version == 0 || revision <= repo->head)
 		return;
-	if (repo->syncing || revision != repo->head + 1 ||
-	    !configrepo_advance(repo, kv->value, kv->value_len))
+	if (revision != repo->head + 1 || !configrepo_advance(repo, kv->value, kv->value_len))
 		configrepo_sync(repo);
 }
 
@@ -292,6 +292,9 @@
 	repo->ev = ev;
 	repo->store = store;
 	repo->metrics = metrics ? metrics : metrics_create(repo);
+	repo->revision_gauge =
+		metrics_define(repo->metrics, METRICS_GAUGE, "jaycourse_config_revision", "",
+			       "Revision of the configuration in force here");
 	repo->on_change = on_change;
 	repo->ctx = ctx;
 	repo->files = json_object();
--- a/src/search.c
+++ b/src/search.c
@@ -4,24 +4,79 @@
 #include <string.h>
 
 #define NO_ROOM 1e18
-#define CHECKPOINT_COST_MS 5000.0 /* work lost when a checkpoint is taken first */
-#define EVICTION_COST_MS 20000.0  /* restart overhead, so that idle room is preferred */
-#define LENT_PENALTY 6.0	  /* score of a run in a lent cell: it may be reclaimed */
-#define IDLE_WORKER_PENALTY 0.5	  /* per idle worker of the rack that would be broken into */
+#define CHECKPOINT_COST_MS 5000.0	/* work lost when a checkpoint is taken first */
+#define EVICTION_COST_MS 20000.0	/* restart overhead, so that idle room is preferred */
+#define URGENT_VICTIM_COST_MS 3600000.0 /* urgent work is displaced last */
+#define GUARANTEED_VICTIM_COST_MS 20000.0
+#define AGE_COST 0.05 /* of the time since submission: older work is displaced later */
+#define TURN_MS 300000
+#define SUSPICION_PENALTY 30.0	/* score per failure of a worker that may be its fault */
+#define LENT_PENALTY 6.0	/* score of a run in a lent cell: it may be reclaimed */
+#define EARMARK_PENALTY 20.0	/* a run in earmarked room moves away before long */
+#define IDLE_WORKER_PENALTY 0.5 /* per idle worker of the rack that would be broken into */
+
+static uint32_t job_width(const struct job *job)
+{
+	return job->shape.members * MAX(job->shape.accelerators, 1);
+}
+
+/* Bounds how often a job is stopped for others beyond reclaims of guarantees. */
+static bool eviction_budget_left(const struct job *victim, const struct query *q)
+{
+	uint64_t now_ms = q->now_ms;
+	uint64_t ran = victim->saved_ms;
+	uint32_t extra = q->overdue || q->entitled || (q->job && q->job->urgent)
+				 ? PLACE_EVICTIONS_FREE * 4
+				 : 0;
+
+	if (!victim->checkpoint)
+		return victim->evictions < PLACE_EVICTIONS_RESTART;
+	if (victim->started_ms && now_ms > victim->started_ms)
+		ran += now_ms - victim->started_ms;
+	return victim->evictions < PLACE_EVICTIONS_FREE + extra + ran / PLACE_EVICTION_PER_MS;
+}
+
+/* In its own cells an organisation's large or overdue job goes before others of its own. */
+static bool may_evict_from_cells(const struct job *victim, const struct query *q)
+{
+	if (victim->org != q->org || !sched_guaranteed(victim))
+		return true;
+	if (!victim->checkpoint || victim->urgent || !eviction_budget_left(victim, q))
+		return false;
+	if (q->overdue && victim->submitted_ms > q->job->submitted_ms)
+		return true;
+	return q->large && !sched_large(q->p, victim);
+}
+
+/* Small work that has run for a while gives its place to a job that would starve. */
+static bool had_a_turn(const struct job *victim, const struct query *q)
+{
+	return sched_moves_easily(q->p, victim) && victim->started_ms &&
+	       q->now_ms > victim->started_ms + TURN_MS;
+}
 
 bool search_may_evict(const struct job *victim, const struct query *q)
 {
-	if (victim->stopping)
+	if (victim->stopping || victim->cancelled)
 		return true;
-	if (!sched_evictable(victim) || victim->cancelled)
-		return victim->cancelled;
+	if (!sched_evictable(victim))
+		return false;
 	if (q->mode == QUERY_CELLS_EVICT)
-		return victim->org != q->org || !sched_guaranteed(victim);
-	if (sched_guaranteed(victim) || victim->urgent)
+		return may_evict_from_cells(victim, q);
+	if (victim->urgent || !eviction_budget_left(victim, q))
 		return false;
-	if (victim->evictions >= PLACE_EVICTIONS_MAX)
+	/* Small work leaves its guarantee for a large job: it gets room elsewhere at once. */
+	if (sched_guaranteed(victim))
+		return q->large && sched_moves_easily(q->p, victim);
+	if (q->entitled && !sched_large(q->p, victim) && !victim->entitled)
+		return true;
+	if (q->job->urgent)
+		return true;
+	if (q->overdue && (victim->submitted_ms > q->job->submitted_ms || had_a_turn(victim, q)))
+		return true;
+	if (!q->large)
 		return false;
-	return q->job->urgent || !sched_large(NULL, victim);
+	return !sched_large(q->p, victim) || job_width(victim) < job_width(q->job);
 }
 
 /* Accelerator-milliseconds of work that evicting the job loses. */
@@ -35,6 +90,11 @@
 	if (!victim->checkpoint && victim->started_ms && now_ms > victim->started_ms)
 		lost = (double)(now_ms - victim->started_ms);
 	lost += EVICTION_COST_MS * (1 + victim->evictions);
+	lost += AGE_COST * (double)(now_ms - MIN(now_ms, victim->submitted_ms));
+	if (victim->urgent)
+		lost += URGENT_VICTIM_COST_MS;
+	if (sched_guaranteed(victim))
+		lost += GUARANTEED_VICTIM_COST_MS;
 	return lost * width;
 }
 
@@ -104,6 +164,24 @@
 	return w->home & ~own;
 }
 
+/* Homes can move over a reservation: is it still outside the guarantees of others? */
+bool search_outside_homes(const struct job *job, const struct member *members)
+{
+	for (uint32_t i = 0; i < job->shape.members; i++) {
+		const struct worker *w = members[i].worker;
+		uint32_t count = 0;
+
+		for (uint32_t k = 0; k < job->shape.members; k++)
+			count += members[k].worker == w;
+		if (members[i].mask & others_home(w, job->org))
+			return false;
+		if (w->cores_home + w->cores_pinned + count * job->shape.cores > w->cores ||
+		    w->memory_home + w->memory_pinned + count * job->shape.memory_mb > w->memory)
+			return false;
+	}
+	return true;
+}
+
 /* Homes may not overlap each other, and not work of others that may not be evicted. */
 static bool home_slot(const struct worker *w, const struct query *q, struct slot *slot)
 {
@@ -111,7 +189,7 @@
 		return false;
 	slot->mask = w->all & ~w->home;
 	if (q->mode == QUERY_HOME_FREE)
-		slot->mask &= ~(w->used | w->reserved | w->reported);
+		slot->mask &= ~(w->used | w->reserved | w->earmarked | w->reported);
 	else
 		slot->mask &= ~blocked_mask(w, q);
 	slot->cores = sub(w->cores, w->cores_home + w->cores_pinned);
@@ -128,9 +206,11 @@
 {
 	bool pinned = !sched_evictable(q->job);
 
-	if (!topo_usable(w) || w->avoid_until_ms > q->now_ms || health_avoids(q->job, w))
+	if (!topo_usable(w) || w->avoid_until_ms > q->now_ms || health_avoids(q->job, w, q->now_ms))
 		return false;
 	slot->mask = w->all & ~(w->reserved | w->reported);
+	if (!q->job->urgent && !q->moves_easily)
+		slot->mask &= ~w->earmarked;
 	slot->cores = sub(w->cores, w->cores_reserved);
 	slot->memory = sub(w->memory, w->memory_reserved);
 	if (!q->lend || pinned)
@@ -145,8 +225,7 @@
 	}
 	if (!q->lend || pinned) {
 		slot->cores = MIN(slot->cores, sub(w->cores, w->cores_home + w->cores_pinned));
-		slot->memory =
-			MIN(slot->memory, sub(w->memory, w->memory_home + w->memory_pinned));
+		slot->memory = MIN(slot->memory, sub(w->memory, w->memory_home + w->memory_pinned));
 	}
 	return true;
 }
@@ -156,7 +235,7 @@
 {
 	const struct worker *w = c->worker;
 
-	if (!w || !topo_usable(w) || w->avoid_until_ms > q->now_ms || health_avoids(q->job, w))
+	if (!w || !topo_usable(w) || w->avoid_until_ms > q->now_ms || health_avoids(q->job, w, q->now_ms))
 		return false;
 	slot->cell = c;
 	slot->mask = c->mask;
@@ -165,7 +244,7 @@
 	for (uint64_t rest = c->mask & w->reserved; rest; rest &= rest - 1) {
 		int i = __builtin_ctzll(rest);
 
-		if (w->reserver[i]->org == q->org || q->mode == QUERY_CELLS)
+		if (w->reserver[i]->reservation[0].cell || q->mode == QUERY_CELLS)
 			slot->mask &= ~(1ULL << i);
 	}
 	if (q->mode == QUERY_CELLS) {
@@ -222,6 +301,9 @@
 		score += p->policy.weight_fragmentation * IDLE_WORKER_PENALTY;
 	if (!slot->cell && q->job && (w->home & run))
 		score += p->policy.weight_completion * LENT_PENALTY;
+	if (w->earmarked & run)
+		score += EARMARK_PENALTY;
+	score += SUSPICION_PENALTY * w->suspicion;
 	score += 0.001 * (double)__builtin_ctzll(run) / 64;
 	if (mode_evicts(q->mode))
 		score = displaced_cost(p, w, run, q) + score;
@@ -277,9 +359,9 @@
 	for (size_t i = 0; i < count && room < shape->members; i++) {
 		if (slots[i].offset < 0)
 			continue;
-		room += shape->accelerators
-				? (uint64_t)__builtin_popcountll(slots[i].mask) / shape->accelerators
-				: shape->members;
+		room += shape->accelerators ? (uint64_t)__builtin_popcountll(slots[i].mask) /
+						      shape->accelerators
+					    : shape->members;
 	}
 	return room >= shape->members;
 }
@@ -383,8 +465,8 @@
 		}
 		if (!group_may_hold(&p->slots[begin], end - begin, q->shape))
 			continue;
-		score = fill_group(p, &p->slots[begin], end - begin, q,
-				   prune ? best : NO_ROOM, trial);
+		score = fill_group(p, &p->slots[begin], end - begin, q, prune ? best : NO_ROOM,
+				   trial);
 		if (score >= best)
 			continue;
 		best = score;
@@ -413,7 +495,7 @@
 
 	if (x->worker->rack != y->worker->rack)
 		return x->worker->zone != y->worker->zone ? x->worker->zone - y->worker->zone
-							   : x->worker->rack - y->worker->rack;
+							  : x->worker->rack - y->worker->rack;
 	return strcmp(x->worker->name, y->worker->name);
 }
 
