--- a/src/health.c
+++ b/src/health.c
@@ -2,7 +2,7 @@
 
 #define SUSPECT_FAILURE 0.5   /* a failure that may be the job's fault */
 #define SUSPECT_CONFIRMED 1.0 /* added when the job then runs on another worker */
-#define QUARANTINE_AT 2.0
+#define QUARANTINE_AT 1.5 /* one failure of a job that then ran elsewhere, or three others */
 #define GOOD_BELOW 1.0	/* suspicion of a worker whose failures count against the job */
 #define GOOD_FAILURES 3 /* of a job on good workers before it is given up */
 #define FAILURES_MAX 12 /* of a job on any workers */
