--- a/src/pass.c
+++ b/src/pass.c
@@ -535,6 +535,7 @@
 		p->work_due |= pass.unfinished;
 	}
 	next = MIN(next, giveback_step(p, now_ms));
+	next = MIN(next, compact_step(p, now_ms));
 	if (pass.unfinished)
 		return 1;
 	if (p->urgent->len)
--- a/src/place_impl.h
+++ b/src/place_impl.h
@@ -262,6 +262,7 @@
 	uint64_t evictions;
 	uint64_t now_ms;
 	uint64_t queue_pass_ms;
+	uint64_t compact_ms; /* no move before */
 	struct slot *slots; /* scratch, order_count of them or more */
 	struct slot *scratch;
 	size_t slot_capacity;
@@ -292,6 +293,7 @@
 /* search.c */
 bool search_place(struct place *p, const struct query *q, struct member *out);
 bool search_inside(const struct place_shape *job, const struct place_shape *guarantee);
+bool search_budget_left(const struct place *p, const struct job *victim);
 bool search_outside_homes(const struct job *job, const struct member *members);
 bool search_capacity(struct place *p, const struct place_shape *shape);
 double search_evict_cost(const struct place *p, const struct job *victim, uint64_t now_ms);
@@ -325,6 +327,7 @@
 void sched_emit(struct place *p, struct place_decision *decision);
 void sched_evict(struct place *p, struct job *victim, const struct job *for_job,
 		 const char *reason);
+void sched_move(struct place *p, struct job *job, const char *reason);
 bool sched_evictable(const struct job *job);
 bool sched_guaranteed(const struct job *job);
 bool sched_large(const struct place *p, const struct job *job);
@@ -346,6 +349,9 @@
 void place_forget(struct place *p, struct job *job);
 void place_give_up(struct place *p, struct job *job, const char *reason);
 
+/* compact.c */
+uint64_t compact_step(struct place *p, uint64_t now_ms);
+
 /* giveback.c */
 uint64_t giveback_step(struct place *p, uint64_t now_ms);
 
--- a/src/sched.c
+++ b/src/sched.c
@@ -150,6 +150,14 @@
 		      });
 }
 
+/* Stops a job with a checkpoint so that it starts again elsewhere. */
+void sched_move(struct place *p, struct job *job, const char *reason)
+{
+	job->evictions++;
+	p->evictions++;
+	sched_evict(p, job, NULL, reason);
+}
+
 static void emit_start(struct place *p, struct job *job)
 {
 	struct place_assignment members[PLACE_MEMBERS_MAX];
--- a/src/search.c
+++ b/src/search.c
@@ -37,6 +37,11 @@
 	return victim->evictions < PLACE_EVICTIONS_FREE + extra + ran / PLACE_EVICTION_PER_MS;
 }
 
+bool search_budget_left(const struct place *p, const struct job *victim)
+{
+	return eviction_budget_left(victim, &(struct query){.now_ms = p->now_ms});
+}
+
 /* In its own cells an organisation's large or overdue job goes before others of its own. */
 static bool may_evict_from_cells(const struct job *victim, const struct query *q)
 {
