--- a/src/compact.c
+++ b/src/compact.c
@@ -1,14 +1,26 @@
+#include "frag.h"
 #include "place_impl.h"
 
-#define PERIOD_MS 15000		/* between moves, so that one takes effect before the next */
-#define WORTH_MS 120000		/* expected remaining run time that pays for a move */
-#define MIN_RUN_MS 120000	/* run time between two moves of a job */
+#define PERIOD_MS 5000	  /* between moves, so that one takes effect before the next */
+#define WORTH_MS 60000	  /* expected remaining run time that pays for a move */
+#define MIN_RUN_MS 60000  /* run time between two moves of a job */
+#define GAIN_MIN 0.03	  /* of the fragmentation, for a move to pay */
+#define CANDIDATES_MAX 16 /* workers weighed at a time, which bounds the cost */
 #define COMPACT_MEMBERS_MAX 8
 
-static bool may_move(const struct place *p, const struct job *job)
+/* Free accelerators of each worker, by place->order, as a move would leave them. */
+struct plan {
+	struct frag_worker *workers;
+	size_t *target; /* index of the worker that each member of the emptied one moves to */
+	double share;
+};
+
+static bool may_move(const struct place *p, const struct member *m)
 {
-	return job->shape.members == 1 && job->shape.accelerators > 0 && job->state == JOB_RUNNING &&
-	       !job->stopping && !job->urgent && sched_moves_easily(p, job) &&
+	const struct job *job = m->job;
+
+	return job->shape.accelerators > 0 && job->state == JOB_RUNNING && !job->stopping &&
+	       !job->urgent && job->checkpoint && !(m->cell && sched_large(p, job)) &&
 	       p->now_ms >= job->started_ms + MIN_RUN_MS &&
 	       estimate_remaining_ms(job, p->now_ms) >= WORTH_MS && search_budget_left(p, job);
 }
@@ -19,90 +31,146 @@
 	    w->members->len > COMPACT_MEMBERS_MAX)
 		return false;
 	for (guint i = 0; i < w->members->len; i++) {
-		const struct member *m = w->members->pdata[i];
-
-		if (!may_move(p, m->job))
+		if (!may_move(p, w->members->pdata[i]))
 			return false;
 	}
 	return true;
 }
 
-static bool take_run(uint64_t *free, uint32_t width)
+static uint64_t best_run(uint64_t free, uint32_t width, double *loss)
 {
-	uint64_t starts = *free;
+	uint64_t starts = free;
+	uint64_t best = 0;
 
 	for (uint32_t i = 1; i < width; i++)
-		starts &= *free >> i;
-	if (!starts)
-		return false;
-	*free &= ~topo_run((uint32_t)__builtin_ctzll(starts), width);
-	return true;
-}
+		starts &= free >> i;
+	for (; starts; starts &= starts - 1) {
+		uint64_t run = topo_run((uint32_t)__builtin_ctzll(starts), width);
+		double cost = topo_potential(free) - topo_potential(free & ~run);
 
-static bool fits_beside(const struct worker *other, const struct job *job, uint64_t *free)
-{
-	return other->cores_used + job->shape.cores <= other->cores &&
-	       other->memory_used + job->shape.memory_mb <= other->memory &&
-	       take_run(free, job->shape.accelerators);
+		if (best && cost >= *loss)
+			continue;
+		best = run;
+		*loss = cost;
+	}
+	return best;
 }
 
-/* Would all jobs of the worker find gaps on other workers that are in use already? */
-static bool gaps_elsewhere(struct place *p, const struct worker *w)
+/* The gap that breaks up least; an idle worker only for work that fills it. */
+static bool assign(struct place *p, const struct worker *from, const struct job *job,
+		   struct plan *plan, size_t *target)
 {
-	uint64_t *free = talloc_array(p, uint64_t, p->order_count + 1);
-	bool all = true;
+	uint64_t best = 0;
+	double best_loss = 0;
 
 	for (size_t i = 0; i < p->order_count; i++) {
 		const struct worker *o = p->order[i];
-		bool gap = o != w && topo_usable(o) && o->used && o->avoid_until_ms <= p->now_ms;
+		double loss = 0;
+		uint64_t run;
+
+		if (o == from || !topo_usable(o) || o->reserved || o->earmarked ||
+		    (plan->workers[i].free == o->all &&
+		     job->shape.accelerators < o->accelerators) ||
+		    o->cores_used + job->shape.cores > o->cores ||
+		    o->memory_used + job->shape.memory_mb > o->memory)
+			continue;
+		run = best_run(plan->workers[i].free, job->shape.accelerators, &loss);
+		if (!run || (best && loss >= best_loss))
+			continue;
+		best = run;
+		best_loss = loss;
+		*target = i;
+	}
+	if (best)
+		plan->workers[*target].free &= ~best;
+	return best != 0;
+}
 
-		free[i] = gap ? o->all & ~(o->used | o->reserved | o->earmarked | o->reported) : 0;
+static void read_free(const struct place *p, struct plan *plan)
+{
+	for (size_t i = 0; i < p->order_count; i++) {
+		const struct worker *w = p->order[i];
+
+		plan->workers[i].zone = w->zone;
+		plan->workers[i].rack = w->rack;
+		plan->workers[i].free = topo_usable(w) ? w->all & ~w->used : 0;
 	}
-	for (guint m = 0; m < w->members->len && all; m++) {
+}
+
+static bool plan_move(struct place *p, const struct worker *w, const struct frag_shape *shapes,
+		      size_t shape_count, struct plan *plan)
+{
+	read_free(p, plan);
+	for (guint m = 0; m < w->members->len; m++) {
 		const struct member *member = w->members->pdata[m];
-		bool found = false;
 
-		for (size_t i = 0; i < p->order_count && !found; i++)
-			found = free[i] && fits_beside(p->order[i], member->job, &free[i]);
-		all = found;
+		if (!assign(p, w, member->job, plan, &plan->target[m]))
+			return false;
 	}
-	talloc_free(free);
-	return all;
+	plan->workers[w->order].free = w->all;
+	plan->share = frag_share(plan->workers, p->order_count, shapes, shape_count);
+	return true;
 }
 
-/* Moving costs a checkpoint and a restart of each job; few busy accelerators make it pay. */
-static struct worker *find_worker(struct place *p)
+static struct plan *create_plan(struct place *p, TALLOC_CTX *mem)
 {
-	struct worker *best = NULL;
+	struct plan *plan = talloc_zero(mem, struct plan);
 
-	for (size_t i = 0; i < p->order_count; i++) {
-		struct worker *w = p->order[i];
-		int used = __builtin_popcountll(w->used);
+	plan->workers = talloc_array(plan, struct frag_worker, p->order_count + 1);
+	plan->target = talloc_zero_array(plan, size_t, COMPACT_MEMBERS_MAX);
+	return plan;
+}
+
+static void move_all(struct place *p, const struct worker *w, const struct plan *plan)
+{
+	for (guint m = 0; m < w->members->len; m++) {
+		struct job *job = ((struct member *)w->members->pdata[m])->job;
 
-		if (2 * used > (int)w->accelerators ||
-		    (best && used >= __builtin_popcountll(best->used)))
+		job->move_to = p->order[plan->target[m]];
+		sched_move(p, job, "moved into a gap so that adjacent accelerators become free");
+	}
+}
+
+static void compact(struct place *p)
+{
+	TALLOC_CTX *mem = talloc_new(p);
+	size_t shape_count;
+	struct frag_shape *shapes = frag_demand(p, mem, &shape_count);
+	struct plan *best = create_plan(p, mem);
+	struct plan *trial = create_plan(p, mem);
+	const struct worker *from = NULL;
+	int candidates = 0;
+
+	read_free(p, best);
+	best->share = frag_share(best->workers, p->order_count, shapes, shape_count) - GAIN_MIN;
+	for (size_t i = 0; i < p->order_count && candidates < CANDIDATES_MAX; i++) {
+		const struct worker *w = p->order[(p->compact_turn + i) % p->order_count];
+
+		if (!movable(p, w))
+			continue;
+		candidates++;
+		if (!plan_move(p, w, shapes, shape_count, trial) || trial->share > best->share)
 			continue;
-		if (movable(p, w) && gaps_elsewhere(p, w))
-			best = w;
+		from = w;
+		struct plan *swap = best;
+		best = trial;
+		trial = swap;
 	}
-	return best;
+	p->compact_turn += CANDIDATES_MAX;
+	if (from)
+		move_all(p, from, best);
+	talloc_free(mem);
 }
 
-/* With nothing waiting, empties a worker by moving its small jobs into gaps of others. */
+/* With nothing waiting, empties a worker by moving its jobs, if that lowers fragmentation. */
 uint64_t compact_step(struct place *p, uint64_t now_ms)
 {
-	struct worker *w;
-
-	if (p->waiting || p->placed == 0 || p->policy.weight_fragmentation <= 0)
+	if (p->waiting || p->placed == 0 || p->order_count == 0 ||
+	    p->policy.weight_fragmentation <= 0)
 		return UINT64_MAX;
 	if (now_ms < p->compact_ms)
 		return p->compact_ms - now_ms;
 	p->compact_ms = now_ms + PERIOD_MS;
-	w = find_worker(p);
-	for (guint i = 0; w && i < w->members->len; i++) {
-		struct member *m = w->members->pdata[i];
-
-		sched_move(p, m->job, "moved into a gap so that adjacent accelerators become free");
-	}
+	compact(p);
 	return PERIOD_MS;
 }
--- a/src/frag.c
+++ b/src/frag.c
@@ -69,7 +69,8 @@
 	return weights > 0 ? waste / weights : 0;
 }
 
-static void add_shape(struct frag_shape **shapes, size_t *count, const struct place_shape *shape)
+static void add_shape(TALLOC_CTX *mem, struct frag_shape **shapes, size_t *count,
+		      const struct place_shape *shape)
 {
 	for (size_t i = 0; i < *count; i++) {
 		const struct place_shape *s = &(*shapes)[i].shape;
@@ -80,22 +81,23 @@
 			return;
 		}
 	}
-	*shapes = talloc_realloc(NULL, *shapes, struct frag_shape, *count + 1);
+	*shapes = talloc_realloc(mem, *shapes, struct frag_shape, *count + 1);
 	(*shapes)[(*count)++] = (struct frag_shape){.shape = *shape, .weight = 1};
 }
 
-static struct frag_shape *shapes_in_demand(const struct place *p, size_t *count)
+/* Shapes of waiting jobs and guarantees, owned by @mem. */
+struct frag_shape *frag_demand(const struct place *p, TALLOC_CTX *mem, size_t *count)
 {
 	struct frag_shape *shapes = NULL;
 
 	*count = 0;
 	for (size_t i = 0; i < p->unit_count; i++)
-		add_shape(&shapes, count, &p->units[i]->shape);
+		add_shape(mem, &shapes, count, &p->units[i]->shape);
 	for (guint i = 0; i < p->orgs->len; i++) {
 		const struct organisation *org = p->orgs->pdata[i];
 
 		for (GList *at = org->waiting.head; at; at = at->next)
-			add_shape(&shapes, count, &((struct job *)at->data)->shape);
+			add_shape(mem, &shapes, count, &((struct job *)at->data)->shape);
 	}
 	return shapes;
 }
@@ -105,7 +107,7 @@
 	struct frag_worker *workers = talloc_array(NULL, struct frag_worker, p->workers->len + 1);
 	size_t worker_count = 0;
 	size_t shape_count;
-	struct frag_shape *shapes = shapes_in_demand(p, &shape_count);
+	struct frag_shape *shapes = frag_demand(p, workers, &shape_count);
 	double share;
 
 	topo_order((struct place *)p);
@@ -119,6 +121,5 @@
 	}
 	share = frag_share(workers, worker_count, shapes, shape_count);
 	talloc_free(workers);
-	talloc_free(shapes);
 	return share;
 }
--- a/src/health.c
+++ b/src/health.c
@@ -2,14 +2,14 @@
 
 #define SUSPECT_FAILURE 0.5   /* a failure that may be the job's fault */
 #define SUSPECT_CONFIRMED 1.0 /* added when the job then runs on another worker */
-#define QUARANTINE_AT 1.5 /* one failure of a job that then ran elsewhere, or three others */
-#define GOOD_BELOW 1.0	/* suspicion of a worker whose failures count against the job */
-#define GOOD_FAILURES 3 /* of a job on good workers before it is given up */
-#define FAILURES_MAX 12 /* of a job on any workers */
+#define QUARANTINE_AT 1.5     /* one failure of a job that then ran elsewhere, or three others */
+#define GOOD_BELOW 1.0	      /* suspicion of a worker whose failures count against the job */
+#define GOOD_FAILURES 3	      /* of a job on good workers before it is given up */
+#define FAILURES_MAX 12	      /* of a job on any workers */
 #define QUARANTINE_MS 30000
 #define QUARANTINE_DOUBLINGS 5	 /* at most 16 minutes */
 #define PROBATION_AFTER_MS 60000 /* readmitted on probation when no job can serve as a probe */
-#define AVOID_MS 20000 /* a job stays away from workers it failed on */
+#define AVOID_MS 20000		 /* a job stays away from workers it failed on */
 #define PROBE_LOOKS 64		 /* waiting jobs looked at for a probe */
 #define QUARANTINED_SHARE 3	 /* at most one worker of this many */
 
--- a/src/place_impl.h
+++ b/src/place_impl.h
@@ -160,6 +160,7 @@
 	const char *fail_reason;
 	uint32_t attempt;
 	uint32_t evictions;
+	struct worker *move_to; /* where a move was planned to, or NULL; compared only */
 	uint32_t start_failures;
 	uint32_t good_failures; /* of them on workers that run other work */
 	uint32_t refusals;
@@ -263,7 +264,8 @@
 	uint64_t now_ms;
 	uint64_t queue_pass_ms;
 	uint64_t compact_ms; /* no move before */
-	struct slot *slots; /* scratch, order_count of them or more */
+	size_t compact_turn; /* first worker weighed next */
+	struct slot *slots;  /* scratch, order_count of them or more */
 	struct slot *scratch;
 	size_t slot_capacity;
 	struct failed_shape failed[FAILED_SHAPES_MAX];
@@ -349,6 +351,9 @@
 void place_forget(struct place *p, struct job *job);
 void place_give_up(struct place *p, struct job *job, const char *reason);
 
+/* frag.c */
+struct frag_shape *frag_demand(const struct place *p, TALLOC_CTX *mem, size_t *count);
+
 /* compact.c */
 uint64_t compact_step(struct place *p, uint64_t now_ms);
 
--- a/src/sched.c
+++ b/src/sched.c
@@ -212,6 +212,7 @@
 	job->state = JOB_PLACED;
 	job->stopping = false;
 	job->entitled = false;
+	job->move_to = NULL;
 	job->placed_ms = p->now_ms;
 	job->started_ms = 0;
 	topo_grant(p, job, own);
--- a/src/search.c
+++ b/src/search.c
@@ -12,6 +12,7 @@
 #define MIN_RUN_MS 120000	/* run time before work is displaced for work that is not urgent */
 #define TURN_MS 300000		/* run time after which small work yields to a starving job */
 #define SUSPICION_PENALTY 30.0	/* score per failure of a worker that may be its fault */
+#define MOVE_BONUS 15.0		/* for the place that a move was planned to */
 #define LENT_PENALTY 6.0	/* score of a run in a lent cell: it may be reclaimed */
 #define EARMARK_PENALTY 20.0	/* a run in earmarked room moves away before long */
 #define IDLE_WORKER_PENALTY 0.5 /* per idle worker of the rack that would be broken into */
@@ -332,6 +333,8 @@
 	if (w->earmarked & run)
 		score += EARMARK_PENALTY;
 	score += SUSPICION_PENALTY * w->suspicion;
+	if (q->job && q->job->move_to == w)
+		score -= MOVE_BONUS;
 	score += 0.001 * (double)__builtin_ctzll(run) / 64;
 	if (mode_evicts(q->mode))
 		score = displaced_cost(p, w, run, q) + score;
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -5,7 +5,9 @@
 #include <stdio.h>
 #include <string.h>
 
-enum { TRACE_MAX = 4096 };
+enum {
+	TRACE_MAX = 4096
+};
 
 struct trace_entry {
 	enum place_kind kind;
@@ -359,7 +361,8 @@
 	}
 }
 
-/* Guards against mistaking a bad job for bad workers, a bad worker for bad jobs, or both at once. */
+/* Guards against mistaking a bad job for bad workers, a bad worker for bad jobs, or both at once.
+ */
 static void test_health(void)
 {
 	static const struct {
@@ -447,7 +450,8 @@
 	talloc_free(t);
 }
 
-/* Guards against workers that are offered and taken back in quick turns, or offered while needed. */
+/* Guards against workers that are offered and taken back in quick turns, or offered while needed.
+ */
 static void test_give_back(void)
 {
 	struct place_policy policy = default_policy;
@@ -508,8 +512,12 @@
 		uint32_t workers;
 		int expected;
 	} rows[] = {
-		{1, 8, 2, 0},		    {1, 8, 1, -ERR_NEVER_FITS}, {2, 4, 2, 0},
-		{2, 8, 3, -ERR_NEVER_FITS}, {1, 5, 1, -ERR_NEVER_FITS}, {1, 3, 1, 0},
+		{1, 8, 2, 0},
+		{1, 8, 1, -ERR_NEVER_FITS},
+		{2, 4, 2, 0},
+		{2, 8, 3, -ERR_NEVER_FITS},
+		{1, 5, 1, -ERR_NEVER_FITS},
+		{1, 3, 1, 0},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
@@ -563,16 +571,16 @@
 		uint32_t accelerators;
 		double expected;
 	} rows[] = {
-		{{0xff, 0x00}, 1, 8, 0},    {{0x0f, 0xf0}, 1, 8, 1},	{{0x0f, 0xf0}, 1, 4, 0},
-		{{0x55, 0x00}, 1, 2, 1},    {{0x0f, 0xf0}, 2, 4, 0},	{{0x0f, 0x05}, 1, 2, 2.0 / 6},
-		{{0x00, 0x00}, 1, 1, 0},    {{0x07, 0x00}, 1, 2, 0},
+		{{0xff, 0x00}, 1, 8, 0}, {{0x0f, 0xf0}, 1, 8, 1}, {{0x0f, 0xf0}, 1, 4, 0},
+		{{0x55, 0x00}, 1, 2, 1}, {{0x0f, 0xf0}, 2, 4, 0}, {{0x0f, 0x05}, 1, 2, 2.0 / 6},
+		{{0x00, 0x00}, 1, 1, 0}, {{0x07, 0x00}, 1, 2, 0},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
 		struct frag_worker workers[2] = {{0, 0, rows[i].free[0]}, {0, 0, rows[i].free[1]}};
-		struct frag_shape shape = {.shape = {.members = rows[i].members,
-						     .accelerators = rows[i].accelerators},
-					   .weight = 1};
+		struct frag_shape shape = {
+			.shape = {.members = rows[i].members, .accelerators = rows[i].accelerators},
+			.weight = 1};
 
 		CU_ASSERT_DOUBLE_EQUAL(frag_share(workers, 2, &shape, 1), rows[i].expected, 1e-9);
 	}
@@ -635,22 +643,14 @@
 		const char *name;
 		void (*run)(void);
 	} tests[] = {
-		{"reclaim", test_reclaim},
-		{"rehome", test_rehome},
-		{"once", test_once},
-		{"lost workers", test_lost_workers},
-		{"large", test_large},
-		{"urgent", test_urgent},
-		{"health", test_health},
-		{"losses do not count", test_losses_do_not_count},
-		{"burst", test_burst},
-		{"give back", test_give_back},
-		{"usage", test_usage},
-		{"pack", test_pack},
-		{"estimates", test_estimates},
-		{"fragmentation", test_fragmentation},
-		{"weights", test_weights},
-		{"restore", test_restore},
+		{"reclaim", test_reclaim},     {"rehome", test_rehome},
+		{"once", test_once},	       {"lost workers", test_lost_workers},
+		{"large", test_large},	       {"urgent", test_urgent},
+		{"health", test_health},       {"losses do not count", test_losses_do_not_count},
+		{"burst", test_burst},	       {"give back", test_give_back},
+		{"usage", test_usage},	       {"pack", test_pack},
+		{"estimates", test_estimates}, {"fragmentation", test_fragmentation},
+		{"weights", test_weights},     {"restore", test_restore},
 	};
 	CU_pSuite suite;
 	unsigned int failures;
--- a/tests/test_place_random.c
+++ b/tests/test_place_random.c
@@ -240,8 +240,8 @@
 
 static void end_some(struct model *m)
 {
-	static const enum place_outcome outcomes[] = {PLACE_DONE,	  PLACE_DONE,
-						      PLACE_JOB_FAILED,	  PLACE_START_FAILED,
+	static const enum place_outcome outcomes[] = {PLACE_DONE,	 PLACE_DONE,
+						      PLACE_JOB_FAILED,	 PLACE_START_FAILED,
 						      PLACE_WORKER_LOST, PLACE_HOLD_REFUSED};
 	struct model_job *job = pick(m, true);
 	enum place_outcome outcome = outcomes[below(m, G_N_ELEMENTS(outcomes))];
@@ -388,7 +388,8 @@
 		open += m->jobs[i].state != MODEL_ENDED;
 	for (uint32_t i = 0; i < m->worker_count; i++)
 		used += (uint32_t)__builtin_popcountll(m->workers[i].held);
-	require(m, stats.jobs_waiting + stats.jobs_placed == open, "a job is lost or counted twice");
+	require(m, stats.jobs_waiting + stats.jobs_placed == open,
+		"a job is lost or counted twice");
 	require(m, stats.accelerators_used == used, "accelerators in use differ from the model");
 	require(m, place_fragmentation(m->place) >= 0 && place_fragmentation(m->place) <= 1,
 		"fragmentation out of range");
