--- a/src/compact.c
+++ b/src/compact.c
@@ -7,6 +7,7 @@
 #define GAIN_MIN 0.03	  /* of the fragmentation, for a move to pay */
 #define CANDIDATES_MAX 16 /* workers weighed at a time, which bounds the cost */
 #define COMPACT_MEMBERS_MAX 8
+#define WAITING_MAX 4 /* with more, what a move frees is soon used anyway */
 
 /* Free accelerators of each worker, by place->order, as a move would leave them. */
 struct plan {
@@ -165,7 +166,7 @@
 /* With nothing waiting, empties a worker by moving its jobs, if that lowers fragmentation. */
 uint64_t compact_step(struct place *p, uint64_t now_ms)
 {
-	if (p->waiting || p->placed == 0 || p->order_count == 0 ||
+	if (p->waiting > WAITING_MAX || p->placed == 0 || p->order_count == 0 ||
 	    p->policy.weight_fragmentation <= 0)
 		return UINT64_MAX;
 	if (now_ms < p->compact_ms)
