--- a/src/sched.c
+++ b/src/sched.c
@@ -150,6 +150,14 @@
 		      });
 }
 
+/* Stops a job with a checkpoint so that it starts again elsewhere. */
+void sched_move(struct place *p, struct job *job, const char *reason)
+{
+	job->evictions++;
+	p->evictions++;
+	sched_evict(p, job, NULL, reason);
+}
+
 static void emit_start(struct place *p, struct job *job)
 {
 	struct place_assignment members[PLACE_MEMBERS_MAX];
@@ -204,6 +212,7 @@
 	job->state = JOB_PLACED;
 	job->stopping = false;
 	job->entitled = false;
+	job->move_to = NULL;
 	job->placed_ms = p->now_ms;
 	job->started_ms = 0;
 	topo_grant(p, job, own);
