claim: the key alone names the request

A retry whose body differed was refused as a conflict. docs/design.md returns the stored answer for a key that has finished, whatever the body of the retry is.

--- a/src/claim.c
+++ b/src/claim.c
@@ -79,15 +79,13 @@
 
 static char *encode(TALLOC_CTX *mem, const struct claim_record *record)
 {
-	char body[24];
 	json_t *json;
 	char *text;
 	char *copy;
 
-	snprintf(body, sizeof(body), "%016" PRIx64, record->body_hash);
-	json = json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s}", "entry", record->entry, "agent",
+	json = json_pack("{s:s, s:s, s:s, s:s, s:s, s:s}", "entry", record->entry, "agent",
 			 record->agent, "organisation", record->organisation, "service",
-			 record->service, "key", record->key, "body", body, "mark", record->mark);
+			 record->service, "key", record->key, "mark", record->mark);
 	text = json_dumps(json, JSON_COMPACT | JSON_ENSURE_ASCII);
 	copy = talloc_strdup(mem, text ? text : "{}");
 	free(text);
@@ -131,13 +129,11 @@
 {
 	json_t *json = json_loadb(kv->value, kv->value_len, 0, NULL);
 	struct claim_record found = {.mod_revision = kv->mod_revision};
-	const char *body = "";
 	int bad;
 
-	bad = json_unpack(json, "{s:s, s:s, s:s, s:s, s:s, s:s, s:s}", "entry", &found.entry,
-			  "agent", &found.agent, "organisation", &found.organisation, "service",
-			  &found.service, "key", &found.key, "body", &body, "mark", &found.mark);
-	found.body_hash = strtoull(body, NULL, 16);
+	bad = json_unpack(json, "{s:s, s:s, s:s, s:s, s:s, s:s}", "entry", &found.entry, "agent",
+			  &found.agent, "organisation", &found.organisation, "service",
+			  &found.service, "key", &found.key, "mark", &found.mark);
 	if (bad) {
 		log_error("claim_malformed", "", "%s holds a value that is not a claim", kv->key);
 		finish(take, -ERR_UNAVAILABLE, NULL);
--- a/src/claim.h
+++ b/src/claim.h
@@ -20,7 +20,6 @@
 	const char *organisation;
 	const char *service;
 	const char *key;
-	uint64_t body_hash;
 	const char *mark;     /* unique to the write, to recognise it after a lost answer */
 	int64_t mod_revision; /* in the store */
 };
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -148,7 +148,6 @@
 		.organisation = r->organisation->name,
 		.service = r->service,
 		.key = r->key,
-		.body_hash = r->body_hash,
 		.mark = mark,
 		.mod_revision = r->claim_revision,
 	};
@@ -174,19 +173,19 @@
 	dispatch_requeue(d, r);
 }
 
-static bool same_request(const struct request *r, const struct claim_record *found)
+/* Guards against two keys with the same hash. */
+static bool same_key(const struct request *r, const struct claim_record *found)
 {
 	return !strcmp(found->organisation, r->organisation->name) &&
-	       !strcmp(found->service, r->service) && !strcmp(found->key, r->key) &&
-	       found->body_hash == r->body_hash;
+	       !strcmp(found->service, r->service) && !strcmp(found->key, r->key);
 }
 
 /* Somebody claimed the key before: follow that run. */
 static void join(struct dispatch *d, struct request *r, const struct claim_record *found)
 {
-	if (!same_request(r, found)) {
-		err_set(&r->err, ERR_CONFLICT, "use a new key for a new request",
-			"the idempotency key was used for a different request");
+	if (!same_key(r, found)) {
+		err_set(&r->err, ERR_CONFLICT, "use another key",
+			"the idempotency key's hash belongs to another key");
 		dispatch_refuse(d, r, REQUEST_NOT_RUN);
 		return;
 	}
--- a/src/filter.c
+++ b/src/filter.c
@@ -185,7 +185,6 @@
 	r->needs_claim = r->key && !r->idempotent;
 	if (r->key)
 		r->key_hash = claim_hash(r->organisation->name, r->service, r->key);
-	r->body_hash = util_hash64(r->body, r->body_len, 0);
 	return 0;
 }
 
--- a/src/request.h
+++ b/src/request.h
@@ -99,7 +99,6 @@
 	bool idempotent;
 	bool quota_counted;
 	uint64_t key_hash;
-	uint64_t body_hash;
 	uint64_t deadline_ms; /* util_clock_ms() */
 	uint8_t *body;	      /* g_malloc() */
 	size_t body_len;
