--- a/src/api_calls.c
+++ b/src/api_calls.c
@@ -66,7 +66,7 @@
 	json_t *json =
 		json_loadb((const char *)r->body, r->body_len, JSON_REJECT_DUPLICATES, &error);
 
-	if (json && json_is_object(json))
+	if (json_is_object(json))
 		return json;
 	json_decref(json);
 	err_set(&r->err, ERR_INVALID, "send one JSON object",
--- a/src/auth.c
+++ b/src/auth.c
@@ -38,7 +38,7 @@
 	pthread_mutex_t lock; /* guards the fields below */
 	pthread_cond_t changed;
 	struct check *first;
-	struct check **last;
+	struct check *last; /* valid while first is set */
 	size_t waiting;
 	bool stopping;
 };
@@ -137,8 +137,6 @@
 	if (first) {
 		r = first->r;
 		a->first = first->next;
-		if (!a->first)
-			a->last = &a->first;
 		a->waiting--;
 		g_free(first);
 	}
@@ -167,8 +165,11 @@
 		ret = err_set(&r->err, ERR_UNAVAILABLE, "retry in a second",
 			      "too many tokens wait for their first check");
 	} else {
-		*a->last = item;
-		a->last = &item->next;
+		if (a->first)
+			a->last->next = item;
+		else
+			a->first = item;
+		a->last = item;
 		a->waiting++;
 		pthread_cond_signal(&a->changed);
 	}
@@ -200,7 +201,6 @@
 	struct auth *a = talloc_zero(mem, struct auth);
 
 	util_random_bytes(a->seeds, sizeof(a->seeds));
-	a->last = &a->first;
 	pthread_mutex_init(&a->lock, NULL);
 	pthread_cond_init(&a->changed, NULL);
 	for (int i = 0; i < SHARDS; i++)
--- a/src/member.c
+++ b/src/member.c
@@ -245,8 +245,9 @@
 	if (!row)
 		return;
 	pthread_mutex_lock(&m->lock);
-	changed = strcmp(row->data.zone, hello->zone) || strcmp(row->data.rack, hello->rack) ||
-		  strcmp(row->data.address, hello->address) || !row->reachable;
+	changed = strcmp(row->data.zone, hello->zone) != 0 ||
+		  strcmp(row->data.rack, hello->rack) != 0 ||
+		  strcmp(row->data.address, hello->address) != 0 || !row->reachable;
 	set_string(row, &row->data.region, hello->region);
 	set_string(row, &row->data.zone, hello->zone);
 	set_string(row, &row->data.rack, hello->rack);
--- a/src/peers.c
+++ b/src/peers.c
@@ -1,5 +1,6 @@
 #include "peers.h"
 #include "log.h"
+#include "registration.h"
 #include "util.h"
 
 #include <glib.h>
@@ -9,14 +10,10 @@
 #define DELTA_MS 200
 #define DIGEST_MS 1000
 #define HELLO_MS 10000 /* repeated, because a peer that restarts loses what it was told */
-/* An entry's lease outlives two missed renewals. */
-#define LEASE_TTL_S 6
-#define RENEW_MS 2000
 #define LIST_MS 5000
 #define LIVE_MS 5000 /* without a digest, for entries the store does not list */
 /* Also for listed ones, because the list is old while the store is down. */
 #define LISTED_LIVE_MS 30000
-#define PREFIX "entry/"
 
 struct entry {
 	char *peer;
@@ -36,9 +33,7 @@
 	GPtrArray *entries; /* others */
 	uint64_t version;   /* of the list told to agents */
 	GHashTable *told;   /* agent to the version it was told, by pointer to uint64_t */
-	int64_t lease;
-	bool registered;
-	bool registering;
+	struct registration *registration;
 	bool leaving;
 	bool listing;
 	uint64_t next_digest_ms;
@@ -57,7 +52,7 @@
 
 bool peers_registered(const struct peers *p)
 {
-	return p->registered;
+	return registration_done(p->registration);
 }
 
 static bool live(const struct entry *e, uint64_t now)
@@ -234,88 +229,7 @@
 	if (p->listing)
 		return;
 	p->listing = true;
-	store_range(p->deps.store, PREFIX, 0, cb);
-}
-
-static void on_registered(int status, const struct store_result *result, void *ctx)
-{
-	struct peers *p = ctx;
-
-	p->registering = false;
-	p->registered = status == 0;
-	if (p->registered)
-		log_info("entry_registered", "", "%s", p->deps.self);
-	else
-		p->lease = 0;
-}
-
-static char *own_record(TALLOC_CTX *mem, const struct peers *p)
-{
-	const struct settings *s = p->deps.settings;
-	json_t *json = json_pack("{s:s, s:s, s:s, s:s, s:s}", "peer", p->deps.self, "peer_address",
-				 p->deps.peer_address, "http_address", p->deps.http_address, "zone",
-				 s->zone, "region", s->region);
-	char *text = json_dumps(json, JSON_COMPACT);
-	char *copy = talloc_strdup(mem, text);
-
-	free(text);
-	json_decref(json);
-	return copy;
-}
-
-static void on_lease(int status, const struct store_result *result, void *ctx)
-{
-	struct peers *p = ctx;
-	struct store_op op = {.kind = STORE_PUT};
-	struct store_cb cb = {on_registered, p};
-	char *key;
-	char *value;
-
-	if (status || p->leaving) {
-		p->registering = false;
-		return;
-	}
-	p->lease = result->lease;
-	key = talloc_asprintf(p, PREFIX "%s", p->deps.settings->node);
-	value = own_record(key, p);
-	op.key = key;
-	op.value = value;
-	op.value_len = strlen(value);
-	op.lease = p->lease;
-	store_txn(p->deps.store, NULL, 0, &op, 1, cb);
-	talloc_free(key);
-}
-
-static void on_renewed(int status, const struct store_result *result, void *ctx)
-{
-	struct peers *p = ctx;
-
-	if (status != -ERR_NOT_FOUND)
-		return;
-	p->lease = 0;
-	p->registered = false;
-	p->next_renew_ms = 0;
-}
-
-static void renew(struct peers *p)
-{
-	struct store_cb granted = {on_lease, p};
-	struct store_cb renewed = {on_renewed, p};
-
-	if (p->registering || p->leaving)
-		return;
-	if (p->lease) {
-		store_lease_keepalive(p->deps.store, p->lease, renewed);
-		return;
-	}
-	p->registering = true;
-	store_lease_grant(p->deps.store, LEASE_TTL_S, granted);
-}
-
-static void on_revoked(int status, const struct store_result *result, void *ctx)
-{
-	if (status)
-		log_debug("entry_lease_kept", "", "the lease of this entry runs out by itself");
+	store_range(p->deps.store, REGISTRATION_PREFIX, 0, cb);
 }
 
 static void send_entries(struct peers *p, const char *agent)
@@ -362,15 +276,10 @@
 
 void peers_leave(struct peers *p)
 {
-	struct store_cb cb = {on_revoked, p};
-
 	if (p->leaving)
 		return;
 	p->leaving = true;
-	p->registered = false;
-	if (p->lease)
-		store_lease_revoke(p->deps.store, p->lease, cb);
-	p->lease = 0;
+	registration_leave(p->registration);
 	list_changed(p);
 	tell_agents(p);
 }
@@ -433,8 +342,8 @@
 		drop_dead(p);
 	}
 	if (now >= p->next_renew_ms) {
-		p->next_renew_ms = now + RENEW_MS;
-		renew(p);
+		p->next_renew_ms = now + REGISTRATION_RENEW_MS;
+		registration_renew(p->registration);
 	}
 	if (now >= p->next_list_ms) {
 		p->next_list_ms = now + LIST_MS;
@@ -457,6 +366,20 @@
 		g_hash_table_remove(p->told, target->peer);
 }
 
+static char *own_record(struct peers *p)
+{
+	const struct settings *s = p->deps.settings;
+	json_t *json = json_pack("{s:s, s:s, s:s, s:s, s:s}", "peer", p->deps.self, "peer_address",
+				 p->deps.peer_address, "http_address", p->deps.http_address, "zone",
+				 s->zone, "region", s->region);
+	char *text = json_dumps(json, JSON_COMPACT);
+	char *copy = talloc_strdup(p, text);
+
+	free(text);
+	json_decref(json);
+	return copy;
+}
+
 struct peers *peers_create(TALLOC_CTX *mem, const struct peers_deps *deps)
 {
 	struct peers *p = talloc_zero(mem, struct peers);
@@ -468,9 +391,9 @@
 	p->told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	p->version = 1;
 	talloc_set_destructor(p, peers_destructor);
-	renew(p);
+	p->registration = registration_create(p, deps->store, deps->settings->node, own_record(p));
 	list_entries(p);
-	p->next_renew_ms = util_clock_ms() + RENEW_MS;
+	p->next_renew_ms = util_clock_ms() + REGISTRATION_RENEW_MS;
 	p->next_list_ms = util_clock_ms() + LIST_MS;
 	start_timer(p);
 	return p;
--- a/src/request.c
+++ b/src/request.c
@@ -5,35 +5,35 @@
 #include <string.h>
 
 struct code_info {
-	int status;
 	const char *kind;
+	int status;
 	bool retryable;
 };
 
 static const struct code_info codes[ERR_CODE_COUNT] = {
-	[ERR_INVALID] = {400, "invalid", false},
-	[ERR_NOT_FOUND] = {404, "invalid", false},
-	[ERR_EXISTS] = {409, "conflict", false},
-	[ERR_CONFLICT] = {409, "conflict", false},
-	[ERR_DENIED] = {401, "denied", false},
-	[ERR_TOO_LARGE] = {413, "invalid", false},
-	[ERR_OVER_QUOTA] = {429, "overload", true},
-	[ERR_QUEUE_FULL] = {429, "overload", true},
-	[ERR_DEADLINE] = {504, "deadline", true},
-	[ERR_NO_TARGET] = {503, "unavailable", true},
-	[ERR_NEVER_FITS] = {400, "invalid", false},
-	[ERR_UNAVAILABLE] = {503, "unavailable", true},
-	[ERR_OUTCOME_UNKNOWN] = {502, "unknown", false},
-	[ERR_STALE] = {409, "conflict", false},
-	[ERR_LEAVING] = {503, "unavailable", true},
-	[ERR_CANCELLED] = {409, "conflict", false},
-	[ERR_FAILED] = {502, "failed", false},
-	[ERR_SYSTEM] = {503, "unavailable", true},
+	[ERR_INVALID] = {"invalid", 400, false},
+	[ERR_NOT_FOUND] = {"invalid", 404, false},
+	[ERR_EXISTS] = {"conflict", 409, false},
+	[ERR_CONFLICT] = {"conflict", 409, false},
+	[ERR_DENIED] = {"denied", 401, false},
+	[ERR_TOO_LARGE] = {"invalid", 413, false},
+	[ERR_OVER_QUOTA] = {"overload", 429, true},
+	[ERR_QUEUE_FULL] = {"overload", 429, true},
+	[ERR_DEADLINE] = {"deadline", 504, true},
+	[ERR_NO_TARGET] = {"unavailable", 503, true},
+	[ERR_NEVER_FITS] = {"invalid", 400, false},
+	[ERR_UNAVAILABLE] = {"unavailable", 503, true},
+	[ERR_OUTCOME_UNKNOWN] = {"unknown", 502, false},
+	[ERR_STALE] = {"conflict", 409, false},
+	[ERR_LEAVING] = {"unavailable", 503, true},
+	[ERR_CANCELLED] = {"conflict", 409, false},
+	[ERR_FAILED] = {"failed", 502, false},
+	[ERR_SYSTEM] = {"unavailable", 503, true},
 };
 
 static const struct code_info *info(int code)
 {
-	static const struct code_info unknown = {500, "failed", false};
+	static const struct code_info unknown = {"failed", 500, false};
 
 	code = code < 0 ? -code : code;
 	return code > 0 && code < ERR_CODE_COUNT ? &codes[code] : &unknown;
--- a/src/request.h
+++ b/src/request.h
@@ -77,6 +77,7 @@
 
 struct request {
 	atomic_int refs;
+	int fd; /* caller's connection */
 	char id[REQUEST_ID_MAX];
 
 	/* Description, written by the HTTP thread before submission. */
@@ -98,15 +99,14 @@
 	bool needs_claim;
 	bool idempotent;
 	bool quota_counted;
+	int http_status; /* of a refusal, 0: derived from the code */
 	uint64_t key_hash;
 	uint64_t deadline_ms; /* util_clock_ms() */
 	uint8_t *body;	      /* g_malloc() */
 	size_t body_len;
-	int fd;		  /* caller's connection */
 	void *connection; /* of the HTTP server */
 	void *http;	  /* private to the HTTP side */
 	struct err err;	  /* why a filter refused it */
-	int http_status;  /* of a refusal, 0: derived from the code */
 
 	/* Loop thread. */
 	enum request_state state;
@@ -117,9 +117,10 @@
 	uint32_t excluded_count;
 	uint32_t tries;
 	uint32_t bounces; /* refusals because a target's slots were full */
+	uint32_t claim_serial;
+	uint32_t retry_after_s;
 	bool may_have_run;
 	bool claimed;
-	uint32_t claim_serial;
 	int64_t claim_revision; /* of the claim to replace; 0: to create */
 	uint64_t step_ms;	/* end of the backoff, or time to hedge; 0: none */
 	uint64_t credited;
@@ -133,11 +134,9 @@
 	bool ended;
 	bool cut; /* the answer is not whole and must not look whole */
 	bool suspended;
-	bool abandoned; /* the caller is gone */
 	int status;
 	char answer_type[128];
 	uint64_t length;
-	uint32_t retry_after_s;
 	struct request_chunk *head;
 	struct request_chunk *tail;
 	size_t buffered;
