--- a/src/bench_replay.c
+++ b/src/bench_replay.c
@@ -94,7 +94,9 @@
 
 static void violation(struct replay *r, uint64_t *counter, const char *text, const char *subject)
 {
-	(*counter)++; if (getenv("DBGV")) fprintf(stderr, "VIOL t=%.1f %s %s\n", r->now/1000.0, subject, text);
+	(*counter)++;
+	if (getenv("DBGV"))
+		fprintf(stderr, "VIOL t=%.1f %s %s\n", r->now / 1000.0, subject, text);
 	if (!r->out->first_violation[0])
 		snprintf(r->out->first_violation, sizeof(r->out->first_violation),
 			 "t=%.3f %.64s: %.256s", (double)r->now / MS_PER_S, subject, text);
--- a/tests/test_e2e_config.c
+++ b/tests/test_e2e_config.c
@@ -152,7 +152,8 @@
 		unsigned int won = 0;
 
 		for (unsigned int i = 0; i < ENTRIES; i++) {
-			racers[i] = (struct race){.entry = i, .base = base, .weight = 2.0 + i + 0.1 * round};
+			racers[i] = (struct race){
+				.entry = i, .base = base, .weight = 2.0 + i + 0.1 * round};
 			snprintf(racers[i].file, sizeof(racers[i].file), "8%u-race.json", i);
 			pthread_create(&threads[i], NULL, race, &racers[i]);
 		}
--- a/tests/test_e2e_jobs.c
+++ b/tests/test_e2e_jobs.c
@@ -291,10 +291,11 @@
 	int status;
 
 	CU_ASSERT(cluster_fault(&cluster.targets[0].target, "{\"fail_starts\":true}"));
-	status = cluster_submit(&cluster, 0, NULL,
-				"{\"class\":\"yield-forecast\",\"members\":1,\"accelerators\":1,"
-				"\"declared_s\":1,\"payload\":{\"run_ms\":60000,\"never_runs\":true}}",
-				never);
+	status = cluster_submit(
+		&cluster, 0, NULL,
+		"{\"class\":\"yield-forecast\",\"members\":1,\"accelerators\":1,"
+		"\"declared_s\":1,\"payload\":{\"run_ms\":60000,\"never_runs\":true}}",
+		never);
 	CU_ASSERT_EQUAL(status, 202);
 	for (int i = 0; i < 4; i++)
 		submit((unsigned int)i % 2, "yield-forecast", 2, 4, 300, false, good[i]);
