--- a/src/bench_cmd_place.c
+++ b/src/bench_cmd_place.c
@@ -242,7 +242,7 @@
 	struct arguments a = defaults();
 	TALLOC_CTX *mem = talloc_new(NULL);
 	struct bench_workload workload;
-	struct bench_result result;
+	struct bench_result result = {0};
 	struct bench_fleet fleet;
 	struct err err;
 	int ret;
@@ -364,8 +364,8 @@
 	};
 	TALLOC_CTX *mem = talloc_new(NULL);
 	struct bench_workload workload;
-	struct bench_result ours;
-	struct bench_result base;
+	struct bench_result ours = {0};
+	struct bench_result base = {0};
 	struct bench_fleet fleet;
 	struct err err;
 	int ret;
--- a/src/bench_workload.c
+++ b/src/bench_workload.c
@@ -521,9 +521,9 @@
 
 static void add_cancel_waves(struct generator *g)
 {
-	double waves = CANCEL_WAVES_PER_DAY * g->options->hours / 24.0;
+	unsigned int waves = (unsigned int)ceil(CANCEL_WAVES_PER_DAY * g->options->hours / 24.0);
 
-	for (double i = 0; i < waves; i++) {
+	for (unsigned int i = 0; i < waves; i++) {
 		double at = util_rng_unit(&g->rng) * g->options->hours * SECONDS_PER_HOUR;
 
 		for (int j = 0; j < CANCEL_WAVE_JOBS && g->next_job; j++)
--- a/tests/lib_callers.c
+++ b/tests/lib_callers.c
@@ -53,16 +53,15 @@
 	const char *outcome =
 		json_string_value(json_object_get(json_object_get(json, "error"), "outcome"));
 	enum told told = TOLD_FAILED;
+	bool not_run = reply->status < 0 || (outcome && !strcmp(outcome, "not_run"));
 
 	if (reply->status == 0)
 		told = TOLD_BROKEN;
-	else if (reply->status < 0)
-		told = TOLD_NOT_RUN;
 	else if (reply->status == 200 && !json)
 		told = TOLD_CUT;
 	else if (reply->status == 200)
 		told = got && !strcmp(got, echo) ? TOLD_WHOLE : TOLD_MIXED;
-	else if (outcome && !strcmp(outcome, "not_run"))
+	else if (not_run)
 		told = TOLD_NOT_RUN;
 	else if (outcome && !strcmp(outcome, "unknown"))
 		told = TOLD_UNKNOWN;
@@ -76,10 +75,12 @@
 	unsigned int count = callers->c->entry_count;
 
 	for (unsigned int i = 0; i < count; i++) {
-		if (!callers->options.balanced || atomic_load(&callers->ready[(entry + i) % count]))
-			return (entry + i) % count;
+		unsigned int at = (entry + i) % count;
+
+		if (!callers->options.balanced || atomic_load(&callers->ready[at]))
+			return at;
 	}
-	return entry % count;
+	return 0;
 }
 
 static void *poll_ready(void *ctx)
