--- a/src/pass.c
+++ b/src/pass.c
@@ -8,6 +8,7 @@
 #define WANTING_LOOKS 256	  /* oldest waiting jobs of an organisation that are looked at */
 #define EARMARKED_SHARE 0.34	  /* of the fleet's accelerators drain for large jobs at most */
 #define CHECK_MS 1000		  /* reservations and waiting jobs are looked at this often */
+#define AGED_RETRY_MS 5000	  /* the same for jobs that are not large */
 #define IDLE_MS 10000		  /* nothing to do */
 #define URGENT_RETRY_MS 200
 #define CLEAR_BASE_MS 120000.0 /* lost work and overhead accepted at once, per accelerator */
@@ -424,11 +425,13 @@
 {
 	while (pass->evict_searches < EVICT_SEARCHES_PER_STEP) {
 		struct job *job = oldest_wanting_room(pass);
+		bool large;
 
 		if (!job)
 			return;
-		job->retry_ms = pass->now_ms + CHECK_MS;
-		if (!clear_now(pass, job) && sched_large(pass->p, job))
+		large = sched_large(pass->p, job);
+		job->retry_ms = pass->now_ms + (large ? CHECK_MS : AGED_RETRY_MS);
+		if (!clear_now(pass, job) && large)
 			earmark(pass, job);
 	}
 	pass->unfinished = true;
--- a/src/search.c
+++ b/src/search.c
@@ -249,7 +249,10 @@
 		slot->memory = sub(slot->memory, w->memory_used);
 	} else {
 		slot->mask &= ~blocked_mask(w, q);
-		blocked_cores(w, q, slot);
+		if (topo_longest_run(slot->mask) >= (int)q->shape->accelerators)
+			blocked_cores(w, q, slot);
+		else
+			return false;
 	}
 	if (!q->lend || pinned) {
 		slot->cores = MIN(slot->cores, sub(w->cores, w->cores_home + w->cores_pinned));
@@ -478,6 +481,8 @@
 		struct slot *slot = &p->slots[n];
 		struct worker *w = p->order[i];
 
+		if (q->shape->accelerators > w->accelerators)
+			continue;
 		if (q->mode == QUERY_FREE && q->shape->accelerators && w->used == w->all)
 			continue;
 		*slot = (struct slot){.worker = w};
