--- a/src/search.c
+++ b/src/search.c
@@ -65,7 +65,7 @@
 /* Work that has barely started is left alone, or two jobs would take turns without progress. */
 static bool just_placed(const struct job *victim, const struct query *q)
 {
-	uint64_t least = q->job->urgent ? 0 : MIN_RUN_MS;
+	uint64_t least = q->job && q->job->urgent ? 0 : MIN_RUN_MS;
 
 	return victim->state != JOB_RUNNING || q->now_ms < victim->started_ms + least;
 }
@@ -91,11 +91,11 @@
 		       sched_moves_easily(q->p, victim);
 	if (younger_for_overdue(victim, q))
 		return true;
-	if (guarantee_covers(victim) && !q->large && !q->job->urgent)
+	if (guarantee_covers(victim) && !q->large && q->job && !q->job->urgent)
 		return false;
 	if (q->entitled && !sched_large(q->p, victim))
 		return true;
-	if (q->job->urgent)
+	if (q->job && q->job->urgent)
 		return true;
 	if (q->overdue && had_a_turn(victim, q))
 		return true;
@@ -249,7 +249,10 @@
 		slot->memory = sub(slot->memory, w->memory_used);
 	} else {
 		slot->mask &= ~blocked_mask(w, q);
-		blocked_cores(w, q, slot);
+		if (topo_longest_run(slot->mask) >= (int)q->shape->accelerators)
+			blocked_cores(w, q, slot);
+		else
+			return false;
 	}
 	if (!q->lend || pinned) {
 		slot->cores = MIN(slot->cores, sub(w->cores, w->cores_home + w->cores_pinned));
@@ -478,6 +481,8 @@
 		struct slot *slot = &p->slots[n];
 		struct worker *w = p->order[i];
 
+		if (q->shape->accelerators > w->accelerators)
+			continue;
 		if (q->mode == QUERY_FREE && q->shape->accelerators && w->used == w->all)
 			continue;
 		*slot = (struct slot){.worker = w};
