--- a/src/auth.c
+++ b/src/auth.c
@@ -26,19 +26,14 @@
 	struct slot slots[SLOTS];
 };
 
-struct check {
-	struct check *next;
-	struct request *r; /* own reference */
-};
-
 struct auth {
 	uint64_t seeds[2];
 	struct shard shards[SHARDS];
 	pthread_t thread;
 	pthread_mutex_t lock; /* guards the fields below */
 	pthread_cond_t changed;
-	struct check *first;
-	struct check *last; /* valid while first is set */
+	struct request *ring[CHECKS_WAITING_MAX]; /* own references */
+	size_t first;
 	size_t waiting;
 	bool stopping;
 };
@@ -128,17 +123,14 @@
 static struct request *next_request(struct auth *a)
 {
 	struct request *r = NULL;
-	struct check *first;
 
 	pthread_mutex_lock(&a->lock);
-	while (!a->first && !a->stopping)
+	while (!a->waiting && !a->stopping)
 		pthread_cond_wait(&a->changed, &a->lock);
-	first = a->first;
-	if (first) {
-		r = first->r;
-		a->first = first->next;
+	if (a->waiting) {
+		r = a->ring[a->first];
+		a->first = (a->first + 1) % CHECKS_WAITING_MAX;
 		a->waiting--;
-		g_free(first);
 	}
 	pthread_mutex_unlock(&a->lock);
 	return r;
@@ -156,26 +148,17 @@
 
 int auth_check(struct auth *a, struct request *r)
 {
-	struct check *item = g_new0(struct check, 1);
 	int ret = 0;
 
-	item->r = r;
 	pthread_mutex_lock(&a->lock);
 	if (a->waiting >= CHECKS_WAITING_MAX) {
 		ret = err_set(&r->err, ERR_UNAVAILABLE, "retry in a second",
 			      "too many tokens wait for their first check");
 	} else {
-		if (a->first)
-			a->last->next = item;
-		else
-			a->first = item;
-		a->last = item;
-		a->waiting++;
+		a->ring[(a->first + a->waiting++) % CHECKS_WAITING_MAX] = r;
 		pthread_cond_signal(&a->changed);
 	}
 	pthread_mutex_unlock(&a->lock);
-	if (ret)
-		g_free(item);
 	return ret;
 }
 
