--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -490,13 +490,14 @@
 	for (int i = 0; i < 2; i++) {
 		const struct request_attempt *a = &r->attempts[i];
 
-		if (!a->id || !a->received)
+		if (!a->id || !a->received || consumed == r->credited)
 			continue;
 		msg.u.credit.id = a->id;
 		msg.u.credit.bytes = consumed - r->credited;
-		wire_send(d->deps.wire, a->peer, &msg);
+		/* What a full send buffer refuses is granted with the next step. */
+		if (!wire_send(d->deps.wire, a->peer, &msg))
+			r->credited = consumed;
 	}
-	r->credited = consumed;
 	request_unref(r);
 }
 
