--- a/tests/test_filter.c
+++ b/tests/test_filter.c
@@ -99,6 +99,9 @@
 	while (!gate.open)
 		pthread_cond_wait(&gate.opened, &gate.lock);
 	pthread_mutex_unlock(&gate.lock);
+	/* The quota is given back with the last reference, so the checker's has to be gone. */
+	while (atomic_load(&r->refs) > 1)
+		g_thread_yield();
 	return filters_request(w->filters, r);
 }
 
