gangagent, jobs: files split by job, task ids with the attempt's count

Task ids hold the count of the attempt instead of the whole attempt number, so that they match the attempt told by the API; counts of granted attempts never repeat. The ring's messages and the calls to the worker are in files of their own.

--- a/src/gang.h
+++ b/src/gang.h
@@ -62,6 +62,12 @@
 	return epoch << GANG_ATTEMPT_BITS | (count & ((1U << GANG_ATTEMPT_BITS) - 1));
 }
 
+/** gang_attempt_count() - the count of an attempt number, as shown to callers */
+static inline uint32_t gang_attempt_count(uint64_t attempt)
+{
+	return (uint32_t)(attempt & ((1U << GANG_ATTEMPT_BITS) - 1));
+}
+
 enum gang_action_kind {
 	/* Of the holder. */
 	GANG_SEND_HOLD = 1, /* to member @member */
--- a/src/gangagent.c
+++ b/src/gangagent.c
@@ -1,5 +1,4 @@
-#include "gangagent.h"
-#include "gang.h"
+#include "gangagent_int.h"
 #include "log.h"
 #include "util.h"
 
@@ -10,148 +9,65 @@
 #define ENDED_MAX 1024		      /* records of ended members that nobody has released */
 #define ENDED_KEEP_MS (24 * 3600000U) /* their age; the holder keeps results as long */
 #define USAGE_PERIOD_MS 60000	      /* usage reports to the holder; its share of 3 KB/s */
-#define ACTIONS_MAX 512
-
-/* One member of a gang that is held, runs or has ended here. */
-struct record {
-	struct gangagent *g;
-	struct record *next;
-	struct gang_member gang;
-	char *job;
-	char *task; /* id at the worker */
-	char *holder;
-	char *payload;
-	const char **nodes; /* NULL before START */
-	const char **addresses;
-	uint64_t linked; /* members that a connection has been opened to */
-	uint64_t mask;
-	uint32_t cores;
-	uint32_t memory_mb;
-	bool checkpoint;
-	char *reason;
-	uint32_t usage_percent;
-	uint64_t checkpoint_ms;
-	uint64_t usage_sent_ms;
-	uint64_t ended_ms;
-	struct tevent_timer *lapse; /* the worker has left: its lease ends the task */
-};
-
-struct queued {
-	struct record *record;
-	struct gang_action action;
-};
-
-struct gangagent {
-	struct tevent_context *ev;
-	struct wire *wire;
-	struct slots *slots;
-	struct metrics *metrics;
-	char *node;
-	struct worker *worker;
-	TALLOC_CTX *calls; /* contexts of calls to the present worker */
-	bool accepting;
-	uint64_t epoch; /* highest seen */
-	struct record *records;
-	struct tevent_timer *timer;
-	const char *ring_peer; /* sender of the ring message being handled */
-	struct queued queue[ACTIONS_MAX];
-	size_t queue_head;
-	size_t queue_count;
-	bool running_queue;
-};
-
-/* Context of one call to the worker; the record may have been replaced meanwhile. */
-struct task_call {
-	struct gangagent *g;
-	char *task;
-};
 
 static void emit(const struct gang_action *action, void *ctx)
 {
-	struct record *record = ctx;
+	struct gang_record *record = ctx;
 	struct gangagent *g = record->g;
 
-	if (g->queue_count == ACTIONS_MAX) {
+	if (g->queue_count == GANGAGENT_ACTIONS_MAX) {
 		log_error("gang_actions_full", record->job, "action %d dropped", action->kind);
 		return;
 	}
-	g->queue[(g->queue_head + g->queue_count) % ACTIONS_MAX] =
-		(struct queued){.record = record, .action = *action};
+	g->queue[(g->queue_head + g->queue_count) % GANGAGENT_ACTIONS_MAX] =
+		(struct gang_queued){.record = record, .action = *action};
 	g->queue_count++;
 }
 
-static struct gang_out out_of(struct record *record)
+struct gang_out gangagent_out(struct gang_record *record)
 {
 	struct gang_out out = {emit, record};
 
 	return out;
 }
 
-static struct record *find(struct gangagent *g, const char *job, uint64_t member)
+static struct gang_record *find(struct gangagent *g, const char *job, uint64_t member)
 {
-	for (struct record *r = g->records; r; r = r->next) {
+	for (struct gang_record *r = g->records; r; r = r->next) {
 		if (r->gang.index == member && !strcmp(r->job, job))
 			return r;
 	}
 	return NULL;
 }
 
-static struct record *find_task(struct gangagent *g, const char *task)
+struct gang_record *gangagent_find_task(struct gangagent *g, const char *task)
 {
-	for (struct record *r = g->records; r; r = r->next) {
+	for (struct gang_record *r = g->records; r; r = r->next) {
 		if (!strcmp(r->task, task))
 			return r;
 	}
 	return NULL;
 }
 
-static bool address_in_use(const struct gangagent *g, const struct record *except,
-			   const char *address)
+static void remove_record(struct gang_record *r)
 {
-	for (const struct record *r = g->records; r; r = r->next) {
-		for (uint32_t i = 0; r != except && r->nodes && i < r->gang.members; i++) {
-			if (r->linked & (uint64_t)1 << i && !strcmp(r->addresses[i], address))
-				return true;
-		}
-	}
-	return false;
-}
-
-static void ring_label(char *label, size_t size, const char *address)
-{
-	snprintf(label, size, "ring@%s", address);
-}
-
-static void drop_links(struct record *r)
-{
-	char label[128];
-
-	for (uint32_t i = 0; r->nodes && i < r->gang.members; i++) {
-		if (!(r->linked & (uint64_t)1 << i) || address_in_use(r->g, r, r->addresses[i]))
-			continue;
-		ring_label(label, sizeof(label), r->addresses[i]);
-		wire_disconnect(r->g->wire, label);
-	}
-}
-
-static void remove_record(struct record *r)
-{
-	struct record **at = &r->g->records;
+	struct gang_record **at = &r->g->records;
 
 	for (size_t i = 0; i < r->g->queue_count; i++) {
-		struct queued *q = &r->g->queue[(r->g->queue_head + i) % ACTIONS_MAX];
+		struct gang_queued *q =
+			&r->g->queue[(r->g->queue_head + i) % GANGAGENT_ACTIONS_MAX];
 
 		if (q->record == r)
 			q->record = NULL;
 	}
-	drop_links(r);
+	gangring_drop_links(r);
 	while (*at != r)
 		at = &(*at)->next;
 	*at = r->next;
 	talloc_free(r);
 }
 
-static void send_status(struct record *r, uint32_t state)
+static void send_status(struct gang_record *r, uint32_t state)
 {
 	struct msg msg = {.type = MSG_MEMBER_STATUS};
 
@@ -167,153 +83,13 @@
 	wire_send(r->g->wire, r->holder, &msg);
 }
 
-static void receive_ring(struct gangagent *g, const struct msg *msg);
-
-static void send_ring(struct record *r, uint32_t member, const struct msg *msg)
-{
-	struct gangagent *g = r->g;
-	char label[128];
-
-	if (!r->nodes || member >= r->gang.members) {
-		if (g->ring_peer)
-			wire_send(g->wire, g->ring_peer, msg);
-		return;
-	}
-	if (!strcmp(r->nodes[member], g->node)) {
-		receive_ring(g, msg);
-		return;
-	}
-	ring_label(label, sizeof(label), r->addresses[member]);
-	if (wire_connect(g->wire, label, r->addresses[member]))
-		return;
-	r->linked |= (uint64_t)1 << member;
-	wire_send(g->wire, label, msg);
-}
-
-static void send_ping(struct record *r, const struct gang_action *action)
-{
-	struct msg msg = {.type = MSG_GANG_PING};
-
-	msg.u.gang_ping = (struct msg_gang_ping){
-		.job = r->job,
-		.attempt = r->gang.attempt,
-		.member = r->gang.index,
-		.closed = action->closed,
-	};
-	send_ring(r, action->member, &msg);
-}
-
-static void send_broken(struct record *r, uint32_t member)
-{
-	struct msg msg = {.type = MSG_GANG_BROKEN};
-
-	msg.u.gang_broken = (struct msg_gang_broken){
-		.job = r->job,
-		.attempt = r->gang.attempt,
-		.member = r->gang.index,
-	};
-	send_ring(r, member, &msg);
-}
-
-static void run_queue(struct gangagent *g);
-
-static struct task_call *task_call(struct record *r)
-{
-	struct task_call *call = talloc_zero(r->g->calls, struct task_call);
-
-	call->g = r->g;
-	call->task = talloc_strdup(call, r->task);
-	return call;
-}
-
-static void set_reason(struct record *r, const char *reason)
+void gangagent_set_reason(struct gang_record *r, const char *reason)
 {
 	talloc_free(r->reason);
 	r->reason = talloc_strdup(r, reason ? reason : "");
 }
 
-static void on_started(int status, const char *reason, void *ctx)
-{
-	struct task_call *call = ctx;
-	struct gangagent *g = call->g;
-	struct record *r = find_task(g, call->task);
-
-	talloc_free(call);
-	if (!r)
-		return;
-	if (status) {
-		set_reason(r, reason);
-		log_warn("task_start_failed", r->job, "member %u: %s", r->gang.index, r->reason);
-	}
-	gang_member_task_started(&r->gang, status == 0, util_clock_ms(), out_of(r));
-	run_queue(g);
-}
-
-static void start_task(struct record *r)
-{
-	struct worker_task_spec spec = {
-		.id = r->task,
-		.accelerator_mask = r->mask,
-		.cores = r->cores,
-		.memory_mb = r->memory_mb,
-		.payload = r->payload,
-	};
-
-	if (r->g->worker) {
-		worker_start(r->g->worker, &spec, on_started, task_call(r));
-		return;
-	}
-	set_reason(r, "the worker has left");
-	gang_member_task_started(&r->gang, false, util_clock_ms(), out_of(r));
-}
-
-static void on_stopped(int status, uint64_t checkpoint_ms, void *ctx)
-{
-	struct task_call *call = ctx;
-	struct gangagent *g = call->g;
-	struct record *r = find_task(g, call->task);
-
-	talloc_free(call);
-	if (!r)
-		return;
-	/* Without the worker's word a checkpoint cannot be relied on. */
-	r->checkpoint_ms = status == 0 ? checkpoint_ms : 0;
-	gang_member_task_stopped(&r->gang, util_clock_ms(), out_of(r));
-	run_queue(g);
-}
-
-static void on_lapse(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
-		     void *data)
-{
-	struct record *r = data;
-
-	r->lapse = NULL;
-	r->checkpoint_ms = 0;
-	gang_member_task_stopped(&r->gang, util_clock_ms(), out_of(r));
-	run_queue(r->g);
-}
-
-/* Nobody renews the task's lease any more, so the worker stops it. */
-static void wait_for_lapse(struct record *r)
-{
-	if (r->lapse)
-		return;
-	r->lapse = tevent_add_timer(
-		r->g->ev, r, tevent_timeval_current_ofs(GANG_LEASE_MS / 1000, 0), on_lapse, r);
-}
-
-static void stop_task(struct record *r, const struct gang_action *action)
-{
-	bool checkpoint = action->checkpoint && r->checkpoint;
-
-	if (r->g->worker)
-		worker_stop(r->g->worker, r->task, checkpoint, action->grace_ms, on_stopped,
-			    task_call(r));
-	else
-		wait_for_lapse(r);
-}
-
-static void free_hold(struct record *r)
+static void free_hold(struct gang_record *r)
 {
 	slots_drop(r->g->slots, r->mask, r->cores, r->memory_mb);
 	r->ended_ms = util_clock_ms();
@@ -321,25 +97,25 @@
 		 r->gang.index, r->gang.final);
 }
 
-static void run_action(struct record *r, const struct gang_action *action)
+static void run_action(struct gang_record *r, const struct gang_action *action)
 {
 	switch (action->kind) {
 	case GANG_SEND_STATUS:
 		send_status(r, action->status);
 		break;
 	case GANG_SEND_PING:
-		send_ping(r, action);
+		gangring_ping(r, action);
 		break;
 	case GANG_SEND_BROKEN:
 		metrics_count(r->g->metrics, "jaycourse_gang_broken_total", "",
 			      "Messages that tell a member that its gang is broken");
-		send_broken(r, action->member);
+		gangring_broken(r, action->member);
 		break;
 	case GANG_TASK_START:
-		start_task(r);
+		gangtask_start(r);
 		break;
 	case GANG_TASK_STOP:
-		stop_task(r, action);
+		gangtask_stop(r, action);
 		break;
 	case GANG_FREE:
 		free_hold(r);
@@ -361,7 +137,7 @@
 	uint64_t now = util_clock_ms();
 	uint64_t wait;
 
-	for (struct record *r = g->records; r; r = r->next) {
+	for (struct gang_record *r = g->records; r; r = r->next) {
 		uint64_t at = gang_member_due(&r->gang);
 
 		due = at < due ? at : due;
@@ -377,15 +153,15 @@
 }
 
 /* Actions may cause further events on other members here, so they run one after another. */
-static void run_queue(struct gangagent *g)
+void gangagent_run(struct gangagent *g)
 {
 	if (g->running_queue)
 		return;
 	g->running_queue = true;
 	while (g->queue_count) {
-		struct queued q = g->queue[g->queue_head];
+		struct gang_queued q = g->queue[g->queue_head];
 
-		g->queue_head = (g->queue_head + 1) % ACTIONS_MAX;
+		g->queue_head = (g->queue_head + 1) % GANGAGENT_ACTIONS_MAX;
 		g->queue_count--;
 		if (q.record)
 			run_action(q.record, &q.action);
@@ -397,9 +173,9 @@
 static void drop_old_records(struct gangagent *g, uint64_t now)
 {
 	uint32_t kept = 0;
-	struct record *next;
+	struct gang_record *next;
 
-	for (struct record *r = g->records; r; r = next) {
+	for (struct gang_record *r = g->records; r; r = next) {
 		next = r->next;
 		if (r->gang.phase != GANG_MEMBER_ENDED)
 			continue;
@@ -415,9 +191,9 @@
 	uint64_t now_ms = util_clock_ms();
 
 	g->timer = NULL;
-	for (struct record *r = g->records; r; r = r->next)
-		gang_member_tick(&r->gang, now_ms, out_of(r));
-	run_queue(g);
+	for (struct gang_record *r = g->records; r; r = r->next)
+		gang_member_tick(&r->gang, now_ms, gangagent_out(r));
+	gangagent_run(g);
 	drop_old_records(g, now_ms);
 }
 
@@ -455,13 +231,13 @@
 {
 	bool clear = true;
 
-	for (struct record *r = g->records; r; r = r->next) {
-		if (strcmp(r->job, job) || r->gang.attempt == attempt)
+	for (struct gang_record *r = g->records; r; r = r->next) {
+		if (strcmp(r->job, job) != 0 || r->gang.attempt == attempt)
 			continue;
 		if (r->gang.attempt > attempt)
 			return false;
 		if (r->gang.phase != GANG_MEMBER_ENDED) {
-			gang_member_supersede(&r->gang, util_clock_ms(), out_of(r));
+			gang_member_supersede(&r->gang, util_clock_ms(), gangagent_out(r));
 			clear = clear && r->gang.phase == GANG_MEMBER_ENDED;
 		}
 	}
@@ -470,11 +246,12 @@
 
 static void add_record(struct gangagent *g, const char *peer, const struct msg_hold *hold)
 {
-	struct record *r = talloc_zero(g, struct record);
+	struct gang_record *r = talloc_zero(g, struct gang_record);
 
 	r->g = g;
 	r->job = talloc_strdup(r, hold->job);
-	r->task = talloc_asprintf(r, "%s.%" PRIu64 ".%" PRIu64, hold->job, hold->attempt,
+	/* Counts of granted attempts never repeat, so neither do ids of tasks that start. */
+	r->task = talloc_asprintf(r, "%s.%u.%" PRIu64, hold->job, gang_attempt_count(hold->attempt),
 				  hold->member);
 	r->holder = talloc_strdup(r, peer);
 	r->payload = talloc_strndup(
@@ -493,7 +270,7 @@
 
 static void on_hold(struct gangagent *g, const char *peer, const struct msg_hold *hold)
 {
-	struct record *r = find(g, hold->job, hold->member);
+	struct gang_record *r = find(g, hold->job, hold->member);
 	struct err err = {0};
 
 	if (r && r->gang.attempt == hold->attempt) {
@@ -550,7 +327,7 @@
 	return to;
 }
 
-static void set_holder(struct record *r, const char *peer)
+static void set_holder(struct gang_record *r, const char *peer)
 {
 	if (!strcmp(r->holder, peer))
 		return;
@@ -567,7 +344,7 @@
 
 static void on_start(struct gangagent *g, const char *peer, const struct msg_start *start)
 {
-	struct record *r = find(g, start->job, start->member);
+	struct gang_record *r = find(g, start->job, start->member);
 
 	if (!valid_start(g, start)) {
 		log_warn("start_malformed", start->job, "from %s", peer);
@@ -585,14 +362,14 @@
 		r->addresses = copy_strings(r, &start->addresses);
 	}
 	gang_member_start(&r->gang, start->epoch, (uint32_t)start->nodes.count, util_clock_ms(),
-			  out_of(r));
+			  gangagent_out(r));
 }
 
 static void on_release(struct gangagent *g, const struct msg_release *release)
 {
-	for (struct record *r = g->records; r; r = r->next) {
+	for (struct gang_record *r = g->records; r; r = r->next) {
 		if (!strcmp(r->job, release->job) && r->gang.attempt == release->attempt)
-			gang_member_release(&r->gang, util_clock_ms(), out_of(r));
+			gang_member_release(&r->gang, util_clock_ms(), gangagent_out(r));
 	}
 }
 
@@ -600,67 +377,19 @@
 {
 	bool found = false;
 
-	for (struct record *r = g->records; r; r = r->next) {
-		if (strcmp(r->job, stop->job) || r->gang.attempt != stop->attempt)
+	for (struct gang_record *r = g->records; r; r = r->next) {
+		if (strcmp(r->job, stop->job) != 0 || r->gang.attempt != stop->attempt)
 			continue;
 		found = true;
 		set_holder(r, peer);
 		gang_member_stop(&r->gang, stop->epoch, stop->checkpoint, (uint32_t)stop->grace_ms,
-				 util_clock_ms(), out_of(r));
+				 util_clock_ms(), gangagent_out(r));
 	}
 	/* The holder takes the member from the sender when the index is out of range. */
 	if (!found)
 		tell_unknown(g, peer, stop->job, stop->attempt, PLACE_MEMBERS_MAX);
 }
 
-static void answer_broken(struct gangagent *g, const struct msg_gang_ping *ping)
-{
-	struct msg msg = {.type = MSG_GANG_BROKEN};
-
-	msg.u.gang_broken = (struct msg_gang_broken){
-		.job = ping->job,
-		.attempt = ping->attempt,
-		.member = ping->member + 1,
-	};
-	if (g->ring_peer)
-		wire_send(g->wire, g->ring_peer, &msg);
-}
-
-static void receive_ping(struct gangagent *g, const struct msg_gang_ping *ping)
-{
-	struct record *before = NULL;
-
-	for (struct record *r = g->records; r; r = r->next) {
-		if (strcmp(r->job, ping->job) || r->gang.attempt != ping->attempt)
-			continue;
-		/* Before START the size of the ring is unknown: the next index is meant, or 0. */
-		if (r->gang.members ? (ping->member + 1) % r->gang.members == r->gang.index
-				    : (r->gang.index == ping->member + 1 || r->gang.index == 0))
-			before = r;
-		if (before == r && r->gang.index == ping->member + 1)
-			break;
-	}
-	if (before)
-		gang_member_ping(&before->gang, (uint32_t)ping->member, ping->closed,
-				 util_clock_ms(), out_of(before));
-	else
-		answer_broken(g, ping);
-}
-
-static void receive_ring(struct gangagent *g, const struct msg *msg)
-{
-	const struct msg_gang_broken *broken = &msg->u.gang_broken;
-
-	if (msg->type == MSG_GANG_PING) {
-		receive_ping(g, &msg->u.gang_ping);
-		return;
-	}
-	for (struct record *r = g->records; r; r = r->next) {
-		if (!strcmp(r->job, broken->job) && r->gang.attempt == broken->attempt)
-			gang_member_broken(&r->gang, util_clock_ms(), out_of(r));
-	}
-}
-
 /* False for messages of a former holder. */
 static bool check_epoch(struct gangagent *g, uint64_t epoch, const char *job)
 {
@@ -710,12 +439,12 @@
 	case MSG_GANG_PING:
 	case MSG_GANG_BROKEN:
 		g->ring_peer = peer;
-		receive_ring(g, msg);
+		gangring_receive(g, msg);
 		break;
 	default:
 		return false;
 	}
-	run_queue(g);
+	gangagent_run(g);
 	g->ring_peer = NULL;
 	return true;
 }
@@ -733,18 +462,18 @@
 }
 
 /* The worker is gone: members leave, and tasks that it may have end with their leases. */
-static void lose_worker(struct record *r)
+static void lose_worker(struct gang_record *r)
 {
 	bool calling = r->gang.phase == GANG_MEMBER_STARTING;
 
 	if (r->gang.phase == GANG_MEMBER_ENDED)
 		return;
-	set_reason(r, "the worker has left");
-	gang_member_supersede(&r->gang, util_clock_ms(), out_of(r));
+	gangagent_set_reason(r, "the worker has left");
+	gang_member_supersede(&r->gang, util_clock_ms(), gangagent_out(r));
 	if (calling)
-		gang_member_task_started(&r->gang, true, util_clock_ms(), out_of(r));
+		gang_member_task_started(&r->gang, true, util_clock_ms(), gangagent_out(r));
 	else if (r->gang.phase == GANG_MEMBER_STOPPING)
-		wait_for_lapse(r);
+		gangtask_wait_for_lapse(r);
 }
 
 void gangagent_set_worker(struct gangagent *g, struct worker *worker)
@@ -753,9 +482,9 @@
 		return;
 	g->worker = NULL;
 	TALLOC_FREE(g->calls);
-	for (struct record *r = g->records; r; r = r->next)
+	for (struct gang_record *r = g->records; r; r = r->next)
 		lose_worker(r);
-	run_queue(g);
+	gangagent_run(g);
 	g->worker = worker;
 	g->calls = talloc_new(g);
 }
@@ -774,18 +503,18 @@
 		[WORKER_TASK_STOPPED] = MSG_MEMBER_LOST,
 		[WORKER_TASK_UNKNOWN] = MSG_MEMBER_LOST,
 	};
-	struct record *r = find_task(g, id);
+	struct gang_record *r = gangagent_find_task(g, id);
 
 	if (!r || state < WORKER_TASK_DONE || state > WORKER_TASK_UNKNOWN)
 		return;
-	set_reason(r, reason);
-	gang_member_task_ended(&r->gang, states[state], util_clock_ms(), out_of(r));
-	run_queue(g);
+	gangagent_set_reason(r, reason);
+	gang_member_task_ended(&r->gang, states[state], util_clock_ms(), gangagent_out(r));
+	gangagent_run(g);
 }
 
 void gangagent_usage(struct gangagent *g, const char *id, uint32_t percent, uint64_t checkpoint_ms)
 {
-	struct record *r = find_task(g, id);
+	struct gang_record *r = gangagent_find_task(g, id);
 	uint64_t now = util_clock_ms();
 
 	if (!r || r->gang.phase != GANG_MEMBER_RUNNING)
@@ -802,7 +531,7 @@
 {
 	uint32_t count = 0;
 
-	for (const struct record *r = g->records; r; r = r->next)
+	for (const struct gang_record *r = g->records; r; r = r->next)
 		count += r->gang.phase != GANG_MEMBER_ENDED;
 	return count;
 }
--- a/src/gangmember.c
+++ b/src/gangmember.c
@@ -32,14 +32,12 @@
 
 static void ping(const struct gang_member *m, struct gang_out out)
 {
-	struct gang_action action = {
-		.kind = GANG_SEND_PING,
-		.member = (m->index + 1) % m->members,
-		.closed = m->closed,
-	};
+	struct gang_action action = {.kind = GANG_SEND_PING, .closed = m->closed};
 
-	if (m->members > 1)
-		out.emit(&action, out.ctx);
+	if (m->members < 2)
+		return;
+	action.member = (m->index + 1) % m->members;
+	out.emit(&action, out.ctx);
 }
 
 static void tell_broken(const struct gang_member *m, struct gang_out out)
@@ -299,9 +297,8 @@
 {
 	if (m->phase == GANG_MEMBER_HELD && now_ms >= m->deadline_ms)
 		end(m, MSG_MEMBER_START_FAILED, now_ms, out);
-	else if (m->phase == GANG_MEMBER_READY && now_ms >= m->deadline_ms)
-		break_ring(m, now_ms, out);
-	else if (watches(m) && now_ms >= m->predecessor_ms + GANG_PREDECESSOR_MS)
+	else if ((m->phase == GANG_MEMBER_READY && now_ms >= m->deadline_ms) ||
+		 (watches(m) && now_ms >= m->predecessor_ms + GANG_PREDECESSOR_MS))
 		break_ring(m, now_ms, out);
 	tick_ping(m, now_ms, out);
 	if (m->status_ms && now_ms >= m->status_ms) {
--- a/src/jobduty.c
+++ b/src/jobduty.c
@@ -402,10 +402,11 @@
 	struct job_worker *w;
 	bool gone = t->state == MSG_TARGET_GONE;
 
-	if (!h->loaded || t->kind != MSG_TARGET_WORKER || strcmp(t->region, h->jobs->deps.region))
+	if (!h->loaded || t->kind != MSG_TARGET_WORKER ||
+	    strcmp(t->region, h->jobs->deps.region) != 0)
 		return;
 	w = get_worker(h, t->node);
-	if (w->there && !gone && strcmp(w->peer, t->peer))
+	if (w->there && !gone && strcmp(w->peer, t->peer) != 0)
 		job_gang_worker_lost(h, t->node, true);
 	if (w->there && gone && !strcmp(w->peer, t->peer)) {
 		log_warn("worker_lost", "", "%s", t->node);
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -14,6 +14,11 @@
  * On every entry: records submissions in the store (group commit) and relays queries to
  * the holder of the placement duty. On the holder: merges submissions, runs the decision
  * module, drives the gang protocol and records the results. Runs on the loop thread.
+ *
+ * A job of a class that is not idempotent is not started again once one of its tasks may have
+ * run: it ends as failed with the reason "outcome unknown". It is started again when no task
+ * of the attempt ever started, or when all members were stopped after a checkpoint. Jobs of
+ * idempotent classes are started again after any loss.
  */
 
 struct jobs;
--- a/src/jobs_int.h
+++ b/src/jobs_int.h
@@ -85,7 +85,7 @@
  *
  * Return: the record without an id, or NULL with @err.
  */
-struct job_record *job_from_body(TALLOC_CTX *mem, const json_t *body, const char *organisation,
+struct job_record *job_from_body(TALLOC_CTX *mem, const json_t *json, const char *organisation,
 				 const struct config *config, struct member *members,
 				 struct err *err);
 
--- a/src/jobserve.c
+++ b/src/jobserve.c
@@ -149,13 +149,13 @@
 static void serve_job(struct job_holder *h, const char *peer, const struct msg_job_query *query,
 		      struct job_record *job)
 {
-	if (!strcmp(query->verb, "get"))
+	bool cancel = !strcmp(query->verb, "cancel");
+
+	if (!strcmp(query->verb, "get") || (cancel && job_ended(job)))
 		reply(h, peer, query->id, 0, job_to_reply(job));
 	else if (!strcmp(query->verb, "explain"))
 		reply(h, peer, query->id, 0, explain(h, job));
-	else if (!strcmp(query->verb, "cancel") && job_ended(job))
-		reply(h, peer, query->id, 0, job_to_reply(job));
-	else if (!strcmp(query->verb, "cancel"))
+	else if (cancel)
 		job_holder_cancel(h, job, on_cancelled, wait_for(h, peer, query));
 	else
 		refuse(h, peer, query->id, ERR_INVALID, "ask with a known verb", "unknown verb");
--- a/src/jobstore.c
+++ b/src/jobstore.c
@@ -261,7 +261,7 @@
 		for (size_t k = 0; result && k < result->count; k++) {
 			const struct store_kv *kv = &result->kvs[k];
 
-			if (strcmp(kv->key, shard->key))
+			if (strcmp(kv->key, shard->key) != 0)
 				continue;
 			*ours = kv->value_len == strlen(shard->value) &&
 				!memcmp(kv->value, shard->value, kv->value_len) &&
--- a/tests/lib_jobworld.c
+++ b/tests/lib_jobworld.c
@@ -360,7 +360,7 @@
 
 	/* The id may be part of @reply. */
 	snprintf(id, sizeof(id), "%s", job);
-	jobs_query(e->jobs, verb, id, "olive", reply_to(reply));
+	jobs_query(e->jobs, verb, id, "", reply_to(reply));
 	CU_ASSERT_TRUE_FATAL(loop_until(e->world->ev, &reply->done));
 }
 
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -217,6 +217,31 @@
 	world_close(&w);
 }
 
+/* Guards against an organisation with more jobs than its quota, also through another entry. */
+static void test_quota(void)
+{
+	static const char body[] = "{\"class\":\"again\",\"accelerators\":1,\"payload\":\"fig\"}";
+	struct job_world w;
+	struct played_entry *a;
+	struct played_entry *b;
+	struct job_reply first;
+	struct job_reply r;
+
+	world_open(&w);
+	a = world_entry(&w, 0);
+	b = world_entry(&w, 1);
+	world_submit(a, body, "", DEADLINE_MS, &first);
+	CU_ASSERT_EQUAL(first.status, 0);
+	CU_ASSERT_TRUE(world_until(a, first.id, "running"));
+	world_submit(b, body, "", DEADLINE_MS, &r);
+	CU_ASSERT_EQUAL(r.status, -ERR_OVER_QUOTA);
+	world_finish(&w, MSG_MEMBER_DONE);
+	world_wait(a, first.id, &r);
+	world_submit(b, body, "", DEADLINE_MS, &r);
+	CU_ASSERT_EQUAL(r.status, 0);
+	world_close(&w);
+}
+
 /* Guards against an urgent job that starts later than 4.1 s, submitted through another entry. */
 static void test_urgent(void)
 {
@@ -254,6 +279,7 @@
 	CU_add_test(suite, "outage", test_outage);
 	CU_add_test(suite, "broken", test_broken);
 	CU_add_test(suite, "cancel", test_cancel);
+	CU_add_test(suite, "quota", test_quota);
 	CU_add_test(suite, "urgent", test_urgent);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
--- a/tests/test_jobs_record.c
+++ b/tests/test_jobs_record.c
@@ -165,10 +165,11 @@
 	char *text = json_dumps(written, 0);
 	json_t *parsed = json_loads(text, 0, NULL);
 	struct job_record *job = job_from_json(mem, parsed);
-	json_t *again;
+	json_t *again = job ? job_to_json(job) : NULL;
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(job);
-	again = job_to_json(job);
+	CU_ASSERT_PTR_NOT_NULL(job);
+	if (!job)
+		return;
 	CU_ASSERT_TRUE(json_equal(written, again));
 	CU_ASSERT_EQUAL(job->members[0].mask, 0xf000000000000000U);
 	CU_ASSERT_EQUAL(job->grant, gang_attempt(70000, 3));
