--- a/src/pass.c
+++ b/src/pass.c
@@ -98,7 +98,7 @@
 	if (start_in(pass, job, QUERY_CELLS))
 		return true;
 	pass->searches++;
-	if (!search_place(pass->p, &q, out))
+	if (!guarantee_entitles(job) || !search_place(pass->p, &q, out))
 		return false;
 	if (guarantee_rehome_free(pass->p, job, pass->now_ms) && start_in(pass, job, QUERY_CELLS))
 		return true;
@@ -325,7 +325,8 @@
 {
 	if (!ready(pass, job) || job->urgent)
 		return false;
-	return sched_large(pass->p, job) || sched_overdue(pass->p, job, pass->now_ms);
+	return sched_large(pass->p, job) || sched_aged(job, pass->now_ms) ||
+	       sched_overdue(pass->p, job, pass->now_ms);
 }
 
 static uint32_t earmarked_accelerators(const struct place *p)
@@ -534,6 +535,7 @@
 		p->work_due |= pass.unfinished;
 	}
 	next = MIN(next, giveback_step(p, now_ms));
+	next = MIN(next, compact_step(p, now_ms));
 	if (pass.unfinished)
 		return 1;
 	if (p->urgent->len)
