jobs: the quota of jobs yields while the duty changes hands

A submission of an organisation with a quota was refused as unavailable while the holder was loading the jobs. It is now recorded, as it is when no holder is known.

--- a/src/jobs.c
+++ b/src/jobs.c
@@ -137,7 +137,8 @@
 {
 	struct admission *a = ctx;
 
-	if (status)
+	/* Without a holder nobody can count the jobs; the quota then yields. */
+	if (status == -ERR_OVER_QUOTA)
 		a->cb.done(status, reply, a->cb.ctx);
 	else
 		job_submits_add(a->jobs->submits, a->job, a->deadline_ms, a->cb);
