--- a/src/guarantee.c
+++ b/src/guarantee.c
@@ -98,7 +98,7 @@
 	}
 }
 
-static void clear_home(struct place *p, struct unit *unit)
+void guarantee_clear_home(struct place *p, struct unit *unit)
 {
 	drop_reservations(p, unit);
 	for (uint32_t i = 0; i < unit->shape.members; i++) {
@@ -238,7 +238,7 @@
 	bool complete = true;
 
 	for (size_t i = 0; i < p->unit_count; i++)
-		clear_home(p, p->units[i]);
+		guarantee_clear_home(p, p->units[i]);
 	qsort(sorted, count, sizeof(void *), compare_for_packing);
 	for (size_t i = 0; i < count && complete; i++)
 		complete = place_home(p, sorted[i]);
@@ -254,7 +254,7 @@
 	int tries = 0;
 
 	for (size_t i = 0; i < p->unit_count; i++)
-		clear_home(p, p->units[i]);
+		guarantee_clear_home(p, p->units[i]);
 	for (size_t i = 0; i < p->unit_count; i++) {
 		bool fits = place_home(p, p->units[i]);
 
@@ -344,7 +344,7 @@
 	} else {
 		for (size_t i = 0; i < p->unit_count; i++) {
 			if (unit_broken(p->units[i]))
-				clear_home(p, p->units[i]);
+				guarantee_clear_home(p, p->units[i]);
 		}
 		if (!place_missing(p, SIZE_MAX))
 			repack(p);
@@ -360,7 +360,7 @@
 		report(p, p->orgs->pdata[i]);
 }
 
-static bool same_shape(const struct place_shape *a, const struct place_shape *b)
+bool guarantee_same_shape(const struct place_shape *a, const struct place_shape *b)
 {
 	return memcmp(a, b, sizeof(*a)) == 0;
 }
@@ -431,13 +431,13 @@
 		struct unit *other = p->units[i];
 
 		if (other == unit || other->org == unit->org || !other->met ||
-		    !same_shape(&other->shape, &unit->shape) || !unit_idle(other) ||
+		    !guarantee_same_shape(&other->shape, &unit->shape) || !unit_idle(other) ||
 		    !may_take_home(unit, other->org))
 			continue;
 		save_home(unit, ours);
 		save_home(other, theirs);
-		clear_home(p, unit);
-		clear_home(p, other);
+		guarantee_clear_home(p, unit);
+		guarantee_clear_home(p, other);
 		set_home(p, unit, theirs);
 		set_home(p, other, ours);
 		return true;
@@ -452,7 +452,7 @@
 	bool found;
 
 	save_home(unit, old);
-	clear_home(p, unit);
+	guarantee_clear_home(p, unit);
 	found = find_home(p, unit, QUERY_HOME_FREE, out);
 	set_home(p, unit, found ? out : old);
 	return found;
@@ -518,102 +518,3 @@
 {
 	return job->counted_inside && job->org->used_inside <= job->org->guaranteed;
 }
-
-static int compare_priority(const void *a, const void *b)
-{
-	const struct unit *x = *(struct unit *const *)a;
-	const struct unit *y = *(struct unit *const *)b;
-
-	if (x->org->priority != y->org->priority)
-		return x->org->priority > y->org->priority ? -1 : 1;
-	if (x->org->since_ms != y->org->since_ms)
-		return x->org->since_ms < y->org->since_ms ? -1 : 1;
-	if (x->org->index != y->org->index)
-		return x->org->index < y->org->index ? -1 : 1;
-	return x->index < y->index ? -1 : x->index > y->index;
-}
-
-static struct unit *reuse_unit(struct unit **old, size_t count, const struct place_shape *shape)
-{
-	for (size_t i = 0; i < count; i++) {
-		struct unit *unit = old[i];
-
-		if (unit && same_shape(&unit->shape, shape)) {
-			old[i] = NULL;
-			return unit;
-		}
-	}
-	return NULL;
-}
-
-static struct unit *create_unit(struct organisation *org, const struct place_shape *shape)
-{
-	struct unit *unit = talloc_zero(org, struct unit);
-
-	unit->org = org;
-	unit->shape = *shape;
-	unit->cells = talloc_zero_array(unit, struct cell, shape->members);
-	for (uint32_t i = 0; i < shape->members; i++)
-		unit->cells[i].unit = unit;
-	return unit;
-}
-
-static void set_units(struct place *p, struct organisation *org, const struct place_shape *shapes,
-		      size_t count)
-{
-	struct unit **old = org->units;
-	size_t old_count = org->unit_count;
-
-	org->units = talloc_zero_array(org, struct unit *, count + 1);
-	org->unit_count = 0;
-	for (size_t i = 0; i < count; i++) {
-		struct unit *unit;
-
-		if (shapes[i].members == 0 || shapes[i].members > PLACE_MEMBERS_MAX)
-			continue;
-		unit = reuse_unit(old, old_count, &shapes[i]);
-		if (!unit)
-			unit = create_unit(org, &shapes[i]);
-		unit->index = (uint32_t)org->unit_count;
-		org->units[org->unit_count++] = unit;
-	}
-	for (size_t i = 0; i < old_count; i++) {
-		if (!old[i])
-			continue;
-		clear_home(p, old[i]);
-		talloc_free(old[i]);
-	}
-	talloc_free(old);
-}
-
-/* Rebuilds the guarantees from new specs; homes of unchanged shapes stay. */
-void guarantee_build(struct place *p, const struct place_organisation_spec *specs, size_t count)
-{
-	p->unit_count = 0;
-	p->cell_count = 0;
-	for (guint i = 0; i < p->orgs->len; i++) {
-		struct organisation *org = p->orgs->pdata[i];
-
-		if (org->gone)
-			set_units(p, org, NULL, 0);
-	}
-	for (size_t i = 0; i < count; i++) {
-		struct organisation *org = g_hash_table_lookup(p->org_names, specs[i].name);
-
-		set_units(p, org, specs[i].guarantees, specs[i].guarantee_count);
-	}
-	for (guint i = 0; i < p->orgs->len; i++) {
-		struct organisation *org = p->orgs->pdata[i];
-
-		org->guaranteed = 0;
-		p->units = talloc_realloc(p, p->units, struct unit *,
-					  p->unit_count + org->unit_count + 1);
-		for (size_t k = 0; k < org->unit_count; k++) {
-			p->units[p->unit_count++] = org->units[k];
-			p->cell_count += org->units[k]->shape.members;
-			org->guaranteed += (uint32_t)unit_size(org->units[k]);
-		}
-	}
-	qsort(p->units, p->unit_count, sizeof(void *), compare_priority);
-	p->homes_dirty = true;
-}
--- a/src/pass.c
+++ b/src/pass.c
@@ -68,6 +68,21 @@
 	return cost;
 }
 
+static bool loses_work(const struct job *job, const struct member *members)
+{
+	for (uint32_t i = 0; i < job->shape.members; i++) {
+		const struct member *m = &members[i];
+
+		for (uint64_t rest = m->mask & m->worker->used; rest; rest &= rest - 1) {
+			const struct job *holder = m->worker->holder[__builtin_ctzll(rest)];
+
+			if (!holder->checkpoint && !holder->stopping)
+				return true;
+		}
+	}
+	return false;
+}
+
 /*
  * Would the job displace less work outside its guarantee than inside? Then the guarantee stays
  * lent, for instance to a large job. @members receives the better room.
@@ -101,7 +116,8 @@
 	pass->searches++;
 	if (!guarantee_entitles(job) || !search_place(pass->p, &q, out))
 		return false;
-	if (guarantee_rehome_free(pass->p, job, pass->now_ms) && start_in(pass, job, QUERY_CELLS))
+	if (loses_work(job, out) && guarantee_rehome_free(pass->p, job, pass->now_ms) &&
+	    start_in(pass, job, QUERY_CELLS))
 		return true;
 	if (!search_place(pass->p, &q, out))
 		return false;
--- a/src/place_impl.h
+++ b/src/place_impl.h
@@ -302,14 +302,18 @@
 bool search_may_evict(const struct job *victim, const struct query *q);
 
 /* guarantee.c */
-void guarantee_build(struct place *p, const struct place_organisation_spec *specs, size_t count);
 void guarantee_refresh(struct place *p, uint64_t now_ms);
 bool guarantee_rehome_free(struct place *p, struct job *job, uint64_t now_ms);
 bool guarantee_move_off(struct place *p, struct worker *w, uint64_t now_ms);
+void guarantee_clear_home(struct place *p, struct unit *unit);
+bool guarantee_same_shape(const struct place_shape *a, const struct place_shape *b);
 bool guarantee_holds_shape(const struct organisation *org, const struct place_shape *shape);
 bool guarantee_entitles(const struct job *job);
 bool guarantee_covers(const struct job *job);
 
+/* units.c */
+void guarantee_build(struct place *p, const struct place_organisation_spec *specs, size_t count);
+
 /* estimate.c */
 struct class_estimate *estimate_get(struct place *p, const char *org, const char *class_name);
 void estimate_learn(struct class_estimate *e, uint64_t declared_ms, uint64_t actual_ms);
--- a/src/search.c
+++ b/src/search.c
@@ -81,6 +81,8 @@
 		return true;
 	if (!sched_evictable(victim))
 		return false;
+	if (!q->job)
+		return !sched_guaranteed(victim);
 	if (q->mode == QUERY_CELLS_EVICT)
 		return may_evict_from_cells(victim, q);
 	if (victim->urgent || !eviction_budget_left(victim, q) || just_placed(victim, q))
