--- a/src/api_calls.c
+++ b/src/api_calls.c
@@ -8,41 +8,30 @@
 
 #define WAIT_DEFAULT_MS 30000
 #define WAIT_MAX_MS 600000
-#define HISTORY_DEFAULT 20
-#define HISTORY_MAX 200
 #define SUBMIT_DEADLINE_MS 5000 /* when the configuration sets none */
 
-/* A call that waits for a callback on the loop thread; holds a reference to the request. */
-struct pending {
-	struct api *api;
-	struct request *r;
-	const char *what; /* of an audited change */
-	json_t *files;
-	char *by;
-};
-
-static void api_fail(struct request *r, enum request_outcome outcome)
+void api_fail(struct request *r, enum request_outcome outcome)
 {
 	request_fail(r, &r->err, outcome);
 }
 
-static struct pending *pend(struct api *api, struct request *r)
+struct api_pending *api_pend(struct api *api, struct request *r)
 {
-	struct pending *p = talloc_zero(NULL, struct pending);
+	struct api_pending *p = talloc_zero(NULL, struct api_pending);
 
 	p->api = api;
 	p->r = request_ref(r);
 	return p;
 }
 
-static void unpend(struct pending *p)
+void api_unpend(struct api_pending *p)
 {
 	json_decref(p->files);
 	request_unref(p->r);
 	talloc_free(p);
 }
 
-static const char *caller_name(const struct request *r)
+const char *api_caller_name(const struct request *r)
 {
 	if (r->operator_)
 		return r->operator_->name;
@@ -55,12 +44,12 @@
 	return r->organisation ? r->organisation->name : "";
 }
 
-static void audit(const struct request *r, const char *who, const char *what, int status)
+void api_audit(const struct request *r, const char *who, const char *what, int status)
 {
 	log_info("audit", r->id, "%s by %s: %s", what, who, status ? err_name(status) : "done");
 }
 
-static json_t *parse_body(struct request *r)
+json_t *api_parse_body(struct request *r)
 {
 	json_error_t error;
 	json_t *json =
@@ -201,223 +190,16 @@
 	json_decref(body);
 }
 
-static void config_get(struct api *api, struct request *r)
-{
-	json_t *body =
-		json_pack("{s:I, s:s, s:O}", "revision", (json_int_t)r->config->revision, "digest",
-			  r->config->digest ? r->config->digest : "", "files", r->config->files);
-
-	request_reply_json(r, 200, body);
-	json_decref(body);
-}
-
-static void on_history(int status, json_t *history, void *ctx)
-{
-	struct pending *p = ctx;
-	json_t *body;
-
-	if (status) {
-		err_set(&p->r->err, (enum err_code) - status, "retry later",
-			"the history cannot be read from the store");
-		api_fail(p->r, REQUEST_NOT_RUN);
-	} else {
-		body = json_pack("{s:O}", "history", history);
-		request_reply_json(p->r, 200, body);
-		json_decref(body);
-	}
-	unpend(p);
-}
-
-static void config_history(struct api *api, struct request *r)
-{
-	configrepo_history(api->deps.configs, HISTORY_DEFAULT, on_history, pend(api, r));
-}
-
-static void on_applied(int status, uint64_t revision, const char *text, void *ctx)
-{
-	struct pending *p = ctx;
-	json_t *body;
-
-	audit(p->r, p->by, p->what, status);
-	if (!status) {
-		body = json_pack("{s:I}", "revision", (json_int_t)revision);
-		request_reply_json(p->r, 200, body);
-	} else {
-		enum request_outcome outcome =
-			status == -ERR_OUTCOME_UNKNOWN ? REQUEST_UNKNOWN : REQUEST_NOT_RUN;
-
-		err_set(&p->r->err, (enum err_code) - status,
-			status == -ERR_CONFLICT
-				? "apply the change again on top of that revision"
-				: "correct what is named, or retry if the store is down",
-			"the configuration was not applied: %.300s", text ? text : "");
-		body = request_error_json(&p->r->err, outcome, p->r->id);
-		/* The message of an error is bounded; the full text lists every problem. */
-		json_object_set_new(body, "details", json_string(text ? text : ""));
-		json_object_set_new(body, "revision", json_integer((json_int_t)revision));
-		if (request_retryable(status, outcome))
-			p->r->retry_after_s = 1;
-		request_reply_json(p->r, request_http_status(status), body);
-	}
-	json_decref(body);
-	unpend(p);
-}
-
-static void apply(struct pending *p, uint64_t base, const char *message)
-{
-	TALLOC_CTX *mem = talloc_new(NULL);
-	struct member_target *workers;
-	size_t count = member_targets(p->api->deps.members, mem, MSG_TARGET_WORKER, &workers);
-	struct place_worker_spec *specs =
-		talloc_zero_array(mem, struct place_worker_spec, count + 1);
-	struct configrepo_apply request = {
-		.files = p->files,
-		.base_revision = base,
-		.by = p->by,
-		.message = message,
-		.workers = specs,
-		.worker_count = count,
-	};
-
-	for (size_t i = 0; i < count; i++)
-		specs[i] = (struct place_worker_spec){
-			.name = workers[i].target,
-			.zone = workers[i].zone,
-			.rack = workers[i].rack,
-			.accelerators = workers[i].accelerators,
-			.cores = workers[i].cores,
-			.memory_mb = workers[i].memory_mb,
-		};
-	configrepo_apply(p->api->deps.configs, &request, on_applied, p);
-	talloc_free(mem);
-}
-
-/*
- * Before the first revision nobody can be authenticated by the configuration in force, so
- * the first one is accepted from an operator that it names itself.
- */
-static int authorise_first(struct pending *p)
-{
-	const struct config_organisation *organisation = NULL;
-	const struct config_operator *op = NULL;
-	TALLOC_CTX *mem = talloc_new(NULL);
-	struct config_problems problems = {0};
-	struct config *config = config_parse(mem, p->files, &problems);
-	int ret = -ERR_INVALID;
-
-	if (config)
-		ret = config_authenticate(config, p->r->token ? p->r->token : "", &organisation,
-					  &op);
-	if (!ret && op && op->role == CONFIG_OPERATOR)
-		p->by = talloc_strdup(p, op->name);
-	else if (config)
-		ret = err_set(&p->r->err, ERR_DENIED, "use the token of an operator it names",
-			      "the first configuration has to name its author as an operator");
-	else
-		ret = err_set(&p->r->err, ERR_INVALID, "run jaycourse config check on the folder",
-			      "the configuration has %zu problems, the first: %.200s",
-			      problems.count,
-			      problems.count ? problems.items[0].message : "unreadable");
-	talloc_free(mem);
-	return ret;
-}
-
-static void config_apply(struct api *api, struct request *r)
-{
-	struct pending *p;
-	json_t *body = parse_body(r);
-	json_t *files = json_object_get(body, "files");
-	json_int_t base = json_integer_value(json_object_get(body, "base_revision"));
-	const char *message = json_string_value(json_object_get(body, "message"));
-
-	if (!body)
-		return;
-	if (!json_is_object(files) || base < 0) {
-		err_set(&r->err, ERR_INVALID, "send {\"files\":{name:content},\"base_revision\":n}",
-			"the body has no files or a negative base_revision");
-		api_fail(r, REQUEST_NOT_RUN);
-		json_decref(body);
-		return;
-	}
-	p = pend(api, r);
-	p->what = "config_apply";
-	p->files = json_incref(files);
-	if (r->operator_)
-		p->by = talloc_strdup(p, r->operator_->name);
-	if (!r->operator_ && authorise_first(p)) {
-		audit(r, "unauthenticated", p->what, -(int)r->err.code);
-		api_fail(r, REQUEST_NOT_RUN);
-		unpend(p);
-	} else {
-		apply(p, (uint64_t)base, message ? message : "");
-	}
-	json_decref(body);
-}
-
-static bool drain_arguments(json_t *body, const char **kind, const char **name)
-{
-	*kind = json_string_value(json_object_get(body, "kind"));
-	*name = json_string_value(json_object_get(body, "name"));
-	if (!*kind || !*name || !**name || strlen(*name) > 128)
-		return false;
-	return !strcmp(*kind, "target") || !strcmp(*kind, "rack") || !strcmp(*kind, "zone");
-}
-
-static char *drain_file(TALLOC_CTX *mem, const char *kind, const char *name, char **content)
-{
-	json_t *json = json_pack("{s:s, s:s, s:s}", "decision", "drain", "name", name, kind, name);
-	char *text = json_dumps(json, JSON_INDENT(2));
-	char *file = talloc_asprintf(mem, "90-drain-%s-%s.json", kind, name);
-
-	for (char *at = file; *at; at++) {
-		if (*at == '/' || (unsigned char)*at < ' ')
-			*at = '-';
-	}
-	*content = talloc_strdup(mem, text);
-	free(text);
-	json_decref(json);
-	return file;
-}
-
-/* A drain is a decision like others: a new file on top of the revision in force. */
-static void drain(struct api *api, struct request *r)
-{
-	const char *kind;
-	const char *name;
-	char *content;
-	char *file;
-	struct pending *p;
-	json_t *body = parse_body(r);
-
-	if (!body)
-		return;
-	if (!drain_arguments(body, &kind, &name)) {
-		err_set(&r->err, ERR_INVALID, "send {\"kind\":\"target|rack|zone\",\"name\":…}",
-			"kind or name is missing or wrong");
-		api_fail(r, REQUEST_NOT_RUN);
-		json_decref(body);
-		return;
-	}
-	p = pend(api, r);
-	p->what = "drain";
-	p->by = talloc_strdup(p, caller_name(r));
-	p->files = json_copy(r->config->files);
-	file = drain_file(p, kind, name, &content);
-	json_object_set_new(p->files, file, json_string(content));
-	apply(p, r->config->revision, file);
-	json_decref(body);
-}
-
 static void on_job(int status, json_t *reply, void *ctx)
 {
-	struct pending *p = ctx;
+	struct api_pending *p = ctx;
 	struct request *r = p->r;
 	enum request_outcome outcome =
 		status == -ERR_OUTCOME_UNKNOWN ? REQUEST_UNKNOWN : REQUEST_NOT_RUN;
 	json_t *error = json_object_get(reply, "error");
 
 	if (p->what)
-		audit(r, caller_name(r), p->what, status);
+		api_audit(r, api_caller_name(r), p->what, status);
 	if (!status) {
 		request_reply_json(r, p->what && !strcmp(p->what, "job_submit") ? 202 : 200, reply);
 	} else if (error) {
@@ -432,12 +214,12 @@
 			"the call failed: %s", err_name(status));
 		api_fail(r, outcome);
 	}
-	unpend(p);
+	api_unpend(p);
 }
 
 static struct jobs_cb job_cb(struct api *api, struct request *r, const char *what)
 {
-	struct pending *p = pend(api, r);
+	struct api_pending *p = api_pend(api, r);
 
 	p->what = what;
 	return (struct jobs_cb){on_job, p};
@@ -473,7 +255,7 @@
 		api_fail(r, REQUEST_NOT_RUN);
 		return;
 	}
-	submission.body = parse_body(r);
+	submission.body = api_parse_body(r);
 	if (!submission.body)
 		return;
 	jobs_submit(api->deps.jobs, &submission, job_cb(api, r, "job_submit"));
@@ -535,10 +317,10 @@
 	{"GET", "/v1/targets", API_VIEWER, false, targets},
 	{"GET", "/v1/organisations", API_ANY, false, organisations},
 	{"GET", "/v1/fragmentation", API_VIEWER, true, fragmentation},
-	{"POST", "/v1/drain", API_OPERATOR, true, drain},
-	{"GET", "/v1/config", API_VIEWER, false, config_get},
-	{"GET", "/v1/config/history", API_VIEWER, true, config_history},
-	{"POST", "/v1/config", API_BOOTSTRAP, true, config_apply},
+	{"POST", "/v1/drain", API_OPERATOR, true, api_drain},
+	{"GET", "/v1/config", API_VIEWER, false, api_config_get},
+	{"GET", "/v1/config/history", API_VIEWER, true, api_config_history},
+	{"POST", "/v1/config", API_BOOTSTRAP, true, api_config_apply},
 	{"GET", "/v1/internal/entries", API_OPEN, true, internal_entries},
 	{"GET", "/healthz", API_OPEN, false, healthz},
 	{"GET", "/readyz", API_OPEN, false, readyz},
@@ -589,5 +371,5 @@
 		return 0;
 	r->http_status = 403;
 	return err_set(&r->err, ERR_DENIED, "use the token of an operator with the role it needs",
-		       "this call is not open to %.64s", caller_name(r));
+		       "this call is not open to %.64s", api_caller_name(r));
 }
