tests: pace the random steps by the service, not by time

On a busy machine most requests found no free slot, and the check that enough answers came whole failed once (below 20 of 400).

--- a/tests/lib_agent.c
+++ b/tests/lib_agent.c
@@ -344,19 +344,27 @@
 	       end->u.end.checksum == hash;
 }
 
-size_t rig_runs(const struct agent_rig *rig, const char *echo)
+static json_t *service_history(const struct agent_rig *rig)
 {
 	char url[128];
 	struct http_reply reply;
 	json_t *root;
-	json_t *item;
-	size_t count = 0;
-	size_t i;
 
 	snprintf(url, sizeof(url), "http://%s/history", rig->target.address[0]);
 	reply = http_call("GET", url, NULL, NULL, WAIT_MS);
 	CU_ASSERT_EQUAL_FATAL(reply.status, 200);
 	root = json_loads(reply.body, 0, NULL);
+	http_free(&reply);
+	return root;
+}
+
+size_t rig_runs(const struct agent_rig *rig, const char *echo)
+{
+	json_t *root = service_history(rig);
+	json_t *item;
+	size_t count = 0;
+	size_t i;
+
 	json_array_foreach(json_object_get(root, "requests"), i, item)
 	{
 		const char *text = json_string_value(json_object_get(item, "echo"));
@@ -364,10 +372,18 @@
 		count += text && !strcmp(text, echo);
 	}
 	json_decref(root);
-	http_free(&reply);
 	return count;
 }
 
+size_t rig_running(const struct agent_rig *rig)
+{
+	json_t *root = service_history(rig);
+	size_t running = (size_t)json_integer_value(json_object_get(root, "running"));
+
+	json_decref(root);
+	return running;
+}
+
 void rig_fault(const struct agent_rig *rig, const char *json)
 {
 	char url[128];
--- a/tests/lib_agent.h
+++ b/tests/lib_agent.h
@@ -95,6 +95,9 @@
 /** rig_runs() - how often the service began a request whose body has this echo */
 size_t rig_runs(const struct agent_rig *rig, const char *echo);
 
+/** rig_running() - requests that run at the service now */
+size_t rig_running(const struct agent_rig *rig);
+
 /** rig_fault() - set a fault of the target */
 void rig_fault(const struct agent_rig *rig, const char *json);
 
--- a/tests/test_agent_random.c
+++ b/tests/test_agent_random.c
@@ -147,6 +147,20 @@
 		credit(id, CREDIT_BYTES);
 }
 
+static bool service_idle(struct agent_rig *r, void *ctx)
+{
+	return rig_running(r) == 0;
+}
+
+/* After a refusal for want of a slot the next request finds one, however slow the machine is. */
+static void wait_for_slot(uint64_t id)
+{
+	const struct msg *refusal = rig_find(&rig, MSG_NOT_RUN, id);
+
+	if (refusal && refusal->u.not_run.code == ERR_NO_TARGET)
+		CU_ASSERT(rig_until(&rig, service_idle, NULL, WAIT_MS));
+}
+
 static void play(uint64_t seed)
 {
 	struct util_rng rng = {seed};
@@ -167,6 +181,7 @@
 		pace.last = id;
 		pace.open = util_rng_below(&rng, 4) ? SLOTS - 1 : SLOTS + 1;
 		CU_ASSERT(rig_until(&rig, few_open, &pace, WAIT_MS));
+		wait_for_slot(id);
 	}
 	credit_all();
 	CU_ASSERT(rig_until(&rig, all_finished, NULL, WAIT_MS));
