--- a/src/sched.c
+++ b/src/sched.c
@@ -7,7 +7,7 @@
 #define LARGE_OVERDUE_MS 7200000 /* before a large job may displace younger large ones */
 #define LARGE_SHARE_MIN 0.1	 /* of the fleet that large jobs may clear, by the weights */
 #define LARGE_SHARE_SPAN 0.6
-#define AGED_MS 600000	     /* before a job may displace narrower ones */
+#define AGED_MS 60000	     /* before a job may displace narrower ones */
 #define URGENT_GRACE_MS 2000 /* leaves half of the 4.1 s start bound for the start itself */
 
 void sched_emit(struct place *p, struct place_decision *decision)
