--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -324,14 +324,19 @@
 }
 
 /* A suspect agent that still sends for this request is not lost to it. */
+static bool agent_lost(struct dispatch *d, const struct request_attempt *a, uint64_t now)
+{
+	if (!route_known(d->route, a->peer))
+		return true;
+	return now - a->heard_ms >= MEMBER_SUSPECT_MS && !route_alive(d->route, a->peer);
+}
+
 static void check_agents(struct dispatch *d, struct request *r, uint64_t now)
 {
 	for (int i = 0; i < 2 && r->state == REQUEST_SENT; i++) {
 		struct request_attempt *a = &r->attempts[i];
 
-		if (!a->id || now - a->heard_ms < MEMBER_SUSPECT_MS)
-			continue;
-		if (!route_alive(d->route, a->peer))
+		if (a->id && agent_lost(d, a, now))
 			attempt_lost(d, a, "agent_lost");
 	}
 }
--- a/src/route.c
+++ b/src/route.c
@@ -462,6 +462,11 @@
 	return t && t->state != MSG_TARGET_SUSPECT;
 }
 
+bool route_known(const struct route *r, const char *peer)
+{
+	return g_hash_table_contains(r->by_peer, peer);
+}
+
 void route_capacity(const struct route *r, const char *service_name, struct route_capacity *out)
 {
 	const struct service *service = g_hash_table_lookup(r->services, service_name);
--- a/src/route.h
+++ b/src/route.h
@@ -77,6 +77,9 @@
 /** route_alive() - false when the target is suspect or gone */
 bool route_alive(const struct route *r, const char *peer);
 
+/** route_known() - false when this incarnation of the agent is gone for good */
+bool route_known(const struct route *r, const char *peer);
+
 struct route_capacity {
 	uint32_t targets; /* that take work */
 	uint32_t slots;
