--- a/src/api.c
+++ b/src/api.c
@@ -2,19 +2,13 @@
 #include "log.h"
 #include "util.h"
 
-#include <arpa/inet.h>
-#include <errno.h>
-#include <fcntl.h>
 #include <glib.h>
 #include <inttypes.h>
-#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
-#define BACKLOG 1024
 #define CONNECTIONS_MAX 4096
 /* Callers come through a few balancer addresses, so one address may hold most connections. */
 #define CONNECTIONS_PER_ADDRESS_MAX 3072
@@ -22,6 +16,8 @@
 #define CONNECTION_IDLE_S 30
 #define READER_BLOCK (16 * 1024)
 #define HEADERS_COUNTED 7
+/* Bytes of all bodies in memory; many large uploads at once are refused instead of stored. */
+#define BODIES_MAX (32 * 1024 * 1024)
 
 /* One HTTP call; owned by its connection. */
 struct call {
@@ -33,6 +29,7 @@
 	GByteArray *body;
 	size_t body_max;
 	bool too_large;
+	bool no_memory; /* BODIES_MAX was reached */
 	bool started;
 	bool answered;
 };
@@ -51,6 +48,7 @@
 {
 	struct api *api = ctx;
 
+	atomic_fetch_sub(&api->body_bytes, r->body_len);
 	filters_done(api->deps.filters, r);
 }
 
@@ -211,6 +209,14 @@
 	fail_now(call);
 }
 
+static void refuse_busy(struct call *call)
+{
+	metrics_refusal(call->api->deps.metrics, "bodies_full");
+	err_set(&call->r->err, ERR_UNAVAILABLE, "retry later with backoff",
+		"this entry host is receiving too many large bodies");
+	fail_now(call);
+}
+
 /* A body whose announced length is over the limit is refused before it is read. */
 static void check_length(struct call *call, struct MHD_Connection *connection)
 {
@@ -383,6 +389,8 @@
 		keep_body(call);
 		if (call->too_large)
 			refuse_large(call);
+		else if (call->no_memory)
+			refuse_busy(call);
 		else
 			progress = start(call);
 	}
@@ -396,13 +404,27 @@
 	return MHD_YES;
 }
 
+static void drop_body(struct call *call)
+{
+	if (!call->body)
+		return;
+	atomic_fetch_sub(&call->api->body_bytes, call->body->len);
+	g_byte_array_free(call->body, TRUE);
+	call->body = NULL;
+}
+
 static void take_body(struct call *call, const char *data, size_t len)
 {
-	if (call->too_large || !call->body)
+	size_t before;
+
+	if (!call->body)
 		return;
-	if (call->body->len + len > call->body_max) {
-		call->too_large = true;
-		g_byte_array_set_size(call->body, 0);
+	before = atomic_fetch_add(&call->api->body_bytes, len);
+	call->too_large = call->body->len + len > call->body_max;
+	call->no_memory = before + len > BODIES_MAX;
+	if (call->too_large || call->no_memory) {
+		atomic_fetch_sub(&call->api->body_bytes, len);
+		drop_body(call);
 		return;
 	}
 	g_byte_array_append(call->body, (const guint8 *)data, (guint)len);
@@ -448,56 +470,13 @@
 	*con_cls = NULL;
 	if (toe != MHD_REQUEST_TERMINATED_COMPLETED_OK && call->started)
 		loopq_push(api->deps.loop, abandon, request_ref(call->r));
-	if (call->body)
-		g_byte_array_free(call->body, TRUE);
+	drop_body(call);
 	unlink_call(api, call);
 	request_unref(call->r);
 	g_free(call);
 	atomic_fetch_sub(&api->active, 1);
 }
 
-static bool parse_address(const char *text, struct sockaddr_in *out)
-{
-	char host[64];
-	const char *colon = strrchr(text, ':');
-	char *end = NULL;
-	unsigned long port;
-
-	if (!colon || (size_t)(colon - text) >= sizeof(host))
-		return false;
-	snprintf(host, sizeof(host), "%.*s", (int)(colon - text), text);
-	port = strtoul(colon + 1, &end, 10);
-	*out = (struct sockaddr_in){.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
-	return colon[1] && !*end && port <= UINT16_MAX && inet_pton(AF_INET, host, &out->sin_addr);
-}
-
-char *api_listen(TALLOC_CTX *mem, const char *address, int *fd, struct err *err)
-{
-	struct sockaddr_in bound;
-	socklen_t len = sizeof(bound);
-	char host[INET_ADDRSTRLEN];
-	int one = 1;
-
-	if (!parse_address(address, &bound)) {
-		err_set(err, ERR_INVALID, "write http_address as ip:port", "%s is not an address",
-			address);
-		return NULL;
-	}
-	*fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (*fd >= 0)
-		setsockopt(*fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (*fd < 0 || bind(*fd, (struct sockaddr *)&bound, sizeof(bound)) ||
-	    listen(*fd, BACKLOG) || getsockname(*fd, (struct sockaddr *)&bound, &len)) {
-		err_set(err, ERR_SYSTEM, "choose a free address of this host for http_address",
-			"cannot listen on %s: %s", address, g_strerror(errno));
-		if (*fd >= 0)
-			close(*fd);
-		return NULL;
-	}
-	inet_ntop(AF_INET, &bound.sin_addr, host, sizeof(host));
-	return talloc_asprintf(mem, "%s:%u", host, ntohs(bound.sin_port));
-}
-
 static int read_file(const char *path, char **out, struct err *err)
 {
 	if (g_file_get_contents(path, out, NULL, NULL))
--- a/src/api_conn.c
+++ b/src/api_conn.c
@@ -1,8 +1,13 @@
 #include "api_int.h"
 #include "util.h"
 
+#include <arpa/inet.h>
+#include <errno.h>
 #include <glib.h>
+#include <stdio.h>
+#include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 /*
  * A call whose header or body takes longer is cut off. The server's own limit restarts with
@@ -10,6 +15,7 @@
  */
 #define READ_MAX_MS 15000
 #define SWEEP_S 1
+#define BACKLOG 1024
 
 struct conn {
 	struct conn *next;
@@ -144,3 +150,45 @@
 {
 	set_since(conns, connection, 0);
 }
+
+static bool parse_address(const char *text, struct sockaddr_in *out)
+{
+	char host[64];
+	const char *colon = strrchr(text, ':');
+	char *end = NULL;
+	unsigned long port;
+
+	if (!colon || (size_t)(colon - text) >= sizeof(host))
+		return false;
+	snprintf(host, sizeof(host), "%.*s", (int)(colon - text), text);
+	port = strtoul(colon + 1, &end, 10);
+	*out = (struct sockaddr_in){.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+	return colon[1] && !*end && port <= UINT16_MAX && inet_pton(AF_INET, host, &out->sin_addr);
+}
+
+char *api_listen(TALLOC_CTX *mem, const char *address, int *fd, struct err *err)
+{
+	struct sockaddr_in bound;
+	socklen_t len = sizeof(bound);
+	char host[INET_ADDRSTRLEN];
+	int one = 1;
+
+	if (!parse_address(address, &bound)) {
+		err_set(err, ERR_INVALID, "write http_address as ip:port", "%s is not an address",
+			address);
+		return NULL;
+	}
+	*fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (*fd >= 0)
+		setsockopt(*fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (*fd < 0 || bind(*fd, (struct sockaddr *)&bound, sizeof(bound)) ||
+	    listen(*fd, BACKLOG) || getsockname(*fd, (struct sockaddr *)&bound, &len)) {
+		err_set(err, ERR_SYSTEM, "choose a free address of this host for http_address",
+			"cannot listen on %s: %s", address, g_strerror(errno));
+		if (*fd >= 0)
+			close(*fd);
+		return NULL;
+	}
+	inet_ntop(AF_INET, &bound.sin_addr, host, sizeof(host));
+	return talloc_asprintf(mem, "%s:%u", host, ntohs(bound.sin_port));
+}
--- a/src/api_int.h
+++ b/src/api_int.h
@@ -23,6 +23,7 @@
 	pthread_mutex_t lock; /* guards calls */
 	struct call *calls;
 	atomic_ullong serial;
+	atomic_size_t body_bytes; /* of calls being read and of requests not yet ended */
 };
 
 enum api_access {
