--- a/src/httpc.c
+++ b/src/httpc.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #define CONNECT_TIMEOUT_MS 1000
+#define KEEPALIVE_S 5L
 #define ANSWER_MAX_BYTES (16 * 1024 * 1024)
 
 struct httpc {
@@ -235,6 +236,10 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_write);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	/* A watch may wait for hours; without probes a half-open connection is never noticed. */
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_S);
+	curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_S);
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
