--- a/src/place_impl.h
+++ b/src/place_impl.h
@@ -10,6 +10,7 @@
 
 enum {
 	PLACE_EVICTIONS_FREE = 4,	/* optional evictions of any job that can be checkpointed */
+	PLACE_EVICTIONS_MORE = 20,	/* the same for urgent and guaranteed work */
 	PLACE_EVICTIONS_RESTART = 2,	/* of one that loses its work; reclaims come on top */
 	PLACE_EVICTION_PER_MS = 300000, /* run time that earns one more optional eviction */
 	PLACE_FAILED_WORKERS_MAX = 8	/* workers remembered per job that could not start it */
--- a/src/search.c
+++ b/src/search.c
@@ -27,15 +27,17 @@
 {
 	uint64_t now_ms = q->now_ms;
 	uint64_t ran = victim->saved_ms;
-	uint32_t extra = q->overdue || q->entitled || (q->job && q->job->urgent)
-				 ? PLACE_EVICTIONS_FREE * 4
-				 : 0;
+	bool extra = q->entitled || (q->job && q->job->urgent);
+	uint32_t free = extra ? PLACE_EVICTIONS_MORE : PLACE_EVICTIONS_FREE;
 
 	if (!victim->checkpoint)
 		return victim->evictions < PLACE_EVICTIONS_RESTART;
+	/* A starving job starts once, so it adds one eviction to others at most. */
+	if (q->overdue)
+		return true;
 	if (victim->started_ms && now_ms > victim->started_ms)
 		ran += now_ms - victim->started_ms;
-	return victim->evictions < PLACE_EVICTIONS_FREE + extra + ran / PLACE_EVICTION_PER_MS;
+	return victim->evictions < free + ran / PLACE_EVICTION_PER_MS;
 }
 
 bool search_budget_left(const struct place *p, const struct job *victim)
@@ -65,7 +67,7 @@
 /* Work that has barely started is left alone, or two jobs would take turns without progress. */
 static bool just_placed(const struct job *victim, const struct query *q)
 {
-	uint64_t least = q->job && q->job->urgent ? 0 : MIN_RUN_MS;
+	uint64_t least = q->overdue || (q->job && q->job->urgent) ? 0 : MIN_RUN_MS;
 
 	return victim->state != JOB_RUNNING || q->now_ms < victim->started_ms + least;
 }
