--- a/src/sched.c
+++ b/src/sched.c
@@ -4,7 +4,7 @@
 
 #define OVERDUE_FACTOR 8	 /* a job starves at 10 times its declared run time */
 #define OVERDUE_MIN_MS 5000	 /* for jobs that declare next to nothing */
-#define LARGE_OVERDUE_MS 7200000 /* before a large job may displace younger large ones */
+#define LARGE_OVERDUE_MS 9000000 /* before a large job may displace younger large ones */
 #define LARGE_SHARE_MIN 0.1	 /* of the fleet that large jobs may clear, by the weights */
 #define LARGE_SHARE_SPAN 0.6
 #define AGED_MS 60000	     /* before a job may displace narrower ones */
