--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -324,14 +324,19 @@
 }
 
 /* A suspect agent that still sends for this request is not lost to it. */
+static bool agent_lost(struct dispatch *d, const struct request_attempt *a, uint64_t now)
+{
+	if (!route_known(d->route, a->peer))
+		return true;
+	return now - a->heard_ms >= MEMBER_SUSPECT_MS && !route_alive(d->route, a->peer);
+}
+
 static void check_agents(struct dispatch *d, struct request *r, uint64_t now)
 {
 	for (int i = 0; i < 2 && r->state == REQUEST_SENT; i++) {
 		struct request_attempt *a = &r->attempts[i];
 
-		if (!a->id || now - a->heard_ms < MEMBER_SUSPECT_MS)
-			continue;
-		if (!route_alive(d->route, a->peer))
+		if (a->id && agent_lost(d, a, now))
 			attempt_lost(d, a, "agent_lost");
 	}
 }
@@ -490,13 +495,14 @@
 	for (int i = 0; i < 2; i++) {
 		const struct request_attempt *a = &r->attempts[i];
 
-		if (!a->id || !a->received)
+		if (!a->id || !a->received || consumed == r->credited)
 			continue;
 		msg.u.credit.id = a->id;
 		msg.u.credit.bytes = consumed - r->credited;
-		wire_send(d->deps.wire, a->peer, &msg);
+		/* What a full send buffer refuses is granted with the next step. */
+		if (!wire_send(d->deps.wire, a->peer, &msg))
+			r->credited = consumed;
 	}
-	r->credited = consumed;
 	request_unref(r);
 }
 
