--- a/src/cli_out.c
+++ b/src/cli_out.c
@@ -188,7 +188,7 @@
 				  : talloc_strdup(cells, columns[i].title);
 
 			if (strlen(cell) > CELL_MAX)
-				memcpy(cell + CELL_MAX - 3, "...", sizeof("..."));
+				cell = talloc_asprintf(cells, "%.*s...", CELL_MAX - 3, cell);
 			if (strlen(cell) > widths[i])
 				widths[i] = strlen(cell);
 			cells[r * count + i] = cell;
