--- a/src/msg.c
+++ b/src/msg.c
@@ -163,6 +163,8 @@
 	FIELD_U64(struct msg_chunk, id),
 	FIELD_U64(struct msg_chunk, offset),
 	FIELD_BYTES(struct msg_chunk, data),
+	FIELD_U64(struct msg_chunk, status),
+	FIELD_STRING(struct msg_chunk, content_type),
 };
 
 static const struct field end_fields[] = {
@@ -414,7 +416,7 @@
 {
 	if (object->type != MSGPACK_OBJECT_STR || object->via.str.size > MSG_STRING_MAX)
 		return -ERR_INVALID;
-	if (memchr(object->via.str.ptr, 0, object->via.str.size))
+	if (object->via.str.size && memchr(object->via.str.ptr, 0, object->via.str.size))
 		return -ERR_INVALID;
 	*out = talloc_strndup(mem, object->via.str.ptr, object->via.str.size);
 	return 0;
