--- a/src/jobs_int.h
+++ b/src/jobs_int.h
@@ -177,9 +177,6 @@
 /** job_holder_read_segments() - merge what is in submit/ now */
 void job_holder_read_segments(struct job_holder *h);
 
-void job_holder_target(struct job_holder *h, const struct member_target *target);
-void job_holder_config(struct job_holder *h);
-
 /** job_holder_cancel() - withdraw a job; @done when it is recorded */
 void job_holder_cancel(struct job_holder *h, struct job_record *job,
 		       void (*done)(int status, void *ctx), void *ctx);
@@ -196,6 +193,11 @@
 
 uint32_t job_holder_live(const struct job_holder *h, const char *organisation);
 
+/* jobworkers.c: what the decision module knows of workers and the configuration */
+
+void job_holder_target(struct job_holder *h, const struct member_target *target);
+void job_holder_config(struct job_holder *h);
+
 /* jobgang.c: gangs of the holder */
 
 struct job_start {
