--- /dev/null
+++ b/tests/measure_costs.c
@@ -0,0 +1,192 @@
+/* Measures what one gang and one configuration change cost in control bytes and store calls. */
+#include "lib_cluster.h"
+#include "lib_figures.h"
+#include "util.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define WORKERS 9
+#define POINTS 4
+#define JOBS_A_POINT 10
+#define RUN_MS 2000
+#define IN_FORCE_MS 20000
+
+static struct cluster cluster;
+
+struct totals {
+	double holder_bytes; /* of all entries: one of them holds the duty */
+	double agent_bytes;
+	double calls;
+	uint64_t at_ms;
+};
+
+static struct totals totals(void)
+{
+	struct totals t = {.calls = figure_store_calls(&cluster.store), .at_ms = util_clock_ms()};
+
+	for (unsigned int i = 0; i < cluster.entry_count; i++)
+		t.holder_bytes += figure_control_bytes(&cluster.entries[i]);
+	for (unsigned int i = 0; i < cluster.target_count; i++)
+		t.agent_bytes += figure_control_bytes(&cluster.targets[i].agent);
+	return t;
+}
+
+/* What was spent since @before, without what the same time costs when nothing happens. */
+static struct totals spent(const struct totals *before, const struct totals *idle_per_ms)
+{
+	struct totals now = totals();
+	double ms = (double)(now.at_ms - before->at_ms);
+
+	now.holder_bytes -= before->holder_bytes + idle_per_ms->holder_bytes * ms;
+	now.agent_bytes -= before->agent_bytes + idle_per_ms->agent_bytes * ms;
+	now.calls -= before->calls + idle_per_ms->calls * ms;
+	return now;
+}
+
+static struct totals measure_idle(void)
+{
+	struct totals before = totals();
+	struct totals after;
+	double ms;
+
+	sleep(20);
+	after = totals();
+	ms = (double)(after.at_ms - before.at_ms);
+	after.holder_bytes = (after.holder_bytes - before.holder_bytes) / ms;
+	after.agent_bytes = (after.agent_bytes - before.agent_bytes) / ms;
+	after.calls = (after.calls - before.calls) / ms;
+	return after;
+}
+
+static bool run_job(unsigned int members)
+{
+	char body[256];
+	char id[32];
+
+	snprintf(body, sizeof(body),
+		 "{\"class\":\"yield-forecast\",\"members\":%u,\"accelerators\":1,\"cores\":1,"
+		 "\"memory_gb\":1,\"declared_s\":2,\"payload\":{\"run_ms\":%d}}",
+		 members, RUN_MS);
+	return cluster_submit(&cluster, 0, NULL, body, id) == 202 &&
+	       cluster_wait_job(&cluster, 0, id, "done", 60000);
+}
+
+static bool apply(unsigned int number)
+{
+	json_t *current = cluster_json(&cluster, 0, cluster_operator_token(&cluster), "/v1/config");
+	json_t *files = json_deep_copy(json_object_get(current, "files"));
+	char authorization[128];
+	char content[128];
+	char url[128];
+	const char *const headers[] = {authorization, NULL};
+	struct http_reply reply;
+	json_t *body;
+	char *text;
+	bool ok;
+
+	snprintf(content, sizeof(content),
+		 "{\"decision\":\"class\",\"name\":\"net-angle-check\",\"weight\":%u}",
+		 1 + number % 900);
+	json_object_set_new(files, "70-weight.json", json_string(content));
+	body = json_pack("{s:o, s:I, s:s}", "files", files, "base_revision", (json_int_t)0,
+			 "message", "weight");
+	text = json_dumps(body, JSON_COMPACT);
+	snprintf(authorization, sizeof(authorization), "Authorization: Bearer %s",
+		 cluster_operator_token(&cluster));
+	snprintf(url, sizeof(url), "http://%s/v1/config", cluster.entries[0].address[0]);
+	reply = http_call("POST", url, headers, text, IN_FORCE_MS);
+	ok = reply.status == 200;
+	if (!ok)
+		fprintf(stderr, "%d %s\n", reply.status, reply.body);
+	http_free(&reply);
+	free(text);
+	json_decref(body);
+	json_decref(current);
+	return ok;
+}
+
+static json_t *line_json(const unsigned int *x, const double *y)
+{
+	struct figure_fit fit = figure_fit(x, y, POINTS);
+	json_t *points = json_array();
+
+	for (int i = 0; i < POINTS; i++)
+		json_array_append_new(points, json_pack("[i, f]", (int)x[i], y[i]));
+	return json_pack("{s:o, s:f, s:f, s:f}", "points", points, "intercept", fit.intercept,
+			 "slope", fit.slope, "residual", fit.residual);
+}
+
+static json_t *report(const unsigned int *x, const struct totals *figures, double each)
+{
+	double holder[POINTS];
+	double agent[POINTS];
+	double calls[POINTS];
+
+	for (int i = 0; i < POINTS; i++) {
+		holder[i] = figures[i].holder_bytes / each;
+		agent[i] = figures[i].agent_bytes / each;
+		calls[i] = figures[i].calls / each;
+	}
+	return json_pack("{s:o, s:o, s:o}", "entries_bytes", line_json(x, holder), "agents_bytes",
+			 line_json(x, agent), "store_calls", line_json(x, calls));
+}
+
+static bool measure_gangs(const struct totals *idle, json_t *out)
+{
+	static const unsigned int members[POINTS] = {1, 8, 16, 32};
+	struct totals figures[POINTS];
+
+	for (int i = 0; i < POINTS; i++) {
+		struct totals before = totals();
+
+		for (int j = 0; j < JOBS_A_POINT; j++) {
+			if (!run_job(members[i]))
+				return false;
+		}
+		figures[i] = spent(&before, idle);
+	}
+	json_object_set_new(out, "per_gang_over_members", report(members, figures, JOBS_A_POINT));
+	return true;
+}
+
+static bool measure_changes(const struct totals *idle, json_t *out)
+{
+	static const unsigned int changes[POINTS] = {5, 10, 20, 40};
+	struct totals figures[POINTS];
+	unsigned int number = 0;
+
+	for (int i = 0; i < POINTS; i++) {
+		struct totals before = totals();
+
+		for (unsigned int j = 0; j < changes[i]; j++) {
+			if (!apply(number++))
+				return false;
+		}
+		sleep(3); /* until every agent has the last one */
+		figures[i] = spent(&before, idle);
+	}
+	json_object_set_new(out, "over_configuration_changes", report(changes, figures, 1));
+	return true;
+}
+
+int main(void)
+{
+	struct cluster_options options = {
+		.example = "nefeli", .entries = 2, .services = 1, .workers = WORKERS};
+	json_t *out = json_object();
+	struct totals idle;
+	bool ok;
+
+	if (!cluster_start(&cluster, &options))
+		return 1;
+	sleep(15); /* heartbeats lengthen their period after 10 s without change */
+	idle = measure_idle();
+	ok = measure_gangs(&idle, out) && measure_changes(&idle, out);
+	json_dumpf(out, stdout, JSON_INDENT(1) | JSON_REAL_PRECISION(5));
+	putchar('\n');
+	json_decref(out);
+	return cluster_stop(&cluster) && ok ? 0 : 1;
+}
--- a/tests/measure_slopes.c
+++ b/tests/measure_slopes.c
@@ -1,5 +1,6 @@
 /* Measures what membership costs an entry, an agent and the store as the number of agents grows. */
 #include "lib_cluster.h"
+#include "lib_figures.h"
 #include "util.h"
 
 #include <argp.h>
@@ -94,82 +95,6 @@
 	return NULL;
 }
 
-static double cpu_seconds(const struct proc *proc)
-{
-	char path[64];
-	char line[1024] = "";
-	unsigned long user = 0;
-	unsigned long system = 0;
-	const char *rest;
-	FILE *file;
-
-	snprintf(path, sizeof(path), "/proc/%d/stat", proc->pid);
-	file = fopen(path, "r");
-	if (!file)
-		return 0;
-	if (!fgets(line, sizeof(line), file))
-		line[0] = '\0';
-	fclose(file);
-	rest = strrchr(line, ')');
-	if (!rest || sscanf(rest, ") %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user,
-			    &system) != 2)
-		return 0;
-	return (double)(user + system) / (double)sysconf(_SC_CLK_TCK);
-}
-
-static double rss_mb(const struct proc *proc)
-{
-	char path[64];
-	unsigned long pages = 0;
-	FILE *file;
-
-	snprintf(path, sizeof(path), "/proc/%d/statm", proc->pid);
-	file = fopen(path, "r");
-	if (!file)
-		return 0;
-	if (fscanf(file, "%*u %lu", &pages) != 1)
-		pages = 0;
-	fclose(file);
-	return (double)pages * (double)sysconf(_SC_PAGESIZE) / 1e6;
-}
-
-/* Bytes of control messages, both directions, by the process's own counters. */
-static double control_bytes(const struct proc *proc)
-{
-	char url[128];
-	struct http_reply reply;
-	double sum = 0;
-	char *save = NULL;
-
-	snprintf(url, sizeof(url), "http://%s/metrics", proc->address[0]);
-	reply = http_call("GET", url, NULL, NULL, 5000);
-	for (char *line = strtok_r(reply.body, "\n", &save); line;
-	     line = strtok_r(NULL, "\n", &save)) {
-		if (!strncmp(line, "jaycourse_wire_bytes_total", 26) &&
-		    strstr(line, "class=\"control\""))
-			sum += strtod(strrchr(line, ' '), NULL);
-	}
-	http_free(&reply);
-	return sum;
-}
-
-static double store_calls(void)
-{
-	char url[128];
-	struct http_reply reply;
-	json_t *json;
-	double sum;
-
-	snprintf(url, sizeof(url), "http://%s/stats", cluster.store.address[0]);
-	reply = http_call("GET", url, NULL, NULL, 5000);
-	json = json_loads(reply.body, 0, NULL);
-	http_free(&reply);
-	sum = json_number_value(json_object_get(json, "reads")) +
-	      json_number_value(json_object_get(json, "writes"));
-	json_decref(json);
-	return sum;
-}
-
 static double sum_of(double (*figure)(const struct proc *proc), const struct proc *procs,
 		     unsigned int count)
 {
@@ -182,11 +107,11 @@
 
 static struct sample measure(unsigned int count, unsigned int seconds)
 {
-	double entry_cpu = sum_of(cpu_seconds, cluster.entries, cluster.entry_count);
-	double entry_bytes = sum_of(control_bytes, cluster.entries, cluster.entry_count);
-	double agent_cpu = sum_of(cpu_seconds, agents, count);
-	double agent_bytes = sum_of(control_bytes, agents, count);
-	double calls = store_calls();
+	double entry_cpu = sum_of(figure_cpu_seconds, cluster.entries, cluster.entry_count);
+	double entry_bytes = sum_of(figure_control_bytes, cluster.entries, cluster.entry_count);
+	double agent_cpu = sum_of(figure_cpu_seconds, agents, count);
+	double agent_bytes = sum_of(figure_control_bytes, agents, count);
+	double calls = figure_store_calls(&cluster.store);
 	uint64_t start = util_clock_ms();
 	double entries = cluster.entry_count;
 	struct sample sample;
@@ -195,18 +120,19 @@
 	sleep(seconds);
 	span = (double)(util_clock_ms() - start) / 1000.0;
 	sample.entry_cpu_percent =
-		100.0 * (sum_of(cpu_seconds, cluster.entries, cluster.entry_count) - entry_cpu) /
+		100.0 *
+		(sum_of(figure_cpu_seconds, cluster.entries, cluster.entry_count) - entry_cpu) /
 		span / entries;
 	sample.entry_bytes_per_s =
-		(sum_of(control_bytes, cluster.entries, cluster.entry_count) - entry_bytes) / span /
-		entries;
-	sample.entry_rss_mb = sum_of(rss_mb, cluster.entries, cluster.entry_count) / entries;
+		(sum_of(figure_control_bytes, cluster.entries, cluster.entry_count) - entry_bytes) /
+		span / entries;
+	sample.entry_rss_mb = sum_of(figure_rss_mb, cluster.entries, cluster.entry_count) / entries;
 	sample.agent_cpu_percent =
-		100.0 * (sum_of(cpu_seconds, agents, count) - agent_cpu) / span / count;
+		100.0 * (sum_of(figure_cpu_seconds, agents, count) - agent_cpu) / span / count;
 	sample.agent_bytes_per_s =
-		(sum_of(control_bytes, agents, count) - agent_bytes) / span / count;
-	sample.agent_rss_mb = sum_of(rss_mb, agents, count) / count;
-	sample.store_calls_per_s = (store_calls() - calls) / span;
+		(sum_of(figure_control_bytes, agents, count) - agent_bytes) / span / count;
+	sample.agent_rss_mb = sum_of(figure_rss_mb, agents, count) / count;
+	sample.store_calls_per_s = (figure_store_calls(&cluster.store) - calls) / span;
 	return sample;
 }
 
@@ -241,41 +167,6 @@
 	return true;
 }
 
-struct fit {
-	double intercept;
-	double slope;
-	double residual; /* largest distance of a point from the line */
-};
-
-static struct fit fit_line(const unsigned int *x, const double *y, unsigned int n)
-{
-	double mean_x = 0;
-	double mean_y = 0;
-	double covariance = 0;
-	double variance = 0;
-	struct fit fit = {0};
-
-	for (unsigned int i = 0; i < n; i++) {
-		mean_x += x[i] / (double)n;
-		mean_y += y[i] / n;
-	}
-	for (unsigned int i = 0; i < n; i++) {
-		covariance += (x[i] - mean_x) * (y[i] - mean_y);
-		variance += (x[i] - mean_x) * (x[i] - mean_x);
-	}
-	fit.slope = variance > 0 ? covariance / variance : 0;
-	fit.intercept = mean_y - fit.slope * mean_x;
-	for (unsigned int i = 0; i < n; i++) {
-		double distance = y[i] - fit.intercept - fit.slope * x[i];
-
-		if (distance < 0)
-			distance = -distance;
-		if (distance > fit.residual)
-			fit.residual = distance;
-	}
-	return fit;
-}
-
 static const struct {
 	const char *name;
 	size_t offset;
@@ -296,7 +187,7 @@
 	for (size_t f = 0; f < sizeof(figures) / sizeof(figures[0]); f++) {
 		json_t *points = json_array();
 		double values[SIZES_MAX];
-		struct fit fit;
+		struct figure_fit fit;
 
 		for (unsigned int i = 0; i < a->size_count; i++) {
 			values[i] =
@@ -304,7 +195,7 @@
 			json_array_append_new(points,
 					      json_pack("[i, f]", (int)a->sizes[i], values[i]));
 		}
-		fit = fit_line(a->sizes, values, a->size_count);
+		fit = figure_fit(a->sizes, values, a->size_count);
 		json_object_set_new(json, figures[f].name,
 				    json_pack("{s:o, s:f, s:f, s:f}", "points", points, "intercept",
 					      fit.intercept, "slope", fit.slope, "residual",
