--- a/src/bench_cmd_place.c
+++ b/src/bench_cmd_place.c
@@ -48,7 +48,8 @@
 	{"fleet", OPT_FLEET, "FILE", 0, "Fleet and organisations (JSON)", 0},
 	{"workload", OPT_WORKLOAD, "FILE", 0, "Events, one JSON object a line", 0},
 	{"policy", OPT_POLICY, "NAME", 0, "jaycourse, first-fit or best-fit", 0},
-	{"weights", OPT_WEIGHTS, "NAME", 0, "completion or fragmentation; default both alike", 0},
+	{"weights", OPT_WEIGHTS, "NAME", 0,
+	 "completion, fragmentation, nefeli or sonhario; default both alike", 0},
 	{"seed", OPT_SEED, "N", 0, "Seed of the policy's random choices", 0},
 	{"check", OPT_CHECK, NULL, 0, "Prove the invariants after every event (slow)", 0},
 	{"timeline", OPT_TIMELINE, "FILE", 0, "Write fragmentation and large waits by minute", 0},
@@ -73,6 +74,7 @@
 	{"seeds", OPT_SEEDS, "N", 0, "Number of seeds for each size; default 1", 0},
 	{"demand", OPT_DEMAND, "X", 0, "Share of the accelerator time asked for; default 0.9", 0},
 	{"hours", OPT_HOURS, "H", 0, "Length of the submissions", 0},
+	{"weights", OPT_WEIGHTS, "NAME", 0, "Instead of the deployment's own weights", 0},
 	{0},
 };
 
@@ -134,6 +136,18 @@
 	return 1;
 }
 
+/* Weights of the deployments, as in the policies of examples/nefeli and examples/sonhario. */
+static const struct {
+	const char *name;
+	double completion;
+	double fragmentation;
+} weight_sets[] = {
+	{"completion", 0.9, 0.1},
+	{"fragmentation", 0.1, 0.9},
+	{"nefeli", 0.7, 0.3},
+	{"sonhario", 0.3, 0.7},
+};
+
 static struct place_policy make_policy(const char *weights)
 {
 	struct place_policy policy = {
@@ -143,12 +157,11 @@
 		.reclaim_grace_ms = RECLAIM_GRACE_MS,
 	};
 
-	if (!strcmp(weights, "completion")) {
-		policy.weight_completion = 0.9;
-		policy.weight_fragmentation = 0.1;
-	} else if (!strcmp(weights, "fragmentation")) {
-		policy.weight_completion = 0.1;
-		policy.weight_fragmentation = 0.9;
+	for (size_t i = 0; i < sizeof(weight_sets) / sizeof(weight_sets[0]); i++) {
+		if (strcmp(weights, weight_sets[i].name) != 0)
+			continue;
+		policy.weight_completion = weight_sets[i].completion;
+		policy.weight_fragmentation = weight_sets[i].fragmentation;
 	}
 	return policy;
 }
@@ -367,9 +380,13 @@
 	struct bench_result ours = {0};
 	struct bench_result base = {0};
 	struct bench_fleet fleet;
+	struct arguments own = *a;
 	struct err err;
 	int ret;
 
+	/* Each deployment is measured with the weights that it runs with. */
+	if (!own.weights[0])
+		own.weights = size;
 	close(mkstemp(fleet_path));
 	close(mkstemp(work_path));
 	ret = bench_workload_write(&options, &err);
@@ -378,9 +395,9 @@
 	if (!ret)
 		ret = bench_workload_load(mem, work_path, &workload, &err);
 	if (!ret)
-		ret = run_policy(a, &fleet, &workload, "jaycourse", &ours, &err);
+		ret = run_policy(&own, &fleet, &workload, "jaycourse", &ours, &err);
 	if (!ret)
-		ret = run_policy(a, &fleet, &workload, "first-fit", &base, &err);
+		ret = run_policy(&own, &fleet, &workload, "first-fit", &base, &err);
 	if (!ret)
 		*ok = check_bounds(size, seed, &ours, &base);
 	unlink(fleet_path);
