measure_faults: whole deployment under failures made from a seed

A whole deployment of stand-ins on loopback serves requests, jobs and racing configuration changes while a schedule of failures made from the seed is carried out.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,13 @@
 bench: build
 	$(BUILD)/bin/jaycourse-bench table
 
+# Stops at the first seed that fails; SEEDS="4 7" runs others.
+SEEDS ?= 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20
+soak: build
+	@for seed in $(SEEDS); do \
+		JAYCOURSE_BIN=$(BUILD)/bin $(BUILD)/bin/measure_faults --seed $$seed --json || exit 1; \
+	done
+
 plots: build
 	@tools/install_packages.sh gnuplot-nox
 	tools/plots.sh $(BUILD)/bin out
--- a/tests/lib_callers.c
+++ b/tests/lib_callers.c
@@ -38,6 +38,7 @@
 	GPtrArray *histories; /* json_t */
 	atomic_bool stop;
 	atomic_uint sent;
+	atomic_uint whole;
 	atomic_uint next_thread;
 	uint64_t run_id;
 	bool joined;
@@ -129,6 +130,8 @@
 	}
 	record->took_ms = util_clock_ms() - start;
 	atomic_fetch_add(&callers->sent, 1);
+	if (record->told == TOLD_WHOLE)
+		atomic_fetch_add(&callers->whole, 1);
 	pthread_mutex_lock(&callers->lock);
 	g_ptr_array_add(callers->records, record);
 	pthread_mutex_unlock(&callers->lock);
@@ -184,6 +187,16 @@
 	return atomic_load(&callers->sent);
 }
 
+unsigned int callers_whole(struct callers *callers)
+{
+	return atomic_load(&callers->whole);
+}
+
+void callers_add_history(struct callers *callers, json_t *history)
+{
+	g_ptr_array_add(callers->histories, json_incref(history));
+}
+
 void callers_keep_history(struct callers *callers, const struct proc *stand_in)
 {
 	json_t *history = cluster_history(stand_in);
--- a/tests/lib_callers.h
+++ b/tests/lib_callers.h
@@ -64,6 +64,14 @@
 /** callers_keep_history() - take over the history of a stand-in that is about to end */
 void callers_keep_history(struct callers *callers, const struct proc *stand_in);
 
+/** callers_add_history() - take a reference to a history fetched before; counted as another
+ * stand-in's
+ */
+void callers_add_history(struct callers *callers, json_t *history);
+
+/** callers_whole() - whole answers with the caller's own echo so far */
+unsigned int callers_whole(struct callers *callers);
+
 /** callers_sent() - requests sent so far */
 unsigned int callers_sent(struct callers *callers);
 
--- a/tests/lib_cluster.c
+++ b/tests/lib_cluster.c
@@ -86,6 +86,11 @@
 	return start_agent(c, t) && start_target(c, t);
 }
 
+bool cluster_start_stand_in(struct cluster *c, unsigned int index)
+{
+	return start_target(c, &c->targets[index]);
+}
+
 static void name_target(struct cluster *c, unsigned int index, bool is_worker)
 {
 	struct cluster_target *t = &c->targets[index];
--- a/tests/lib_cluster.h
+++ b/tests/lib_cluster.h
@@ -54,6 +54,9 @@
 /** cluster_start_target() - start (again) the agent and target with an index */
 bool cluster_start_target(struct cluster *c, unsigned int index);
 
+/** cluster_start_stand_in() - start (again) only the stand-in beside a running agent */
+bool cluster_start_stand_in(struct cluster *c, unsigned int index);
+
 /** cluster_stop() - SIGTERM to all in a safe order; true if all exited with 0 */
 bool cluster_stop(struct cluster *c);
 
--- /dev/null
+++ b/tests/lib_faultcheck.c
@@ -0,0 +1,266 @@
+#include "lib_faultcheck.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define PARTIAL_BOUND_MS 4000 /* design page, section 8 */
+#define THAW_MS 500	      /* a lease that lapsed during a freeze ends within this after it */
+#define MEMBERS_MAX 32
+
+struct task {
+	char target[32];
+	unsigned int attempt;
+	unsigned int member;
+	uint64_t started_ms;
+	uint64_t ended_ms; /* UINT64_MAX while it runs */
+	char state[16];
+	char reason[48];
+};
+
+struct freeze {
+	char target[32];
+	uint64_t from_ms;
+	uint64_t until_ms;
+};
+
+struct faultcheck {
+	GHashTable *tasks; /* job id to GArray of struct task */
+	GArray *freezes;
+};
+
+static void free_tasks(gpointer tasks)
+{
+	g_array_free(tasks, TRUE);
+}
+
+struct faultcheck *faultcheck_create(void)
+{
+	struct faultcheck *check = g_new0(struct faultcheck, 1);
+
+	check->tasks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_tasks);
+	check->freezes = g_array_new(FALSE, FALSE, sizeof(struct freeze));
+	return check;
+}
+
+void faultcheck_add(struct faultcheck *check, const char *target, const json_t *history,
+		    uint64_t ended_ms)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(json_object_get(history, "tasks"), i, item)
+	{
+		const char *id = json_string_value(json_object_get(item, "id"));
+		const char *state = json_string_value(json_object_get(item, "state"));
+		const char *reason = json_string_value(json_object_get(item, "reason"));
+		struct task task = {0};
+		char job[32];
+		GArray *list;
+
+		if (!id || sscanf(id, "%31[^.].%u.%u", job, &task.attempt, &task.member) != 3)
+			continue;
+		snprintf(task.target, sizeof(task.target), "%s", target);
+		snprintf(task.state, sizeof(task.state), "%s", state ? state : "");
+		snprintf(task.reason, sizeof(task.reason), "%s", reason ? reason : "");
+		task.started_ms = (uint64_t)json_integer_value(json_object_get(item, "started_ms"));
+		task.ended_ms = (uint64_t)json_integer_value(json_object_get(item, "ended_ms"));
+		if (!task.ended_ms)
+			task.ended_ms = ended_ms;
+		list = g_hash_table_lookup(check->tasks, job);
+		if (!list) {
+			list = g_array_new(FALSE, FALSE, sizeof(struct task));
+			g_hash_table_insert(check->tasks, g_strdup(job), list);
+		}
+		g_array_append_val(list, task);
+	}
+}
+
+void faultcheck_frozen(struct faultcheck *check, const char *target, uint64_t from_ms,
+		       uint64_t until_ms)
+{
+	struct freeze freeze = {.from_ms = from_ms, .until_ms = until_ms};
+
+	snprintf(freeze.target, sizeof(freeze.target), "%s", target);
+	g_array_append_val(check->freezes, freeze);
+}
+
+/* A task whose lease lapsed while its worker was frozen did not run during the freeze. */
+static void clamp_frozen(const struct faultcheck *check, struct task *task)
+{
+	for (guint i = 0; i < check->freezes->len; i++) {
+		const struct freeze *f = &g_array_index(check->freezes, struct freeze, i);
+
+		if (!strcmp(f->target, task->target) && !strcmp(task->state, "stopped") &&
+		    task->started_ms < f->from_ms && task->ended_ms >= f->until_ms &&
+		    task->ended_ms <= f->until_ms + THAW_MS)
+			task->ended_ms = f->from_ms;
+	}
+}
+
+static bool is_done(const struct task *task)
+{
+	return !strcmp(task->state, "done");
+}
+
+static void print_tasks(const struct faultload_job *job, const GArray *tasks, const char *fault)
+{
+	fprintf(stderr, "job %s (%s, %u members, %s): %s\n", job->id, job->class_name, job->members,
+		job->state, fault);
+	for (guint i = 0; tasks && i < tasks->len; i++) {
+		const struct task *t = &g_array_index(tasks, struct task, i);
+
+		fprintf(stderr, "  attempt %u member %u at %s: %llu to %llu %s %s\n", t->attempt,
+			t->member, t->target, (unsigned long long)t->started_ms,
+			t->ended_ms == UINT64_MAX ? 0 : (unsigned long long)t->ended_ms, t->state,
+			t->reason);
+	}
+}
+
+/* An attempt that a non-idempotent job may follow: none of its tasks ended by a failure. */
+static bool stopped_by_request(const GArray *tasks, unsigned int attempt)
+{
+	for (guint i = 0; i < tasks->len; i++) {
+		const struct task *t = &g_array_index(tasks, struct task, i);
+
+		if (t->attempt == attempt && strcmp(t->reason, "asked") != 0)
+			return false;
+	}
+	return true;
+}
+
+static bool ran_twice(const struct faultload_job *job, const GArray *tasks)
+{
+	for (guint i = 0; i < tasks->len; i++) {
+		const struct task *a = &g_array_index(tasks, struct task, i);
+
+		for (guint j = 0; j < tasks->len; j++) {
+			const struct task *b = &g_array_index(tasks, struct task, j);
+			bool overlap = a->started_ms < b->ended_ms && b->started_ms < a->ended_ms;
+
+			if (i != j && a->attempt == b->attempt && a->member == b->member)
+				return true;
+			if (a->attempt < b->attempt &&
+			    (overlap ||
+			     (!job->idempotent && !stopped_by_request(tasks, a->attempt))))
+				return true;
+		}
+	}
+	return false;
+}
+
+/* Whether a member runs at a time, or has run to its end before. */
+static bool covers(const struct task *task, uint64_t at)
+{
+	return task->started_ms <= at && (at < task->ended_ms || is_done(task));
+}
+
+/* How long part of the members of an attempt ran from a time on without the others. */
+static uint64_t partial_from(const GArray *tasks, unsigned int attempt, unsigned int members,
+			     uint64_t from)
+{
+	uint64_t until = from;
+
+	/* The set of running members changes only at starts and ends. */
+	while (true) {
+		uint64_t next = UINT64_MAX;
+		unsigned int covered = 0;
+		bool running = false;
+
+		for (guint i = 0; i < tasks->len; i++) {
+			const struct task *t = &g_array_index(tasks, struct task, i);
+
+			if (t->attempt != attempt)
+				continue;
+			covered += covers(t, until);
+			running = running || (t->started_ms <= until && until < t->ended_ms);
+			if (t->started_ms > until && t->started_ms < next)
+				next = t->started_ms;
+			if (t->ended_ms > until && t->ended_ms < next)
+				next = t->ended_ms;
+		}
+		if (!running || covered >= members)
+			return until - from;
+		if (next == UINT64_MAX)
+			return UINT64_MAX;
+		until = next;
+	}
+}
+
+static bool ran_partial(const struct faultload_job *job, const GArray *tasks)
+{
+	for (guint i = 0; i < tasks->len; i++) {
+		const struct task *t = &g_array_index(tasks, struct task, i);
+		uint64_t moments[2] = {t->started_ms, t->ended_ms};
+
+		for (int m = 0; m < 2; m++) {
+			if (moments[m] != UINT64_MAX &&
+			    partial_from(tasks, t->attempt, job->members, moments[m]) >
+				    PARTIAL_BOUND_MS)
+				return true;
+		}
+	}
+	return false;
+}
+
+static bool has_run(const struct faultload_job *job, const GArray *tasks)
+{
+	unsigned int last = 0;
+	unsigned int done = 0;
+
+	for (guint i = 0; tasks && i < tasks->len; i++) {
+		if (g_array_index(tasks, struct task, i).attempt > last)
+			last = g_array_index(tasks, struct task, i).attempt;
+	}
+	for (guint i = 0; tasks && i < tasks->len; i++) {
+		const struct task *t = &g_array_index(tasks, struct task, i);
+
+		done += t->attempt == last && is_done(t);
+	}
+	return done == job->members;
+}
+
+static void check_job(const struct faultcheck *check, const struct faultload_job *job,
+		      struct faultcheck_result *out)
+{
+	GArray *tasks = g_hash_table_lookup(check->tasks, job->id);
+
+	for (guint i = 0; tasks && i < tasks->len; i++)
+		clamp_frozen(check, &g_array_index(tasks, struct task, i));
+	out->done += !strcmp(job->state, "done");
+	out->failed += !strcmp(job->state, "failed");
+	out->cancelled += !strcmp(job->state, "cancelled");
+	if (!job->ended) {
+		out->lost++;
+		print_tasks(job, tasks, "did not end");
+	} else if (!strcmp(job->state, "done") && !has_run(job, tasks)) {
+		out->lost++;
+		print_tasks(job, tasks, "is done but did not run");
+	} else if (!strcmp(job->state, "cancelled") && !job->cancelled) {
+		out->lost++;
+		print_tasks(job, tasks, "is cancelled but nobody asked");
+	}
+	if (job->two_ids || (tasks && ran_twice(job, tasks))) {
+		out->doubled++;
+		print_tasks(job, tasks, job->two_ids ? "has a second id" : "ran twice");
+	}
+	if (tasks && ran_partial(job, tasks)) {
+		out->partial_gangs++;
+		print_tasks(job, tasks, "ran with part of its members");
+	}
+}
+
+struct faultcheck_result faultcheck_jobs(struct faultcheck *check, const GPtrArray *jobs)
+{
+	struct faultcheck_result result = {0};
+
+	for (guint i = 0; i < jobs->len; i++)
+		check_job(check, g_ptr_array_index(jobs, i), &result);
+	return result;
+}
+
+void faultcheck_free(struct faultcheck *check)
+{
+	g_hash_table_destroy(check->tasks);
+	g_array_free(check->freezes, TRUE);
+	g_free(check);
+}
--- /dev/null
+++ b/tests/lib_faultplan.c
@@ -0,0 +1,531 @@
+#include "lib_faultplan.h"
+#include "util.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#define EVENTS_MAX 64
+#define TICK_US 20000
+#define SHORTEST_MS 1000
+#define LONGEST_MS 8000
+#define RESTART_TIMEOUT_MS 30000
+#define BURST_JOBS 16
+#define OBJECTS (CLUSTER_ENTRIES_MAX + CLUSTER_TARGETS_MAX + 1)
+#define OBJECT_STORE (OBJECTS - 1)
+
+enum on {
+	ON_ENTRY,
+	ON_TARGET, /* instance or worker, with its agent */
+	ON_INSTANCE,
+	ON_WORKER,
+	ON_STORE,
+	ON_CALLERS,
+};
+
+struct event {
+	uint64_t at_ms; /* since the start of the plan */
+	uint64_t duration_ms;
+	uint64_t began_ms; /* util_clock_ms(), 0 before */
+	const struct kind *kind;
+	unsigned int index;
+	uint32_t value; /* strength of the failure */
+	bool ended;
+};
+
+struct kind {
+	const char *name;
+	enum on on;
+	bool (*begin)(struct faultplan *plan, struct event *event);
+	/* NULL: the failure ends by itself. False: call again later. */
+	bool (*heal)(struct faultplan *plan, struct event *event);
+};
+
+struct faultplan {
+	struct faultplan_scene *scene;
+	struct event events[EVENTS_MAX];
+	unsigned int count;
+	uint64_t began_ms;
+	json_t *leaving[CLUSTER_TARGETS_MAX]; /* last history of a target that leaves */
+	bool entry_up[CLUSTER_ENTRIES_MAX];
+	bool store_up;
+	bool broken; /* a process could not be restarted */
+};
+
+static struct cluster_target *target_of(struct faultplan *plan, unsigned int index)
+{
+	return &plan->scene->cluster->targets[index];
+}
+
+/*
+ * An entry can learn of a revision while it runs and reaches the store or another entry.
+ * The time counts from the last moment at which this became true.
+ */
+static void update_available(struct faultplan *plan)
+{
+	const struct cluster *c = plan->scene->cluster;
+	unsigned int up = 0;
+
+	for (unsigned int i = 0; i < c->entry_count; i++)
+		up += plan->entry_up[i];
+	for (unsigned int i = 0; i < c->entry_count; i++) {
+		bool available = plan->entry_up[i] && (plan->store_up || up > 1);
+
+		faultload_entry_available(plan->scene->load, i, available ? util_clock_ms() : 0);
+	}
+}
+
+/* Restarting copies the new addresses in one step, as other threads read them. */
+static bool restart(struct faultplan *plan, bool (*start)(struct cluster *c, unsigned int index),
+		    unsigned int index)
+{
+	struct cluster *c = plan->scene->cluster;
+	struct cluster *scratch = g_memdup2(c, sizeof(*c));
+	bool ok = start(scratch, index);
+
+	faultload_lock(plan->scene->load);
+	*c = *scratch;
+	faultload_unlock(plan->scene->load);
+	g_free(scratch);
+	if (!ok)
+		plan->broken = true;
+	return ok;
+}
+
+/* Takes over a history whose stand-in ends at a time. */
+static void keep_history(struct faultplan *plan, unsigned int index, json_t *history,
+			 uint64_t ended_ms)
+{
+	for (int i = 0; i < FAULTPLAN_GROUPS; i++)
+		callers_add_history(plan->scene->groups[i], history);
+	faultcheck_add(plan->scene->check, target_of(plan, index)->name, history, ended_ms);
+	json_decref(history);
+}
+
+static uint64_t last_start(json_t *history)
+{
+	static const char *const lists[] = {"requests", "tasks"};
+	uint64_t last = 0;
+	json_t *item;
+	size_t i;
+
+	for (size_t l = 0; l < G_N_ELEMENTS(lists); l++) {
+		json_array_foreach(json_object_get(history, lists[l]), i, item)
+		{
+			uint64_t at =
+				(uint64_t)json_integer_value(json_object_get(item, "started_ms"));
+
+			if (at > last)
+				last = at;
+		}
+	}
+	return last;
+}
+
+static void note_last_start(struct faultplan *plan, const struct event *event, json_t *history)
+{
+	uint64_t last = last_start(history);
+	double after = last > event->began_ms ? (double)(last - event->began_ms) / 1000.0 : 0;
+
+	if (after > plan->scene->after_leave_s_max)
+		plan->scene->after_leave_s_max = after;
+	if (after > 2)
+		fprintf(stderr, "%s: last start %.2f s after %s\n",
+			target_of(plan, event->index)->name, after, event->kind->name);
+}
+
+static bool kill_entry(struct faultplan *plan, struct event *event)
+{
+	proc_kill(&plan->scene->cluster->entries[event->index]);
+	plan->entry_up[event->index] = false;
+	update_available(plan);
+	return true;
+}
+
+static bool entry_knows_config(void *ctx)
+{
+	const struct faultplan *plan = ((void **)ctx)[0];
+	const unsigned int *index = ((void **)ctx)[1];
+	char url[128];
+	struct http_reply reply;
+	bool ok;
+
+	snprintf(url, sizeof(url), "http://%s/readyz",
+		 plan->scene->cluster->entries[*index].address[0]);
+	reply = http_call("GET", url, NULL, NULL, 1000);
+	ok = reply.status == 200;
+	http_free(&reply);
+	return ok;
+}
+
+static bool start_entry(struct faultplan *plan, struct event *event)
+{
+	restart(plan, cluster_start_entry, event->index);
+	plan->entry_up[event->index] = true;
+	update_available(plan);
+	return true;
+}
+
+static bool freeze_entry(struct faultplan *plan, struct event *event)
+{
+	plan->entry_up[event->index] = false;
+	update_available(plan);
+	proc_signal(&plan->scene->cluster->entries[event->index], SIGSTOP);
+	return true;
+}
+
+static bool thaw_entry(struct faultplan *plan, struct event *event)
+{
+	proc_signal(&plan->scene->cluster->entries[event->index], SIGCONT);
+	plan->entry_up[event->index] = true;
+	update_available(plan);
+	return true;
+}
+
+static bool kill_agent(struct faultplan *plan, struct event *event)
+{
+	proc_kill(&target_of(plan, event->index)->agent);
+	return true;
+}
+
+/* The stand-in announces to the address of the old agent, so it is replaced as well. */
+static bool replace_host(struct faultplan *plan, struct event *event)
+{
+	struct cluster_target *t = target_of(plan, event->index);
+	json_t *history;
+
+	proc_kill(&t->agent);
+	if (t->target.pid > 0) {
+		history = cluster_history(&t->target);
+		proc_kill(&t->target);
+		keep_history(plan, event->index, history, util_clock_ms());
+	}
+	restart(plan, cluster_start_target, event->index);
+	return true;
+}
+
+static bool freeze_agent(struct faultplan *plan, struct event *event)
+{
+	proc_signal(&target_of(plan, event->index)->agent, SIGSTOP);
+	return true;
+}
+
+static bool thaw_agent(struct faultplan *plan, struct event *event)
+{
+	struct cluster_target *t = target_of(plan, event->index);
+	json_t *history = cluster_history(&t->target);
+
+	note_last_start(plan, event, history);
+	json_decref(history);
+	proc_signal(&t->agent, SIGCONT);
+	return true;
+}
+
+/* The agent stands still meanwhile, so that no answer passes after the history was read. */
+static bool kill_target(struct faultplan *plan, struct event *event)
+{
+	struct cluster_target *t = target_of(plan, event->index);
+	json_t *history;
+
+	proc_signal(&t->agent, SIGSTOP);
+	history = cluster_history(&t->target);
+	proc_kill(&t->target);
+	proc_signal(&t->agent, SIGCONT);
+	keep_history(plan, event->index, history, util_clock_ms());
+	return true;
+}
+
+static bool start_stand_in(struct faultplan *plan, struct event *event)
+{
+	restart(plan, cluster_start_stand_in, event->index);
+	return true;
+}
+
+static bool freeze_target(struct faultplan *plan, struct event *event)
+{
+	proc_signal(&target_of(plan, event->index)->target, SIGSTOP);
+	return true;
+}
+
+static bool thaw_target(struct faultplan *plan, struct event *event)
+{
+	struct cluster_target *t = target_of(plan, event->index);
+
+	faultcheck_frozen(plan->scene->check, t->name, event->began_ms, util_clock_ms());
+	proc_signal(&t->target, SIGCONT);
+	return true;
+}
+
+static bool leave_target(struct faultplan *plan, struct event *event)
+{
+	proc_signal(&target_of(plan, event->index)->target, SIGTERM);
+	return true;
+}
+
+/* Reads the history of a target that leaves until it has ended, then starts it again. */
+static bool watch_leaving(struct faultplan *plan, struct event *event)
+{
+	struct cluster_target *t = target_of(plan, event->index);
+	json_t *history = t->target.pid > 0 ? cluster_history(&t->target) : NULL;
+
+	if (history) {
+		json_decref(plan->leaving[event->index]);
+		plan->leaving[event->index] = history;
+	}
+	if (t->target.pid > 0) {
+		if (waitpid(t->target.pid, NULL, WNOHANG) == 0)
+			return false;
+		t->target.pid = 0;
+		note_last_start(plan, event, plan->leaving[event->index]);
+		keep_history(plan, event->index, plan->leaving[event->index], util_clock_ms());
+		plan->leaving[event->index] = NULL;
+	}
+	if (util_clock_ms() < event->began_ms + event->duration_ms)
+		return false;
+	return start_stand_in(plan, event);
+}
+
+static bool set_store(struct faultplan *plan, bool up, const char *fault)
+{
+	cluster_fault(&plan->scene->cluster->store, fault);
+	if (plan->store_up != up) {
+		plan->store_up = up;
+		update_available(plan);
+	}
+	return true;
+}
+
+static bool store_down(struct faultplan *plan, struct event *event)
+{
+	return set_store(plan, false, "{\"down\":true}");
+}
+
+static bool store_slow(struct faultplan *plan, struct event *event)
+{
+	char fault[64];
+
+	snprintf(fault, sizeof(fault), "{\"slow_ms\":%u}", 200 + event->value % 1300);
+	return set_store(plan, true, fault);
+}
+
+static bool store_closing(struct faultplan *plan, struct event *event)
+{
+	return set_store(plan, false, "{\"close\":true}");
+}
+
+static bool store_heal(struct faultplan *plan, struct event *event)
+{
+	return set_store(plan, true,
+			 "{\"down\":false,\"close\":false,\"slow_ms\":0,\"lose_answers\":0}");
+}
+
+static bool store_loses(struct faultplan *plan, struct event *event)
+{
+	char fault[64];
+
+	snprintf(fault, sizeof(fault), "{\"lose_answers\":%u}", 1 + event->value % 8);
+	return set_store(plan, true, fault);
+}
+
+static bool lapse_leases(struct faultplan *plan, struct event *event)
+{
+	return set_store(plan, true, "{\"expire_leases\":true}");
+}
+
+static bool fail_starts(struct faultplan *plan, struct event *event)
+{
+	cluster_fault(&target_of(plan, event->index)->target, "{\"fail_starts\":true}");
+	return true;
+}
+
+static bool stop_failing(struct faultplan *plan, struct event *event)
+{
+	cluster_fault(&target_of(plan, event->index)->target, "{\"fail_starts\":false}");
+	return true;
+}
+
+static bool cut_answers(struct faultplan *plan, struct event *event)
+{
+	char fault[64];
+
+	snprintf(fault, sizeof(fault), "{\"cut_after\":%u}", 1 + event->value % 40);
+	cluster_fault(&target_of(plan, event->index)->target, fault);
+	return true;
+}
+
+static bool stop_cutting(struct faultplan *plan, struct event *event)
+{
+	cluster_fault(&target_of(plan, event->index)->target, "{\"cut_after\":0}");
+	return true;
+}
+
+static bool slow_target(struct faultplan *plan, struct event *event)
+{
+	cluster_fault(&target_of(plan, event->index)->target,
+		      "{\"slow_ms\":400,\"delay_answers\":true}");
+	return true;
+}
+
+static bool stop_slowness(struct faultplan *plan, struct event *event)
+{
+	cluster_fault(&target_of(plan, event->index)->target,
+		      "{\"slow_ms\":0,\"delay_answers\":false}");
+	return true;
+}
+
+static bool burst(struct faultplan *plan, struct event *event)
+{
+	faultload_burst(plan->scene->load, BURST_JOBS);
+	return true;
+}
+
+static const struct kind kinds[] = {
+	{"entry killed", ON_ENTRY, kill_entry, start_entry},
+	{"entry frozen", ON_ENTRY, freeze_entry, thaw_entry},
+	{"agent killed", ON_TARGET, kill_agent, replace_host},
+	{"agent frozen", ON_TARGET, freeze_agent, thaw_agent},
+	{"target killed", ON_TARGET, kill_target, start_stand_in},
+	{"target frozen", ON_TARGET, freeze_target, thaw_target},
+	{"target leaves", ON_TARGET, leave_target, watch_leaving},
+	{"store down", ON_STORE, store_down, store_heal},
+	{"store slow", ON_STORE, store_slow, store_heal},
+	{"store closes connections", ON_STORE, store_closing, store_heal},
+	{"store loses answers", ON_STORE, store_loses, store_heal},
+	{"leases lapse", ON_STORE, lapse_leases, NULL},
+	{"worker fails starts", ON_WORKER, fail_starts, stop_failing},
+	{"instance cuts answers", ON_INSTANCE, cut_answers, stop_cutting},
+	{"instance slow and out of order", ON_INSTANCE, slow_target, stop_slowness},
+	{"burst of jobs and cancellations", ON_CALLERS, burst, NULL},
+};
+
+static unsigned int pick_index(const struct cluster *c, enum on on, GRand *rand)
+{
+	unsigned int instances = 0;
+	int from = 0;
+	int until = 1;
+
+	while (instances < c->target_count && !c->targets[instances].is_worker)
+		instances++;
+	if (on == ON_ENTRY)
+		until = (int)c->entry_count;
+	if (on == ON_TARGET || on == ON_WORKER)
+		until = (int)c->target_count;
+	if (on == ON_INSTANCE)
+		until = (int)instances;
+	if (on == ON_WORKER)
+		from = (int)instances;
+	return (unsigned int)g_rand_int_range(rand, from, until);
+}
+
+static unsigned int object_of(const struct event *event)
+{
+	if (event->kind->on == ON_STORE || event->kind->on == ON_CALLERS)
+		return OBJECT_STORE;
+	return event->kind->on == ON_ENTRY ? event->index : CLUSTER_ENTRIES_MAX + event->index;
+}
+
+static struct event pick(const struct cluster *c, GRand *rand, uint64_t at_ms)
+{
+	struct event event = {
+		.at_ms = at_ms,
+		.kind = &kinds[g_rand_int_range(rand, 0, G_N_ELEMENTS(kinds))],
+		.duration_ms = (uint64_t)g_rand_int_range(rand, SHORTEST_MS, LONGEST_MS + 1),
+	};
+
+	event.index = pick_index(c, event.kind->on, rand);
+	event.value = g_rand_int(rand);
+	return event;
+}
+
+struct faultplan *faultplan_create(struct faultplan_scene *scene, uint64_t seed, uint64_t start_ms,
+				   uint64_t end_ms)
+{
+	struct faultplan *plan = g_new0(struct faultplan, 1);
+	GRand *rand = g_rand_new_with_seed((guint32)seed);
+	uint64_t busy_until[OBJECTS] = {0};
+	uint64_t at = start_ms;
+
+	plan->scene = scene;
+	plan->store_up = true;
+	for (unsigned int i = 0; i < scene->cluster->entry_count; i++)
+		plan->entry_up[i] = true;
+	while (at < end_ms && plan->count < EVENTS_MAX) {
+		struct event event = pick(scene->cluster, rand, at);
+		unsigned int object = object_of(&event);
+
+		/* One object has one failure at a time, with time to heal in between. */
+		if (busy_until[object] <= at) {
+			busy_until[object] = at + event.duration_ms + 2 * SHORTEST_MS;
+			plan->events[plan->count++] = event;
+		}
+		/* Every third failure begins together with the one before. */
+		if (g_rand_int_range(rand, 0, 3) > 0)
+			at += (uint64_t)g_rand_int_range(rand, 1000, 5000);
+	}
+	g_rand_free(rand);
+	return plan;
+}
+
+static void step(struct faultplan *plan, struct event *event)
+{
+	uint64_t now = util_clock_ms();
+
+	if (event->ended || now < plan->began_ms + event->at_ms)
+		return;
+	if (!event->began_ms) {
+		event->began_ms = now;
+		event->kind->begin(plan, event);
+		event->ended = !event->kind->heal;
+		return;
+	}
+	if (now < event->began_ms + event->duration_ms && event->kind->heal != watch_leaving)
+		return;
+	event->ended = event->kind->heal(plan, event);
+}
+
+bool faultplan_run(struct faultplan *plan)
+{
+	bool open = true;
+
+	plan->began_ms = util_clock_ms();
+	while (open && !plan->broken) {
+		open = false;
+		for (unsigned int i = 0; i < plan->count; i++) {
+			step(plan, &plan->events[i]);
+			open = open || !plan->events[i].ended;
+		}
+		g_usleep(TICK_US);
+	}
+	for (unsigned int i = 0; i < plan->scene->cluster->entry_count && !plan->broken; i++) {
+		void *ctx[2] = {plan, &i};
+
+		plan->broken = !wait_until(entry_knows_config, ctx, RESTART_TIMEOUT_MS);
+	}
+	return !plan->broken;
+}
+
+json_t *faultplan_events(const struct faultplan *plan)
+{
+	json_t *list = json_array();
+
+	for (unsigned int i = 0; i < plan->count; i++) {
+		const struct event *e = &plan->events[i];
+		const char *name = "";
+
+		if (e->kind->on == ON_ENTRY)
+			name = plan->scene->cluster->entries[e->index].name;
+		else if (e->kind->on != ON_STORE && e->kind->on != ON_CALLERS)
+			name = plan->scene->cluster->targets[e->index].name;
+		json_array_append_new(list,
+				      json_pack("{s:s, s:s, s:I, s:I, s:I}", "kind", e->kind->name,
+						"at", name, "at_ms", (json_int_t)e->at_ms,
+						"duration_ms", (json_int_t)e->duration_ms,
+						"clock_ms", (json_int_t)e->began_ms));
+	}
+	return list;
+}
+
+void faultplan_free(struct faultplan *plan)
+{
+	g_free(plan);
+}
--- /dev/null
+++ b/tests/lib_faultplan.h
@@ -0,0 +1,39 @@
+#ifndef JAYCOURSE_LIB_FAULTPLAN_H
+#define JAYCOURSE_LIB_FAULTPLAN_H
+
+#include "lib_faultcheck.h"
+
+/**
+ * DOC: A schedule of failures made from a seed, and its execution
+ */
+
+#define FAULTPLAN_GROUPS 3 /* of callers, whose histories are kept */
+
+struct faultplan_scene {
+	struct cluster *cluster;
+	struct faultload *load;
+	struct faultcheck *check;
+	struct callers *groups[FAULTPLAN_GROUPS];
+	double after_leave_s_max;
+};
+
+struct faultplan;
+
+/**
+ * faultplan_create() - make the schedule
+ * @scene: borrowed, outlives the plan
+ * @start_ms: no failure before this time after faultplan_run()
+ * @end_ms: no failure begins after this time
+ */
+struct faultplan *faultplan_create(struct faultplan_scene *scene, uint64_t seed, uint64_t start_ms,
+				   uint64_t end_ms);
+
+/** faultplan_run() - carry out the schedule and heal everything; false if a restart failed */
+bool faultplan_run(struct faultplan *plan);
+
+/** faultplan_events() - the schedule with its times as carried out; a new reference */
+json_t *faultplan_events(const struct faultplan *plan);
+
+void faultplan_free(struct faultplan *plan);
+
+#endif
--- /dev/null
+++ b/tests/measure_faults.c
@@ -0,0 +1,268 @@
+/* Puts a whole deployment under load and failures made from a seed, and checks what came of it. */
+#include "lib_faultplan.h"
+#include "util.h"
+
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define QUIET_MS 4000	      /* baseline before the first failure, and period after healing */
+#define SETTLE_MS 5000	      /* after healing, before the rate is measured again */
+#define JOBS_TIMEOUT_MS 90000 /* for all accepted jobs to end after healing */
+#define KNOWN_TIMEOUT_MS 30000
+#define AFTER_LEAVE_BOUND_S 3 /* design page, section 1.1, G6 */
+#define IN_FORCE_BOUND_S 6    /* design page, section 1.1, G8 */
+
+struct arguments {
+	uint64_t seed;
+	unsigned int seconds;
+	bool json_only;
+};
+
+struct rates {
+	double before;
+	double after;
+	double store_calls;
+};
+
+static struct cluster cluster;
+static struct faultplan_scene scene = {.cluster = &cluster};
+
+static const struct callers_options groups[FAULTPLAN_GROUPS] = {
+	{.threads = 3,
+	 .work_ms = 30,
+	 .class_name = "net-angle-check",
+	 .idempotent = "no",
+	 .balanced = true},
+	{.threads = 3,
+	 .work_ms = 30,
+	 .class_name = "net-angle-check",
+	 .idempotent = "yes",
+	 .balanced = true},
+	{.threads = 2,
+	 .work_ms = 30,
+	 .class_name = "net-angle-check",
+	 .idempotent = "no",
+	 .keys = true,
+	 .balanced = true},
+};
+
+static unsigned int whole_answers(void)
+{
+	unsigned int sum = 0;
+
+	for (int i = 0; i < FAULTPLAN_GROUPS; i++)
+		sum += callers_whole(scene.groups[i]);
+	return sum;
+}
+
+static double rate_of_answers(void)
+{
+	unsigned int before = whole_answers();
+	uint64_t start = util_clock_ms();
+
+	usleep(QUIET_MS * 1000);
+	return 1000.0 * (whole_answers() - before) / (double)(util_clock_ms() - start);
+}
+
+static double store_calls(void)
+{
+	char url[128];
+	struct http_reply reply;
+	json_t *json;
+	double sum;
+
+	snprintf(url, sizeof(url), "http://%s/stats", cluster.store.address[0]);
+	reply = http_call("GET", url, NULL, NULL, 5000);
+	json = json_loads(reply.body, 0, NULL);
+	http_free(&reply);
+	sum = json_number_value(json_object_get(json, "reads")) +
+	      json_number_value(json_object_get(json, "writes"));
+	json_decref(json);
+	return sum;
+}
+
+static bool all_targets_known(void *ctx)
+{
+	for (unsigned int i = 0; i < cluster.entry_count; i++) {
+		if (cluster_alive_targets(&cluster, i) < cluster.target_count)
+			return false;
+	}
+	return true;
+}
+
+static void add_summary(struct callers *callers, bool idempotent, struct callers_summary *sum)
+{
+	struct callers_summary s;
+
+	callers_summary(callers, &s);
+	sum->sent += s.sent;
+	sum->whole += s.whole;
+	sum->mixed += s.mixed;
+	sum->cut += s.cut;
+	sum->not_run += s.not_run;
+	sum->unknown += s.unknown;
+	sum->failed += s.failed;
+	sum->broken += s.broken;
+	sum->doubled += idempotent ? 0 : s.doubled;
+	sum->false_not_run += idempotent ? 0 : s.false_not_run;
+	sum->lost += s.lost;
+	if (s.slowest_ms > sum->slowest_ms)
+		sum->slowest_ms = s.slowest_ms;
+}
+
+static void add_workers(void)
+{
+	for (unsigned int i = 0; i < cluster.target_count; i++) {
+		json_t *history;
+
+		if (!cluster.targets[i].is_worker)
+			continue;
+		history = cluster_history(&cluster.targets[i].target);
+		faultcheck_add(scene.check, cluster.targets[i].name, history, UINT64_MAX);
+		json_decref(history);
+	}
+}
+
+static bool report(const struct arguments *a, const struct faultplan *plan,
+		   const struct rates *rates)
+{
+	struct callers_summary s = {0};
+	struct faultcheck_result jobs;
+	struct faultload_config config;
+	unsigned int lost;
+	unsigned int doubled;
+	json_t *json;
+
+	for (int i = 0; i < FAULTPLAN_GROUPS; i++)
+		add_summary(scene.groups[i], !strcmp(groups[i].idempotent, "yes"), &s);
+	add_workers();
+	jobs = faultcheck_jobs(scene.check, faultload_jobs(scene.load));
+	config = faultload_config_result(scene.load);
+	lost = s.lost + jobs.lost;
+	doubled = s.doubled + jobs.doubled;
+	json = json_pack("{s:I, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "seed",
+			 (json_int_t)a->seed, "requests", (int)s.sent, "jobs",
+			 (int)faultload_jobs(scene.load)->len, "lost", (int)lost, "doubled",
+			 (int)doubled, "false_not_run", (int)s.false_not_run, "partial_gangs",
+			 (int)jobs.partial_gangs, "mixed_answers", (int)s.mixed, "cut_answers",
+			 (int)s.cut);
+	json_object_update_new(json,
+			       json_pack("{s:f, s:f, s:i, s:f, s:f}", "after_leave_s_max",
+					 scene.after_leave_s_max, "config_in_force_s_max",
+					 config.in_force_s_max, "config_reverts",
+					 (int)config.reverts, "goodput_ratio",
+					 rates->before > 0 ? rates->after / rates->before : 0.0,
+					 "store_calls_per_s", rates->store_calls));
+	json_object_set_new(json, "told",
+			    json_pack("{s:i, s:i, s:i, s:i, s:i, s:I}", "whole", (int)s.whole,
+				      "not_run", (int)s.not_run, "unknown", (int)s.unknown,
+				      "failed", (int)s.failed, "broken", (int)s.broken,
+				      "slowest_ms", (json_int_t)s.slowest_ms));
+	json_object_set_new(json, "jobs_ended",
+			    json_pack("{s:i, s:i, s:i}", "done", (int)jobs.done, "failed",
+				      (int)jobs.failed, "cancelled", (int)jobs.cancelled));
+	json_object_set_new(json, "config_changes",
+			    json_pack("{s:i, s:i}", "accepted", (int)config.accepted, "conflicts",
+				      (int)config.conflicts));
+	json_object_set_new(json, "events", faultplan_events(plan));
+	json_dumpf(json, stdout,
+		   (a->json_only ? JSON_COMPACT : JSON_INDENT(1)) | JSON_REAL_PRECISION(4));
+	putchar('\n');
+	json_decref(json);
+	return !lost && !doubled && !s.false_not_run && !jobs.partial_gangs && !s.mixed && !s.cut &&
+	       !config.reverts && scene.after_leave_s_max <= AFTER_LEAVE_BOUND_S &&
+	       config.in_force_s_max <= IN_FORCE_BOUND_S;
+}
+
+static bool run(const struct arguments *a)
+{
+	struct faultplan *plan;
+	struct rates rates;
+	uint64_t start;
+	double calls;
+	bool ok;
+
+	scene.check = faultcheck_create();
+	scene.load = faultload_start(&cluster, a->seed);
+	if (!scene.load)
+		return false;
+	for (int i = 0; i < FAULTPLAN_GROUPS; i++)
+		scene.groups[i] = callers_start(&cluster, &groups[i]);
+	plan = faultplan_create(&scene, a->seed, 0, a->seconds * 1000ULL);
+	rates.before = rate_of_answers();
+	calls = store_calls();
+	start = util_clock_ms();
+	ok = faultplan_run(plan);
+	ok = ok && wait_until(all_targets_known, NULL, KNOWN_TIMEOUT_MS);
+	if (!ok)
+		fprintf(stderr, "not everything came back after the failures\n");
+	usleep(SETTLE_MS * 1000);
+	rates.after = rate_of_answers();
+	rates.store_calls = 1000.0 * (store_calls() - calls) / (double)(util_clock_ms() - start);
+	for (int i = 0; i < FAULTPLAN_GROUPS; i++)
+		callers_stop(scene.groups[i]);
+	faultload_stop(scene.load);
+	faultload_wait_jobs(scene.load, JOBS_TIMEOUT_MS);
+	ok = report(a, plan, &rates) && ok;
+	for (int i = 0; i < FAULTPLAN_GROUPS; i++)
+		callers_free(scene.groups[i]);
+	faultload_free(scene.load);
+	faultcheck_free(scene.check);
+	faultplan_free(plan);
+	return ok;
+}
+
+enum option_key {
+	OPT_SEED = 256,
+	OPT_SECONDS,
+	OPT_JSON,
+};
+
+static const struct argp_option options[] = {
+	{"seed", OPT_SEED, "N", 0, "Seed of the schedule and the load; default 1", 0},
+	{"seconds", OPT_SECONDS, "N", 0, "Length of the schedule of failures; default 40", 0},
+	{"json", OPT_JSON, NULL, 0, "Print the result on one line", 0},
+	{0},
+};
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct arguments *a = state->input;
+
+	switch (key) {
+	case OPT_SEED:
+		a->seed = strtoull(arg, NULL, 10);
+		return 0;
+	case OPT_SECONDS:
+		a->seconds = (unsigned int)strtoul(arg, NULL, 10);
+		return 0;
+	case OPT_JSON:
+		a->json_only = true;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+int main(int argc, char **argv)
+{
+	const struct argp argp = {
+		options, parse,
+		NULL,	 "Run a deployment on loopback under failures and check its guarantees.",
+		NULL,	 NULL,
+		NULL};
+	const struct cluster_options cluster_options = {
+		.example = "nefeli", .entries = 2, .services = 4, .workers = 9};
+	struct arguments a = {.seed = 1, .seconds = 40};
+	bool ok;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &a);
+	if (!cluster_start(&cluster, &cluster_options))
+		return EXIT_FAILURE;
+	ok = run(&a);
+	fprintf(stderr, "logs in %s\n", proc_log_folder());
+	return cluster_stop(&cluster) && ok ? EXIT_SUCCESS : EXIT_FAILURE;
+}
