--- a/tests/lib_callers.c
+++ b/tests/lib_callers.c
@@ -104,12 +104,20 @@
 	return NULL;
 }
 
+static bool send_again(const struct callers_options *o, enum told told)
+{
+	if (told == TOLD_UNKNOWN || told == TOLD_BROKEN)
+		return o->repeat_unknown;
+	return o->balanced && told == TOLD_NOT_RUN;
+}
+
 static void call(struct callers *callers, unsigned int thread, unsigned int number)
 {
 	const struct callers_options *o = &callers->options;
 	struct record *record = g_new0(struct record, 1);
 	unsigned int entry = next_ready(callers, thread + number);
 	uint64_t start = util_clock_ms();
+	bool uncertain = false;
 	char body[160];
 
 	snprintf(record->echo, sizeof(record->echo), "%08x-%u-%u", (unsigned int)callers->run_id,
@@ -123,8 +131,11 @@
 		record->told = judge(&reply, record->echo);
 		snprintf(record->text, sizeof(record->text), "%d %s", reply.status, reply.body);
 		http_free(&reply);
-		if (!o->balanced || record->told != TOLD_NOT_RUN)
+		if (uncertain && record->told == TOLD_NOT_RUN)
+			record->told = TOLD_UNKNOWN;
+		if (!send_again(o, record->told))
 			break;
+		uncertain = uncertain || record->told != TOLD_NOT_RUN;
 		entry = next_ready(callers, entry + 1);
 		g_usleep(RETRY_PAUSE_US);
 	}
--- a/tests/lib_callers.h
+++ b/tests/lib_callers.h
@@ -24,6 +24,11 @@
 	 * requests, and what was refused or not sent is sent to the next entry.
 	 */
 	bool balanced;
+	/*
+	 * Send a request with an unknown outcome again under its key. What is told "not run" after
+	 * that counts as unknown, as the first attempt may have run.
+	 */
+	bool repeat_unknown;
 };
 
 struct callers_summary {
--- a/tests/lib_faultcheck.c
+++ b/tests/lib_faultcheck.c
@@ -229,6 +229,10 @@
 	out->done += !strcmp(job->state, "done");
 	out->failed += !strcmp(job->state, "failed");
 	out->cancelled += !strcmp(job->state, "cancelled");
+	if (!strcmp(job->state, "failed") && job->idempotent) {
+		out->failed_idempotent++;
+		print_tasks(job, tasks, "failed");
+	}
 	if (!job->ended) {
 		out->lost++;
 		print_tasks(job, tasks, "did not end");
--- a/tests/lib_faultcheck.h
+++ b/tests/lib_faultcheck.h
@@ -15,6 +15,7 @@
 	unsigned int partial_gangs; /* ran with only part of its members for longer than 4 s */
 	unsigned int done;
 	unsigned int failed;
+	unsigned int failed_idempotent; /* could have been tried again */
 	unsigned int cancelled;
 };
 
--- a/tests/lib_faultplan.c
+++ b/tests/lib_faultplan.c
@@ -96,8 +96,8 @@
 static void keep_history(struct faultplan *plan, unsigned int index, json_t *history,
 			 uint64_t ended_ms)
 {
-	for (int i = 0; i < FAULTPLAN_GROUPS; i++)
-		callers_add_history(plan->scene->groups[i], history);
+	for (guint i = 0; i < plan->scene->groups->len; i++)
+		callers_add_history(g_ptr_array_index(plan->scene->groups, i), history);
 	faultcheck_add(plan->scene->check, target_of(plan, index)->name, history, ended_ms);
 	json_decref(history);
 }
@@ -379,6 +379,22 @@
 	return true;
 }
 
+/* Ends by itself: each caller sends a fixed number of requests. */
+static bool burst_of_requests(struct faultplan *plan, struct event *event)
+{
+	const struct callers_options options = {
+		.threads = CALLERS_MAX,
+		.requests_per_thread = 1 + event->value % 20,
+		.work_ms = 50,
+		.class_name = "net-angle-check",
+		.idempotent = "no",
+		.balanced = true,
+	};
+
+	g_ptr_array_add(plan->scene->groups, callers_start(plan->scene->cluster, &options));
+	return true;
+}
+
 static const struct kind kinds[] = {
 	{"entry killed", ON_ENTRY, kill_entry, start_entry},
 	{"entry frozen", ON_ENTRY, freeze_entry, thaw_entry},
@@ -396,6 +412,7 @@
 	{"instance cuts answers", ON_INSTANCE, cut_answers, stop_cutting},
 	{"instance slow and out of order", ON_INSTANCE, slow_target, stop_slowness},
 	{"burst of jobs and cancellations", ON_CALLERS, burst, NULL},
+	{"burst of requests", ON_CALLERS, burst_of_requests, NULL},
 };
 
 static unsigned int pick_index(const struct cluster *c, enum on on, GRand *rand)
--- a/tests/lib_faultplan.h
+++ b/tests/lib_faultplan.h
@@ -7,13 +7,11 @@
  * DOC: A schedule of failures made from a seed, and its execution
  */
 
-#define FAULTPLAN_GROUPS 3 /* of callers, whose histories are kept */
-
 struct faultplan_scene {
 	struct cluster *cluster;
 	struct faultload *load;
 	struct faultcheck *check;
-	struct callers *groups[FAULTPLAN_GROUPS];
+	GPtrArray *groups; /* struct callers; bursts of requests are added; owned by the caller */
 	double after_leave_s_max;
 };
 
--- a/tests/measure_faults.c
+++ b/tests/measure_faults.c
@@ -30,7 +30,7 @@
 static struct cluster cluster;
 static struct faultplan_scene scene = {.cluster = &cluster};
 
-static const struct callers_options groups[FAULTPLAN_GROUPS] = {
+static const struct callers_options groups[] = {
 	{.threads = 3,
 	 .work_ms = 30,
 	 .class_name = "net-angle-check",
@@ -46,15 +46,16 @@
 	 .class_name = "net-angle-check",
 	 .idempotent = "no",
 	 .keys = true,
-	 .balanced = true},
+	 .balanced = true,
+	 .repeat_unknown = true},
 };
 
 static unsigned int whole_answers(void)
 {
 	unsigned int sum = 0;
 
-	for (int i = 0; i < FAULTPLAN_GROUPS; i++)
-		sum += callers_whole(scene.groups[i]);
+	for (guint i = 0; i < scene.groups->len; i++)
+		sum += callers_whole(g_ptr_array_index(scene.groups, i));
 	return sum;
 }
 
@@ -136,8 +137,11 @@
 	unsigned int doubled;
 	json_t *json;
 
-	for (int i = 0; i < FAULTPLAN_GROUPS; i++)
-		add_summary(scene.groups[i], !strcmp(groups[i].idempotent, "yes"), &s);
+	for (guint i = 0; i < scene.groups->len; i++) {
+		bool idempotent = i < G_N_ELEMENTS(groups) && !strcmp(groups[i].idempotent, "yes");
+
+		add_summary(g_ptr_array_index(scene.groups, i), idempotent, &s);
+	}
 	add_workers();
 	jobs = faultcheck_jobs(scene.check, faultload_jobs(scene.load));
 	config = faultload_config_result(scene.load);
@@ -162,8 +166,10 @@
 				      "failed", (int)s.failed, "broken", (int)s.broken,
 				      "slowest_ms", (json_int_t)s.slowest_ms));
 	json_object_set_new(json, "jobs_ended",
-			    json_pack("{s:i, s:i, s:i}", "done", (int)jobs.done, "failed",
-				      (int)jobs.failed, "cancelled", (int)jobs.cancelled));
+			    json_pack("{s:i, s:i, s:i, s:i}", "done", (int)jobs.done, "failed",
+				      (int)jobs.failed, "failed_idempotent",
+				      (int)jobs.failed_idempotent, "cancelled",
+				      (int)jobs.cancelled));
 	json_object_set_new(json, "config_changes",
 			    json_pack("{s:i, s:i}", "accepted", (int)config.accepted, "conflicts",
 				      (int)config.conflicts));
@@ -189,8 +195,9 @@
 	scene.load = faultload_start(&cluster, a->seed);
 	if (!scene.load)
 		return false;
-	for (int i = 0; i < FAULTPLAN_GROUPS; i++)
-		scene.groups[i] = callers_start(&cluster, &groups[i]);
+	scene.groups = g_ptr_array_new_with_free_func((GDestroyNotify)callers_free);
+	for (size_t i = 0; i < G_N_ELEMENTS(groups); i++)
+		g_ptr_array_add(scene.groups, callers_start(&cluster, &groups[i]));
 	plan = faultplan_create(&scene, a->seed, 0, a->seconds * 1000ULL);
 	rates.before = rate_of_answers();
 	calls = store_calls();
@@ -202,13 +209,12 @@
 	usleep(SETTLE_MS * 1000);
 	rates.after = rate_of_answers();
 	rates.store_calls = 1000.0 * (store_calls() - calls) / (double)(util_clock_ms() - start);
-	for (int i = 0; i < FAULTPLAN_GROUPS; i++)
-		callers_stop(scene.groups[i]);
+	for (guint i = 0; i < scene.groups->len; i++)
+		callers_stop(g_ptr_array_index(scene.groups, i));
 	faultload_stop(scene.load);
 	faultload_wait_jobs(scene.load, JOBS_TIMEOUT_MS);
 	ok = report(a, plan, &rates) && ok;
-	for (int i = 0; i < FAULTPLAN_GROUPS; i++)
-		callers_free(scene.groups[i]);
+	g_ptr_array_free(scene.groups, TRUE);
 	faultload_free(scene.load);
 	faultcheck_free(scene.check);
 	faultplan_free(plan);
--- /dev/null
+++ b/tests/test_faultcheck.c
@@ -0,0 +1,136 @@
+#include "lib_faultcheck.h"
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+
+struct row {
+	const char *what;
+	const char *state; /* of the job */
+	unsigned int members;
+	bool idempotent;
+	/* attempt.member, start, end, state and reason of each task at one worker */
+	const char *tasks;
+	struct faultcheck_result expected; /* only the first three counters */
+};
+
+static const struct row rows[] = {
+	{"whole gang", "done", 2, true, "1.0 100 5000 done -, 1.1 200 5100 done -", {0}},
+	{"ended before it started again",
+	 "done",
+	 1,
+	 true,
+	 "1.0 100 900 stopped lapsed, 2.0 1000 2000 done -",
+	 {0}},
+	{"attempts overlap",
+	 "done",
+	 1,
+	 true,
+	 "1.0 100 900 stopped asked, 2.0 800 2000 done -",
+	 {.doubled = 1}},
+	{"one member twice",
+	 "done",
+	 1,
+	 true,
+	 "1.0 100 900 done -, 1.0 1000 2000 done -",
+	 {.lost = 1, .doubled = 1}},
+	{"not idempotent, again after a failure",
+	 "done",
+	 1,
+	 false,
+	 "1.0 100 900 stopped lapsed, 2.0 1000 2000 done -",
+	 {.doubled = 1}},
+	{"not idempotent, again after an eviction",
+	 "done",
+	 1,
+	 false,
+	 "1.0 100 900 stopped asked, 2.0 1000 2000 done -",
+	 {0}},
+	{"member missing from the start",
+	 "failed",
+	 2,
+	 true,
+	 "1.0 100 4200 stopped asked",
+	 {.partial_gangs = 1}},
+	{"member missing shortly", "failed", 2, true, "1.0 100 4000 stopped asked", {0}},
+	{"member lost, the other goes on",
+	 "failed",
+	 2,
+	 true,
+	 "1.0 100 1000 stopped lapsed, 1.1 100 5100 stopped asked",
+	 {.partial_gangs = 1}},
+	{"member done early", "done", 2, true, "1.0 100 1000 done -, 1.1 100 9000 done -", {0}},
+	{"done without a run", "done", 1, true, "", {.lost = 1}},
+	{"done with part of its members", "done", 2, true, "1.0 100 900 done -", {.lost = 1}},
+	{"cancelled without request", "cancelled", 1, true, "", {.lost = 1}},
+	{"not ended", "running", 1, true, "", {.lost = 1}},
+};
+
+static json_t *history_of(const char *tasks)
+{
+	json_t *list = json_array();
+	char text[256];
+	char *save = NULL;
+
+	snprintf(text, sizeof(text), "%s", tasks);
+	for (char *word = strtok_r(text, ",", &save); word; word = strtok_r(NULL, ",", &save)) {
+		char number[16];
+		char state[16];
+		char reason[16];
+		char id[32];
+		int start;
+		int end;
+
+		if (sscanf(word, " %15s %d %d %15s %15s", number, &start, &end, state, reason) != 5)
+			CU_FAIL("a row is malformed");
+		snprintf(id, sizeof(id), "job.%s", number);
+		json_array_append_new(list, json_pack("{s:s, s:s, s:s, s:i, s:i}", "id", id,
+						      "state", state, "reason", reason,
+						      "started_ms", start, "ended_ms", end));
+	}
+	return json_pack("{s:o}", "tasks", list);
+}
+
+/* Guards against checks of the fault experiment that find nothing. */
+static void test_rows(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		const struct row *row = &rows[i];
+		struct faultload_job job = {.id = "job", .class_name = "class"};
+		struct faultcheck *check = faultcheck_create();
+		GPtrArray *jobs = g_ptr_array_new();
+		json_t *history = history_of(row->tasks);
+		struct faultcheck_result got;
+
+		job.members = row->members;
+		job.idempotent = row->idempotent;
+		job.ended = strcmp(row->state, "running") != 0;
+		snprintf(job.state, sizeof(job.state), "%s", row->state);
+		g_ptr_array_add(jobs, &job);
+		faultcheck_add(check, "worker", history, UINT64_MAX);
+		got = faultcheck_jobs(check, jobs);
+		if (got.lost != row->expected.lost || got.doubled != row->expected.doubled ||
+		    got.partial_gangs != row->expected.partial_gangs) {
+			fprintf(stderr, "row \"%s\": lost %u, doubled %u, partial %u\n", row->what,
+				got.lost, got.doubled, got.partial_gangs);
+			CU_FAIL("a row has another result");
+		}
+		json_decref(history);
+		g_ptr_array_free(jobs, TRUE);
+		faultcheck_free(check);
+	}
+}
+
+int main(void)
+{
+	unsigned int failures;
+	CU_pSuite suite;
+
+	CU_initialize_registry();
+	suite = CU_add_suite("faultcheck", NULL, NULL);
+	CU_add_test(suite, "rows", test_rows);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failures != 0;
+}
