measure_faults: whole racks, all entries at once, long gangs

Hosts, racks and all entries are killed at once. One job in five runs for 12 s, since a gang that goes on with part of its members for longer than 4 s cannot be seen in shorter ones.

--- a/tests/lib_faultload.c
+++ b/tests/lib_faultload.c
@@ -8,6 +8,8 @@
 
 #define SUBMIT_TRIES 6
 #define PAUSE_US 20000
+#define LONG_RUN_MS \
+	12000 /* a gang that runs in part for longer than 4 s is seen only in long jobs */
 #define WATCH_PAUSE_US 50000
 #define WATCH_TIMEOUT_MS 500
 
@@ -95,6 +97,7 @@
 	unsigned int class = (unsigned int)g_rand_int_range(load->rand, 0, 3);
 	unsigned int entry = (unsigned int)g_rand_int_range(load->rand, 0, 2);
 	bool again = g_rand_int_range(load->rand, 0, 5) == 0;
+	bool is_long = g_rand_int_range(load->rand, 0, 5) == 0;
 	char body[512];
 	char key[64];
 	int status = 0;
@@ -110,7 +113,7 @@
 		 "\"memory_gb\":8,\"within\":\"zone\",\"declared_s\":3,"
 		 "\"payload\":{\"run_ms\":%d}}",
 		 job->class_name, job->members, g_rand_int_range(load->rand, 1, 5),
-		 g_rand_int_range(load->rand, 300, 5000));
+		 is_long ? LONG_RUN_MS : g_rand_int_range(load->rand, 300, 4000));
 	for (unsigned int i = 0; i < SUBMIT_TRIES && status != 202; i++)
 		status = try_submit(load, job, (entry + i) % load->c->entry_count, key, body);
 	/* A caller that lost the answer sends the key again, to another entry. */
--- a/tests/lib_faultplan.c
+++ b/tests/lib_faultplan.c
@@ -11,11 +11,14 @@
 #define LONGEST_MS 8000
 #define RESTART_TIMEOUT_MS 30000
 #define BURST_JOBS 16
+#define WORKERS_PER_RACK 3 /* as lib_cluster.c names them */
 #define OBJECTS (CLUSTER_ENTRIES_MAX + CLUSTER_TARGETS_MAX + 1)
 #define OBJECT_STORE (OBJECTS - 1)
 
 enum on {
 	ON_ENTRY,
+	ON_ALL_ENTRIES,
+	ON_RACK,   /* three workers with their agents */
 	ON_TARGET, /* instance or worker, with its agent */
 	ON_INSTANCE,
 	ON_WORKER,
@@ -29,7 +32,8 @@
 	uint64_t began_ms; /* util_clock_ms(), 0 before */
 	const struct kind *kind;
 	unsigned int index;
-	uint32_t value; /* strength of the failure */
+	unsigned int span; /* entries or targets from index on */
+	uint32_t value;	   /* strength of the failure */
 	bool ended;
 };
 
@@ -136,8 +140,10 @@
 
 static bool kill_entry(struct faultplan *plan, struct event *event)
 {
-	proc_kill(&plan->scene->cluster->entries[event->index]);
-	plan->entry_up[event->index] = false;
+	for (unsigned int i = event->index; i < event->index + event->span; i++) {
+		proc_kill(&plan->scene->cluster->entries[i]);
+		plan->entry_up[i] = false;
+	}
 	update_available(plan);
 	return true;
 }
@@ -160,8 +166,10 @@
 
 static bool start_entry(struct faultplan *plan, struct event *event)
 {
-	restart(plan, cluster_start_entry, event->index);
-	plan->entry_up[event->index] = true;
+	for (unsigned int i = event->index; i < event->index + event->span; i++) {
+		restart(plan, cluster_start_entry, i);
+		plan->entry_up[i] = true;
+	}
 	update_available(plan);
 	return true;
 }
@@ -235,6 +243,29 @@
 	return true;
 }
 
+/* Kills the stand-ins and agents of several hosts at nearly the same time. */
+static bool kill_hosts(struct faultplan *plan, struct event *event)
+{
+	for (unsigned int i = event->index; i < event->index + event->span; i++)
+		proc_signal(&target_of(plan, i)->agent, SIGSTOP);
+	for (unsigned int i = event->index; i < event->index + event->span; i++) {
+		struct cluster_target *t = target_of(plan, i);
+		json_t *history = cluster_history(&t->target);
+
+		proc_kill(&t->target);
+		keep_history(plan, i, history, util_clock_ms());
+		proc_kill(&t->agent);
+	}
+	return true;
+}
+
+static bool start_hosts(struct faultplan *plan, struct event *event)
+{
+	for (unsigned int i = event->index; i < event->index + event->span; i++)
+		restart(plan, cluster_start_target, i);
+	return true;
+}
+
 static bool start_stand_in(struct faultplan *plan, struct event *event)
 {
 	restart(plan, cluster_start_stand_in, event->index);
@@ -338,9 +369,11 @@
 	return true;
 }
 
-static bool stop_failing(struct faultplan *plan, struct event *event)
+static bool stop_faults(struct faultplan *plan, struct event *event)
 {
-	cluster_fault(&target_of(plan, event->index)->target, "{\"fail_starts\":false}");
+	cluster_fault(&target_of(plan, event->index)->target,
+		      "{\"fail_starts\":false,\"cut_after\":0,\"slow_ms\":0,"
+		      "\"delay_answers\":false}");
 	return true;
 }
 
@@ -353,12 +386,6 @@
 	return true;
 }
 
-static bool stop_cutting(struct faultplan *plan, struct event *event)
-{
-	cluster_fault(&target_of(plan, event->index)->target, "{\"cut_after\":0}");
-	return true;
-}
-
 static bool slow_target(struct faultplan *plan, struct event *event)
 {
 	cluster_fault(&target_of(plan, event->index)->target,
@@ -366,13 +393,6 @@
 	return true;
 }
 
-static bool stop_slowness(struct faultplan *plan, struct event *event)
-{
-	cluster_fault(&target_of(plan, event->index)->target,
-		      "{\"slow_ms\":0,\"delay_answers\":false}");
-	return true;
-}
-
 static bool burst(struct faultplan *plan, struct event *event)
 {
 	faultload_burst(plan->scene->load, BURST_JOBS);
@@ -403,14 +423,17 @@
 	{"target killed", ON_TARGET, kill_target, start_stand_in},
 	{"target frozen", ON_TARGET, freeze_target, thaw_target},
 	{"target leaves", ON_TARGET, leave_target, watch_leaving},
+	{"host killed", ON_TARGET, kill_hosts, start_hosts},
+	{"rack lost", ON_RACK, kill_hosts, start_hosts},
+	{"all entries killed", ON_ALL_ENTRIES, kill_entry, start_entry},
 	{"store down", ON_STORE, store_down, store_heal},
 	{"store slow", ON_STORE, store_slow, store_heal},
 	{"store closes connections", ON_STORE, store_closing, store_heal},
 	{"store loses answers", ON_STORE, store_loses, store_heal},
 	{"leases lapse", ON_STORE, lapse_leases, NULL},
-	{"worker fails starts", ON_WORKER, fail_starts, stop_failing},
-	{"instance cuts answers", ON_INSTANCE, cut_answers, stop_cutting},
-	{"instance slow and out of order", ON_INSTANCE, slow_target, stop_slowness},
+	{"worker fails starts", ON_WORKER, fail_starts, stop_faults},
+	{"instance cuts answers", ON_INSTANCE, cut_answers, stop_faults},
+	{"instance slow and out of order", ON_INSTANCE, slow_target, stop_faults},
 	{"burst of jobs and cancellations", ON_CALLERS, burst, NULL},
 	{"burst of requests", ON_CALLERS, burst_of_requests, NULL},
 };
@@ -431,6 +454,12 @@
 		until = (int)instances;
 	if (on == ON_WORKER)
 		from = (int)instances;
+	if (on == ON_RACK) {
+		int racks = (int)(c->target_count - instances) / WORKERS_PER_RACK;
+
+		return instances +
+		       WORKERS_PER_RACK * (unsigned int)g_rand_int_range(rand, 0, racks);
+	}
 	return (unsigned int)g_rand_int_range(rand, from, until);
 }
 
@@ -438,7 +467,9 @@
 {
 	if (event->kind->on == ON_STORE || event->kind->on == ON_CALLERS)
 		return OBJECT_STORE;
-	return event->kind->on == ON_ENTRY ? event->index : CLUSTER_ENTRIES_MAX + event->index;
+	return event->kind->on == ON_ENTRY || event->kind->on == ON_ALL_ENTRIES
+		       ? event->index
+		       : CLUSTER_ENTRIES_MAX + event->index;
 }
 
 static struct event pick(const struct cluster *c, GRand *rand, uint64_t at_ms)
@@ -450,10 +481,29 @@
 	};
 
 	event.index = pick_index(c, event.kind->on, rand);
+	event.span = 1;
+	if (event.kind->on == ON_RACK)
+		event.span = WORKERS_PER_RACK;
+	if (event.kind->on == ON_ALL_ENTRIES)
+		event.span = c->entry_count;
 	event.value = g_rand_int(rand);
 	return event;
 }
 
+/* One object has one failure at a time, with time to heal in between. */
+static bool reserve(uint64_t *busy_until, const struct event *event)
+{
+	unsigned int object = object_of(event);
+
+	for (unsigned int i = object; i < object + event->span; i++) {
+		if (busy_until[i] > event->at_ms)
+			return false;
+	}
+	for (unsigned int i = object; i < object + event->span; i++)
+		busy_until[i] = event->at_ms + event->duration_ms + 2 * SHORTEST_MS;
+	return true;
+}
+
 struct faultplan *faultplan_create(struct faultplan_scene *scene, uint64_t seed, uint64_t start_ms,
 				   uint64_t end_ms)
 {
@@ -468,13 +518,9 @@
 		plan->entry_up[i] = true;
 	while (at < end_ms && plan->count < EVENTS_MAX) {
 		struct event event = pick(scene->cluster, rand, at);
-		unsigned int object = object_of(&event);
 
-		/* One object has one failure at a time, with time to heal in between. */
-		if (busy_until[object] <= at) {
-			busy_until[object] = at + event.duration_ms + 2 * SHORTEST_MS;
+		if (reserve(busy_until, &event))
 			plan->events[plan->count++] = event;
-		}
 		/* Every third failure begins together with the one before. */
 		if (g_rand_int_range(rand, 0, 3) > 0)
 			at += (uint64_t)g_rand_int_range(rand, 1000, 5000);
@@ -529,7 +575,7 @@
 		const struct event *e = &plan->events[i];
 		const char *name = "";
 
-		if (e->kind->on == ON_ENTRY)
+		if (e->kind->on == ON_ENTRY || e->kind->on == ON_ALL_ENTRIES)
 			name = plan->scene->cluster->entries[e->index].name;
 		else if (e->kind->on != ON_STORE && e->kind->on != ON_CALLERS)
 			name = plan->scene->cluster->targets[e->index].name;
--- a/tests/measure_faults.c
+++ b/tests/measure_faults.c
@@ -50,22 +50,22 @@
 	 .repeat_unknown = true},
 };
 
-static unsigned int whole_answers(void)
+static unsigned int whole_answers(const GPtrArray *callers)
 {
 	unsigned int sum = 0;
 
-	for (guint i = 0; i < scene.groups->len; i++)
-		sum += callers_whole(g_ptr_array_index(scene.groups, i));
+	for (guint i = 0; i < callers->len; i++)
+		sum += callers_whole(g_ptr_array_index(callers, i));
 	return sum;
 }
 
-static double rate_of_answers(void)
+static double rate_of_answers(const GPtrArray *callers)
 {
-	unsigned int before = whole_answers();
+	unsigned int before = whole_answers(callers);
 	uint64_t start = util_clock_ms();
 
 	usleep(QUIET_MS * 1000);
-	return 1000.0 * (whole_answers() - before) / (double)(util_clock_ms() - start);
+	return 1000.0 * (whole_answers(callers) - before) / (double)(util_clock_ms() - start);
 }
 
 static double store_calls(void)
@@ -128,7 +128,7 @@
 }
 
 static bool report(const struct arguments *a, const struct faultplan *plan,
-		   const struct rates *rates)
+		   const struct rates *rates, const GPtrArray *callers)
 {
 	struct callers_summary s = {0};
 	struct faultcheck_result jobs;
@@ -137,10 +137,10 @@
 	unsigned int doubled;
 	json_t *json;
 
-	for (guint i = 0; i < scene.groups->len; i++) {
+	for (guint i = 0; i < callers->len; i++) {
 		bool idempotent = i < G_N_ELEMENTS(groups) && !strcmp(groups[i].idempotent, "yes");
 
-		add_summary(g_ptr_array_index(scene.groups, i), idempotent, &s);
+		add_summary(g_ptr_array_index(callers, i), idempotent, &s);
 	}
 	add_workers();
 	jobs = faultcheck_jobs(scene.check, faultload_jobs(scene.load));
@@ -185,6 +185,7 @@
 
 static bool run(const struct arguments *a)
 {
+	GPtrArray *callers;
 	struct faultplan *plan;
 	struct rates rates;
 	uint64_t start;
@@ -195,11 +196,12 @@
 	scene.load = faultload_start(&cluster, a->seed);
 	if (!scene.load)
 		return false;
-	scene.groups = g_ptr_array_new_with_free_func((GDestroyNotify)callers_free);
+	callers = g_ptr_array_new_with_free_func((GDestroyNotify)callers_free);
+	scene.groups = callers;
 	for (size_t i = 0; i < G_N_ELEMENTS(groups); i++)
-		g_ptr_array_add(scene.groups, callers_start(&cluster, &groups[i]));
+		g_ptr_array_add(callers, callers_start(&cluster, &groups[i]));
 	plan = faultplan_create(&scene, a->seed, 0, a->seconds * 1000ULL);
-	rates.before = rate_of_answers();
+	rates.before = rate_of_answers(callers);
 	calls = store_calls();
 	start = util_clock_ms();
 	ok = faultplan_run(plan);
@@ -207,14 +209,14 @@
 	if (!ok)
 		fprintf(stderr, "not everything came back after the failures\n");
 	usleep(SETTLE_MS * 1000);
-	rates.after = rate_of_answers();
+	rates.after = rate_of_answers(callers);
 	rates.store_calls = 1000.0 * (store_calls() - calls) / (double)(util_clock_ms() - start);
-	for (guint i = 0; i < scene.groups->len; i++)
-		callers_stop(g_ptr_array_index(scene.groups, i));
+	for (guint i = 0; i < callers->len; i++)
+		callers_stop(g_ptr_array_index(callers, i));
 	faultload_stop(scene.load);
 	faultload_wait_jobs(scene.load, JOBS_TIMEOUT_MS);
-	ok = report(a, plan, &rates) && ok;
-	g_ptr_array_free(scene.groups, TRUE);
+	ok = report(a, plan, &rates, callers) && ok;
+	g_ptr_array_free(callers, TRUE);
 	faultload_free(scene.load);
 	faultcheck_free(scene.check);
 	faultplan_free(plan);
