--- a/tests/lib_callers.c
+++ b/tests/lib_callers.c
@@ -38,6 +38,7 @@
 	GPtrArray *histories; /* json_t */
 	atomic_bool stop;
 	atomic_uint sent;
+	atomic_uint whole;
 	atomic_uint next_thread;
 	uint64_t run_id;
 	bool joined;
@@ -103,12 +104,20 @@
 	return NULL;
 }
 
+static bool send_again(const struct callers_options *o, enum told told)
+{
+	if (told == TOLD_UNKNOWN || told == TOLD_BROKEN)
+		return o->repeat_unknown;
+	return o->balanced && told == TOLD_NOT_RUN;
+}
+
 static void call(struct callers *callers, unsigned int thread, unsigned int number)
 {
 	const struct callers_options *o = &callers->options;
 	struct record *record = g_new0(struct record, 1);
 	unsigned int entry = next_ready(callers, thread + number);
 	uint64_t start = util_clock_ms();
+	bool uncertain = false;
 	char body[160];
 
 	snprintf(record->echo, sizeof(record->echo), "%08x-%u-%u", (unsigned int)callers->run_id,
@@ -122,13 +131,18 @@
 		record->told = judge(&reply, record->echo);
 		snprintf(record->text, sizeof(record->text), "%d %s", reply.status, reply.body);
 		http_free(&reply);
-		if (!o->balanced || record->told != TOLD_NOT_RUN)
+		if (uncertain && record->told == TOLD_NOT_RUN)
+			record->told = TOLD_UNKNOWN;
+		if (!send_again(o, record->told))
 			break;
+		uncertain = uncertain || record->told != TOLD_NOT_RUN;
 		entry = next_ready(callers, entry + 1);
 		g_usleep(RETRY_PAUSE_US);
 	}
 	record->took_ms = util_clock_ms() - start;
 	atomic_fetch_add(&callers->sent, 1);
+	if (record->told == TOLD_WHOLE)
+		atomic_fetch_add(&callers->whole, 1);
 	pthread_mutex_lock(&callers->lock);
 	g_ptr_array_add(callers->records, record);
 	pthread_mutex_unlock(&callers->lock);
@@ -184,6 +198,16 @@
 	return atomic_load(&callers->sent);
 }
 
+unsigned int callers_whole(struct callers *callers)
+{
+	return atomic_load(&callers->whole);
+}
+
+void callers_add_history(struct callers *callers, json_t *history)
+{
+	g_ptr_array_add(callers->histories, json_incref(history));
+}
+
 void callers_keep_history(struct callers *callers, const struct proc *stand_in)
 {
 	json_t *history = cluster_history(stand_in);
--- a/tests/lib_callers.h
+++ b/tests/lib_callers.h
@@ -24,6 +24,11 @@
 	 * requests, and what was refused or not sent is sent to the next entry.
 	 */
 	bool balanced;
+	/*
+	 * Send a request with an unknown outcome again under its key. What is told "not run" after
+	 * that counts as unknown, as the first attempt may have run.
+	 */
+	bool repeat_unknown;
 };
 
 struct callers_summary {
@@ -64,6 +69,14 @@
 /** callers_keep_history() - take over the history of a stand-in that is about to end */
 void callers_keep_history(struct callers *callers, const struct proc *stand_in);
 
+/** callers_add_history() - take a reference to a history fetched before; counted as another
+ * stand-in's
+ */
+void callers_add_history(struct callers *callers, json_t *history);
+
+/** callers_whole() - whole answers with the caller's own echo so far */
+unsigned int callers_whole(struct callers *callers);
+
 /** callers_sent() - requests sent so far */
 unsigned int callers_sent(struct callers *callers);
 
