--- a/tests/measure_costs.c
+++ b/tests/measure_costs.c
@@ -172,6 +172,39 @@
 	return true;
 }
 
+/* Control bytes a second of all agents while one gang runs. */
+static bool measure_running(const struct totals *idle, json_t *out)
+{
+	static const unsigned int members[POINTS] = {2, 8, 16, 24};
+	double bytes[POINTS];
+
+	for (int i = 0; i < POINTS; i++) {
+		struct totals before;
+		struct totals after;
+		char body[256];
+		char id[32];
+
+		snprintf(body, sizeof(body),
+			 "{\"class\":\"yield-forecast\",\"members\":%u,\"accelerators\":1,"
+			 "\"cores\":1,\"memory_gb\":1,\"declared_s\":20,"
+			 "\"payload\":{\"run_ms\":20000}}",
+			 members[i]);
+		if (cluster_submit(&cluster, 0, NULL, body, id) != 202 ||
+		    !cluster_wait_job(&cluster, 0, id, "running", 30000))
+			return false;
+		sleep(3);
+		before = totals();
+		sleep(10);
+		after = spent(&before, idle);
+		bytes[i] = after.agent_bytes / 10.0;
+		if (!cluster_wait_job(&cluster, 0, id, "done", 60000))
+			return false;
+	}
+	json_object_set_new(out, "agents_bytes_per_s_over_running_members",
+			    line_json(members, bytes));
+	return true;
+}
+
 int main(void)
 {
 	struct cluster_options options = {
@@ -184,7 +217,8 @@
 		return 1;
 	sleep(15); /* heartbeats lengthen their period after 10 s without change */
 	idle = measure_idle();
-	ok = measure_gangs(&idle, out) && measure_changes(&idle, out);
+	ok = measure_gangs(&idle, out) && measure_running(&idle, out) &&
+	     measure_changes(&idle, out);
 	json_dumpf(out, stdout, JSON_INDENT(1) | JSON_REAL_PRECISION(5));
 	putchar('\n');
 	json_decref(out);
