member: rows that the home entry suspects are removed in time

Cause: a digest from the home entry counted as a sign of life for all its rows, also suspect ones, so the other entries began to count a dead agent's silence only when its home had removed it. Before: test_member/removal fails; after: it passes.

--- a/src/member.c
+++ b/src/member.c
@@ -474,13 +474,16 @@
 	*when = now_ms;
 }
 
-/* The home entry vouches for all its rows; returns those it has healed through notify(). */
+/*
+ * The home entry vouches for its rows, but not for those it suspects: counting their silence
+ * from the home's own removal would double the time until the rest of the fleet removes them.
+ */
 static void refresh_rows(struct member *m, const char *peer, uint64_t now_ms)
 {
 	for (guint i = 0; i < m->handles->len; i++) {
 		struct row *row = g_ptr_array_index(m->handles, i);
 
-		if (row && !strcmp(row->home, peer))
+		if (row && !strcmp(row->home, peer) && row->data.state != MSG_TARGET_SUSPECT)
 			row->last_seen_ms = now_ms;
 	}
 }
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -144,6 +144,22 @@
 	talloc_free(w.mem);
 }
 
+/* Guards against a dead agent that other entries keep for twice the time its home entry does. */
+static void test_removal(void)
+{
+	struct world w;
+
+	setup(&w);
+	beat(w.a, 0);
+	for (uint64_t now = 0; now <= 36000; now += 1000) {
+		member_tick(w.a, now);
+		exchange(w.a, "a#1", w.b, now);
+		member_tick(w.b, now);
+	}
+	CU_ASSERT_EQUAL(w.last_state, MSG_TARGET_GONE);
+	talloc_free(w.mem);
+}
+
 /* Guards against a lost delta that is never made up for. */
 static void test_lost_delta(void)
 {
@@ -242,6 +258,7 @@
 	CU_add_test(suite, "silence", test_silence);
 	CU_add_test(suite, "dissemination", test_dissemination);
 	CU_add_test(suite, "lost_delta", test_lost_delta);
+	CU_add_test(suite, "removal", test_removal);
 	CU_add_test(suite, "home_lost", test_home_lost);
 	CU_add_test(suite, "incarnations", test_incarnations);
 	CU_add_test(suite, "announce", test_announce);
