worker: the end of a lease by the worker's own clock

Announcements now carry the worker's clock, and starts and renewals the time at which the lease ends by it.

--- a/src/announce.c
+++ b/src/announce.c
@@ -98,6 +98,17 @@
 	return 0;
 }
 
+static int read_clock(json_t *root, struct target_info *out, struct err *err)
+{
+	json_t *value = json_object_get(root, "clock_ms");
+
+	if (value && (!json_is_integer(value) || json_integer_value(value) <= 0))
+		return bad_field(err, "clock_ms",
+				 "give the target's monotonic clock in milliseconds");
+	out->clock_ms = (uint64_t)json_integer_value(value);
+	return 0;
+}
+
 static int read_url(json_t *root, struct target_info *out, TALLOC_CTX *mem, struct err *err)
 {
 	static const char *const remedy = "give \"http://IP:PORT\" without a path";
@@ -151,6 +162,8 @@
 		ret = read_url(root, out, mem, err);
 	if (!ret)
 		ret = read_incarnation(root, out, err);
+	if (!ret)
+		ret = read_clock(root, out, err);
 	if (!ret)
 		ret = read_state(root, out, err);
 	if (!ret)
--- a/src/target.h
+++ b/src/target.h
@@ -24,6 +24,7 @@
  * struct target_info - one announcement; strings are borrowed
  * @url: base address, "http://ip:port"
  * @incarnation: changes when the target restarts
+ * @clock_ms: the target's clock when it sent this; 0 when it does not say
  */
 struct target_info {
 	enum msg_target_kind kind;
@@ -31,6 +32,7 @@
 	const char *service;
 	const char *url;
 	uint64_t incarnation;
+	uint64_t clock_ms;
 	bool leaving;
 	struct slots_capacity capacity;
 };
--- a/src/worker.c
+++ b/src/worker.c
@@ -53,8 +53,18 @@
 	struct task *tasks;
 	struct httpc_call *list;
 	uint64_t list_ms; /* when the list was asked for */
+	bool clock_known;
+	int64_t clock_offset_ms; /* worker's clock = util_clock_ms() + this; never ahead */
 };
 
+/* End of a lease that begins now, by the worker's clock; 0 when that clock is unknown. */
+static uint64_t lease_until(const struct worker *w)
+{
+	if (!w->clock_known)
+		return 0;
+	return (uint64_t)((int64_t)util_clock_ms() + w->clock_offset_ms) + WORKER_LEASE_MS;
+}
+
 static int task_destructor(struct task *task)
 {
 	if (task->call)
@@ -312,11 +322,17 @@
 	}
 }
 
+void worker_set_clock(struct worker *w, uint64_t clock_ms, uint64_t now_ms)
+{
+	w->clock_known = clock_ms > 0;
+	w->clock_offset_ms = (int64_t)clock_ms - (int64_t)now_ms;
+}
+
 void worker_start(struct worker *w, const struct worker_task_spec *spec,
 		  void (*done)(int status, const char *reason, void *ctx), void *ctx)
 {
 	struct task *task = add_task(w, spec->id, PHASE_STARTING);
-	char *body = workerjson_start(spec);
+	char *body = workerjson_start(spec, lease_until(w));
 	struct call call = {
 		.method = "PUT",
 		.path = "",
@@ -390,11 +406,10 @@
 
 static void renew_task(struct task *task)
 {
-	char body[64];
+	char *body;
 	struct call call = {
 		.method = "POST",
 		.path = "/renew",
-		.body = body,
 		.timeout_ms = RENEW_TIMEOUT_MS,
 		.done = on_renewed,
 		.ctx = task,
@@ -402,9 +417,11 @@
 
 	if (task->renew || (task->phase != PHASE_RUNNING && task->phase != PHASE_CHECKPOINT))
 		return;
-	snprintf(body, sizeof(body), "{\"lease_ms\":%d}", WORKER_LEASE_MS);
+	body = workerjson_renew(lease_until(task->worker));
+	call.body = body;
 	set_lapse(task, RENEW_TIMEOUT_MS);
 	task->renew = call_task(task->worker, task->id, &call);
+	free(body);
 }
 
 /* Only tasks that ran when the list was asked for are judged by it. */
--- a/src/worker.h
+++ b/src/worker.h
@@ -14,7 +14,9 @@
  *
  * HTTP calls to the worker: PUT /tasks/ID (start under a lease), POST /tasks/ID/renew,
  * POST /tasks/ID/checkpoint, POST /tasks/ID/throttle, DELETE /tasks/ID (stop), GET /tasks
- * (states and lagging usage). Runs on the loop thread. The agent renews the lease of each
+ * (states and lagging usage). Start and renewal say when the lease ends by the worker's own
+ * clock, once the worker has announced it: one that a frozen worker reads late has ended
+ * already. Runs on the loop thread. The agent renews the lease of each
  * running task; a worker stops a task whose lease lapses, so a dead agent leaves no task.
  */
 
@@ -50,6 +52,15 @@
 struct worker *worker_create(TALLOC_CTX *mem, struct tevent_context *ev, const char *url,
 			     const struct worker_handlers *handlers, struct metrics *metrics);
 
+/**
+ * worker_set_clock() - the worker's clock, from an announcement
+ * @clock_ms: worker's clock when it sent the announcement; 0 when it does not say
+ * @now_ms: util_clock_ms() at the receipt
+ *
+ * The estimate made from it is never ahead of the worker's clock.
+ */
+void worker_set_clock(struct worker *w, uint64_t clock_ms, uint64_t now_ms);
+
 /** worker_start() - status 0: runs; otherwise it certainly does not run and will not */
 void worker_start(struct worker *w, const struct worker_task_spec *spec,
 		  void (*done)(int status, const char *reason, void *ctx), void *ctx);
--- a/src/workerjson.c
+++ b/src/workerjson.c
@@ -18,7 +18,26 @@
 	return text ? text : "the worker refused the task";
 }
 
-char *workerjson_start(const struct worker_task_spec *spec)
+static void set_lease(json_t *root, uint64_t lease_until_ms)
+{
+	json_object_set_new(root, "lease_ms", json_integer(WORKER_LEASE_MS));
+	if (lease_until_ms)
+		json_object_set_new(root, "lease_until_ms",
+				    json_integer((json_int_t)lease_until_ms));
+}
+
+char *workerjson_renew(uint64_t lease_until_ms)
+{
+	json_t *root = json_object();
+	char *text;
+
+	set_lease(root, lease_until_ms);
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
+
+char *workerjson_start(const struct worker_task_spec *spec, uint64_t lease_until_ms)
 {
 	json_t *payload = json_loads(spec->payload ? spec->payload : "", 0, NULL);
 	char mask[24];
@@ -28,9 +47,10 @@
 	snprintf(mask, sizeof(mask), "%" PRIx64, spec->accelerator_mask);
 	if (!payload)
 		payload = json_string(spec->payload ? spec->payload : "");
-	root = json_pack("{s:s, s:i, s:i, s:i, s:o}", "accelerator_mask", mask, "cores",
-			 (int)spec->cores, "memory_mb", (int)spec->memory_mb, "lease_ms",
-			 WORKER_LEASE_MS, "payload", payload ? payload : json_null());
+	root = json_pack("{s:s, s:i, s:i, s:o}", "accelerator_mask", mask, "cores",
+			 (int)spec->cores, "memory_mb", (int)spec->memory_mb, "payload",
+			 payload ? payload : json_null());
+	set_lease(root, lease_until_ms);
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	return text;
--- a/src/workerjson.h
+++ b/src/workerjson.h
@@ -15,8 +15,14 @@
 /** workerjson_error() - reason in an error answer, borrowed from @root */
 const char *workerjson_error(json_t *root);
 
-/** workerjson_start() - body of PUT /tasks/ID; the caller frees it */
-char *workerjson_start(const struct worker_task_spec *spec);
+/**
+ * workerjson_start() - body of PUT /tasks/ID; the caller frees it
+ * @lease_until_ms: end of the lease by the worker's clock; 0 when that clock is unknown
+ */
+char *workerjson_start(const struct worker_task_spec *spec, uint64_t lease_until_ms);
+
+/** workerjson_renew() - body of POST /tasks/ID/renew; the caller frees it */
+char *workerjson_renew(uint64_t lease_until_ms);
 
 /** workerjson_state() - state by its name in the list of tasks */
 enum worker_task_state workerjson_state(const char *text);
--- a/tests/fake_worker.c
+++ b/tests/fake_worker.c
@@ -139,6 +139,16 @@
 	return memory > n->memory_mb ? "not enough memory" : NULL;
 }
 
+/* The absolute end counts when the agent gives one; a start or renewal read late is over. */
+static uint64_t lease_end(json_t *root)
+{
+	long until = read_long(root, "lease_until_ms", 0);
+
+	if (until > 0)
+		return (uint64_t)until;
+	return util_clock_ms() + (uint64_t)read_long(root, "lease_ms", 3000);
+}
+
 static void read_task(struct task *t, json_t *root)
 {
 	const char *mask = json_string_value(json_object_get(root, "accelerator_mask"));
@@ -151,7 +161,7 @@
 	t->never_runs = read_bool(payload, "never_runs", false);
 	t->checkpoint_ms = (uint64_t)read_long(payload, "resume_ms", 0);
 	t->progress_ms = (double)t->checkpoint_ms;
-	t->lease_until_ms = t->started_ms + (uint64_t)read_long(root, "lease_ms", 3000);
+	t->lease_until_ms = lease_end(root);
 }
 
 static void start(struct node *n, const char *id, json_t *body, struct fake_reply *reply)
@@ -174,6 +184,8 @@
 	t = add_task(n, id);
 	read_task(t, body);
 	refusal = n->leaving ? "the worker is leaving" : guard(n, t);
+	if (t->lease_until_ms <= t->started_ms)
+		refusal = "the lease is over";
 	if (refusal) {
 		n->tasks = t->next;
 		free(t);
@@ -203,7 +215,7 @@
 static void act(struct task *t, const char *verb, json_t *body, struct fake_reply *reply)
 {
 	if (!strcmp(verb, "renew"))
-		t->lease_until_ms = util_clock_ms() + (uint64_t)read_long(body, "lease_ms", 3000);
+		t->lease_until_ms = lease_end(body);
 	else if (!strcmp(verb, "checkpoint"))
 		t->checkpoint_ms = (uint64_t)t->progress_ms;
 	else if (!strcmp(verb, "throttle"))
@@ -336,8 +348,9 @@
 	pthread_mutex_lock(&n->lock);
 	if (!n->faults.silent && agent[0])
 		root = json_pack(
-			"{s:s, s:s, s:s, s:I, s:s, s:i, s:i, s:i}", "kind", "worker", "target",
-			n->target, "url", url, "incarnation", (json_int_t)n->incarnation, "state",
+			"{s:s, s:s, s:s, s:I, s:I, s:s, s:i, s:i, s:i}", "kind", "worker", "target",
+			n->target, "url", url, "incarnation", (json_int_t)n->incarnation,
+			"clock_ms", (json_int_t)util_clock_ms(), "state",
 			n->leaving ? "leaving" : "alive", "accelerators", (int)n->accelerators,
 			"cores", (int)n->cores, "memory_mb", (int)n->memory_mb);
 	pthread_mutex_unlock(&n->lock);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -272,6 +272,22 @@
 	CU_ASSERT_STRING_NOT_EQUAL(state, "running");
 }
 
+/* Guards against a start that a frozen worker reads after its lease is over, and then runs. */
+static void test_expired_start(void)
+{
+	uint64_t now = util_clock_ms();
+	char state[32];
+
+	worker_set_clock(worker, now - WORKER_LEASE_MS - 1, now);
+	CU_ASSERT(run_start("n.1.0", 1, 1, "{}") < 0);
+	task_state("n.1.0", state);
+	CU_ASSERT_STRING_NOT_EQUAL(state, "running");
+	now = util_clock_ms();
+	worker_set_clock(worker, now, now);
+	CU_ASSERT_EQUAL(run_start("o.1.0", 1, 1, "{}"), 0);
+	CU_ASSERT_EQUAL(run_stop("o.1.0", false).status, 0);
+}
+
 /* Guards against tasks of a dead agent that run on. */
 static void test_lease(void)
 {
@@ -308,6 +324,7 @@
 	CU_add_test(suite, "late_start", test_late_start);
 	CU_add_test(suite, "stop_while_starting", test_stop_while_starting);
 	CU_add_test(suite, "frozen_worker", test_frozen_worker);
+	CU_add_test(suite, "expired_start", test_expired_start);
 	CU_add_test(suite, "lease", test_lease);
 	CU_add_test(suite, "stop", test_stop);
 	CU_basic_run_tests();
