--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -43,7 +43,7 @@
 	"$bin/$program" "$@" >"$work/$label.out" 2>"$work/$label.log" &
 	pids+=($!)
 	for ((tries = 0; tries < 200; tries++)); do
-		grep -q listening "$work/$label.out" && break
+		grep -qs listening "$work/$label.out" && break
 		sleep 0.05
 	done
 	read -r address1 address2 < <(grep -o '[0-9.]*:[0-9]*' "$work/$label.out" | tr '\n' ' ') || true
