--- /dev/null
+++ b/src/fleet.c
@@ -0,0 +1,316 @@
+#include "fleet.h"
+
+#include "coord.h"
+#include "log.h"
+#include "util.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define BODY_MAX (1024 * 1024)	     /* bytes; the configuration may set less */
+#define STORE_SILENT_MS 1500	     /* then new connections had better go to another entry */
+#define DRAIN_TICK_MS 50
+#define DRAIN_MIN_MS 2300	     /* the balancer needs two misses, one a second */
+#define DRAIN_MARGIN_MS 700	     /* the process ends this long before it would be killed */
+#define HEARTBEAT_ANSWER "{}"
+
+struct fleet_node {
+	struct tevent_context *ev;
+	const struct fleetnode_settings *settings;
+	struct fleet_platform platform;
+	struct metrics *metrics;
+	struct wire *wire;
+	struct httpd *metrics_server;
+	/* Of an entry. */
+	struct httpd *callers;
+	struct httpd *ready;
+	struct kv_mirror *config_mirror;
+	struct fleetconf *conf;
+	struct leader *leader;
+	struct coord *coord;
+	struct intake *intake;
+	/* Of an agent. */
+	struct httpd *control;
+	struct runner *runner;
+	/* Of the shutdown. */
+	uint64_t drain_began_ms;
+	void (*done)(void *ctx);
+	void *done_ctx;
+};
+
+static void on_message(const char *peer, struct msg *msg, void *ctx)
+{
+	struct fleet_node *node = ctx;
+
+	if (node->coord && coord_message(node->coord, peer, msg))
+		return;
+	if (node->intake && intake_message(node->intake, peer, msg))
+		return;
+	if (node->runner && runner_message(node->runner, peer, msg))
+		return;
+	log_debug("message_ignored", peer, "%s", msg_type_name(msg->type));
+}
+
+static int create_wire(struct fleet_node *node, struct err *err)
+{
+	struct wire_handlers handlers = {on_message, node};
+	char *self = talloc_asprintf(node, "%s#%" PRIu64, node->settings->node, util_wall_ms());
+
+	node->wire = wire_create(node, node->ev, self, node->settings->message_address, &handlers,
+				 node->metrics, err);
+	return node->wire ? 0 : -ERR_SYSTEM;
+}
+
+static void serve_metrics(struct httpd_call *call, void *ctx)
+{
+	struct fleet_node *node = ctx;
+	char *text = metrics_render(node->metrics, node);
+
+	if (!strcmp(httpd_path(call), "/metrics"))
+		httpd_answer(call, 200, "text/plain", text, 0);
+	else
+		httpd_answer(call, 404, NULL, NULL, 0);
+	talloc_free(text);
+}
+
+static int create_server(struct fleet_node *node, struct httpd **server, const char *address,
+			 const struct httpd_handlers *handlers, struct err *err)
+{
+	*server = httpd_create(node, node->ev, address, BODY_MAX, handlers, err);
+	return *server ? 0 : -ERR_SYSTEM;
+}
+
+static void on_config_item(const struct kv_item *item, void *ctx)
+{
+	struct fleet_node *node = ctx;
+	struct fleetconf *conf;
+	struct err err = {0};
+
+	if (strcmp(item->key, node->platform.config_key) != 0 || item->revision == 0)
+		return;
+	conf = node->platform.read_config(node, item->value, item->value_len, &err);
+	if (!conf) {
+		log_error("config_malformed", "", "revision %" PRId64 ": %s", item->revision,
+			  err.message);
+		return;
+	}
+	if (node->conf && conf->version < node->conf->version) {
+		log_warn("config_older", "", "version %" PRIu64 " comes after %" PRIu64,
+			 conf->version, node->conf->version);
+		talloc_free(conf);
+		return;
+	}
+	log_info("config_in_force", "", "version %" PRIu64 ", %zu queues, %zu organisations",
+		 conf->version, conf->queue_count, conf->organisation_count);
+	intake_configure(node->intake, conf);
+	if (node->coord)
+		coord_configure(node->coord, conf);
+	talloc_free(node->conf);
+	node->conf = conf;
+}
+
+static void on_gained(uint64_t term, void *ctx)
+{
+	struct fleet_node *node = ctx;
+	const struct fleetnode_settings *settings = node->settings;
+	struct plan_params params = {
+		.far_factor = settings->far_factor,
+		.reclaim_ms = settings->reclaim_ms,
+		.stop_ms = settings->stop_ms,
+		.stall_ms = settings->stall_ms,
+	};
+	struct coord_deps deps = {
+		.ev = node->ev,
+		.kv = node->platform.kv,
+		.wire = node->wire,
+		.leader = node->leader,
+		.metrics = node->metrics,
+		.node = settings->node,
+		.params = &params,
+		.keep_ended_ms = settings->keep_ended_ms,
+	};
+
+	node->coord = coord_create(node, &deps, node->conf);
+	intake_lead(node->intake, node->coord);
+}
+
+/* Inside a callback of the controller, so that it is freed from the loop. */
+static void free_coord(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+		       void *ctx)
+{
+	talloc_free(ctx);
+}
+
+static void on_lost(void *ctx)
+{
+	struct fleet_node *node = ctx;
+	struct coord *coord = node->coord;
+
+	intake_lead(node->intake, NULL);
+	node->coord = NULL;
+	if (coord)
+		tevent_add_timer(node->ev, node, tevent_timeval_zero(), free_coord, coord);
+}
+
+static void on_leader_changed(const char *name, const char *address, uint64_t term, void *ctx)
+{
+	struct fleet_node *node = ctx;
+
+	log_info("leader_known", "", "%s at %s, term %" PRIu64, *name ? name : "nobody", address,
+		 term);
+	if (node->intake)
+		intake_leader_changed(node->intake);
+}
+
+static bool is_ready(const struct fleet_node *node)
+{
+	return node->conf && !node->drain_began_ms &&
+	       kv_mirror_failing_ms(node->config_mirror) < STORE_SILENT_MS;
+}
+
+static void serve_ready(struct httpd_call *call, void *ctx)
+{
+	struct fleet_node *node = ctx;
+
+	if (!node->platform.is_ready_call(httpd_method(call), httpd_path(call)))
+		httpd_answer(call, 404, NULL, NULL, 0);
+	else
+		httpd_answer(call, is_ready(node) ? 200 : 503, NULL, NULL, 0);
+}
+
+static int create_entry(struct fleet_node *node, struct err *err)
+{
+	struct leader_options options = {
+		.node = node->settings->node,
+		.address = wire_address(node->wire),
+		.ttl_ms = node->settings->leader_ttl_ms,
+		.candidate = true,
+	};
+	struct leader_handlers on_leader = {on_gained, on_lost, on_leader_changed, node};
+	struct kv_mirror_handlers on_config = {on_config_item, NULL, node};
+	struct intake_deps deps = {
+		.ev = node->ev,
+		.kv = node->platform.kv,
+		.wire = node->wire,
+		.metrics = node->metrics,
+		.codec = node->platform.codec,
+	};
+	struct httpd_handlers callers = {intake_call, intake_gone, NULL};
+	struct httpd_handlers ready = {serve_ready, NULL, node};
+
+	node->leader = leader_create(node, node->ev, node->platform.kv, &options, &on_leader);
+	deps.leader = node->leader;
+	node->intake = intake_create(node, &deps);
+	node->config_mirror = kv_mirror_create(node, node->ev, node->platform.kv,
+					       node->platform.config_key, &on_config);
+	callers.ctx = node->intake;
+	if (create_server(node, &node->ready, node->settings->ready_address, &ready, err))
+		return -ERR_SYSTEM;
+	return create_server(node, &node->callers, node->settings->callers_address, &callers, err);
+}
+
+static void take_heartbeat(struct fleet_node *node, struct httpd_call *call, const char *id)
+{
+	struct err err = {0};
+	size_t len;
+	const char *body = httpd_body(call, &len);
+	struct runner_self *self = node->platform.read_self(node, id, body, len, &err);
+	int status = self ? runner_announced(node->runner, self) : -ERR_INVALID;
+
+	if (status == -ERR_INVALID)
+		log_warn("heartbeat_refused", id, "%s",
+			 err.code ? err.message : "it belongs to another service");
+	httpd_answer(call, status == -ERR_INVALID ? 400 : 200, "application/json",
+		     HEARTBEAT_ANSWER, 0);
+	talloc_free(self);
+}
+
+static void serve_control(struct httpd_call *call, void *ctx)
+{
+	struct fleet_node *node = ctx;
+	const char *id;
+
+	switch (node->platform.control_call(httpd_method(call), httpd_path(call), &id)) {
+	case FLEET_HEARTBEAT:
+		take_heartbeat(node, call, id);
+		break;
+	case FLEET_GOODBYE:
+		runner_leaving(node->runner, id);
+		httpd_answer(call, 200, "application/json", HEARTBEAT_ANSWER, 0);
+		break;
+	default:
+		httpd_answer(call, 404, NULL, NULL, 0);
+		break;
+	}
+}
+
+static int create_agent(struct fleet_node *node, struct err *err)
+{
+	struct runner_deps deps = {
+		.ev = node->ev,
+		.kv = node->platform.kv,
+		.wire = node->wire,
+		.metrics = node->metrics,
+		.calls = node->platform.worker,
+		.node = node->settings->node,
+		.service = node->settings->service,
+	};
+	struct httpd_handlers control = {serve_control, NULL, node};
+
+	node->runner = runner_create(node, &deps);
+	return create_server(node, &node->control, node->settings->control_address, &control, err);
+}
+
+struct fleet_node *fleet_create(TALLOC_CTX *mem, struct tevent_context *ev,
+				enum fleetnode_role role,
+				const struct fleetnode_settings *settings,
+				const struct fleet_platform *platform, struct metrics *metrics,
+				struct err *err)
+{
+	struct fleet_node *node = talloc_zero(mem, struct fleet_node);
+	struct httpd_handlers on_metrics = {serve_metrics, NULL, node};
+
+	node->ev = ev;
+	node->settings = settings;
+	node->platform = *platform;
+	node->metrics = metrics;
+	if (!create_wire(node, err) &&
+	    (!settings->metrics_address ||
+	     !create_server(node, &node->metrics_server, settings->metrics_address, &on_metrics,
+			    err)) &&
+	    !(role == FLEETNODE_ENTRY ? create_entry(node, err) : create_agent(node, err)))
+		return node;
+	talloc_free(node);
+	return NULL;
+}
+
+static void on_drain_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+			  void *ctx)
+{
+	struct fleet_node *node = ctx;
+	uint64_t passed_ms = util_clock_ms() - node->drain_began_ms;
+	uint64_t most_ms = node->settings->grace_ms - DRAIN_MARGIN_MS;
+	bool quiet = !node->callers || httpd_open_calls(node->callers) == 0;
+
+	if (passed_ms >= most_ms || (quiet && (!node->callers || passed_ms >= DRAIN_MIN_MS))) {
+		log_info("drained", "", "after %" PRIu64 " ms", passed_ms);
+		node->done(node->done_ctx);
+		return;
+	}
+	tevent_add_timer(ev, node, tevent_timeval_current_ofs(0, DRAIN_TICK_MS * 1000),
+			 on_drain_tick, node);
+}
+
+void fleet_drain(struct fleet_node *node, void (*done)(void *ctx), void *ctx)
+{
+	if (node->drain_began_ms)
+		return;
+	node->drain_began_ms = util_clock_ms();
+	node->done = done;
+	node->done_ctx = ctx;
+	if (node->leader)
+		leader_resign(node->leader);
+	if (node->callers)
+		httpd_close_idle(node->callers);
+	on_drain_tick(node->ev, NULL, tevent_timeval_zero(), node);
+}
--- /dev/null
+++ b/src/fleet.h
@@ -0,0 +1,54 @@
+#ifndef JAYCOURSE_FLEET_H
+#define JAYCOURSE_FLEET_H
+
+#include "fleetnode.h"
+#include "intake.h"
+#include "kv.h"
+#include "runner.h"
+
+/**
+ * DOC: The two processes of the job scheduler, put together from their parts
+ *
+ * What a platform speaks comes in through &struct fleet_platform.
+ */
+
+/* A call that a worker makes to its agent. */
+enum fleet_control {
+	FLEET_HEARTBEAT,
+	FLEET_GOODBYE,
+	FLEET_OTHER,
+};
+
+/**
+ * struct fleet_platform - a platform's formats and calls
+ * @config_key: key of the operators' configuration in the store
+ */
+struct fleet_platform {
+	struct kv *kv;
+	const struct intake_codec *codec;
+	const struct runner_calls *worker; /* agent only */
+	const char *config_key;
+	struct fleetconf *(*read_config)(TALLOC_CTX *mem, const char *data, size_t len,
+					 struct err *err);
+	struct runner_self *(*read_self)(TALLOC_CTX *mem, const char *id, const char *data,
+					 size_t len, struct err *err);
+	enum fleet_control (*control_call)(const char *method, const char *path, const char **id);
+	bool (*is_ready_call)(const char *method, const char *path);
+};
+
+struct fleet_node;
+
+/**
+ * fleet_create() - open the addresses and begin
+ * @settings: borrowed
+ */
+struct fleet_node *fleet_create(TALLOC_CTX *mem, struct tevent_context *ev,
+				enum fleetnode_role role,
+				const struct fleetnode_settings *settings,
+				const struct fleet_platform *platform, struct metrics *metrics,
+				struct err *err);
+
+/** fleet_drain() - finish what is under way; then @done is called */
+void fleet_drain(struct fleet_node *node, void (*done)(void *ctx), void *ctx);
+
+#endif
--- /dev/null
+++ b/src/fleetconf.c
@@ -0,0 +1,60 @@
+#include "fleetconf.h"
+
+#include <string.h>
+#include <strings.h>
+
+static bool host_matches(const char *pattern, const char *host)
+{
+	size_t len = strcspn(host, ":");
+
+	return strlen(pattern) == len && strncasecmp(pattern, host, len) == 0;
+}
+
+const struct fleetconf_queue *fleetconf_route(const struct fleetconf *conf, const char *host,
+					      const char *path)
+{
+	const struct fleetconf_queue *best = NULL;
+
+	for (size_t i = 0; i < conf->queue_count; i++) {
+		const struct fleetconf_queue *queue = &conf->queues[i];
+		size_t len = strlen(queue->prefix);
+
+		if (strncmp(path, queue->prefix, len) != 0 || !host_matches(queue->host, host))
+			continue;
+		if (!best || len > strlen(best->prefix))
+			best = queue;
+	}
+	return best;
+}
+
+const struct fleetconf_queue *fleetconf_queue(const struct fleetconf *conf, const char *name)
+{
+	for (size_t i = 0; i < conf->queue_count; i++) {
+		if (!strcmp(conf->queues[i].name, name))
+			return &conf->queues[i];
+	}
+	return NULL;
+}
+
+const struct fleetconf_organisation *fleetconf_organisation(const struct fleetconf *conf,
+							    const char *name)
+{
+	for (size_t i = 0; i < conf->organisation_count; i++) {
+		if (!strcmp(conf->organisations[i].name, name))
+			return &conf->organisations[i];
+	}
+	return NULL;
+}
+
+const struct fleetconf_organisation *fleetconf_key(const struct fleetconf *conf, const char *key)
+{
+	for (size_t i = 0; i < conf->organisation_count; i++) {
+		const struct fleetconf_organisation *org = &conf->organisations[i];
+
+		for (size_t k = 0; k < org->key_count; k++) {
+			if (!strcmp(org->keys[k], key))
+				return org;
+		}
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/fleetconf.h
@@ -0,0 +1,85 @@
+#ifndef JAYCOURSE_FLEETCONF_H
+#define JAYCOURSE_FLEETCONF_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <talloc.h>
+
+/**
+ * DOC: The operators' configuration of queues, services and organisations
+ *
+ * One version is read whole and never changed afterwards. Lists are small (hundreds), so
+ * lookups walk them.
+ */
+
+/**
+ * struct fleetconf_queue - class of work that callers submit to
+ * @host: host name of the request that selects the queue
+ * @prefix: start of the path that selects it; the longest prefix wins
+ * @service: pool of workers that run its tasks
+ * @priority: 0 comes first and may displace others
+ * @max_attempts: failed runs of a task after which its job fails
+ * @stretch: a job is on time within this many times its longest chain of work
+ * @allowance_ms: time on top of that
+ * @open: callers need no key
+ * @advised: an advice service says which workers may run a step
+ */
+struct fleetconf_queue {
+	const char *name;
+	const char *host;
+	const char *prefix;
+	const char *service;
+	uint32_t priority;
+	uint32_t max_attempts;
+	double stretch;
+	uint32_t allowance_ms;
+	bool open;
+	bool advised;
+};
+
+/** struct fleetconf_service - @guards: workers refuse what does not fit them */
+struct fleetconf_service {
+	const char *name;
+	bool guards;
+	bool standby;
+};
+
+struct fleetconf_organisation {
+	const char *name;
+	const char **keys;
+	size_t key_count;
+	uint32_t guaranteed_accelerators;
+};
+
+struct fleetconf {
+	uint64_t version;
+	struct fleetconf_queue *queues;
+	size_t queue_count;
+	struct fleetconf_service *services;
+	size_t service_count;
+	struct fleetconf_organisation *organisations;
+	size_t organisation_count;
+	size_t body_max;   /* bytes */
+};
+
+/**
+ * fleetconf_route() - the queue for a request
+ * @host: Host header without a port
+ *
+ * Return: the queue with the longest prefix, or NULL.
+ */
+const struct fleetconf_queue *fleetconf_route(const struct fleetconf *conf, const char *host,
+					      const char *path);
+
+/** fleetconf_queue() - queue by name, or NULL */
+const struct fleetconf_queue *fleetconf_queue(const struct fleetconf *conf, const char *name);
+
+/** fleetconf_organisation() - organisation by name, or NULL */
+const struct fleetconf_organisation *fleetconf_organisation(const struct fleetconf *conf,
+							    const char *name);
+
+/** fleetconf_key() - organisation that a key belongs to, or NULL */
+const struct fleetconf_organisation *fleetconf_key(const struct fleetconf *conf, const char *key);
+
+#endif
--- /dev/null
+++ b/src/fleetlimits.h
@@ -0,0 +1,31 @@
+#ifndef JAYCOURSE_FLEETLIMITS_H
+#define JAYCOURSE_FLEETLIMITS_H
+
+/** DOC: Times that the leader and the agents have to agree on */
+
+/*
+ * An agent renews its worker's lease for this long after it sent the latest report that the
+ * leader has answered. Long enough for three lost reports or an election.
+ */
+#define WORKER_GRANT_MS 2500
+
+/* Each renewal lasts this long; the interface allows 10 s at most. */
+#define WORKER_LEASE_MS 4000
+
+/* A worker's clock may be slow by this share, stated by the interface. */
+#define WORKER_CLOCK_ERROR 0.02
+
+/*
+ * Without a report for this long, nothing of what the leader knows runs on a worker: the last
+ * renewal was at most WORKER_GRANT_MS after the report and lasts WORKER_LEASE_MS on a slow
+ * clock. The rest covers timers that fire late.
+ */
+#define WORKER_LOST_MS 6900
+
+/* Pause between the reports of an agent that has no news, for small fleets. */
+#define REPORT_MS 700
+
+/* Most reports a second that the leader asks for; large fleets report more seldom. */
+#define REPORTS_PER_S 120
+
+#endif
--- /dev/null
+++ b/src/fleetmsg.c
@@ -0,0 +1,262 @@
+#include "fleetmsg.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static char *dump(TALLOC_CTX *mem, json_t *json)
+{
+	char *text = json_dumps(json, JSON_COMPACT);
+	char *copy = talloc_strdup(mem, text ? text : "{}");
+
+	free(text);
+	json_decref(json);
+	return copy;
+}
+
+static json_t *write_runs(const struct plan_run *runs, size_t count)
+{
+	json_t *rows = json_array();
+
+	for (size_t i = 0; i < count; i++)
+		json_array_append_new(rows, json_pack("[s, i, s, i]", runs[i].task,
+						      (int)runs[i].run, runs[i].checkpoint,
+						      (int)runs[i].percent));
+	return rows;
+}
+
+static json_t *write_ends(const struct fleet_report *report)
+{
+	json_t *rows = json_array();
+
+	for (size_t i = 0; i < report->end_count; i++) {
+		const struct fleet_end *end = &report->ends[i];
+
+		json_array_append_new(rows, json_pack("[s, i, s, i, I, i]", end->run.task,
+						      (int)end->run.run, end->run.checkpoint,
+						      (int)end->run.percent,
+						      (json_int_t)end->number, (int)end->how));
+	}
+	return rows;
+}
+
+static json_t *write_refusals(const struct fleet_report *report)
+{
+	json_t *rows = json_array();
+
+	for (size_t i = 0; i < report->refusal_count; i++) {
+		const struct fleet_refusal *refusal = &report->refusals[i];
+
+		json_array_append_new(rows, json_pack("[s, i, s, i, i]", refusal->run.task,
+						      (int)refusal->run.run, "", 0,
+						      (int)refusal->why));
+	}
+	return rows;
+}
+
+char *fleet_report_write(TALLOC_CTX *mem, const struct fleet_report *report)
+{
+	const struct plan_worker_info *info = &report->info;
+
+	return dump(mem, json_pack("{s:I, s:s, s:b, s:b, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, "
+				   "s:i, s:b, s:o, s:o, s:o}",
+				   "sent", (json_int_t)report->sent_ms, "address", report->address,
+				   "alive", report->alive, "settled", report->settled, "node",
+				   info->node, "incarnation", info->incarnation, "service",
+				   info->service, "zone", info->zone, "kind", info->kind, "rack",
+				   info->rack, "cpu", (int)info->room.cpu_milli, "memory",
+				   (int)info->room.memory_mb, "accelerators",
+				   (int)info->room.accelerators, "accepting", info->accepting,
+				   "running", write_runs(report->running, report->running_count),
+				   "ends", write_ends(report), "refusals",
+				   write_refusals(report)));
+}
+
+/* Reads the first four fields of a row; the strings belong to @mem. */
+static bool read_run(TALLOC_CTX *mem, const json_t *row, struct plan_run *run)
+{
+	const char *task = json_string_value(json_array_get(row, 0));
+	const char *checkpoint = json_string_value(json_array_get(row, 2));
+
+	if (!task || !checkpoint || !json_is_integer(json_array_get(row, 1)))
+		return false;
+	run->task = talloc_strdup(mem, task);
+	run->run = (uint32_t)json_integer_value(json_array_get(row, 1));
+	run->checkpoint = talloc_strdup(mem, checkpoint);
+	run->percent = (uint32_t)json_integer_value(json_array_get(row, 3));
+	return true;
+}
+
+static struct plan_run *read_runs(TALLOC_CTX *mem, const json_t *rows, size_t *count)
+{
+	struct plan_run *runs = talloc_zero_array(mem, struct plan_run, json_array_size(rows) + 1);
+	const json_t *row;
+	size_t i;
+
+	*count = 0;
+	json_array_foreach(rows, i, row)
+		*count += read_run(mem, row, &runs[*count]);
+	return runs;
+}
+
+static void read_ends(struct fleet_report *report, const json_t *rows)
+{
+	const json_t *row;
+	size_t i;
+
+	report->ends = talloc_zero_array(report, struct fleet_end, json_array_size(rows) + 1);
+	json_array_foreach(rows, i, row)
+	{
+		struct fleet_end *end = &report->ends[report->end_count];
+		json_int_t how = json_integer_value(json_array_get(row, 5));
+
+		if (how < 0 || how >= PLAN_END_COUNT || !read_run(report, row, &end->run))
+			continue;
+		end->how = (enum plan_end)how;
+		end->number = (uint64_t)json_integer_value(json_array_get(row, 4));
+		report->end_count++;
+	}
+}
+
+static void read_refusals(struct fleet_report *report, const json_t *rows)
+{
+	const json_t *row;
+	size_t i;
+
+	report->refusals =
+		talloc_zero_array(report, struct fleet_refusal, json_array_size(rows) + 1);
+	json_array_foreach(rows, i, row)
+	{
+		struct fleet_refusal *refusal = &report->refusals[report->refusal_count];
+		json_int_t why = json_integer_value(json_array_get(row, 4));
+
+		if (why < 0 || why >= PLAN_REFUSED_COUNT || !read_run(report, row, &refusal->run))
+			continue;
+		refusal->why = (enum plan_refusal)why;
+		report->refusal_count++;
+	}
+}
+
+static const char *read_text(TALLOC_CTX *mem, const json_t *json, const char *name)
+{
+	const char *text = json_string_value(json_object_get(json, name));
+
+	return talloc_strdup(mem, text ? text : "");
+}
+
+static uint64_t read_number(const json_t *json, const char *name)
+{
+	json_int_t value = json_integer_value(json_object_get(json, name));
+
+	return value > 0 ? (uint64_t)value : 0;
+}
+
+struct fleet_report *fleet_report_read(TALLOC_CTX *mem, const void *data, size_t len)
+{
+	json_t *json = json_loadb(data, len, 0, NULL);
+	struct fleet_report *report;
+	struct plan_worker_info *info;
+
+	if (!json_is_object(json)) {
+		json_decref(json);
+		return NULL;
+	}
+	report = talloc_zero(mem, struct fleet_report);
+	info = &report->info;
+	report->sent_ms = read_number(json, "sent");
+	report->address = read_text(report, json, "address");
+	report->alive = json_is_true(json_object_get(json, "alive"));
+	report->settled = json_is_true(json_object_get(json, "settled"));
+	info->node = read_text(report, json, "node");
+	info->incarnation = read_text(report, json, "incarnation");
+	info->service = read_text(report, json, "service");
+	info->zone = read_text(report, json, "zone");
+	info->kind = read_text(report, json, "kind");
+	info->rack = read_text(report, json, "rack");
+	info->room.cpu_milli = (uint32_t)read_number(json, "cpu");
+	info->room.memory_mb = (uint32_t)read_number(json, "memory");
+	info->room.accelerators = (uint32_t)read_number(json, "accelerators");
+	info->accepting = json_is_true(json_object_get(json, "accepting"));
+	report->running =
+		read_runs(report, json_object_get(json, "running"), &report->running_count);
+	read_ends(report, json_object_get(json, "ends"));
+	read_refusals(report, json_object_get(json, "refusals"));
+	json_decref(json);
+	if (*info->node)
+		return report;
+	talloc_free(report);
+	return NULL;
+}
+
+static json_t *write_order_rows(const struct fleet_orders *orders)
+{
+	json_t *rows = json_array();
+
+	for (size_t i = 0; i < orders->order_count; i++) {
+		const struct plan_order *order = &orders->orders[i];
+
+		if (order->start)
+			json_array_append_new(rows, json_pack("[s, i, s, s]", order->task,
+							      (int)order->run, order->checkpoint,
+							      order->payload));
+		else
+			json_array_append_new(rows,
+					      json_pack("[s, i]", order->task, (int)order->run));
+	}
+	return rows;
+}
+
+char *fleet_orders_write(TALLOC_CTX *mem, const struct fleet_orders *orders)
+{
+	return dump(mem,
+		    json_pack("{s:I, s:s, s:I, s:i, s:o, s:o}", "echo",
+			      (json_int_t)orders->echo_ms, "incarnation", orders->incarnation,
+			      "ends_stored", (json_int_t)orders->ends_stored, "report_ms",
+			      (int)orders->report_ms, "handled",
+			      write_runs(orders->handled, orders->handled_count), "orders",
+			      write_order_rows(orders)));
+}
+
+static void read_order_rows(struct fleet_orders *orders, const json_t *rows)
+{
+	const json_t *row;
+	size_t i;
+
+	orders->orders = talloc_zero_array(orders, struct plan_order, json_array_size(rows) + 1);
+	json_array_foreach(rows, i, row)
+	{
+		struct plan_order *order = &orders->orders[orders->order_count];
+		const char *task = json_string_value(json_array_get(row, 0));
+		const char *checkpoint = json_string_value(json_array_get(row, 2));
+		const char *payload = json_string_value(json_array_get(row, 3));
+
+		if (!task || !json_is_integer(json_array_get(row, 1)))
+			continue;
+		order->task = talloc_strdup(orders, task);
+		order->run = (uint32_t)json_integer_value(json_array_get(row, 1));
+		order->start = payload != NULL;
+		order->checkpoint = talloc_strdup(orders, checkpoint ? checkpoint : "");
+		order->payload = talloc_strdup(orders, payload ? payload : "");
+		orders->order_count++;
+	}
+}
+
+struct fleet_orders *fleet_orders_read(TALLOC_CTX *mem, const void *data, size_t len)
+{
+	json_t *json = json_loadb(data, len, 0, NULL);
+	struct fleet_orders *orders;
+
+	if (!json_is_object(json)) {
+		json_decref(json);
+		return NULL;
+	}
+	orders = talloc_zero(mem, struct fleet_orders);
+	orders->echo_ms = read_number(json, "echo");
+	orders->incarnation = read_text(orders, json, "incarnation");
+	orders->ends_stored = read_number(json, "ends_stored");
+	orders->report_ms = (uint32_t)read_number(json, "report_ms");
+	orders->handled =
+		read_runs(orders, json_object_get(json, "handled"), &orders->handled_count);
+	read_order_rows(orders, json_object_get(json, "orders"));
+	json_decref(json);
+	return orders;
+}
--- /dev/null
+++ b/src/fleetnode.c
@@ -0,0 +1,109 @@
+#include "fleetnode.h"
+
+#include "fields.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#define GRACE_DEFAULT_MS 6000
+#define LEADER_TTL_DEFAULT_MS 2000 /* an election has to be over before leases of workers end */
+#define STALL_DEFAULT_MS 2500	   /* slowest known workers advance a percent in under a second */
+#define KEEP_ENDED_DEFAULT_MS 120000
+#define RECLAIM_DEFAULT_MS 2700
+#define STOP_DEFAULT_MS 900
+#define FAR_FACTOR_DEFAULT 3.0
+#define DURATION_MAX_MS 86400000
+
+#define AT(field) offsetof(struct fleetnode_settings, field)
+#define COUNT_OF(array) (sizeof(array) / sizeof((array)[0]))
+
+static const struct field_spec known_fields[] = {
+	{"node", FIELD_NAME, AT(node), 0, 0, 0},
+	{"message_address", FIELD_ADDRESS, AT(message_address), 0, 0, 0},
+	{"metrics_address", FIELD_ADDRESS, AT(metrics_address), 0, 0, 0},
+	{"store_address", FIELD_ADDRESS, AT(store_address), 0, 0, 0},
+	{"callers_address", FIELD_ADDRESS, AT(callers_address), 0, 0, 0},
+	{"ready_address", FIELD_ADDRESS, AT(ready_address), 0, 0, 0},
+	{"control_address", FIELD_ADDRESS, AT(control_address), 0, 0, 0},
+	{"worker_address", FIELD_ADDRESS, AT(worker_address), 0, 0, 0},
+	{"service", FIELD_STRING, AT(service), 1, 200, 0},
+	{"grace_ms", FIELD_U32, AT(grace_ms), 100, DURATION_MAX_MS, 0},
+	{"leader_ttl_ms", FIELD_U32, AT(leader_ttl_ms), 500, DURATION_MAX_MS, 0},
+	{"stall_ms", FIELD_U32, AT(stall_ms), 100, DURATION_MAX_MS, 0},
+	{"keep_ended_ms", FIELD_U32, AT(keep_ended_ms), 0, DURATION_MAX_MS, 0},
+	{"reclaim_ms", FIELD_U32, AT(reclaim_ms), 100, DURATION_MAX_MS, 0},
+	{"stop_ms", FIELD_U32, AT(stop_ms), 0, DURATION_MAX_MS, 0},
+	{"far_factor", FIELD_DOUBLE, AT(far_factor), 1, 1000, 0},
+	{"verbose", FIELD_BOOL, AT(verbose), 0, 0, 0},
+};
+
+static const char *const required_entry[] = {"node", "message_address", "store_address",
+					     "callers_address", "ready_address"};
+static const char *const required_agent[] = {"node",	       "message_address", "store_address",
+					     "control_address", "worker_address",  "service"};
+
+static void add_problem(const char *field, const char *message, const char *remedy, void *ctx)
+{
+	char **report = ctx;
+
+	*report = talloc_asprintf_append_buffer(*report, "%s: %s. %s\n", field, message, remedy);
+}
+
+static void check_required(const json_t *object, enum fleetnode_role role, char **report)
+{
+	const char *const *names = role == FLEETNODE_ENTRY ? required_entry : required_agent;
+	size_t count = role == FLEETNODE_ENTRY ? COUNT_OF(required_entry)
+					       : COUNT_OF(required_agent);
+
+	for (size_t i = 0; i < count; i++) {
+		if (!json_object_get(object, names[i]))
+			add_problem(names[i], "is missing", "Add it to the settings file.", report);
+	}
+}
+
+/* Leaves only fields that this version knows. */
+static void drop_unknown(json_t *object)
+{
+	const char *name;
+	json_t *value;
+	void *next;
+
+	json_object_foreach_safe(object, next, name, value)
+	{
+		if (!fields_find(known_fields, COUNT_OF(known_fields), name))
+			json_object_del(object, name);
+	}
+}
+
+struct fleetnode_settings *fleetnode_load(TALLOC_CTX *mem, enum fleetnode_role role,
+					  const char *path, char **report)
+{
+	json_error_t error;
+	json_t *object = json_load_file(path, JSON_REJECT_DUPLICATES, &error);
+	struct fleetnode_settings *settings;
+	struct field_sink sink = {add_problem, report};
+
+	*report = talloc_strdup(mem, "");
+	if (!json_is_object(object)) {
+		*report = talloc_asprintf(mem, "%s: line %d: %s. Correct the file.\n", path,
+					  error.line, error.text);
+		json_decref(object);
+		return NULL;
+	}
+	settings = talloc_zero(mem, struct fleetnode_settings);
+	settings->grace_ms = GRACE_DEFAULT_MS;
+	settings->leader_ttl_ms = LEADER_TTL_DEFAULT_MS;
+	settings->stall_ms = STALL_DEFAULT_MS;
+	settings->keep_ended_ms = KEEP_ENDED_DEFAULT_MS;
+	settings->reclaim_ms = RECLAIM_DEFAULT_MS;
+	settings->stop_ms = STOP_DEFAULT_MS;
+	settings->far_factor = FAR_FACTOR_DEFAULT;
+	drop_unknown(object);
+	check_required(object, role, report);
+	fields_read(settings, object, "", known_fields, COUNT_OF(known_fields), settings, &sink);
+	json_decref(object);
+	if (!**report)
+		return settings;
+	talloc_free(settings);
+	return NULL;
+}
--- /dev/null
+++ b/src/httpd.c
@@ -0,0 +1,308 @@
+#include "httpd.h"
+
+#include "log.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <microhttpd.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define CONNECTIONS_MAX 2048
+#define CONNECTION_MEMORY (16 * 1024) /* bytes; also the limit of a call's header */
+#define CONNECTION_IDLE_S 60
+#define BACKLOG 256
+#define TICK_MS 1000 /* connection time-outs are looked at this often */
+
+struct httpd {
+	struct tevent_context *ev;
+	struct MHD_Daemon *daemon;
+	struct tevent_fd *fde;
+	struct tevent_immediate *immediate;
+	struct httpd_handlers handlers;
+	size_t body_max;
+	size_t open_calls;
+	bool run_scheduled;
+	bool closing;
+};
+
+struct httpd_call {
+	struct httpd *httpd;
+	struct MHD_Connection *connection;
+	char *method;
+	char *path;
+	char *body;
+	size_t body_len;
+	bool too_large;
+	bool handed_over; /* the handler has it */
+	bool suspended;
+	struct MHD_Response *response;
+	int status;
+	void *ctx;
+};
+
+static void run_later(struct httpd *httpd);
+
+static void run(struct httpd *httpd)
+{
+	MHD_UNSIGNED_LONG_LONG timeout;
+
+	MHD_run(httpd->daemon);
+	/* Zero means that some connection can go on without new events. */
+	if (MHD_get_timeout(httpd->daemon, &timeout) == MHD_YES && timeout == 0)
+		run_later(httpd);
+}
+
+static void on_immediate(struct tevent_context *ev, struct tevent_immediate *im, void *ctx)
+{
+	struct httpd *httpd = ctx;
+
+	httpd->run_scheduled = false;
+	run(httpd);
+}
+
+static void run_later(struct httpd *httpd)
+{
+	if (httpd->run_scheduled)
+		return;
+	httpd->run_scheduled = true;
+	tevent_schedule_immediate(httpd->immediate, httpd->ev, on_immediate, httpd);
+}
+
+static void on_readable(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *ctx)
+{
+	run(ctx);
+}
+
+static void schedule_tick(struct httpd *httpd);
+
+static void on_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+		    void *ctx)
+{
+	run(ctx);
+	schedule_tick(ctx);
+}
+
+static void schedule_tick(struct httpd *httpd)
+{
+	tevent_add_timer(httpd->ev, httpd, tevent_timeval_current_ofs(TICK_MS / 1000, 0), on_tick,
+			 httpd);
+}
+
+static enum MHD_Result collect(struct httpd_call *call, const char *data, size_t *len)
+{
+	if (call->body_len + *len > call->httpd->body_max)
+		call->too_large = true;
+	if (!call->too_large) {
+		call->body = talloc_realloc(call, call->body, char, call->body_len + *len + 1);
+		memcpy(call->body + call->body_len, data, *len);
+		call->body_len += *len;
+		call->body[call->body_len] = '\0';
+	}
+	*len = 0;
+	return MHD_YES;
+}
+
+static enum MHD_Result send_response(struct httpd_call *call)
+{
+	enum MHD_Result ret =
+		MHD_queue_response(call->connection, (unsigned int)call->status, call->response);
+
+	MHD_destroy_response(call->response);
+	call->response = NULL;
+	return ret;
+}
+
+static enum MHD_Result on_access(void *cls, struct MHD_Connection *connection, const char *url,
+				 const char *method, const char *version, const char *data,
+				 size_t *len, void **con_cls)
+{
+	struct httpd *httpd = cls;
+	struct httpd_call *call = *con_cls;
+
+	if (!call) {
+		call = talloc_zero(httpd, struct httpd_call);
+		call->httpd = httpd;
+		call->connection = connection;
+		call->method = talloc_strdup(call, method);
+		call->path = talloc_strdup(call, url);
+		*con_cls = call;
+		return MHD_YES;
+	}
+	if (*len > 0)
+		return collect(call, data, len);
+	if (call->response)
+		return send_response(call);
+	if (call->handed_over)
+		return MHD_YES;
+	call->handed_over = true;
+	httpd->open_calls++;
+	if (call->too_large) {
+		httpd_answer(call, MHD_HTTP_CONTENT_TOO_LARGE, NULL, NULL, 0);
+		return send_response(call);
+	}
+	httpd->handlers.on_call(call, httpd->handlers.ctx);
+	if (call->response)
+		return send_response(call);
+	call->suspended = true;
+	MHD_suspend_connection(connection);
+	return MHD_YES;
+}
+
+static void on_completed(void *cls, struct MHD_Connection *connection, void **con_cls,
+			 enum MHD_RequestTerminationCode code)
+{
+	struct httpd *httpd = cls;
+	struct httpd_call *call = *con_cls;
+
+	if (!call)
+		return;
+	*con_cls = NULL;
+	if (call->handed_over && call->status == 0) {
+		httpd->open_calls--;
+		if (httpd->handlers.on_gone)
+			httpd->handlers.on_gone(call, httpd->handlers.ctx);
+	}
+	if (call->response)
+		MHD_destroy_response(call->response);
+	talloc_free(call);
+}
+
+const char *httpd_method(const struct httpd_call *call)
+{
+	return call->method;
+}
+
+const char *httpd_path(const struct httpd_call *call)
+{
+	return call->path;
+}
+
+const char *httpd_header(const struct httpd_call *call, const char *name)
+{
+	return MHD_lookup_connection_value(call->connection, MHD_HEADER_KIND, name);
+}
+
+const char *httpd_body(const struct httpd_call *call, size_t *len)
+{
+	*len = call->body_len;
+	return call->body ? call->body : "";
+}
+
+void httpd_set_context(struct httpd_call *call, void *ctx)
+{
+	call->ctx = ctx;
+}
+
+void *httpd_context(const struct httpd_call *call)
+{
+	return call->ctx;
+}
+
+void httpd_answer(struct httpd_call *call, int status, const char *type, const char *body,
+		  uint32_t retry_after_s)
+{
+	struct httpd *httpd = call->httpd;
+	char text[16];
+
+	call->response = MHD_create_response_from_buffer(body ? strlen(body) : 0, (void *)body,
+							 MHD_RESPMEM_MUST_COPY);
+	call->status = status;
+	if (type)
+		MHD_add_response_header(call->response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
+	if (retry_after_s > 0) {
+		snprintf(text, sizeof(text), "%u", retry_after_s);
+		MHD_add_response_header(call->response, MHD_HTTP_HEADER_RETRY_AFTER, text);
+	}
+	if (httpd->closing)
+		MHD_add_response_header(call->response, MHD_HTTP_HEADER_CONNECTION, "close");
+	httpd->open_calls--;
+	if (!call->suspended)
+		return;
+	call->suspended = false;
+	MHD_resume_connection(call->connection);
+	run_later(httpd);
+}
+
+void httpd_close_idle(struct httpd *httpd)
+{
+	httpd->closing = true;
+}
+
+size_t httpd_open_calls(const struct httpd *httpd)
+{
+	return httpd->open_calls;
+}
+
+static int open_socket(const char *address, struct err *err)
+{
+	struct sockaddr_in at = {.sin_family = AF_INET};
+	char ip[64];
+	unsigned int port;
+	int on = 1;
+	int fd;
+
+	if (sscanf(address, "%63[^:]:%u", ip, &port) != 2 || port > 65535 ||
+	    inet_pton(AF_INET, ip, &at.sin_addr) != 1)
+		return err_set(err, ERR_INVALID, "Write it as \"ip:port\".",
+			       "\"%s\" is not an address to listen on", address);
+	at.sin_port = htons((uint16_t)port);
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return err_set(err, ERR_SYSTEM, "Raise the limit of open files.",
+			       "cannot create a socket: %s", strerror(errno));
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&at, sizeof(at)) || listen(fd, BACKLOG)) {
+		err_set(err, ERR_SYSTEM, "Choose a free address of this host.",
+			"cannot listen on %s: %s", address, strerror(errno));
+		close(fd);
+		return -ERR_SYSTEM;
+	}
+	return fd;
+}
+
+static int httpd_destructor(struct httpd *httpd)
+{
+	if (httpd->daemon)
+		MHD_stop_daemon(httpd->daemon);
+	return 0;
+}
+
+struct httpd *httpd_create(TALLOC_CTX *mem, struct tevent_context *ev, const char *address,
+			   size_t body_max, const struct httpd_handlers *handlers, struct err *err)
+{
+	struct httpd *httpd = talloc_zero(mem, struct httpd);
+	const union MHD_DaemonInfo *info;
+	int fd = open_socket(address, err);
+
+	if (fd < 0) {
+		talloc_free(httpd);
+		return NULL;
+	}
+	httpd->ev = ev;
+	httpd->handlers = *handlers;
+	httpd->body_max = body_max;
+	httpd->immediate = tevent_create_immediate(httpd);
+	httpd->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, httpd,
+		MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
+		(unsigned int)CONNECTIONS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)CONNECTION_MEMORY, MHD_OPTION_CONNECTION_TIMEOUT,
+		(unsigned int)CONNECTION_IDLE_S, MHD_OPTION_NOTIFY_COMPLETED, on_completed, httpd,
+		MHD_OPTION_END);
+	if (!httpd->daemon) {
+		err_set(err, ERR_SYSTEM, "Raise the limit of open files.",
+			"cannot start the HTTP server on %s", address);
+		close(fd);
+		talloc_free(httpd);
+		return NULL;
+	}
+	talloc_set_destructor(httpd, httpd_destructor);
+	info = MHD_get_daemon_info(httpd->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	httpd->fde = tevent_add_fd(ev, httpd, info->epoll_fd, TEVENT_FD_READ, on_readable, httpd);
+	schedule_tick(httpd);
+	return httpd;
+}
--- /dev/null
+++ b/src/httpd.h
@@ -0,0 +1,70 @@
+#ifndef JAYCOURSE_HTTPD_H
+#define JAYCOURSE_HTTPD_H
+
+#include "err.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <talloc.h>
+#include <tevent.h>
+
+/**
+ * DOC: HTTP server on the loop thread (libmicrohttpd in its epoll mode)
+ *
+ * For processes that serve few calls with a small share of one core, where threads would cost
+ * more than they bring. A handler answers at once or later; the body of a call is complete
+ * when the handler is called.
+ */
+
+struct httpd;
+struct httpd_call;
+
+/**
+ * struct httpd_handlers - callbacks
+ * @on_call: a whole call was read; answer it with httpd_answer() now or later
+ * @on_gone: the caller has closed the connection before its answer; the call must not be used
+ *	afterwards. May be NULL when @on_call always answers at once.
+ */
+struct httpd_handlers {
+	void (*on_call)(struct httpd_call *call, void *ctx);
+	void (*on_gone)(struct httpd_call *call, void *ctx);
+	void *ctx;
+};
+
+/**
+ * httpd_create() - listen
+ * @address: "ip:port"
+ * @body_max: bytes; calls with a larger body are answered 413
+ */
+struct httpd *httpd_create(TALLOC_CTX *mem, struct tevent_context *ev, const char *address,
+			   size_t body_max, const struct httpd_handlers *handlers, struct err *err);
+
+/** httpd_close_idle() - ask clients to close their connections with the next answer */
+void httpd_close_idle(struct httpd *httpd);
+
+/** httpd_open_calls() - calls without an answer */
+size_t httpd_open_calls(const struct httpd *httpd);
+
+const char *httpd_method(const struct httpd_call *call);
+const char *httpd_path(const struct httpd_call *call);
+
+/** httpd_header() - a request header, or NULL; borrowed until the answer */
+const char *httpd_header(const struct httpd_call *call, const char *name);
+
+/** httpd_body() - NUL terminated, borrowed until the answer */
+const char *httpd_body(const struct httpd_call *call, size_t *len);
+
+/** httpd_set_context() - attach the owner's state to a call; read with httpd_context() */
+void httpd_set_context(struct httpd_call *call, void *ctx);
+void *httpd_context(const struct httpd_call *call);
+
+/**
+ * httpd_answer() - answer a call; the call must not be used afterwards
+ * @body: copied; NULL for none
+ * @retry_after_s: value of Retry-After, 0 for none
+ */
+void httpd_answer(struct httpd_call *call, int status, const char *type, const char *body,
+		  uint32_t retry_after_s);
+
+#endif
--- /dev/null
+++ b/src/main_fleet.c
@@ -0,0 +1,221 @@
+#include "fleet.h"
+#include "httpc.h"
+#include "log.h"
+#include "platform.h"
+
+#include <argp.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define SETTINGS_LOOK_S 5 /* a settings file may change without a signal */
+
+const char *argp_program_version = "jaycourse-fleet " JAYCOURSE_VERSION;
+
+struct arguments {
+	enum fleetnode_role role;
+	bool role_given;
+	bool check;
+	const char *config;
+};
+
+struct program {
+	TALLOC_CTX *mem;
+	struct arguments arguments;
+	const struct fleetnode_settings *settings;
+	struct fleet_node *node;
+	struct timespec changed; /* settings file */
+	bool finished;
+};
+
+static const struct argp_option options[] = {
+	{"config", 'c', "FILE", 0, "JSON file with the settings of this process", 0},
+	{"check", 'k', 0, 0, "Check the settings and end", 0},
+	{0},
+};
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct arguments *a = state->input;
+
+	switch (key) {
+	case 'c':
+		a->config = arg;
+		return 0;
+	case 'k':
+		a->check = true;
+		return 0;
+	case ARGP_KEY_ARG:
+		if (a->role_given || (strcmp(arg, "entry") != 0 && strcmp(arg, "agent") != 0))
+			argp_error(state, "name one role, \"entry\" or \"agent\"");
+		a->role = strcmp(arg, "entry") ? FLEETNODE_AGENT : FLEETNODE_ENTRY;
+		a->role_given = true;
+		return 0;
+	case ARGP_KEY_END:
+		if (!a->role_given || !a->config)
+			argp_error(state, "a role and --config are required");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static void on_done(void *ctx)
+{
+	struct program *program = ctx;
+
+	program->finished = true;
+}
+
+static void on_term(struct tevent_context *ev, struct tevent_signal *se, int signum, int count,
+		    void *info, void *ctx)
+{
+	struct program *program = ctx;
+
+	log_info("stopping", "", "signal %d", signum);
+	fleet_drain(program->node, on_done, program);
+}
+
+/* Addresses can't change while the process runs; everything else is checked and kept. */
+static void reload(struct program *program)
+{
+	char *report = NULL;
+	struct fleetnode_settings *fresh =
+		fleetnode_load(program->mem, program->arguments.role, program->arguments.config,
+			       &report);
+
+	if (!fresh)
+		log_error("settings_rejected", "", "the settings in use stay: %s", report);
+	else
+		log_info("settings_read", "", "%s is valid; a restart applies what differs",
+			 program->arguments.config);
+	talloc_free(fresh);
+	talloc_free(report);
+}
+
+static bool settings_changed(struct program *program)
+{
+	struct stat status;
+	bool changed;
+
+	if (stat(program->arguments.config, &status)) {
+		log_warn("settings_missing", "", "%s: %s", program->arguments.config,
+			 strerror(errno));
+		return false;
+	}
+	changed = status.st_mtim.tv_sec != program->changed.tv_sec ||
+		  status.st_mtim.tv_nsec != program->changed.tv_nsec;
+	program->changed = status.st_mtim;
+	return changed;
+}
+
+static void on_hup(struct tevent_context *ev, struct tevent_signal *se, int signum, int count,
+		   void *info, void *ctx)
+{
+	struct program *program = ctx;
+
+	settings_changed(program);
+	reload(program);
+}
+
+static void on_look(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+		    void *ctx)
+{
+	struct program *program = ctx;
+
+	if (settings_changed(program))
+		reload(program);
+	tevent_add_timer(ev, program->mem, tevent_timeval_current_ofs(SETTINGS_LOOK_S, 0), on_look,
+			 program);
+}
+
+static enum fleet_control control_call(const char *method, const char *path, const char **id)
+{
+	switch (platform_control_call(method, path, id)) {
+	case PLATFORM_HEARTBEAT:
+		return FLEET_HEARTBEAT;
+	case PLATFORM_GOODBYE:
+		return FLEET_GOODBYE;
+	default:
+		return FLEET_OTHER;
+	}
+}
+
+static struct fleet_platform connect_platform(TALLOC_CTX *mem, struct tevent_context *ev,
+					      const struct fleetnode_settings *settings,
+					      struct metrics *metrics)
+{
+	struct httpc *http = httpc_create(mem, ev);
+	struct fleet_platform platform = {
+		.kv = platform_kv_create(mem, http, settings->store_address, metrics),
+		.codec = &platform_intake_codec,
+		.config_key = PLATFORM_CONFIG_KEY,
+		.read_config = platform_config_read,
+		.read_self = platform_self_read,
+		.control_call = control_call,
+		.is_ready_call = platform_is_ready_call,
+	};
+
+	if (settings->worker_address)
+		platform.worker = platform_worker_create(mem, http, settings->worker_address);
+	return platform;
+}
+
+static int run(struct program *program)
+{
+	struct tevent_context *ev = tevent_context_init(program->mem);
+	struct metrics *metrics = metrics_create(program->mem);
+	struct fleet_platform platform =
+		connect_platform(program->mem, ev, program->settings, metrics);
+	struct err err = {0};
+
+	program->node = fleet_create(program->mem, ev, program->arguments.role, program->settings,
+				     &platform, metrics, &err);
+	if (!program->node) {
+		log_error("start_failed", "", "%s. %s", err.message, err.remedy);
+		return EXIT_FAILURE;
+	}
+	log_info("started", "", "messages at %s", program->settings->message_address);
+	tevent_add_signal(ev, program->mem, SIGTERM, 0, on_term, program);
+	tevent_add_signal(ev, program->mem, SIGINT, 0, on_term, program);
+	tevent_add_signal(ev, program->mem, SIGHUP, 0, on_hup, program);
+	settings_changed(program);
+	tevent_add_timer(ev, program->mem, tevent_timeval_current_ofs(SETTINGS_LOOK_S, 0), on_look,
+			 program);
+	while (!program->finished)
+		tevent_loop_once(ev);
+	return EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp argp = {
+		.options = options,
+		.parser = parse,
+		.args_doc = "entry|agent",
+		.doc = "Job scheduler of a fleet: an entry for callers, an agent beside each worker.",
+	};
+	struct program program = {.mem = talloc_new(NULL)};
+	char *report = NULL;
+	int status;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &program.arguments);
+	signal(SIGPIPE, SIG_IGN);
+	program.settings = fleetnode_load(program.mem, program.arguments.role,
+					  program.arguments.config, &report);
+	if (!program.settings) {
+		fprintf(stderr, "jaycourse-fleet: the settings cannot be used:\n%s", report);
+		return 2;
+	}
+	if (program.arguments.check)
+		return EXIT_SUCCESS;
+	log_init("jaycourse-fleet", program.settings->node, program.settings->verbose);
+	status = run(&program);
+	log_info("stopped", "", "status %d", status);
+	talloc_free(program.mem);
+	return status;
+}
--- a/src/msg.c
+++ b/src/msg.c
@@ -280,6 +280,22 @@
 	FIELD_BYTES(struct msg_job_info, json),
 };
 
+static const struct field lead_fields[] = {
+	FIELD_U64(struct msg_lead, term),
+	FIELD_STRING(struct msg_lead, node),
+	FIELD_STRING(struct msg_lead, address),
+};
+
+static const struct field worker_report_fields[] = {
+	FIELD_U64(struct msg_worker_report, term),
+	FIELD_BYTES(struct msg_worker_report, json),
+};
+
+static const struct field worker_orders_fields[] = {
+	FIELD_U64(struct msg_worker_orders, term),
+	FIELD_BYTES(struct msg_worker_orders, json),
+};
+
 #define LAYOUT(type, member) [type] = {#member, member##_fields, ARRAY_LEN(member##_fields)}
 
 static const struct layout layouts[MSG_TYPE_COUNT] = {
@@ -315,6 +331,9 @@
 	LAYOUT(MSG_JOB_HINT, job_hint),
 	LAYOUT(MSG_JOB_QUERY, job_query),
 	LAYOUT(MSG_JOB_INFO, job_info),
+	LAYOUT(MSG_LEAD, lead),
+	LAYOUT(MSG_WORKER_REPORT, worker_report),
+	LAYOUT(MSG_WORKER_ORDERS, worker_orders),
 };
 
 /* The rows array and its count follow each other in struct msg_target_delta. */
--- a/src/msg.h
+++ b/src/msg.h
@@ -54,6 +54,9 @@
 	MSG_JOB_HINT,
 	MSG_JOB_QUERY,
 	MSG_JOB_INFO,
+	MSG_LEAD,
+	MSG_WORKER_REPORT,
+	MSG_WORKER_ORDERS,
 	MSG_TYPE_COUNT,
 };
 
@@ -366,6 +369,25 @@
 	struct msg_bytes json;
 };
 
+/* The leader of the fleet to an agent: report to @address from now on. */
+struct msg_lead {
+	uint64_t term;
+	const char *node;
+	const char *address;
+};
+
+/* An agent to the leader: what runs, ended and was refused; fields in fleetmsg.h. */
+struct msg_worker_report {
+	uint64_t term; /* highest that the agent knows */
+	struct msg_bytes json;
+};
+
+/* The leader to an agent: what to start, stop and forget; fields in fleetmsg.h. */
+struct msg_worker_orders {
+	uint64_t term;
+	struct msg_bytes json;
+};
+
 /**
  * struct msg - one message of any type
  * @type: selects the member of the union
@@ -407,6 +429,9 @@
 		struct msg_job_hint job_hint;
 		struct msg_job_query job_query;
 		struct msg_job_info job_info;
+		struct msg_lead lead;
+		struct msg_worker_report worker_report;
+		struct msg_worker_orders worker_orders;
 	} u;
 };
 
--- /dev/null
+++ b/src/plan_int.h
@@ -0,0 +1,169 @@
+#ifndef JAYCOURSE_PLAN_INT_H
+#define JAYCOURSE_PLAN_INT_H
+
+#include "plan.h"
+
+#include <glib.h>
+
+/** DOC: Shared by the plan*.c files only */
+
+#define TASK_NAME_MAX 64 /* 16 digits of the job and three numbers */
+
+enum task_state {
+	TASK_WAITING,
+	TASK_STARTING, /* ordered, not confirmed */
+	TASK_RUNNING,
+	TASK_STOPPING,
+	TASK_DONE,
+};
+
+struct task {
+	struct step_run *step;
+	uint32_t index;
+	enum task_state state;
+	uint32_t run; /* number of the latest run */
+	struct worker *worker;
+	struct task *next_on_worker;
+	char *checkpoint;
+	uint32_t saved_percent; /* progress when the checkpoint was taken */
+	uint32_t percent;
+	uint64_t progress_ms; /* when the percentage moved last */
+	uint64_t began_ms;    /* of the latest run */
+	uint32_t failures;
+	uint64_t retry_ms; /* not started before */
+	struct worker *avoid; /* where it failed last */
+	bool listed;	      /* in the report being read */
+	char name[TASK_NAME_MAX];
+};
+
+/* One step of one occurrence. */
+struct step_run {
+	struct occurrence *occurrence;
+	const struct jobspec_step *spec;
+	uint32_t number;
+	struct task *tasks; /* spec->count of them */
+	uint32_t done;
+	uint32_t waiting;
+	uint32_t gang_failures;
+	uint32_t gang_failed_run; /* run whose failure was counted last */
+	uint64_t ready_ms;	  /* when the steps before it had ended; 0: they have not */
+};
+
+struct occurrence {
+	struct job *job;
+	struct occurrence *next;
+	uint32_t number;
+	struct step_run *steps;
+	size_t steps_left;
+	uint64_t due_ms; /* on the plan's clock */
+};
+
+struct job {
+	char *id;
+	char *queue_name;
+	char *organisation;
+	struct jobspec *spec;
+	const struct fleetconf_queue *queue; /* NULL: removed from the configuration */
+	uint64_t accepted_ms;
+	int64_t wall_offset_ms;
+	bool inherited;
+	bool started;	 /* some task has begun at some time */
+	bool dirty;
+	bool queued_dirty; /* in the list of dirty jobs */
+	enum plan_job_state state;
+	uint32_t created;  /* occurrences made so far */
+	uint32_t finished; /* occurrences that have ended */
+	uint32_t next_run;
+	struct occurrence *occurrences; /* unfinished ones */
+	bool guaranteed; /* within what its organisation was promised; set by each decision */
+};
+
+/* A run on a worker that belongs to no task and has to be stopped. */
+struct stray {
+	struct stray *next;
+	char *task;
+	uint32_t run;
+	bool listed;
+};
+
+struct worker {
+	char *node;
+	char *incarnation;
+	char *service;
+	char *zone;
+	char *kind;
+	char *rack;
+	struct plan_room room;
+	struct plan_room used;
+	bool present;
+	bool accepting;
+	struct task *tasks;
+	struct stray *strays;
+	uint64_t backoff_ms;	/* takes nothing new before */
+	uint64_t suspect_until_ms;
+	uint32_t suspicions;	/* times in a row it became suspect */
+	uint32_t failure_streak; /* failed runs of different jobs since the last good end */
+	const struct job *last_failed_job;
+	const struct step_run *reserved_for; /* by the decision under way */
+	bool changed; /* orders changed in the decision under way */
+};
+
+struct plan {
+	struct plan_params params;
+	const struct fleetconf *conf;
+	GHashTable *jobs;  /* id -> struct job, in no order */
+	GPtrArray *active; /* struct job: not ended or with runs */
+	GPtrArray *workers;
+	GQueue dirty; /* struct job */
+	bool settled;
+	uint32_t run_floor;
+};
+
+/* planjob.c */
+struct job *plan_find_job(const struct plan *plan, const char *id);
+struct task *plan_find_task(struct plan *plan, const char *name);
+void plan_touch(struct plan *plan, struct job *job);
+struct occurrence *plan_make_occurrence(struct plan *plan, struct job *job, uint32_t number);
+void plan_make_due(struct plan *plan, uint64_t now_ms);
+void plan_update_ready(struct occurrence *occurrence, uint64_t now_ms);
+void plan_task_done(struct plan *plan, struct task *task, uint64_t now_ms);
+void plan_task_failed(struct plan *plan, struct task *task, uint32_t run, uint64_t now_ms);
+void plan_job_end(struct plan *plan, struct job *job, enum plan_job_state state);
+bool plan_job_ended(const struct job *job);
+struct job *plan_task_job(const struct task *task);
+void plan_free_occurrence(struct occurrence *occurrence);
+
+/* planworker.c */
+struct worker *plan_find_worker(const struct plan *plan, const char *node);
+void plan_assign(struct task *task, struct worker *worker, uint64_t now_ms);
+void plan_release(struct task *task);
+void plan_stop_task(struct task *task);
+void plan_suspect(struct worker *worker, uint64_t now_ms);
+
+/* planplace.c */
+void plan_add_room(struct plan_room *sum, const struct plan_room *need);
+bool plan_fits(const struct plan_room *room, const struct plan_room *used,
+	       const struct plan_room *need);
+struct plan_room plan_need(const struct jobspec_step *spec);
+bool plan_worker_free(const struct worker *worker, uint64_t now_ms);
+bool plan_could_hold(const struct worker *worker, const struct step_run *step);
+struct worker *plan_pick(struct plan *plan, const struct task *task, uint64_t now_ms);
+
+/**
+ * plan_pick_gang() - workers for all waiting tasks of a gang
+ * @evict: count what plan_evictable() gives free as room
+ * @out: one worker a task, in order of the tasks
+ *
+ * Return: false when there is no room for all.
+ */
+bool plan_pick_gang(struct plan *plan, struct step_run *step, bool evict, uint64_t now_ms,
+		    struct worker **out);
+
+/* planevict.c */
+bool plan_evictable(const struct task *task, const struct job *beneficiary);
+/* Room in use that will not become free by stops under way. */
+struct plan_room plan_lasting_use(const struct worker *worker);
+bool plan_evict_for(struct plan *plan, struct step_run *step, uint64_t now_ms);
+void plan_mark_guaranteed(struct plan *plan);
+
+#endif
--- /dev/null
+++ b/src/planjob.c
@@ -0,0 +1,421 @@
+#include "plan_int.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RETRY_AFTER_FAILURE_MS 50 /* lets other news of a failing worker arrive first */
+
+struct plan *plan_create(TALLOC_CTX *mem, const struct plan_params *params)
+{
+	struct plan *plan = talloc_zero(mem, struct plan);
+
+	plan->params = *params;
+	plan->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	plan->active = g_ptr_array_new();
+	plan->workers = g_ptr_array_new();
+	g_queue_init(&plan->dirty);
+	return plan;
+}
+
+static void refresh_queue(const struct plan *plan, struct job *job)
+{
+	job->queue = plan->conf ? fleetconf_queue(plan->conf, job->queue_name) : NULL;
+}
+
+void plan_configure(struct plan *plan, const struct fleetconf *conf)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	plan->conf = conf;
+	g_hash_table_iter_init(&iter, plan->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		refresh_queue(plan, value);
+}
+
+struct job *plan_find_job(const struct plan *plan, const char *id)
+{
+	return g_hash_table_lookup(plan->jobs, id);
+}
+
+struct job *plan_task_job(const struct task *task)
+{
+	return task->step->occurrence->job;
+}
+
+bool plan_job_ended(const struct job *job)
+{
+	return job->state >= PLAN_JOB_COMPLETED;
+}
+
+void plan_touch(struct plan *plan, struct job *job)
+{
+	job->dirty = true;
+	if (job->queued_dirty)
+		return;
+	job->queued_dirty = true;
+	g_queue_push_tail(&plan->dirty, job);
+}
+
+const char *plan_take_dirty(struct plan *plan)
+{
+	struct job *job = g_queue_pop_head(&plan->dirty);
+
+	if (!job)
+		return NULL;
+	job->queued_dirty = false;
+	job->dirty = false;
+	return job->id;
+}
+
+void plan_mark_dirty(struct plan *plan, const char *id)
+{
+	struct job *job = plan_find_job(plan, id);
+
+	if (job)
+		plan_touch(plan, job);
+}
+
+static void init_step(struct step_run *step, struct occurrence *occurrence, uint32_t number)
+{
+	const struct job *job = occurrence->job;
+
+	step->occurrence = occurrence;
+	step->spec = &job->spec->steps[number];
+	step->number = number;
+	step->waiting = step->spec->count;
+	step->tasks = talloc_zero_array(occurrence, struct task, step->spec->count);
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		struct task *task = &step->tasks[i];
+
+		task->step = step;
+		task->index = i;
+		snprintf(task->name, sizeof(task->name), "%s.%" PRIu32 ".%" PRIu32 ".%" PRIu32,
+			 job->id, occurrence->number, number, i);
+	}
+}
+
+struct occurrence *plan_make_occurrence(struct plan *plan, struct job *job, uint32_t number)
+{
+	struct occurrence *occurrence = talloc_zero(job, struct occurrence);
+	struct occurrence **at = &job->occurrences;
+
+	occurrence->job = job;
+	occurrence->number = number;
+	occurrence->due_ms = job->accepted_ms;
+	if (job->spec->repeats > 0) {
+		int64_t due = (int64_t)(job->spec->first_due_ms + number * job->spec->interval_ms) -
+			      job->wall_offset_ms;
+
+		occurrence->due_ms = due > 0 ? (uint64_t)due : 0;
+	}
+	occurrence->steps_left = job->spec->step_count;
+	occurrence->steps = talloc_zero_array(occurrence, struct step_run, job->spec->step_count);
+	for (size_t i = 0; i < job->spec->step_count; i++)
+		init_step(&occurrence->steps[i], occurrence, (uint32_t)i);
+	while (*at)
+		at = &(*at)->next;
+	*at = occurrence;
+	if (number >= job->created)
+		job->created = number + 1;
+	return occurrence;
+}
+
+static uint32_t occurrence_count(const struct job *job)
+{
+	return job->spec->repeats > 0 ? job->spec->repeats : 1;
+}
+
+static bool next_is_due(const struct job *job, uint64_t now_ms)
+{
+	int64_t due;
+
+	if (job->created >= occurrence_count(job))
+		return false;
+	if (job->spec->repeats == 0)
+		return true;
+	due = (int64_t)(job->spec->first_due_ms + job->created * job->spec->interval_ms);
+	return due <= (int64_t)now_ms + job->wall_offset_ms;
+}
+
+void plan_make_due(struct plan *plan, uint64_t now_ms)
+{
+	for (guint i = 0; i < plan->active->len; i++) {
+		struct job *job = plan->active->pdata[i];
+
+		while (!plan_job_ended(job) && next_is_due(job, now_ms))
+			plan_update_ready(plan_make_occurrence(plan, job, job->created), now_ms);
+	}
+}
+
+void plan_update_ready(struct occurrence *occurrence, uint64_t now_ms)
+{
+	size_t count = occurrence->job->spec->step_count;
+
+	for (size_t i = 0; i < count; i++) {
+		struct step_run *step = &occurrence->steps[i];
+		bool ready = true;
+
+		for (size_t k = 0; k < step->spec->after_count; k++) {
+			const struct step_run *before = &occurrence->steps[step->spec->after[k]];
+
+			ready = ready && before->done == before->spec->count;
+		}
+		if (ready && !step->ready_ms)
+			step->ready_ms = now_ms > 0 ? now_ms : 1;
+	}
+}
+
+void plan_job_add(struct plan *plan, const struct plan_job_info *info)
+{
+	struct job *job;
+
+	if (plan_find_job(plan, info->id)) {
+		talloc_free(info->spec);
+		return;
+	}
+	job = talloc_zero(plan, struct job);
+	job->id = talloc_strdup(job, info->id);
+	job->queue_name = talloc_strdup(job, info->queue);
+	job->organisation = talloc_strdup(job, info->organisation);
+	job->spec = talloc_steal(job, info->spec);
+	job->accepted_ms = info->accepted_ms;
+	job->wall_offset_ms = info->wall_offset_ms;
+	job->inherited = info->inherited && !plan->settled;
+	job->next_run = 1;
+	refresh_queue(plan, job);
+	g_hash_table_insert(plan->jobs, job->id, job);
+	g_ptr_array_add(plan->active, job);
+}
+
+void plan_free_occurrence(struct occurrence *occurrence)
+{
+	struct occurrence **at = &occurrence->job->occurrences;
+
+	while (*at && *at != occurrence)
+		at = &(*at)->next;
+	if (*at)
+		*at = occurrence->next;
+	talloc_free(occurrence);
+}
+
+bool plan_job_known(const struct plan *plan, const char *id, enum plan_job_state *state)
+{
+	const struct job *job = plan_find_job(plan, id);
+
+	if (job)
+		*state = job->state;
+	return job != NULL;
+}
+
+uint32_t plan_pending(const struct plan *plan, const char *queue)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < plan->active->len; i++) {
+		const struct job *job = plan->active->pdata[i];
+
+		if (job->state == PLAN_JOB_QUEUED && !job->started &&
+		    !strcmp(job->queue_name, queue))
+			count++;
+	}
+	return count;
+}
+
+static void stop_everything(struct job *job)
+{
+	for (struct occurrence *o = job->occurrences; o; o = o->next) {
+		for (size_t s = 0; s < job->spec->step_count; s++) {
+			for (uint32_t i = 0; i < o->steps[s].spec->count; i++)
+				plan_stop_task(&o->steps[s].tasks[i]);
+		}
+	}
+}
+
+void plan_job_end(struct plan *plan, struct job *job, enum plan_job_state state)
+{
+	if (plan_job_ended(job))
+		return;
+	job->state = state;
+	stop_everything(job);
+	plan_touch(plan, job);
+}
+
+void plan_job_cancel(struct plan *plan, const char *id)
+{
+	struct job *job = plan_find_job(plan, id);
+
+	if (job)
+		plan_job_end(plan, job, PLAN_JOB_CANCELLED);
+}
+
+static bool runs_anything(const struct job *job)
+{
+	for (const struct occurrence *o = job->occurrences; o; o = o->next) {
+		for (size_t s = 0; s < job->spec->step_count; s++) {
+			for (uint32_t i = 0; i < o->steps[s].spec->count; i++) {
+				if (o->steps[s].tasks[i].worker)
+					return true;
+			}
+		}
+	}
+	return false;
+}
+
+bool plan_job_remove(struct plan *plan, const char *id)
+{
+	struct job *job = plan_find_job(plan, id);
+
+	if (!job || !plan_job_ended(job) || runs_anything(job))
+		return false;
+	if (job->queued_dirty)
+		g_queue_remove(&plan->dirty, job);
+	for (guint i = 0; i < plan->workers->len; i++) {
+		struct worker *worker = plan->workers->pdata[i];
+
+		if (worker->last_failed_job == job)
+			worker->last_failed_job = NULL;
+	}
+	g_hash_table_remove(plan->jobs, job->id);
+	g_ptr_array_remove(plan->active, job);
+	talloc_free(job);
+	return true;
+}
+
+struct task *plan_find_task(struct plan *plan, const char *name)
+{
+	char id[TASK_NAME_MAX];
+	unsigned int occurrence;
+	unsigned int step;
+	unsigned int index;
+	char rest;
+	struct job *job;
+
+	if (sscanf(name, "%63[^.].%u.%u.%u%c", id, &occurrence, &step, &index, &rest) != 4)
+		return NULL;
+	job = plan_find_job(plan, id);
+	if (!job || step >= job->spec->step_count || index >= job->spec->steps[step].count ||
+	    occurrence >= occurrence_count(job))
+		return NULL;
+	/* The clock of the former leader may have been ahead when it began this occurrence. */
+	while (job->inherited && !plan_job_ended(job) && job->created <= occurrence)
+		plan_update_ready(plan_make_occurrence(plan, job, job->created),
+				  job->accepted_ms);
+	for (struct occurrence *o = job->occurrences; o; o = o->next) {
+		if (o->number == occurrence)
+			return &o->steps[step].tasks[index];
+	}
+	return NULL;
+}
+
+static void finish_occurrence(struct plan *plan, struct occurrence *occurrence)
+{
+	struct job *job = occurrence->job;
+
+	job->finished++;
+	plan_free_occurrence(occurrence);
+	if (job->finished == occurrence_count(job))
+		plan_job_end(plan, job, PLAN_JOB_COMPLETED);
+}
+
+static void mark_done(struct step_run *step, struct task *task)
+{
+	if (task->state == TASK_DONE)
+		return;
+	if (task->state == TASK_WAITING)
+		step->waiting--;
+	else
+		plan_release(task);
+	task->state = TASK_DONE;
+	TALLOC_FREE(task->checkpoint);
+	step->done++;
+}
+
+void plan_task_done(struct plan *plan, struct task *task, uint64_t now_ms)
+{
+	struct step_run *step = task->step;
+	struct occurrence *occurrence = step->occurrence;
+	struct job *job = occurrence->job;
+	uint32_t done_before = step->done;
+
+	mark_done(step, task);
+	/* The members of a gang end together, so one end stands for all. */
+	for (uint32_t i = 0; step->spec->gang && i < step->spec->count; i++)
+		mark_done(step, &step->tasks[i]);
+	if (step->done == done_before)
+		return;
+	plan_touch(plan, job);
+	if (step->done < step->spec->count)
+		return;
+	occurrence->steps_left--;
+	plan_update_ready(occurrence, now_ms);
+	if (occurrence->steps_left == 0)
+		finish_occurrence(plan, occurrence);
+}
+
+void plan_task_failed(struct plan *plan, struct task *task, uint32_t run, uint64_t now_ms)
+{
+	struct step_run *step = task->step;
+	struct job *job = plan_task_job(task);
+	uint32_t failures;
+
+	if (step->spec->gang) {
+		/* Several members may fail in one run; it counts once. */
+		if (step->gang_failed_run >= run)
+			return;
+		step->gang_failed_run = run;
+		failures = ++step->gang_failures;
+	} else {
+		failures = ++task->failures;
+	}
+	task->retry_ms = now_ms + RETRY_AFTER_FAILURE_MS;
+	plan_touch(plan, job);
+	if (step->spec->long_running || !job->queue || failures < job->queue->max_attempts)
+		return;
+	plan_job_end(plan, job, PLAN_JOB_FAILED);
+}
+
+void plan_settle(struct plan *plan)
+{
+	plan->settled = true;
+	for (guint i = 0; i < plan->active->len; i++)
+		((struct job *)plan->active->pdata[i])->inherited = false;
+}
+
+void plan_run_floor(struct plan *plan, uint32_t run)
+{
+	plan->run_floor = run;
+}
+
+static const char *const state_names[] = {
+	[PLAN_JOB_QUEUED] = "queued",	    [PLAN_JOB_RUNNING] = "running",
+	[PLAN_JOB_COMPLETED] = "completed", [PLAN_JOB_FAILED] = "failed",
+	[PLAN_JOB_CANCELLED] = "cancelled",
+};
+
+char *plan_explain(const struct plan *plan, TALLOC_CTX *mem, const char *id)
+{
+	const struct job *job = plan_find_job(plan, id);
+	uint32_t counts[TASK_DONE + 1] = {0};
+	uint32_t failures = 0;
+
+	if (!job)
+		return talloc_strdup(mem, "not known to the leader");
+	for (const struct occurrence *o = job->occurrences; o; o = o->next) {
+		for (size_t s = 0; s < job->spec->step_count; s++) {
+			for (uint32_t i = 0; i < o->steps[s].spec->count; i++) {
+				counts[o->steps[s].tasks[i].state]++;
+				failures += o->steps[s].tasks[i].failures;
+			}
+			failures += o->steps[s].gang_failures;
+		}
+	}
+	return talloc_asprintf(
+		mem,
+		"%s: %u tasks wait, %u start, %u run, %u stop, %u are done, %u failed runs%s%s",
+		state_names[job->state], counts[TASK_WAITING], counts[TASK_STARTING],
+		counts[TASK_RUNNING], counts[TASK_STOPPING], counts[TASK_DONE], failures,
+		job->inherited ? ", waits for workers of the former leader" : "",
+		job->queue ? "" : ", its queue is not configured");
+}
