--- a/src/kvmirror.c
+++ b/src/kvmirror.c
@@ -5,7 +5,11 @@
 #include <inttypes.h>
 #include <string.h>
 
-#define POLL_WAIT_MS 10000  /* each answer is priced, a silent connection is noticed after it */
+/*
+ * A poll may be silenced while changes are made. Together with the binding's slack this
+ * leaves time to read again within the 2 s in which a configuration must be in force.
+ */
+#define POLL_WAIT_MS 800
 #define RETRY_BASE_MS 50
 #define RETRY_MAX_MS 500    /* configurations have to be in force within 2 s */
 #define DOUBLINGS_MAX 5
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -17,11 +17,20 @@
 	TASK_DONE,
 };
 
+#define FAILED_RUNS_KEPT 16 /* more than any queue allows attempts */
+
+/* Runs whose failure has been counted; a failure may be reported more than once. */
+struct run_set {
+	uint32_t runs[FAILED_RUNS_KEPT];
+	uint32_t count;
+};
+
 struct task {
 	struct step_run *step;
 	uint32_t index;
 	enum task_state state;
-	uint32_t run; /* number of the latest run */
+	uint32_t run;	    /* number of the latest run */
+	uint32_t ended_run; /* no run up to this one goes on */
 	struct worker *worker;
 	struct task *next_on_worker;
 	char *checkpoint;
@@ -29,7 +38,7 @@
 	uint32_t percent;
 	uint64_t progress_ms; /* when the percentage moved last */
 	uint64_t began_ms;    /* of the latest run */
-	uint32_t failures;
+	struct run_set failures;
 	uint64_t retry_ms; /* not started before */
 	struct worker *avoid; /* where it failed last */
 	bool listed;	      /* in the report being read */
@@ -44,9 +53,8 @@
 	struct task *tasks; /* spec->count of them */
 	uint32_t done;
 	uint32_t waiting;
-	uint32_t gang_failures;
-	uint32_t gang_failed_run; /* run whose failure was counted last */
-	uint64_t ready_ms;	  /* when the steps before it had ended; 0: they have not */
+	struct run_set gang_failures;
+	uint64_t ready_ms; /* when the steps before it had ended; 0: they have not */
 };
 
 struct occurrence {
@@ -128,6 +136,7 @@
 void plan_update_ready(struct occurrence *occurrence, uint64_t now_ms);
 void plan_task_done(struct plan *plan, struct task *task, uint64_t now_ms);
 void plan_task_failed(struct plan *plan, struct task *task, uint32_t run, uint64_t now_ms);
+bool plan_run_set_add(struct run_set *set, uint32_t run);
 void plan_job_end(struct plan *plan, struct job *job, enum plan_job_state state);
 bool plan_job_ended(const struct job *job);
 struct job *plan_task_job(const struct task *task);
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -354,24 +354,34 @@
 		finish_occurrence(plan, occurrence);
 }
 
+bool plan_run_set_add(struct run_set *set, uint32_t run)
+{
+	for (uint32_t i = 0; i < set->count; i++) {
+		if (set->runs[i] == run)
+			return false;
+	}
+	if (set->count == FAILED_RUNS_KEPT) {
+		/* Long-running tasks may fail without end; the oldest is forgotten. */
+		memmove(set->runs, set->runs + 1, sizeof(set->runs) - sizeof(set->runs[0]));
+		set->count--;
+	}
+	set->runs[set->count++] = run;
+	return true;
+}
+
 void plan_task_failed(struct plan *plan, struct task *task, uint32_t run, uint64_t now_ms)
 {
 	struct step_run *step = task->step;
 	struct job *job = plan_task_job(task);
-	uint32_t failures;
-
-	if (step->spec->gang) {
-		/* Several members may fail in one run; it counts once. */
-		if (step->gang_failed_run >= run)
-			return;
-		step->gang_failed_run = run;
-		failures = ++step->gang_failures;
-	} else {
-		failures = ++task->failures;
-	}
+	/* Several members of a gang may fail in one run; it counts once. */
+	struct run_set *failures = step->spec->gang ? &step->gang_failures : &task->failures;
+
+	if (!plan_run_set_add(failures, run))
+		return;
 	task->retry_ms = now_ms + RETRY_AFTER_FAILURE_MS;
 	plan_touch(plan, job);
-	if (step->spec->long_running || !job->queue || failures < job->queue->max_attempts)
+	if (step->spec->long_running || !job->queue ||
+	    failures->count < job->queue->max_attempts)
 		return;
 	plan_job_end(plan, job, PLAN_JOB_FAILED);
 }
@@ -406,9 +416,9 @@
 		for (size_t s = 0; s < job->spec->step_count; s++) {
 			for (uint32_t i = 0; i < o->steps[s].spec->count; i++) {
 				counts[o->steps[s].tasks[i].state]++;
-				failures += o->steps[s].tasks[i].failures;
+				failures += o->steps[s].tasks[i].failures.count;
 			}
-			failures += o->steps[s].gang_failures;
+			failures += o->steps[s].gang_failures.count;
 		}
 	}
 	return talloc_asprintf(
--- a/src/planrecord.c
+++ b/src/planrecord.c
@@ -13,7 +13,25 @@
 	[PLAN_JOB_CANCELLED] = "cancelled",
 };
 
-/* [index, done, failures, run, checkpoint, percent] of each task that has something to say. */
+static json_t *write_runs(const struct run_set *set)
+{
+	json_t *runs = json_array();
+
+	for (uint32_t i = 0; i < set->count; i++)
+		json_array_append_new(runs, json_integer(set->runs[i]));
+	return runs;
+}
+
+static void read_runs(struct run_set *set, const json_t *runs)
+{
+	const json_t *run;
+	size_t i;
+
+	json_array_foreach(runs, i, run)
+		plan_run_set_add(set, (uint32_t)json_integer_value(run));
+}
+
+/* [index, done, failed runs, ended run, checkpoint, percent] of tasks with something to say. */
 static json_t *write_tasks(const struct step_run *step)
 {
 	json_t *rows = json_array();
@@ -22,10 +40,11 @@
 		const struct task *task = &step->tasks[i];
 		bool done = task->state == TASK_DONE;
 
-		if (!done && task->failures == 0 && !task->checkpoint)
+		if (!done && task->failures.count == 0 && !task->checkpoint)
 			continue;
-		json_array_append_new(rows, json_pack("[i, b, i, i, s, i]", (int)i, done,
-						      (int)task->failures, (int)task->run,
+		json_array_append_new(rows, json_pack("[i, b, o, i, s, i]", (int)i, done,
+						      write_runs(&task->failures),
+						      (int)task->ended_run,
 						      task->checkpoint ? task->checkpoint : "",
 						      (int)task->saved_percent));
 	}
@@ -40,9 +59,9 @@
 		const struct step_run *step = &occurrence->steps[i];
 
 		json_array_append_new(
-			steps, json_pack("{s:i, s:i, s:o}", "gang_failures",
-					 (int)step->gang_failures, "gang_failed_run",
-					 (int)step->gang_failed_run, "tasks", write_tasks(step)));
+			steps, json_pack("{s:o, s:o}", "gang_failures",
+					 write_runs(&step->gang_failures), "tasks",
+					 write_tasks(step)));
 	}
 	return json_pack("{s:i, s:o}", "number", (int)occurrence->number, "steps", steps);
 }
@@ -69,19 +88,20 @@
 {
 	int index;
 	int done;
-	int failures;
+	json_t *failures;
 	int run;
 	const char *checkpoint;
 	int percent;
 	struct task *task;
 
-	if (json_unpack((json_t *)row, "[i, b, i, i, s, i]", &index, &done, &failures, &run,
+	if (json_unpack((json_t *)row, "[i, b, o, i, s, i]", &index, &done, &failures, &run,
 			&checkpoint, &percent) ||
-	    index < 0 || (uint32_t)index >= step->spec->count || failures < 0 || run < 0)
+	    index < 0 || (uint32_t)index >= step->spec->count || run < 0)
 		return -ERR_INVALID;
 	task = &step->tasks[index];
-	task->failures = (uint32_t)failures;
+	read_runs(&task->failures, failures);
 	task->run = (uint32_t)run;
+	task->ended_run = (uint32_t)run;
 	if (*checkpoint)
 		task->checkpoint = talloc_strdup(step->occurrence, checkpoint);
 	task->saved_percent = (uint32_t)percent;
@@ -99,10 +119,7 @@
 	const json_t *rows = json_object_get(json, "tasks");
 	size_t i;
 
-	step->gang_failures =
-		(uint32_t)json_integer_value(json_object_get(json, "gang_failures"));
-	step->gang_failed_run =
-		(uint32_t)json_integer_value(json_object_get(json, "gang_failed_run"));
+	read_runs(&step->gang_failures, json_object_get(json, "gang_failures"));
 	json_array_foreach(rows, i, row)
 	{
 		if (read_task(step, row))
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -221,12 +221,17 @@
 		plan_stop_task(task);
 }
 
-/* Members of a gang that run under different numbers can't work together. */
+/*
+ * A run of the former leader's time, or one that was given up too early: the latest of its
+ * task. Members of a gang that run under different numbers can't work together.
+ */
 static bool adoptable(const struct task *task, uint32_t run)
 {
 	const struct step_run *step = task->step;
 
-	if (task->state != TASK_WAITING || !plan_task_job(task)->inherited || run <= task->run)
+	if (task->state != TASK_WAITING || run <= task->ended_run)
+		return false;
+	if (run != task->run && !(plan_task_job(task)->inherited && run > task->run))
 		return false;
 	for (uint32_t i = 0; step->spec->gang && i < step->spec->count; i++) {
 		if (step->tasks[i].worker && step->tasks[i].run != run)
@@ -294,6 +299,7 @@
 	struct job *job = plan_task_job(task);
 
 	keep_checkpoint(task, run);
+	task->ended_run = run->run;
 	if (how == PLAN_END_DONE) {
 		good_end(worker);
 		plan_task_done(plan, task, now_ms);
@@ -308,6 +314,31 @@
 	plan_task_failed(plan, task, run->run, now_ms);
 }
 
+/*
+ * An end of a run that the plan does not count on: from the time of a former leader, or of a
+ * worker that was given up. If no later run has begun, the end holds. A failure counts as an
+ * attempt in any case.
+ */
+static void end_other_run(struct plan *plan, struct task *task, const struct plan_run *run,
+			  enum plan_end how, uint64_t now_ms)
+{
+	struct job *job = plan_task_job(task);
+	bool latest = task->state == TASK_WAITING && run->run > task->ended_run &&
+		      (run->run == task->run || (job->inherited && run->run > task->run));
+
+	if (how == PLAN_END_FAILED)
+		plan_task_failed(plan, task, run->run, now_ms);
+	if (!latest || plan_job_ended(job))
+		return;
+	task->run = run->run;
+	task->ended_run = run->run;
+	if (run->run >= job->next_run)
+		job->next_run = run->run + 1;
+	keep_checkpoint(task, run);
+	if (how == PLAN_END_DONE)
+		plan_task_done(plan, task, now_ms);
+}
+
 void plan_worker_ended(struct plan *plan, const char *node, const struct plan_run *run,
 		       enum plan_end how, uint64_t now_ms)
 {
@@ -319,21 +350,10 @@
 	drop_stray(worker, run);
 	if (!task || task->state == TASK_DONE)
 		return;
-	if (task->worker == worker && task->run == run->run) {
+	if (task->worker == worker && task->run == run->run)
 		end_current_run(plan, worker, task, run, how, now_ms);
-		return;
-	}
-	/* An end from the time of a former leader, of a task that has not started since. */
-	if (!plan_task_job(task)->inherited || task->state != TASK_WAITING || run->run <= task->run)
-		return;
-	task->run = run->run;
-	if (run->run >= plan_task_job(task)->next_run)
-		plan_task_job(task)->next_run = run->run + 1;
-	keep_checkpoint(task, run);
-	if (how == PLAN_END_DONE)
-		plan_task_done(plan, task, now_ms);
-	else if (how == PLAN_END_FAILED)
-		plan_task_failed(plan, task, run->run, now_ms);
+	else
+		end_other_run(plan, task, run, how, now_ms);
 }
 
 void plan_worker_refused(struct plan *plan, const char *node, const struct plan_run *run,
@@ -347,6 +367,7 @@
 	drop_stray(worker, run);
 	if (!task || task->worker != worker || task->run != run->run)
 		return;
+	task->ended_run = run->run;
 	stop_gang(task, run->run);
 	back_to_waiting(task);
 	if (why == PLAN_REFUSED_NO_ROOM)
--- a/src/runner.c
+++ b/src/runner.c
@@ -69,7 +69,7 @@
 		if (row->state == RUN_REFUSED)
 			report->refusals[report->refusal_count++] =
 				(struct fleet_refusal){run, row->why};
-		else if (row->state != RUN_ORDERED)
+		else if (row->state != RUN_ORDERED && !runner_end_listed(r, row->task, row->run))
 			report->running[report->running_count++] = run;
 	}
 }
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -93,6 +93,7 @@
 void runner_order(struct runner *r, const struct plan_order *order);
 void runner_handled(struct runner *r, const struct plan_run *run);
 void runner_take_list(struct runner *r, const struct runner_list *list, uint64_t sent_ms);
+bool runner_end_listed(const struct runner *r, const char *task, uint32_t run);
 void runner_drive(struct runner *r, uint64_t now_ms);
 void runner_new_life(struct runner *r);
 
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -203,7 +203,7 @@
 	g_list_free(rows);
 }
 
-static bool end_listed(const struct runner *r, const char *task, uint32_t run)
+bool runner_end_listed(const struct runner *r, const char *task, uint32_t run)
 {
 	for (size_t i = 0; i < r->end_count; i++) {
 		if (r->ends[i].run.run == run && !strcmp(r->ends[i].run.task, task))
@@ -217,7 +217,7 @@
 	struct run_row *row = runner_find(r, order->task, order->run);
 
 	/* The order crossed the report of the end. */
-	if (end_listed(r, order->task, order->run))
+	if (runner_end_listed(r, order->task, order->run))
 		return;
 	if (!row) {
 		row = add_row(r, order->task, order->run);
@@ -289,7 +289,7 @@
 			continue;
 		if (row->state == RUN_STARTED)
 			drop_row(r, row);
-		else if (row->state == RUN_CLOSED && !end_listed(r, row->task, row->run))
+		else if (row->state == RUN_CLOSED && !runner_end_listed(r, row->task, row->run))
 			refuse(row, PLAN_REFUSED_STALE);
 		else if (row->state == RUN_CLOSED)
 			drop_row(r, row);
