--- a/src/fleetmsg.h
+++ b/src/fleetmsg.h
@@ -29,7 +29,7 @@
  * struct fleet_report - an agent's view of its worker
  * @sent_ms: agent's clock, returned in the orders
  * @address: where the agent takes messages
- * @alive: false when the worker runs nothing: it is down or has not been heard of
+ * @alive: false only when it is certain that the worker runs nothing
  * @settled: the agent has a complete list of runs; without it only @info is valid
  */
 struct fleet_report {
--- a/src/runner.c
+++ b/src/runner.c
@@ -80,7 +80,7 @@
 	struct fleet_report report = {
 		.sent_ms = util_clock_ms(),
 		.address = r->address,
-		.alive = r->alive,
+		.alive = !r->down,
 		.settled = r->settled,
 		.info = {.node = r->deps.node,
 			 .incarnation = r->incarnation ? r->incarnation : "",
@@ -210,6 +210,7 @@
 		return;
 	log_warn("worker_down", r->worker, "%s", why);
 	r->alive = false;
+	r->down = true;
 	runner_new_life(r);
 	runner_report_soon(r);
 }
@@ -301,6 +302,7 @@
 	r->incarnation = talloc_asprintf(r, "%s/%" PRIu64, self->id, self->born_ms);
 	r->born_ms = self->born_ms;
 	r->alive = true;
+	r->down = false;
 	r->unreachable = 0;
 	r->renew_due_ms = 0;
 }
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -51,6 +51,7 @@
 	uint64_t born_ms;
 	uint64_t sequence;
 	bool alive;
+	bool down;    /* it is certain that nothing runs; false while nothing is known */
 	bool settled; /* a complete list was read in this life */
 	uint32_t life;
 	uint32_t unreachable; /* calls in a row that found nobody listening */
