--- /dev/null
+++ b/tests/test_runner.c
@@ -0,0 +1,369 @@
+#include "lib_memkv.h"
+#include "runner.h"
+
+#include <CUnit/Basic.h>
+#include <glib.h>
+#include <string.h>
+
+/* An agent between a worker and a leader that this program plays. */
+
+#define LIST_MAX 16
+
+struct fixture {
+	struct tevent_context *ev;
+	struct memkv *store;
+	struct metrics *metrics;
+	struct wire *agent_wire;
+	struct wire *leader_wire;
+	struct runner *runner;
+	/* The worker. */
+	struct runner_calls calls;
+	bool worker_up;
+	uint64_t born_ms;
+	enum runner_started start_result;
+	int starts;
+	int stops;
+	uint64_t lease_end_ms; /* latest that the worker was given */
+	struct plan_run running[LIST_MAX];
+	size_t running_count;
+	struct fleet_end ends[LIST_MAX];
+	size_t end_count;
+	uint64_t ends_known;
+	/* The leader. */
+	char agent_peer[64];
+	struct fleet_report *report; /* latest */
+	int reports;
+	bool answers;
+	struct plan_order orders[LIST_MAX];
+	size_t order_count;
+	uint64_t ends_stored;
+};
+
+struct pending {
+	struct fixture *f;
+	void (*order)(enum runner_started, uint64_t, void *);
+	void (*list)(int, const struct runner_list *, void *);
+	void *ctx;
+	enum runner_started result;
+};
+
+static void on_order_due(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+			 void *ctx)
+{
+	struct pending *p = ctx;
+
+	p->order(p->result, 1000, p->ctx);
+	talloc_free(p);
+}
+
+static void on_list_due(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+			void *ctx)
+{
+	struct pending *p = ctx;
+	struct runner_list list = {.clock_ms = 1000,
+				   .born_ms = p->f->born_ms,
+				   .running = p->f->running,
+				   .running_count = p->f->running_count,
+				   .ends = p->f->ends,
+				   .end_count = p->f->end_count};
+
+	p->list(p->f->worker_up ? 0 : -ERR_UNAVAILABLE, p->f->worker_up ? &list : NULL, p->ctx);
+	talloc_free(p);
+}
+
+static struct pending *pending(struct fixture *f, void *ctx, uint32_t ms,
+			       tevent_timer_handler_t handler)
+{
+	struct pending *p = talloc_zero(f, struct pending);
+
+	p->f = f;
+	p->ctx = ctx;
+	tevent_add_timer(f->ev, p, tevent_timeval_current_ofs(0, ms * 1000), handler, p);
+	return p;
+}
+
+static void fake_start(void *impl, const struct runner_start *start,
+		       void (*done)(enum runner_started, uint64_t, void *), void *ctx)
+{
+	struct fixture *f = impl;
+	struct pending *p = pending(f, ctx, 2, on_order_due);
+
+	p->order = done;
+	p->result = f->start_result;
+	f->starts++;
+	if (start->lease_end_ms > f->lease_end_ms)
+		f->lease_end_ms = start->lease_end_ms;
+	if (f->start_result == RUNNER_STARTED)
+		f->running[f->running_count++] =
+			(struct plan_run){talloc_strdup(f, start->task), start->run, "", 1};
+}
+
+static void fake_stop(void *impl, const char *worker, const char *task, uint32_t run, uint64_t term,
+		      void (*done)(enum runner_started, uint64_t, void *), void *ctx)
+{
+	struct fixture *f = impl;
+	struct pending *p = pending(f, ctx, 2, on_order_due);
+
+	p->order = done;
+	p->result = RUNNER_STARTED;
+	f->stops++;
+}
+
+static void fake_renew(void *impl, const struct runner_renewal *renewal,
+		       void (*done)(int, const struct runner_list *, void *), void *ctx)
+{
+	struct fixture *f = impl;
+	struct pending *p = pending(f, ctx, renewal->wait_ms ? 50 : 2, on_list_due);
+
+	p->list = done;
+	f->ends_known = renewal->ends_known;
+	if (renewal->extend && renewal->lease_end_ms > f->lease_end_ms)
+		f->lease_end_ms = renewal->lease_end_ms;
+}
+
+static void on_agent_message(const char *peer, struct msg *msg, void *ctx)
+{
+	struct fixture *f = ctx;
+
+	if (f->runner)
+		runner_message(f->runner, peer, msg);
+}
+
+static void send_orders(struct fixture *f)
+{
+	struct fleet_orders orders = {.echo_ms = f->report->sent_ms,
+				      .incarnation = f->report->info.incarnation,
+				      .ends_stored = f->ends_stored,
+				      .orders = f->orders,
+				      .order_count = f->order_count,
+				      .report_ms = 100};
+	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = 3};
+	char *text = fleet_orders_write(f, &orders);
+
+	msg.u.worker_orders.json.data = (uint8_t *)text;
+	msg.u.worker_orders.json.len = strlen(text);
+	wire_send(f->leader_wire, f->agent_peer, &msg);
+	talloc_free(text);
+}
+
+static void on_leader_message(const char *peer, struct msg *msg, void *ctx)
+{
+	struct fixture *f = ctx;
+
+	if (msg->type != MSG_WORKER_REPORT)
+		return;
+	g_strlcpy(f->agent_peer, peer, sizeof(f->agent_peer));
+	talloc_free(f->report);
+	f->report = fleet_report_read(f, msg->u.worker_report.json.data,
+				      msg->u.worker_report.json.len);
+	f->reports++;
+	if (f->answers)
+		send_orders(f);
+}
+
+static struct fixture *set_up(void)
+{
+	struct fixture *f = talloc_zero(NULL, struct fixture);
+	struct wire_handlers agent = {on_agent_message, f};
+	struct wire_handlers leader = {on_leader_message, f};
+	struct err err = {0};
+	char *record;
+	struct runner_deps deps;
+
+	f->ev = tevent_context_init(f);
+	f->store = memkv_create(f, f->ev);
+	f->metrics = metrics_create(f);
+	f->agent_wire = wire_create(f, f->ev, "agent#1", "127.0.0.1:0", &agent, f->metrics, &err);
+	f->leader_wire =
+		wire_create(f, f->ev, "leader#1", "127.0.0.1:0", &leader, f->metrics, &err);
+	f->calls = (struct runner_calls){fake_start, fake_stop, fake_renew, f};
+	f->worker_up = true;
+	f->born_ms = 7;
+	f->answers = true;
+	record = talloc_asprintf(f, "{\"node\":\"e\",\"address\":\"%s\",\"term\":3}",
+				 wire_address(f->leader_wire));
+	memkv_put(f->store, "leader", record);
+	deps = (struct runner_deps){.ev = f->ev,
+				    .kv = &memkv_client(f->store)->kv,
+				    .wire = f->agent_wire,
+				    .metrics = f->metrics,
+				    .calls = &f->calls,
+				    .node = "host1",
+				    .service = "s"};
+	f->runner = runner_create(f, &deps);
+	memkv_run(f->ev, 300);
+	return f;
+}
+
+static int announce(struct fixture *f, uint64_t born_ms, uint64_t sequence)
+{
+	struct runner_self self = {.id = "w1",
+				   .service = "s",
+				   .zone = "z",
+				   .kind = "k",
+				   .rack = "r",
+				   .room = {1000, 1000, 8},
+				   .accepting = true,
+				   .born_ms = born_ms,
+				   .sequence = sequence};
+
+	return runner_announced(f->runner, &self);
+}
+
+static void tear_down(struct fixture *f)
+{
+	TALLOC_FREE(f->runner);
+	wire_destroy(f->agent_wire, 0);
+	wire_destroy(f->leader_wire, 0);
+	talloc_free(f);
+}
+
+/* Guards against agents that a new leader cannot find. */
+static void test_registers(void)
+{
+	struct fixture *f = set_up();
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(memkv_value(f->store, "agent/host1"));
+	CU_ASSERT_STRING_EQUAL(memkv_value(f->store, "agent/host1"), wire_address(f->agent_wire));
+	CU_ASSERT(f->reports > 0);
+	tear_down(f);
+}
+
+/*
+ * Guards against an agent that calls its worker down before it has heard of it: the leader
+ * then starts the worker's tasks a second time elsewhere.
+ */
+static void test_unknown_worker_is_not_down(void)
+{
+	struct fixture *f = set_up();
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f->report);
+	CU_ASSERT_TRUE(f->report->alive);
+	CU_ASSERT_FALSE(f->report->settled);
+	tear_down(f);
+}
+
+/* Guards against starts that are not carried out, not confirmed, or carried out twice. */
+static void test_start(void)
+{
+	struct fixture *f = set_up();
+
+	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(f->report->settled);
+	f->orders[f->order_count++] = (struct plan_order){true, "j.0.0.0", 1, "p", ""};
+	memkv_run(f->ev, 500);
+	CU_ASSERT_EQUAL(f->starts, 1);
+	CU_ASSERT_EQUAL_FATAL(f->report->running_count, 1);
+	CU_ASSERT_STRING_EQUAL(f->report->running[0].task, "j.0.0.0");
+	CU_ASSERT(f->lease_end_ms > 1000);
+	tear_down(f);
+}
+
+/* Guards against ends that the worker forgets before the leader has stored them. */
+static void test_ends(void)
+{
+	struct fixture *f = set_up();
+
+	announce(f, 7, 1);
+	f->ends[f->end_count++] =
+		(struct fleet_end){5, {"j.0.0.0", 1, "", 0}, PLAN_END_DONE};
+	memkv_run(f->ev, 500);
+	CU_ASSERT_EQUAL_FATAL(f->report->end_count, 1);
+	CU_ASSERT_EQUAL(f->ends_known, 0);
+	f->ends_stored = 5;
+	memkv_run(f->ev, 500);
+	CU_ASSERT_EQUAL(f->ends_known, 5);
+	tear_down(f);
+}
+
+/* Guards against a start without an answer that is taken for refused and may begin later. */
+static void test_start_without_answer(void)
+{
+	struct fixture *f = set_up();
+
+	announce(f, 7, 1);
+	f->start_result = RUNNER_NO_ANSWER;
+	memkv_run(f->ev, 200);
+	f->orders[f->order_count++] = (struct plan_order){true, "j.0.0.0", 1, "p", ""};
+	memkv_run(f->ev, 800);
+	CU_ASSERT_EQUAL(f->starts, 2);
+	CU_ASSERT(f->stops >= 1);
+	CU_ASSERT_EQUAL_FATAL(f->report->refusal_count, 1);
+	tear_down(f);
+}
+
+/* Guards against a lease that goes on though no leader has answered for long. */
+static void test_lease_needs_leader(void)
+{
+	struct fixture *f = set_up();
+	uint64_t last;
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 500);
+	f->answers = false;
+	memkv_run(f->ev, 3200);
+	last = f->lease_end_ms;
+	memkv_run(f->ev, 1000);
+	CU_ASSERT_EQUAL(f->lease_end_ms, last);
+	tear_down(f);
+}
+
+/* Guards against a worker that is gone and is still counted on, and lives that are mixed up. */
+static void test_lives(void)
+{
+	struct fixture *f = set_up();
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(f->report->alive);
+	f->worker_up = false;
+	memkv_run(f->ev, 900);
+	CU_ASSERT_FALSE(f->report->alive);
+	f->worker_up = true;
+	f->born_ms = 9;
+	CU_ASSERT_EQUAL(announce(f, 9, 1), 0);
+	CU_ASSERT_EQUAL(announce(f, 7, 99), -ERR_STALE);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(f->report->alive);
+	CU_ASSERT_STRING_EQUAL(f->report->info.incarnation, "w1/9");
+	tear_down(f);
+}
+
+/* Guards against orders of a former leader. */
+static void test_former_leader(void)
+{
+	struct fixture *f = set_up();
+	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = 2};
+	const char *text = "{\"echo\":1,\"incarnation\":\"w1/7\",\"orders\":[[\"j.0.0.0\",1,\"\",\"p\"]]}";
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	msg.u.worker_orders.json.data = (uint8_t *)text;
+	msg.u.worker_orders.json.len = strlen(text);
+	wire_send(f->leader_wire, f->agent_peer, &msg);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_EQUAL(f->starts, 0);
+	tear_down(f);
+}
+
+int main(void)
+{
+	CU_pSuite suite;
+	unsigned int failures;
+
+	CU_initialize_registry();
+	suite = CU_add_suite("runner", NULL, NULL);
+	CU_add_test(suite, "registers", test_registers);
+	CU_add_test(suite, "unknown_worker_is_not_down", test_unknown_worker_is_not_down);
+	CU_add_test(suite, "start", test_start);
+	CU_add_test(suite, "ends", test_ends);
+	CU_add_test(suite, "start_without_answer", test_start_without_answer);
+	CU_add_test(suite, "lease_needs_leader", test_lease_needs_leader);
+	CU_add_test(suite, "lives", test_lives);
+	CU_add_test(suite, "former_leader", test_former_leader);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failures != 0;
+}
