--- a/src/coord.c
+++ b/src/coord.c
@@ -88,10 +88,13 @@
 	struct plan_order *orders;
 	size_t count = plan_orders(c->plan, mem, node, &orders);
 
-	for (size_t i = 0; i < count; i++)
+	for (size_t i = 0; i < count; i++) {
+		if (!orders[i].fresh)
+			continue;
 		log_info(orders[i].start ? "task_start" : "task_stop", orders[i].task,
 			 "run %u on %s%s", orders[i].run, node,
 			 orders[i].start && *orders[i].checkpoint ? " from a checkpoint" : "");
+	}
 	talloc_free(mem);
 	send_orders(c, row, NULL);
 }
--- a/src/plan.h
+++ b/src/plan.h
@@ -184,6 +184,7 @@
 /** struct plan_order - what a worker is to do; repeated until the worker has confirmed it */
 struct plan_order {
 	bool start; /* false: stop */
+	bool fresh; /* handed out for the first time */
 	const char *task;
 	uint32_t run;
 	const char *payload;	/* of a start */
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -42,6 +42,7 @@
 	uint64_t retry_ms; /* not started before */
 	struct worker *avoid; /* where it failed last */
 	bool listed;	      /* in the report being read */
+	enum task_state told; /* state whose order was handed out last */
 	char name[TASK_NAME_MAX];
 };
 
@@ -92,6 +93,7 @@
 	char *task;
 	uint32_t run;
 	bool listed;
+	bool told;
 };
 
 struct worker {
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -195,6 +195,13 @@
 	talloc_free(places);
 }
 
+static bool may_evict(const struct unit *unit)
+{
+	const struct job *job = unit->step->occurrence->job;
+
+	return job->guaranteed || (job->queue->priority == 0 && unit->rank < RANK_WORTHLESS);
+}
+
 static void place(struct plan *plan, const struct unit *unit, uint64_t now_ms, uint32_t *reserved)
 {
 	struct step_run *step = unit->step;
@@ -203,9 +210,9 @@
 
 	if (placed)
 		return;
-	if (step->occurrence->job->guaranteed)
-		plan_evict_for(plan, step, now_ms);
-	else if (step->spec->gang && unit->rank < RANK_WORTHLESS)
+	if (may_evict(unit) && plan_evict_for(plan, step, now_ms))
+		return;
+	if (step->spec->gang && unit->rank < RANK_WORTHLESS)
 		reserve(plan, step, now_ms, reserved);
 }
 
--- a/src/planevict.c
+++ b/src/planevict.c
@@ -3,10 +3,21 @@
 #include <string.h>
 
 /*
- * Reclaiming what an organisation was promised. Work of priority 0 within the promise may
- * displace everything that is not itself such work.
+ * Making room by stopping other work. The load it answers: urgent gangs that arrive in bursts
+ * while longer work holds most of the fleet.
+ *
+ * Work of priority 0 within its organisation's promise displaces everything that is not
+ * itself such work, whatever that costs. Other work of priority 0 displaces work of lower
+ * priority if what is thrown away is worth less than what it wins.
  */
 
+/*
+ * Work thrown away for an urgent step, at most, as a multiple of its own work. Measured on
+ * the standard days; an urgent job is worth several times as much as a long one of equal size.
+ */
+#define URGENT_WASTE_FACTOR 1.0
+#define ACCELERATOR_WEIGHT 8.0 /* processors that one accelerator counts as */
+
 static uint32_t accelerators_of(const struct jobspec *spec)
 {
 	uint32_t most = 0;
@@ -79,20 +90,44 @@
 	/* What stops already makes room in any case. */
 	if (task->state == TASK_STOPPING)
 		return true;
-	return !job->guaranteed && !task->step->spec->long_running;
+	if (job->guaranteed || task->step->spec->long_running)
+		return false;
+	if (beneficiary->guaranteed)
+		return true;
+	return job->queue && job->queue->priority > beneficiary->queue->priority;
 }
 
-/* Work that is thrown away when a task is stopped: accelerators count as 8 processors. */
+static double weight(const struct jobspec_step *spec)
+{
+	return spec->cpu_milli / 1000.0 + ACCELERATOR_WEIGHT * spec->accelerators;
+}
+
+/* Core-seconds that are thrown away when a task is stopped. */
 static double cost(const struct task *task, uint64_t now_ms)
 {
 	const struct jobspec_step *spec = task->step->spec;
-	double weight = spec->cpu_milli / 1000.0 + 8.0 * spec->accelerators;
 
 	if (task->state == TASK_STOPPING)
 		return 0;
+	/* A stop saves the progress; only the restart costs. */
 	if (spec->checkpoints)
-		return weight;
-	return weight * (1.0 + (double)(now_ms - task->began_ms) / 1000.0);
+		return weight(spec);
+	return weight(spec) * (1.0 + (double)(now_ms - task->began_ms) / 1000.0);
+}
+
+/* A gang is stopped as a whole. */
+static double cost_with_gang(const struct task *task, uint64_t now_ms)
+{
+	const struct step_run *step = task->step;
+	double sum = 0;
+
+	if (!step->spec->gang)
+		return cost(task, now_ms);
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		if (step->tasks[i].worker)
+			sum += cost(&step->tasks[i], now_ms);
+	}
+	return sum;
 }
 
 static void stop_with_gang(struct task *task)
@@ -118,48 +153,110 @@
 	return used;
 }
 
-/* Stops the cheapest tasks of a worker until @need fits beside what stays. */
-static void make_room(struct worker *worker, const struct plan_room *need, const struct job *job,
-		      uint64_t now_ms)
+/* Tasks to be stopped; a gang is named by one of its members. */
+struct victims {
+	GPtrArray *tasks;
+	double cost;
+};
+
+static bool already_victim(const struct victims *v, const struct task *task)
 {
-	struct plan_room used = plan_lasting_use(worker);
+	for (guint i = 0; i < v->tasks->len; i++) {
+		const struct task *victim = v->tasks->pdata[i];
+
+		if (victim == task || (task->step->spec->gang && victim->step == task->step))
+			return true;
+	}
+	return false;
+}
+
+/* Adds the cheapest tasks of a worker until @need fits beside what stays. */
+static bool choose_victims(const struct worker *worker, const struct plan_room *need,
+			   const struct job *job, uint64_t now_ms, struct victims *v)
+{
+	struct plan_room used = {0};
+
+	for (const struct task *t = worker->tasks; t; t = t->next_on_worker) {
+		struct plan_room taken = plan_need(t->step->spec);
 
+		if (t->state != TASK_STOPPING && !already_victim(v, t))
+			plan_add_room(&used, &taken);
+	}
 	while (!plan_fits(&worker->room, &used, need)) {
 		struct task *cheapest = NULL;
+		struct plan_room taken;
 
 		for (struct task *t = worker->tasks; t; t = t->next_on_worker) {
-			if (t->state == TASK_STOPPING || !plan_evictable(t, job))
+			if (t->state == TASK_STOPPING || already_victim(v, t) ||
+			    !plan_evictable(t, job))
 				continue;
-			if (!cheapest || cost(t, now_ms) < cost(cheapest, now_ms))
+			if (!cheapest ||
+			    cost_with_gang(t, now_ms) < cost_with_gang(cheapest, now_ms))
 				cheapest = t;
 		}
 		if (!cheapest)
-			return;
-		stop_with_gang(cheapest);
-		used = plan_lasting_use(worker);
+			return false;
+		taken = plan_need(cheapest->step->spec);
+		v->cost += cost_with_gang(cheapest, now_ms);
+		g_ptr_array_add(v->tasks, cheapest);
+		used.cpu_milli -= taken.cpu_milli;
+		used.memory_mb -= taken.memory_mb;
+		used.accelerators -= taken.accelerators;
 	}
+	return true;
 }
 
-bool plan_evict_for(struct plan *plan, struct step_run *step, uint64_t now_ms)
+static bool first_place(struct worker *const *places, uint32_t index)
+{
+	for (uint32_t i = 0; i < index; i++) {
+		if (places[i] == places[index])
+			return false;
+	}
+	return places[index] != NULL;
+}
+
+static bool choose_all(const struct step_run *step, struct worker *const *places, uint64_t now_ms,
+		       struct victims *v)
 {
-	const struct job *job = step->occurrence->job;
-	struct worker **places = talloc_zero_array(NULL, struct worker *, step->spec->count);
 	struct plan_room need = plan_need(step->spec);
-	bool found = plan_pick_gang(plan, step, true, now_ms, places);
 
-	for (uint32_t i = 0; found && i < step->spec->count; i++) {
+	for (uint32_t i = 0; i < step->spec->count; i++) {
 		struct plan_room sum = {0};
 
-		if (!places[i])
+		if (!first_place(places, i))
 			continue;
 		/* All members that go to this worker are made room for together. */
-		for (uint32_t k = 0; k < step->spec->count; k++) {
+		for (uint32_t k = i; k < step->spec->count; k++) {
 			if (places[k] == places[i])
 				plan_add_room(&sum, &need);
 		}
-		make_room(places[i], &sum, job, now_ms);
-		places[i]->reserved_for = step;
+		if (!choose_victims(places[i], &sum, step->occurrence->job, now_ms, v))
+			return false;
+	}
+	return true;
+}
+
+static double own_work(const struct step_run *step)
+{
+	return weight(step->spec) * step->spec->count * step->spec->estimate_ms / 1000.0;
+}
+
+bool plan_evict_for(struct plan *plan, struct step_run *step, uint64_t now_ms)
+{
+	const struct job *job = step->occurrence->job;
+	struct worker **places = talloc_zero_array(NULL, struct worker *, step->spec->count);
+	struct victims v = {.tasks = g_ptr_array_new()};
+	bool found = plan_pick_gang(plan, step, true, now_ms, places) &&
+		     choose_all(step, places, now_ms, &v) &&
+		     (job->guaranteed || v.cost <= URGENT_WASTE_FACTOR * own_work(step));
+
+	for (guint i = 0; found && i < v.tasks->len; i++)
+		stop_with_gang(v.tasks->pdata[i]);
+	for (uint32_t i = 0; found && i < step->spec->count; i++) {
+		if (places[i])
+			places[i]->reserved_for = step;
 	}
+	g_ptr_array_free(v.tasks, TRUE);
 	talloc_free(places);
 	return found;
 }
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -32,6 +32,7 @@
 {
 	if (task->state == TASK_WAITING)
 		task->step->waiting--;
+	task->told = TASK_WAITING;
 	task->worker = worker;
 	task->next_on_worker = worker->tasks;
 	task->began_ms = now_ms;
@@ -412,18 +413,23 @@
 	for (const struct stray *s = worker->strays; s; s = s->next)
 		count++;
 	*out = talloc_zero_array(mem, struct plan_order, count + 1);
-	for (const struct task *t = worker->tasks; t; t = t->next_on_worker) {
+	for (struct task *t = worker->tasks; t; t = t->next_on_worker) {
 		if (t->state == TASK_RUNNING)
 			continue;
 		(*out)[i++] = (struct plan_order){
 			.start = t->state == TASK_STARTING,
+			.fresh = t->told != t->state,
 			.task = t->name,
 			.run = t->run,
 			.payload = plan_task_job(t)->spec->payload,
 			.checkpoint = t->checkpoint ? t->checkpoint : "",
 		};
+		t->told = t->state;
+	}
+	for (struct stray *s = worker->strays; s; s = s->next) {
+		(*out)[i++] =
+			(struct plan_order){.fresh = !s->told, .task = s->task, .run = s->run};
+		s->told = true;
 	}
-	for (const struct stray *s = worker->strays; s; s = s->next)
-		(*out)[i++] = (struct plan_order){.task = s->task, .run = s->run};
 	return count;
 }
