--- a/src/coord.c
+++ b/src/coord.c
@@ -183,9 +183,9 @@
 		return;
 	g_hash_table_iter_init(&iter, c->agents);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		all = all && ((struct agent_row *)value)->heard_ms;
+		all = all && ((struct agent_row *)value)->listed_ms;
 	if (all)
-		settle(c, "all agents have reported");
+		settle(c, "all agents have told what runs");
 	else if (now_ms - c->began_ms > WORKER_LOST_MS)
 		settle(c, "leases of workers that have not reported are over");
 }
@@ -199,11 +199,12 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct agent_row *row = value;
 
-		if (!row->alive || now_ms - row->heard_ms <= WORKER_LOST_MS)
+		/* An agent that does not know its worker's runs does not renew its lease either. */
+		if (!row->alive || now_ms - row->listed_ms <= WORKER_LOST_MS)
 			continue;
 		row->alive = false;
-		log_warn("worker_lost", row->node, "no report for %" PRIu64 " ms",
-			 now_ms - row->heard_ms);
+		log_warn("worker_lost", row->node, "no list of its runs for %" PRIu64 " ms",
+			 now_ms - row->listed_ms);
 		plan_worker_lost(c->plan, row->node, now_ms);
 		coord_decide_soon(c);
 	}
@@ -311,6 +312,8 @@
 		return;
 	row->echo_ms = report->sent_ms;
 	row->heard_ms = now_ms;
+	if (!report->alive || report->settled)
+		row->listed_ms = now_ms;
 	if (report->alive && report->settled) {
 		take_worker(c, row, report, now_ms);
 	} else if (!report->alive && row->alive) {
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -19,7 +19,8 @@
 	char *address;
 	char *peer; /* name under which its reports arrive; NULL before the first */
 	char *incarnation;
-	uint64_t heard_ms; /* 0: never under this leader */
+	uint64_t heard_ms;  /* last report; 0: never under this leader */
+	uint64_t listed_ms; /* last report that says what runs; 0: never */
 	uint64_t echo_ms;
 	uint64_t ends_seen;   /* highest number taken over into the plan */
 	uint64_t ends_cycle;  /* ends_seen when the storing under way began */
