--- a/src/fleetnode.c
+++ b/src/fleetnode.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #define GRACE_DEFAULT_MS 6000
-#define LEADER_TTL_DEFAULT_MS 1000 /* shortest lease of the store; nothing is placed until it ends */
+#define LEADER_TTL_DEFAULT_MS 1500 /* nothing is placed until the lease of a lost leader ends */
 #define STALL_DEFAULT_MS 2500	   /* slowest known workers advance a percent in under a second */
 #define KEEP_ENDED_DEFAULT_MS 120000
 #define RECLAIM_DEFAULT_MS 2700
