coord: later leaders do not wait for agents whose host is gone; slow tasks are moved

Change: the leader removes the key of an agent that was given up and writes it again before it counts on the agent. Tasks that fall far behind their own best speed move to a free worker.

--- a/src/coord.c
+++ b/src/coord.c
@@ -173,6 +173,23 @@
 	coord_decide_soon(c);
 }
 
+/* Agents that did not report under this leader at all. */
+static void forget_silent_agents(struct coord *c)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->agents);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct agent_row *row = value;
+
+		if (row->listed_ms || !row->stored)
+			continue;
+		log_info("agent_forgotten", row->node, "it has not reported");
+		coord_forget_agent(c, row);
+	}
+}
+
 static void check_settled(struct coord *c, uint64_t now_ms)
 {
 	GHashTableIter iter;
@@ -184,10 +201,12 @@
 	g_hash_table_iter_init(&iter, c->agents);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		all = all && ((struct agent_row *)value)->listed_ms;
-	if (all)
+	if (all) {
 		settle(c, "all agents have told what runs");
-	else if (now_ms - c->began_ms > WORKER_LOST_MS)
+	} else if (now_ms - c->began_ms > WORKER_LOST_MS) {
 		settle(c, "leases of workers that have not reported are over");
+		forget_silent_agents(c);
+	}
 }
 
 static void watch_agents(struct coord *c, uint64_t now_ms)
@@ -206,6 +225,7 @@
 		log_warn("worker_lost", row->node, "no list of its runs for %" PRIu64 " ms",
 			 now_ms - row->listed_ms);
 		plan_worker_lost(c->plan, row->node, now_ms);
+		coord_forget_agent(c, row);
 		coord_decide_soon(c);
 	}
 }
@@ -310,6 +330,12 @@
 	}
 	if (report->sent_ms < row->echo_ms)
 		return;
+	if (!row->stored) {
+		talloc_free(row->address);
+		row->address = talloc_strdup(row, report->address);
+		coord_store_agent(c, row);
+		return;
+	}
 	row->echo_ms = report->sent_ms;
 	row->heard_ms = now_ms;
 	if (!report->alive || report->settled)
@@ -379,6 +405,7 @@
 
 void coord_configure(struct coord *c, const struct fleetconf *conf)
 {
+	c->conf = conf;
 	plan_configure(c->plan, conf);
 	coord_decide_soon(c);
 }
@@ -405,6 +432,7 @@
 	c->term = leader_term(deps->leader);
 	c->began_ms = util_clock_ms();
 	c->plan = plan_create(c, deps->params);
+	c->conf = conf;
 	plan_configure(c->plan, conf);
 	c->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	c->progress = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -26,6 +26,9 @@
 	uint64_t ends_cycle;  /* ends_seen when the storing under way began */
 	uint64_t ends_stored;
 	bool alive; /* the plan counts on its worker */
+	bool stored; /* the store names it, so a later leader will wait for it */
+	int64_t revision; /* of its key */
+	bool storing;
 };
 
 /* What the store holds of one job. */
@@ -39,6 +42,7 @@
 struct coord {
 	struct coord_deps deps;
 	struct plan *plan;
+	const struct fleetconf *conf;
 	uint64_t term;
 	uint64_t began_ms;
 	struct kv_mirror *jobs_mirror;
@@ -72,6 +76,8 @@
 void coord_load(struct coord *c);
 void coord_store_dirty(struct coord *c);
 void coord_forget_old(struct coord *c, uint64_t now_ms);
+void coord_store_agent(struct coord *c, struct agent_row *row);
+void coord_forget_agent(struct coord *c, struct agent_row *row);
 
 /* coord.c */
 void coord_loaded(struct coord *c);
--- a/src/coordstore.c
+++ b/src/coordstore.c
@@ -87,6 +87,14 @@
 	g_hash_table_remove(c->progress, row->id);
 }
 
+/* -1: the queue is not configured. */
+static int priority_of(const struct coord *c, const char *name)
+{
+	const struct fleetconf_queue *queue = c->conf ? fleetconf_queue(c->conf, name) : NULL;
+
+	return queue ? (int)queue->priority : -1;
+}
+
 static void add_job(struct coord *c, const struct kv_item *item, const char *id)
 {
 	json_t *record = json_loadb(item->value, item->value_len, 0, NULL);
@@ -113,8 +121,8 @@
 	if (!plan_job_known(c->plan, id, &(enum plan_job_state){0})) {
 		plan_job_add(c->plan, &info);
 		restore(c, job_row(c, id));
-		log_info("job_seen", id, "queue %s, %zu tasks, %s", info.queue,
-			 jobspec_task_count(info.spec),
+		log_info("job_seen", id, "queue %s of priority %d, %zu tasks, %s", info.queue,
+			 priority_of(c, info.queue), jobspec_task_count(info.spec),
 			 info.inherited ? "accepted under a former leader" : "new");
 	} else {
 		talloc_free(info.spec);
@@ -206,6 +214,8 @@
 
 		talloc_free(row->address);
 		row->address = talloc_strdup(row, result->items[i].value);
+		row->stored = true;
+		row->revision = result->items[i].revision;
 	}
 	if (result->more && result->count > 0) {
 		read_agents(c, result->items[result->count - 1].key);
@@ -404,3 +414,74 @@
 		c->deps.kv->ops->txn(c->deps.kv->impl, &txn, coord_call(c, on_forgotten));
 	talloc_free(mem);
 }
+
+/* One change of an agent's key; outlives the controller. */
+struct agent_change {
+	struct coord_link *link;
+	char *node;
+	bool present;
+};
+
+static void on_agent_changed(int status, const struct kv_result *result, void *ctx)
+{
+	struct agent_change *change = ctx;
+	struct coord *c = coord_call_ended(change->link);
+	struct agent_row *row = c ? coord_agent(c, change->node) : NULL;
+
+	if (row) {
+		row->storing = false;
+		if (status == 0)
+			row->stored = change->present;
+		if (status == 0 && change->present)
+			row->revision = result->revision;
+		if (status)
+			log_info("agent_key_failed", row->node, "%s its key: %s",
+				 change->present ? "storing" : "removing", err_name(status));
+	}
+	talloc_free(change);
+}
+
+static void change_agent(struct coord *c, struct agent_row *row, bool present)
+{
+	struct kv_expect expects[2] = {leader_expect(c->deps.leader)};
+	struct agent_change *change;
+	char *key;
+	struct kv_put put;
+	const char *remove;
+	struct kv_txn txn = {.expects = expects, .expect_count = 1};
+
+	if (row->storing)
+		return;
+	row->storing = true;
+	change = talloc_zero(NULL, struct agent_change);
+	change->link = c->link;
+	change->node = talloc_strdup(change, row->node);
+	change->present = present;
+	key = talloc_asprintf(change, AGENT_PREFIX "%s", row->node);
+	put = (struct kv_put){key, row->address ? row->address : "", 0};
+	remove = key;
+	if (present) {
+		txn.puts = &put;
+		txn.put_count = 1;
+	} else {
+		/* A removal that takes effect late must not hit a key that was written again. */
+		expects[txn.expect_count++] = (struct kv_expect){key, row->revision};
+		txn.removes = &remove;
+		txn.remove_count = 1;
+	}
+	c->link->calls++;
+	c->deps.kv->ops->txn(c->deps.kv->impl, &txn, (struct kv_cb){on_agent_changed, change});
+}
+
+/* An agent that was given up is back; it gets no orders before the store names it again. */
+void coord_store_agent(struct coord *c, struct agent_row *row)
+{
+	change_agent(c, row, true);
+}
+
+/* Nothing runs there any more, so a later leader need not wait for it. */
+void coord_forget_agent(struct coord *c, struct agent_row *row)
+{
+	row->stored = false;
+	change_agent(c, row, false);
+}
--- a/src/fleetnode.c
+++ b/src/fleetnode.c
@@ -7,7 +7,7 @@
 
 #define GRACE_DEFAULT_MS 6000
 #define LEADER_TTL_DEFAULT_MS 1500 /* nothing is placed until the lease of a lost leader ends */
-#define STALL_DEFAULT_MS 2500	   /* slowest known workers advance a percent in under a second */
+#define STALL_DEFAULT_MS 2000	   /* slowest known workers advance a percent in under a second */
 #define KEEP_ENDED_DEFAULT_MS 120000
 #define RECLAIM_DEFAULT_MS 2700
 #define STOP_DEFAULT_MS 900
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -37,6 +37,10 @@
 	uint32_t saved_percent; /* progress when the checkpoint was taken */
 	uint32_t percent;
 	uint64_t progress_ms; /* when the percentage moved last */
+	uint64_t sample_ms;   /* start of the sample of its speed */
+	uint32_t sample_percent;
+	double speed; /* percent a millisecond over the last whole sample; below 0: none yet */
+	double best_speed; /* of any sample so far, on any worker */
 	uint64_t began_ms;    /* of the latest run */
 	struct run_set failures;
 	uint64_t retry_ms; /* not started before */
@@ -111,6 +115,7 @@
 	struct stray *strays;
 	uint64_t backoff_ms;	/* takes nothing new before */
 	uint64_t suspect_until_ms;
+	uint64_t slow_until_ms; /* takes nothing new before */
 	uint32_t suspicions;	/* times in a row it became suspect */
 	uint32_t failure_streak; /* failed runs of different jobs since the last good end */
 	const struct job *last_failed_job;
@@ -151,6 +156,11 @@
 void plan_stop_task(struct task *task);
 void plan_suspect(struct worker *worker, uint64_t now_ms);
 
+/* planslow.c */
+void plan_sample_speed(struct task *task, uint64_t now_ms);
+void plan_move_stalled(struct plan *plan, uint64_t now_ms);
+void plan_move_slow(struct plan *plan, uint64_t now_ms);
+
 /* planplace.c */
 void plan_add_room(struct plan_room *sum, const struct plan_room *need);
 bool plan_fits(const struct plan_room *room, const struct plan_room *used,
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -216,47 +216,6 @@
 		reserve(plan, step, now_ms, reserved);
 }
 
-static bool stalled(const struct plan *plan, const struct task *task, uint64_t now_ms)
-{
-	return task->state == TASK_RUNNING && !task->step->spec->long_running &&
-	       now_ms - task->progress_ms > plan->params.stall_ms;
-}
-
-/*
- * A gang on several workers advances at the pace of its slowest member, so no single worker
- * can be blamed; it is only moved.
- */
-static bool spans_workers(const struct step_run *step)
-{
-	if (!step->spec->gang)
-		return false;
-	for (uint32_t i = 1; i < step->spec->count; i++) {
-		if (step->tasks[i].worker != step->tasks[0].worker)
-			return true;
-	}
-	return false;
-}
-
-static void move_stalled(struct plan *plan, uint64_t now_ms)
-{
-	for (guint i = 0; i < plan->workers->len; i++) {
-		struct worker *worker = plan->workers->pdata[i];
-
-		for (struct task *task = worker->tasks; task; task = task->next_on_worker) {
-			struct step_run *step = task->step;
-
-			if (!stalled(plan, task, now_ms))
-				continue;
-			task->avoid = worker;
-			if (!spans_workers(step))
-				plan_suspect(worker, now_ms);
-			plan_stop_task(task);
-			for (uint32_t k = 0; step->spec->gang && k < step->spec->count; k++)
-				plan_stop_task(&step->tasks[k]);
-		}
-	}
-}
-
 uint32_t plan_decide(struct plan *plan, uint64_t now_ms,
 		     void (*changed)(const char *node, void *ctx), void *ctx)
 {
@@ -268,7 +227,8 @@
 		((struct worker *)plan->workers->pdata[i])->reserved_for = NULL;
 	plan_make_due(plan, now_ms);
 	plan_mark_guaranteed(plan);
-	move_stalled(plan, now_ms);
+	plan_move_stalled(plan, now_ms);
+	plan_move_slow(plan, now_ms);
 	units = collect_units(plan, now_ms);
 	blocked = units->len > 0;
 	for (guint i = 0; i < units->len; i++)
--- a/src/planevict.c
+++ b/src/planevict.c
@@ -15,7 +15,9 @@
  * Work thrown away for an urgent step, at most, as a multiple of its own work. Measured on
  * the standard days; an urgent job is worth several times as much as a long one of equal size.
  */
-#define URGENT_WASTE_FACTOR 1.0
+#define URGENT_WASTE_FACTOR 3.0
+/* What an urgent task is worth, as a multiple of lower work of equal size. */
+#define URGENT_VALUE 5.0
 #define ACCELERATOR_WEIGHT 8.0 /* processors that one accelerator counts as */
 
 static uint32_t accelerators_of(const struct jobspec *spec)
@@ -102,17 +104,20 @@
 	return spec->cpu_milli / 1000.0 + ACCELERATOR_WEIGHT * spec->accelerators;
 }
 
-/* Core-seconds that are thrown away when a task is stopped. */
+/* Core-seconds that are thrown away when a task is stopped, by what they are worth. */
 static double cost(const struct task *task, uint64_t now_ms)
 {
 	const struct jobspec_step *spec = task->step->spec;
 
+	const struct fleetconf_queue *queue = plan_task_job(task)->queue;
+	double value = queue && queue->priority == 0 ? URGENT_VALUE : 1;
+
 	if (task->state == TASK_STOPPING)
 		return 0;
 	/* A stop saves the progress; only the restart costs. */
 	if (spec->checkpoints)
-		return weight(spec);
-	return weight(spec) * (1.0 + (double)(now_ms - task->began_ms) / 1000.0);
+		return value * weight(spec);
+	return value * weight(spec) * (1.0 + (double)(now_ms - task->began_ms) / 1000.0);
 }
 
 /* A gang is stopped as a whole. */
--- a/src/planplace.c
+++ b/src/planplace.c
@@ -36,7 +36,8 @@
 bool plan_worker_free(const struct worker *worker, uint64_t now_ms)
 {
 	return worker->present && worker->accepting && !worker->strays &&
-	       worker->backoff_ms <= now_ms && worker->suspect_until_ms <= now_ms;
+	       worker->backoff_ms <= now_ms && worker->suspect_until_ms <= now_ms &&
+	       worker->slow_until_ms <= now_ms;
 }
 
 bool plan_could_hold(const struct worker *worker, const struct step_run *step)
@@ -232,6 +233,7 @@
 	return 4.0 * (other > most ? other : most);
 }
 
+/* A gang that still runs is placed as if it waited. */
 /* Places all waiting members, best fit first; @rack NULL allows all racks. */
 static bool try_racks(const struct gang_fit *start, const struct step_run *step, const char *rack,
 		      struct worker **out, double *total_waste)
@@ -250,7 +252,7 @@
 		double best_waste = 0;
 
 		out[t] = NULL;
-		if (step->tasks[t].state != TASK_WAITING)
+		if (!step->spec->gang && step->tasks[t].state != TASK_WAITING)
 			continue;
 		for (size_t i = 0; i < fit.count; i++) {
 			double w;
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -38,6 +38,8 @@
 	task->began_ms = now_ms;
 	task->progress_ms = now_ms;
 	task->percent = task->checkpoint ? task->saved_percent : 0;
+	task->sample_ms = 0;
+	task->speed = -1;
 	worker->tasks = task;
 	use_room(worker, task->step->spec, 1);
 }
@@ -135,6 +137,7 @@
 	if (strcmp(worker->incarnation, info->incarnation) != 0) {
 		lose_runs(worker);
 		worker->suspect_until_ms = 0;
+		worker->slow_until_ms = 0;
 		worker->suspicions = 0;
 		worker->failure_streak = 0;
 		worker->backoff_ms = 0;
@@ -251,6 +254,7 @@
 	if (run->percent != task->percent)
 		task->progress_ms = now_ms;
 	task->percent = run->percent;
+	plan_sample_speed(task, now_ms);
 }
 
 void plan_worker_running(struct plan *plan, const char *node, const struct plan_run *run,
--- a/src/runner.c
+++ b/src/runner.c
@@ -9,7 +9,7 @@
 #include <string.h>
 
 #define TICK_MS 100
-#define RENEW_WAIT_MS 1000	  /* a worker answers at once when a run ends */
+#define RENEW_WAIT_MS 500	  /* a worker answers at once when a run ends; progress is this old */
 #define RENEW_RETRY_MS 200
 #define ENDS_PAUSE_MS 150	  /* listed ends are answered at once until they are forgotten */
 #define REPORT_DELAY_MS 4	  /* gathers news that comes together */
--- a/tests/lib_planworld.h
+++ b/tests/lib_planworld.h
@@ -21,6 +21,7 @@
 	struct plan_room need;
 	uint64_t began_ms;
 	uint64_t takes_ms;
+	double done_ms; /* of work */
 	uint32_t gang; /* members of its gang, 0 for none */
 	bool present;
 	bool stopping;
@@ -35,6 +36,7 @@
 	bool draining;
 	bool fails;  /* everything that it starts fails */
 	bool stalls; /* what it starts never advances */
+	uint32_t slow; /* everything takes this many times as long; 0 and 1: as usual */
 	uint64_t next_end;
 };
 
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -304,6 +304,28 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against every later leader waiting for an agent whose host is gone for good, and
+ * against one that is back and that later leaders do not wait for.
+ */
+static void test_forgets_gone_agents(void)
+{
+	struct fixture *f = set_up("7");
+
+	lead(f);
+	report(f, 0, true, NULL, NULL);
+	memkv_run(f->ev, 7500);
+	CU_ASSERT_PTR_NULL(memkv_value(f->store, "agent/host0"));
+	CU_ASSERT_PTR_NULL(memkv_value(f->store, "agent/host1"));
+	report(f, 0, true, NULL, NULL);
+	CU_ASSERT_PTR_NOT_NULL(memkv_value(f->store, "agent/host0"));
+	report(f, 0, true, NULL, NULL);
+	put_job(f, "0123456789abcdef", 1);
+	memkv_run(f->ev, 100);
+	CU_ASSERT_EQUAL(starts(f), 1);
+	tear_down(f);
+}
+
 /* Guards against starts of a job that its owner has cancelled. */
 static void test_cancel(void)
 {
@@ -358,6 +380,7 @@
 		{"lost_answers", test_lost_answers},
 		{"waits_for_lists", test_waits_for_lists},
 		{"new_jobs_need_not_wait", test_new_jobs_need_not_wait},
+		{"forgets_gone_agents", test_forgets_gone_agents},
 		{"cancel", test_cancel},
 		{"forgets_ended_jobs", test_forgets_ended_jobs},
 		{"malformed_job", test_malformed_job},
