coord: later leaders do not wait for workers that were emptied

Change: the key is there only while the worker may run something. Test: test_coord/forgets_emptied_workers.

--- a/src/coord.c
+++ b/src/coord.c
@@ -317,6 +317,16 @@
 	plan_worker_listed(c->plan, row->node, now_ms);
 }
 
+/*
+ * A later leader has to wait for an agent only while its worker may run something, gets work,
+ * or lists ends that are not stored.
+ */
+static bool must_be_stored(const struct fleet_report *report)
+{
+	return report->alive && (!report->settled || report->info.accepting ||
+				 report->running_count > 0 || report->end_count > 0);
+}
+
 static void take_report(struct coord *c, const char *peer, const struct fleet_report *report)
 {
 	uint64_t now_ms = util_clock_ms();
@@ -330,7 +340,7 @@
 	}
 	if (report->sent_ms < row->echo_ms)
 		return;
-	if (!row->stored) {
+	if (!row->stored && must_be_stored(report)) {
 		talloc_free(row->address);
 		row->address = talloc_strdup(row, report->address);
 		coord_store_agent(c, row);
@@ -347,6 +357,8 @@
 		log_warn("worker_down", row->node, "its agent finds it down");
 		plan_worker_lost(c->plan, row->node, now_ms);
 	}
+	if (row->stored && !must_be_stored(report))
+		coord_forget_agent(c, row);
 	check_settled(c, now_ms);
 	send_orders(c, row, report);
 	coord_store_dirty(c);
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -152,6 +152,8 @@
 }
 
 /* @settled: the agent knows what runs. */
+static bool drains;
+
 static void report(struct fixture *f, int number, bool settled, const struct plan_run *running,
 		   const struct fleet_end *end)
 {
@@ -168,7 +170,7 @@
 					  .kind = "k",
 					  .rack = "r",
 					  .room = {8000, 8000, 8},
-					  .accepting = true},
+					  .accepting = !drains},
 				 .running = (struct plan_run *)running,
 				 .running_count = running ? 1 : 0,
 				 .ends = (struct fleet_end *)end,
@@ -326,6 +328,28 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against a leader that is elected after a loss of all hosts and waits for a worker that
+ * was emptied and taken away shortly before.
+ */
+static void test_forgets_emptied_workers(void)
+{
+	struct fixture *f = set_up("");
+	const struct plan_run running = {"0123456789abcdef.0.0.0", 1, "", 10};
+
+	lead(f);
+	report(f, 0, true, NULL, NULL);
+	put_job(f, "0123456789abcdef", 1);
+	memkv_run(f->ev, 100);
+	drains = true;
+	report(f, 0, true, &running, NULL);
+	CU_ASSERT_PTR_NOT_NULL(memkv_value(f->store, "agent/host0"));
+	report(f, 0, true, NULL, NULL);
+	CU_ASSERT_PTR_NULL(memkv_value(f->store, "agent/host0"));
+	drains = false;
+	tear_down(f);
+}
+
 /* Guards against starts of a job that its owner has cancelled. */
 static void test_cancel(void)
 {
@@ -381,6 +405,7 @@
 		{"waits_for_lists", test_waits_for_lists},
 		{"new_jobs_need_not_wait", test_new_jobs_need_not_wait},
 		{"forgets_gone_agents", test_forgets_gone_agents},
+		{"forgets_emptied_workers", test_forgets_emptied_workers},
 		{"cancel", test_cancel},
 		{"forgets_ended_jobs", test_forgets_ended_jobs},
 		{"malformed_job", test_malformed_job},
