--- a/src/intake.c
+++ b/src/intake.c
@@ -66,6 +66,11 @@
 	free_if_idle(q);
 }
 
+bool intake_store_answers(const struct intake *in)
+{
+	return in->deps.kv->ops->answers(in->deps.kv->impl);
+}
+
 void intake_show_state(struct intake_request *q, enum plan_job_state state)
 {
 	char *body = q->intake->codec.state_body(q, state);
--- a/src/intake_int.h
+++ b/src/intake_int.h
@@ -47,6 +47,7 @@
 /* intake.c */
 void intake_answer(struct intake_request *q, int status, const char *body, uint32_t retry_after_s,
 		   const char *why);
+bool intake_store_answers(const struct intake *in);
 void intake_show_state(struct intake_request *q, enum plan_job_state state);
 
 /* intakewrite.c */
--- a/src/intakeread.c
+++ b/src/intakeread.c
@@ -86,6 +86,10 @@
 		intake_answer(q, UNAVAILABLE, NULL, RETRY_AFTER_S, "leader_unreachable");
 		return;
 	}
+	if (!intake_store_answers(q->intake)) {
+		intake_answer(q, UNAVAILABLE, NULL, RETRY_AFTER_S, "store_down");
+		return;
+	}
 	g_snprintf(key, sizeof(key), "job/%s", q->id);
 	q->busy = true;
 	q->intake->deps.kv->ops->get(q->intake->deps.kv->impl, key, (struct kv_cb){on_job, q});
--- a/src/intakewrite.c
+++ b/src/intakewrite.c
@@ -9,10 +9,7 @@
 #define GATEWAY_TIMEOUT 504
 #define RETRY_AFTER_S 1
 #define RETRY_MS 60
-/*
- * A store that refuses may serve the next entry: the caller is told after this time, while
- * half a second of its patience is not yet used up.
- */
+/* A store that refuses this entry may serve the next one, so the caller is told after this. */
 #define REFUSED_WAIT_MS 400
 #define ANSWER_MARGIN_MS 150 /* an answer has to reach the caller before it gives up */
 #define KEY_MAX 64
@@ -43,7 +40,7 @@
 
 	if (status == -ERR_OUTCOME_UNKNOWN)
 		q->maybe_stored = true;
-	if (now_ms + ANSWER_MARGIN_MS >= q->deadline_ms) {
+	if (now_ms + ANSWER_MARGIN_MS >= q->deadline_ms || !intake_store_answers(q->intake)) {
 		if (q->maybe_stored)
 			intake_answer(q, GATEWAY_TIMEOUT, NULL, 0, "store_outcome_unknown");
 		else
@@ -81,6 +78,15 @@
 		failed(q, status, on_submit_again);
 }
 
+/* True if the store is known to be down; the caller is told at once. */
+static bool refused_at_once(struct intake_request *q)
+{
+	if (q->maybe_stored || intake_store_answers(q->intake))
+		return false;
+	intake_answer(q, UNAVAILABLE, NULL, RETRY_AFTER_S, "store_down");
+	return true;
+}
+
 void intake_submit(struct intake_request *q)
 {
 	char key[KEY_MAX];
@@ -89,6 +95,8 @@
 	struct kv_txn txn = {
 		.expects = &expect, .expect_count = 1, .puts = &put, .put_count = 1};
 
+	if (refused_at_once(q))
+		return;
 	g_snprintf(key, sizeof(key), "job/%s", q->id);
 	q->busy = true;
 	q->intake->deps.kv->ops->txn(q->intake->deps.kv->impl, &txn,
@@ -146,6 +154,8 @@
 {
 	char key[KEY_MAX];
 
+	if (refused_at_once(q))
+		return;
 	g_snprintf(key, sizeof(key), "job/%s", q->id);
 	q->busy = true;
 	q->intake->deps.kv->ops->get(q->intake->deps.kv->impl, key,
--- a/src/kv.h
+++ b/src/kv.h
@@ -80,6 +80,7 @@
  * @lease_grant: a lease that ends by itself after @ttl_ms without renewal
  * @lease_keep: renew
  * @lease_end: end now; its keys are removed
+ * @answers: false after several calls in a row without an answer; a call now would only wait
  * @poll: answer as soon as something under @prefix has changed after revision @after, or
  *	after @wait_ms with nothing
  *
@@ -94,6 +95,7 @@
 	void (*lease_end)(void *impl, int64_t lease, struct kv_cb cb);
 	void (*poll)(void *impl, const char *prefix, int64_t after, uint32_t wait_ms,
 		     struct kv_cb cb);
+	bool (*answers)(void *impl);
 };
 
 /** struct kv - a binding and its state; both borrowed, they outlive all users */
--- a/tests/lib_memkv.c
+++ b/tests/lib_memkv.c
@@ -428,8 +428,13 @@
 	after(op, ANSWER_MS, on_poll_due);
 }
 
-static const struct kv_ops mem_ops = {mem_get,	mem_range, mem_txn, mem_grant,
-				      mem_keep, mem_end,   mem_poll};
+static bool mem_answers(void *impl)
+{
+	return !((struct memkv_client *)impl)->down;
+}
+
+static const struct kv_ops mem_ops = {mem_get,	mem_range, mem_txn,  mem_grant,
+				      mem_keep, mem_end,   mem_poll, mem_answers};
 
 struct memkv *memkv_create(TALLOC_CTX *mem, struct tevent_context *ev)
 {
--- a/tests/lib_memkv.h
+++ b/tests/lib_memkv.h
@@ -24,6 +24,7 @@
 struct memkv_client {
 	struct memkv *store;
 	enum memkv_trouble trouble;
+	bool down; /* what the client believes of the store */
 	uint32_t calls;
 	uint32_t writes;
 	struct kv kv;
