relay: an entry that the store refuses writes through its peers

Cause: while the store refuses one entry (platform_down nodes) its callers were refused, though two other entries could write. Change: submissions and cancellations go through a peer.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -28,6 +28,7 @@
 	struct fleetconf *conf;
 	struct leader *leader;
 	struct coord *coord;
+	struct relay *relay;
 	struct intake *intake;
 	/* Of an agent. */
 	struct httpd *control;
@@ -44,6 +45,8 @@
 
 	if (node->coord && coord_message(node->coord, peer, msg))
 		return;
+	if (node->relay && relay_message(node->relay, peer, msg))
+		return;
 	if (node->intake && intake_message(node->intake, peer, msg))
 		return;
 	if (node->runner && runner_message(node->runner, peer, msg))
@@ -196,11 +199,20 @@
 		.metrics = node->metrics,
 		.codec = node->platform.codec,
 	};
+	struct relay_deps relay = {
+		.ev = node->ev,
+		.kv = node->platform.kv,
+		.wire = node->wire,
+		.metrics = node->metrics,
+		.node = node->settings->node,
+	};
 	struct httpd_handlers callers = {intake_call, intake_gone, NULL};
 	struct httpd_handlers ready = {serve_ready, NULL, node};
 
 	node->leader = leader_create(node, node->ev, node->platform.kv, &options, &on_leader);
+	node->relay = relay_create(node, &relay);
 	deps.leader = node->leader;
+	deps.relay = node->relay;
 	node->intake = intake_create(node, &deps);
 	node->config_mirror = kv_mirror_create(node, node->ev, node->platform.kv,
 					       node->platform.config_key, &on_config);
--- a/src/intake.h
+++ b/src/intake.h
@@ -8,6 +8,7 @@
 #include "kv.h"
 #include "leader.h"
 #include "metrics.h"
+#include "relay.h"
 #include "wire.h"
 
 /**
@@ -39,6 +40,7 @@
 	struct kv *kv;
 	struct wire *wire;
 	struct leader *leader;
+	struct relay *relay;
 	struct metrics *metrics;
 	const struct intake_codec *codec;
 };
--- a/src/intake_int.h
+++ b/src/intake_int.h
@@ -27,6 +27,7 @@
 	char *record; /* of a submission */
 	uint64_t began_ms;
 	uint64_t deadline_ms; /* own clock; the caller has given up then */
+	bool relayed;	      /* the peers have been asked once */
 	bool maybe_stored;    /* a write without an answer may have taken effect */
 	bool busy;	      /* a store call is under way */
 	uint64_t query;	      /* number of the question to the leader, 0: none */
--- a/src/intakewrite.c
+++ b/src/intakewrite.c
@@ -12,6 +12,7 @@
 /* A store that refuses this entry may serve the next one, so the caller is told after this. */
 #define REFUSED_WAIT_MS 400
 #define ANSWER_MARGIN_MS 150 /* an answer has to reach the caller before it gives up */
+#define RELAY_MARGIN_MS 500  /* peers are asked only while this much patience is left */
 #define KEY_MAX 64
 
 static void retry_later(struct intake_request *q, tevent_timer_handler_t handler)
@@ -40,6 +41,12 @@
 
 	if (status == -ERR_OUTCOME_UNKNOWN)
 		q->maybe_stored = true;
+	/* The next try goes through a peer. */
+	if (!q->relayed && !intake_store_answers(q->intake) &&
+	    now_ms + RELAY_MARGIN_MS < q->deadline_ms) {
+		retry_later(q, again);
+		return;
+	}
 	if (now_ms + ANSWER_MARGIN_MS >= q->deadline_ms || !intake_store_answers(q->intake)) {
 		if (q->maybe_stored)
 			intake_answer(q, GATEWAY_TIMEOUT, NULL, 0, "store_outcome_unknown");
@@ -63,6 +70,15 @@
 	intake_submit(q);
 }
 
+static void on_cancel_again(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+			    void *ctx)
+{
+	struct intake_request *q = ctx;
+
+	q->timer = NULL;
+	intake_cancel(q);
+}
+
 static void on_submitted(int status, const struct kv_result *result, void *ctx)
 {
 	struct intake_request *q = ctx;
@@ -78,12 +94,38 @@
 		failed(q, status, on_submit_again);
 }
 
-/* True if the store is known to be down; the caller is told at once. */
-static bool refused_at_once(struct intake_request *q)
+static void on_relayed(int status, void *ctx)
 {
-	if (q->maybe_stored || intake_store_answers(q->intake))
+	struct intake_request *q = ctx;
+
+	if (abandoned(q))
+		return;
+	if (status == 0 || status == -ERR_CONFLICT)
+		intake_answer(q, OK, NULL, 0, "stored by a peer");
+	else if (status == -ERR_NOT_FOUND)
+		intake_answer(q, GONE, NULL, 0, "job_unknown");
+	else
+		failed(q, status, q->kind == INTAKE_SUBMIT ? on_submit_again : on_cancel_again);
+}
+
+/*
+ * The store does not answer this entry, but may answer its peers. They are asked once; what
+ * they can't write either is refused.
+ */
+static bool relay_instead(struct intake_request *q)
+{
+	char key[KEY_MAX];
+	char job_key[KEY_MAX];
+	bool cancel = q->kind == INTAKE_CANCEL;
+
+	if (q->relayed || intake_store_answers(q->intake))
 		return false;
-	intake_answer(q, UNAVAILABLE, NULL, RETRY_AFTER_S, "store_down");
+	q->relayed = true;
+	q->busy = true;
+	g_snprintf(job_key, sizeof(job_key), "job/%s", q->id);
+	g_snprintf(key, sizeof(key), "%s%s", job_key, cancel ? ".cancel" : "");
+	relay_put(q->intake->deps.relay, key, cancel ? "1" : q->record, cancel ? job_key : "",
+		  on_relayed, q);
 	return true;
 }
 
@@ -95,7 +137,7 @@
 	struct kv_txn txn = {
 		.expects = &expect, .expect_count = 1, .puts = &put, .put_count = 1};
 
-	if (refused_at_once(q))
+	if (relay_instead(q))
 		return;
 	g_snprintf(key, sizeof(key), "job/%s", q->id);
 	q->busy = true;
@@ -103,15 +145,6 @@
 				     (struct kv_cb){on_submitted, q});
 }
 
-static void on_cancel_again(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
-			    void *ctx)
-{
-	struct intake_request *q = ctx;
-
-	q->timer = NULL;
-	intake_cancel(q);
-}
-
 static void on_cancelled(int status, const struct kv_result *result, void *ctx)
 {
 	struct intake_request *q = ctx;
@@ -154,7 +187,7 @@
 {
 	char key[KEY_MAX];
 
-	if (refused_at_once(q))
+	if (relay_instead(q))
 		return;
 	g_snprintf(key, sizeof(key), "job/%s", q->id);
 	q->busy = true;
--- a/src/msg.c
+++ b/src/msg.c
@@ -296,6 +296,18 @@
 	FIELD_BYTES(struct msg_worker_orders, json),
 };
 
+static const struct field relay_fields[] = {
+	FIELD_U64(struct msg_relay, id),
+	FIELD_STRING(struct msg_relay, key),
+	FIELD_STRING(struct msg_relay, requires_key),
+	FIELD_BYTES(struct msg_relay, value),
+};
+
+static const struct field relayed_fields[] = {
+	FIELD_U64(struct msg_relayed, id),
+	FIELD_U64(struct msg_relayed, code),
+};
+
 #define LAYOUT(type, member) [type] = {#member, member##_fields, ARRAY_LEN(member##_fields)}
 
 static const struct layout layouts[MSG_TYPE_COUNT] = {
@@ -334,6 +346,8 @@
 	LAYOUT(MSG_LEAD, lead),
 	LAYOUT(MSG_WORKER_REPORT, worker_report),
 	LAYOUT(MSG_WORKER_ORDERS, worker_orders),
+	LAYOUT(MSG_RELAY, relay),
+	LAYOUT(MSG_RELAYED, relayed),
 };
 
 /* The rows array and its count follow each other in struct msg_target_delta. */
--- a/src/msg.h
+++ b/src/msg.h
@@ -57,6 +57,8 @@
 	MSG_LEAD,
 	MSG_WORKER_REPORT,
 	MSG_WORKER_ORDERS,
+	MSG_RELAY,
+	MSG_RELAYED,
 	MSG_TYPE_COUNT,
 };
 
@@ -388,6 +390,19 @@
 	struct msg_bytes json;
 };
 
+/* An entry that can't reach the store asks another to write a key that must be new. */
+struct msg_relay {
+	uint64_t id;
+	const char *key;
+	const char *requires_key; /* "" for none */
+	struct msg_bytes value;
+};
+
+struct msg_relayed {
+	uint64_t id;
+	uint64_t code; /* 0 or enum err_code */
+};
+
 /**
  * struct msg - one message of any type
  * @type: selects the member of the union
@@ -432,6 +447,8 @@
 		struct msg_lead lead;
 		struct msg_worker_report worker_report;
 		struct msg_worker_orders worker_orders;
+		struct msg_relay relay;
+		struct msg_relayed relayed;
 	} u;
 };
 
