--- /dev/null
+++ b/tests/test_relay.c
@@ -0,0 +1,150 @@
+#include "lib_memkv.h"
+#include "relay.h"
+
+#include <CUnit/Basic.h>
+#include <glib.h>
+#include <stdio.h>
+
+struct node {
+	struct memkv_client *client;
+	struct wire *wire;
+	struct relay *relay;
+};
+
+struct fixture {
+	struct tevent_context *ev;
+	struct memkv *store;
+	struct metrics *metrics;
+	struct node nodes[3];
+	int status; /* of the last write, 1 before it has ended */
+	int ended;
+};
+
+static void on_message(const char *peer, struct msg *msg, void *ctx)
+{
+	struct node *node = ctx;
+
+	if (node->relay)
+		relay_message(node->relay, peer, msg);
+}
+
+static void on_done(int status, void *ctx)
+{
+	struct fixture *f = ctx;
+
+	f->status = status;
+	f->ended++;
+}
+
+static struct fixture *set_up(void)
+{
+	static const char *const names[] = {"n0", "n1", "n2"};
+	struct fixture *f = talloc_zero(NULL, struct fixture);
+
+	f->ev = tevent_context_init(f);
+	f->store = memkv_create(f, f->ev);
+	f->metrics = metrics_create(f);
+	for (int i = 0; i < 3; i++) {
+		struct node *node = &f->nodes[i];
+		struct wire_handlers handlers = {on_message, node};
+		struct relay_deps deps = {.ev = f->ev, .metrics = f->metrics, .node = names[i]};
+		struct err err;
+
+		node->client = memkv_client(f->store);
+		node->wire = wire_create(f, f->ev, names[i], "127.0.0.1:0", &handlers, f->metrics,
+					 &err);
+		deps.kv = &node->client->kv;
+		deps.wire = node->wire;
+		node->relay = relay_create(f, &deps);
+	}
+	memkv_run(f->ev, 60);
+	return f;
+}
+
+static void tear_down(struct fixture *f)
+{
+	for (int i = 0; i < 3; i++) {
+		TALLOC_FREE(f->nodes[i].relay);
+		wire_destroy(f->nodes[i].wire, 0);
+	}
+	talloc_free(f);
+}
+
+static void put(struct fixture *f, const char *key, const char *requires)
+{
+	f->status = 1;
+	f->ended = 0;
+	relay_put(f->nodes[0].relay, key, "v", requires, on_done, f);
+	memkv_run(f->ev, 1000);
+	CU_ASSERT_EQUAL(f->ended, 1);
+}
+
+/* Guards against callers that are refused though another entry could write. */
+static void test_writes_by_peer(void)
+{
+	struct fixture *f = set_up();
+
+	f->nodes[0].client->trouble = MEMKV_REFUSES;
+	put(f, "job/1", "");
+	CU_ASSERT_EQUAL(f->status, 0);
+	CU_ASSERT_STRING_EQUAL(memkv_value(f->store, "job/1"), "v");
+	put(f, "job/1", "");
+	CU_ASSERT_EQUAL(f->status, -ERR_CONFLICT);
+	put(f, "job/2.cancel", "job/2");
+	CU_ASSERT_EQUAL(f->status, -ERR_NOT_FOUND);
+	put(f, "job/1.cancel", "job/1");
+	CU_ASSERT_EQUAL(f->status, 0);
+	tear_down(f);
+}
+
+/* Guards against a peer that can't write either and ends the search. */
+static void test_asks_all_peers(void)
+{
+	struct fixture *f = set_up();
+
+	f->nodes[1].client->trouble = MEMKV_REFUSES;
+	put(f, "job/1", "");
+	CU_ASSERT_EQUAL(f->status, 0);
+	f->nodes[1].client->trouble = MEMKV_WELL;
+	f->nodes[2].client->down = true;
+	put(f, "job/2", "");
+	CU_ASSERT_EQUAL(f->status, 0);
+	f->nodes[1].client->down = true;
+	put(f, "job/3", "");
+	CU_ASSERT_EQUAL(f->status, -ERR_UNAVAILABLE);
+	tear_down(f);
+}
+
+/* Guards against "not stored" for a job that a silent peer may have stored. */
+static void test_silent_peer(void)
+{
+	struct fixture *f = set_up();
+
+	f->nodes[1].client->trouble = MEMKV_LATE;
+	f->nodes[2].client->trouble = MEMKV_LATE;
+	put(f, "job/1", "");
+	CU_ASSERT_EQUAL(f->status, -ERR_OUTCOME_UNKNOWN);
+	memkv_run(f->ev, 500);
+	CU_ASSERT_STRING_EQUAL(memkv_value(f->store, "job/1"), "v");
+	TALLOC_FREE(f->nodes[1].relay);
+	f->nodes[2].client->trouble = MEMKV_REFUSES;
+	put(f, "job/2", "");
+	CU_ASSERT_EQUAL(f->status, -ERR_OUTCOME_UNKNOWN);
+	tear_down(f);
+}
+
+int main(void)
+{
+	CU_pSuite suite;
+	unsigned int failures;
+
+	CU_initialize_registry();
+	suite = CU_add_suite("relay", NULL, NULL);
+	CU_add_test(suite, "writes_by_peer", test_writes_by_peer);
+	CU_add_test(suite, "asks_all_peers", test_asks_all_peers);
+	CU_add_test(suite, "silent_peer", test_silent_peer);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failures != 0;
+}
