runner: starts without an answer are told to a new leader

Change: such starts are listed as runs; untried ones are dropped. Test: test_runner/unanswered_start_is_told_to_new_leader.

--- a/src/runner.c
+++ b/src/runner.c
@@ -52,6 +52,17 @@
 	return count;
 }
 
+/*
+ * A start that a former leader ordered and that has no answer yet may still begin, so the new
+ * leader must count on it.
+ */
+static bool may_run(const struct runner *r, const struct run_row *row)
+{
+	if (row->state == RUN_ORDERED)
+		return row->term < r->term;
+	return row->state != RUN_REFUSED && !runner_end_listed(r, row->task, row->run);
+}
+
 static void fill_runs(const struct runner *r, TALLOC_CTX *mem, struct fleet_report *report)
 {
 	GHashTableIter iter;
@@ -69,7 +80,7 @@
 		if (row->state == RUN_REFUSED)
 			report->refusals[report->refusal_count++] =
 				(struct fleet_refusal){run, row->why};
-		else if (row->state != RUN_ORDERED && !runner_end_listed(r, row->task, row->run))
+		else if (may_run(r, row))
 			report->running[report->running_count++] = run;
 	}
 }
@@ -141,6 +152,8 @@
 		return;
 	if (term > r->term)
 		log_info("leader_followed", "", "%s at %s, term %" PRIu64, node, address, term);
+	if (term > r->term)
+		runner_new_term(r);
 	r->term = term;
 	talloc_free(r->leader_address);
 	r->leader_address = talloc_strdup(r, address);
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -27,6 +27,7 @@
 	bool calling;
 	uint32_t attempts;
 	uint64_t retry_ms;
+	uint64_t term;	       /* of the leader that ordered it */
 	uint64_t confirmed_ms; /* when the start was confirmed; lists asked for earlier lack it */
 	char *saved;
 	uint32_t percent;
@@ -97,5 +98,6 @@
 bool runner_end_listed(const struct runner *r, const char *task, uint32_t run);
 void runner_drive(struct runner *r, uint64_t now_ms);
 void runner_new_life(struct runner *r);
+void runner_new_term(struct runner *r);
 
 #endif
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -38,6 +38,7 @@
 	row->key = key_of(row, task, run);
 	row->saved = talloc_strdup(row, "");
 	row->life = r->life;
+	row->term = r->term;
 	g_hash_table_insert(r->runs, row->key, row);
 	return row;
 }
@@ -68,6 +69,20 @@
 	r->worker_clock_ms = 0;
 }
 
+/* A new leader does not know of starts that have not been tried yet; it decides anew. */
+void runner_new_term(struct runner *r)
+{
+	GList *rows = g_hash_table_get_values(r->runs);
+
+	for (GList *at = rows; at; at = at->next) {
+		struct run_row *row = at->data;
+
+		if (row->state == RUN_ORDERED && row->attempts == 0)
+			drop_row(r, row);
+	}
+	g_list_free(rows);
+}
+
 /* True if the answer still concerns a row of the table; frees the row otherwise. */
 static bool answered(struct run_row *row)
 {
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -21,6 +21,8 @@
 	bool worker_up;
 	uint64_t born_ms;
 	enum runner_started start_result;
+	uint32_t start_ms; /* that an answer takes */
+	uint64_t term;
 	int starts;
 	int stops;
 	uint64_t lease_end_ms; /* latest that the worker was given */
@@ -86,7 +88,7 @@
 		       void (*done)(enum runner_started, uint64_t, void *), void *ctx)
 {
 	struct fixture *f = impl;
-	struct pending *p = pending(f, ctx, 2, on_order_due);
+	struct pending *p = pending(f, ctx, f->start_ms, on_order_due);
 
 	p->order = done;
 	p->result = f->start_result;
@@ -137,7 +139,7 @@
 				      .orders = f->orders,
 				      .order_count = f->order_count,
 				      .report_ms = 100};
-	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = 3};
+	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = f->term};
 	char *text = fleet_orders_write(f, &orders);
 
 	msg.u.worker_orders.json.data = (uint8_t *)text;
@@ -180,6 +182,8 @@
 	f->worker_up = true;
 	f->born_ms = 7;
 	f->answers = true;
+	f->start_ms = 2;
+	f->term = 3;
 	record = talloc_asprintf(f, "{\"node\":\"e\",\"address\":\"%s\",\"term\":3}",
 				 wire_address(f->leader_wire));
 	memkv_put(f->store, "leader", record);
@@ -251,7 +255,7 @@
 	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(f->report->settled);
-	f->orders[f->order_count++] = (struct plan_order){true, "j.0.0.0", 1, "p", ""};
+	f->orders[f->order_count++] = (struct plan_order){true, false, "j.0.0.0", 1, "p", ""};
 	memkv_run(f->ev, 500);
 	CU_ASSERT_EQUAL(f->starts, 1);
 	CU_ASSERT_EQUAL_FATAL(f->report->running_count, 1);
@@ -285,7 +289,7 @@
 	announce(f, 7, 1);
 	f->start_result = RUNNER_NO_ANSWER;
 	memkv_run(f->ev, 200);
-	f->orders[f->order_count++] = (struct plan_order){true, "j.0.0.0", 1, "p", ""};
+	f->orders[f->order_count++] = (struct plan_order){true, false, "j.0.0.0", 1, "p", ""};
 	memkv_run(f->ev, 800);
 	CU_ASSERT_EQUAL(f->starts, 2);
 	CU_ASSERT(f->stops >= 1);
@@ -330,6 +334,33 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against a new leader that starts a task elsewhere while a start that the former
+ * leader ordered has no answer yet and begins late.
+ */
+static void test_unanswered_start_is_told_to_new_leader(void)
+{
+	struct fixture *f = set_up();
+	struct msg msg = {.type = MSG_LEAD,
+			  .u.lead = {4, "e2", wire_address(f->leader_wire)}};
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	f->start_result = RUNNER_NO_ANSWER;
+	f->start_ms = 900;
+	f->orders[f->order_count++] = (struct plan_order){true, false, "j.0.0.0", 1, "p", ""};
+	memkv_run(f->ev, 300);
+	CU_ASSERT_EQUAL(f->starts, 1);
+	CU_ASSERT_EQUAL(f->report->running_count, 0);
+	f->order_count = 0;
+	f->term = 4;
+	wire_send(f->leader_wire, f->agent_peer, &msg);
+	memkv_run(f->ev, 200);
+	CU_ASSERT_EQUAL_FATAL(f->report->running_count, 1);
+	CU_ASSERT_STRING_EQUAL(f->report->running[0].task, "j.0.0.0");
+	tear_down(f);
+}
+
 /* Guards against orders of a former leader. */
 static void test_former_leader(void)
 {
@@ -361,6 +392,8 @@
 	CU_add_test(suite, "start_without_answer", test_start_without_answer);
 	CU_add_test(suite, "lease_needs_leader", test_lease_needs_leader);
 	CU_add_test(suite, "lives", test_lives);
+	CU_add_test(suite, "unanswered_start_is_told_to_new_leader",
+		    test_unanswered_start_is_told_to_new_leader);
 	CU_add_test(suite, "former_leader", test_former_leader);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
