--- a/src/cli.h
+++ b/src/cli.h
@@ -43,6 +43,7 @@
 extern const struct cli_command cli_job_commands[];
 extern const struct cli_command cli_fleet_commands[];
 extern const struct cli_command cli_config_commands[];
+extern const struct cli_command cli_trace_commands[];
 
 /** cli_common - argp parser of the common options, child of each command's parser */
 extern const struct argp cli_common;
--- a/src/coord.c
+++ b/src/coord.c
@@ -167,6 +167,7 @@
 static void settle(struct coord *c, const char *why)
 {
 	c->settled = true;
+	metrics_observe(&c->settling, util_clock_ms() - c->began_ms);
 	log_info("leader_settled", "", "%s, %" PRIu64 " ms after the election", why,
 		 util_clock_ms() - c->began_ms);
 	plan_settle(c->plan);
@@ -449,6 +450,10 @@
 	c->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	c->progress = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->agents = g_hash_table_new(g_str_hash, g_str_equal);
+	metrics_histogram_define(deps->metrics, &c->settling, "jaycourse_settling_ms", "",
+				 "Time from an election until inherited jobs may start");
+	metrics_histogram_define(deps->metrics, &c->storing_ms, "jaycourse_progress_ms", "",
+				 "Time of one transaction that stores progress");
 	c->cycle = g_queue_new();
 	c->ended = g_queue_new();
 	c->decide = tevent_create_immediate(c);
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -58,6 +58,9 @@
 	size_t batch_count;
 	bool storing;
 	GQueue *ended; /* struct ended_row, oldest first */
+	struct metrics_histogram settling;   /* from an election to the first placement */
+	struct metrics_histogram storing_ms; /* one transaction of progress */
+	uint64_t batch_sent_ms;
 	struct tevent_immediate *decide;
 	bool decide_scheduled;
 	struct tevent_timer *decide_timer;
--- a/src/coordstore.c
+++ b/src/coordstore.c
@@ -293,6 +293,7 @@
 
 	if (!c)
 		return;
+	metrics_observe(&c->storing_ms, util_clock_ms() - c->batch_sent_ms);
 	if (status == 0) {
 		batch_stored(c, result->revision);
 		store_batch(c);
@@ -351,6 +352,7 @@
 		free(text);
 		json_decref(record);
 	}
+	c->batch_sent_ms = util_clock_ms();
 	c->deps.kv->ops->txn(c->deps.kv->impl, &txn, coord_call(c, on_batch));
 	talloc_free(mem);
 }
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -23,6 +23,7 @@
 	struct tevent_fd *fde;
 	struct tevent_immediate *immediate;
 	struct httpd_handlers handlers;
+	char *address;
 	size_t body_max;
 	size_t open_calls;
 	bool run_scheduled;
@@ -264,6 +265,23 @@
 	return fd;
 }
 
+static char *bound_address(TALLOC_CTX *mem, int fd)
+{
+	struct sockaddr_in at = {0};
+	socklen_t len = sizeof(at);
+	char ip[INET_ADDRSTRLEN] = "";
+
+	if (getsockname(fd, (struct sockaddr *)&at, &len))
+		return talloc_strdup(mem, "");
+	inet_ntop(AF_INET, &at.sin_addr, ip, sizeof(ip));
+	return talloc_asprintf(mem, "%s:%u", ip, ntohs(at.sin_port));
+}
+
+const char *httpd_address(const struct httpd *httpd)
+{
+	return httpd->address;
+}
+
 static int httpd_destructor(struct httpd *httpd)
 {
 	if (httpd->daemon)
@@ -285,6 +303,7 @@
 	httpd->ev = ev;
 	httpd->handlers = *handlers;
 	httpd->body_max = body_max;
+	httpd->address = bound_address(httpd, fd);
 	httpd->immediate = tevent_create_immediate(httpd);
 	httpd->daemon = MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, httpd,
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -34,12 +34,15 @@
 
 /**
  * httpd_create() - listen
- * @address: "ip:port"
+ * @address: "ip:port"; port 0 picks a free one
  * @body_max: bytes; calls with a larger body are answered 413
  */
 struct httpd *httpd_create(TALLOC_CTX *mem, struct tevent_context *ev, const char *address,
 			   size_t body_max, const struct httpd_handlers *handlers, struct err *err);
 
+/** httpd_address() - "ip:port" that the server listens on, borrowed */
+const char *httpd_address(const struct httpd *httpd);
+
 /** httpd_close_idle() - ask clients to close their connections with the next answer */
 void httpd_close_idle(struct httpd *httpd);
 
--- a/src/intake.c
+++ b/src/intake.c
@@ -58,6 +58,8 @@
 	if (call) {
 		log_answer(q, status, why);
 		count_answer(q->intake, q->kind, status);
+		if (q->kind == INTAKE_SUBMIT)
+			metrics_observe(&q->intake->acceptance, util_clock_ms() - q->began_ms);
 		if (status >= 400)
 			metrics_refusal(q->intake->deps.metrics, why);
 		httpd_set_context(call, NULL);
@@ -242,6 +244,8 @@
 
 	in->deps = *deps;
 	in->codec = *deps->codec;
+	metrics_histogram_define(deps->metrics, &in->acceptance, "jaycourse_acceptance_ms", "",
+				 "Time from a submission to its answer");
 	in->queries = g_hash_table_new(g_int64_hash, g_int64_equal);
 	talloc_set_destructor(in, intake_destructor);
 	return in;
--- a/src/intake_int.h
+++ b/src/intake_int.h
@@ -41,6 +41,7 @@
 	struct coord *coord;
 	bool connected;
 	char *connected_to;
+	struct metrics_histogram acceptance;
 	uint64_t next_query;
 	GHashTable *queries; /* number -> struct intake_request */
 };
--- a/src/log.c
+++ b/src/log.c
@@ -1,14 +1,33 @@
 #include "log.h"
 
+#include "util.h"
+
+#include <fcntl.h>
 #include <jansson.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 static const char *log_program = "";
 static const char *log_node = "";
 static gboolean log_verbose;
+static gboolean log_output;	      /* to standard output, without waiting */
+static unsigned int log_bound;	      /* records of one event a second */
+static unsigned long log_dropped_sum; /* since the start */
+
+#define EVENTS_MAX 128 /* events that are counted; more than there are */
+
+/* Records of one event in the current second. */
+struct event_count {
+	const char *event;
+	uint64_t second;
+	unsigned int written;
+	unsigned int suppressed;
+};
+
+static struct event_count event_counts[EVENTS_MAX];
 
 static const char *level_name(GLogLevelFlags level)
 {
@@ -41,6 +60,22 @@
 		json_object_set_new(line, key, json_stringn(field->value, (size_t)field->length));
 }
 
+static void write_line(const char *text)
+{
+	g_autofree char *line = NULL;
+	size_t len;
+
+	if (!log_output) {
+		fprintf(stderr, "%s\n", text);
+		return;
+	}
+	line = g_strdup_printf("%s\n", text);
+	len = strlen(line);
+	/* A record that a full pipe takes only in part is cut; its line is malformed JSON. */
+	if (write(STDOUT_FILENO, line, len) != (ssize_t)len)
+		log_dropped_sum++;
+}
+
 static GLogWriterOutput write_json(GLogLevelFlags level, const GLogField *fields, gsize n_fields,
 				   gpointer user_data)
 {
@@ -59,7 +94,7 @@
 		add_field(line, &fields[i]);
 	text = json_dumps(line, JSON_COMPACT | JSON_ENSURE_ASCII);
 	if (text)
-		fprintf(stderr, "%s\n", text);
+		write_line(text);
 	free(text);
 	json_decref(line);
 	return G_LOG_WRITER_HANDLED;
@@ -73,11 +108,65 @@
 	g_log_set_writer_func(write_json, NULL, NULL);
 }
 
+void log_to_output(unsigned int records_per_s)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	log_output = TRUE;
+	log_bound = records_per_s;
+	if (flags < 0 || fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) < 0)
+		log_warn("log_blocking", "", "standard output may block the process");
+}
+
+unsigned long log_dropped(void)
+{
+	return log_dropped_sum;
+}
+
+/* Events are constants of the code, so their addresses tell them apart. */
+static struct event_count *count_of(const char *event)
+{
+	for (size_t i = 0; i < EVENTS_MAX; i++) {
+		if (!event_counts[i].event)
+			event_counts[i].event = event;
+		if (event_counts[i].event == event)
+			return &event_counts[i];
+	}
+	return NULL;
+}
+
+/* True if the record is one too many; tells of earlier ones when a second is over. */
+static gboolean suppressed(const char *event)
+{
+	struct event_count *count = log_bound ? count_of(event) : NULL;
+	uint64_t second = util_clock_ms() / 1000;
+	unsigned int left_out;
+
+	if (!count)
+		return FALSE;
+	if (count->second != second) {
+		left_out = count->suppressed;
+		*count = (struct event_count){.event = event, .second = second};
+		if (left_out)
+			log_event(G_LOG_LEVEL_INFO, "log_suppressed", "",
+				  "%u records of %s were left out", left_out, event);
+	}
+	if (count->written < log_bound) {
+		count->written++;
+		return FALSE;
+	}
+	count->suppressed++;
+	log_dropped_sum++;
+	return TRUE;
+}
+
 void log_event(GLogLevelFlags level, const char *event, const char *id, const char *format, ...)
 {
 	g_autofree char *message = NULL;
 	va_list args;
 
+	if (((level & G_LOG_LEVEL_DEBUG) && !log_verbose) || suppressed(event))
+		return;
 	va_start(args, format);
 	message = g_strdup_vprintf(format, args);
 	va_end(args);
--- a/src/log.h
+++ b/src/log.h
@@ -21,6 +21,19 @@
 void log_event(GLogLevelFlags level, const char *event, const char *id, const char *format, ...)
 	G_GNUC_PRINTF(4, 5);
 
+/**
+ * log_to_output() - write records to standard output from now on, without ever waiting
+ * @records_per_s: most records of one event a second; the rest is counted and told by a
+ *	record "log_suppressed" of the next second. 0: no bound
+ *
+ * Standard output becomes non-blocking. Records that a full pipe does not take are dropped
+ * and counted.
+ */
+void log_to_output(unsigned int records_per_s);
+
+/** log_dropped() - records dropped or suppressed so far */
+unsigned long log_dropped(void);
+
 #define log_debug(event, id, ...) log_event(G_LOG_LEVEL_DEBUG, event, id, __VA_ARGS__)
 #define log_info(event, id, ...) log_event(G_LOG_LEVEL_INFO, event, id, __VA_ARGS__)
 #define log_warn(event, id, ...) log_event(G_LOG_LEVEL_WARNING, event, id, __VA_ARGS__)
--- a/src/main_cli.c
+++ b/src/main_cli.c
@@ -13,6 +13,7 @@
 	cli_job_commands,
 	cli_fleet_commands,
 	cli_config_commands,
+	cli_trace_commands,
 };
 
 static const struct argp_option common_options[] = {
--- a/src/main_fleet.c
+++ b/src/main_fleet.c
@@ -12,6 +12,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#define LOG_RECORDS_PER_S 100 /* of one event; ten times the busiest event of the heaviest day */
 #define SETTINGS_LOOK_S 5 /* a settings file may change without a signal */
 
 const char *argp_program_version = "jaycourse-fleet " JAYCOURSE_VERSION;
@@ -214,6 +215,7 @@
 	if (program.arguments.check)
 		return EXIT_SUCCESS;
 	log_init("jaycourse-fleet", program.settings->node, program.settings->verbose);
+	log_to_output(LOG_RECORDS_PER_S);
 	status = run(&program);
 	log_info("stopped", "", "status %d", status);
 	talloc_free(program.mem);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -153,3 +153,41 @@
 	pthread_mutex_unlock(&m->lock);
 	return text;
 }
+
+/* Upper bounds in milliseconds: from one answer of the store to a job's whole objective. */
+static const uint64_t bucket_ms[METRICS_BUCKETS - 1] = {5,    10,   25,	  50,	 100,  250,
+							500,  1000, 2500, 10000, 30000};
+
+void metrics_histogram_define(struct metrics *m, struct metrics_histogram *h, const char *name,
+			      const char *labels, const char *help)
+{
+	char series[LABELS_MAX];
+	char set[LABELS_MAX];
+	const char *comma = *labels ? "," : "";
+
+	h->m = m;
+	snprintf(series, sizeof(series), "%s_bucket", name);
+	for (int i = 0; i < METRICS_BUCKETS; i++) {
+		if (i < METRICS_BUCKETS - 1)
+			snprintf(set, sizeof(set), "%s%sle=\"%" PRIu64 "\"", labels, comma,
+				 bucket_ms[i]);
+		else
+			snprintf(set, sizeof(set), "%s%sle=\"+Inf\"", labels, comma);
+		h->buckets[i] = metrics_define(m, METRICS_COUNTER, series, set, help);
+	}
+	snprintf(series, sizeof(series), "%s_sum", name);
+	h->sum = metrics_define(m, METRICS_COUNTER, series, labels, help);
+	snprintf(series, sizeof(series), "%s_count", name);
+	h->count = metrics_define(m, METRICS_COUNTER, series, labels, help);
+}
+
+void metrics_observe(const struct metrics_histogram *h, uint64_t ms)
+{
+	for (int i = METRICS_BUCKETS - 1; i >= 0; i--) {
+		if (i < METRICS_BUCKETS - 1 && ms > bucket_ms[i])
+			break;
+		metrics_add(h->m, h->buckets[i], 1);
+	}
+	metrics_add(h->m, h->sum, ms);
+	metrics_add(h->m, h->count, 1);
+}
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -60,6 +60,30 @@
 /** metrics_retry() - count one retry under jaycourse_retries_total{reason=@reason} */
 void metrics_retry(struct metrics *m, const char *reason);
 
+#define METRICS_BUCKETS 12
+
+/**
+ * struct metrics_histogram - a distribution of times
+ *
+ * Rendered as NAME_bucket series with upper bounds in milliseconds, NAME_sum and NAME_count.
+ */
+struct metrics_histogram {
+	struct metrics *m;
+	int buckets[METRICS_BUCKETS];
+	int sum;
+	int count;
+};
+
+/**
+ * metrics_histogram_define() - set up a histogram
+ * @labels: label set without braces, or ""
+ */
+void metrics_histogram_define(struct metrics *m, struct metrics_histogram *h, const char *name,
+			      const char *labels, const char *help);
+
+/** metrics_observe() - count one time */
+void metrics_observe(const struct metrics_histogram *h, uint64_t ms);
+
 /**
  * metrics_render() - all series as text
  * @mem: talloc parent that owns the returned string
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,190 @@
+#include "platform.h"
+
+#include "util.h"
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+
+/* The platform's names decoded into the product's types; the bodies are those of its pages. */
+
+static const char job_text[] =
+	"{\"task_spec\":\"(text)\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256,"
+	"\"estimate_ms\":900,\"affinity\":\"r1-3\"},{\"count\":20,\"cpu\":2000,\"mem_mb\":1024,"
+	"\"gpu\":2,\"estimate_ms\":7000,\"after\":[0],\"checkpointing\":true,\"gang\":true,"
+	"\"same_rack\":true,\"constraints\":\"b\",\"anti_affinity\":3,\"unheard_of\":1}]}";
+
+/* Guards against fields that are lost or taken for others. */
+static void test_job(void)
+{
+	struct err err = {0};
+	struct jobspec *spec =
+		platform_intake_codec.read_job(NULL, job_text, strlen(job_text), &err);
+	struct jobspec *again;
+	json_t *json;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(spec);
+	CU_ASSERT_STRING_EQUAL(spec->payload, "(text)");
+	CU_ASSERT_EQUAL_FATAL(spec->step_count, 2);
+	CU_ASSERT_STRING_EQUAL(spec->steps[0].data_rack, "r1-3");
+	CU_ASSERT_EQUAL(spec->steps[1].cpu_milli, 2000);
+	CU_ASSERT_EQUAL(spec->steps[1].accelerators, 2);
+	CU_ASSERT_EQUAL(spec->steps[1].spread_limit, 3);
+	CU_ASSERT_STRING_EQUAL(spec->steps[1].label, "b");
+	CU_ASSERT_TRUE(spec->steps[1].gang && spec->steps[1].one_rack && spec->steps[1].checkpoints);
+	CU_ASSERT_EQUAL(jobspec_chain_ms(spec), 7900);
+	/* The product's own record holds the same. */
+	json = jobspec_write(spec);
+	again = jobspec_read(NULL, json, &jobspec_own_names, &err);
+	json_decref(json);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(again);
+	CU_ASSERT_EQUAL(again->steps[1].after_count, 1);
+	CU_ASSERT_EQUAL(again->steps[1].estimate_ms, 7000);
+	CU_ASSERT_STRING_EQUAL(again->steps[1].label, "b");
+	talloc_free(again);
+	talloc_free(spec);
+}
+
+/* Guards against malformed and absurd jobs that are accepted. */
+static void test_bad_jobs(void)
+{
+	static const char *const bodies[] = {
+		"",
+		"[]",
+		"{\"steps\":[]}",
+		"{\"steps\":[{\"count\":0}]}",
+		"{\"steps\":[{\"count\":-1}]}",
+		"{\"steps\":[{\"count\":1.5}]}",
+		"{\"steps\":[{\"count\":99999999}]}",
+		"{\"steps\":[{\"count\":9000},{\"count\":9000}]}",
+		"{\"steps\":[{\"count\":1,\"after\":[0]}]}",
+		"{\"steps\":[{\"count\":1,\"gang\":\"yes\"}]}",
+		"{\"steps\":[{\"count\":1,\"constraints\":7}]}",
+		"{\"steps\":[{\"count\":1}],\"steps\":[]}",
+		"{\"steps\":[{\"count\":1}],\"repeat_count\":-3}",
+	};
+
+	for (size_t i = 0; i < sizeof(bodies) / sizeof(bodies[0]); i++) {
+		struct err err = {0};
+
+		CU_ASSERT_PTR_NULL(platform_intake_codec.read_job(NULL, bodies[i],
+								  strlen(bodies[i]), &err));
+		CU_ASSERT(err.code == ERR_INVALID && *err.message && *err.remedy);
+	}
+}
+
+static const char config_text[] =
+	"{\"version\":7,\"routes\":[{\"name\":\"r-a\",\"host\":\"h.example\",\"prefix\":\"/p/\","
+	"\"slo_ms\":3000,\"priority\":2,\"service\":\"s\",\"max_attempts\":4,\"stretch\":3.0,"
+	"\"public\":false},{\"name\":\"r-b\",\"host\":\"h.example\",\"prefix\":\"/p/q/\","
+	"\"priority\":0,\"service\":\"s\",\"public\":true}],\"services\":[{\"name\":\"s\","
+	"\"rejects_overload\":true}],\"limits\":{\"max_body_bytes\":1000},\"tenants\":[{\"name\":"
+	"\"t\",\"api_keys\":[\"k1\",\"k2\"],\"guaranteed\":{\"gpu\":16}}]}";
+
+/* Guards against requests that reach another queue, and keys that open what they should not. */
+static void test_config(void)
+{
+	struct err err = {0};
+	struct fleetconf *conf =
+		platform_config_read(NULL, config_text, strlen(config_text), &err);
+	const struct fleetconf_queue *queue;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(conf);
+	CU_ASSERT_EQUAL(conf->version, 7);
+	queue = fleetconf_route(conf, "h.example:80", "/p/0123456789abcdef");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(queue);
+	CU_ASSERT_STRING_EQUAL(queue->name, "r-a");
+	CU_ASSERT_EQUAL(queue->max_attempts, 4);
+	CU_ASSERT_EQUAL(queue->allowance_ms, 3000);
+	CU_ASSERT_STRING_EQUAL(fleetconf_route(conf, "H.EXAMPLE", "/p/q/1")->name, "r-b");
+	CU_ASSERT_PTR_NULL(fleetconf_route(conf, "other.example", "/p/1"));
+	CU_ASSERT_PTR_NULL(fleetconf_route(conf, "h.example", "/x"));
+	CU_ASSERT_EQUAL(fleetconf_key(conf, "k2")->guaranteed_accelerators, 16);
+	CU_ASSERT_PTR_NULL(fleetconf_key(conf, ""));
+	CU_ASSERT_PTR_NULL(fleetconf_key(conf, "k3"));
+	talloc_free(conf);
+	CU_ASSERT_PTR_NULL(platform_config_read(NULL, "{\"version\":1}", 13, &err));
+	CU_ASSERT_PTR_NULL(platform_config_read(NULL, "nothing", 7, &err));
+}
+
+static const char heartbeat_text[] =
+	"{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"z\",\"version\":\"v1\","
+	"\"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"capacity\":{\"cpu\":16000,"
+	"\"mem_mb\":32768,\"gpu\":4},\"labels\":[\"a\",\"r1-3\"],\"clock_ms\":482113,\"seq\":4,"
+	"\"born\":123}";
+
+/* Guards against heartbeats of other writers that are taken for a worker's. */
+static void test_heartbeat(void)
+{
+	static const char *const bad[] = {
+		"", "{}", "[1]", "{\"service\":\"s\",\"state\":\"asleep\"}",
+		"{\"service\":\"s\",\"address\":\"a\",\"state\":\"ready\",\"seq\":1,\"labels\":[],"
+		"\"capacity\":{\"cpu\":\"many\",\"mem_mb\":1,\"gpu\":1}}",
+	};
+	struct err err = {0};
+	struct runner_self *self =
+		platform_self_read(NULL, "i-1", heartbeat_text, strlen(heartbeat_text), &err);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(self);
+	CU_ASSERT_STRING_EQUAL(self->kind, "a");
+	CU_ASSERT_STRING_EQUAL(self->rack, "r1-3");
+	CU_ASSERT_EQUAL(self->room.accelerators, 4);
+	CU_ASSERT_TRUE(self->accepting);
+	CU_ASSERT_EQUAL(self->born_ms, 123);
+	talloc_free(self);
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		CU_ASSERT_PTR_NULL(platform_self_read(NULL, "i-1", bad[i], strlen(bad[i]), &err));
+}
+
+static void test_control_calls(void)
+{
+	const char *id = NULL;
+
+	CU_ASSERT_EQUAL(platform_control_call("PUT", "/v1/instances/i-1", &id), PLATFORM_HEARTBEAT);
+	CU_ASSERT_STRING_EQUAL(id, "i-1");
+	CU_ASSERT_EQUAL(platform_control_call("DELETE", "/v1/instances/i-1", &id),
+			PLATFORM_GOODBYE);
+	CU_ASSERT_EQUAL(platform_control_call("PUT", "/v1/instances/", &id), PLATFORM_UNKNOWN);
+	CU_ASSERT_EQUAL(platform_control_call("GET", "/v1/instances/i-1", &id), PLATFORM_UNKNOWN);
+}
+
+/* Guards against parsers that read beyond a body: valid bodies with bytes cut or changed. */
+static void test_damaged_bodies(void)
+{
+	static const char *const bodies[] = {job_text, config_text, heartbeat_text};
+	struct util_rng rng = {7};
+
+	for (int round = 0; round < 3000; round++) {
+		const char *body = bodies[round % 3];
+		size_t len = util_rng_below(&rng, strlen(body) + 1);
+		char *copy = talloc_strndup(NULL, body, len);
+		struct err err;
+
+		for (int k = 0; len > 0 && k < 3; k++)
+			copy[util_rng_below(&rng, len)] = (char)util_rng_below(&rng, 256);
+		talloc_free(platform_intake_codec.read_job(copy, copy, len, &err));
+		talloc_free(platform_config_read(copy, copy, len, &err));
+		talloc_free(platform_self_read(copy, "i", copy, len, &err));
+		talloc_free(copy);
+	}
+	CU_PASS("no body brought a parser down");
+}
+
+int main(void)
+{
+	CU_pSuite suite;
+	unsigned int failures;
+
+	CU_initialize_registry();
+	suite = CU_add_suite("platform", NULL, NULL);
+	CU_add_test(suite, "job", test_job);
+	CU_add_test(suite, "bad_jobs", test_bad_jobs);
+	CU_add_test(suite, "config", test_config);
+	CU_add_test(suite, "heartbeat", test_heartbeat);
+	CU_add_test(suite, "control_calls", test_control_calls);
+	CU_add_test(suite, "damaged_bodies", test_damaged_bodies);
+	CU_basic_run_tests();
+	failures = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failures != 0;
+}
