intake: states are asked of peers while the store does not answer

Change: an unconfirmed leader's view comes last; peers are asked first. Test: test_intake/asks_peers.

--- a/src/intake_int.h
+++ b/src/intake_int.h
@@ -31,6 +31,7 @@
 	bool maybe_stored;    /* a write without an answer may have taken effect */
 	bool busy;	      /* a store call is under way */
 	uint64_t query;	      /* number of the question to the leader, 0: none */
+	char *asked_peer;     /* entry that was asked last, NULL: the leader's address */
 	struct tevent_timer *timer;
 };
 
--- a/src/intakeread.c
+++ b/src/intakeread.c
@@ -12,6 +12,7 @@
 #define RETRY_AFTER_S 1
 #define LEADER_LINK "leader"
 #define LEADER_WAIT_MS 400 /* then the store is asked; a leader answers within few milliseconds */
+#define PEER_WAIT_MS 150   /* then the next peer is asked */
 #define KEY_MAX 64
 
 void intake_drop_query(struct intake_request *q)
@@ -74,21 +75,14 @@
 	q->intake->deps.kv->ops->get(q->intake->deps.kv->impl, key, (struct kv_cb){on_progress, q});
 }
 
-/* The leader can't say: the store holds what is certain. */
 static void ask_store(struct intake_request *q)
 {
 	char key[KEY_MAX];
 
-	intake_drop_query(q);
-	TALLOC_FREE(q->timer);
 	if (q->kind != INTAKE_STATE) {
 		intake_answer(q, UNAVAILABLE, NULL, RETRY_AFTER_S, "leader_unreachable");
 		return;
 	}
-	if (!intake_store_answers(q->intake)) {
-		intake_answer(q, UNAVAILABLE, NULL, RETRY_AFTER_S, "store_down");
-		return;
-	}
 	g_snprintf(key, sizeof(key), "job/%s", q->id);
 	q->busy = true;
 	q->intake->deps.kv->ops->get(q->intake->deps.kv->impl, key, (struct kv_cb){on_job, q});
@@ -101,17 +95,6 @@
 	TALLOC_FREE(in->connected_to);
 }
 
-static void on_no_answer(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
-			 void *ctx)
-{
-	struct intake_request *q = ctx;
-
-	q->timer = NULL;
-	metrics_retry(q->intake->deps.metrics, "leader_silent");
-	disconnect(q->intake);
-	ask_store(q);
-}
-
 static bool connect_leader(struct intake *in)
 {
 	const char *address = leader_address(in->deps.leader);
@@ -126,27 +109,36 @@
 	return true;
 }
 
-static void ask_leader(struct intake_request *q)
+static void go_on(struct intake_request *q);
+
+static void on_no_answer(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+			 void *ctx)
+{
+	struct intake_request *q = ctx;
+
+	q->timer = NULL;
+	metrics_retry(q->intake->deps.metrics, "leader_silent");
+	if (!q->asked_peer)
+		disconnect(q->intake);
+	go_on(q);
+}
+
+static bool ask_link(struct intake_request *q, const char *link, uint32_t wait_ms)
 {
 	struct intake *in = q->intake;
 	struct msg msg = {.type = MSG_JOB_QUERY};
 
-	if (!connect_leader(in)) {
-		ask_store(q);
-		return;
-	}
+	intake_drop_query(q);
 	q->query = ++in->next_query;
 	g_hash_table_insert(in->queries, &q->query, q);
 	msg.u.job_query.id = q->query;
 	msg.u.job_query.verb = q->kind == INTAKE_PENDING ? "pending" : "get";
 	msg.u.job_query.job = q->kind == INTAKE_PENDING ? q->queue : q->id;
-	if (wire_send(in->deps.wire, LEADER_LINK, &msg)) {
-		ask_store(q);
-		return;
-	}
-	q->timer = tevent_add_timer(in->deps.ev, q,
-				    tevent_timeval_current_ofs(0, LEADER_WAIT_MS * 1000),
+	if (wire_send(in->deps.wire, link, &msg))
+		return false;
+	q->timer = tevent_add_timer(in->deps.ev, q, tevent_timeval_current_ofs(0, wait_ms * 1000),
 				    on_no_answer, q);
+	return true;
 }
 
 static void show_pending(struct intake_request *q, uint32_t count)
@@ -154,25 +146,64 @@
 	intake_answer(q, OK, q->intake->codec.pending_body(q, count), 0, "counted");
 }
 
-static void ask_here(struct intake_request *q)
+/* False if this process does not lead or does not know the job. */
+static bool answer_here(struct intake_request *q)
 {
+	struct coord *coord = q->intake->coord;
 	enum plan_job_state state;
 	uint32_t count;
 
-	if (q->kind == INTAKE_PENDING && !coord_pending(q->intake->coord, q->queue, &count))
+	if (!coord)
+		return false;
+	if (q->kind == INTAKE_PENDING && !coord_pending(coord, q->queue, &count))
 		show_pending(q, count);
-	else if (q->kind == INTAKE_STATE && !coord_job_state(q->intake->coord, q->id, &state))
+	else if (q->kind == INTAKE_STATE && !coord_job_state(coord, q->id, &state))
 		intake_show_state(q, state);
 	else
+		return false;
+	return true;
+}
+
+/* Without the store it is not known who leads; a peer may lead, or know. */
+static bool ask_next_peer(struct intake_request *q)
+{
+	const char *link;
+	const char *node =
+		relay_connect(q->intake->deps.relay, q->asked_peer ? q->asked_peer : "", &link);
+
+	if (!node)
+		return false;
+	talloc_free(q->asked_peer);
+	q->asked_peer = talloc_strdup(q, node);
+	return ask_link(q, link, PEER_WAIT_MS);
+}
+
+/* Who was asked last can't say. */
+static void go_on(struct intake_request *q)
+{
+	intake_drop_query(q);
+	TALLOC_FREE(q->timer);
+	if (intake_store_answers(q->intake)) {
 		ask_store(q);
+		return;
+	}
+	if (ask_next_peer(q) || answer_here(q))
+		return;
+	intake_answer(q, UNAVAILABLE, NULL, RETRY_AFTER_S, "store_down");
 }
 
+/*
+ * A leader that the store does not answer may have been replaced, so its own view comes last
+ * then.
+ */
 void intake_ask(struct intake_request *q)
 {
-	if (q->intake->coord)
-		ask_here(q);
-	else
-		ask_leader(q);
+	struct intake *in = q->intake;
+
+	if (in->coord && leader_confirmed(in->deps.leader) && answer_here(q))
+		return;
+	if (in->coord || !connect_leader(in) || !ask_link(q, LEADER_LINK, LEADER_WAIT_MS))
+		go_on(q);
 }
 
 static void on_info(struct intake *in, const struct msg_job_info *info)
@@ -185,7 +216,7 @@
 	if (!q)
 		return;
 	if (info->code) {
-		ask_store(q);
+		go_on(q);
 		return;
 	}
 	json = json_loadb((const char *)info->json.data, info->json.len, 0, NULL);
@@ -195,7 +226,7 @@
 	else if (q->kind == INTAKE_STATE && text && coord_state_parse(text, &state))
 		intake_show_state(q, state);
 	else
-		ask_store(q);
+		go_on(q);
 	json_decref(json);
 }
 
@@ -207,7 +238,7 @@
 	uint32_t count;
 	char text[64] = "{}";
 
-	if (!in->coord)
+	if (!in->coord || !leader_confirmed(in->deps.leader))
 		msg.u.job_info.code = ERR_UNAVAILABLE;
 	else if (!strcmp(query->verb, "pending") && !coord_pending(in->coord, query->job, &count))
 		g_snprintf(text, sizeof(text), "{\"pending\":%u}", count);
--- a/src/relay.c
+++ b/src/relay.c
@@ -151,6 +151,20 @@
 	tevent_add_timer(relay->deps.ev, call, tevent_timeval_zero(), on_first, call);
 }
 
+const char *relay_connect(struct relay *relay, const char *after, const char **link)
+{
+	bool found = *after == '\0';
+
+	for (struct peer_entry *p = relay->peers; p; p = p->next) {
+		if (found && !wire_connect(relay->deps.wire, p->link, p->address)) {
+			*link = p->link;
+			return p->node;
+		}
+		found = found || !strcmp(p->node, after);
+	}
+	return NULL;
+}
+
 static void answer(struct relay_service *service, int status)
 {
 	struct msg msg = {.type = MSG_RELAYED,
--- a/src/relay.h
+++ b/src/relay.h
@@ -38,6 +38,15 @@
 void relay_put(struct relay *relay, const char *key, const char *value, const char *requires,
 	       void (*done)(int status, void *ctx), void *ctx);
 
+/**
+ * relay_connect() - open the connection to the peer that follows another
+ * @after: node asked before, "" for none
+ * @link: receives the name under which messages reach it, borrowed
+ *
+ * Return: the peer's node, borrowed, or NULL when there is no further one.
+ */
+const char *relay_connect(struct relay *relay, const char *after, const char **link);
+
 /** relay_message() - a message from another process; true if it was for the relay */
 bool relay_message(struct relay *relay, const char *peer, const struct msg *msg);
 
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -23,6 +23,7 @@
 	struct memkv_client *client;
 	struct metrics *metrics;
 	struct wire *wire;
+	struct wire *peer_wire; /* of another entry that this program plays, or NULL */
 	struct httpd *httpd;
 	struct httpc *httpc;
 	struct intake *intake;
@@ -34,6 +35,25 @@
 
 static void on_message(const char *peer, struct msg *msg, void *ctx)
 {
+	struct fixture *f = ctx;
+
+	if (f->intake)
+		intake_message(f->intake, peer, msg);
+}
+
+/* An entry that leads: it answers questions about jobs. */
+static void on_peer_message(const char *peer, struct msg *msg, void *ctx)
+{
+	struct fixture *f = ctx;
+	static const char text[] = "{\"state\":\"completed\"}";
+	struct msg answer = {.type = MSG_JOB_INFO};
+
+	if (msg->type != MSG_JOB_QUERY)
+		return;
+	answer.u.job_info.id = msg->u.job_query.id;
+	answer.u.job_info.json.data = (const uint8_t *)text;
+	answer.u.job_info.json.len = strlen(text);
+	wire_send(f->peer_wire, peer, &answer);
 }
 
 static void on_answer(int status, int http_status, const char *body, size_t len, void *ctx)
@@ -83,6 +103,8 @@
 {
 	TALLOC_FREE(f->httpd);
 	TALLOC_FREE(f->intake);
+	if (f->peer_wire)
+		wire_destroy(f->peer_wire, 0);
 	wire_destroy(f->wire, 0);
 	talloc_free(f);
 }
@@ -213,6 +235,27 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against callers of an entry that the store refuses: they were shown an old state, or
+ * none, while another entry knew the job as completed.
+ */
+static void test_asks_peers(void)
+{
+	struct fixture *f = set_up();
+	struct wire_handlers handlers = {on_peer_message, f};
+	struct err err;
+
+	f->peer_wire = wire_create(f, f->ev, "e2#1", "127.0.0.1:0", &handlers, f->metrics, &err);
+	memkv_put(f->store, "entry/e2", wire_address(f->peer_wire));
+	CU_ASSERT_EQUAL(call(f, "POST", JOB, "k1", job_text), 200);
+	memkv_run(f->ev, 50);
+	f->client->trouble = MEMKV_REFUSES;
+	f->client->down = true;
+	CU_ASSERT_EQUAL(call(f, "GET", JOB, "k1", NULL), 200);
+	CU_ASSERT_STRING_EQUAL(f->body, "{\"state\":\"completed\"}");
+	tear_down(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -225,6 +268,7 @@
 	CU_add_test(suite, "large_body", test_large_body);
 	CU_add_test(suite, "unknown_outcome", test_unknown_outcome);
 	CU_add_test(suite, "store_away", test_store_away);
+	CU_add_test(suite, "asks_peers", test_asks_peers);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
