--- a/src/api.c
+++ b/src/api.c
@@ -144,10 +144,10 @@
 {
 	if (path_known) {
 		r->http_status = 405;
-		err_set(&r->err, ERR_INVALID, "see docs/operators.md for the methods",
+		err_set(&r->err, ERR_INVALID, "see docs/OPERATIONS.md for the methods",
 			"the path does not support %.16s", method);
 	} else {
-		err_set(&r->err, ERR_NOT_FOUND, "see docs/operators.md for the paths",
+		err_set(&r->err, ERR_NOT_FOUND, "see docs/OPERATIONS.md for the paths",
 			"there is no such path");
 	}
 }
--- a/src/coord.c
+++ b/src/coord.c
@@ -91,9 +91,14 @@
 	for (size_t i = 0; i < count; i++) {
 		if (!orders[i].fresh)
 			continue;
-		log_info(orders[i].start ? "task_start" : "task_stop", orders[i].task,
-			 "run %u on %s%s", orders[i].run, node,
-			 orders[i].start && *orders[i].checkpoint ? " from a checkpoint" : "");
+		if (orders[i].start)
+			log_info("task_start", orders[i].task,
+				 "run %u on %s after %" PRIu64 " ms%s", orders[i].run, node,
+				 orders[i].waited_ms,
+				 *orders[i].checkpoint ? ", from a checkpoint" : "");
+		else
+			log_info("task_stop", orders[i].task, "run %u on %s: %s", orders[i].run,
+				 node, orders[i].why);
 	}
 	talloc_free(mem);
 	send_orders(c, row, NULL);
--- a/src/intake.c
+++ b/src/intake.c
@@ -196,6 +196,11 @@
 		refuse(in, call, NOT_FOUND, 0, "no_queue", "");
 		return;
 	}
+	if (queue->advised) {
+		refuse(in, call, UNAVAILABLE, 0, "advice_not_supported",
+		       "the queue needs advice on workers, which this release does not ask for");
+		return;
+	}
 	organisation = fleetconf_key(in->conf, bearer_key(call));
 	if (!queue->open && !organisation) {
 		refuse(in, call, UNAUTHORIZED, 0, "key_unknown", "");
--- a/src/log.h
+++ b/src/log.h
@@ -14,7 +14,7 @@
 /**
  * log_event() - write one structured record
  * @level: GLib level
- * @event: fixed name of the event, as listed in docs/operators.md
+ * @event: fixed name of the event, as listed in docs/OPERATIONS.md
  * @id: request or job id, or "" when the event concerns neither
  * @format: printf format of the message
  */
--- a/src/plan.h
+++ b/src/plan.h
@@ -189,6 +189,8 @@
 	uint32_t run;
 	const char *payload;	/* of a start */
 	const char *checkpoint; /* of a start */
+	const char *why;	/* of a stop, for people */
+	uint64_t waited_ms;	/* of a start: since its step could begin */
 };
 
 /** plan_orders() - open orders of a worker; array and strings valid until the next change */
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -45,6 +45,8 @@
 	struct run_set failures;
 	uint64_t retry_ms;    /* not started before */
 	struct worker *avoid; /* where it failed last */
+	const char *why;      /* it was stopped */
+	uint64_t waited_ms;
 	bool listed;	      /* in the report being read */
 	enum task_state told; /* state whose order was handed out last */
 	char name[TASK_NAME_MAX];
@@ -153,7 +155,9 @@
 struct worker *plan_find_worker(const struct plan *plan, const char *node);
 void plan_assign(struct task *task, struct worker *worker, uint64_t now_ms);
 void plan_release(struct task *task);
-void plan_stop_task(struct task *task);
+/** plan_stop_task() - @why: for people, lives as long as the plan */
+void plan_stop_task(struct task *task, const char *why);
+void plan_stop_gang(struct task *task, const char *why);
 void plan_suspect(struct worker *worker, uint64_t now_ms);
 
 /* planslow.c */
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -95,6 +95,7 @@
 	plan_assign(task, worker, now_ms);
 	task->state = TASK_STARTING;
 	task->run = run;
+	task->waited_ms = now_ms - task->step->ready_ms;
 	worker->changed = true;
 	job->started = true;
 	if (job->state == PLAN_JOB_QUEUED)
--- a/src/planevict.c
+++ b/src/planevict.c
@@ -135,15 +135,6 @@
 	return sum;
 }
 
-static void stop_with_gang(struct task *task)
-{
-	struct step_run *step = task->step;
-
-	plan_stop_task(task);
-	for (uint32_t i = 0; step->spec->gang && i < step->spec->count; i++)
-		plan_stop_task(&step->tasks[i]);
-}
-
 /* Room that is in use and will not become free by stops that are under way. */
 struct plan_room plan_lasting_use(const struct worker *worker)
 {
@@ -256,7 +247,8 @@
 		     (job->guaranteed || v.cost <= URGENT_WASTE_FACTOR * own_work(step));
 
 	for (guint i = 0; found && i < v.tasks->len; i++)
-		stop_with_gang(v.tasks->pdata[i]);
+		plan_stop_gang(v.tasks->pdata[i], job->guaranteed ? "promised work needs its room"
+								  : "urgent work needs its room");
 	for (uint32_t i = 0; found && i < step->spec->count; i++) {
 		if (places[i])
 			places[i]->reserved_for = step;
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -228,7 +228,7 @@
 	for (struct occurrence *o = job->occurrences; o; o = o->next) {
 		for (size_t s = 0; s < job->spec->step_count; s++) {
 			for (uint32_t i = 0; i < o->steps[s].spec->count; i++)
-				plan_stop_task(&o->steps[s].tasks[i]);
+				plan_stop_task(&o->steps[s].tasks[i], "its job has ended");
 		}
 	}
 }
--- a/src/planslow.c
+++ b/src/planslow.c
@@ -32,15 +32,6 @@
 	task->sample_percent = task->percent;
 }
 
-static void stop_with_gang(struct task *task)
-{
-	struct step_run *step = task->step;
-
-	plan_stop_task(task);
-	for (uint32_t i = 0; step->spec->gang && i < step->spec->count; i++)
-		plan_stop_task(&step->tasks[i]);
-}
-
 static bool ends_by_itself(const struct task *task)
 {
 	return task->state == TASK_RUNNING && !task->step->spec->long_running;
@@ -73,7 +64,7 @@
 			task->avoid = worker;
 			if (!spans_workers(task->step))
 				plan_suspect(worker, now_ms);
-			stop_with_gang(task);
+			plan_stop_gang(task, "it stands still");
 		}
 	}
 }
@@ -129,7 +120,7 @@
 			if (!worth_moving(plan, task) || !room_elsewhere(plan, task, now_ms))
 				continue;
 			task->avoid = worker;
-			stop_with_gang(task);
+			plan_stop_gang(task, "its worker is slow");
 		}
 	}
 }
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -60,14 +60,24 @@
 	task->next_on_worker = NULL;
 }
 
-void plan_stop_task(struct task *task)
+void plan_stop_task(struct task *task, const char *why)
 {
 	if (task->state != TASK_STARTING && task->state != TASK_RUNNING)
 		return;
 	task->state = TASK_STOPPING;
+	task->why = why;
 	task->worker->changed = true;
 }
 
+void plan_stop_gang(struct task *task, const char *why)
+{
+	struct step_run *step = task->step;
+
+	plan_stop_task(task, why);
+	for (uint32_t i = 0; step->spec->gang && i < step->spec->count; i++)
+		plan_stop_task(&step->tasks[i], why);
+}
+
 /* The run is over; the task waits for its next one. */
 static void back_to_waiting(struct task *task)
 {
@@ -85,7 +95,7 @@
 		return;
 	for (uint32_t i = 0; i < step->spec->count; i++) {
 		if (step->tasks[i].run == run)
-			plan_stop_task(&step->tasks[i]);
+			plan_stop_task(&step->tasks[i], "a member of its gang has ended");
 	}
 }
 
@@ -222,7 +232,7 @@
 	if (job->state == PLAN_JOB_QUEUED)
 		job->state = PLAN_JOB_RUNNING;
 	if (plan_job_ended(job))
-		plan_stop_task(task);
+		plan_stop_task(task, "its job has ended");
 }
 
 /*
@@ -427,12 +437,16 @@
 			.run = t->run,
 			.payload = plan_task_job(t)->spec->payload,
 			.checkpoint = t->checkpoint ? t->checkpoint : "",
+			.why = t->why ? t->why : "",
+			.waited_ms = t->waited_ms,
 		};
 		t->told = t->state;
 	}
 	for (struct stray *s = worker->strays; s; s = s->next) {
-		(*out)[i++] =
-			(struct plan_order){.fresh = !s->told, .task = s->task, .run = s->run};
+		(*out)[i++] = (struct plan_order){.fresh = !s->told,
+						  .task = s->task,
+						  .run = s->run,
+						  .why = "no task counts on it"};
 		s->told = true;
 	}
 	return count;
--- a/tests/test_e2e_operators.c
+++ b/tests/test_e2e_operators.c
@@ -51,7 +51,7 @@
 /* Guards against a page whose commands no longer work. */
 static void test_commands(void)
 {
-	FILE *page = fopen("docs/operators.md", "r");
+	FILE *page = fopen("docs/OPERATIONS.md", "r");
 	unsigned int commands = 0;
 	bool console = false;
 	char line[512];
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -11,7 +11,10 @@
 
 static const char config_text[] =
 	"{\"version\":7,\"routes\":[{\"name\":\"q\",\"host\":\"h.example\",\"prefix\":\"/p/\","
-	"\"service\":\"s\",\"max_attempts\":4,\"stretch\":3.0}],\"tenants\":[{\"name\":\"t\","
+	"\"service\":\"s\",\"max_attempts\":4,\"stretch\":3.0},{\"name\":\"a\",\"host\":\"h."
+	"example\","
+	"\"prefix\":\"/advised/"
+	"\",\"service\":\"s\",\"advice\":{\"decision_ms\":5}}],\"tenants\":[{\"name\":\"t\","
 	"\"api_keys\":[\"k1\"]}]}";
 static const char job_text[] = "{\"task_spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":500}]}";
 
@@ -177,6 +180,7 @@
 		{"POST", JOB, "k1", "not json", 400},
 		{"PUT", JOB, "k1", job_text, 405},
 		{"POST", "/p/", "k1", job_text, 404},
+		{"POST", "/advised/5c0e7a21d94b36f8", "k1", job_text, 503},
 	};
 	struct fixture *f = set_up();
 	uint32_t writes = f->client->writes;
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -257,7 +257,8 @@
 	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(f->report->settled);
-	f->orders[f->order_count++] = (struct plan_order){true, false, "j.0.0.0", 1, "p", ""};
+	f->orders[f->order_count++] = (struct plan_order){
+		.start = true, .task = "j.0.0.0", .run = 1, .payload = "p", .checkpoint = ""};
 	memkv_run(f->ev, 500);
 	CU_ASSERT_EQUAL(f->starts, 1);
 	CU_ASSERT_EQUAL_FATAL(f->report->running_count, 1);
@@ -290,7 +291,8 @@
 	announce(f, 7, 1);
 	f->start_result = RUNNER_NO_ANSWER;
 	memkv_run(f->ev, 200);
-	f->orders[f->order_count++] = (struct plan_order){true, false, "j.0.0.0", 1, "p", ""};
+	f->orders[f->order_count++] = (struct plan_order){
+		.start = true, .task = "j.0.0.0", .run = 1, .payload = "p", .checkpoint = ""};
 	memkv_run(f->ev, 800);
 	CU_ASSERT_EQUAL(f->starts, 2);
 	CU_ASSERT(f->stops >= 1);
@@ -348,7 +350,8 @@
 	memkv_run(f->ev, 300);
 	f->start_result = RUNNER_NO_ANSWER;
 	f->start_ms = 900;
-	f->orders[f->order_count++] = (struct plan_order){true, false, "j.0.0.0", 1, "p", ""};
+	f->orders[f->order_count++] = (struct plan_order){
+		.start = true, .task = "j.0.0.0", .run = 1, .payload = "p", .checkpoint = ""};
 	memkv_run(f->ev, 300);
 	CU_ASSERT_EQUAL(f->starts, 1);
 	CU_ASSERT_EQUAL(f->report->running_count, 0);
