--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -89,6 +89,7 @@
 	uint32_t created;  /* occurrences made so far */
 	uint32_t finished; /* occurrences that have ended */
 	uint32_t next_run;
+	uint64_t checkpoint_ms;		/* when a checkpoint last made the record change */
 	struct occurrence *occurrences; /* unfinished ones */
 	bool guaranteed; /* within what its organisation was promised; set by each decision */
 };
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -4,6 +4,8 @@
 
 #define NO_ROOM_BACKOFF_MS 200 /* the worker's own view catches up within a report */
 #define UNHEALTHY_BACKOFF_MS 1000
+/* Checkpoints are stored this often, so that a loss of all hosts costs no more work. */
+#define CHECKPOINT_RECORD_MS 2000
 #define SUSPECT_BASE_MS 3000 /* doubles each time, so a bad worker costs few attempts */
 #define SUSPECT_DOUBLINGS_MAX 4
 #define STREAK_TO_SUSPECT 2 /* failures of different jobs; one may be the job's own fault */
@@ -173,15 +175,21 @@
 	worker->accepting = false;
 }
 
-static void keep_checkpoint(struct task *task, const struct plan_run *run)
+static void keep_checkpoint(struct plan *plan, struct task *task, const struct plan_run *run,
+			    uint64_t now_ms)
 {
 	struct step_run *step = task->step;
+	struct job *job = plan_task_job(task);
 
 	if (!*run->checkpoint || (task->checkpoint && !strcmp(task->checkpoint, run->checkpoint)))
 		return;
 	talloc_free(task->checkpoint);
 	task->checkpoint = talloc_strdup(step->occurrence, run->checkpoint);
 	task->saved_percent = run->percent;
+	if (now_ms - job->checkpoint_ms < CHECKPOINT_RECORD_MS)
+		return;
+	job->checkpoint_ms = now_ms;
+	plan_touch(plan, job);
 }
 
 static void add_stray(struct worker *worker, const struct plan_run *run)
@@ -278,13 +286,13 @@
 	if (task && task->worker == worker && task->run == run->run) {
 		task->listed = true;
 		note_progress(task, run, now_ms);
-		keep_checkpoint(task, run);
+		keep_checkpoint(plan, task, run, now_ms);
 		return;
 	}
 	if (task && adoptable(task, run->run)) {
 		adopt(plan, task, worker, run, now_ms);
 		note_progress(task, run, now_ms);
-		keep_checkpoint(task, run);
+		keep_checkpoint(plan, task, run, now_ms);
 		return;
 	}
 	add_stray(worker, run);
@@ -313,7 +321,7 @@
 {
 	struct job *job = plan_task_job(task);
 
-	keep_checkpoint(task, run);
+	keep_checkpoint(plan, task, run, now_ms);
 	task->ended_run = run->run;
 	if (how == PLAN_END_DONE) {
 		good_end(worker);
@@ -349,7 +357,7 @@
 	task->ended_run = run->run;
 	if (run->run >= job->next_run)
 		job->next_run = run->run + 1;
-	keep_checkpoint(task, run);
+	keep_checkpoint(plan, task, run, now_ms);
 	if (how == PLAN_END_DONE)
 		plan_task_done(plan, task, now_ms);
 }
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -1,6 +1,7 @@
 #include "lib_planworld.h"
 
 #include <CUnit/Basic.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define SMALL                                                                                     \
@@ -376,6 +377,31 @@
 	finish(w);
 }
 
+/* Guards against work that is done again after a loss of all hosts though a checkpoint was known.
+ */
+static void test_record_holds_checkpoints(void)
+{
+	struct planworld *w = planworld_create(NULL, 1);
+	const struct plan_run run = {"j1.0.0.0", 1, "saved-1", 40};
+	json_t *record;
+	char *text;
+
+	planworld_job(
+		w, "j1", "batch", "b",
+		"[{\"tasks\":1,\"cpu_milli\":1000,\"estimate_ms\":9000,\"checkpoints\":true}]");
+	planworld_run(w, 2500);
+	while (plan_take_dirty(w->plan))
+		;
+	plan_worker_running(w->plan, "w0", &run, w->now_ms);
+	CU_ASSERT_STRING_EQUAL(plan_take_dirty(w->plan), "j1");
+	record = plan_job_record(w->plan, "j1");
+	text = json_dumps(record, JSON_COMPACT);
+	CU_ASSERT_PTR_NOT_NULL(strstr(text, "saved-1"));
+	free(text);
+	json_decref(record);
+	finish(w);
+}
+
 /* Guards against a malformed record that is taken for progress. */
 static void test_bad_record(void)
 {
@@ -424,6 +450,7 @@
 		{"crashed_worker", test_crashed_worker},
 		{"draining_worker", test_draining_worker},
 		{"repeats", test_repeats},
+		{"record_holds_checkpoints", test_record_holds_checkpoints},
 		{"bad_record", test_bad_record},
 		CU_TEST_INFO_NULL,
 	};
