plan: no news of a worker is no sign that its tasks stand still

Lists were also reported again after they had grown old. Change: reports say how old the list is, and progress is judged by lists only. Test: test_plan/silence_is_no_stall.

--- a/src/coord.c
+++ b/src/coord.c
@@ -298,6 +298,8 @@
 static void take_worker(struct coord *c, struct agent_row *row, const struct fleet_report *report,
 			uint64_t now_ms)
 {
+	uint64_t list_ms = now_ms - (report->list_age_ms < now_ms ? report->list_age_ms : 0);
+
 	if (strcmp(row->incarnation, report->info.incarnation) != 0) {
 		talloc_free(row->incarnation);
 		row->incarnation = talloc_strdup(row, report->info.incarnation);
@@ -318,8 +320,8 @@
 		plan_worker_refused(c->plan, row->node, &refusal->run, refusal->why, now_ms);
 	}
 	for (size_t i = 0; i < report->running_count; i++)
-		plan_worker_running(c->plan, row->node, &report->running[i], now_ms);
-	plan_worker_listed(c->plan, row->node, now_ms);
+		plan_worker_running(c->plan, row->node, &report->running[i], list_ms);
+	plan_worker_listed(c->plan, row->node, list_ms);
 }
 
 /*
--- a/src/fleetmsg.c
+++ b/src/fleetmsg.c
@@ -57,17 +57,19 @@
 {
 	const struct plan_worker_info *info = &report->info;
 
-	return dump(mem, json_pack("{s:I, s:s, s:b, s:b, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, "
-				   "s:i, s:b, s:o, s:o, s:o}",
-				   "sent", (json_int_t)report->sent_ms, "address", report->address,
-				   "alive", report->alive, "settled", report->settled, "node",
-				   info->node, "incarnation", info->incarnation, "service",
-				   info->service, "zone", info->zone, "kind", info->kind, "rack",
-				   info->rack, "cpu", (int)info->room.cpu_milli, "memory",
-				   (int)info->room.memory_mb, "accelerators",
-				   (int)info->room.accelerators, "accepting", info->accepting,
-				   "running", write_runs(report->running, report->running_count),
-				   "ends", write_ends(report), "refusals", write_refusals(report)));
+	return dump(mem,
+		    json_pack("{s:I, s:I, s:s, s:b, s:b, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, "
+			      "s:i, s:b, s:o, s:o, s:o}",
+			      "sent", (json_int_t)report->sent_ms, "list_age",
+			      (json_int_t)report->list_age_ms, "address", report->address, "alive",
+			      report->alive, "settled", report->settled, "node", info->node,
+			      "incarnation", info->incarnation, "service", info->service, "zone",
+			      info->zone, "kind", info->kind, "rack", info->rack, "cpu",
+			      (int)info->room.cpu_milli, "memory", (int)info->room.memory_mb,
+			      "accelerators", (int)info->room.accelerators, "accepting",
+			      info->accepting, "running",
+			      write_runs(report->running, report->running_count), "ends",
+			      write_ends(report), "refusals", write_refusals(report)));
 }
 
 /* Reads the first four fields of a row; the strings belong to @mem. */
@@ -161,6 +163,7 @@
 	report = talloc_zero(mem, struct fleet_report);
 	info = &report->info;
 	report->sent_ms = read_number(json, "sent");
+	report->list_age_ms = read_number(json, "list_age");
 	report->address = read_text(report, json, "address");
 	report->alive = json_is_true(json_object_get(json, "alive"));
 	report->settled = json_is_true(json_object_get(json, "settled"));
--- a/src/fleetmsg.h
+++ b/src/fleetmsg.h
@@ -30,11 +30,13 @@
  * @sent_ms: agent's clock, returned in the orders
  * @address: where the agent takes messages
  * @alive: false only when it is certain that the worker runs nothing
+ * @list_age_ms: how long ago the worker made the list of its runs
  * @settled: the agent has a complete list of runs; without it only @info is valid
  */
 struct fleet_report {
 	uint64_t sent_ms;
 	const char *address;
+	uint64_t list_age_ms;
 	bool alive;
 	bool settled;
 	struct plan_worker_info info;
--- a/src/plan.h
+++ b/src/plan.h
@@ -162,9 +162,12 @@
 /** plan_worker_lost() - nothing runs on the worker any more and it takes no work */
 void plan_worker_lost(struct plan *plan, const char *node, uint64_t now_ms);
 
-/** plan_worker_running() - a worker lists a run; one that should not be there is stopped */
+/**
+ * plan_worker_running() - a worker lists a run; one that should not be there is stopped
+ * @list_ms: when the worker made the list; a list may be reported more than once
+ */
 void plan_worker_running(struct plan *plan, const char *node, const struct plan_run *run,
-			 uint64_t now_ms);
+			 uint64_t list_ms);
 
 /** plan_worker_ended() - a worker lists the end of a run; repeated ends are ignored */
 void plan_worker_ended(struct plan *plan, const char *node, const struct plan_run *run,
@@ -179,7 +182,7 @@
  *
  * Runs that were confirmed before and are not in the list any more are gone.
  */
-void plan_worker_listed(struct plan *plan, const char *node, uint64_t now_ms);
+void plan_worker_listed(struct plan *plan, const char *node, uint64_t list_ms);
 
 /** struct plan_order - what a worker is to do; repeated until the worker has confirmed it */
 struct plan_order {
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -117,6 +117,7 @@
 	struct task *tasks;
 	struct stray *strays;
 	uint64_t backoff_ms; /* takes nothing new before */
+	uint64_t listed_ms;  /* when it made the latest list of its runs */
 	uint64_t suspect_until_ms;
 	uint64_t slow_until_ms;	 /* takes nothing new before */
 	uint32_t suspicions;	 /* times in a row it became suspect */
--- a/src/planslow.c
+++ b/src/planslow.c
@@ -58,8 +58,9 @@
 		struct worker *worker = plan->workers->pdata[i];
 
 		for (struct task *task = worker->tasks; task; task = task->next_on_worker) {
+			/* Without a new list nothing is known of the progress. */
 			if (!ends_by_itself(task) ||
-			    now_ms - task->progress_ms <= plan->params.stall_ms)
+			    worker->listed_ms <= task->progress_ms + plan->params.stall_ms)
 				continue;
 			task->avoid = worker;
 			if (!spans_workers(task->step))
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -276,7 +276,7 @@
 }
 
 void plan_worker_running(struct plan *plan, const char *node, const struct plan_run *run,
-			 uint64_t now_ms)
+			 uint64_t list_ms)
 {
 	struct worker *worker = plan_find_worker(plan, node);
 	struct task *task = plan_find_task(plan, run->task);
@@ -285,14 +285,14 @@
 		return;
 	if (task && task->worker == worker && task->run == run->run) {
 		task->listed = true;
-		note_progress(task, run, now_ms);
-		keep_checkpoint(plan, task, run, now_ms);
+		note_progress(task, run, list_ms);
+		keep_checkpoint(plan, task, run, list_ms);
 		return;
 	}
 	if (task && adoptable(task, run->run)) {
-		adopt(plan, task, worker, run, now_ms);
-		note_progress(task, run, now_ms);
-		keep_checkpoint(plan, task, run, now_ms);
+		adopt(plan, task, worker, run, list_ms);
+		note_progress(task, run, list_ms);
+		keep_checkpoint(plan, task, run, list_ms);
 		return;
 	}
 	add_stray(worker, run);
@@ -399,7 +399,7 @@
 		worker->backoff_ms = now_ms + UNHEALTHY_BACKOFF_MS;
 }
 
-void plan_worker_listed(struct plan *plan, const char *node, uint64_t now_ms)
+void plan_worker_listed(struct plan *plan, const char *node, uint64_t list_ms)
 {
 	struct worker *worker = plan_find_worker(plan, node);
 	struct task *task;
@@ -407,6 +407,7 @@
 
 	if (!worker)
 		return;
+	worker->listed_ms = list_ms;
 	for (task = worker->tasks; task; task = next) {
 		bool gone = !task->listed && task->state == TASK_RUNNING;
 
--- a/src/runner.c
+++ b/src/runner.c
@@ -89,6 +89,7 @@
 	TALLOC_CTX *mem = talloc_new(NULL);
 	struct fleet_report report = {
 		.sent_ms = util_clock_ms(),
+		.list_age_ms = util_clock_ms() - r->listed_ms,
 		.address = r->address,
 		.alive = !r->down,
 		.settled = r->settled,
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -58,6 +58,7 @@
 	size_t end_count;
 	TALLOC_CTX *ends_mem;
 	uint64_t ends_stored;
+	uint64_t listed_ms; /* when the latest list came */
 	uint64_t renew_sent_ms;
 	uint64_t renew_due_ms;
 	uint32_t renew_life;
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -321,4 +321,5 @@
 	if (!r->settled || (r->end_count && r->ends[r->end_count - 1].number > newest))
 		runner_report_soon(r);
 	r->settled = true;
+	r->listed_ms = util_clock_ms();
 }
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -161,6 +161,27 @@
 	finish(w);
 }
 
+/*
+ * Guards against a leader that was frozen, or hears nothing, and takes all tasks for stuck: it
+ * stopped everything that ran.
+ */
+static void test_silence_is_no_stall(void)
+{
+	struct planworld *w = planworld_create(NULL, 3);
+
+	planworld_job(w, "j1", "batch", "b", FILL);
+	planworld_run(w, 1000);
+	for (int i = 0; i < 3; i++)
+		w->workers[i].reachable = false;
+	planworld_run(w, 5000);
+	for (int i = 0; i < 3; i++)
+		w->workers[i].reachable = true;
+	planworld_run(w, 20000);
+	CU_ASSERT_EQUAL(planworld_state(w, "j1"), PLAN_JOB_COMPLETED);
+	CU_ASSERT_EQUAL(w->stops, 0);
+	finish(w);
+}
+
 /* Guards against tasks that stay on a worker that has turned slow while others are free. */
 static void test_slow_worker(void)
 {
@@ -438,6 +459,7 @@
 		{"attempts", test_attempts},
 		{"failing_worker", test_failing_worker},
 		{"stalled_worker", test_stalled_worker},
+		{"silence_is_no_stall", test_silence_is_no_stall},
 		{"slow_worker", test_slow_worker},
 		{"wrong_estimate_is_not_slow", test_wrong_estimate_is_not_slow},
 		{"urgent_displaces_young_work", test_urgent_displaces_young_work},
