--- a/src/coord.c
+++ b/src/coord.c
@@ -463,7 +463,8 @@
 	c->cycle = g_queue_new();
 	c->ended = g_queue_new();
 	c->decide = tevent_create_immediate(c);
-	c->link = talloc_zero(NULL, struct coord_link);
+	/* Owned by the loop, which outlives every call. */
+	c->link = talloc_zero(deps->ev, struct coord_link);
 	c->link->coord = c;
 	talloc_set_destructor(c, coord_destructor);
 	coord_load(c);
--- a/src/kvmirror.c
+++ b/src/kvmirror.c
@@ -232,7 +232,8 @@
 	m->prefix = talloc_strdup(m, prefix);
 	m->handlers = *handlers;
 	m->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	m->link = talloc_zero(NULL, struct mirror_link);
+	/* Owned by the loop, which outlives every call. */
+	m->link = talloc_zero(ev, struct mirror_link);
 	m->link->mirror = m;
 	talloc_set_destructor(m, mirror_destructor);
 	read_page(m, "");
