--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -41,7 +41,8 @@
 	uint32_t sample_percent;
 	double speed;	   /* percent a millisecond over the last whole sample; below 0: none yet */
 	double best_speed; /* of any sample so far, on any worker */
-	uint64_t began_ms; /* of the latest run */
+	uint32_t slow_samples; /* in a row */
+	uint64_t began_ms;     /* of the latest run */
 	struct run_set failures;
 	uint64_t retry_ms;    /* not started before */
 	struct worker *avoid; /* where it failed last */
--- a/src/planslow.c
+++ b/src/planslow.c
@@ -10,7 +10,8 @@
  * A task is slow against its own best speed. Callers' estimates are off by up to ten times,
  * and tasks of one step differ by as much. Samples are off by half.
  */
-#define SLOW_FACTOR 3.5
+#define SLOW_FACTOR 5.0
+#define SLOW_SAMPLES 2	  /* in a row; one may fall into a pause of the worker */
 #define SLOW_REST_MS 3000 /* a slow worker gets nothing new for this time */
 #define MOVE_GAIN_MS 1000 /* a move has to save at least this much */
 #define PERCENT 100.0
@@ -24,10 +25,13 @@
 		return;
 	if (task->sample_ms && passed_ms < SAMPLE_MS)
 		return;
-	if (task->sample_ms && task->percent >= task->sample_percent)
+	if (task->sample_ms && task->percent >= task->sample_percent) {
 		task->speed = (double)(task->percent - task->sample_percent) / (double)passed_ms;
-	if (task->speed > task->best_speed)
-		task->best_speed = task->speed;
+		if (task->speed > task->best_speed)
+			task->best_speed = task->speed;
+		task->slow_samples =
+			task->speed * SLOW_FACTOR < task->best_speed ? task->slow_samples + 1 : 0;
+	}
 	task->sample_ms = now_ms;
 	task->sample_percent = task->percent;
 }
@@ -72,8 +76,7 @@
 
 static bool is_slow(const struct task *task)
 {
-	return ends_by_itself(task) && task->speed >= 0 &&
-	       task->speed * SLOW_FACTOR < task->best_speed;
+	return ends_by_itself(task) && task->slow_samples >= SLOW_SAMPLES;
 }
 
 /* Time that a fresh start elsewhere takes, from the checkpoint if there is one. */
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -42,6 +42,7 @@
 	task->percent = task->checkpoint ? task->saved_percent : 0;
 	task->sample_ms = 0;
 	task->speed = -1;
+	task->slow_samples = 0;
 	worker->tasks = task;
 	use_room(worker, task->step->spec, 1);
 }
