--- a/src/coord.c
+++ b/src/coord.c
@@ -11,28 +11,6 @@
 #define LEAD_REPEAT_MS 1000 /* agents that have not reported are told again */
 #define RUNS_PER_TERM 100   /* run numbers of different leaders stay apart */
 
-static const char *const state_names[] = {
-	[PLAN_JOB_QUEUED] = "queued",	    [PLAN_JOB_RUNNING] = "running",
-	[PLAN_JOB_COMPLETED] = "completed", [PLAN_JOB_FAILED] = "failed",
-	[PLAN_JOB_CANCELLED] = "cancelled",
-};
-
-const char *coord_state_name(enum plan_job_state state)
-{
-	return state_names[state];
-}
-
-bool coord_state_parse(const char *text, enum plan_job_state *state)
-{
-	for (size_t i = 0; i < G_N_ELEMENTS(state_names); i++) {
-		if (strcmp(text, state_names[i]) != 0)
-			continue;
-		*state = (enum plan_job_state)i;
-		return true;
-	}
-	return false;
-}
-
 struct agent_row *coord_agent(struct coord *c, const char *node)
 {
 	struct agent_row *row = g_hash_table_lookup(c->agents, node);
--- a/src/coord.h
+++ b/src/coord.h
@@ -58,8 +58,4 @@
 /** coord_explain() - why a job is where it is, owned by @mem */
 char *coord_explain(const struct coord *coord, TALLOC_CTX *mem, const char *id);
 
-/** coord_state_name() - text of a state in answers and records; coord_state_parse() reverses */
-const char *coord_state_name(enum plan_job_state state);
-bool coord_state_parse(const char *text, enum plan_job_state *state);
-
 #endif
--- a/src/coordstore.c
+++ b/src/coordstore.c
@@ -278,7 +278,7 @@
 		if (row->stored_state >= PLAN_JOB_COMPLETED) {
 			row->ended_stored = false;
 			note_ended(c, row, row->stored_state);
-			log_info("job_end", row->id, "%s", coord_state_name(row->stored_state));
+			log_info("job_end", row->id, "%s", plan_state_name(row->stored_state));
 		}
 	}
 	c->batch_count = 0;
--- a/src/intake.c
+++ b/src/intake.c
@@ -68,6 +68,15 @@
 	free_if_idle(q);
 }
 
+bool intake_abandoned(struct intake_request *q)
+{
+	q->busy = false;
+	if (q->call)
+		return false;
+	talloc_free(q);
+	return true;
+}
+
 bool intake_store_answers(const struct intake *in)
 {
 	return in->deps.kv->ops->answers(in->deps.kv->impl);
@@ -77,7 +86,7 @@
 {
 	char *body = q->intake->codec.state_body(q, state);
 
-	intake_answer(q, OK, body, 0, coord_state_name(state));
+	intake_answer(q, OK, body, 0, plan_state_name(state));
 }
 
 /* An answer that needs no request: the call is malformed or not allowed. */
--- a/src/intake_int.h
+++ b/src/intake_int.h
@@ -50,6 +50,12 @@
 /* intake.c */
 void intake_answer(struct intake_request *q, int status, const char *body, uint32_t retry_after_s,
 		   const char *why);
+/**
+ * intake_abandoned() - a store call has ended
+ *
+ * Return: true if the caller went away meanwhile; the request is freed then.
+ */
+bool intake_abandoned(struct intake_request *q);
 bool intake_store_answers(const struct intake *in);
 void intake_show_state(struct intake_request *q, enum plan_job_state state);
 
--- a/src/intakeread.c
+++ b/src/intakeread.c
@@ -22,16 +22,6 @@
 	q->query = 0;
 }
 
-/* True if the caller went away meanwhile; the request is freed then. */
-static bool abandoned(struct intake_request *q)
-{
-	q->busy = false;
-	if (q->call)
-		return false;
-	talloc_free(q);
-	return true;
-}
-
 static void on_progress(int status, const struct kv_result *result, void *ctx)
 {
 	struct intake_request *q = ctx;
@@ -39,7 +29,7 @@
 	const char *text;
 	json_t *record;
 
-	if (abandoned(q))
+	if (intake_abandoned(q))
 		return;
 	if (status) {
 		intake_answer(q, UNAVAILABLE, NULL, RETRY_AFTER_S, "store_unavailable");
@@ -48,7 +38,7 @@
 	if (result->count > 0) {
 		record = json_loadb(result->items[0].value, result->items[0].value_len, 0, NULL);
 		text = json_string_value(json_object_get(record, "state"));
-		if (!text || !coord_state_parse(text, &state))
+		if (!text || !plan_state_parse(text, &state))
 			log_error("progress_unreadable", q->id, "the stored progress is malformed");
 		json_decref(record);
 	}
@@ -60,7 +50,7 @@
 	struct intake_request *q = ctx;
 	char key[KEY_MAX];
 
-	if (abandoned(q))
+	if (intake_abandoned(q))
 		return;
 	if (status) {
 		intake_answer(q, UNAVAILABLE, NULL, RETRY_AFTER_S, "store_unavailable");
@@ -223,7 +213,7 @@
 	text = json_string_value(json_object_get(json, "state"));
 	if (q->kind == INTAKE_PENDING && json_is_integer(json_object_get(json, "pending")))
 		show_pending(q, (uint32_t)json_integer_value(json_object_get(json, "pending")));
-	else if (q->kind == INTAKE_STATE && text && coord_state_parse(text, &state))
+	else if (q->kind == INTAKE_STATE && text && plan_state_parse(text, &state))
 		intake_show_state(q, state);
 	else
 		go_on(q);
@@ -243,7 +233,7 @@
 	else if (!strcmp(query->verb, "pending") && !coord_pending(in->coord, query->job, &count))
 		g_snprintf(text, sizeof(text), "{\"pending\":%u}", count);
 	else if (!strcmp(query->verb, "get") && !coord_job_state(in->coord, query->job, &state))
-		g_snprintf(text, sizeof(text), "{\"state\":\"%s\"}", coord_state_name(state));
+		g_snprintf(text, sizeof(text), "{\"state\":\"%s\"}", plan_state_name(state));
 	else
 		msg.u.job_info.code = ERR_NOT_FOUND;
 	msg.u.job_info.json.data = (uint8_t *)text;
--- a/src/intakewrite.c
+++ b/src/intakewrite.c
@@ -21,16 +21,6 @@
 				    tevent_timeval_current_ofs(0, RETRY_MS * 1000), handler, q);
 }
 
-/* True if the caller went away meanwhile; the request is freed then. */
-static bool abandoned(struct intake_request *q)
-{
-	q->busy = false;
-	if (q->call)
-		return false;
-	talloc_free(q);
-	return true;
-}
-
 /*
  * A write failed. While it may have taken effect the job must not be called refused, so only
  * a time-out is left when the time is over.
@@ -83,7 +73,7 @@
 {
 	struct intake_request *q = ctx;
 
-	if (abandoned(q))
+	if (intake_abandoned(q))
 		return;
 	/* A conflict shows that the job is there: sent again, or by an answer that was lost. */
 	if (status == 0)
@@ -98,7 +88,7 @@
 {
 	struct intake_request *q = ctx;
 
-	if (abandoned(q))
+	if (intake_abandoned(q))
 		return;
 	if (status == 0 || status == -ERR_CONFLICT)
 		intake_answer(q, OK, NULL, 0, "stored by a peer");
@@ -148,7 +138,7 @@
 {
 	struct intake_request *q = ctx;
 
-	if (abandoned(q))
+	if (intake_abandoned(q))
 		return;
 	if (status == 0 || status == -ERR_CONFLICT)
 		intake_answer(q, OK, NULL, 0, "cancelled");
@@ -164,7 +154,7 @@
 	struct kv_put put = {key, "1", 0};
 	struct kv_txn txn = {.expects = &expect, .expect_count = 1, .puts = &put, .put_count = 1};
 
-	if (abandoned(q))
+	if (intake_abandoned(q))
 		return;
 	if (status) {
 		failed(q, status, on_cancel_again);
--- a/src/main_fleet.c
+++ b/src/main_fleet.c
@@ -133,18 +133,6 @@
 			 program);
 }
 
-static enum fleet_control control_call(const char *method, const char *path, const char **id)
-{
-	switch (platform_control_call(method, path, id)) {
-	case PLATFORM_HEARTBEAT:
-		return FLEET_HEARTBEAT;
-	case PLATFORM_GOODBYE:
-		return FLEET_GOODBYE;
-	default:
-		return FLEET_OTHER;
-	}
-}
-
 static struct fleet_platform connect_platform(TALLOC_CTX *mem, struct tevent_context *ev,
 					      const struct fleetnode_settings *settings,
 					      struct metrics *metrics)
@@ -156,7 +144,7 @@
 		.config_key = PLATFORM_CONFIG_KEY,
 		.read_config = platform_config_read,
 		.read_self = platform_self_read,
-		.control_call = control_call,
+		.control_call = platform_control_call,
 		.is_ready_call = platform_is_ready_call,
 	};
 
--- a/src/plan.h
+++ b/src/plan.h
@@ -23,6 +23,10 @@
 	PLAN_JOB_CANCELLED,
 };
 
+/** plan_state_name() - text of a state in records and logs; plan_state_parse() reverses it */
+const char *plan_state_name(enum plan_job_state state);
+bool plan_state_parse(const char *text, enum plan_job_state *state);
+
 /* How a run ended. */
 enum plan_end {
 	PLAN_END_DONE,
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -396,12 +396,6 @@
 	plan->run_floor = run;
 }
 
-static const char *const state_names[] = {
-	[PLAN_JOB_QUEUED] = "queued",	    [PLAN_JOB_RUNNING] = "running",
-	[PLAN_JOB_COMPLETED] = "completed", [PLAN_JOB_FAILED] = "failed",
-	[PLAN_JOB_CANCELLED] = "cancelled",
-};
-
 char *plan_explain(const struct plan *plan, TALLOC_CTX *mem, const char *id)
 {
 	const struct job *job = plan_find_job(plan, id);
@@ -422,7 +416,7 @@
 	return talloc_asprintf(
 		mem,
 		"%s: %u tasks wait, %u start, %u run, %u stop, %u are done, %u failed runs%s%s",
-		state_names[job->state], counts[TASK_WAITING], counts[TASK_STARTING],
+		plan_state_name(job->state), counts[TASK_WAITING], counts[TASK_STARTING],
 		counts[TASK_RUNNING], counts[TASK_STOPPING], counts[TASK_DONE], failures,
 		job->inherited ? ", waits for workers of the former leader" : "",
 		job->queue ? "" : ", its queue is not configured");
--- a/src/planrecord.c
+++ b/src/planrecord.c
@@ -13,6 +13,22 @@
 	[PLAN_JOB_CANCELLED] = "cancelled",
 };
 
+const char *plan_state_name(enum plan_job_state state)
+{
+	return state_texts[state];
+}
+
+bool plan_state_parse(const char *text, enum plan_job_state *state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(state_texts); i++) {
+		if (strcmp(text, state_texts[i]) != 0)
+			continue;
+		*state = (enum plan_job_state)i;
+		return true;
+	}
+	return false;
+}
+
 static json_t *write_runs(const struct run_set *set)
 {
 	json_t *runs = json_array();
@@ -72,11 +88,11 @@
 	if (!job)
 		return NULL;
 	if (plan_job_ended(job))
-		return json_pack("{s:s}", "state", state_texts[job->state]);
+		return json_pack("{s:s}", "state", plan_state_name(job->state));
 	occurrences = json_array();
 	for (const struct occurrence *o = job->occurrences; o; o = o->next)
 		json_array_append_new(occurrences, write_occurrence(o));
-	return json_pack("{s:s, s:b, s:i, s:i, s:i, s:o}", "state", state_texts[job->state],
+	return json_pack("{s:s, s:b, s:i, s:i, s:i, s:o}", "state", plan_state_name(job->state),
 			 "started", job->started, "created", (int)job->created, "finished",
 			 (int)job->finished, "next_run", (int)job->next_run, "occurrences",
 			 occurrences);
@@ -145,28 +161,17 @@
 	return 0;
 }
 
-static bool read_state(struct job *job, const json_t *record)
-{
-	const char *text = json_string_value(json_object_get(record, "state"));
-
-	for (size_t i = 0; text && i < G_N_ELEMENTS(state_texts); i++) {
-		if (strcmp(text, state_texts[i]) != 0)
-			continue;
-		job->state = (enum plan_job_state)i;
-		return true;
-	}
-	return false;
-}
-
 int plan_job_restore(struct plan *plan, const char *id, const json_t *record)
 {
 	struct job *job = plan_find_job(plan, id);
 	const json_t *occurrence;
+	const char *state;
 	size_t i;
 
 	if (!job)
 		return -ERR_NOT_FOUND;
-	if (!read_state(job, record))
+	state = json_string_value(json_object_get(record, "state"));
+	if (!state || !plan_state_parse(state, &job->state))
 		return -ERR_INVALID;
 	if (plan_job_ended(job))
 		return 0;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -147,12 +147,11 @@
 {
 	const char *id = NULL;
 
-	CU_ASSERT_EQUAL(platform_control_call("PUT", "/v1/instances/i-1", &id), PLATFORM_HEARTBEAT);
+	CU_ASSERT_EQUAL(platform_control_call("PUT", "/v1/instances/i-1", &id), FLEET_HEARTBEAT);
 	CU_ASSERT_STRING_EQUAL(id, "i-1");
-	CU_ASSERT_EQUAL(platform_control_call("DELETE", "/v1/instances/i-1", &id),
-			PLATFORM_GOODBYE);
-	CU_ASSERT_EQUAL(platform_control_call("PUT", "/v1/instances/", &id), PLATFORM_UNKNOWN);
-	CU_ASSERT_EQUAL(platform_control_call("GET", "/v1/instances/i-1", &id), PLATFORM_UNKNOWN);
+	CU_ASSERT_EQUAL(platform_control_call("DELETE", "/v1/instances/i-1", &id), FLEET_GOODBYE);
+	CU_ASSERT_EQUAL(platform_control_call("PUT", "/v1/instances/", &id), FLEET_OTHER);
+	CU_ASSERT_EQUAL(platform_control_call("GET", "/v1/instances/i-1", &id), FLEET_OTHER);
 }
 
 /* Guards against parsers that read beyond a body: valid bodies with bytes cut or changed. */
