plan: a gang's member that is through is no stall

Cause: members of a gang end together; one that was through stayed at 100% for longer than the bound of a stall, and the gang was stopped and run again. Test: test_plan/waiting_member_is_no_stall.

--- a/src/planslow.c
+++ b/src/planslow.c
@@ -16,12 +16,21 @@
 #define MOVE_GAIN_MS 1000 /* a move has to save at least this much */
 #define PERCENT 100.0
 
+/* A member of a gang that is through waits for the others, which may be slower. */
+static bool at_work(const struct task *task)
+{
+	const struct jobspec_step *spec = task->step->spec;
+
+	return task->state == TASK_RUNNING && !spec->long_running &&
+	       !(spec->gang && task->percent >= PERCENT);
+}
+
 void plan_sample_speed(struct task *task, uint64_t now_ms)
 {
 	uint64_t passed_ms = now_ms - task->sample_ms;
 
 	/* The start and the restoring of a checkpoint are no part of the work. */
-	if (task->percent == 0)
+	if (task->percent == 0 || !at_work(task))
 		return;
 	if (task->sample_ms && passed_ms < SAMPLE_MS)
 		return;
@@ -36,11 +45,6 @@
 	task->sample_percent = task->percent;
 }
 
-static bool ends_by_itself(const struct task *task)
-{
-	return task->state == TASK_RUNNING && !task->step->spec->long_running;
-}
-
 /*
  * A gang on several workers advances at the pace of its slowest member, so no single worker
  * can be blamed; it is only moved.
@@ -63,7 +67,7 @@
 
 		for (struct task *task = worker->tasks; task; task = task->next_on_worker) {
 			/* Without a new list nothing is known of the progress. */
-			if (!ends_by_itself(task) ||
+			if (!at_work(task) ||
 			    worker->listed_ms <= task->progress_ms + plan->params.stall_ms)
 				continue;
 			task->avoid = worker;
@@ -76,7 +80,7 @@
 
 static bool is_slow(const struct task *task)
 {
-	return ends_by_itself(task) && task->slow_samples >= SLOW_SAMPLES;
+	return at_work(task) && task->slow_samples >= SLOW_SAMPLES;
 }
 
 /* Time that a fresh start elsewhere takes, from the checkpoint if there is one. */
--- a/tests/lib_planworld.c
+++ b/tests/lib_planworld.c
@@ -259,6 +259,8 @@
 			continue;
 		if (r->takes_ms > 0 && !p->stalls)
 			run.percent = (uint32_t)(r->done_ms * 100 / (double)r->takes_ms);
+		if (run.percent > 100)
+			run.percent = 100;
 		plan_worker_running(w->plan, p->node, &run, w->now_ms);
 	}
 	plan_worker_listed(w->plan, p->node, w->now_ms);
@@ -299,6 +301,18 @@
 	}
 }
 
+/* Members end together, when the slowest is through. */
+static bool through(struct planworld *w, const struct pw_run *r)
+{
+	for (uint32_t i = 0; r->gang && i < w->run_count; i++) {
+		const struct pw_run *other = &w->runs[i];
+
+		if (same_gang(r, other) && other->done_ms < (double)other->takes_ms)
+			return false;
+	}
+	return r->done_ms >= (double)r->takes_ms;
+}
+
 static void advance_run(struct planworld *w, struct pw_run *r)
 {
 	const struct pw_worker *p = &w->workers[r->worker];
@@ -318,7 +332,7 @@
 		end_run(w, r, PLAN_END_FAILED);
 		if (copy.gang)
 			end_gang(w, &copy, PLAN_END_BROKEN);
-	} else if (!r->stopping && whole && !p->stalls && !p->fails && r->done_ms >= r->takes_ms) {
+	} else if (!r->stopping && whole && !p->stalls && !p->fails && through(w, r)) {
 		end_run(w, r, PLAN_END_DONE);
 		if (copy.gang)
 			end_gang(w, &copy, PLAN_END_DONE);
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -161,6 +161,24 @@
 	finish(w);
 }
 
+/*
+ * Guards against a gang that is stopped because some members are through and wait for slower
+ * ones: their progress stays at 100%.
+ */
+static void test_waiting_member_is_no_stall(void)
+{
+	struct planworld *w = planworld_create(NULL, 2);
+
+	w->workers[1].slow = 4;
+	planworld_job(w, "g1", "large", "b",
+		      "[{\"tasks\":2,\"cpu_milli\":1000,\"accelerators\":8,\"estimate_ms\":1500,"
+		      "\"gang\":true}]");
+	planworld_run(w, 7000);
+	CU_ASSERT_EQUAL(planworld_state(w, "g1"), PLAN_JOB_COMPLETED);
+	CU_ASSERT_EQUAL(w->stops, 0);
+	finish(w);
+}
+
 /*
  * Guards against a leader that was frozen, or hears nothing, and takes all tasks for stuck: it
  * stopped everything that ran.
@@ -459,6 +477,7 @@
 		{"attempts", test_attempts},
 		{"failing_worker", test_failing_worker},
 		{"stalled_worker", test_stalled_worker},
+		{"waiting_member_is_no_stall", test_waiting_member_is_no_stall},
 		{"silence_is_no_stall", test_silence_is_no_stall},
 		{"slow_worker", test_slow_worker},
 		{"wrong_estimate_is_not_slow", test_wrong_estimate_is_not_slow},
