--- a/src/fleet.c
+++ b/src/fleet.c
@@ -117,9 +117,7 @@
 	struct fleet_node *node = ctx;
 	const struct fleetnode_settings *settings = node->settings;
 	struct plan_params params = {
-		.far_factor = settings->far_factor,
-		.reclaim_ms = settings->reclaim_ms,
-		.stop_ms = settings->stop_ms,
+		.stop_ms = (uint32_t)settings->stop_ms,
 		.stall_ms = settings->stall_ms,
 	};
 	struct coord_deps deps = {
@@ -130,7 +128,7 @@
 		.metrics = node->metrics,
 		.node = settings->node,
 		.params = &params,
-		.keep_ended_ms = settings->keep_ended_ms,
+		.keep_ended_ms = (uint32_t)(settings->keep_ended_s * 1000),
 	};
 
 	node->coord = coord_create(node, &deps, node->conf);
@@ -286,10 +284,11 @@
 	node->settings = settings;
 	node->platform = *platform;
 	node->metrics = metrics;
+	/* A process without metrics is better than none. */
+	if (settings->metrics_address &&
+	    create_server(node, &node->metrics_server, settings->metrics_address, &on_metrics, err))
+		log_warn("metrics_unavailable", "", "%s. %s", err->message, err->remedy);
 	if (!create_wire(node, err) &&
-	    (!settings->metrics_address ||
-	     !create_server(node, &node->metrics_server, settings->metrics_address, &on_metrics,
-			    err)) &&
 	    !(role == FLEETNODE_ENTRY ? create_entry(node, err) : create_agent(node, err)))
 		return node;
 	talloc_free(node);
@@ -301,7 +300,8 @@
 {
 	struct fleet_node *node = ctx;
 	uint64_t passed_ms = util_clock_ms() - node->drain_began_ms;
-	uint64_t most_ms = node->settings->grace_ms - DRAIN_MARGIN_MS;
+	uint64_t grace_ms = (uint64_t)(node->settings->grace_s * 1000);
+	uint64_t most_ms = grace_ms > DRAIN_MARGIN_MS ? grace_ms - DRAIN_MARGIN_MS : 0;
 	bool quiet = !node->callers || httpd_open_calls(node->callers) == 0;
 
 	if (passed_ms >= most_ms || (quiet && (!node->callers || passed_ms >= DRAIN_MIN_MS))) {
--- a/src/fleetnode.c
+++ b/src/fleetnode.c
@@ -5,14 +5,13 @@
 #include <jansson.h>
 #include <string.h>
 
-#define GRACE_DEFAULT_MS 6000
+#define GRACE_DEFAULT_S 6
 #define LEADER_TTL_DEFAULT_MS 1500 /* nothing is placed until the lease of a lost leader ends */
 #define STALL_DEFAULT_MS 2000	   /* slowest known workers advance a percent in under a second */
-#define KEEP_ENDED_DEFAULT_MS 120000
-#define RECLAIM_DEFAULT_MS 2700
+#define KEEP_ENDED_DEFAULT_S 120
 #define STOP_DEFAULT_MS 900
-#define FAR_FACTOR_DEFAULT 3.0
-#define DURATION_MAX_MS 86400000
+#define DURATION_MAX_S 86400
+#define DURATION_MAX_MS (DURATION_MAX_S * 1000)
 
 #define AT(field) offsetof(struct fleetnode_settings, field)
 #define COUNT_OF(array) (sizeof(array) / sizeof((array)[0]))
@@ -27,13 +26,11 @@
 	{"control_address", FIELD_ADDRESS, AT(control_address), 0, 0, 0},
 	{"worker_address", FIELD_ADDRESS, AT(worker_address), 0, 0, 0},
 	{"service", FIELD_STRING, AT(service), 1, 200, 0},
-	{"grace_ms", FIELD_U32, AT(grace_ms), 100, DURATION_MAX_MS, 0},
+	{"grace_s", FIELD_DOUBLE, AT(grace_s), 0.1, DURATION_MAX_S, 0},
 	{"leader_ttl_ms", FIELD_U32, AT(leader_ttl_ms), 500, DURATION_MAX_MS, 0},
 	{"stall_ms", FIELD_U32, AT(stall_ms), 100, DURATION_MAX_MS, 0},
-	{"keep_ended_ms", FIELD_U32, AT(keep_ended_ms), 0, DURATION_MAX_MS, 0},
-	{"reclaim_ms", FIELD_U32, AT(reclaim_ms), 100, DURATION_MAX_MS, 0},
-	{"stop_ms", FIELD_U32, AT(stop_ms), 0, DURATION_MAX_MS, 0},
-	{"far_factor", FIELD_DOUBLE, AT(far_factor), 1, 1000, 0},
+	{"keep_ended_s", FIELD_DOUBLE, AT(keep_ended_s), 0, DURATION_MAX_S, 0},
+	{"stop_ms", FIELD_DOUBLE, AT(stop_ms), 0, DURATION_MAX_MS, 0},
 	{"verbose", FIELD_BOOL, AT(verbose), 0, 0, 0},
 };
 
@@ -91,13 +88,11 @@
 		return NULL;
 	}
 	settings = talloc_zero(mem, struct fleetnode_settings);
-	settings->grace_ms = GRACE_DEFAULT_MS;
+	settings->grace_s = GRACE_DEFAULT_S;
 	settings->leader_ttl_ms = LEADER_TTL_DEFAULT_MS;
 	settings->stall_ms = STALL_DEFAULT_MS;
-	settings->keep_ended_ms = KEEP_ENDED_DEFAULT_MS;
-	settings->reclaim_ms = RECLAIM_DEFAULT_MS;
+	settings->keep_ended_s = KEEP_ENDED_DEFAULT_S;
 	settings->stop_ms = STOP_DEFAULT_MS;
-	settings->far_factor = FAR_FACTOR_DEFAULT;
 	drop_unknown(object);
 	check_required(object, role, report);
 	fields_read(settings, object, "", known_fields, COUNT_OF(known_fields), settings, &sink);
--- a/src/fleetnode.h
+++ b/src/fleetnode.h
@@ -22,10 +22,10 @@
  * @control_address: agent: the worker announces itself here
  * @worker_address: agent: the worker takes calls here
  * @service: agent: pool that the worker belongs to
- * @grace_ms: between SIGTERM and the end of the process
+ * @grace_s: between SIGTERM and the end of the process
  * @leader_ttl_ms: a leader that is silent for longer is replaced
  * @stall_ms: a task without progress for this long is taken for stuck
- * @keep_ended_ms: the states of ended jobs are shown for this long
+ * @keep_ended_s: the states of ended jobs are shown for this long
  */
 struct fleetnode_settings {
 	const char *node;
@@ -37,13 +37,11 @@
 	const char *control_address;
 	const char *worker_address;
 	const char *service;
-	uint32_t grace_ms;
+	double grace_s;
 	uint32_t leader_ttl_ms;
 	uint32_t stall_ms;
-	uint32_t keep_ended_ms;
-	uint32_t reclaim_ms;
-	uint32_t stop_ms;
-	double far_factor;
+	double keep_ended_s;
+	double stop_ms;
 	bool verbose;
 };
 
--- a/src/plan.h
+++ b/src/plan.h
@@ -83,14 +83,10 @@
 
 /**
  * struct plan_params - bounds that the decisions observe
- * @far_factor: how many times longer tasks take away from their data or across racks
- * @reclaim_ms: guaranteed work must have started within this time
  * @stop_ms: a stop takes at most this long
  * @stall_ms: a task without progress for this long is taken for stuck
  */
 struct plan_params {
-	double far_factor;
-	uint32_t reclaim_ms;
 	uint32_t stop_ms;
 	uint32_t stall_ms;
 };
--- a/tests/lib_planworld.c
+++ b/tests/lib_planworld.c
@@ -8,8 +8,7 @@
 #define STOP_MS 200
 #define GANG_WAIT_MS 3000
 
-static const struct plan_params params = {
-	.far_factor = 3, .reclaim_ms = 2700, .stop_ms = STOP_MS, .stall_ms = 2500};
+static const struct plan_params params = {.stop_ms = STOP_MS, .stall_ms = 2500};
 
 static void violated(struct planworld *w, const char *what, const char *task)
 {
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -11,8 +11,7 @@
 #define AGENTS 2
 #define TTL_MS 600
 
-static const struct plan_params params = {
-	.far_factor = 3, .reclaim_ms = 2700, .stop_ms = 200, .stall_ms = 60000};
+static const struct plan_params params = {.stop_ms = 200, .stall_ms = 60000};
 
 struct fixture;
 
--- a/tests/test_e2e_fleet.c
+++ b/tests/test_e2e_fleet.c
@@ -72,7 +72,7 @@
 	fprintf(file,
 		"{\"node\":\"%s\",\"message_address\":\"%s\",\"store_address\":\"%s\","
 		"\"callers_address\":\"%s\",\"ready_address\":\"%s\",\"control_address\":\"%s\","
-		"\"worker_address\":\"%s\",\"service\":\"s\",\"grace_ms\":6000,\"stop_ms\":200}",
+		"\"worker_address\":\"%s\",\"service\":\"s\",\"grace_s\":6,\"stop_ms\":200}",
 		h->label, message, platform.address[0], h->callers, ready, h->control, h->app);
 	fclose(file);
 }
