--- a/src/fleetnode.c
+++ b/src/fleetnode.c
@@ -82,8 +82,9 @@
 
 	*report = talloc_strdup(mem, "");
 	if (!json_is_object(object)) {
-		*report = talloc_asprintf(mem, "%s: line %d: %s. Correct the file.\n", path,
-					  error.line, error.text);
+		*report = talloc_asprintf_append_buffer(*report,
+							"%s: line %d: %s. Correct the file.\n",
+							path, error.line, error.text);
 		json_decref(object);
 		return NULL;
 	}
