runner: a new agent probes its worker's address

One host's worker had left for good; its agent registered itself again and could not tell that nothing runs there.

Change: before the first announcement the agent asks whichever incarnation listens at the worker's address; two refused connections show that nothing runs.

Test: test_runner/absent_worker_is_down fails without the change.

--- a/src/runner.c
+++ b/src/runner.c
@@ -228,6 +228,23 @@
 	runner_report_soon(r);
 }
 
+/*
+ * A new agent process does not know whether its worker runs anything. Where nothing listens,
+ * nothing runs, and the leader need not wait for the leases of the time before.
+ */
+static void on_probed(struct runner *r, int status)
+{
+	if (status != -ERR_UNAVAILABLE) {
+		r->unreachable = 0;
+		return;
+	}
+	if (++r->unreachable < UNREACHABLE_TO_DOWN)
+		return;
+	log_info("worker_absent", "", "nothing listens at its address since this process began");
+	r->down = true;
+	runner_report_soon(r);
+}
+
 static void on_renewed(int status, const struct runner_list *list, void *ctx)
 {
 	struct runner *r = ctx;
@@ -237,6 +254,11 @@
 	r->renew_due_ms = now_ms;
 	if (r->renew_life != r->life)
 		return;
+	if (!r->worker) {
+		r->renew_due_ms = now_ms + RENEW_RETRY_MS;
+		on_probed(r, status);
+		return;
+	}
 	if (status == 0 && list->born_ms && r->born_ms && list->born_ms != r->born_ms) {
 		/* The worker was started again and has not announced itself yet. */
 		worker_down(r, "it was started again");
@@ -269,7 +291,10 @@
 		.ends_known = r->ends_stored,
 	};
 
-	if (!r->alive || r->renewing || now_ms < r->renew_due_ms)
+	if (r->renewing || now_ms < r->renew_due_ms)
+		return;
+	/* Before the first announcement the call only asks. */
+	if (!r->alive && (r->worker || r->down))
 		return;
 	renewal.lease_end_ms = runner_lease_end(r);
 	renewal.wait_ms = renewal.extend && r->settled ? RENEW_WAIT_MS : 0;
--- a/src/runner.h
+++ b/src/runner.h
@@ -41,6 +41,7 @@
 
 /**
  * struct runner_renewal - renew the lease and ask what runs
+ * @worker: NULL: whichever incarnation is there
  * @extend: with @lease_end_ms; otherwise only ask
  * @ends_known: ends up to this number may be forgotten
  * @wait_ms: the worker answers at once when a run ends, else after this time
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -252,6 +252,26 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against a recovery that waits for the leases of a worker that is gone: its agent was
+ * started again and nothing listens at the worker's address. A worker that comes later counts.
+ */
+static void test_absent_worker_is_down(void)
+{
+	struct fixture *f = set_up();
+
+	f->worker_up = false;
+	memkv_run(f->ev, 1000);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f->report);
+	CU_ASSERT_FALSE(f->report->alive);
+	f->worker_up = true;
+	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(f->report->alive);
+	CU_ASSERT_TRUE(f->report->settled);
+	tear_down(f);
+}
+
 /* Guards against starts that are not carried out, not confirmed, or carried out twice. */
 static void test_start(void)
 {
@@ -411,6 +431,7 @@
 	suite = CU_add_suite("runner", NULL, NULL);
 	CU_add_test(suite, "registers", test_registers);
 	CU_add_test(suite, "unknown_worker_is_not_down", test_unknown_worker_is_not_down);
+	CU_add_test(suite, "absent_worker_is_down", test_absent_worker_is_down);
 	CU_add_test(suite, "start", test_start);
 	CU_add_test(suite, "ends", test_ends);
 	CU_add_test(suite, "start_without_answer", test_start_without_answer);
