leader: a restarted process replaces the key of its ended predecessor at once

Cause: after a loss of all power the entry that had led came back and waited for the lease of its own ended process.

Change: a key that names the own node, before this process has tried to write one, belongs to an ended process. It is replaced under its revision, with the next term.

Test: test_leader/restarted_leader_leads_at_once fails without the change.

--- a/src/leader.c
+++ b/src/leader.c
@@ -32,6 +32,7 @@
 	bool busy;   /* one call of the election at a time */
 	bool vacant; /* the key is absent */
 	bool loaded;
+	int64_t stale_revision; /* of the key, while an ended process of this node holds it */
 	int64_t lease;
 	uint64_t term; /* own; 0 when not the leader */
 	uint64_t next_term;
@@ -83,6 +84,7 @@
 
 	l->revision = revision;
 	l->vacant = false;
+	l->stale_revision = 0;
 	confirm(l);
 	if (again)
 		return;
@@ -119,7 +121,8 @@
 static void take(struct leader *l)
 {
 	char term_text[24];
-	struct kv_expect expects[2] = {{LEADER_KEY, 0}, {TERM_KEY, l->term_revision}};
+	struct kv_expect expects[2] = {{LEADER_KEY, l->vacant ? 0 : l->stale_revision},
+				       {TERM_KEY, l->term_revision}};
 	struct kv_put puts[2] = {{LEADER_KEY, NULL, l->lease}, {TERM_KEY, term_text, 0}};
 	struct kv_txn txn = {.expects = expects, .expect_count = 2, .puts = puts};
 	json_t *value = json_pack("{s:s, s:s, s:I}", "node", l->node, "address", l->address, "term",
@@ -203,7 +206,7 @@
 		l->kv->ops->lease_keep(l->kv->impl, l->lease, (struct kv_cb){on_renewed, l});
 		return;
 	}
-	if (!l->candidate || !l->vacant)
+	if (!l->candidate || (!l->vacant && !l->stale_revision))
 		return;
 	l->busy = true;
 	l->kv->ops->get(l->kv->impl, TERM_KEY, (struct kv_cb){on_term, l});
@@ -220,6 +223,7 @@
 static void vacated(struct leader *l)
 {
 	l->vacant = true;
+	l->stale_revision = 0;
 	report(l, "", "", 0);
 	if (l->term) {
 		l->lease = 0;
@@ -229,6 +233,20 @@
 	step_after(l, CANDIDATE_WAIT_MS + (uint32_t)util_rng_below(&l->rng, CANDIDATE_SPREAD_MS));
 }
 
+/*
+ * A key that names this node, before this process has tried to write one, belongs to an
+ * earlier process of the node, which has ended. Its lease need not be waited for.
+ */
+static void note_stale(struct leader *l, const struct kv_item *item, const char *node)
+{
+	l->stale_revision = !l->value && !strcmp(node, l->node) ? item->revision : 0;
+	if (!l->stale_revision)
+		return;
+	log_info("leader_stale", "", "an earlier process of this node still holds the key");
+	if (l->loaded)
+		step_after(l, 0);
+}
+
 static void on_item(const struct kv_item *item, void *ctx)
 {
 	struct leader *l = ctx;
@@ -253,6 +271,7 @@
 	/* The answer to the own attempt was lost. */
 	if (!l->term && l->lease && l->value && !strcmp(item->value, l->value) && !l->resigned)
 		gain(l, item->revision);
+	note_stale(l, item, node);
 	report(l, node, address, (uint64_t)term);
 	json_decref(record);
 }
@@ -265,6 +284,8 @@
 	l->loaded = true;
 	if (first && !l->known_address)
 		vacated(l);
+	else if (first && l->stale_revision)
+		step_after(l, 0);
 }
 
 struct leader *leader_create(TALLOC_CTX *mem, struct tevent_context *ev, struct kv *kv,
--- a/src/leader.h
+++ b/src/leader.h
@@ -8,7 +8,9 @@
  *
  * The key "leader" names the leader under a lease, the key "term" counts the leaders without
  * one. Each durable write of a leader expects the revision of its "leader" key, so a former
- * leader can't write, and workers obey only the highest term they have seen.
+ * leader can't write, and workers obey only the highest term they have seen. A process that
+ * finds the key of an earlier process of its own node replaces it without waiting for the
+ * lease, so node names must be unique.
  */
 
 struct leader;
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -45,21 +45,24 @@
 	struct node nodes[3];
 };
 
-static struct fixture *set_up(void)
+static void start(struct fixture *f, struct node *n)
 {
 	static const char *const names[] = {"n0", "n1", "n2"};
+	struct leader_options options = {names[n - f->nodes], "127.0.0.1:1", TTL_MS, true};
+	struct leader_handlers handlers = {on_gained, on_lost, on_changed, n};
+
+	n->client = memkv_client(f->store);
+	n->leader = leader_create(f, f->ev, &n->client->kv, &options, &handlers);
+}
+
+static struct fixture *set_up(void)
+{
 	struct fixture *f = talloc_zero(NULL, struct fixture);
 
 	f->ev = tevent_context_init(f);
 	f->store = memkv_create(f, f->ev);
-	for (int i = 0; i < 3; i++) {
-		struct node *n = &f->nodes[i];
-		struct leader_options options = {names[i], "127.0.0.1:1", TTL_MS, true};
-		struct leader_handlers handlers = {on_gained, on_lost, on_changed, n};
-
-		n->client = memkv_client(f->store);
-		n->leader = leader_create(f, f->ev, &n->client->kv, &options, &handlers);
-	}
+	for (int i = 0; i < 3; i++)
+		start(f, &f->nodes[i]);
 	memkv_run(f->ev, 700);
 	return f;
 }
@@ -176,6 +179,32 @@
 	talloc_free(f);
 }
 
+/*
+ * Guards against a recovery that waits for the lease of a killed leader whose node is back, and
+ * against a term that two processes of one node share.
+ */
+static void test_restarted_leader_leads_at_once(void)
+{
+	struct fixture *f = set_up();
+	int count;
+	struct node *n = leading(f, &count);
+
+	CU_ASSERT_EQUAL_FATAL(count, 1);
+	talloc_free(n->leader);
+	*n = (struct node){0};
+	start(f, n);
+	memkv_run(f->ev, TTL_MS / 4);
+	CU_ASSERT_PTR_EQUAL(leading(f, &count), n);
+	CU_ASSERT_EQUAL(count, 1);
+	CU_ASSERT_EQUAL(n->term, 2);
+	/* The end of the former lease must not take the new key away. */
+	memkv_run(f->ev, TTL_MS * 3);
+	CU_ASSERT_EQUAL(n->term, 2);
+	CU_ASSERT_EQUAL(n->lost, 0);
+	CU_ASSERT_EQUAL(n->gained, 1);
+	talloc_free(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -188,6 +217,7 @@
 	CU_add_test(suite, "same_leader_after_lapse", test_same_leader_after_lapse);
 	CU_add_test(suite, "lost_answers", test_lost_answers);
 	CU_add_test(suite, "resign", test_resign);
+	CU_add_test(suite, "restarted_leader_leads_at_once", test_restarted_leader_leads_at_once);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
