runner, coord: the leader stores the keys of agents, agents do not

Change: the agent stores nothing; the leader writes the key on the first report of a worker that may get work, as it did for agents that were given up, and again when the address has changed. One write less at each start of an agent. test_runner/registers is replaced: it asked for the key that is the cause; the report with the address is asked for instead, and that no key is left.

Test: test_runner/reports_to_leader, test_coord/agent_moves.

--- a/src/coord.c
+++ b/src/coord.c
@@ -313,6 +313,18 @@
 				 report->running_count > 0 || report->end_count > 0);
 }
 
+/* Returns true if the report must wait for the agent's key. */
+static bool store_address(struct coord *c, struct agent_row *row, const char *address)
+{
+	if (row->stored && row->address && !strcmp(row->address, address))
+		return false;
+	talloc_free(row->address);
+	row->address = talloc_strdup(row, address);
+	coord_store_agent(c, row);
+	/* A later leader waits for a stored agent, wherever its messages arrive. */
+	return !row->stored;
+}
+
 static void take_report(struct coord *c, const char *peer, const struct fleet_report *report)
 {
 	uint64_t now_ms = util_clock_ms();
@@ -326,12 +338,8 @@
 	}
 	if (report->sent_ms < row->echo_ms)
 		return;
-	if (!row->stored && must_be_stored(report)) {
-		talloc_free(row->address);
-		row->address = talloc_strdup(row, report->address);
-		coord_store_agent(c, row);
+	if (must_be_stored(report) && store_address(c, row, report->address))
 		return;
-	}
 	row->echo_ms = report->sent_ms;
 	row->heard_ms = now_ms;
 	if (!report->alive || report->settled)
--- a/src/runner.c
+++ b/src/runner.c
@@ -16,9 +16,7 @@
 #define UNREACHABLE_TO_DOWN 2 /* one refused connection may be a reset */
 #define SILENT_MS 1500	      /* without orders for this long the leader is looked for */
 #define ASK_MS 500
-#define REGISTER_RETRY_MS 500
 #define LEADER_LINK "leader"
-#define AGENT_PREFIX "agent/"
 
 bool runner_granted(const struct runner *r)
 {
@@ -189,34 +187,6 @@
 	r->deps.kv->ops->get(r->deps.kv->impl, "leader", (struct kv_cb){on_leader, r});
 }
 
-static void on_registered(int status, const struct kv_result *result, void *ctx)
-{
-	struct runner *r = ctx;
-
-	r->registering = false;
-	r->registered = status == 0;
-	if (status)
-		log_info("register_retry", "", "the agent's address is not stored yet: %s",
-			 err_name(status));
-}
-
-/* A new leader finds the agents by these keys and waits for them. */
-static void register_agent(struct runner *r, uint64_t now_ms)
-{
-	char *key;
-	struct kv_put put;
-	struct kv_txn txn = {.puts = &put, .put_count = 1};
-
-	if (r->registered || r->registering || now_ms < r->register_ms)
-		return;
-	r->registering = true;
-	r->register_ms = now_ms + REGISTER_RETRY_MS;
-	key = talloc_asprintf(NULL, AGENT_PREFIX "%s", r->deps.node);
-	put = (struct kv_put){key, r->address, 0};
-	r->deps.kv->ops->txn(r->deps.kv->impl, &txn, (struct kv_cb){on_registered, r});
-	talloc_free(key);
-}
-
 static void worker_down(struct runner *r, const char *why)
 {
 	if (!r->alive)
@@ -312,7 +282,6 @@
 	struct runner *r = ctx;
 	uint64_t now_ms = util_clock_ms();
 
-	register_agent(r, now_ms);
 	look_for_leader(r, now_ms);
 	renew(r, now_ms);
 	runner_drive(r, now_ms);
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -70,7 +70,6 @@
 	uint64_t heard_ms;   /* last orders */
 	uint64_t reported_ms;
 	uint64_t asked_ms; /* the store for the leader */
-	uint64_t register_ms;
 	uint32_t report_ms;
 	bool accepting;
 	bool alive;
@@ -79,8 +78,6 @@
 	bool renewing;
 	bool connected;
 	bool asking;
-	bool registered;
-	bool registering;
 };
 
 /* runner.c */
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -360,6 +360,22 @@
 	tear_down(f);
 }
 
+/* Guards against a later leader that looks for an agent where it was before its restart. */
+static void test_agent_moves(void)
+{
+	struct fixture *f = set_up("");
+
+	memkv_put(f->store, "agent/host0", "127.0.0.1:9");
+	lead(f);
+	report(f, 0, true, NULL, NULL);
+	CU_ASSERT_STRING_EQUAL(memkv_value(f->store, "agent/host0"),
+			       wire_address(f->agents[0].wire));
+	put_job(f, "0123456789abcdef", 1);
+	memkv_run(f->ev, 100);
+	CU_ASSERT_EQUAL(starts(f), 1);
+	tear_down(f);
+}
+
 /*
  * Guards against a leader that is elected after a loss of all hosts and waits for a worker that
  * was emptied and taken away shortly before.
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -225,14 +225,18 @@
 	talloc_free(f);
 }
 
-/* Guards against agents that a new leader cannot find. */
-static void test_registers(void)
+/*
+ * Guards against agents that a leader cannot find, and against a key of an agent that never
+ * reported: every later leader would wait for it. The leader stores the key, by the report.
+ */
+static void test_reports_to_leader(void)
 {
 	struct fixture *f = set_up();
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(memkv_value(f->store, "agent/host1"));
-	CU_ASSERT_STRING_EQUAL(memkv_value(f->store, "agent/host1"), wire_address(f->agent_wire));
+	CU_ASSERT_PTR_NULL(memkv_value(f->store, "agent/host1"));
 	CU_ASSERT(f->reports > 0);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f->report);
+	CU_ASSERT_STRING_EQUAL(f->report->address, wire_address(f->agent_wire));
 	tear_down(f);
 }
 
@@ -429,7 +433,7 @@
 
 	CU_initialize_registry();
 	suite = CU_add_suite("runner", NULL, NULL);
-	CU_add_test(suite, "registers", test_registers);
+	CU_add_test(suite, "reports_to_leader", test_reports_to_leader);
 	CU_add_test(suite, "unknown_worker_is_not_down", test_unknown_worker_is_not_down);
 	CU_add_test(suite, "absent_worker_is_down", test_absent_worker_is_down);
 	CU_add_test(suite, "start", test_start);
