--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -454,6 +454,7 @@
 		{"refusal_of_unsettled_agent", test_refusal_of_unsettled_agent},
 		{"new_jobs_need_not_wait", test_new_jobs_need_not_wait},
 		{"forgets_gone_agents", test_forgets_gone_agents},
+		{"agent_moves", test_agent_moves},
 		{"forgets_emptied_workers", test_forgets_emptied_workers},
 		{"cancel", test_cancel},
 		{"forgets_ended_jobs", test_forgets_ended_jobs},
