plan: room for urgent tasks is made one by one, at the least cost

Change: tasks that are no gang are made room for one at a time, each on the worker where that throws away least. Gangs as before.

Test: test_plan/urgent_tasks_one_by_one fails without the change.

--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -174,6 +174,10 @@
 	       const struct plan_room *need);
 struct plan_room plan_need(const struct jobspec_step *spec);
 bool plan_worker_free(const struct worker *worker, uint64_t now_ms);
+/* True if the worker takes tasks of the step now, as far as it has room. */
+bool plan_usable(const struct worker *worker, const struct step_run *step, uint64_t now_ms);
+/* Tasks of the same step of the same occurrence on a worker. */
+uint32_t plan_siblings(const struct worker *worker, const struct step_run *step);
 bool plan_could_hold(const struct worker *worker, const struct step_run *step);
 struct worker *plan_pick(struct plan *plan, const struct task *task, uint64_t now_ms);
 
--- a/src/planevict.c
+++ b/src/planevict.c
@@ -232,23 +232,29 @@
 	return true;
 }
 
-static double own_work(const struct step_run *step)
+/* Core-seconds of one task, as its caller guesses. */
+static double task_work(const struct jobspec_step *spec)
 {
-	return weight(step->spec) * step->spec->count * step->spec->estimate_ms / 1000.0;
+	return weight(spec) * spec->estimate_ms / 1000.0;
 }
 
-bool plan_evict_for(struct plan *plan, struct step_run *step, uint64_t now_ms)
+static const char *reason(const struct job *job)
+{
+	return job->guaranteed ? "promised work needs its room" : "urgent work needs its room";
+}
+
+static bool evict_for_gang(struct plan *plan, struct step_run *step, uint64_t now_ms)
 {
 	const struct job *job = step->occurrence->job;
 	struct worker **places = talloc_zero_array(NULL, struct worker *, step->spec->count);
 	struct victims v = {.tasks = g_ptr_array_new()};
 	bool found = plan_pick_gang(plan, step, true, now_ms, places) &&
 		     choose_all(step, places, now_ms, &v) &&
-		     (job->guaranteed || v.cost <= URGENT_WASTE_FACTOR * own_work(step));
+		     (job->guaranteed ||
+		      v.cost <= URGENT_WASTE_FACTOR * step->spec->count * task_work(step->spec));
 
 	for (guint i = 0; found && i < v.tasks->len; i++)
-		plan_stop_gang(v.tasks->pdata[i], job->guaranteed ? "promised work needs its room"
-								  : "urgent work needs its room");
+		plan_stop_gang(v.tasks->pdata[i], reason(job));
 	for (uint32_t i = 0; found && i < step->spec->count; i++) {
 		if (places[i])
 			places[i]->reserved_for = step;
@@ -257,3 +263,98 @@
 	talloc_free(places);
 	return found;
 }
+
+/* Where one more task of a step fits if other work is stopped, and what that costs. */
+struct eviction {
+	guint worker; /* index */
+	double cost;
+	GPtrArray *tasks; /* to be stopped; NULL: no place was found */
+};
+
+/* What a decision has placed on each worker of the plan so far. */
+struct placed {
+	struct plan_room *room;
+	uint32_t *count;
+};
+
+static bool within_spread(const struct worker *worker, const struct step_run *step, uint32_t placed)
+{
+	return !step->spec->spread_limit ||
+	       plan_siblings(worker, step) + placed < step->spec->spread_limit;
+}
+
+static struct eviction cheapest_eviction(const struct plan *plan, const struct step_run *step,
+					 const struct placed *placed, uint64_t now_ms)
+{
+	struct plan_room need = plan_need(step->spec);
+	struct eviction best = {0};
+
+	for (guint i = 0; i < plan->workers->len; i++) {
+		struct worker *worker = plan->workers->pdata[i];
+		struct plan_room sum = placed->room[i];
+		struct victims v = {0};
+
+		if (!plan_usable(worker, step, now_ms) ||
+		    !within_spread(worker, step, placed->count[i]))
+			continue;
+		plan_add_room(&sum, &need);
+		v.tasks = g_ptr_array_new();
+		if (!choose_victims(worker, &sum, step->occurrence->job, now_ms, &v) ||
+		    (best.tasks && v.cost >= best.cost)) {
+			g_ptr_array_free(v.tasks, TRUE);
+			continue;
+		}
+		if (best.tasks)
+			g_ptr_array_free(best.tasks, TRUE);
+		best = (struct eviction){i, v.cost, v.tasks};
+	}
+	return best;
+}
+
+/* Makes room for one more task; false if there is none that is worth its cost. */
+static bool evict_for_task(struct plan *plan, const struct step_run *step, struct placed *placed,
+			   uint64_t now_ms)
+{
+	const struct job *job = step->occurrence->job;
+	struct plan_room need = plan_need(step->spec);
+	struct eviction best = cheapest_eviction(plan, step, placed, now_ms);
+	bool worth = job->guaranteed || best.cost <= URGENT_WASTE_FACTOR * task_work(step->spec);
+
+	if (!best.tasks)
+		return false;
+	for (guint i = 0; worth && i < best.tasks->len; i++)
+		plan_stop_gang(best.tasks->pdata[i], reason(job));
+	g_ptr_array_free(best.tasks, TRUE);
+	if (!worth)
+		return false;
+	((struct worker *)plan->workers->pdata[best.worker])->reserved_for = step;
+	plan_add_room(&placed->room[best.worker], &need);
+	placed->count[best.worker]++;
+	return true;
+}
+
+/*
+ * Tasks that do not need each other are made room for one by one, so that one place too few
+ * does not keep all of them waiting.
+ */
+static bool evict_for_tasks(struct plan *plan, const struct step_run *step, uint64_t now_ms)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	struct placed placed = {
+		.room = talloc_zero_array(mem, struct plan_room, plan->workers->len),
+		.count = talloc_zero_array(mem, uint32_t, plan->workers->len),
+	};
+	uint32_t found = 0;
+
+	while (found < step->waiting && evict_for_task(plan, step, &placed, now_ms))
+		found++;
+	talloc_free(mem);
+	return found > 0;
+}
+
+bool plan_evict_for(struct plan *plan, struct step_run *step, uint64_t now_ms)
+{
+	if (step->spec->gang)
+		return evict_for_gang(plan, step, now_ms);
+	return evict_for_tasks(plan, step, now_ms);
+}
--- a/src/planplace.c
+++ b/src/planplace.c
@@ -55,7 +55,7 @@
 }
 
 /* Tasks of the same step of the same occurrence on a worker. */
-static uint32_t siblings(const struct worker *worker, const struct step_run *step)
+uint32_t plan_siblings(const struct worker *worker, const struct step_run *step)
 {
 	uint32_t count = 0;
 
@@ -79,7 +79,7 @@
 	return false;
 }
 
-static bool usable(const struct worker *worker, const struct step_run *step, uint64_t now_ms)
+bool plan_usable(const struct worker *worker, const struct step_run *step, uint64_t now_ms)
 {
 	return plan_worker_free(worker, now_ms) && plan_could_hold(worker, step) &&
 	       (!worker->reserved_for || worker->reserved_for == step) &&
@@ -141,10 +141,11 @@
 		struct worker *worker = plan->workers->pdata[i];
 		double w;
 
-		if (!usable(worker, step, now_ms) ||
+		if (!plan_usable(worker, step, now_ms) ||
 		    !plan_fits(&worker->room, &worker->used, &need))
 			continue;
-		if (step->spec->spread_limit && siblings(worker, step) >= step->spec->spread_limit)
+		if (step->spec->spread_limit &&
+		    plan_siblings(worker, step) >= step->spec->spread_limit)
 			continue;
 		if (wait && data_is_elsewhere(worker, step->spec))
 			continue;
@@ -192,12 +193,12 @@
 	for (guint i = 0; i < plan->workers->len; i++) {
 		struct worker *worker = plan->workers->pdata[i];
 
-		if (!usable(worker, step, now_ms))
+		if (!plan_usable(worker, step, now_ms))
 			continue;
 		fit->workers[fit->count] = worker;
 		fit->used[fit->count] = evict ? firmly_used(worker, job) : worker->used;
 		fit->lasting[fit->count] = evict ? plan_lasting_use(worker) : worker->used;
-		fit->placed[fit->count] = siblings(worker, step);
+		fit->placed[fit->count] = plan_siblings(worker, step);
 		fit->count++;
 	}
 }
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -10,6 +10,9 @@
 #define LARGE_GANG                                                                   \
 	"[{\"tasks\":3,\"cpu_milli\":50000,\"memory_mb\":200000,\"accelerators\":8," \
 	"\"estimate_ms\":3000,\"gang\":true,\"one_rack\":true}]"
+#define WHOLE_WORKER(tasks, ms)                                                              \
+	"[{\"tasks\":" #tasks ",\"cpu_milli\":15000,\"memory_mb\":44000,\"accelerators\":8," \
+	"\"estimate_ms\":" #ms "}]"
 #define FILL                                                                        \
 	"[{\"tasks\":48,\"cpu_milli\":8000,\"memory_mb\":20000,\"accelerators\":1," \
 	"\"estimate_ms\":8000}]"
@@ -77,6 +80,27 @@
 	finish(w);
 }
 
+/*
+ * Guards against urgent tasks that all wait because there is room for only some of them: the
+ * load is an urgent job as wide as the fleet, of which another urgent job holds a part.
+ */
+static void test_urgent_tasks_one_by_one(void)
+{
+	struct planworld *w = planworld_create(NULL, 2);
+
+	planworld_job(w, "u1", "urgent", "b", WHOLE_WORKER(1, 5000));
+	planworld_job(w, "b1", "batch", "b",
+		      "[{\"tasks\":8,\"cpu_milli\":8000,\"memory_mb\":20000,\"accelerators\":1,"
+		      "\"estimate_ms\":8000}]");
+	planworld_run(w, 100);
+	CU_ASSERT_EQUAL(planworld_count(w, "b1."), 8);
+	planworld_job(w, "u2", "urgent", "b", WHOLE_WORKER(2, 3000));
+	planworld_run(w, 1000);
+	CU_ASSERT_EQUAL(planworld_count(w, "u1."), 1);
+	CU_ASSERT_EQUAL(planworld_count(w, "u2."), 1);
+	finish(w);
+}
+
 /* Guards against a promise that is not kept while others use the fleet. */
 static void test_reclaim(void)
 {
@@ -482,6 +506,7 @@
 		{"slow_worker", test_slow_worker},
 		{"wrong_estimate_is_not_slow", test_wrong_estimate_is_not_slow},
 		{"urgent_displaces_young_work", test_urgent_displaces_young_work},
+		{"urgent_tasks_one_by_one", test_urgent_tasks_one_by_one},
 		{"reclaim_spares_urgent_work", test_reclaim_spares_urgent_work},
 		{"cancel", test_cancel},
 		{"new_leader_takes_listed_end", test_new_leader_takes_listed_end},
