plan: workers are kept free for urgent work where a stop takes long

A stop takes up to 0.9 s there, an urgent job of 1.3 s may wait 0.9 s.

Change: while urgent jobs arrive, a share of the workers that grows with the time of a stop takes no lower work that has waited less than 6 s: 3 of 11 workers at 0.9 s, one at 0.2 s. Pure code in planheadroom.c.

Tests: test_plan/headroom fails without the change, test_plan/headroom_is_lent.

--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -125,6 +125,7 @@
 	uint32_t failure_streak; /* failed runs of different jobs since the last good end */
 	const struct job *last_failed_job;
 	const struct step_run *reserved_for; /* by the decision under way */
+	bool kept_free;			     /* for urgent work; set by each decision */
 	bool changed;			     /* orders changed in the decision under way */
 };
 
@@ -163,6 +164,11 @@
 void plan_stop_gang(struct task *task, const char *why);
 void plan_suspect(struct worker *worker, uint64_t now_ms);
 
+/* planheadroom.c */
+/* Chooses the workers that the decision under way keeps free for urgent work. */
+void plan_keep_headroom(struct plan *plan, uint64_t now_ms);
+bool plan_may_use_headroom(const struct step_run *step, uint64_t now_ms);
+
 /* planslow.c */
 void plan_sample_speed(struct task *task, uint64_t now_ms);
 void plan_move_stalled(struct plan *plan, uint64_t now_ms);
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -228,6 +228,7 @@
 		((struct worker *)plan->workers->pdata[i])->reserved_for = NULL;
 	plan_make_due(plan, now_ms);
 	plan_mark_guaranteed(plan);
+	plan_keep_headroom(plan, now_ms);
 	plan_move_stalled(plan, now_ms);
 	plan_move_slow(plan, now_ms);
 	units = collect_units(plan, now_ms);
--- a/src/planplace.c
+++ b/src/planplace.c
@@ -83,6 +83,7 @@
 {
 	return plan_worker_free(worker, now_ms) && plan_could_hold(worker, step) &&
 	       (!worker->reserved_for || worker->reserved_for == step) &&
+	       (!worker->kept_free || plan_may_use_headroom(step, now_ms)) &&
 	       !disturbs(worker, step->spec);
 }
 
--- a/tests/lib_planworld.c
+++ b/tests/lib_planworld.c
@@ -6,10 +6,9 @@
 
 #define STEP_MS 10
 #define STOP_MS 200
+#define STALL_MS 2500
 #define GANG_WAIT_MS 3000
 
-static const struct plan_params params = {.stop_ms = STOP_MS, .stall_ms = 2500};
-
 static void violated(struct planworld *w, const char *what, const char *task)
 {
 	if (w->violation)
@@ -19,10 +18,17 @@
 }
 
 struct planworld *planworld_create(TALLOC_CTX *mem, uint32_t workers)
+{
+	return planworld_create_with_stops(mem, workers, STOP_MS);
+}
+
+struct planworld *planworld_create_with_stops(TALLOC_CTX *mem, uint32_t workers, uint32_t stop_ms)
 {
 	static const char *const names[] = {"urgent", "large", "batch"};
+	static struct fleetconf_service service = {.name = "s", .guards = true};
 	struct planworld *w = talloc_zero(mem, struct planworld);
 
+	w->params = (struct plan_params){.stop_ms = stop_ms, .stall_ms = STALL_MS};
 	for (uint32_t i = 0; i < 3; i++)
 		w->queues[i] = (struct fleetconf_queue){.name = names[i],
 							.host = "h",
@@ -38,10 +44,12 @@
 	w->conf = (struct fleetconf){.version = 1,
 				     .queues = w->queues,
 				     .queue_count = 3,
+				     .services = &service,
+				     .service_count = 1,
 				     .organisations = w->organisations,
 				     .organisation_count = 2};
 	w->now_ms = 100000;
-	w->plan = plan_create(w, &params);
+	w->plan = plan_create(w, &w->params);
 	plan_configure(w->plan, &w->conf);
 	plan_settle(w->plan);
 	w->worker_count = workers;
@@ -323,7 +331,7 @@
 	if (whole && !p->stalls)
 		r->done_ms += (double)STEP_MS / (p->slow > 1 ? p->slow : 1);
 
-	if (r->stopping && passed >= STOP_MS) {
+	if (r->stopping && passed >= w->params.stop_ms) {
 		end_run(w, r, PLAN_END_STOPPED);
 	} else if (!r->stopping && !whole && w->now_ms - r->began_ms >= GANG_WAIT_MS) {
 		end_run(w, r, PLAN_END_ALONE);
@@ -382,7 +390,7 @@
 
 void planworld_restart(struct planworld *w, bool settle_first)
 {
-	struct plan *fresh = plan_create(w, &params);
+	struct plan *fresh = plan_create(w, &w->params);
 	struct plan *old = w->plan;
 
 	plan_configure(fresh, &w->conf);
--- a/tests/lib_planworld.h
+++ b/tests/lib_planworld.h
@@ -62,6 +62,7 @@
 
 struct planworld {
 	struct plan *plan;
+	struct plan_params params;
 	struct pw_job jobs[PW_JOBS_MAX];
 	uint32_t job_count;
 	struct fleetconf conf;
@@ -90,6 +91,9 @@
  */
 struct planworld *planworld_create(TALLOC_CTX *mem, uint32_t workers);
 
+/** planworld_create_with_stops() - the same, with workers that take @stop_ms for a stop */
+struct planworld *planworld_create_with_stops(TALLOC_CTX *mem, uint32_t workers, uint32_t stop_ms);
+
 /** planworld_job() - accept a job of one step; @step_json holds the step's own fields */
 void planworld_job(struct planworld *w, const char *id, const char *queue, const char *organisation,
 		   const char *steps_json);
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -271,6 +271,44 @@
 	finish(w);
 }
 
+/*
+ * Guards against urgent work that is late by the time of a stop. The load: urgent jobs, each
+ * with half as much time to spare as a stop takes, on a fleet that batch work would fill.
+ */
+static void test_headroom(void)
+{
+	struct planworld *w = planworld_create_with_stops(NULL, 6, 900);
+
+	planworld_job(w, "u1", "urgent", "b", WHOLE_WORKER(1, 900));
+	planworld_job(w, "f1", "batch", "b", FILL);
+	planworld_run(w, 1000);
+	CU_ASSERT_EQUAL(planworld_count(w, "f1."), 32);
+	planworld_job(w, "u2", "urgent", "b", WHOLE_WORKER(2, 900));
+	planworld_run(w, 50);
+	CU_ASSERT_EQUAL(planworld_count(w, "u2."), 2);
+	planworld_run(w, 1000);
+	CU_ASSERT_EQUAL(planworld_state(w, "u2"), PLAN_JOB_COMPLETED);
+	CU_ASSERT_EQUAL(w->stops, 0);
+	finish(w);
+}
+
+/* Guards against idle room: lower work that has waited, and a fleet without urgent work. */
+static void test_headroom_is_lent(void)
+{
+	struct planworld *w = planworld_create_with_stops(NULL, 6, 900);
+
+	planworld_job(w, "f1", "batch", "b", FILL);
+	planworld_run(w, 50);
+	CU_ASSERT_EQUAL(planworld_count(w, "f1."), 48);
+	finish(w);
+	w = planworld_create_with_stops(NULL, 6, 900);
+	planworld_job(w, "u1", "urgent", "b", WHOLE_WORKER(1, 900));
+	planworld_job(w, "f1", "batch", "b", FILL);
+	planworld_run(w, 6500);
+	CU_ASSERT_EQUAL(planworld_count(w, "f1."), 48);
+	finish(w);
+}
+
 /* Guards against urgent work that throws away other urgent work, and promised work that does. */
 static void test_reclaim_spares_urgent_work(void)
 {
@@ -507,6 +545,8 @@
 		{"wrong_estimate_is_not_slow", test_wrong_estimate_is_not_slow},
 		{"urgent_displaces_young_work", test_urgent_displaces_young_work},
 		{"urgent_tasks_one_by_one", test_urgent_tasks_one_by_one},
+		{"headroom", test_headroom},
+		{"headroom_is_lent", test_headroom_is_lent},
 		{"reclaim_spares_urgent_work", test_reclaim_spares_urgent_work},
 		{"cancel", test_cancel},
 		{"new_leader_takes_listed_end", test_new_leader_takes_listed_end},
