plan, coord, platform: queues whose steps need advice on workers

Change: the plan names the most urgent step that waits and the workers that could run it, those with room first and 30 at most; the leader asks one call at a time, since the service answers one call after the other. Starts go only to workers that were allowed, with their ticket, while it holds; a refused ticket is asked for again, a worker that is not allowed never. Without advice_address in the settings such queues are refused as before. Settings that are an empty text count as left out. Refusals are logged by name, not by number.

--- a/src/coord.c
+++ b/src/coord.c
@@ -101,6 +101,7 @@
 	if (!c->loaded)
 		return;
 	wait_ms = plan_decide(c->plan, util_clock_ms(), on_orders_changed, c);
+	coord_ask_advice(c, util_clock_ms());
 	coord_store_dirty(c);
 	TALLOC_FREE(c->decide_timer);
 	c->decide_timer = tevent_add_timer(
@@ -256,6 +257,10 @@
 	"done", "failed", "stopped", "lapsed", "broken", "alone", "closed",
 };
 
+static const char *const refusal_names[PLAN_REFUSED_COUNT] = {
+	"no room", "unhealthy", "closed or stale", "its ticket does not hold", "other",
+};
+
 static void take_ends(struct coord *c, struct agent_row *row, const struct fleet_report *report,
 		      uint64_t now_ms)
 {
@@ -294,8 +299,8 @@
 	for (size_t i = 0; i < report->refusal_count; i++) {
 		const struct fleet_refusal *refusal = &report->refusals[i];
 
-		log_info("task_refused", refusal->run.task, "run %u on %s: reason %d",
-			 refusal->run.run, row->node, (int)refusal->why);
+		log_info("task_refused", refusal->run.task, "run %u on %s: %s", refusal->run.run,
+			 row->node, refusal_names[refusal->why]);
 		plan_worker_refused(c->plan, row->node, &refusal->run, refusal->why, now_ms);
 	}
 	for (size_t i = 0; i < report->running_count; i++)
@@ -447,6 +452,8 @@
 				 "Time from an election until inherited jobs may start");
 	metrics_histogram_define(deps->metrics, &c->storing_ms, "jaycourse_progress_ms", "",
 				 "Time of one transaction that stores progress");
+	metrics_histogram_define(deps->metrics, &c->advice_ms, "jaycourse_advice_ms", "",
+				 "Time of one call for advice on workers");
 	c->cycle = g_queue_new();
 	c->ended = g_queue_new();
 	c->decide = tevent_create_immediate(c);
--- a/src/coord.h
+++ b/src/coord.h
@@ -1,6 +1,7 @@
 #ifndef JAYCOURSE_COORD_H
 #define JAYCOURSE_COORD_H
 
+#include "advice.h"
 #include "fleetconf.h"
 #include "kv.h"
 #include "leader.h"
@@ -16,7 +17,7 @@
  *
  * Keys: "job/ID" is the accepted job, written once by an entry; "job/ID.cancel" its
  * cancellation, written by an entry; "progress/ID" is the plan's record, written by the
- * leader only; "agent/NODE" is the address of an agent, written by it.
+ * leader only; "agent/NODE" is the address of an agent, written by the leader.
  */
 
 struct coord;
@@ -27,6 +28,7 @@
 	struct wire *wire;
 	struct leader *leader;
 	struct metrics *metrics;
+	const struct advice_calls *advice; /* NULL: there is no such service */
 	const char *node;
 	const struct plan_params *params;
 	uint32_t keep_ended_ms; /* ended jobs are shown for this long */
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -61,6 +61,8 @@
 	struct metrics_histogram settling;   /* from an election to the first placement */
 	struct metrics_histogram storing_ms; /* one transaction of progress */
 	uint64_t batch_sent_ms;
+	struct metrics_histogram advice_ms; /* one call for advice */
+	uint32_t advice_calls;		    /* under way */
 	struct tevent_immediate *decide;
 	bool decide_scheduled;
 	struct tevent_timer *decide_timer;
@@ -82,6 +84,9 @@
 void coord_store_agent(struct coord *c, struct agent_row *row);
 void coord_forget_agent(struct coord *c, struct agent_row *row);
 
+/* coordadvice.c */
+void coord_ask_advice(struct coord *c, uint64_t now_ms);
+
 /* coord.c */
 void coord_loaded(struct coord *c);
 void coord_ends_stored(struct coord *c);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -126,6 +126,7 @@
 		.wire = node->wire,
 		.leader = node->leader,
 		.metrics = node->metrics,
+		.advice = node->platform.advice,
 		.node = settings->node,
 		.params = &params,
 		.keep_ended_ms = (uint32_t)(settings->keep_ended_s * 1000),
@@ -196,6 +197,7 @@
 		.wire = node->wire,
 		.metrics = node->metrics,
 		.codec = node->platform.codec,
+		.advised_queues = node->platform.advice != NULL,
 	};
 	struct relay_deps relay = {
 		.ev = node->ev,
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -1,6 +1,7 @@
 #ifndef JAYCOURSE_FLEET_H
 #define JAYCOURSE_FLEET_H
 
+#include "advice.h"
 #include "fleetnode.h"
 #include "intake.h"
 #include "kv.h"
@@ -27,6 +28,7 @@
 	struct kv *kv;
 	const struct intake_codec *codec;
 	const struct runner_calls *worker; /* agent only */
+	const struct advice_calls *advice; /* entry only; NULL where there is none */
 	const char *config_key;
 	struct fleetconf *(*read_config)(TALLOC_CTX *mem, const char *data, size_t len,
 					 struct err *err);
--- a/src/fleetmsg.c
+++ b/src/fleetmsg.c
@@ -57,19 +57,20 @@
 {
 	const struct plan_worker_info *info = &report->info;
 
-	return dump(mem,
-		    json_pack("{s:I, s:I, s:s, s:b, s:b, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, "
-			      "s:i, s:b, s:o, s:o, s:o}",
-			      "sent", (json_int_t)report->sent_ms, "list_age",
-			      (json_int_t)report->list_age_ms, "address", report->address, "alive",
-			      report->alive, "settled", report->settled, "node", info->node,
-			      "incarnation", info->incarnation, "service", info->service, "zone",
-			      info->zone, "kind", info->kind, "rack", info->rack, "cpu",
-			      (int)info->room.cpu_milli, "memory", (int)info->room.memory_mb,
-			      "accelerators", (int)info->room.accelerators, "accepting",
-			      info->accepting, "running",
-			      write_runs(report->running, report->running_count), "ends",
-			      write_ends(report), "refusals", write_refusals(report)));
+	return dump(
+		mem,
+		json_pack("{s:I, s:I, s:s, s:b, s:b, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, "
+			  "s:i, s:b, s:o, s:o, s:o}",
+			  "sent", (json_int_t)report->sent_ms, "list_age",
+			  (json_int_t)report->list_age_ms, "address", report->address, "alive",
+			  report->alive, "settled", report->settled, "node", info->node, "worker",
+			  info->id, "incarnation", info->incarnation, "service", info->service,
+			  "zone", info->zone, "kind", info->kind, "rack", info->rack, "cpu",
+			  (int)info->room.cpu_milli, "memory", (int)info->room.memory_mb,
+			  "accelerators", (int)info->room.accelerators, "accepting",
+			  info->accepting, "running",
+			  write_runs(report->running, report->running_count), "ends",
+			  write_ends(report), "refusals", write_refusals(report)));
 }
 
 /* Reads the first four fields of a row; the strings belong to @mem. */
@@ -168,6 +169,7 @@
 	report->alive = json_is_true(json_object_get(json, "alive"));
 	report->settled = json_is_true(json_object_get(json, "settled"));
 	info->node = read_text(report, json, "node");
+	info->id = read_text(report, json, "worker");
 	info->incarnation = read_text(report, json, "incarnation");
 	info->service = read_text(report, json, "service");
 	info->zone = read_text(report, json, "zone");
@@ -196,9 +198,9 @@
 		const struct plan_order *order = &orders->orders[i];
 
 		if (order->start)
-			json_array_append_new(rows, json_pack("[s, i, s, s]", order->task,
+			json_array_append_new(rows, json_pack("[s, i, s, s, s]", order->task,
 							      (int)order->run, order->checkpoint,
-							      order->payload));
+							      order->payload, order->ticket));
 		else
 			json_array_append_new(rows,
 					      json_pack("[s, i]", order->task, (int)order->run));
@@ -228,6 +230,7 @@
 		const char *task = json_string_value(json_array_get(row, 0));
 		const char *checkpoint = json_string_value(json_array_get(row, 2));
 		const char *payload = json_string_value(json_array_get(row, 3));
+		const char *ticket = json_string_value(json_array_get(row, 4));
 
 		if (!task || !json_is_integer(json_array_get(row, 1)))
 			continue;
@@ -236,6 +239,7 @@
 		order->start = payload != NULL;
 		order->checkpoint = talloc_strdup(orders, checkpoint ? checkpoint : "");
 		order->payload = talloc_strdup(orders, payload ? payload : "");
+		order->ticket = talloc_strdup(orders, ticket ? ticket : "");
 		orders->order_count++;
 	}
 }
--- a/src/fleetnode.c
+++ b/src/fleetnode.c
@@ -25,6 +25,7 @@
 	{"ready_address", FIELD_ADDRESS, AT(ready_address), 0, 0, 0},
 	{"control_address", FIELD_ADDRESS, AT(control_address), 0, 0, 0},
 	{"worker_address", FIELD_ADDRESS, AT(worker_address), 0, 0, 0},
+	{"advice_address", FIELD_ADDRESS, AT(advice_address), 0, 0, 0},
 	{"service", FIELD_STRING, AT(service), 1, 200, 0},
 	{"grace_s", FIELD_DOUBLE, AT(grace_s), 0.1, DURATION_MAX_S, 0},
 	{"leader_ttl_ms", FIELD_U32, AT(leader_ttl_ms), 500, DURATION_MAX_MS, 0},
@@ -58,7 +59,12 @@
 	}
 }
 
-/* Leaves only fields that this version knows. */
+static bool is_empty(const json_t *value)
+{
+	return json_is_string(value) && json_string_length(value) == 0;
+}
+
+/* Leaves only fields that this version knows and that say something. */
 static void drop_unknown(json_t *object)
 {
 	const char *name;
@@ -67,7 +73,8 @@
 
 	json_object_foreach_safe(object, next, name, value)
 	{
-		if (!fields_find(known_fields, COUNT_OF(known_fields), name))
+		if (is_empty(value) ||
+		    !fields_find(known_fields, COUNT_OF(known_fields), name))
 			json_object_del(object, name);
 	}
 }
--- a/src/fleetnode.h
+++ b/src/fleetnode.h
@@ -21,6 +21,7 @@
  * @ready_address: entry: the balancer asks here
  * @control_address: agent: the worker announces itself here
  * @worker_address: agent: the worker takes calls here
+ * @advice_address: entry: service that advises on workers; NULL: there is none
  * @service: agent: pool that the worker belongs to
  * @grace_s: between SIGTERM and the end of the process
  * @leader_ttl_ms: a leader that is silent for longer is replaced
@@ -36,6 +37,7 @@
 	const char *ready_address;
 	const char *control_address;
 	const char *worker_address;
+	const char *advice_address;
 	const char *service;
 	double grace_s;
 	uint32_t leader_ttl_ms;
--- a/src/intake.c
+++ b/src/intake.c
@@ -205,9 +205,9 @@
 		refuse(in, call, NOT_FOUND, 0, "no_queue", "");
 		return;
 	}
-	if (queue->advised) {
-		refuse(in, call, UNAVAILABLE, 0, "advice_not_supported",
-		       "the queue needs advice on workers, which this release does not ask for");
+	if (queue->advised && !in->deps.advised_queues) {
+		refuse(in, call, UNAVAILABLE, 0, "no_advice_service",
+		       "the queue needs advice on workers; set advice_address in the settings");
 		return;
 	}
 	organisation = fleetconf_key(in->conf, bearer_key(call));
--- a/src/intake.h
+++ b/src/intake.h
@@ -42,6 +42,7 @@
 	struct relay *relay;
 	struct metrics *metrics;
 	const struct intake_codec *codec;
+	bool advised_queues; /* jobs of queues that need advice on workers can run */
 };
 
 /** intake_create() - @deps is copied, its parts borrowed */
--- a/src/main_fleet.c
+++ b/src/main_fleet.c
@@ -150,6 +150,8 @@
 
 	if (settings->worker_address)
 		platform.worker = platform_worker_create(mem, http, settings->worker_address);
+	if (settings->advice_address)
+		platform.advice = platform_advice_create(mem, http, settings->advice_address);
 	return platform;
 }
 
--- a/src/plan.h
+++ b/src/plan.h
@@ -43,7 +43,8 @@
 enum plan_refusal {
 	PLAN_REFUSED_NO_ROOM,
 	PLAN_REFUSED_UNHEALTHY,
-	PLAN_REFUSED_STALE, /* an equal or later run was seen there */
+	PLAN_REFUSED_STALE,	/* an equal or later run was seen there */
+	PLAN_REFUSED_NO_TICKET, /* the ticket of the advice service does not hold */
 	PLAN_REFUSED_OTHER,
 	PLAN_REFUSED_COUNT,
 };
@@ -58,12 +59,14 @@
 /**
  * struct plan_worker_info - what a worker says of itself
  * @node: name of the host that the worker runs on
+ * @id: what the platform calls the worker; stays the same over a restart
  * @incarnation: changes with each life of the worker; a new life runs nothing
  * @kind: kind of machine; a label that tasks may ask for
  * @accepting: false while the worker drains
  */
 struct plan_worker_info {
 	const char *node;
+	const char *id;
 	const char *incarnation;
 	const char *service;
 	const char *zone;
@@ -192,6 +195,7 @@
 	uint32_t run;
 	const char *payload;	/* of a start */
 	const char *checkpoint; /* of a start */
+	const char *ticket;	/* of a start, "" where none is needed */
 	const char *why;	/* of a stop, for people */
 	uint64_t waited_ms;	/* of a start: since its step could begin */
 };
@@ -208,6 +212,44 @@
 uint32_t plan_decide(struct plan *plan, uint64_t now_ms,
 		     void (*changed)(const char *node, void *ctx), void *ctx);
 
+/**
+ * struct plan_advice_query - which of these workers may run a step?
+ * @step: job, occurrence and number of the step
+ * @workers: identifiers of @count workers
+ */
+struct plan_advice_query {
+	const char *step;
+	const char **workers;
+	size_t count;
+};
+
+/** struct plan_advice_row - a worker that may run the step, and the ticket its starts carry */
+struct plan_advice_row {
+	const char *worker;
+	const char *ticket;
+};
+
+/**
+ * plan_advice_wanted() - the next step that waits for advice, most urgent first
+ *
+ * Valid after plan_decide(). The step is not named again before plan_advice_take() or
+ * plan_advice_failed(). Everything in @query is owned by @mem.
+ *
+ * Return: false when no step waits for advice.
+ */
+bool plan_advice_wanted(struct plan *plan, TALLOC_CTX *mem, uint64_t now_ms,
+			struct plan_advice_query *query);
+
+/**
+ * plan_advice_take() - take over an answer; workers of @query that have no row may not run it
+ * @until_ms: the tickets hold until then
+ */
+void plan_advice_take(struct plan *plan, const struct plan_advice_query *query,
+		      const struct plan_advice_row *rows, size_t count, uint64_t until_ms);
+
+/** plan_advice_failed() - no answer; the step is named again from @retry_ms on */
+void plan_advice_failed(struct plan *plan, const char *step, uint64_t retry_ms);
+
 /**
  * plan_explain() - why a job is in its state, one line for people; owned by @mem
  */
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -62,7 +62,10 @@
 	uint32_t done;
 	uint32_t waiting;
 	struct run_set gang_failures;
-	uint64_t ready_ms; /* when the steps before it had ended; 0: they have not */
+	GHashTable *advice; /* incarnation of a worker -> struct advice; NULL: none yet */
+	bool asking;	    /* for advice */
+	uint64_t ask_ms;    /* advice is not asked for before */
+	uint64_t ready_ms;  /* when the steps before it had ended; 0: they have not */
 };
 
 struct occurrence {
@@ -106,6 +109,7 @@
 
 struct worker {
 	char *node;
+	char *id;
 	char *incarnation;
 	char *service;
 	char *zone;
@@ -169,6 +173,19 @@
 void plan_keep_headroom(struct plan *plan, uint64_t now_ms);
 bool plan_may_use_headroom(const struct step_run *step, uint64_t now_ms);
 
+/* planadvice.c */
+/* False if the advice service has said that the worker may not run the step. */
+bool plan_not_barred(const struct worker *worker, const struct step_run *step);
+/* True if starts of the step need no ticket, or hold one. */
+bool plan_has_ticket(const struct worker *worker, const struct step_run *step, uint64_t now_ms);
+/* The ticket of a start, "" where none is needed. */
+const char *plan_ticket(const struct worker *worker, const struct step_run *step);
+void plan_drop_ticket(const struct worker *worker, struct step_run *step);
+
+/* plandecide.c */
+/* What waits, most urgent first; owned by the caller. */
+GPtrArray *plan_waiting_steps(struct plan *plan, uint64_t now_ms);
+
 /* planslow.c */
 void plan_sample_speed(struct task *task, uint64_t now_ms);
 void plan_move_stalled(struct plan *plan, uint64_t now_ms);
--- /dev/null
+++ b/src/planadvice.c
@@ -0,0 +1,197 @@
+#include "plan_int.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/*
+ * Advice on the workers that may run a step. The load it answers: queues whose policy is known
+ * only to a service that takes its time for each worker that it is asked about, one call after
+ * the other. So the most urgent step is asked for first, and first about the workers that could
+ * start it at once.
+ */
+
+/* A call about more workers takes longer than most steps need; the interface allows 100. */
+#define QUERY_WORKERS_MAX 30
+
+/* What the service has said of one worker's life. */
+struct advice {
+	bool approved;
+	char *ticket;
+	uint64_t until_ms; /* of the ticket */
+};
+
+static void free_advice(gpointer data)
+{
+	talloc_free(data);
+}
+
+static bool needs_advice(const struct step_run *step)
+{
+	const struct job *job = step->occurrence->job;
+
+	return job->queue && job->queue->advised;
+}
+
+static struct advice *find(const struct worker *worker, const struct step_run *step)
+{
+	return step->advice ? g_hash_table_lookup(step->advice, worker->incarnation) : NULL;
+}
+
+bool plan_not_barred(const struct worker *worker, const struct step_run *step)
+{
+	const struct advice *advice = needs_advice(step) ? find(worker, step) : NULL;
+
+	return !advice || advice->approved;
+}
+
+bool plan_has_ticket(const struct worker *worker, const struct step_run *step, uint64_t now_ms)
+{
+	const struct advice *advice;
+
+	if (!needs_advice(step))
+		return true;
+	advice = find(worker, step);
+	return advice && advice->approved && now_ms < advice->until_ms;
+}
+
+const char *plan_ticket(const struct worker *worker, const struct step_run *step)
+{
+	const struct advice *advice = find(worker, step);
+
+	return advice && advice->approved ? advice->ticket : "";
+}
+
+void plan_drop_ticket(const struct worker *worker, struct step_run *step)
+{
+	if (step->advice)
+		g_hash_table_remove(step->advice, worker->incarnation);
+}
+
+/* The table goes with the memory of its step. */
+static int free_table(GHashTable **holder)
+{
+	g_hash_table_destroy(*holder);
+	return 0;
+}
+
+static GHashTable *table_of(struct step_run *step)
+{
+	GHashTable **holder;
+
+	if (step->advice)
+		return step->advice;
+	step->advice = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_advice);
+	holder = talloc(step->occurrence, GHashTable *);
+	*holder = step->advice;
+	talloc_set_destructor(holder, free_table);
+	return step->advice;
+}
+
+static bool has_room_now(const struct worker *worker, const struct step_run *step)
+{
+	struct plan_room need = plan_need(step->spec);
+
+	return plan_fits(&worker->room, &worker->used, &need);
+}
+
+/* Adds workers that could run the step and of which nothing is known that holds. */
+static void add_workers(const struct plan *plan, const struct step_run *step, bool with_room,
+			uint64_t now_ms, struct plan_advice_query *query)
+{
+	for (guint i = 0; i < plan->workers->len && query->count < QUERY_WORKERS_MAX; i++) {
+		const struct worker *worker = plan->workers->pdata[i];
+
+		if (!worker->accepting || !plan_could_hold(worker, step) ||
+		    plan_has_ticket(worker, step, now_ms) ||
+		    has_room_now(worker, step) != with_room)
+			continue;
+		query->workers[query->count++] = talloc_strdup(query->workers, worker->id);
+	}
+}
+
+bool plan_advice_wanted(struct plan *plan, TALLOC_CTX *mem, uint64_t now_ms,
+			struct plan_advice_query *query)
+{
+	GPtrArray *steps = plan_waiting_steps(plan, now_ms);
+	struct step_run *found = NULL;
+
+	*query = (struct plan_advice_query){
+		.workers = talloc_zero_array(mem, const char *, QUERY_WORKERS_MAX)};
+	for (guint i = 0; i < steps->len && query->count == 0; i++) {
+		found = steps->pdata[i];
+		if (!needs_advice(found) || found->asking || found->ask_ms > now_ms)
+			continue;
+		add_workers(plan, found, true, now_ms, query);
+		add_workers(plan, found, false, now_ms, query);
+	}
+	g_ptr_array_free(steps, TRUE);
+	if (query->count == 0)
+		return false;
+	found->asking = true;
+	query->step = talloc_asprintf(mem, "%s.%" PRIu32 ".%" PRIu32, found->occurrence->job->id,
+				      found->occurrence->number, found->number);
+	return true;
+}
+
+/* The step of a query, or NULL if it has ended meanwhile. */
+static struct step_run *find_step(struct plan *plan, const char *name)
+{
+	char *first = talloc_asprintf(NULL, "%s.0", name);
+	struct task *task = plan_find_task(plan, first);
+
+	talloc_free(first);
+	return task ? task->step : NULL;
+}
+
+static const struct worker *by_id(const struct plan *plan, const char *id)
+{
+	for (guint i = 0; i < plan->workers->len; i++) {
+		const struct worker *worker = plan->workers->pdata[i];
+
+		if (worker->present && !strcmp(worker->id, id))
+			return worker;
+	}
+	return NULL;
+}
+
+static const char *ticket_of(const struct plan_advice_row *rows, size_t count, const char *worker)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (!strcmp(rows[i].worker, worker))
+			return rows[i].ticket;
+	}
+	return NULL;
+}
+
+void plan_advice_take(struct plan *plan, const struct plan_advice_query *query,
+		      const struct plan_advice_row *rows, size_t count, uint64_t until_ms)
+{
+	struct step_run *step = find_step(plan, query->step);
+
+	if (!step)
+		return;
+	step->asking = false;
+	for (size_t i = 0; i < query->count; i++) {
+		const struct worker *worker = by_id(plan, query->workers[i]);
+		const char *ticket = ticket_of(rows, count, query->workers[i]);
+		struct advice *advice;
+
+		if (!worker)
+			continue;
+		advice = talloc_zero(NULL, struct advice);
+		advice->approved = ticket != NULL;
+		advice->ticket = talloc_strdup(advice, ticket ? ticket : "");
+		advice->until_ms = until_ms;
+		g_hash_table_replace(table_of(step), g_strdup(worker->incarnation), advice);
+	}
+}
+
+void plan_advice_failed(struct plan *plan, const char *step_name, uint64_t retry_ms)
+{
+	struct step_run *step = find_step(plan, step_name);
+
+	if (!step)
+		return;
+	step->asking = false;
+	step->ask_ms = retry_ms;
+}
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -87,6 +87,17 @@
 	return units;
 }
 
+GPtrArray *plan_waiting_steps(struct plan *plan, uint64_t now_ms)
+{
+	GArray *units = collect_units(plan, now_ms);
+	GPtrArray *steps = g_ptr_array_sized_new(units->len);
+
+	for (guint i = 0; i < units->len; i++)
+		g_ptr_array_add(steps, g_array_index(units, struct unit, i).step);
+	g_array_free(units, TRUE);
+	return steps;
+}
+
 static void start(struct plan *plan, struct task *task, struct worker *worker, uint32_t run,
 		  uint64_t now_ms)
 {
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -401,6 +401,7 @@
 	const struct job *job = plan_find_job(plan, id);
 	uint32_t counts[TASK_DONE + 1] = {0};
 	uint32_t failures = 0;
+	bool asks = false;
 
 	if (!job)
 		return talloc_strdup(mem, "not known to the leader");
@@ -411,13 +412,15 @@
 				failures += o->steps[s].tasks[i].failures.count;
 			}
 			failures += o->steps[s].gang_failures.count;
+			asks = asks || o->steps[s].asking;
 		}
 	}
 	return talloc_asprintf(
 		mem,
-		"%s: %u tasks wait, %u start, %u run, %u stop, %u are done, %u failed runs%s%s",
+		"%s: %u tasks wait, %u start, %u run, %u stop, %u are done, %u failed runs%s%s%s",
 		plan_state_name(job->state), counts[TASK_WAITING], counts[TASK_STARTING],
 		counts[TASK_RUNNING], counts[TASK_STOPPING], counts[TASK_DONE], failures,
 		job->inherited ? ", waits for workers of the former leader" : "",
+		asks ? ", waits for advice on workers" : "",
 		job->queue ? "" : ", its queue is not configured");
 }
--- a/src/planplace.c
+++ b/src/planplace.c
@@ -51,7 +51,7 @@
 	if (*step->spec->label && strcmp(step->spec->label, worker->kind) != 0 &&
 	    strcmp(step->spec->label, worker->rack) != 0)
 		return false;
-	return plan_fits(&worker->room, &none, &need);
+	return plan_fits(&worker->room, &none, &need) && plan_not_barred(worker, step);
 }
 
 /* Tasks of the same step of the same occurrence on a worker. */
@@ -84,7 +84,7 @@
 	return plan_worker_free(worker, now_ms) && plan_could_hold(worker, step) &&
 	       (!worker->reserved_for || worker->reserved_for == step) &&
 	       (!worker->kept_free || plan_may_use_headroom(step, now_ms)) &&
-	       !disturbs(worker, step->spec);
+	       plan_has_ticket(worker, step, now_ms) && !disturbs(worker, step->spec);
 }
 
 /*
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -156,6 +156,7 @@
 		worker->backoff_ms = 0;
 	}
 	set_text(worker, &worker->incarnation, info->incarnation);
+	set_text(worker, &worker->id, info->id);
 	set_text(worker, &worker->service, info->service);
 	set_text(worker, &worker->zone, info->zone);
 	set_text(worker, &worker->kind, info->kind);
@@ -396,6 +397,8 @@
 	back_to_waiting(task);
 	if (why == PLAN_REFUSED_NO_ROOM)
 		worker->backoff_ms = now_ms + NO_ROOM_BACKOFF_MS;
+	else if (why == PLAN_REFUSED_NO_TICKET)
+		plan_drop_ticket(worker, task->step);
 	else if (why != PLAN_REFUSED_STALE)
 		worker->backoff_ms = now_ms + UNHEALTHY_BACKOFF_MS;
 }
@@ -447,6 +450,7 @@
 			.run = t->run,
 			.payload = plan_task_job(t)->spec->payload,
 			.checkpoint = t->checkpoint ? t->checkpoint : "",
+			.ticket = plan_ticket(worker, t->step),
 			.why = t->why ? t->why : "",
 			.waited_ms = t->waited_ms,
 		};
--- a/src/runner.c
+++ b/src/runner.c
@@ -92,6 +92,7 @@
 		.alive = !r->down,
 		.settled = r->settled,
 		.info = {.node = r->deps.node,
+			 .id = r->worker ? r->worker : "",
 			 .incarnation = r->incarnation ? r->incarnation : "",
 			 .service = r->deps.service,
 			 .zone = r->zone ? r->zone : "",
--- a/src/runner.h
+++ b/src/runner.h
@@ -22,6 +22,7 @@
 	RUNNER_REFUSED_STALE,  /* an equal or later run was seen */
 	RUNNER_REFUSED_LATE,   /* the lease is over */
 	RUNNER_REFUSED_NO_ROOM,
+	RUNNER_REFUSED_NO_TICKET, /* the advice on which it was placed does not hold */
 	RUNNER_REFUSED_UNHEALTHY,
 	RUNNER_REFUSED_INVALID,
 	RUNNER_OTHER_LIFE, /* another incarnation of the worker answered */
@@ -35,6 +36,7 @@
 	uint32_t run;
 	const char *payload;
 	const char *checkpoint;
+	const char *ticket; /* "": none */
 	uint64_t term;
 	uint64_t lease_end_ms; /* worker's clock */
 };
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -24,6 +24,7 @@
 	enum plan_refusal why;
 	char *payload;
 	char *checkpoint;
+	char *ticket;
 	bool calling;
 	uint32_t attempts;
 	uint64_t retry_ms;
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -126,6 +126,13 @@
 	case RUNNER_REFUSED_STALE:
 		refuse(row, PLAN_REFUSED_STALE);
 		break;
+	case RUNNER_REFUSED_NO_TICKET:
+		/* An earlier try without an answer may have had a ticket that held. */
+		if (row->attempts > 1)
+			row->state = RUN_STOPPING;
+		else
+			refuse(row, PLAN_REFUSED_NO_TICKET);
+		break;
 	case RUNNER_REFUSED_UNHEALTHY:
 		/* Nothing was done, but an earlier try without an answer may begin. */
 		if (row->attempts > 1)
@@ -178,6 +185,7 @@
 		.run = row->run,
 		.payload = row->payload,
 		.checkpoint = row->checkpoint,
+		.ticket = row->ticket,
 		.term = r->term,
 		.lease_end_ms = runner_lease_end(r),
 	};
@@ -239,6 +247,7 @@
 		row->state = order->start ? RUN_ORDERED : RUN_STOPPING;
 		row->payload = talloc_strdup(row, order->payload ? order->payload : "");
 		row->checkpoint = talloc_strdup(row, order->checkpoint ? order->checkpoint : "");
+		row->ticket = talloc_strdup(row, order->ticket ? order->ticket : "");
 		return;
 	}
 	if (!order->start && (row->state == RUN_ORDERED || row->state == RUN_STARTED)) {
--- a/tests/lib_planworld.c
+++ b/tests/lib_planworld.c
@@ -237,6 +237,7 @@
 	const struct pw_worker *p = &w->workers[worker];
 	char incarnation[32];
 	struct plan_worker_info info = {.node = p->node,
+					.id = p->node,
 					.incarnation = incarnation,
 					.service = "s",
 					.zone = "z",
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -60,6 +60,22 @@
 	a->answers++;
 }
 
+/* The service that advises on workers; allows one of them, or has no time. */
+static const char *allowed;
+static int asked;
+
+static void fake_ask(void *impl, const struct plan_advice_query *query,
+		     void (*done)(int, const struct advice_answer *, void *), void *ctx)
+{
+	struct plan_advice_row row = {allowed, "ticket-1"};
+	struct advice_answer answer = {.rows = &row, .count = 1, .valid_ms = 5000};
+
+	asked++;
+	done(allowed ? 0 : -ERR_QUEUE_FULL, allowed ? &answer : NULL, ctx);
+}
+
+static const struct advice_calls fake_advice = {fake_ask, NULL};
+
 static void on_gained(uint64_t term, void *ctx)
 {
 	struct fixture *f = ctx;
@@ -68,6 +84,7 @@
 				  .wire = f->wire,
 				  .leader = f->leader,
 				  .metrics = f->metrics,
+				  .advice = &fake_advice,
 				  .node = "e1",
 				  .params = &params,
 				  .keep_ended_ms = 1000};
@@ -169,6 +186,7 @@
 				 .alive = true,
 				 .settled = settled,
 				 .info = {.node = a->node,
+					  .id = "w",
 					  .incarnation = "w/1",
 					  .service = "s",
 					  .zone = "z",
@@ -398,6 +416,31 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against starts in an advised queue without a ticket, and against a busy service that
+ * is called without a pause.
+ */
+static void test_advised_queue(void)
+{
+	struct fixture *f = set_up("");
+
+	f->queue.advised = true;
+	allowed = NULL;
+	asked = 0;
+	lead(f);
+	report(f, 0, true, NULL, NULL);
+	put_job(f, "0123456789abcdef", 1);
+	memkv_run(f->ev, 500);
+	CU_ASSERT_EQUAL(asked, 1);
+	CU_ASSERT_EQUAL(starts(f), 0);
+	allowed = "w";
+	memkv_run(f->ev, 1000);
+	CU_ASSERT_EQUAL(asked, 2);
+	CU_ASSERT_EQUAL_FATAL(starts(f), 1);
+	CU_ASSERT_STRING_EQUAL(f->agents[0].orders->orders[0].ticket, "ticket-1");
+	tear_down(f);
+}
+
 /* Guards against starts of a job that its owner has cancelled. */
 static void test_cancel(void)
 {
@@ -455,6 +498,7 @@
 		{"new_jobs_need_not_wait", test_new_jobs_need_not_wait},
 		{"forgets_gone_agents", test_forgets_gone_agents},
 		{"agent_moves", test_agent_moves},
+		{"advised_queue", test_advised_queue},
 		{"forgets_emptied_workers", test_forgets_emptied_workers},
 		{"cancel", test_cancel},
 		{"forgets_ended_jobs", test_forgets_ended_jobs},
--- a/tests/test_fleetnode.c
+++ b/tests/test_fleetnode.c
@@ -22,6 +22,7 @@
 static const char entry_text[] =
 	"{\"node\":\"e1\",\"message_address\":\"127.0.0.1:1\",\"store_address\":\"127.0.0.1:2\","
 	"\"callers_address\":\"127.0.0.1:3\",\"ready_address\":\"127.0.0.1:4\",\"grace_s\":1.5,"
+	"\"advice_address\":\"127.0.0.1:5\",\"metrics_address\":\"\","
 	"\"made_by_a_newer_platform\":true}";
 
 /* Guards against settings that are lost, and a newer platform's file that is refused. */
@@ -35,6 +36,9 @@
 		return;
 	CU_ASSERT_STRING_EQUAL(settings->node, "e1");
 	CU_ASSERT_STRING_EQUAL(settings->callers_address, "127.0.0.1:3");
+	CU_ASSERT_STRING_EQUAL(settings->advice_address, "127.0.0.1:5");
+	/* A platform without such an address may say so with an empty text. */
+	CU_ASSERT_PTR_NULL(settings->metrics_address);
 	CU_ASSERT_DOUBLE_EQUAL(settings->grace_s, 1.5, 0.001);
 	CU_ASSERT(settings->leader_ttl_ms > 0 && settings->stall_ms > 0);
 	talloc_free(report);
@@ -53,6 +57,7 @@
 		{FLEETNODE_ENTRY, "{}", "store_address"},
 		{FLEETNODE_AGENT, entry_text, "worker_address"},
 		{FLEETNODE_ENTRY, "{\"node\":7}", "node"},
+		{FLEETNODE_ENTRY, "{\"store_address\":\"\"}", "store_address"},
 		{FLEETNODE_ENTRY, "{\"grace_s\":-1}", "grace_s"},
 		{FLEETNODE_ENTRY, "{\"message_address\":\"here\"}", "message_address"},
 		{FLEETNODE_ENTRY, "{\"node\":", "line 1"},
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,8 +1,10 @@
 #include "platform.h"
 
+#include "httpd.h"
 #include "util.h"
 
 #include <CUnit/Basic.h>
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -176,6 +178,94 @@
 	CU_PASS("no body brought a parser down");
 }
 
+/* The service that advises on workers, as the platform's pages describe it. */
+struct service {
+	int status;
+	const char *answer;
+	char request[512];
+};
+
+static void serve_advice(struct httpd_call *call, void *ctx)
+{
+	struct service *s = ctx;
+	size_t len;
+	const char *body = httpd_body(call, &len);
+
+	g_snprintf(s->request, sizeof(s->request), "%s %s %.*s", httpd_method(call),
+		   httpd_path(call), (int)len, body);
+	httpd_answer(call, s->status, "application/json", s->answer, 0);
+}
+
+struct advised {
+	int calls;
+	int status;
+	size_t count;
+	uint32_t valid_ms;
+	char ticket[32];
+};
+
+static void on_advice(int status, const struct advice_answer *answer, void *ctx)
+{
+	struct advised *a = ctx;
+
+	a->calls++;
+	a->status = status;
+	a->count = answer ? answer->count : 0;
+	a->valid_ms = answer ? answer->valid_ms : 0;
+	if (a->count)
+		g_strlcpy(a->ticket, answer->rows[0].ticket, sizeof(a->ticket));
+}
+
+/* Guards against advice that is misread: a forbidden worker that gets work, or none that does. */
+static void test_advice(void)
+{
+	static const struct {
+		int http_status;
+		const char *body;
+		int status;
+		size_t count;
+	} cases[] = {
+		{200, "{\"approved\":[[\"i-1\",\"c81e\"],[\"i-2\"],7],\"valid_ms\":3000}", 0, 1},
+		{200, "{\"approved\":[],\"valid_ms\":3000}", 0, 0},
+		{200, "{\"approved\":{},\"valid_ms\":3000}", -ERR_FAILED, 0},
+		{200, "{\"approved\":[],\"valid_ms\":-1}", -ERR_FAILED, 0},
+		{200, "nothing", -ERR_FAILED, 0},
+		{429, "", -ERR_QUEUE_FULL, 0},
+		{503, "", -ERR_FAILED, 0},
+	};
+	TALLOC_CTX *mem = talloc_new(NULL);
+	struct tevent_context *ev = tevent_context_init(mem);
+	struct service service = {0};
+	struct httpd_handlers handlers = {serve_advice, NULL, &service};
+	struct err err = {0};
+	struct httpd *server = httpd_create(mem, ev, "127.0.0.1:0", 10000, &handlers, &err);
+	const char *workers[] = {"i-1", "i-2"};
+	struct plan_advice_query query = {"5c0e7a21d94b36f8.0.1", workers, 2};
+	struct advice_calls *advice;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+	advice = platform_advice_create(mem, httpc_create(mem, ev), httpd_address(server));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct advised advised = {0};
+
+		service.status = cases[i].http_status;
+		service.answer = cases[i].body;
+		advice->ask(advice->impl, &query, on_advice, &advised);
+		while (advised.calls == 0)
+			tevent_loop_once(ev);
+		CU_ASSERT_EQUAL(advised.status, cases[i].status);
+		CU_ASSERT_EQUAL(advised.count, cases[i].count);
+		if (!advised.count)
+			continue;
+		CU_ASSERT_STRING_EQUAL(advised.ticket, "c81e");
+		CU_ASSERT_EQUAL(advised.valid_ms, 3000);
+	}
+	CU_ASSERT_STRING_EQUAL(service.request,
+			       "POST /v1/advise {\"step\":\"5c0e7a21d94b36f8.0.1\",\"workers\":"
+			       "[\"i-1\",\"i-2\"]}");
+	talloc_free(mem);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -188,6 +278,7 @@
 	CU_add_test(suite, "config", test_config);
 	CU_add_test(suite, "heartbeat", test_heartbeat);
 	CU_add_test(suite, "control_calls", test_control_calls);
+	CU_add_test(suite, "advice", test_advice);
 	CU_add_test(suite, "damaged_bodies", test_damaged_bodies);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -26,6 +26,7 @@
 	int starts;
 	int stops;
 	uint64_t lease_end_ms; /* latest that the worker was given */
+	char ticket[32];       /* of the latest start */
 	struct plan_run running[LIST_MAX];
 	size_t running_count;
 	struct fleet_end ends[LIST_MAX];
@@ -93,6 +94,7 @@
 	p->order = done;
 	p->result = f->start_result;
 	f->starts++;
+	g_strlcpy(f->ticket, start->ticket, sizeof(f->ticket));
 	if (start->lease_end_ms > f->lease_end_ms)
 		f->lease_end_ms = start->lease_end_ms;
 	if (f->start_result == RUNNER_STARTED)
@@ -284,8 +286,12 @@
 	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(f->report->settled);
-	f->orders[f->order_count++] = (struct plan_order){
-		.start = true, .task = "j.0.0.0", .run = 1, .payload = "p", .checkpoint = ""};
+	f->orders[f->order_count++] = (struct plan_order){.start = true,
+							  .task = "j.0.0.0",
+							  .run = 1,
+							  .payload = "p",
+							  .checkpoint = "",
+							  .ticket = ""};
 	memkv_run(f->ev, 500);
 	CU_ASSERT_EQUAL(f->starts, 1);
 	CU_ASSERT_EQUAL_FATAL(f->report->running_count, 1);
@@ -294,6 +300,28 @@
 	tear_down(f);
 }
 
+/* Guards against a ticket that does not reach the worker, and one whose refusal is not told. */
+static void test_ticket(void)
+{
+	struct fixture *f = set_up();
+
+	f->start_result = RUNNER_REFUSED_NO_TICKET;
+	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	memkv_run(f->ev, 300);
+	f->orders[f->order_count++] = (struct plan_order){.start = true,
+							  .task = "j.0.0.0",
+							  .run = 1,
+							  .payload = "p",
+							  .checkpoint = "",
+							  .ticket = "ticket-1"};
+	memkv_run(f->ev, 300);
+	CU_ASSERT_EQUAL(f->starts, 1);
+	CU_ASSERT_STRING_EQUAL(f->ticket, "ticket-1");
+	CU_ASSERT_EQUAL_FATAL(f->report->refusal_count, 1);
+	CU_ASSERT_EQUAL(f->report->refusals[0].why, PLAN_REFUSED_NO_TICKET);
+	tear_down(f);
+}
+
 /* Guards against ends that the worker forgets before the leader has stored them. */
 static void test_ends(void)
 {
@@ -318,8 +346,12 @@
 	announce(f, 7, 1);
 	f->start_result = RUNNER_NO_ANSWER;
 	memkv_run(f->ev, 200);
-	f->orders[f->order_count++] = (struct plan_order){
-		.start = true, .task = "j.0.0.0", .run = 1, .payload = "p", .checkpoint = ""};
+	f->orders[f->order_count++] = (struct plan_order){.start = true,
+							  .task = "j.0.0.0",
+							  .run = 1,
+							  .payload = "p",
+							  .checkpoint = "",
+							  .ticket = ""};
 	memkv_run(f->ev, 800);
 	CU_ASSERT_EQUAL(f->starts, 2);
 	CU_ASSERT(f->stops >= 1);
@@ -370,8 +402,12 @@
 	struct fixture *f = set_up();
 
 	list_ms = 400;
-	f->orders[f->order_count++] = (struct plan_order){
-		.start = true, .task = "j.0.0.0", .run = 1, .payload = "p", .checkpoint = ""};
+	f->orders[f->order_count++] = (struct plan_order){.start = true,
+							  .task = "j.0.0.0",
+							  .run = 1,
+							  .payload = "p",
+							  .checkpoint = "",
+							  .ticket = ""};
 	announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_EQUAL(f->report->refusal_count, 0);
@@ -394,8 +430,12 @@
 	memkv_run(f->ev, 300);
 	f->start_result = RUNNER_NO_ANSWER;
 	f->start_ms = 900;
-	f->orders[f->order_count++] = (struct plan_order){
-		.start = true, .task = "j.0.0.0", .run = 1, .payload = "p", .checkpoint = ""};
+	f->orders[f->order_count++] = (struct plan_order){.start = true,
+							  .task = "j.0.0.0",
+							  .run = 1,
+							  .payload = "p",
+							  .checkpoint = "",
+							  .ticket = ""};
 	memkv_run(f->ev, 300);
 	CU_ASSERT_EQUAL(f->starts, 1);
 	CU_ASSERT_EQUAL(f->report->running_count, 0);
@@ -437,6 +477,7 @@
 	CU_add_test(suite, "unknown_worker_is_not_down", test_unknown_worker_is_not_down);
 	CU_add_test(suite, "absent_worker_is_down", test_absent_worker_is_down);
 	CU_add_test(suite, "start", test_start);
+	CU_add_test(suite, "ticket", test_ticket);
 	CU_add_test(suite, "ends", test_ends);
 	CU_add_test(suite, "start_without_answer", test_start_without_answer);
 	CU_add_test(suite, "lease_needs_leader", test_lease_needs_leader);
