--- a/src/fleetnode.c
+++ b/src/fleetnode.c
@@ -73,8 +73,7 @@
 
 	json_object_foreach_safe(object, next, name, value)
 	{
-		if (is_empty(value) ||
-		    !fields_find(known_fields, COUNT_OF(known_fields), name))
+		if (is_empty(value) || !fields_find(known_fields, COUNT_OF(known_fields), name))
 			json_object_del(object, name);
 	}
 }
