runner: agents of a leader without the store look for a later one

Cause: a worker that reaches only a leader which the store refuses went on under its lease while the later leader, which could not reach it, took it for lost after 6.9 s and started its tasks elsewhere.

Change: a leader whose renewal is overdue says so in its orders. Its agents then ask the store for the leader every 250 ms, and follow a later one, whether it can be reached or not.

Tests: test_runner/unsure_leader fails without the change, unsure_leader_is_kept.

--- a/src/coord.c
+++ b/src/coord.c
@@ -41,6 +41,7 @@
 		.incarnation = row->incarnation,
 		.ends_stored = row->ends_stored,
 		.report_ms = report_pause_ms(c),
+		.unsure = leader_unsure(c->deps.leader),
 	};
 	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = c->term};
 
--- a/src/fleetmsg.c
+++ b/src/fleetmsg.c
@@ -210,12 +210,12 @@
 
 char *fleet_orders_write(TALLOC_CTX *mem, const struct fleet_orders *orders)
 {
-	return dump(mem,
-		    json_pack("{s:I, s:s, s:I, s:i, s:o, s:o}", "echo", (json_int_t)orders->echo_ms,
-			      "incarnation", orders->incarnation, "ends_stored",
-			      (json_int_t)orders->ends_stored, "report_ms", (int)orders->report_ms,
-			      "handled", write_runs(orders->handled, orders->handled_count),
-			      "orders", write_order_rows(orders)));
+	return dump(mem, json_pack("{s:I, s:s, s:I, s:i, s:b, s:o, s:o}", "echo",
+				   (json_int_t)orders->echo_ms, "incarnation", orders->incarnation,
+				   "ends_stored", (json_int_t)orders->ends_stored, "report_ms",
+				   (int)orders->report_ms, "unsure", orders->unsure, "handled",
+				   write_runs(orders->handled, orders->handled_count), "orders",
+				   write_order_rows(orders)));
 }
 
 static void read_order_rows(struct fleet_orders *orders, const json_t *rows)
@@ -258,6 +258,7 @@
 	orders->incarnation = read_text(orders, json, "incarnation");
 	orders->ends_stored = read_number(json, "ends_stored");
 	orders->report_ms = (uint32_t)read_number(json, "report_ms");
+	orders->unsure = json_is_true(json_object_get(json, "unsure"));
 	orders->handled =
 		read_runs(orders, json_object_get(json, "handled"), &orders->handled_count);
 	read_order_rows(orders, json_object_get(json, "orders"));
--- a/src/fleetmsg.h
+++ b/src/fleetmsg.h
@@ -56,6 +56,7 @@
  * @ends_stored: ends up to this number are stored and may be forgotten
  * @handled: refusals that the leader has taken note of
  * @report_ms: pause between reports without news
+ * @unsure: the store has not confirmed the lead for a while, so another process may lead
  */
 struct fleet_orders {
 	uint64_t echo_ms;
@@ -66,6 +67,7 @@
 	struct plan_order *orders;
 	size_t order_count;
 	uint32_t report_ms;
+	bool unsure;
 };
 
 /** fleet_report_write() - as JSON text, owned by @mem */
--- a/src/leader.c
+++ b/src/leader.c
@@ -322,6 +322,11 @@
 	return l->term && util_clock_ms() - l->confirmed_ms < l->ttl_ms;
 }
 
+bool leader_unsure(const struct leader *l)
+{
+	return l->term && util_clock_ms() - l->confirmed_ms > l->ttl_ms / 2;
+}
+
 void leader_deposed(struct leader *l, uint64_t term)
 {
 	if (term > l->term)
--- a/src/leader.h
+++ b/src/leader.h
@@ -52,6 +52,13 @@
  */
 bool leader_confirmed(const struct leader *leader);
 
+/**
+ * leader_unsure() - true while this process leads and a renewal is overdue
+ *
+ * Earlier than the end of leader_confirmed(), so that agents look for another leader in time.
+ */
+bool leader_unsure(const struct leader *leader);
+
 /** leader_deposed() - another process was seen with a higher term */
 void leader_deposed(struct leader *leader, uint64_t term);
 
--- a/src/planadvice.c
+++ b/src/planadvice.c
@@ -125,7 +125,7 @@
 		add_workers(plan, found, false, now_ms, query);
 	}
 	g_ptr_array_free(steps, TRUE);
-	if (query->count == 0)
+	if (!found || query->count == 0)
 		return false;
 	found->asking = true;
 	query->step = talloc_asprintf(mem, "%s.%" PRIu32 ".%" PRIu32, found->occurrence->job->id,
--- a/src/runner.c
+++ b/src/runner.c
@@ -16,6 +16,8 @@
 #define UNREACHABLE_TO_DOWN 2 /* one refused connection may be a reset */
 #define SILENT_MS 1500	      /* without orders for this long the leader is looked for */
 #define ASK_MS 500
+/* Of a leader without the store. A later one waits only WORKER_LOST_MS for this worker. */
+#define ASK_UNSURE_MS 250
 #define LEADER_LINK "leader"
 
 bool runner_granted(const struct runner *r)
@@ -154,6 +156,7 @@
 	if (term > r->term)
 		runner_new_term(r);
 	r->term = term;
+	r->leader_unsure = false;
 	talloc_free(r->leader_address);
 	r->leader_address = talloc_strdup(r, address);
 	connect_leader(r);
@@ -179,9 +182,9 @@
 
 static void look_for_leader(struct runner *r, uint64_t now_ms)
 {
-	if (r->asking || now_ms - r->asked_ms < ASK_MS)
+	if (r->asking || now_ms - r->asked_ms < (r->leader_unsure ? ASK_UNSURE_MS : ASK_MS))
 		return;
-	if (r->connected && now_ms - r->heard_ms < SILENT_MS)
+	if (r->connected && !r->leader_unsure && now_ms - r->heard_ms < SILENT_MS)
 		return;
 	r->asking = true;
 	r->asked_ms = now_ms;
@@ -356,6 +359,7 @@
 {
 	if (orders->echo_ms > r->granted_ms)
 		r->granted_ms = orders->echo_ms;
+	r->leader_unsure = orders->unsure;
 	if (orders->report_ms)
 		r->report_ms = orders->report_ms;
 	for (size_t i = 0; i < orders->handled_count; i++)
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -79,6 +79,7 @@
 	bool renewing;
 	bool connected;
 	bool asking;
+	bool leader_unsure; /* of its lead, by its latest orders */
 };
 
 /* runner.c */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -220,18 +220,18 @@
 static void test_advice(void)
 {
 	static const struct {
-		int http_status;
 		const char *body;
+		int http_status;
 		int status;
 		size_t count;
 	} cases[] = {
-		{200, "{\"approved\":[[\"i-1\",\"c81e\"],[\"i-2\"],7],\"valid_ms\":3000}", 0, 1},
-		{200, "{\"approved\":[],\"valid_ms\":3000}", 0, 0},
-		{200, "{\"approved\":{},\"valid_ms\":3000}", -ERR_FAILED, 0},
-		{200, "{\"approved\":[],\"valid_ms\":-1}", -ERR_FAILED, 0},
-		{200, "nothing", -ERR_FAILED, 0},
-		{429, "", -ERR_QUEUE_FULL, 0},
-		{503, "", -ERR_FAILED, 0},
+		{"{\"approved\":[[\"i-1\",\"c81e\"],[\"i-2\"],7],\"valid_ms\":3000}", 200, 0, 1},
+		{"{\"approved\":[],\"valid_ms\":3000}", 200, 0, 0},
+		{"{\"approved\":{},\"valid_ms\":3000}", 200, -ERR_FAILED, 0},
+		{"{\"approved\":[],\"valid_ms\":-1}", 200, -ERR_FAILED, 0},
+		{"nothing", 200, -ERR_FAILED, 0},
+		{"", 429, -ERR_QUEUE_FULL, 0},
+		{"", 503, -ERR_FAILED, 0},
 	};
 	TALLOC_CTX *mem = talloc_new(NULL);
 	struct tevent_context *ev = tevent_context_init(mem);
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -1,3 +1,4 @@
+#include "fleetlimits.h"
 #include "lib_memkv.h"
 #include "runner.h"
 
@@ -26,6 +27,7 @@
 	int starts;
 	int stops;
 	uint64_t lease_end_ms; /* latest that the worker was given */
+	int extensions;	       /* renewals of the lease */
 	char ticket[32];       /* of the latest start */
 	struct plan_run running[LIST_MAX];
 	size_t running_count;
@@ -37,6 +39,7 @@
 	struct fleet_report *report; /* latest */
 	int reports;
 	bool answers;
+	bool unsure; /* of its lead */
 	struct plan_order orders[LIST_MAX];
 	size_t order_count;
 	uint64_t ends_stored;
@@ -124,6 +127,7 @@
 
 	p->list = done;
 	f->ends_known = renewal->ends_known;
+	f->extensions += renewal->extend;
 	if (renewal->extend && renewal->lease_end_ms > f->lease_end_ms)
 		f->lease_end_ms = renewal->lease_end_ms;
 }
@@ -143,6 +147,7 @@
 				      .ends_stored = f->ends_stored,
 				      .orders = f->orders,
 				      .order_count = f->order_count,
+				      .unsure = f->unsure,
 				      .report_ms = 100};
 	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = f->term};
 	char *text = fleet_orders_write(f, &orders);
@@ -238,6 +243,8 @@
 	CU_ASSERT_PTR_NULL(memkv_value(f->store, "agent/host1"));
 	CU_ASSERT(f->reports > 0);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(f->report);
+	if (!f->report)
+		return;
 	CU_ASSERT_STRING_EQUAL(f->report->address, wire_address(f->agent_wire));
 	tear_down(f);
 }
@@ -269,6 +276,8 @@
 	f->worker_up = false;
 	memkv_run(f->ev, 1000);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(f->report);
+	if (!f->report)
+		return;
 	CU_ASSERT_FALSE(f->report->alive);
 	f->worker_up = true;
 	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
@@ -375,6 +384,44 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against a lease that a leader without the store goes on granting while a later one,
+ * which can't reach this agent, takes the worker for lost. In time: the lease has to end within
+ * WORKER_LOST_MS of the election.
+ */
+static void test_unsure_leader(void)
+{
+	struct fixture *f = set_up();
+	int last;
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 500);
+	f->unsure = true;
+	memkv_run(f->ev, 800);
+	memkv_put(f->store, "leader", "{\"node\":\"e2\",\"address\":\"127.0.0.1:1\",\"term\":4}");
+	memkv_run(f->ev, 350 + WORKER_GRANT_MS);
+	last = f->extensions;
+	memkv_run(f->ev, 1500);
+	CU_ASSERT_EQUAL(f->extensions, last);
+	tear_down(f);
+}
+
+/* Guards against work that ends because the store is away and nobody else was elected. */
+static void test_unsure_leader_is_kept(void)
+{
+	struct fixture *f = set_up();
+	int last;
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 500);
+	f->unsure = true;
+	memkv_run(f->ev, 3500);
+	last = f->extensions;
+	memkv_run(f->ev, 1500);
+	CU_ASSERT(f->extensions > last);
+	tear_down(f);
+}
+
 /* Guards against a worker that is gone and is still counted on, and lives that are mixed up. */
 static void test_lives(void)
 {
@@ -481,6 +528,8 @@
 	CU_add_test(suite, "ends", test_ends);
 	CU_add_test(suite, "start_without_answer", test_start_without_answer);
 	CU_add_test(suite, "lease_needs_leader", test_lease_needs_leader);
+	CU_add_test(suite, "unsure_leader", test_unsure_leader);
+	CU_add_test(suite, "unsure_leader_is_kept", test_unsure_leader_is_kept);
 	CU_add_test(suite, "lives", test_lives);
 	CU_add_test(suite, "order_before_first_list", test_order_before_first_list);
 	CU_add_test(suite, "unanswered_start_is_told_to_new_leader",
