runner, plan: starts that were given up are not carried out; silent workers get nothing new

Orders are complete, so a start that is missing in the latest is dropped. Besides, the leader had gone on to place work there for 2 s after the last report: now two missing reports keep a worker free of new work.

Tests, each fails without its change: test_runner/drain_after_unanswered_start, test_runner/abandoned_start, test_plan/silent_worker_gets_nothing.

--- a/src/coord.c
+++ b/src/coord.c
@@ -24,15 +24,6 @@
 	return row;
 }
 
-static uint32_t report_pause_ms(const struct coord *c)
-{
-	uint32_t pause = g_hash_table_size(c->agents) * 1000 / REPORTS_PER_S;
-
-	if (pause > WORKER_GRANT_MS / 2)
-		return WORKER_GRANT_MS / 2;
-	return pause > REPORT_MS ? pause : REPORT_MS;
-}
-
 static void send_orders(struct coord *c, struct agent_row *row, const struct fleet_report *report)
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
@@ -40,7 +31,7 @@
 		.echo_ms = row->echo_ms,
 		.incarnation = row->incarnation,
 		.ends_stored = row->ends_stored,
-		.report_ms = report_pause_ms(c),
+		.report_ms = report_pause_ms(g_hash_table_size(c->agents)),
 		.unsure = leader_unsure(c->deps.leader),
 	};
 	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = c->term};
--- a/src/fleetlimits.h
+++ b/src/fleetlimits.h
@@ -1,6 +1,8 @@
 #ifndef JAYCOURSE_FLEETLIMITS_H
 #define JAYCOURSE_FLEETLIMITS_H
 
+#include <stdint.h>
+
 /** DOC: Times that the leader and the agents have to agree on */
 
 /*
@@ -28,4 +30,24 @@
 /* Most reports a second that the leader asks for; large fleets report more seldom. */
 #define REPORTS_PER_S 120
 
+/** report_pause_ms() - between two reports of an agent without news, in a fleet of @agents */
+static inline uint32_t report_pause_ms(uint32_t agents)
+{
+	uint32_t pause = agents * 1000 / REPORTS_PER_S;
+
+	if (pause > WORKER_GRANT_MS / 2)
+		return WORKER_GRANT_MS / 2;
+	return pause > REPORT_MS ? pause : REPORT_MS;
+}
+
+/**
+ * worker_silent_ms() - a worker that was not heard of for longer gets nothing new
+ *
+ * Two reports are missing by then: the agent stands still, or its way to the leader is cut.
+ */
+static inline uint32_t worker_silent_ms(uint32_t agents)
+{
+	return 2 * report_pause_ms(agents) + 200; /* messages and timers that are late */
+}
+
 #endif
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -122,7 +122,9 @@
 	struct task *tasks;
 	struct stray *strays;
 	uint64_t backoff_ms; /* takes nothing new before */
+	uint64_t heard_ms;   /* latest report */
 	uint64_t listed_ms;  /* when it made the latest list of its runs */
+	bool silent;	     /* not heard of for long; set by each decision */
 	uint64_t suspect_until_ms;
 	uint64_t slow_until_ms;	 /* takes nothing new before */
 	uint32_t suspicions;	 /* times in a row it became suspect */
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -1,3 +1,4 @@
+#include "fleetlimits.h"
 #include "plan_int.h"
 
 #include <string.h>
@@ -228,6 +229,17 @@
 		reserve(plan, step, now_ms, reserved);
 }
 
+static void note_silence(struct plan *plan, uint64_t now_ms)
+{
+	uint32_t most_ms = worker_silent_ms(plan->workers->len);
+
+	for (guint i = 0; i < plan->workers->len; i++) {
+		struct worker *worker = plan->workers->pdata[i];
+
+		worker->silent = now_ms - worker->heard_ms > most_ms;
+	}
+}
+
 uint32_t plan_decide(struct plan *plan, uint64_t now_ms,
 		     void (*changed)(const char *node, void *ctx), void *ctx)
 {
@@ -237,6 +249,7 @@
 
 	for (guint i = 0; i < plan->workers->len; i++)
 		((struct worker *)plan->workers->pdata[i])->reserved_for = NULL;
+	note_silence(plan, now_ms);
 	plan_make_due(plan, now_ms);
 	plan_mark_guaranteed(plan);
 	plan_keep_headroom(plan, now_ms);
--- a/src/planplace.c
+++ b/src/planplace.c
@@ -35,7 +35,7 @@
 
 bool plan_worker_free(const struct worker *worker, uint64_t now_ms)
 {
-	return worker->present && worker->accepting && !worker->strays &&
+	return worker->present && worker->accepting && !worker->silent && !worker->strays &&
 	       worker->backoff_ms <= now_ms && worker->suspect_until_ms <= now_ms &&
 	       worker->slow_until_ms <= now_ms;
 }
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -163,6 +163,7 @@
 	set_text(worker, &worker->rack, info->rack);
 	worker->room = info->room;
 	worker->present = true;
+	worker->heard_ms = now_ms;
 	worker->accepting = info->accepting;
 }
 
--- a/src/runner.c
+++ b/src/runner.c
@@ -371,6 +371,7 @@
 		r->ends_stored = orders->ends_stored;
 		r->renew_due_ms = 0;
 	}
+	runner_drop_abandoned(r, orders);
 	for (size_t i = 0; i < orders->order_count; i++)
 		runner_order(r, &orders->orders[i]);
 	runner_drive(r, util_clock_ms());
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -91,6 +91,7 @@
 /* runnerruns.c */
 struct run_row *runner_find(const struct runner *r, const char *task, uint32_t run);
 void runner_order(struct runner *r, const struct plan_order *order);
+void runner_drop_abandoned(struct runner *r, const struct fleet_orders *orders);
 void runner_handled(struct runner *r, const struct plan_run *run);
 void runner_take_list(struct runner *r, const struct runner_list *list, uint64_t sent_ms);
 bool runner_end_listed(const struct runner *r, const char *task, uint32_t run);
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -100,6 +100,24 @@
 	runner_report_soon(row->runner);
 }
 
+/* A start that was tried without an answer may still begin, so its run is closed first. */
+static void give_up(struct run_row *row, enum plan_refusal why)
+{
+	if (row->attempts > 0)
+		row->state = RUN_STOPPING;
+	else
+		refuse(row, why);
+}
+
+/* The latest try did nothing, but an earlier one without an answer may begin. */
+static void refuse_last(struct run_row *row, enum plan_refusal why)
+{
+	if (row->attempts > 1)
+		row->state = RUN_STOPPING;
+	else
+		refuse(row, why);
+}
+
 static void on_started(enum runner_started result, uint64_t clock_ms, void *ctx)
 {
 	struct run_row *row = ctx;
@@ -121,34 +139,23 @@
 		runner_report_soon(r);
 		break;
 	case RUNNER_REFUSED_NO_ROOM:
-		refuse(row, PLAN_REFUSED_NO_ROOM);
+		refuse_last(row, PLAN_REFUSED_NO_ROOM);
 		break;
 	case RUNNER_REFUSED_STALE:
 		refuse(row, PLAN_REFUSED_STALE);
 		break;
 	case RUNNER_REFUSED_NO_TICKET:
-		/* An earlier try without an answer may have had a ticket that held. */
-		if (row->attempts > 1)
-			row->state = RUN_STOPPING;
-		else
-			refuse(row, PLAN_REFUSED_NO_TICKET);
+		refuse_last(row, PLAN_REFUSED_NO_TICKET);
 		break;
 	case RUNNER_REFUSED_UNHEALTHY:
-		/* Nothing was done, but an earlier try without an answer may begin. */
-		if (row->attempts > 1)
-			row->state = RUN_STOPPING;
-		else
-			refuse(row, PLAN_REFUSED_UNHEALTHY);
+		refuse_last(row, PLAN_REFUSED_UNHEALTHY);
 		break;
 	case RUNNER_NO_ANSWER:
 		if (row->attempts >= START_ATTEMPTS)
 			row->state = RUN_STOPPING;
 		break;
 	default:
-		if (row->attempts > 1)
-			row->state = RUN_STOPPING;
-		else
-			refuse(row, PLAN_REFUSED_OTHER);
+		refuse_last(row, PLAN_REFUSED_OTHER);
 		break;
 	}
 	if (result != RUNNER_STARTED)
@@ -219,7 +226,7 @@
 		if (row->state == RUN_STOPPING)
 			call_stop(row);
 		else if (row->state == RUN_ORDERED && !r->accepting)
-			refuse(row, PLAN_REFUSED_OTHER);
+			give_up(row, PLAN_REFUSED_OTHER);
 		else if (row->state == RUN_ORDERED && runner_granted(r) && r->settled)
 			call_start(row);
 	}
@@ -256,6 +263,39 @@
 	}
 }
 
+static bool is_ordered(const struct fleet_orders *orders, const struct run_row *row)
+{
+	for (size_t i = 0; i < orders->order_count; i++) {
+		if (orders->orders[i].run == row->run && !strcmp(orders->orders[i].task, row->task))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Starts are repeated until they are confirmed. One that is missing was given up by the leader,
+ * which may have started its task elsewhere while this process stood still.
+ */
+void runner_drop_abandoned(struct runner *r, const struct fleet_orders *orders)
+{
+	GList *rows = g_hash_table_get_values(r->runs);
+
+	for (GList *at = rows; at; at = at->next) {
+		struct run_row *row = at->data;
+
+		/* What a former leader ordered was told to this one as running. */
+		if (row->state != RUN_ORDERED || row->term != r->term || is_ordered(orders, row))
+			continue;
+		log_info("order_abandoned", row->task, "run %u after %u attempts", row->run,
+			 row->attempts);
+		if (row->attempts > 0)
+			row->state = RUN_STOPPING;
+		else
+			drop_row(r, row);
+	}
+	g_list_free(rows);
+}
+
 void runner_handled(struct runner *r, const struct plan_run *run)
 {
 	struct run_row *row = runner_find(r, run->task, run->run);
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -271,6 +271,28 @@
 	finish(w);
 }
 
+/*
+ * Guards against work that is placed on a worker whose agent stands still: it would wait there
+ * until the worker is taken for lost.
+ */
+static void test_silent_worker_gets_nothing(void)
+{
+	struct planworld *w = planworld_create(NULL, 2);
+
+	planworld_run(w, 50);
+	w->workers[0].reachable = false;
+	planworld_run(w, 1700);
+	planworld_job(w, "j1", "batch", "b", SMALL);
+	planworld_run(w, 100);
+	CU_ASSERT_EQUAL(planworld_count(w, "j1."), 4);
+	w->workers[0].reachable = true;
+	planworld_run(w, 50);
+	planworld_job(w, "j2", "urgent", "b", WHOLE_WORKER(1, 1000));
+	planworld_run(w, 100);
+	CU_ASSERT_EQUAL(planworld_count(w, "j2."), 1);
+	finish(w);
+}
+
 /*
  * Guards against urgent work that is late by the time of a stop. The load: urgent jobs, each
  * with half as much time to spare as a stop takes, on a fleet that batch work would fill.
@@ -545,6 +567,7 @@
 		{"wrong_estimate_is_not_slow", test_wrong_estimate_is_not_slow},
 		{"urgent_displaces_young_work", test_urgent_displaces_young_work},
 		{"urgent_tasks_one_by_one", test_urgent_tasks_one_by_one},
+		{"silent_worker_gets_nothing", test_silent_worker_gets_nothing},
 		{"headroom", test_headroom},
 		{"headroom_is_lent", test_headroom_is_lent},
 		{"reclaim_spares_urgent_work", test_reclaim_spares_urgent_work},
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -20,6 +20,7 @@
 	/* The worker. */
 	struct runner_calls calls;
 	bool worker_up;
+	bool draining;
 	uint64_t born_ms;
 	enum runner_started start_result;
 	uint32_t start_ms; /* that an answer takes */
@@ -40,6 +41,7 @@
 	int reports;
 	bool answers;
 	bool unsure; /* of its lead */
+	bool stale_echo;
 	struct plan_order orders[LIST_MAX];
 	size_t order_count;
 	uint64_t ends_stored;
@@ -142,7 +144,7 @@
 
 static void send_orders(struct fixture *f)
 {
-	struct fleet_orders orders = {.echo_ms = f->report->sent_ms,
+	struct fleet_orders orders = {.echo_ms = f->stale_echo ? 1 : f->report->sent_ms,
 				      .incarnation = f->report->info.incarnation,
 				      .ends_stored = f->ends_stored,
 				      .orders = f->orders,
@@ -217,7 +219,7 @@
 				   .kind = "k",
 				   .rack = "r",
 				   .room = {1000, 1000, 8},
-				   .accepting = true,
+				   .accepting = !f->draining,
 				   .born_ms = born_ms,
 				   .sequence = sequence};
 
@@ -331,6 +333,65 @@
 	tear_down(f);
 }
 
+static struct plan_order start_order(void)
+{
+	return (struct plan_order){.start = true,
+				   .task = "j.0.0.0",
+				   .run = 1,
+				   .payload = "p",
+				   .checkpoint = "",
+				   .ticket = ""};
+}
+
+/*
+ * Guards against a second run beside one that begins late: a start without an answer is closed,
+ * not only refused, when the worker drains meanwhile.
+ */
+static void test_drain_after_unanswered_start(void)
+{
+	struct fixture *f = set_up();
+
+	f->start_result = RUNNER_NO_ANSWER;
+	f->start_ms = 300;
+	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	memkv_run(f->ev, 300);
+	f->orders[f->order_count++] = start_order();
+	memkv_run(f->ev, 150);
+	CU_ASSERT_EQUAL(f->starts, 1);
+	f->draining = true;
+	CU_ASSERT_EQUAL(announce(f, 7, 2), 0);
+	memkv_run(f->ev, 250);
+	CU_ASSERT_EQUAL(f->starts, 1);
+	CU_ASSERT_EQUAL(f->stops, 1);
+	tear_down(f);
+}
+
+/*
+ * Guards against a start that an agent carries out after it stood still, while the leader has
+ * taken the worker for lost and started the task elsewhere.
+ */
+static void test_abandoned_start(void)
+{
+	struct fixture *f = set_up();
+
+	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	memkv_run(f->ev, 300);
+	f->answers = false;
+	memkv_run(f->ev, WORKER_GRANT_MS + 300);
+	/* The order was sent before the stop; its echo grants nothing any more. */
+	f->orders[f->order_count++] = start_order();
+	f->stale_echo = true;
+	send_orders(f);
+	memkv_run(f->ev, 100);
+	CU_ASSERT_EQUAL(f->starts, 0);
+	f->order_count = 0;
+	f->stale_echo = false;
+	f->answers = true;
+	memkv_run(f->ev, 1000);
+	CU_ASSERT_EQUAL(f->starts, 0);
+	tear_down(f);
+}
+
 /* Guards against ends that the worker forgets before the leader has stored them. */
 static void test_ends(void)
 {
@@ -525,6 +586,8 @@
 	CU_add_test(suite, "absent_worker_is_down", test_absent_worker_is_down);
 	CU_add_test(suite, "start", test_start);
 	CU_add_test(suite, "ticket", test_ticket);
+	CU_add_test(suite, "drain_after_unanswered_start", test_drain_after_unanswered_start);
+	CU_add_test(suite, "abandoned_start", test_abandoned_start);
 	CU_add_test(suite, "ends", test_ends);
 	CU_add_test(suite, "start_without_answer", test_start_without_answer);
 	CU_add_test(suite, "lease_needs_leader", test_lease_needs_leader);
