leader: a leader that the store refuses resigns through a peer

The store refused the leader's host from 2.51 s; the next leader was elected at 3.99 s, when the lease had lapsed. Until then no end was stored or shown, and five urgent jobs were late.

Change: when a renewal has failed and the lead is not confirmed for 0.6 s, the leader asks its peers through the relay. One that reaches the store stores "leader.resigned.TERM"; then the leader stops, and the others replace its key without waiting. Where nobody reaches the store the leader goes on. A slow store is no failed renewal.

Tests: test_leader/refused_leader_resigns_through_a_peer fails without the change, test_leader/leader_stays_while_the_store_is_away.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -154,6 +154,20 @@
 		tevent_add_timer(node->ev, node, tevent_timeval_zero(), free_coord, coord);
 }
 
+static void on_resignation_stored(int status, void *ctx)
+{
+	struct fleet_node *node = ctx;
+
+	leader_resignation_stored(node->leader, status);
+}
+
+static void on_refused(const char *key, const char *value, void *ctx)
+{
+	struct fleet_node *node = ctx;
+
+	relay_put(node->relay, key, value, "leader", on_resignation_stored, node);
+}
+
 static void on_leader_changed(const char *name, const char *address, uint64_t term, void *ctx)
 {
 	struct fleet_node *node = ctx;
@@ -189,7 +203,8 @@
 		.ttl_ms = node->settings->leader_ttl_ms,
 		.candidate = true,
 	};
-	struct leader_handlers on_leader = {on_gained, on_lost, on_leader_changed, node};
+	struct leader_handlers on_leader = {on_gained, on_lost, on_leader_changed, on_refused,
+					    node};
 	struct kv_mirror_handlers on_config = {on_config_item, NULL, node};
 	struct intake_deps deps = {
 		.ev = node->ev,
--- a/src/leader.c
+++ b/src/leader.c
@@ -3,6 +3,7 @@
 #include "log.h"
 #include "util.h"
 
+#include <glib.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdlib.h>
@@ -11,7 +12,15 @@
 #define LEADER_KEY "leader"
 #define TERM_KEY "term"
 #define RENEWALS_PER_LEASE 4 /* three renewals may be lost before the lease ends */
+#define RESIGNED_PREFIX LEADER_KEY ".resigned."
 #define RETRY_MS 150
+/*
+ * A leader that is not confirmed for this share of its lease, and whose latest renewal failed,
+ * asks its peers whether the store answers them.
+ */
+#define RESIGN_SHARE 0.4
+#define RESIGN_LOOK_MS 100
+#define RESIGN_SPREAD_MS 50 /* between those that want to replace a leader that has resigned */
 #define CANDIDATE_WAIT_MS \
 	150 /* a leader whose lease lapsed while the store was away is back sooner */
 #define CANDIDATE_SPREAD_MS 250
@@ -22,6 +31,7 @@
 	struct kv_mirror *mirror;
 	struct leader_handlers handlers;
 	struct tevent_timer *timer;
+	struct tevent_timer *watch; /* for renewals that are overdue, while leading */
 	struct util_rng rng;
 	char *node;
 	char *address;
@@ -35,12 +45,17 @@
 	int64_t stale_revision; /* of the key, while an ended process of this node holds it */
 	int64_t lease;
 	uint64_t term; /* own; 0 when not the leader */
+	uint64_t known_term;
+	int64_t known_revision; /* of the key; 0: it is absent */
+	uint64_t resigned_term; /* the latest leader that has resigned through a peer */
+	uint64_t asking_term;	/* whose resignation a peer is asked to store; 0: none */
 	uint64_t next_term;
 	int64_t term_revision;
 	int64_t revision;     /* of the leader key, while leading */
 	uint64_t renewing_ms; /* when the renewal under way was sent */
 	uint64_t confirmed_ms;
-	char *value; /* last value written or tried */
+	bool renewal_failed; /* the latest one; a slow answer is none */
+	char *value;	     /* last value written or tried */
 };
 
 static void step(struct leader *l);
@@ -67,6 +82,7 @@
 	if (!l->term)
 		return;
 	log_warn("leader_lost", "", "term %" PRIu64 " ends: %s", l->term, why);
+	TALLOC_FREE(l->watch);
 	l->term = 0;
 	l->lease = 0;
 	l->handlers.on_lost(l->handlers.ctx);
@@ -75,9 +91,50 @@
 static void confirm(struct leader *l)
 {
 	l->confirmed_ms = l->renewing_ms;
+	l->renewal_failed = false;
 	step_after(l, l->ttl_ms / RENEWALS_PER_LEASE);
 }
 
+static char *resigned_key(TALLOC_CTX *mem, uint64_t term)
+{
+	return talloc_asprintf(mem, RESIGNED_PREFIX "%" PRIu64, term);
+}
+
+static void watch_after(struct leader *l);
+
+/* The store may refuse this host only; a peer that it answers can say so there. */
+static void on_watch(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+		     void *ctx)
+{
+	struct leader *l = ctx;
+	uint64_t passed_ms = util_clock_ms() - l->confirmed_ms;
+	char *key;
+
+	watch_after(l);
+	if (!l->renewal_failed || passed_ms < l->ttl_ms * RESIGN_SHARE || l->asking_term ||
+	    !l->handlers.on_refused)
+		return;
+	l->asking_term = l->term;
+	key = resigned_key(l, l->term);
+	l->handlers.on_refused(key, l->node, l->handlers.ctx);
+	talloc_free(key);
+}
+
+static void watch_after(struct leader *l)
+{
+	l->watch = tevent_add_timer(l->ev, l, tevent_timeval_current_ofs(0, RESIGN_LOOK_MS * 1000),
+				    on_watch, l);
+}
+
+void leader_resignation_stored(struct leader *l, int status)
+{
+	uint64_t term = l->asking_term;
+
+	l->asking_term = 0;
+	if (status == 0 && term && term == l->term)
+		lose(l, "a peer has stored that the store refuses this host");
+}
+
 static void gain(struct leader *l, int64_t revision)
 {
 	bool again = l->term == l->next_term;
@@ -89,6 +146,7 @@
 	if (again)
 		return;
 	l->term = l->next_term;
+	watch_after(l);
 	log_info("leader_gained", "", "term %" PRIu64, l->term);
 	l->handlers.on_gained(l->term, l->handlers.ctx);
 }
@@ -124,7 +182,10 @@
 	struct kv_expect expects[2] = {{LEADER_KEY, l->vacant ? 0 : l->stale_revision},
 				       {TERM_KEY, l->term_revision}};
 	struct kv_put puts[2] = {{LEADER_KEY, NULL, l->lease}, {TERM_KEY, term_text, 0}};
-	struct kv_txn txn = {.expects = expects, .expect_count = 2, .puts = puts};
+	char *resigned = resigned_key(NULL, l->resigned_term);
+	const char *removes[1] = {resigned};
+	struct kv_txn txn = {
+		.expects = expects, .expect_count = 2, .puts = puts, .removes = removes};
 	json_t *value = json_pack("{s:s, s:s, s:I}", "node", l->node, "address", l->address, "term",
 				  (json_int_t)l->next_term);
 	char *text = json_dumps(value, JSON_COMPACT);
@@ -137,8 +198,11 @@
 	puts[0].value = l->value;
 	/* Continuing the own term leaves the counter alone. */
 	txn.put_count = l->term == l->next_term ? 1 : 2;
+	/* The resignation has served its purpose. */
+	txn.remove_count = !l->term && l->resigned_term > 0 && l->resigned_term == l->next_term - 1;
 	l->busy = true;
 	l->kv->ops->txn(l->kv->impl, &txn, (struct kv_cb){on_taken, l});
+	talloc_free(resigned);
 }
 
 static void on_lease(int status, const struct kv_result *result, void *ctx)
@@ -188,6 +252,7 @@
 		confirm(l);
 		return;
 	}
+	l->renewal_failed = status != -ERR_NOT_FOUND;
 	if (status == -ERR_NOT_FOUND) {
 		l->lease = 0;
 		l->vacant = true;
@@ -223,6 +288,7 @@
 static void vacated(struct leader *l)
 {
 	l->vacant = true;
+	l->known_revision = 0;
 	l->stale_revision = 0;
 	report(l, "", "", 0);
 	if (l->term) {
@@ -247,6 +313,28 @@
 		step_after(l, 0);
 }
 
+/* A leader that has resigned through a peer need not be waited for either. */
+static void replace_resigned(struct leader *l)
+{
+	if (l->term || l->resigned_term == 0 || l->resigned_term != l->known_term ||
+	    l->known_revision == 0)
+		return;
+	l->stale_revision = l->known_revision;
+	step_after(l, (uint32_t)util_rng_below(&l->rng, RESIGN_SPREAD_MS));
+}
+
+static void note_resigned(struct leader *l, const struct kv_item *item)
+{
+	uint64_t term = strtoull(item->key + strlen(RESIGNED_PREFIX), NULL, 10);
+
+	if (item->revision == 0 || term <= l->resigned_term)
+		return;
+	l->resigned_term = term;
+	log_info("leader_resigned", "", "%s, term %" PRIu64 ", is refused by the store",
+		 item->value, term);
+	replace_resigned(l);
+}
+
 static void on_item(const struct kv_item *item, void *ctx)
 {
 	struct leader *l = ctx;
@@ -255,6 +343,8 @@
 	json_int_t term = 0;
 	json_t *record;
 
+	if (g_str_has_prefix(item->key, RESIGNED_PREFIX))
+		note_resigned(l, item);
 	if (strcmp(item->key, LEADER_KEY) != 0)
 		return;
 	if (item->revision == 0) {
@@ -271,7 +361,10 @@
 	/* The answer to the own attempt was lost. */
 	if (!l->term && l->lease && l->value && !strcmp(item->value, l->value) && !l->resigned)
 		gain(l, item->revision);
+	l->known_term = (uint64_t)term;
+	l->known_revision = item->revision;
 	note_stale(l, item, node);
+	replace_resigned(l);
 	report(l, node, address, (uint64_t)term);
 	json_decref(record);
 }
--- a/src/leader.h
+++ b/src/leader.h
@@ -11,6 +11,9 @@
  * leader can't write, and workers obey only the highest term they have seen. A process that
  * finds the key of an earlier process of its own node replaces it without waiting for the
  * lease, so node names must be unique.
+ *
+ * The store may refuse the leader's host only. A peer then stores "leader.resigned.TERM" for it,
+ * and another process replaces the key "leader" at once.
  */
 
 struct leader;
@@ -27,11 +30,14 @@
  * @on_gained: this process leads
  * @on_lost: it does not lead any more
  * @on_changed: the known leader is another one, or nobody (@address is "")
+ * @on_refused: the store has not confirmed this leader for long; have a peer store @key with
+ *	@value, and tell leader_resignation_stored() the status. NULL: there are no peers
  */
 struct leader_handlers {
 	void (*on_gained)(uint64_t term, void *ctx);
 	void (*on_lost)(void *ctx);
 	void (*on_changed)(const char *node, const char *address, uint64_t term, void *ctx);
+	void (*on_refused)(const char *key, const char *value, void *ctx);
 	void *ctx;
 };
 
@@ -68,6 +74,9 @@
 /** leader_reachable() - false while the store has not answered for longer than the lease */
 bool leader_store_answers(const struct leader *leader);
 
+/** leader_resignation_stored() - 0 when a peer has stored it; this process leads no more */
+void leader_resignation_stored(struct leader *leader, int status);
+
 /** leader_resign() - give up for good, for a graceful shutdown */
 void leader_resign(struct leader *leader);
 
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -144,7 +144,7 @@
 
 static void lead(struct fixture *f)
 {
-	struct leader_handlers on_leader = {on_gained, on_lost, NULL, f};
+	struct leader_handlers on_leader = {on_gained, on_lost, NULL, NULL, f};
 	struct leader_options options = {"e1", "127.0.0.1:1", TTL_MS, true};
 
 	f->leader = leader_create(f, f->ev, &f->client->kv, &options, &on_leader);
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -13,6 +13,9 @@
 	uint64_t term; /* while it leads */
 	int gained;
 	int lost;
+	int refused;
+	bool peer_writes;
+	struct memkv *store;
 	char known[32];
 };
 
@@ -32,6 +35,17 @@
 	n->lost++;
 }
 
+/* Plays a peer: writes as the store lets it. */
+static void on_refused(const char *key, const char *value, void *ctx)
+{
+	struct node *n = ctx;
+
+	n->refused++;
+	if (n->peer_writes)
+		memkv_put(n->store, key, value);
+	leader_resignation_stored(n->leader, n->peer_writes ? 0 : -ERR_UNAVAILABLE);
+}
+
 static void on_changed(const char *node, const char *address, uint64_t term, void *ctx)
 {
 	struct node *n = ctx;
@@ -49,8 +63,9 @@
 {
 	static const char *const names[] = {"n0", "n1", "n2"};
 	struct leader_options options = {names[n - f->nodes], "127.0.0.1:1", TTL_MS, true};
-	struct leader_handlers handlers = {on_gained, on_lost, on_changed, n};
+	struct leader_handlers handlers = {on_gained, on_lost, on_changed, on_refused, n};
 
+	n->store = f->store;
 	n->client = memkv_client(f->store);
 	n->leader = leader_create(f, f->ev, &n->client->kv, &options, &handlers);
 }
@@ -205,6 +220,51 @@
 	talloc_free(f);
 }
 
+/*
+ * Guards against a fleet without a leader until the lease lapses, while the store refuses only
+ * the leader's host.
+ */
+static void test_refused_leader_resigns_through_a_peer(void)
+{
+	struct fixture *f = set_up();
+	int count;
+	struct node *old = leading(f, &count);
+	struct node *fresh;
+
+	CU_ASSERT_EQUAL_FATAL(count, 1);
+	old->peer_writes = true;
+	old->client->trouble = MEMKV_REFUSES;
+	memkv_run(f->ev, TTL_MS * 8 / 10);
+	fresh = leading(f, &count);
+	CU_ASSERT_EQUAL_FATAL(count, 1);
+	CU_ASSERT_PTR_NOT_EQUAL(fresh, old);
+	CU_ASSERT_EQUAL(fresh->term, 2);
+	CU_ASSERT_EQUAL(old->lost, 1);
+	CU_ASSERT_PTR_NULL(memkv_value(f->store, "leader.resigned.1"));
+	old->client->trouble = MEMKV_WELL;
+	memkv_run(f->ev, TTL_MS * 3);
+	CU_ASSERT_PTR_EQUAL(leading(f, &count), fresh);
+	CU_ASSERT_EQUAL(fresh->term, 2);
+	talloc_free(f);
+}
+
+/* Guards against a fleet whose leader resigns because the store is away for everybody. */
+static void test_leader_stays_while_the_store_is_away(void)
+{
+	struct fixture *f = set_up();
+	int count;
+	struct node *n = leading(f, &count);
+
+	CU_ASSERT_EQUAL_FATAL(count, 1);
+	for (int i = 0; i < 3; i++)
+		f->nodes[i].client->trouble = MEMKV_REFUSES;
+	memkv_run(f->ev, TTL_MS);
+	CU_ASSERT(n->refused > 0);
+	CU_ASSERT_EQUAL(n->lost, 0);
+	CU_ASSERT_EQUAL(n->term, 1);
+	talloc_free(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -218,6 +278,10 @@
 	CU_add_test(suite, "lost_answers", test_lost_answers);
 	CU_add_test(suite, "resign", test_resign);
 	CU_add_test(suite, "restarted_leader_leads_at_once", test_restarted_leader_leads_at_once);
+	CU_add_test(suite, "refused_leader_resigns_through_a_peer",
+		    test_refused_leader_resigns_through_a_peer);
+	CU_add_test(suite, "leader_stays_while_the_store_is_away",
+		    test_leader_stays_while_the_store_is_away);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
