coord: agents are told at once that the lead may end

Since a refused leader resigns through a peer, a later one may be elected 0.6 s after the last renewal. If the peer's answer is lost the former leader goes on, and its agents heard of it with their next report only, up to 0.7 s later: a worker that the later leader can't reach could have kept its lease for longer than that one waits.

Change: the leader sends its agents the word when it begins to ask its peers. Test: test_coord/lead_unsure.

--- a/src/coord.c
+++ b/src/coord.c
@@ -7,9 +7,10 @@
 #include <inttypes.h>
 #include <string.h>
 
-#define WATCH_MS 200	    /* lost workers and agents that have not reported are looked for */
-#define LEAD_REPEAT_MS 1000 /* agents that have not reported are told again */
-#define RUNS_PER_TERM 100   /* run numbers of different leaders stay apart */
+#define WATCH_MS 200	      /* lost workers and agents that have not reported are looked for */
+#define LEAD_REPEAT_MS 1000   /* agents that have not reported are told again */
+#define UNSURE_REPEAT_MS 2000 /* later reports are answered with the same word */
+#define RUNS_PER_TERM 100     /* run numbers of different leaders stay apart */
 
 struct agent_row *coord_agent(struct coord *c, const char *node)
 {
@@ -378,6 +379,22 @@
 	return true;
 }
 
+void coord_lead_unsure(struct coord *c)
+{
+	uint64_t now_ms = util_clock_ms();
+	GHashTableIter iter;
+	gpointer value;
+
+	if (c->unsure_told_ms && now_ms - c->unsure_told_ms < UNSURE_REPEAT_MS)
+		return;
+	c->unsure_told_ms = now_ms;
+	g_hash_table_iter_init(&iter, c->agents);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((struct agent_row *)value)->alive)
+			send_orders(c, value, NULL);
+	}
+}
+
 int coord_job_state(const struct coord *c, const char *id, enum plan_job_state *state)
 {
 	const struct job_row *row = g_hash_table_lookup(c->jobs, id);
--- a/src/coord.h
+++ b/src/coord.h
@@ -44,6 +44,13 @@
 /** coord_message() - a message from another process; true if it was for the leader */
 bool coord_message(struct coord *coord, const char *peer, const struct msg *msg);
 
+/**
+ * coord_lead_unsure() - the lead may end any moment; the agents are told at once
+ *
+ * They look for a later leader themselves, also where that one can't reach them.
+ */
+void coord_lead_unsure(struct coord *coord);
+
 /**
  * coord_job_state() - state of a job as it may be shown
  *
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -62,6 +62,7 @@
 	struct metrics_histogram storing_ms; /* one transaction of progress */
 	uint64_t batch_sent_ms;
 	struct metrics_histogram advice_ms; /* one call for advice */
+	uint64_t unsure_told_ms;	    /* when the agents were told that the lead may end */
 	uint32_t advice_calls;		    /* under way */
 	struct tevent_immediate *decide;
 	bool decide_scheduled;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -165,6 +165,8 @@
 {
 	struct fleet_node *node = ctx;
 
+	if (node->coord)
+		coord_lead_unsure(node->coord);
 	relay_put(node->relay, key, value, "leader", on_resignation_stored, node);
 }
 
--- a/src/leader.c
+++ b/src/leader.c
@@ -417,7 +417,7 @@
 
 bool leader_unsure(const struct leader *l)
 {
-	return l->term && util_clock_ms() - l->confirmed_ms > l->ttl_ms / 2;
+	return l->term && (l->asking_term || util_clock_ms() - l->confirmed_ms > l->ttl_ms / 2);
 }
 
 void leader_deposed(struct leader *l, uint64_t term)
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -441,6 +441,25 @@
 	tear_down(f);
 }
 
+/* Guards against agents that go on without knowing that another leader may be elected. */
+static void test_lead_unsure(void)
+{
+	struct fixture *f = set_up("");
+	int answers;
+
+	lead(f);
+	report(f, 0, true, NULL, NULL);
+	CU_ASSERT_FALSE(f->agents[0].orders->unsure);
+	f->client->trouble = MEMKV_REFUSES;
+	memkv_run(f->ev, TTL_MS * 6 / 10);
+	answers = f->agents[0].answers;
+	coord_lead_unsure(f->coord);
+	memkv_run(f->ev, 20);
+	CU_ASSERT_EQUAL(f->agents[0].answers, answers + 1);
+	CU_ASSERT_TRUE(f->agents[0].orders->unsure);
+	tear_down(f);
+}
+
 /* Guards against starts of a job that its owner has cancelled. */
 static void test_cancel(void)
 {
@@ -498,6 +517,7 @@
 		{"new_jobs_need_not_wait", test_new_jobs_need_not_wait},
 		{"forgets_gone_agents", test_forgets_gone_agents},
 		{"agent_moves", test_agent_moves},
+		{"lead_unsure", test_lead_unsure},
 		{"advised_queue", test_advised_queue},
 		{"forgets_emptied_workers", test_forgets_emptied_workers},
 		{"cancel", test_cancel},
