--- a/src/leader.c
+++ b/src/leader.c
@@ -42,7 +42,7 @@
 	bool busy;   /* one call of the election at a time */
 	bool vacant; /* the key is absent */
 	bool loaded;
-	int64_t stale_revision; /* of the key, while an ended process of this node holds it */
+	int64_t stale_revision; /* of the key of a leader that is not waited for; 0: none */
 	int64_t lease;
 	uint64_t term; /* own; 0 when not the leader */
 	uint64_t known_term;
--- a/src/planadvice.c
+++ b/src/planadvice.c
@@ -109,14 +109,26 @@
 	}
 }
 
+static bool some_queue_is_advised(const struct fleetconf *conf)
+{
+	for (size_t i = 0; conf && i < conf->queue_count; i++) {
+		if (conf->queues[i].advised)
+			return true;
+	}
+	return false;
+}
+
 bool plan_advice_wanted(struct plan *plan, TALLOC_CTX *mem, uint64_t now_ms,
 			struct plan_advice_query *query)
 {
-	GPtrArray *steps = plan_waiting_steps(plan, now_ms);
 	struct step_run *found = NULL;
+	GPtrArray *steps;
 
+	if (!some_queue_is_advised(plan->conf))
+		return false;
 	*query = (struct plan_advice_query){
 		.workers = talloc_zero_array(mem, const char *, QUERY_WORKERS_MAX)};
+	steps = plan_waiting_steps(plan, now_ms);
 	for (guint i = 0; i < steps->len && query->count == 0; i++) {
 		found = steps->pdata[i];
 		if (!needs_advice(found) || found->asking || found->ask_ms > now_ms)
