runner: an old run number after an unanswered start is closed, not refused

The answers of a worker were lost (answer_lost): the start of run 130 at 6.138 s had no answer, the run ended as done at 6.996 s, and the list with the end did not arrive either. The repeated start was refused as old, which was reported as a refusal at once, so the task began again at 7.147 s.

Change: such a run counts as closed.

Test: test_runner/old_after_unanswered_start fails without the change.

--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -118,6 +118,14 @@
 		refuse(row, why);
 }
 
+/* The run does not begin any more. The list that is asked for next shows whether it ever ran. */
+static void close_row(struct run_row *row)
+{
+	row->state = RUN_CLOSED;
+	row->confirmed_ms = util_clock_ms();
+	row->runner->renew_due_ms = 0;
+}
+
 static void on_started(enum runner_started result, uint64_t clock_ms, void *ctx)
 {
 	struct run_row *row = ctx;
@@ -142,7 +150,8 @@
 		refuse_last(row, PLAN_REFUSED_NO_ROOM);
 		break;
 	case RUNNER_REFUSED_STALE:
-		refuse(row, PLAN_REFUSED_STALE);
+		/* An earlier try without an answer may have run to its end. */
+		close_row(row);
 		break;
 	case RUNNER_REFUSED_NO_TICKET:
 		refuse_last(row, PLAN_REFUSED_NO_TICKET);
@@ -174,10 +183,7 @@
 	if (clock_ms)
 		runner_read_clock(r, clock_ms);
 	if (result == RUNNER_STARTED) {
-		row->state = RUN_CLOSED;
-		row->confirmed_ms = util_clock_ms();
-		/* The list that is asked for next shows whether it ever ran. */
-		r->renew_due_ms = 0;
+		close_row(row);
 		return;
 	}
 	row->retry_ms = util_clock_ms() + STOP_RETRY_MS;
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -21,6 +21,7 @@
 	struct runner_calls calls;
 	bool worker_up;
 	bool draining;
+	bool lists_lost; /* answers to renewals */
 	uint64_t born_ms;
 	enum runner_started start_result;
 	uint32_t start_ms; /* that an answer takes */
@@ -75,7 +76,11 @@
 				   .ends = p->f->ends,
 				   .end_count = p->f->end_count};
 
-	p->list(p->f->worker_up ? 0 : -ERR_UNAVAILABLE, p->f->worker_up ? &list : NULL, p->ctx);
+	if (p->f->lists_lost)
+		p->list(-ERR_OUTCOME_UNKNOWN, NULL, p->ctx);
+	else
+		p->list(p->f->worker_up ? 0 : -ERR_UNAVAILABLE, p->f->worker_up ? &list : NULL,
+			p->ctx);
 	talloc_free(p);
 }
 
@@ -366,6 +371,34 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against a second run of a task that is done: the start had no answer, nor had the lists,
+ * and the repeated start is refused as old because the run has ended meanwhile.
+ */
+static void test_old_after_unanswered_start(void)
+{
+	struct fixture *f = set_up();
+
+	f->start_result = RUNNER_NO_ANSWER;
+	f->start_ms = 50;
+	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	memkv_run(f->ev, 300);
+	f->lists_lost = true;
+	f->orders[f->order_count++] = start_order();
+	for (int i = 0; i < 30 && f->starts == 0; i++)
+		memkv_run(f->ev, 10);
+	f->start_result = RUNNER_REFUSED_STALE;
+	memkv_run(f->ev, 400);
+	CU_ASSERT_EQUAL(f->starts, 2);
+	CU_ASSERT_EQUAL(f->report->refusal_count, 0);
+	f->ends[f->end_count++] = (struct fleet_end){1, {"j.0.0.0", 1, "", 0}, PLAN_END_DONE};
+	f->lists_lost = false;
+	memkv_run(f->ev, 600);
+	CU_ASSERT_EQUAL(f->report->refusal_count, 0);
+	CU_ASSERT_EQUAL(f->report->end_count, 1);
+	tear_down(f);
+}
+
 /*
  * Guards against a start that an agent carries out after it stood still, while the leader has
  * taken the worker for lost and started the task elsewhere.
@@ -587,6 +620,7 @@
 	CU_add_test(suite, "start", test_start);
 	CU_add_test(suite, "ticket", test_ticket);
 	CU_add_test(suite, "drain_after_unanswered_start", test_drain_after_unanswered_start);
+	CU_add_test(suite, "old_after_unanswered_start", test_old_after_unanswered_start);
 	CU_add_test(suite, "abandoned_start", test_abandoned_start);
 	CU_add_test(suite, "ends", test_ends);
 	CU_add_test(suite, "start_without_answer", test_start_without_answer);
