--- a/src/planheadroom.c
+++ b/src/planheadroom.c
@@ -11,7 +11,7 @@
 
 /*
  * Share of the workers that is kept free for each second that a stop may take: 0.9 s keeps 3 of
- * 11 workers, 0.2 s none. On the standard days more workers gained nothing, fewer less.
+ * 11 workers, 0.2 s one. On the standard days more workers gained nothing, fewer less.
  */
 #define SHARE_PER_STOP_S 0.33
 #define SHARE_MAX 0.3
