coord, plan, runner: log and count runs that the leader gives up

Callers saw one task run twice, and no log said why the leader had given up the first run: a list that lacks a run, and a report of another incarnation, dropped it silently. Reports of two processes of one agent could not be told apart either, nor how old the leader's lease was when it ordered a start.

Each lost run is now logged with its reason and counted, and so is a change of the process that reports for a worker. Starts name the term and the age of its confirmation; agents log the starts and stops that were carried out.

--- a/src/coord.c
+++ b/src/coord.c
@@ -68,9 +68,11 @@
 			continue;
 		if (orders[i].start)
 			log_info("task_start", orders[i].task,
-				 "run %u on %s after %" PRIu64 " ms%s", orders[i].run, node,
-				 orders[i].waited_ms,
-				 *orders[i].checkpoint ? ", from a checkpoint" : "");
+				 "run %u on %s after %" PRIu64 " ms%s; term %" PRIu64
+				 " confirmed %" PRIu64 " ms ago",
+				 orders[i].run, node, orders[i].waited_ms,
+				 *orders[i].checkpoint ? ", from a checkpoint" : "", coord->term,
+				 leader_unconfirmed_ms(coord->deps.leader));
 		else
 			log_info("task_stop", orders[i].task, "run %u on %s: %s", orders[i].run,
 				 node, orders[i].stop_reason);
@@ -262,6 +264,45 @@
 	"no room", "unhealthy", "closed or stale", "no valid ticket", "other",
 };
 
+static const char *const loss_names[PLAN_LOSS_COUNT] = {
+	"its worker is lost or down",
+	"its worker reports as another incarnation",
+	"its worker's list lacks it",
+};
+
+static void on_run_lost(const char *task, uint32_t run, const char *node, enum plan_loss loss,
+			void *ctx)
+{
+	struct coord *coord = ctx;
+
+	metrics_add(coord->deps.metrics, coord->losses[loss], 1);
+	log_warn("run_lost", task, "run %u on %s: %s", run, node, loss_names[loss]);
+}
+
+static void define_metrics(struct coord *coord)
+{
+	static const char *const labels[PLAN_LOSS_COUNT] = {
+		"reason=\"worker\"",
+		"reason=\"incarnation\"",
+		"reason=\"unlisted\"",
+	};
+	struct metrics *metrics = coord->deps.metrics;
+
+	metrics_histogram_define(metrics, &coord->settling_ms, "jaycourse_settling_ms", "",
+				 "Time from an election until inherited jobs may start");
+	metrics_histogram_define(metrics, &coord->progress_ms, "jaycourse_progress_ms", "",
+				 "Time of one transaction that stores progress");
+	metrics_histogram_define(metrics, &coord->advice_ms, "jaycourse_advice_ms", "",
+				 "Time of one call for advice on workers");
+	for (int i = 0; i < PLAN_LOSS_COUNT; i++)
+		coord->losses[i] =
+			metrics_define(metrics, METRICS_COUNTER, "jaycourse_runs_lost_total",
+				       labels[i], "Runs given up without a reported end");
+	coord->agent_restarts =
+		metrics_define(metrics, METRICS_COUNTER, "jaycourse_agent_processes_total", "",
+			       "Reports that came from another process of an agent than before");
+}
+
 static void apply_ends(struct coord *coord, struct agent_row *row,
 		       const struct fleet_report *report, uint64_t now_ms)
 {
@@ -284,6 +325,7 @@
 				const struct fleet_report *report, uint64_t now_ms)
 {
 	uint64_t list_ms = now_ms - (report->list_age_ms < now_ms ? report->list_age_ms : 0);
+	bool new_incarnation = false;
 
 	if (strcmp(row->incarnation, report->info.incarnation) != 0) {
 		talloc_free(row->incarnation);
@@ -291,8 +333,9 @@
 		row->ends_seen = 0;
 		row->ends_cycle = 0;
 		row->ends_stored = 0;
+		new_incarnation = true;
 	}
-	if (!row->alive)
+	if (!row->alive || new_incarnation)
 		log_info("worker_found", row->node, "incarnation %s", row->incarnation);
 	row->alive = true;
 	plan_worker_update(coord->plan, &report->info, now_ms);
@@ -337,6 +380,13 @@
 	struct agent_row *row = coord_agent_row(coord, report->info.node);
 
 	if (!row->peer || strcmp(row->peer, peer) != 0) {
+		if (row->peer) {
+			metrics_add(coord->deps.metrics, coord->agent_restarts, 1);
+			log_info("agent_process", row->node,
+				 "process %s reports after %s; sent at %" PRIu64
+				 " ms, after %" PRIu64 " ms of the former",
+				 peer, row->peer, report->sent_ms, row->echo_ms);
+		}
 		talloc_free(row->peer);
 		row->peer = talloc_strdup(row, peer);
 		row->echo_ms = 0;
@@ -465,12 +515,8 @@
 	coord->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	coord->progress = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	coord->agents = g_hash_table_new(g_str_hash, g_str_equal);
-	metrics_histogram_define(deps->metrics, &coord->settling_ms, "jaycourse_settling_ms", "",
-				 "Time from an election until inherited jobs may start");
-	metrics_histogram_define(deps->metrics, &coord->progress_ms, "jaycourse_progress_ms", "",
-				 "Time of one transaction that stores progress");
-	metrics_histogram_define(deps->metrics, &coord->advice_ms, "jaycourse_advice_ms", "",
-				 "Time of one call for advice on workers");
+	define_metrics(coord);
+	plan_on_loss(coord->plan, on_run_lost, coord);
 	coord->cycle = g_queue_new();
 	coord->ended_jobs = g_queue_new();
 	coord->decide_immediate = tevent_create_immediate(coord);
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -64,6 +64,8 @@
 	struct metrics_histogram advice_ms; /* one call to the advice service */
 	uint64_t warned_ms;		    /* last warning of coord_warn_agents() */
 	uint32_t advice_calls;		    /* in progress */
+	int losses[PLAN_LOSS_COUNT];	    /* metric handles */
+	int agent_restarts;		    /* metric handle */
 	struct tevent_immediate *decide_immediate;
 	bool decide_scheduled;
 	struct tevent_timer *decide_timer;
--- a/src/leader.c
+++ b/src/leader.c
@@ -429,6 +429,11 @@
 	return leader->term && util_clock_ms() - leader->confirmed_ms < leader->ttl_ms;
 }
 
+uint64_t leader_unconfirmed_ms(const struct leader *leader)
+{
+	return util_clock_ms() - leader->confirmed_ms;
+}
+
 bool leader_renewal_overdue(const struct leader *leader)
 {
 	return leader->term && (leader->resigning_term ||
--- a/src/leader.h
+++ b/src/leader.h
@@ -60,6 +60,9 @@
  */
 bool leader_confirmed(const struct leader *leader);
 
+/** leader_unconfirmed_ms() - time since the store last confirmed this leader */
+uint64_t leader_unconfirmed_ms(const struct leader *leader);
+
 /**
  * leader_renewal_overdue() - true while this process is the leader and a renewal is overdue
  *
--- a/src/plan.h
+++ b/src/plan.h
@@ -98,6 +98,20 @@
 /** plan_create() - an empty plan */
 struct plan *plan_create(TALLOC_CTX *mem, const struct plan_params *params);
 
+/* Why a run was given up before its worker reported an end or a refusal. */
+enum plan_loss {
+	PLAN_LOSS_WORKER,      /* its worker was lost or is down */
+	PLAN_LOSS_INCARNATION, /* its worker reports as another incarnation */
+	PLAN_LOSS_UNLISTED,    /* its worker's list lacks it */
+	PLAN_LOSS_COUNT,
+};
+
+/** plan_on_loss() - call @lost for each run that is given up; its task waits again */
+void plan_on_loss(struct plan *plan,
+		  void (*lost)(const char *task, uint32_t run, const char *node,
+			       enum plan_loss loss, void *ctx),
+		  void *ctx);
+
 /** plan_configure() - replace the configuration; @conf is borrowed until the next call */
 void plan_configure(struct plan *plan, const struct fleetconf *conf);
 
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -144,6 +144,9 @@
 	GQueue dirty;	  /* struct job */
 	bool recovered;	  /* the runs of the former leader are known */
 	uint32_t min_run; /* lowest number for new runs */
+	void (*on_loss)(const char *task, uint32_t run, const char *node, enum plan_loss loss,
+			void *ctx);
+	void *on_loss_ctx;
 };
 
 /* planjob.c */
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -114,14 +114,28 @@
 	worker->suspicions++;
 }
 
-static void drop_all_runs(struct worker *worker)
+void plan_on_loss(struct plan *plan,
+		  void (*lost)(const char *task, uint32_t run, const char *node,
+			       enum plan_loss loss, void *ctx),
+		  void *ctx)
 {
-	while (worker->tasks) {
-		struct task *task = worker->tasks;
+	plan->on_loss = lost;
+	plan->on_loss_ctx = ctx;
+}
 
-		stop_other_members(task, task->run);
-		return_to_waiting(task);
-	}
+/* Gives up the current run of a task. */
+static void lose_run(struct plan *plan, struct task *task, enum plan_loss loss)
+{
+	if (plan->on_loss)
+		plan->on_loss(task->name, task->run, task->worker->node, loss, plan->on_loss_ctx);
+	stop_other_members(task, task->run);
+	return_to_waiting(task);
+}
+
+static void drop_all_runs(struct plan *plan, struct worker *worker, enum plan_loss loss)
+{
+	while (worker->tasks)
+		lose_run(plan, worker->tasks, loss);
 	while (worker->orphans) {
 		struct orphan_run *orphan = worker->orphans;
 
@@ -149,7 +163,7 @@
 		g_ptr_array_add(plan->workers, worker);
 	}
 	if (strcmp(worker->incarnation, info->incarnation) != 0) {
-		drop_all_runs(worker);
+		drop_all_runs(plan, worker, PLAN_LOSS_INCARNATION);
 		worker->suspect_until_ms = 0;
 		worker->slow_until_ms = 0;
 		worker->suspicions = 0;
@@ -174,7 +188,7 @@
 
 	if (!worker)
 		return;
-	drop_all_runs(worker);
+	drop_all_runs(plan, worker, PLAN_LOSS_WORKER);
 	worker->present = false;
 	worker->accepting = false;
 }
@@ -419,10 +433,8 @@
 
 		next = task->next_on_worker;
 		task->listed = false;
-		if (!is_gone)
-			continue;
-		stop_other_members(task, task->run);
-		return_to_waiting(task);
+		if (is_gone)
+			lose_run(plan, task, PLAN_LOSS_UNLISTED);
 	}
 	for (struct orphan_run *orphan = worker->orphans; orphan; orphan = orphan->next)
 		orphan->listed = false;
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -151,6 +151,8 @@
 	case RUNNER_STARTED:
 		row->state = RUN_STARTED;
 		row->confirmed_ms = util_clock_ms();
+		log_info("run_started", row->task, "run %u under term %" PRIu64 ", attempt %u",
+			 row->run, row->term, row->attempts);
 		runner_schedule_report(runner);
 		break;
 	case RUNNER_REFUSED_NO_ROOM:
@@ -190,6 +192,7 @@
 	if (clock_ms)
 		runner_read_clock(runner, clock_ms);
 	if (result == RUNNER_STARTED) { /* the worker has carried out the stop */
+		log_info("run_stopped", row->task, "run %u", row->run);
 		close_run(row);
 		return;
 	}
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -552,6 +552,39 @@
 	}
 }
 
+static void count_loss(const char *task, uint32_t run, const char *node, enum plan_loss loss,
+		       void *ctx)
+{
+	((int *)ctx)[loss]++;
+}
+
+/* Guards against runs that are given up without a trace in logs and metrics. */
+static void test_lost_runs_are_reported(void)
+{
+	struct plansim *sim = plansim_create(NULL, 1);
+	struct plan_worker_info info = {.node = "w0",
+					.id = "w0",
+					.incarnation = "later",
+					.service = "s",
+					.zone = "z",
+					.kind = "k",
+					.rack = "r"};
+	int losses[PLAN_LOSS_COUNT] = {0};
+
+	plan_on_loss(sim->plan, count_loss, losses);
+	plansim_add_job(sim, "j1", "batch", "b", SMALL);
+	plansim_run(sim, 100);
+	plan_worker_list_end(sim->plan, "w0", sim->now_ms);
+	CU_ASSERT_EQUAL(losses[PLAN_LOSS_UNLISTED], 4);
+	plansim_run(sim, 100);
+	plan_worker_lost(sim->plan, "w0", sim->now_ms);
+	CU_ASSERT_EQUAL(losses[PLAN_LOSS_WORKER], 4);
+	plansim_run(sim, 100);
+	plan_worker_update(sim->plan, &info, sim->now_ms);
+	CU_ASSERT_EQUAL(losses[PLAN_LOSS_INCARNATION], 4);
+	talloc_free(sim);
+}
+
 int main(void)
 {
 	static CU_TestInfo tests[] = {
@@ -583,6 +616,7 @@
 		{"repeats", test_repeats},
 		{"record_holds_checkpoints", test_record_holds_checkpoints},
 		{"bad_record", test_bad_record},
+		{"lost_runs_are_reported", test_lost_runs_are_reported},
 		CU_TEST_INFO_NULL,
 	};
 	CU_SuiteInfo suites[] = {
