test_coord: two failing tests for two runs of one task

late_report_of_ended_process: a report that a former process of an agent had sent arrives after the reports of its successor, and the leader starts a run again that is at work. unconfirmed_leader_starts_nothing: the store has not confirmed a leader for its lease and the renewal window, and it still starts a task, which another leader may have started meanwhile.

--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -1,4 +1,5 @@
 #include "coord.h"
+#include "fleetlimits.h"
 #include "fleetmsg.h"
 #include "lib_memkv.h"
 
@@ -177,8 +178,8 @@
 static const struct fleet_refusal *reported_refusal; /* included in each report; NULL for none */
 
 /* @settled: the agent has a complete list of runs. */
-static void send_report(struct fixture *f, int number, bool settled, const struct plan_run *running,
-			const struct fleet_run_end *end)
+static char *compose_report(struct fixture *f, int number, bool settled,
+			    const struct plan_run *running, const struct fleet_run_end *end)
 {
 	static uint64_t sent_ms = 1;
 	struct agent *agent = &f->agents[number];
@@ -201,15 +202,26 @@
 					     .end_count = end ? 1 : 0,
 					     .refusals = (struct fleet_refusal *)reported_refusal,
 					     .refusal_count = reported_refusal ? 1 : 0};
+
+	return fleet_report_write(f, &worker_report);
+}
+
+static void deliver_report(struct fixture *f, int number, char *text)
+{
 	struct msg msg = {.type = MSG_WORKER_REPORT, .u.worker_report.term = 1};
-	char *text = fleet_report_write(f, &worker_report);
 
 	msg.u.worker_report.json.data = (uint8_t *)text;
 	msg.u.worker_report.json.len = strlen(text);
-	CU_ASSERT_EQUAL(wire_send(agent->wire, "leader", &msg), 0);
+	CU_ASSERT_EQUAL(wire_send(f->agents[number].wire, "leader", &msg), 0);
 	memkv_run(f->ev, 60);
 }
 
+static void send_report(struct fixture *f, int number, bool settled, const struct plan_run *running,
+			const struct fleet_run_end *end)
+{
+	deliver_report(f, number, compose_report(f, number, settled, running, end));
+}
+
 static size_t count_starts(const struct fixture *f)
 {
 	size_t count = 0;
@@ -461,6 +473,84 @@
 	tear_down(f);
 }
 
+static uint32_t latest_ordered_run(const struct fixture *f)
+{
+	uint32_t run = 0;
+
+	for (int i = 0; i < AGENTS; i++) {
+		const struct fleet_orders *orders = f->agents[i].orders;
+
+		for (size_t k = 0; orders && k < orders->order_count; k++) {
+			if (orders->orders[k].start && orders->orders[k].run > run)
+				run = orders->orders[k].run;
+		}
+	}
+	return run;
+}
+
+/* Guards against a second run after a late report of an agent process that has ended. */
+static void test_late_report_of_ended_process(void)
+{
+	struct fixture *f = set_up("");
+	const struct plan_run running = {"0123456789abcdef.0.0.0", 1, "", 10};
+	char *late;
+
+	elect_leader(f);
+	/* Agent 1 plays the former process of the agent on host0. */
+	g_strlcpy(f->agents[1].node, f->agents[0].node, sizeof(f->agents[1].node));
+	send_report(f, 1, true, NULL, NULL);
+	late = compose_report(f, 1, true, NULL, NULL);
+	send_report(f, 0, true, NULL, NULL);
+	send_report(f, 0, true, NULL, NULL);
+	put_job(f, "0123456789abcdef", 1);
+	memkv_run(f->ev, 100);
+	CU_ASSERT_EQUAL(latest_ordered_run(f), 1);
+	send_report(f, 0, true, &running, NULL);
+	deliver_report(f, 1, late);
+	memkv_run(f->ev, 300);
+	send_report(f, 0, true, &running, NULL);
+	CU_ASSERT(latest_ordered_run(f) <= 1);
+	CU_ASSERT_EQUAL(f->agents[0].orders->order_count, 0);
+	tear_down(f);
+}
+
+static bool is_ordered(const struct fixture *f, const char *task)
+{
+	for (int i = 0; i < AGENTS; i++) {
+		const struct fleet_orders *orders = f->agents[i].orders;
+
+		for (size_t k = 0; orders && k < orders->order_count; k++) {
+			if (!strcmp(orders->orders[k].task, task))
+				return true;
+		}
+	}
+	return false;
+}
+
+/* Guards against starts by a leader that another one may have replaced. */
+static void test_unconfirmed_leader_starts_nothing(void)
+{
+	struct fixture *f = set_up("");
+	const struct fleet_run_end end = {1, {"0123456789abcdef.0.0.0", 1, "", 0}, PLAN_END_DONE};
+
+	elect_leader(f);
+	send_report(f, 0, true, NULL, NULL);
+	put_job(f, "0123456789abcdef", 8); /* needs the whole worker */
+	put_job(f, "fedcba9876543210", 1);
+	memkv_run(f->ev, 100);
+	f->client->fault = MEMKV_REJECT_CALLS;
+	memkv_run(f->ev, TTL_MS + WORKER_RENEWAL_WINDOW_MS);
+	send_report(f, 0, true, NULL, &end);
+	memkv_run(f->ev, 200);
+	CU_ASSERT_FALSE(is_ordered(f, "fedcba9876543210.0.0.0"));
+	f->client->fault = MEMKV_FAULT_NONE;
+	memkv_run(f->ev, 1000);
+	send_report(f, 0, true, NULL, &end);
+	memkv_run(f->ev, 100);
+	CU_ASSERT_TRUE(is_ordered(f, "fedcba9876543210.0.0.0"));
+	tear_down(f);
+}
+
 /* Guards against starts of a job that its owner has cancelled. */
 static void test_cancel(void)
 {
@@ -519,6 +609,8 @@
 		{"forgets_gone_agents", test_forgets_gone_agents},
 		{"agent_moves", test_agent_moves},
 		{"lead_unsure", test_lead_unsure},
+		{"late_report_of_ended_process", test_late_report_of_ended_process},
+		{"unconfirmed_leader_starts_nothing", test_unconfirmed_leader_starts_nothing},
 		{"advised_queue", test_advised_queue},
 		{"forgets_emptied_workers", test_forgets_emptied_workers},
 		{"cancel", test_cancel},
