leader, relay: a possible resignation ends a leader's certainty

A leader that the store refuses asks a peer to store its resignation, which lets another process replace its key before its lease has expired. When the answer of the peer was lost, the leader counted itself as confirmed after the next renewal, although it may have been replaced: a renewal proves only that the lease exists. A peer's write could also take effect seconds later. Callers could then see one task started by two leaders.

From the request on, the leader is not confirmed until it is certain that no resignation is stored. It writes its key again under the condition that there is none; the peer's write now expects the former revision of the key, so it can't take effect after that. leader_lease_left_ms() tells how long the certainty lasts. A leader key that was written again with a lost answer no longer leaves the leader with an outdated revision.

test_leader/unknown_resignation and resignation_stored_without_answer fail with the two checks taken out; test_relay/required_revision is new.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -162,13 +162,13 @@
 	leader_resignation_stored(node->leader, status);
 }
 
-static void on_refused(const char *key, const char *value, void *ctx)
+static void on_refused(const char *key, const char *value, const struct kv_expect *own, void *ctx)
 {
 	struct fleet_node *node = ctx;
 
 	if (node->coord)
 		coord_warn_agents(node->coord);
-	relay_put(node->relay, key, value, "leader", on_resignation_stored, node);
+	relay_put(node->relay, key, value, own->key, own->revision, on_resignation_stored, node);
 }
 
 static void on_leader_changed(const char *name, const char *address, uint64_t term, void *ctx)
--- a/src/intakewrite.c
+++ b/src/intakewrite.c
@@ -124,7 +124,7 @@
 	g_snprintf(job_key, sizeof(job_key), "job/%s", request->id);
 	g_snprintf(key, sizeof(key), "%s%s", job_key, cancel ? ".cancel" : "");
 	relay_put(request->intake->deps.relay, key, cancel ? "1" : request->job_record,
-		  cancel ? job_key : "", on_relayed, request);
+		  cancel ? job_key : NULL, 0, on_relayed, request);
 	return true;
 }
 
--- a/src/leader.c
+++ b/src/leader.c
@@ -50,6 +50,9 @@
 	int64_t known_revision;	 /* of the leader key; 0: it is absent */
 	uint64_t resigned_term;	 /* latest term whose resignation a peer has stored */
 	uint64_t resigning_term; /* term whose resignation a peer is asked to store; 0: none */
+	/* Since when a resignation of this term may be stored; 0: it is certain that none is. */
+	uint64_t maybe_resigned_ms;
+	bool resignation_unknown; /* the outcome of a request to a peer is unknown */
 	uint64_t next_term;
 	int64_t term_revision;
 	int64_t revision;	  /* of the leader key, while this is the leader */
@@ -87,6 +90,8 @@
 	TALLOC_FREE(leader->renewal_check);
 	leader->term = 0;
 	leader->lease = 0;
+	leader->maybe_resigned_ms = 0;
+	leader->resignation_unknown = false;
 	leader->handlers.on_lost(leader->handlers.ctx);
 }
 
@@ -110,6 +115,7 @@
 {
 	struct leader *leader = ctx;
 	uint64_t passed_ms = util_clock_ms() - leader->confirmed_ms;
+	struct kv_expect own;
 	char *key;
 
 	schedule_renewal_check(leader);
@@ -117,8 +123,11 @@
 	    leader->resigning_term || !leader->handlers.on_refused)
 		return;
 	leader->resigning_term = leader->term;
+	if (!leader->maybe_resigned_ms)
+		leader->maybe_resigned_ms = util_clock_ms();
 	key = resigned_key(leader, leader->term);
-	leader->handlers.on_refused(key, leader->node, leader->handlers.ctx);
+	own = leader_expect(leader);
+	leader->handlers.on_refused(key, leader->node, &own, leader->handlers.ctx);
 	talloc_free(key);
 }
 
@@ -134,9 +143,17 @@
 	uint64_t term = leader->resigning_term;
 
 	leader->resigning_term = 0;
-	if (status == 0 && term && term == leader->term)
+	if (!term || term != leader->term)
+		return;
+	if (status == 0) {
 		end_term(leader,
 			 "a peer has stored its resignation because the store refuses this host");
+		return;
+	}
+	if (status != -ERR_UNAVAILABLE)
+		leader->resignation_unknown = true;
+	if (!leader->resignation_unknown)
+		leader->maybe_resigned_ms = 0;
 }
 
 static void become_leader(struct leader *leader, int64_t revision)
@@ -146,6 +163,8 @@
 	leader->revision = revision;
 	leader->vacant = false;
 	leader->replaceable_revision = 0;
+	leader->maybe_resigned_ms = 0;
+	leader->resignation_unknown = false;
 	record_confirmation(leader);
 	if (again)
 		return;
@@ -183,14 +202,17 @@
 static void write_leader_key(struct leader *leader)
 {
 	char term_text[24];
-	struct kv_expect expects[2] = {
+	bool again = leader->term == leader->next_term;
+	char *own_resignation = resigned_key(NULL, leader->next_term);
+	struct kv_expect expects[3] = {
 		{LEADER_KEY, leader->vacant ? 0 : leader->replaceable_revision},
-		{TERM_KEY, leader->term_revision}};
+		{TERM_KEY, leader->term_revision},
+		{own_resignation, 0}};
 	struct kv_put puts[2] = {{LEADER_KEY, NULL, leader->lease}, {TERM_KEY, term_text, 0}};
 	char *resigned = resigned_key(NULL, leader->resigned_term);
 	const char *removes[1] = {resigned};
 	struct kv_txn txn = {
-		.expects = expects, .expect_count = 2, .puts = puts, .removes = removes};
+		.expects = expects, .expect_count = 3, .puts = puts, .removes = removes};
 	json_t *value = json_pack("{s:s, s:s, s:I}", "node", leader->node, "address",
 				  leader->address, "term", (json_int_t)leader->next_term);
 	char *text = json_dumps(value, JSON_COMPACT);
@@ -202,13 +224,14 @@
 	snprintf(term_text, sizeof(term_text), "%" PRIu64, leader->next_term);
 	puts[0].value = leader->key_value;
 	/* A leader that continues its own term does not increment the counter. */
-	txn.put_count = leader->term == leader->next_term ? 1 : 2;
+	txn.put_count = again ? 1 : 2;
 	/* The next leader removes the resignation of the one it replaces. */
 	txn.remove_count = !leader->term && leader->resigned_term > 0 &&
 			   leader->resigned_term == leader->next_term - 1;
 	leader->call_pending = true;
 	leader->kv->ops->txn(leader->kv->impl, &txn, (struct kv_cb){on_leader_key_written, leader});
 	talloc_free(resigned);
+	talloc_free(own_resignation);
 }
 
 static void on_lease_granted(int status, const struct kv_result *result, void *ctx)
@@ -248,6 +271,63 @@
 				     (struct kv_cb){on_lease_granted, leader});
 }
 
+/* Adopts the stored state of the leader key after a conflict. */
+static void resolve_conflict(struct leader *leader, const struct kv_result *result)
+{
+	for (size_t i = 0; i < result->count; i++) {
+		const struct kv_item *item = &result->items[i];
+
+		if (strcmp(item->key, LEADER_KEY) != 0) {
+			if (item->revision > 0) {
+				end_term(leader, "its resignation is stored");
+				break;
+			}
+		} else if (item->revision == 0) {
+			leader->lease = 0;
+			leader->vacant = true;
+		} else if (strcmp(item->value, leader->key_value) != 0) {
+			end_term(leader, "another process was elected");
+			break;
+		} else {
+			leader->revision = item->revision; /* an earlier answer was lost */
+		}
+	}
+}
+
+static void on_key_rewritten(int status, const struct kv_result *result, void *ctx)
+{
+	struct leader *leader = ctx;
+
+	leader->call_pending = false;
+	if (!leader->term)
+		return;
+	if (status == 0) {
+		leader->revision = result->revision;
+		leader->maybe_resigned_ms = 0;
+		leader->resignation_unknown = false;
+		log_info("leader_stays", "", "term %" PRIu64 ": no resignation is stored",
+			 leader->term);
+		record_confirmation(leader);
+		return;
+	}
+	if (status == -ERR_CONFLICT)
+		resolve_conflict(leader, result);
+	advance_after(leader, RETRY_MS);
+}
+
+/* Writes the leader key again, unless a resignation is stored; none can be stored after that. */
+static void end_possible_resignation(struct leader *leader)
+{
+	char *resigned = resigned_key(NULL, leader->term);
+	struct kv_expect expects[2] = {leader_expect(leader), {resigned, 0}};
+	struct kv_put put = {LEADER_KEY, leader->key_value, leader->lease};
+	struct kv_txn txn = {.expects = expects, .expect_count = 2, .puts = &put, .put_count = 1};
+
+	leader->call_pending = true;
+	leader->kv->ops->txn(leader->kv->impl, &txn, (struct kv_cb){on_key_rewritten, leader});
+	talloc_free(resigned);
+}
+
 static void on_renewed(int status, const struct kv_result *result, void *ctx)
 {
 	struct leader *leader = ctx;
@@ -255,6 +335,10 @@
 	leader->call_pending = false;
 	if (!leader->term)
 		return;
+	if (status == 0 && leader->maybe_resigned_ms) {
+		end_possible_resignation(leader);
+		return;
+	}
 	if (status == 0) {
 		record_confirmation(leader);
 		return;
@@ -372,6 +456,8 @@
 	if (leader->term && (uint64_t)term > leader->term)
 		end_term(leader, "another process was elected");
 	/* This process wrote the key, but the answer to its attempt was lost. */
+	if (leader->term && !strcmp(item->value, leader->key_value))
+		leader->revision = item->revision;
 	if (!leader->term && leader->lease && leader->key_value &&
 	    !strcmp(item->value, leader->key_value) && !leader->resigned)
 		become_leader(leader, item->revision);
@@ -424,9 +510,20 @@
 	return (struct kv_expect){LEADER_KEY, leader->revision};
 }
 
+int64_t leader_lease_left_ms(const struct leader *leader)
+{
+	uint64_t until_ms = leader->confirmed_ms + leader->ttl_ms;
+
+	if (!leader->term)
+		return INT64_MIN;
+	if (leader->maybe_resigned_ms && leader->maybe_resigned_ms < until_ms)
+		until_ms = leader->maybe_resigned_ms;
+	return (int64_t)until_ms - (int64_t)util_clock_ms();
+}
+
 bool leader_confirmed(const struct leader *leader)
 {
-	return leader->term && util_clock_ms() - leader->confirmed_ms < leader->ttl_ms;
+	return leader_lease_left_ms(leader) > 0;
 }
 
 uint64_t leader_unconfirmed_ms(const struct leader *leader)
--- a/src/leader.h
+++ b/src/leader.h
@@ -13,7 +13,9 @@
  * waiting for the lease to expire, so node names must be unique.
  *
  * The store may refuse only the leader's host. A peer then stores "leader.resigned.TERM" on behalf
- * of the leader, and another process replaces the key "leader" at once.
+ * of the leader, and another process replaces the key "leader" at once. If the outcome of that
+ * write is unknown, the leader writes its key again under the condition that no resignation is
+ * stored: the peer's write expects the former revision of the key, so it can't take effect later.
  */
 
 struct leader;
@@ -31,14 +33,15 @@
  * @on_lost: this process is no longer the leader
  * @on_changed: the known leader has changed; @address is "" when there is none
  * @on_refused: the store has not confirmed this leader for some time and the latest renewal
- *	failed; ask a peer to store @key with @value and pass the status to
- *	leader_resignation_stored(). NULL: there are no peers
+ *	failed; ask a peer to store @key with @value if the leader key is still as @own
+ *	says, and pass the status to leader_resignation_stored(). NULL: there are no peers
  */
 struct leader_handlers {
 	void (*on_gained)(uint64_t term, void *ctx);
 	void (*on_lost)(void *ctx);
 	void (*on_changed)(const char *node, const char *address, uint64_t term, void *ctx);
-	void (*on_refused)(const char *key, const char *value, void *ctx);
+	void (*on_refused)(const char *key, const char *value, const struct kv_expect *own,
+			   void *ctx);
 	void *ctx;
 };
 
@@ -56,10 +59,19 @@
  * leader_confirmed() - true while no other process can have become leader
  *
  * Once the store has not confirmed a renewal for the duration of the lease, another process may
- * be the leader.
+ * be the leader; also from the moment when a peer is asked to store the resignation, until it
+ * is certain that it will never be stored.
  */
 bool leader_confirmed(const struct leader *leader);
 
+/**
+ * leader_lease_left_ms() - time for which leader_confirmed() stays true without a renewal
+ *
+ * Return: milliseconds; below zero the time since it was last certain. INT64_MIN when this
+ * process is not the leader.
+ */
+int64_t leader_lease_left_ms(const struct leader *leader);
+
 /** leader_unconfirmed_ms() - time since the store last confirmed this leader */
 uint64_t leader_unconfirmed_ms(const struct leader *leader);
 
--- a/src/msg.c
+++ b/src/msg.c
@@ -301,6 +301,7 @@
 	FIELD_STRING(struct msg_relay, key),
 	FIELD_STRING(struct msg_relay, requires_key),
 	FIELD_BYTES(struct msg_relay, value),
+	FIELD_U64(struct msg_relay, requires_revision),
 };
 
 static const struct field relayed_fields[] = {
--- a/src/msg.h
+++ b/src/msg.h
@@ -396,6 +396,7 @@
 	const char *key;
 	const char *requires_key; /* key that must exist; "" for none */
 	struct msg_bytes value;
+	uint64_t requires_revision; /* that @requires_key must have; 0: any */
 };
 
 struct msg_relayed {
--- a/src/relay.c
+++ b/src/relay.c
@@ -36,6 +36,7 @@
 	char *key;
 	char *value;
 	char *requires;
+	int64_t requires_revision;
 	struct peer_entry *asked; /* peer that was asked last, NULL once it is removed */
 	char **tried;		  /* nodes of the peers tried so far */
 	size_t tried_count;
@@ -52,6 +53,8 @@
 	uint64_t number;
 	char *key;
 	char *value;
+	char *requires;
+	int64_t requires_revision; /* 0: any */
 };
 
 static void ask_next_peer(struct relay_call *call);
@@ -104,6 +107,7 @@
 			  .u.relay = {.id = call->number,
 				      .key = call->key,
 				      .requires_key = call->requires,
+				      .requires_revision = (uint64_t)call->requires_revision,
 				      .value = {(uint8_t *)call->value, strlen(call->value)}}};
 
 	return !wire_connect(wire, peer->link, peer->address) && !wire_send(wire, peer->link, &msg);
@@ -135,7 +139,7 @@
 }
 
 void relay_put(struct relay *relay, const char *key, const char *value, const char *requires,
-	       void (*done)(int status, void *ctx), void *ctx)
+	       int64_t requires_revision, void (*done)(int status, void *ctx), void *ctx)
 {
 	struct relay_call *call = talloc_zero(relay, struct relay_call);
 
@@ -143,7 +147,8 @@
 	call->number = ++relay->next_number;
 	call->key = talloc_strdup(call, key);
 	call->value = talloc_strdup(call, value);
-	call->requires = talloc_strdup(call, requires);
+	call->requires = talloc_strdup(call, requires ? requires : "");
+	call->requires_revision = requires_revision;
 	call->done = done;
 	call->ctx = ctx;
 	g_hash_table_insert(relay->calls, &call->number, call);
@@ -184,9 +189,13 @@
 static void write_for_peer(struct peer_write *peer_write)
 {
 	struct kv *kv = peer_write->relay->deps.kv;
-	struct kv_expect expect = {peer_write->key, 0};
+	struct kv_expect expects[2] = {{peer_write->key, 0},
+				       {peer_write->requires, peer_write->requires_revision}};
 	struct kv_put put = {peer_write->key, peer_write->value, 0};
-	struct kv_txn txn = {.expects = &expect, .expect_count = 1, .puts = &put, .put_count = 1};
+	struct kv_txn txn = {.expects = expects,
+			     .expect_count = peer_write->requires_revision ? 2 : 1,
+			     .puts = &put,
+			     .put_count = 1};
 
 	kv->ops->txn(kv->impl, &txn, (struct kv_cb){on_written, peer_write});
 }
@@ -212,9 +221,11 @@
 	peer_write->key = talloc_strdup(peer_write, msg->key);
 	peer_write->value =
 		talloc_strndup(peer_write, (const char *)msg->value.data, msg->value.len);
+	peer_write->requires = talloc_strdup(peer_write, msg->requires_key);
+	peer_write->requires_revision = (int64_t)msg->requires_revision;
 	if (!kv->ops->is_responding(kv->impl))
 		answer_peer(peer_write, -ERR_UNAVAILABLE);
-	else if (*msg->requires_key)
+	else if (*msg->requires_key && !msg->requires_revision)
 		kv->ops->get(kv->impl, msg->requires_key,
 			     (struct kv_cb){on_required_key_read, peer_write});
 	else
--- a/src/relay.h
+++ b/src/relay.h
@@ -29,12 +29,14 @@
 
 /**
  * relay_put() - ask peers, one after the other, to create a key
- * @requires: key that must exist, "" for none; its absence gives -ERR_NOT_FOUND
- * @done: called once with the status of the write: -ERR_CONFLICT if the key exists already,
+ * @requires: key that must exist, NULL for none; its absence gives -ERR_NOT_FOUND
+ * @requires_revision: the write takes effect only while @requires has this revision; 0: any
+ * @done: called once with the status of the write: -ERR_CONFLICT if the key exists already or
+ *	@requires has another revision,
  *	-ERR_UNAVAILABLE if no peer could write, -ERR_OUTCOME_UNKNOWN if one may have written
  */
 void relay_put(struct relay *relay, const char *key, const char *value, const char *requires,
-	       void (*done)(int status, void *ctx), void *ctx);
+	       int64_t requires_revision, void (*done)(int status, void *ctx), void *ctx);
 
 /**
  * relay_connect() - open the connection to the next peer in the list
--- a/tests/lib_memkv.c
+++ b/tests/lib_memkv.c
@@ -476,6 +476,13 @@
 	return entry ? entry->value : NULL;
 }
 
+int64_t memkv_revision(const struct memkv *store, const char *key)
+{
+	const struct entry *entry = find_entry(store, key);
+
+	return entry ? entry->revision : 0;
+}
+
 void memkv_expire(struct memkv *store)
 {
 	end_leases(store, UINT64_MAX);
--- a/tests/lib_memkv.h
+++ b/tests/lib_memkv.h
@@ -42,6 +42,9 @@
 /** memkv_value() - current value of a key, or NULL when it does not exist */
 const char *memkv_value(const struct memkv *store, const char *key);
 
+/** memkv_revision() - revision of a key, or 0 when it does not exist */
+int64_t memkv_revision(const struct memkv *store, const char *key);
+
 /** memkv_expire() - let all leases expire at once */
 void memkv_expire(struct memkv *store);
 
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -15,6 +15,8 @@
 	int lost;
 	int refused;
 	bool peer_writes;
+	bool peer_answers_lost;
+	int64_t own_revision; /* of the leader key, at the latest request to the peer */
 	struct memkv *store;
 	char known[32];
 };
@@ -36,14 +38,17 @@
 }
 
 /* Simulates a peer, which can write to the store if peer_writes is set. */
-static void on_refused(const char *key, const char *value, void *ctx)
+static void on_refused(const char *key, const char *value, const struct kv_expect *own, void *ctx)
 {
 	struct node *node = ctx;
+	int status = node->peer_writes ? 0 : -ERR_UNAVAILABLE;
 
 	node->refused++;
+	node->own_revision = own->revision;
 	if (node->peer_writes)
 		memkv_put(node->store, key, value);
-	leader_resignation_stored(node->leader, node->peer_writes ? 0 : -ERR_UNAVAILABLE);
+	leader_resignation_stored(node->leader,
+				  node->peer_answers_lost ? -ERR_OUTCOME_UNKNOWN : status);
 }
 
 static void on_changed(const char *name, const char *address, uint64_t term, void *ctx)
@@ -265,6 +270,62 @@
 	talloc_free(f);
 }
 
+/*
+ * Guards against a leader that counts as confirmed while a peer may still store its resignation,
+ * which lets another process replace it before its lease has expired.
+ */
+static void test_unknown_resignation(void)
+{
+	struct fixture *f = set_up();
+	int count;
+	struct node *node = find_leader(f, &count);
+
+	CU_ASSERT_EQUAL_FATAL(count, 1);
+	node->peer_answers_lost = true;
+	node->client->fault = MEMKV_REJECT_CALLS;
+	for (int i = 0; i < 12 && node->refused == 0; i++)
+		memkv_run(f->ev, 50);
+	CU_ASSERT(node->refused > 0);
+	CU_ASSERT_FALSE(leader_confirmed(node->leader));
+	node->client->fault = MEMKV_FAULT_NONE;
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(leader_confirmed(node->leader));
+	CU_ASSERT_EQUAL(node->lost, 0);
+	/* The write of the peer expects this revision, so it can't take effect any more. */
+	CU_ASSERT(memkv_revision(f->store, "leader") > node->own_revision);
+	CU_ASSERT_EQUAL(leader_expect(node->leader).revision, memkv_revision(f->store, "leader"));
+	talloc_free(f);
+}
+
+/* Guards against a leader that goes on although its resignation is stored, unknown to it. */
+static void test_resignation_stored_without_answer(void)
+{
+	struct fixture *f = set_up();
+	int count;
+	struct node *old = find_leader(f, &count);
+
+	CU_ASSERT_EQUAL_FATAL(count, 1);
+	old->peer_writes = true;
+	old->peer_answers_lost = true;
+	old->client->fault = MEMKV_REJECT_CALLS;
+	for (int i = 0; i < 12 && old->refused == 0; i++)
+		memkv_run(f->ev, 50);
+	CU_ASSERT_FALSE(leader_confirmed(old->leader));
+	old->client->fault = MEMKV_FAULT_NONE;
+	for (int i = 0; i < 40; i++) {
+		int confirmed = 0;
+
+		memkv_run(f->ev, 20);
+		for (int k = 0; k < 3; k++)
+			confirmed += leader_confirmed(f->nodes[k].leader);
+		CU_ASSERT(confirmed <= 1);
+	}
+	CU_ASSERT_EQUAL(old->lost, 1);
+	CU_ASSERT_PTR_NOT_NULL(find_leader(f, &count));
+	CU_ASSERT_EQUAL(count, 1);
+	talloc_free(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -282,6 +343,9 @@
 		    test_refused_leader_resigns_through_a_peer);
 	CU_add_test(suite, "leader_stays_while_the_store_is_away",
 		    test_leader_stays_while_the_store_is_away);
+	CU_add_test(suite, "unknown_resignation", test_unknown_resignation);
+	CU_add_test(suite, "resignation_stored_without_answer",
+		    test_resignation_stored_without_answer);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -70,15 +70,21 @@
 	talloc_free(f);
 }
 
-static void put(struct fixture *f, const char *key, const char *requires)
+static void put_at_revision(struct fixture *f, const char *key, const char *requires,
+			    int64_t requires_revision)
 {
 	f->status = 1;
 	f->ended = 0;
-	relay_put(f->nodes[0].relay, key, "v", requires, on_done, f);
+	relay_put(f->nodes[0].relay, key, "v", requires, requires_revision, on_done, f);
 	memkv_run(f->ev, 1000);
 	CU_ASSERT_EQUAL(f->ended, 1);
 }
 
+static void put(struct fixture *f, const char *key, const char *requires)
+{
+	put_at_revision(f, key, requires, 0);
+}
+
 /* Guards against writes that fail although another entry could make them. */
 static void test_writes_by_peer(void)
 {
@@ -133,6 +139,22 @@
 	tear_down(f);
 }
 
+/* Guards against a write of a peer that takes effect after the key it depends on has changed. */
+static void test_required_revision(void)
+{
+	struct fixture *f = set_up();
+	int64_t revision;
+
+	memkv_put(f->store, "job/1", "v");
+	revision = memkv_revision(f->store, "job/1");
+	put_at_revision(f, "job/1.cancel", "job/1", revision + 1);
+	CU_ASSERT_EQUAL(f->status, -ERR_CONFLICT);
+	CU_ASSERT_PTR_NULL(memkv_value(f->store, "job/1.cancel"));
+	put_at_revision(f, "job/1.cancel", "job/1", revision);
+	CU_ASSERT_EQUAL(f->status, 0);
+	tear_down(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -143,6 +165,7 @@
 	CU_add_test(suite, "writes_by_peer", test_writes_by_peer);
 	CU_add_test(suite, "asks_all_peers", test_asks_all_peers);
 	CU_add_test(suite, "silent_peer", test_silent_peer);
+	CU_add_test(suite, "required_revision", test_required_revision);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
