coord, runner: a leader's authority ends with its lease

Callers saw a task started again that had run to its end, and two runs at a time. A leader that was cut off from the store together with some agents, or that woke from a stall together with one, went on: it took the workers that it did not hear from for lost and started their tasks on its own side, while a later leader had them running or stored as done. Workers obey the highest term that they have seen, which protects only workers that have seen it.

The class of fault is authority that outlives the lease it comes from. A leader's orders now say for how long an agent may start runs and renew its worker's lease: at most WORKER_RENEWAL_WINDOW_MS after the report that they answer, and never later than that after the end of the leader's own lease. A later leader already waits WORKER_LOST_MS after its election for silent workers, which covers this window and one worker lease. Past it the leader decides nothing. A report without a complete list of runs gives no authority, since it does not stop the wait of a later leader either. A job that was first seen while the leader was not confirmed may have been accepted after another election, so it is held until the store confirms the leader.

--- a/src/coord.c
+++ b/src/coord.c
@@ -7,7 +7,8 @@
 #include <inttypes.h>
 #include <string.h>
 
-#define WATCH_MS 200		  /* interval of the check for lost workers and silent agents */
+#define WATCH_MS 200 /* interval of the check for lost workers and silent agents */
+#define SUSPENDED_RECHECK_MS 50
 #define ANNOUNCE_INTERVAL_MS 1000 /* for the announcement to agents that have not reported */
 /* For warnings to agents; in between, the answers to reports carry the same warning. */
 #define WARN_INTERVAL_MS 2000
@@ -27,18 +28,47 @@
 	return row;
 }
 
+/*
+ * Time for which an agent may act on orders that are sent now. A later leader counts the runs of
+ * agents that it has not heard from as over WORKER_LOST_MS after its election, which is not before
+ * the end of this leader's lease.
+ */
+static uint32_t authority_ms(const struct coord *coord)
+{
+	int64_t left_ms = leader_lease_left_ms(coord->deps.leader);
+
+	if (left_ms <= -WORKER_RENEWAL_WINDOW_MS)
+		return 0;
+	return left_ms > 0 ? WORKER_RENEWAL_WINDOW_MS
+			   : (uint32_t)(left_ms + WORKER_RENEWAL_WINDOW_MS);
+}
+
+static void send_orders_text(struct coord *coord, const char *peer, const char *node,
+			     const struct fleet_orders *orders)
+{
+	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = coord->term};
+	char *text = fleet_orders_write(coord, orders);
+
+	msg.u.worker_orders.json.data = (uint8_t *)text;
+	msg.u.worker_orders.json.len = strlen(text);
+	/* The agent's next report opens a connection and is answered with all orders. */
+	if (wire_send(coord->deps.wire, peer, &msg))
+		log_debug("orders_unsent", node, "no connection to the agent");
+	talloc_free(text);
+}
+
 static void send_orders(struct coord *coord, struct agent_row *row,
 			const struct fleet_report *report)
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
 	struct fleet_orders orders = {
 		.echo_ms = row->echo_ms,
+		.valid_ms = row->list_current ? authority_ms(coord) : 0,
 		.incarnation = row->incarnation,
 		.ends_stored = row->ends_stored,
 		.report_ms = report_interval_ms(g_hash_table_size(coord->agents)),
 		.unsure = leader_renewal_overdue(coord->deps.leader),
 	};
-	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = coord->term};
 
 	/* Acknowledges only refusals passed to the plan; the agent repeats the others. */
 	if (report && report->alive && report->settled) {
@@ -47,11 +77,8 @@
 			orders.handled[orders.handled_count++] = report->refusals[i].run;
 	}
 	orders.order_count = plan_orders(coord->plan, mem, row->node, &orders.orders);
-	msg.u.worker_orders.json.data = (uint8_t *)fleet_orders_write(mem, &orders);
-	msg.u.worker_orders.json.len = strlen((const char *)msg.u.worker_orders.json.data);
-	/* The agent's next report opens a connection and is answered with all orders. */
-	if (row->peer && wire_send(coord->deps.wire, row->peer, &msg))
-		log_debug("orders_unsent", row->node, "no connection to the agent");
+	if (row->peer)
+		send_orders_text(coord, row->peer, row->node, &orders);
 	talloc_free(mem);
 }
 
@@ -90,16 +117,33 @@
 	coord_schedule_decision(coord);
 }
 
+/* Suspends decisions while another process may be the leader and act on its own. */
+static bool may_decide(struct coord *coord)
+{
+	bool suspended = authority_ms(coord) == 0;
+
+	if (suspended != coord->suspended)
+		log_warn(suspended ? "leader_suspended" : "leader_resumed", "",
+			 "term %" PRIu64 " was confirmed %" PRIu64 " ms ago", coord->term,
+			 leader_unconfirmed_ms(coord->deps.leader));
+	coord->suspended = suspended;
+	return !suspended;
+}
+
 static void run_decision(struct tevent_context *ev, struct tevent_immediate *im, void *ctx)
 {
 	struct coord *coord = ctx;
-	uint32_t wait_ms;
+	uint32_t wait_ms = SUSPENDED_RECHECK_MS;
 
 	coord->decide_scheduled = false;
 	if (!coord->loaded)
 		return;
-	wait_ms = plan_decide(coord->plan, util_clock_ms(), on_orders_changed, coord);
-	coord_ask_advice(coord, util_clock_ms());
+	if (leader_confirmed(coord->deps.leader))
+		plan_release_held(coord->plan);
+	if (may_decide(coord)) {
+		wait_ms = plan_decide(coord->plan, util_clock_ms(), on_orders_changed, coord);
+		coord_ask_advice(coord, util_clock_ms());
+	}
 	coord_store_dirty(coord);
 	TALLOC_FREE(coord->decide_timer);
 	coord->decide_timer =
@@ -398,6 +442,7 @@
 		return;
 	row->echo_ms = report->sent_ms;
 	row->last_report_ms = now_ms;
+	row->list_current = report->alive && report->settled;
 	if (!report->alive || report->settled)
 		row->last_list_ms = now_ms;
 	if (report->alive && report->settled) {
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -22,6 +22,7 @@
 	uint64_t last_report_ms; /* time of the last report; 0: none under this leader */
 	uint64_t last_list_ms;	 /* last report of what runs, or that nothing does; 0: none */
 	uint64_t echo_ms;
+	bool list_current;   /* the latest report had a complete list of runs */
 	uint64_t ends_seen;  /* highest number of an end that the plan has been given */
 	uint64_t ends_cycle; /* value of ends_seen when the present store cycle began */
 	uint64_t ends_stored;
@@ -52,6 +53,7 @@
 	bool progress_loaded;
 	bool agents_loaded;
 	bool loaded;		 /* all jobs are in the plan */
+	bool suspended;		 /* no decisions, as another process may have become leader */
 	bool inherited_released; /* plan_recovery_done() was called: inherited jobs may start */
 	GQueue *cycle;		 /* ids of jobs still to be stored in the present cycle */
 	char **batch;		 /* ids of jobs in the present transaction */
--- a/src/coordstore.c
+++ b/src/coordstore.c
@@ -121,6 +121,9 @@
 	info.accepted_ms = age_ms < now_ms ? now_ms - age_ms : 1;
 	info.wall_offset_ms = (int64_t)wall_ms - (int64_t)now_ms;
 	info.inherited = item->created < leader_expect(coord->deps.leader).revision;
+	/* A job that was accepted after the election of a later leader is started by that one only.
+	 */
+	info.held = !leader_confirmed(coord->deps.leader);
 	if (!plan_job_known(coord->plan, id, &(enum plan_job_state){0})) {
 		plan_job_add(coord->plan, &info);
 		restore_job(coord, job_row(coord, id));
--- a/src/fleetlimits.h
+++ b/src/fleetlimits.h
@@ -6,8 +6,10 @@
 /** DOC: Time limits that the leader and the agents must agree on */
 
 /*
- * An agent goes on renewing its worker's lease for this long after it sent the latest report that
- * the leader has answered. This is enough time for three lost reports or an election.
+ * An agent goes on starting runs and renewing its worker's lease for this long after it sent the
+ * latest report that the leader has answered. This is enough time for three lost reports or an
+ * election. It is also the time after the end of its own lease in which a leader without the
+ * store still grants this, so that short outages of the store do not stop work.
  */
 #define WORKER_RENEWAL_WINDOW_MS 2500
 
@@ -20,7 +22,8 @@
 /*
  * After this long without a report, no run that the leader knows of is left on a worker: the last
  * renewal came at most WORKER_RENEWAL_WINDOW_MS after the report and lasts WORKER_LEASE_MS on a
- * slow clock. The remainder covers timers that fire late.
+ * slow clock. The same holds for the runs of a former leader from an election on. The remainder
+ * covers timers that fire late.
  */
 #define WORKER_LOST_MS 6900
 
--- a/src/fleetmsg.h
+++ b/src/fleetmsg.h
@@ -50,8 +50,9 @@
 
 /**
  * struct fleet_orders - the leader's orders to an agent
- * @echo_ms: &fleet_report.sent_ms of the latest report; the agent may renew the worker's lease
- *	until WORKER_RENEWAL_WINDOW_MS after it
+ * @echo_ms: &fleet_report.sent_ms of the latest report
+ * @valid_ms: the agent may start runs and renew the worker's lease until this long after @echo_ms;
+ *	0 when the leader may have been replaced
  * @incarnation: incarnation of the worker that @ends_stored refers to
  * @ends_stored: the ends up to this number are in the store, so the agent may drop them
  * @handled: refusals that the leader has processed
@@ -61,6 +62,7 @@
  */
 struct fleet_orders {
 	uint64_t echo_ms;
+	uint32_t valid_ms;
 	const char *incarnation;
 	uint64_t ends_stored;
 	struct plan_run *handled;
--- a/src/plan.h
+++ b/src/plan.h
@@ -122,6 +122,7 @@
  * @wall_offset_ms: time since 1970 minus the plan's clock, to convert due times
  * @inherited: accepted under a former leader, so its tasks may be running already; none of
  *	them is started before plan_recovery_done()
+ * @held: none of its tasks is started before plan_release_held()
  */
 struct plan_job_info {
 	const char *id;
@@ -131,6 +132,7 @@
 	uint64_t accepted_ms;
 	int64_t wall_offset_ms;
 	bool inherited;
+	bool held;
 };
 
 /** plan_job_add() - add a job; if its id is known already, only free the spec */
@@ -184,6 +186,9 @@
  */
 void plan_recovery_done(struct plan *plan);
 
+/** plan_release_held() - let all jobs that were added as held start */
+void plan_release_held(struct plan *plan);
+
 /** plan_set_min_run() - number all later runs @run or higher */
 void plan_set_min_run(struct plan *plan, uint32_t run);
 
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -86,6 +86,7 @@
 	uint64_t accepted_ms;
 	int64_t wall_offset_ms;
 	bool inherited;
+	bool held;    /* see plan_release_held() */
 	bool started; /* a task of it has been started at least once */
 	bool dirty;
 	bool queued_dirty; /* the job is in plan.dirty */
@@ -142,6 +143,7 @@
 	GPtrArray *active; /* struct job: all that are not removed */
 	GPtrArray *workers;
 	GQueue dirty;	  /* struct job */
+	bool has_held;	  /* a job may be held */
 	bool recovered;	  /* the runs of the former leader are known */
 	uint32_t min_run; /* lowest number for new runs */
 	void (*on_loss)(const char *task, uint32_t run, const char *node, enum plan_loss loss,
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -71,7 +71,7 @@
 	for (guint i = 0; i < plan->active->len; i++) {
 		const struct job *job = plan->active->pdata[i];
 
-		if (plan_job_ended(job) || job->inherited || !job->queue)
+		if (plan_job_ended(job) || job->inherited || job->held || !job->queue)
 			continue;
 		for (struct occurrence *occurrence = job->occurrences; occurrence;
 		     occurrence = occurrence->next) {
@@ -260,7 +260,7 @@
 	plan_move_stalled(plan, now_ms);
 	plan_move_slow(plan, now_ms);
 	ranked_steps = rank_waiting_steps(plan, now_ms);
-	blocked = ranked_steps->len > 0;
+	blocked = ranked_steps->len > 0 || plan->has_held;
 	for (guint i = 0; i < ranked_steps->len; i++)
 		place_step(plan, &g_array_index(ranked_steps, struct ranked_step, i), now_ms,
 			   &reserved);
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -183,6 +183,8 @@
 	job->accepted_ms = info->accepted_ms;
 	job->wall_offset_ms = info->wall_offset_ms;
 	job->inherited = info->inherited && !plan->recovered;
+	job->held = info->held;
+	plan->has_held = plan->has_held || info->held;
 	job->next_run = 1;
 	lookup_job_queue(plan, job);
 	g_hash_table_insert(plan->jobs, job->id, job);
@@ -394,6 +396,15 @@
 		((struct job *)plan->active->pdata[i])->inherited = false;
 }
 
+void plan_release_held(struct plan *plan)
+{
+	if (!plan->has_held)
+		return;
+	plan->has_held = false;
+	for (guint i = 0; i < plan->active->len; i++)
+		((struct job *)plan->active->pdata[i])->held = false;
+}
+
 void plan_set_min_run(struct plan *plan, uint32_t run)
 {
 	plan->min_run = run;
@@ -422,11 +433,12 @@
 	return talloc_asprintf(
 		mem,
 		"%s: tasks: %u waiting, %u starting, %u running, %u stopping, %u done; failed "
-		"runs: %u%s%s%s",
+		"runs: %u%s%s%s%s",
 		plan_job_state_name(job->state), counts[TASK_WAITING], counts[TASK_STARTING],
 		counts[TASK_RUNNING], counts[TASK_STOPPING], counts[TASK_DONE], failures,
 		job->inherited ? ", waiting for reports of workers that the former leader used"
 			       : "",
+		job->held ? ", waiting for the store to confirm the leader" : "",
 		advice_pending ? ", waiting for advice on workers" : "",
 		job->queue ? "" : ", its queue is not in the configuration");
 }
--- a/src/runner.c
+++ b/src/runner.c
@@ -27,8 +27,7 @@
 
 bool runner_may_extend_lease(const struct runner *runner)
 {
-	return runner->grant_start_ms &&
-	       util_clock_ms() - runner->grant_start_ms < WORKER_RENEWAL_WINDOW_MS;
+	return util_clock_ms() < runner->authority_end_ms;
 }
 
 void runner_read_clock(struct runner *runner, uint64_t clock_ms)
@@ -165,8 +164,9 @@
 		return;
 	if (term > runner->term)
 		log_info("leader_followed", "", "%s at %s, term %" PRIu64, node, address, term);
-	if (term > runner->term)
+	if (term > runner->term) {
 		runner_drop_untried_starts(runner);
+	}
 	runner->term = term;
 	runner->leader_unconfirmed = false;
 	talloc_free(runner->leader_address);
@@ -237,14 +237,39 @@
 	runner_schedule_report(runner);
 }
 
+/* A call to renew the lease or to list the runs. */
+struct renewal_call {
+	struct runner *runner;
+	uint32_t number;
+	uint32_t generation;
+	uint64_t term;
+	uint64_t sent_ms;
+};
+
+static void apply_renewal(struct runner *runner, const struct renewal_call *call,
+			  const struct runner_list *list)
+{
+	runner->connect_failures = 0;
+	if (list->clock_ms)
+		runner_read_clock(runner, list->clock_ms);
+	runner_apply_list(runner, list, call->sent_ms);
+	if (runner->end_count && runner->ends[runner->end_count - 1].number > runner->ends_stored)
+		runner->renew_due_ms = util_clock_ms() + UNSTORED_ENDS_PAUSE_MS;
+	runner_make_due_calls(runner, util_clock_ms());
+}
+
 static void on_renewed(int status, const struct runner_list *list, void *ctx)
 {
-	struct runner *runner = ctx;
+	struct renewal_call call = *(struct renewal_call *)ctx;
+	struct runner *runner = call.runner;
 	uint64_t now_ms = util_clock_ms();
 
+	talloc_free(ctx);
+	if (call.number != runner->renewals)
+		return;
 	runner->renewing = false;
 	runner->renew_due_ms = now_ms;
-	if (runner->renew_generation != runner->generation)
+	if (call.generation != runner->generation)
 		return;
 	if (!runner->worker) {
 		runner->renew_due_ms = now_ms + RENEW_RETRY_MS;
@@ -258,14 +283,7 @@
 		return;
 	}
 	if (status == 0) {
-		runner->connect_failures = 0;
-		if (list->clock_ms)
-			runner_read_clock(runner, list->clock_ms);
-		runner_apply_list(runner, list, runner->renew_sent_ms);
-		if (runner->end_count &&
-		    runner->ends[runner->end_count - 1].number > runner->ends_stored)
-			runner->renew_due_ms = now_ms + UNSTORED_ENDS_PAUSE_MS;
-		runner_make_due_calls(runner, now_ms);
+		apply_renewal(runner, &call, list);
 		return;
 	}
 	runner->renew_due_ms = now_ms + RENEW_RETRY_MS;
@@ -285,6 +303,7 @@
 		.extend = runner_may_extend_lease(runner) && runner->worker_clock_ms,
 		.ends_known = runner->ends_stored,
 	};
+	struct renewal_call *call;
 
 	if (runner->renewing || now_ms < runner->renew_due_ms)
 		return;
@@ -296,9 +315,10 @@
 	if (!renewal.extend)
 		runner->renew_due_ms = now_ms + RENEW_RETRY_MS;
 	runner->renewing = true;
-	runner->renew_sent_ms = now_ms;
-	runner->renew_generation = runner->generation;
-	runner->calls.renew(runner->calls.impl, &renewal, on_renewed, runner);
+	call = talloc_zero(runner, struct renewal_call);
+	*call = (struct renewal_call){runner, ++runner->renewals, runner->generation, runner->term,
+				      now_ms};
+	runner->calls.renew(runner->calls.impl, &renewal, on_renewed, call);
 }
 
 static void on_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
@@ -381,8 +401,10 @@
 
 static void apply_orders(struct runner *runner, const struct fleet_orders *orders)
 {
-	if (orders->echo_ms > runner->grant_start_ms)
-		runner->grant_start_ms = orders->echo_ms;
+	uint64_t authority_end_ms = orders->echo_ms + orders->valid_ms;
+
+	if (orders->valid_ms && authority_end_ms > runner->authority_end_ms)
+		runner->authority_end_ms = authority_end_ms;
 	runner->leader_unconfirmed = orders->unsure;
 	if (orders->report_ms)
 		runner->report_ms = orders->report_ms;
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -63,14 +63,13 @@
 	TALLOC_CTX *ends_mem;
 	uint64_t ends_stored;
 	uint64_t list_received_ms; /* time of the latest list */
-	uint64_t renew_sent_ms;
 	uint64_t renew_due_ms;
-	uint32_t renew_generation; /* generation when the latest renewal was sent */
+	uint32_t renewals;	   /* number sent so far; only the answer to the latest counts */
 	uint32_t connect_failures; /* calls in a row that found nothing listening */
 	/* The leader. */
 	uint64_t term;
 	char *leader_address;
-	uint64_t grant_start_ms;    /* sending time of the latest report that was answered */
+	uint64_t authority_end_ms;  /* until then the orders allow starts and renewals */
 	uint64_t leader_contact_ms; /* last orders, or last attempt to connect */
 	uint64_t reported_ms;
 	uint64_t leader_queried_ms; /* last read of the leader's record in the store */
@@ -88,7 +87,7 @@
 /* runner.c */
 /* Sends a report after a short delay in which further changes can join it. */
 void runner_schedule_report(struct runner *runner);
-/* True within WORKER_RENEWAL_WINDOW_MS after the sending of the latest report that was answered. */
+/* True while the leader's orders allow starts and renewals of the lease. */
 bool runner_may_extend_lease(const struct runner *runner);
 /* End of a lease that begins now, by the worker's clock. */
 uint64_t runner_lease_end(const struct runner *runner);
--- a/tests/lib_plansim.c
+++ b/tests/lib_plansim.c
@@ -72,7 +72,8 @@
 				     .organisation = organisation,
 				     .spec = spec,
 				     .accepted_ms = sim->now_ms,
-				     .inherited = inherited};
+				     .inherited = inherited,
+				     .held = sim->hold_jobs};
 
 	plan_job_add(sim->plan, &info);
 }
--- a/tests/lib_plansim.h
+++ b/tests/lib_plansim.h
@@ -69,6 +69,7 @@
 	struct fleetconf_queue queues[3];
 	struct fleetconf_organisation organisations[2];
 	uint64_t now_ms;
+	bool hold_jobs; /* jobs are added as held */
 	struct sim_worker workers[SIM_WORKERS_MAX];
 	uint32_t worker_count;
 	struct sim_run runs[SIM_RUNS_MAX];
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -47,6 +47,15 @@
 		coord_message(f->coord, peer, msg);
 }
 
+static void deliver_report(struct agent *agent, char *text)
+{
+	struct msg msg = {.type = MSG_WORKER_REPORT, .u.worker_report.term = 1};
+
+	msg.u.worker_report.json.data = (uint8_t *)text;
+	msg.u.worker_report.json.len = strlen(text);
+	CU_ASSERT_EQUAL(wire_send(agent->wire, "leader", &msg), 0);
+}
+
 static void on_agent_message(const char *peer, struct msg *msg, void *ctx)
 {
 	struct agent *agent = ctx;
@@ -206,20 +215,11 @@
 	return fleet_report_write(f, &worker_report);
 }
 
-static void deliver_report(struct fixture *f, int number, char *text)
-{
-	struct msg msg = {.type = MSG_WORKER_REPORT, .u.worker_report.term = 1};
-
-	msg.u.worker_report.json.data = (uint8_t *)text;
-	msg.u.worker_report.json.len = strlen(text);
-	CU_ASSERT_EQUAL(wire_send(f->agents[number].wire, "leader", &msg), 0);
-	memkv_run(f->ev, 60);
-}
-
 static void send_report(struct fixture *f, int number, bool settled, const struct plan_run *running,
 			const struct fleet_run_end *end)
 {
-	deliver_report(f, number, compose_report(f, number, settled, running, end));
+	deliver_report(&f->agents[number], compose_report(f, number, settled, running, end));
+	memkv_run(f->ev, 60);
 }
 
 static size_t count_starts(const struct fixture *f)
@@ -506,7 +506,7 @@
 	memkv_run(f->ev, 100);
 	CU_ASSERT_EQUAL(latest_ordered_run(f), 1);
 	send_report(f, 0, true, &running, NULL);
-	deliver_report(f, 1, late);
+	deliver_report(&f->agents[1], late);
 	memkv_run(f->ev, 300);
 	send_report(f, 0, true, &running, NULL);
 	CU_ASSERT(latest_ordered_run(f) <= 1);
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -585,6 +585,21 @@
 	talloc_free(sim);
 }
 
+/* Guards against a job that a leader and its successor both start. */
+static void test_held_job(void)
+{
+	struct plansim *sim = plansim_create(NULL, 1);
+
+	sim->hold_jobs = true;
+	plansim_add_job(sim, "j1", "batch", "b", SMALL);
+	plansim_run(sim, 2000);
+	CU_ASSERT_EQUAL(sim->starts, 0);
+	plan_release_held(sim->plan);
+	plansim_run(sim, 100);
+	CU_ASSERT_EQUAL(sim->starts, 4);
+	check_and_free(sim);
+}
+
 int main(void)
 {
 	static CU_TestInfo tests[] = {
@@ -617,6 +632,7 @@
 		{"record_holds_checkpoints", test_record_holds_checkpoints},
 		{"bad_record", test_bad_record},
 		{"lost_runs_are_reported", test_lost_runs_are_reported},
+		{"held_job", test_held_job},
 		CU_TEST_INFO_NULL,
 	};
 	CU_SuiteInfo suites[] = {
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -43,6 +43,7 @@
 	bool answers;
 	bool unsure; /* the orders say that the store has not confirmed the leader */
 	bool echo_outdated;
+	uint32_t valid_ms; /* from the time of the report on */
 	struct plan_order orders[LIST_MAX];
 	size_t order_count;
 	uint64_t ends_stored;
@@ -154,6 +155,7 @@
 	struct fleet_orders orders = {.echo_ms = f->echo_outdated ? 1 : f->report->sent_ms,
 				      .incarnation = f->report->info.incarnation,
 				      .ends_stored = f->ends_stored,
+				      .valid_ms = f->valid_ms,
 				      .orders = f->orders,
 				      .order_count = f->order_count,
 				      .unsure = f->unsure,
@@ -203,6 +205,7 @@
 	f->answers = true;
 	f->start_delay_ms = 2;
 	f->term = 3;
+	f->valid_ms = WORKER_RENEWAL_WINDOW_MS;
 	record = talloc_asprintf(f, "{\"node\":\"e\",\"address\":\"%s\",\"term\":3}",
 				 wire_address(f->leader_wire));
 	memkv_put(f->store, "leader", record);
@@ -482,6 +485,35 @@
 	tear_down(f);
 }
 
+/* Guards against starts and a lease on behalf of a leader that may have been replaced. */
+static void test_replaceable_leader(void)
+{
+	struct fixture *f = set_up();
+	int extensions;
+	int starts;
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 500);
+	f->valid_ms = 0;
+	memkv_run(f->ev, WORKER_RENEWAL_WINDOW_MS + 100);
+	extensions = f->extensions;
+	starts = f->starts;
+	f->orders[f->order_count++] = (struct plan_order){.start = true,
+							  .task = "j.0.0.0",
+							  .run = 1,
+							  .payload = "p",
+							  .checkpoint = "",
+							  .ticket = ""};
+	memkv_run(f->ev, 1000);
+	CU_ASSERT_EQUAL(f->extensions, extensions);
+	CU_ASSERT_EQUAL(f->starts, starts);
+	f->valid_ms = WORKER_RENEWAL_WINDOW_MS;
+	memkv_run(f->ev, 500);
+	CU_ASSERT(f->extensions > extensions);
+	CU_ASSERT_EQUAL(f->starts, starts + 1);
+	tear_down(f);
+}
+
 /*
  * Guards against a lease that is extended on behalf of a leader without the store, while a later
  * leader, which can't reach this agent, declares the worker lost. The lease has to end within
@@ -629,6 +661,7 @@
 	CU_add_test(suite, "ends", test_ends);
 	CU_add_test(suite, "start_without_answer", test_start_without_answer);
 	CU_add_test(suite, "lease_needs_leader", test_lease_needs_leader);
+	CU_add_test(suite, "replaceable_leader", test_replaceable_leader);
 	CU_add_test(suite, "unsure_leader", test_unsure_leader);
 	CU_add_test(suite, "unsure_leader_is_kept", test_unsure_leader_is_kept);
 	CU_add_test(suite, "lives", test_incarnations);
