runner: a refusal after an agent's restart does not clear the run

An agent that is refused a start at its first attempt reports that the run never began, and the leader starts the task elsewhere. After a restart the agent did not know that its former process had sent the same start without an answer; a worker may carry that out seconds later. Callers could see two runs of one task.

When another process of an agent takes over, the leader marks the open starts of its worker, and the agent stops such a run, which closes its number on the worker, before it is given up.

test_runner/refusal_after_restart fails with the checks taken out; test_coord/start_of_ended_process is new.

--- a/src/coord.c
+++ b/src/coord.c
@@ -465,6 +465,7 @@
 	talloc_free(row->peer);
 	row->peer = talloc_strdup(row, peer);
 	row->echo_ms = 0;
+	plan_agent_replaced(coord->plan, row->node);
 	return true;
 }
 
--- a/src/fleetmsg.c
+++ b/src/fleetmsg.c
@@ -199,9 +199,10 @@
 		const struct plan_order *order = &orders->orders[i];
 
 		if (order->start)
-			json_array_append_new(rows, json_pack("[s, i, s, s, s]", order->task,
+			json_array_append_new(rows, json_pack("[s, i, s, s, s, b]", order->task,
 							      (int)order->run, order->checkpoint,
-							      order->payload, order->ticket));
+							      order->payload, order->ticket,
+							      order->maybe_begun));
 		else
 			json_array_append_new(rows,
 					      json_pack("[s, i]", order->task, (int)order->run));
@@ -243,6 +244,7 @@
 		order->checkpoint = talloc_strdup(orders, checkpoint ? checkpoint : "");
 		order->payload = talloc_strdup(orders, payload ? payload : "");
 		order->ticket = talloc_strdup(orders, ticket ? ticket : "");
+		order->maybe_begun = json_is_true(json_array_get(row, 5));
 		orders->order_count++;
 	}
 }
--- a/src/plan.h
+++ b/src/plan.h
@@ -229,6 +229,7 @@
 	const char *payload;	 /* of a start */
 	const char *checkpoint;	 /* of a start */
 	const char *ticket;	 /* of a start; "" where none is needed */
+	bool maybe_begun;	 /* of a start; an earlier process of the agent may have tried it */
 	const char *stop_reason; /* of a stop; reason in words */
 	uint64_t waited_ms;	 /* of a start; time since its step was ready */
 };
@@ -240,6 +241,9 @@
  */
 size_t plan_orders(struct plan *plan, TALLOC_CTX *mem, const char *node, struct plan_order **out);
 
+/** plan_agent_replaced() - another process now carries out the orders of a worker */
+void plan_agent_replaced(struct plan *plan, const char *node);
+
 /**
  * plan_decide() - decide which tasks to start and stop now
  * @changed: called with each node whose orders have changed
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -48,7 +48,8 @@
 	struct worker *avoid;	 /* where it last failed, stalled or was slow */
 	const char *stop_reason; /* in words */
 	uint64_t waited_ms;
-	bool listed;		       /* seen in the worker's list that is being read */
+	bool listed;	  /* seen in the worker's list that is being read */
+	bool maybe_begun; /* a replaced process of the agent may have started the run */
 	enum task_state ordered_state; /* state at the last order that plan_orders() returned */
 	char name[TASK_NAME_MAX];
 };
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -36,6 +36,7 @@
 	if (task->state == TASK_WAITING)
 		task->step->waiting--;
 	task->ordered_state = TASK_WAITING;
+	task->maybe_begun = false;
 	task->worker = worker;
 	task->next_on_worker = worker->tasks;
 	task->began_ms = now_ms;
@@ -440,6 +441,14 @@
 		orphan->listed = false;
 }
 
+void plan_agent_replaced(struct plan *plan, const char *node)
+{
+	const struct worker *worker = plan_find_worker(plan, node);
+
+	for (struct task *task = worker ? worker->tasks : NULL; task; task = task->next_on_worker)
+		task->maybe_begun = true;
+}
+
 size_t plan_orders(struct plan *plan, TALLOC_CTX *mem, const char *node, struct plan_order **out)
 {
 	const struct worker *worker = plan_find_worker(plan, node);
@@ -465,6 +474,7 @@
 			.payload = plan_task_job(task)->spec->payload,
 			.checkpoint = task->checkpoint ? task->checkpoint : "",
 			.ticket = plan_start_ticket(worker, task->step),
+			.maybe_begun = task->maybe_begun,
 			.stop_reason = task->stop_reason ? task->stop_reason : "",
 			.waited_ms = task->waited_ms,
 		};
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -78,7 +78,7 @@
 	for (GList *at = rows; at; at = at->next) {
 		struct run_row *row = at->data;
 
-		if (row->state == RUN_ORDERED && row->attempts == 0)
+		if (row->state == RUN_ORDERED && row->attempts == 0 && !row->maybe_begun)
 			drop_row(runner, row);
 	}
 	g_list_free(rows);
@@ -104,7 +104,7 @@
 /* If a start call got no answer, the run may still begin, so it is stopped instead of refused. */
 static void give_up_start(struct run_row *row, enum plan_refusal refusal)
 {
-	if (row->attempts > 0)
+	if (row->attempts > 0 || row->maybe_begun)
 		row->state = RUN_STOPPING;
 	else
 		refuse_run(row, refusal);
@@ -116,7 +116,7 @@
  */
 static void refuse_latest_attempt(struct run_row *row, enum plan_refusal refusal)
 {
-	if (row->attempts > 1)
+	if (row->attempts > 1 || row->maybe_begun)
 		row->state = RUN_STOPPING;
 	else
 		refuse_run(row, refusal);
@@ -273,6 +273,7 @@
 		row->payload = talloc_strdup(row, order->payload ? order->payload : "");
 		row->checkpoint = talloc_strdup(row, order->checkpoint ? order->checkpoint : "");
 		row->ticket = talloc_strdup(row, order->ticket ? order->ticket : "");
+		row->maybe_begun = order->maybe_begun;
 		return;
 	}
 	if (!order->start && (row->state == RUN_ORDERED || row->state == RUN_STARTED)) {
@@ -307,7 +308,7 @@
 			continue;
 		log_info("order_abandoned", row->task, "run %u after %u attempts", row->run,
 			 row->attempts);
-		if (row->attempts > 0)
+		if (row->attempts > 0 || row->maybe_begun)
 			row->state = RUN_STOPPING;
 		else
 			drop_row(runner, row);
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -525,6 +525,26 @@
 	tear_down(f);
 }
 
+/* Guards against a refusal that is believed although an ended process may have made the start. */
+static void test_start_of_ended_process(void)
+{
+	struct fixture *f = set_up("");
+
+	elect_leader(f);
+	/* Agent 1 plays the former process of the agent on host0. */
+	g_strlcpy(f->agents[1].node, f->agents[0].node, sizeof(f->agents[1].node));
+	send_report(f, 1, true, NULL, NULL);
+	put_job(f, "0123456789abcdef", 1);
+	memkv_run(f->ev, 100);
+	CU_ASSERT_EQUAL(f->agents[1].orders->order_count, 1);
+	CU_ASSERT_FALSE(f->agents[1].orders->orders[0].maybe_begun);
+	send_report(f, 0, true, NULL, NULL);
+	CU_ASSERT_EQUAL_FATAL(f->agents[0].orders->order_count, 1);
+	CU_ASSERT_EQUAL(f->agents[0].orders->orders[0].run, 1);
+	CU_ASSERT_TRUE(f->agents[0].orders->orders[0].maybe_begun);
+	tear_down(f);
+}
+
 static bool is_ordered(const struct fixture *f, const char *task)
 {
 	for (int i = 0; i < AGENTS; i++) {
@@ -621,6 +641,7 @@
 		{"agent_moves", test_agent_moves},
 		{"lead_unsure", test_lead_unsure},
 		{"late_report_of_ended_process", test_late_report_of_ended_process},
+		{"start_of_ended_process", test_start_of_ended_process},
 		{"unconfirmed_leader_starts_nothing", test_unconfirmed_leader_starts_nothing},
 		{"advised_queue", test_advised_queue},
 		{"forgets_emptied_workers", test_forgets_emptied_workers},
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -378,6 +378,25 @@
 	tear_down(f);
 }
 
+/* Guards against a refusal of a run that a former process of the agent may have started. */
+static void test_refusal_after_restart(void)
+{
+	struct fixture *f = set_up();
+	struct plan_order order = start_order();
+
+	f->start_result = RUNNER_REFUSED_NO_ROOM;
+	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	memkv_run(f->ev, 300);
+	order.maybe_begun = true;
+	f->orders[f->order_count++] = order;
+	for (int i = 0; i < 30 && f->stops == 0; i++) {
+		memkv_run(f->ev, 10);
+		CU_ASSERT(f->stops > 0 || f->report->refusal_count == 0);
+	}
+	CU_ASSERT_EQUAL(f->stops, 1);
+	tear_down(f);
+}
+
 /*
  * Guards against a second run of a task that is done: the start and the renewals got no answer,
  * and the repeated start is refused as old because the run has ended meanwhile.
@@ -656,6 +675,7 @@
 	CU_add_test(suite, "start", test_start);
 	CU_add_test(suite, "ticket", test_ticket);
 	CU_add_test(suite, "drain_after_unanswered_start", test_drain_after_unanswered_start);
+	CU_add_test(suite, "refusal_after_restart", test_refusal_after_restart);
 	CU_add_test(suite, "old_after_unanswered_start", test_old_after_unanswered_start);
 	CU_add_test(suite, "abandoned_start", test_abandoned_start);
 	CU_add_test(suite, "ends", test_ends);
