runner: a list of runs counts only if the worker made it under the term

An agent reported to a new leader at once, with a list of runs that its worker had made under the former term. A start that the former leader had ordered through an earlier process of the agent, and that the worker carries out late, could begin after that list; the new leader took the task for waiting and started it elsewhere.

The agent now asks for a list under the new term before it reports one. The worker refuses calls of lower terms from then on, so no run that this list lacks can begin any more. The call does not wait for one that is under way under the former term.

test_runner/list_of_former_term fails on the code before.

--- a/src/fleetmsg.h
+++ b/src/fleetmsg.h
@@ -32,7 +32,8 @@
  * @address: where the agent receives messages
  * @alive: false only when it is certain that the worker runs nothing
  * @list_age_ms: time since the worker made the list of its runs
- * @settled: the agent has a complete list of runs; otherwise only @info is valid
+ * @settled: the agent has a complete list of runs, and no call that was sent under an earlier term
+ *	can add to it any more; otherwise only @info is valid
  */
 struct fleet_report {
 	uint64_t session;
--- a/src/runner.c
+++ b/src/runner.c
@@ -45,6 +45,15 @@
 	       WORKER_LEASE_MS;
 }
 
+/*
+ * A worker that has answered a call under the present term ignores calls that were sent under
+ * earlier ones, so no run that is missing from its list can begin any more.
+ */
+static bool has_current_list(const struct runner *runner)
+{
+	return runner->settled && runner->list_term == runner->term;
+}
+
 static size_t count_rows_in_state(const struct runner *runner, enum run_state state)
 {
 	GHashTableIter iter;
@@ -100,7 +109,7 @@
 		.list_age_ms = util_clock_ms() - runner->list_received_ms,
 		.address = runner->address,
 		.alive = !runner->down,
-		.settled = runner->settled,
+		.settled = has_current_list(runner),
 		.info = {.node = runner->deps.node,
 			 .id = runner->worker ? runner->worker : "",
 			 .incarnation = runner->incarnation ? runner->incarnation : "",
@@ -154,6 +163,8 @@
 	send_report(runner);
 }
 
+static void renew_lease_if_due(struct runner *runner, uint64_t now_ms);
+
 static void follow_leader(struct runner *runner, uint64_t term, const char *node,
 			  const char *address)
 {
@@ -168,12 +179,17 @@
 	if (term > runner->term) {
 		runner_drop_untried_starts(runner);
 		runner->session = 0;
+		/* A renewal under the former term, which may wait for a run to end, is superseded.
+		 */
+		runner->renewing = false;
+		runner->renew_due_ms = 0;
 	}
 	runner->term = term;
 	runner->leader_unconfirmed = false;
 	talloc_free(runner->leader_address);
 	runner->leader_address = talloc_strdup(runner, address);
 	connect_leader(runner);
+	renew_lease_if_due(runner, util_clock_ms());
 }
 
 static void on_leader_record(int status, const struct kv_result *result, void *ctx)
@@ -251,10 +267,15 @@
 static void apply_renewal(struct runner *runner, const struct renewal_call *call,
 			  const struct runner_list *list)
 {
+	bool new_term = runner->list_term != call->term;
+
 	runner->connect_failures = 0;
 	if (list->clock_ms)
 		runner_read_clock(runner, list->clock_ms);
+	runner->list_term = call->term;
 	runner_apply_list(runner, list, call->sent_ms);
+	if (new_term)
+		runner_schedule_report(runner);
 	if (runner->end_count && runner->ends[runner->end_count - 1].number > runner->ends_stored)
 		runner->renew_due_ms = util_clock_ms() + UNSTORED_ENDS_PAUSE_MS;
 	runner_make_due_calls(runner, util_clock_ms());
@@ -313,7 +334,7 @@
 	if (!runner->alive && (runner->worker || runner->down))
 		return;
 	renewal.lease_end_ms = runner_lease_end(runner);
-	renewal.wait_ms = renewal.extend && runner->settled ? RENEW_WAIT_MS : 0;
+	renewal.wait_ms = renewal.extend && has_current_list(runner) ? RENEW_WAIT_MS : 0;
 	if (!renewal.extend)
 		runner->renew_due_ms = now_ms + RENEW_RETRY_MS;
 	runner->renewing = true;
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -66,6 +66,7 @@
 	uint64_t list_received_ms; /* time of the latest list */
 	uint64_t renew_due_ms;
 	uint32_t renewals;	   /* number sent so far; only the answer to the latest counts */
+	uint64_t list_term;	   /* term of the call that returned the latest list */
 	uint32_t connect_failures; /* calls in a row that found nothing listening */
 	/* The leader. */
 	uint64_t term;
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -662,6 +662,30 @@
 	tear_down(f);
 }
 
+/* Guards against a list that lacks a run because an earlier term's start was carried out late. */
+static void test_list_of_former_term(void)
+{
+	struct fixture *f = set_up();
+	char *record;
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(f->report->settled);
+	f->list_answers_lost = true;
+	f->term = 4;
+	record = talloc_asprintf(f, "{\"node\":\"e\",\"address\":\"%s\",\"term\":4}",
+				 wire_address(f->leader_wire));
+	f->answers = false;
+	memkv_put(f->store, "leader", record);
+	memkv_run(f->ev, 2500);
+	CU_ASSERT_FALSE(f->report->settled);
+	f->answers = true;
+	f->list_answers_lost = false;
+	memkv_run(f->ev, 500);
+	CU_ASSERT_TRUE(f->report->settled);
+	tear_down(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -689,6 +713,7 @@
 	CU_add_test(suite, "unanswered_start_is_told_to_new_leader",
 		    test_unanswered_start_is_reported_to_new_leader);
 	CU_add_test(suite, "former_leader", test_former_leader);
+	CU_add_test(suite, "list_of_former_term", test_list_of_former_term);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
