leader: renew the lease that the leader key belongs to

A write of the leader key that got no answer may take effect after the candidate has been granted another lease. It then counted as the leader and renewed that other lease, while its key ended with the first one; another process could be elected while this one was confirmed, and both could start one task.

Items now name their lease. A process that finds its own key under an earlier lease renews that one, and is not confirmed before it has.

test_leader/late_write_with_earlier_lease fails without the change.

--- a/src/kv.h
+++ b/src/kv.h
@@ -32,6 +32,7 @@
 	size_t value_len;
 	int64_t revision; /* of the last write */
 	int64_t created;  /* revision at which the key was created */
+	int64_t lease;	  /* that the key belongs to; 0: none */
 };
 
 struct kv_result {
--- a/src/leader.c
+++ b/src/leader.c
@@ -156,6 +156,22 @@
 		leader->maybe_resigned_ms = 0;
 }
 
+/*
+ * Continues with the stored key of this process, whose write may have got no answer. If a late
+ * write has bound the key to an earlier lease, that lease is the one to renew, and nothing is
+ * certain before its renewal.
+ */
+static void adopt_key(struct leader *leader, const struct kv_item *item)
+{
+	leader->revision = item->revision;
+	if (item->lease == leader->lease)
+		return;
+	log_info("leader_lease", "", "the leader key belongs to an earlier lease of this process");
+	leader->lease = item->lease;
+	leader->confirmed_ms = 0;
+	advance_after(leader, 0);
+}
+
 static void become_leader(struct leader *leader, int64_t revision)
 {
 	bool again = leader->term == leader->next_term;
@@ -191,6 +207,7 @@
 			if (!strcmp(item->key, LEADER_KEY) && item->revision > 0 &&
 			    !strcmp(item->value, leader->key_value)) {
 				become_leader(leader, item->revision);
+				adopt_key(leader, item);
 				return;
 			}
 		}
@@ -289,7 +306,7 @@
 			end_term(leader, "another process was elected");
 			break;
 		} else {
-			leader->revision = item->revision; /* an earlier answer was lost */
+			adopt_key(leader, item);
 		}
 	}
 }
@@ -457,10 +474,12 @@
 		end_term(leader, "another process was elected");
 	/* This process wrote the key, but the answer to its attempt was lost. */
 	if (leader->term && !strcmp(item->value, leader->key_value))
-		leader->revision = item->revision;
+		adopt_key(leader, item);
 	if (!leader->term && leader->lease && leader->key_value &&
-	    !strcmp(item->value, leader->key_value) && !leader->resigned)
+	    !strcmp(item->value, leader->key_value) && !leader->resigned) {
 		become_leader(leader, item->revision);
+		adopt_key(leader, item);
+	}
 	leader->known_term = (uint64_t)term;
 	leader->known_revision = item->revision;
 	note_stale_key(leader, item, node);
--- a/tests/lib_memkv.c
+++ b/tests/lib_memkv.c
@@ -23,6 +23,7 @@
 	char *value; /* NULL: removed */
 	int64_t revision;
 	int64_t created;
+	int64_t lease;
 };
 
 struct lease {
@@ -93,13 +94,14 @@
 	return NULL;
 }
 
-static void append_event(struct memkv *store, const char *key, const char *value, int64_t created)
+static void append_event(struct memkv *store, const char *key, const char *value, int64_t created,
+			 int64_t lease)
 {
 	if (store->event_count == EVENTS_MAX)
 		abort();
 	store->events[store->event_count++] = (struct event){
 		talloc_strdup(store, key), value ? talloc_strdup(store, value) : NULL,
-		store->revision, created};
+		store->revision, created, lease};
 }
 
 static void put_entry(struct memkv *store, const char *key, const char *value, int64_t lease)
@@ -116,7 +118,7 @@
 	entry->value = talloc_strdup(entry, value);
 	entry->revision = store->revision;
 	entry->lease = lease;
-	append_event(store, key, value, entry->created);
+	append_event(store, key, value, entry->created, lease);
 }
 
 static void remove_entry(struct memkv *store, const char *key)
@@ -124,7 +126,7 @@
 	for (size_t i = 0; i < store->entry_count; i++) {
 		if (strcmp(store->entries[i]->key, key) != 0)
 			continue;
-		append_event(store, key, NULL, 0);
+		append_event(store, key, NULL, 0, 0);
 		talloc_free(store->entries[i]);
 		store->entries[i] = store->entries[--store->entry_count];
 		return;
@@ -162,8 +164,12 @@
 
 static struct kv_item entry_item(TALLOC_CTX *mem, const struct entry *entry)
 {
-	return (struct kv_item){talloc_strdup(mem, entry->key), talloc_strdup(mem, entry->value),
-				strlen(entry->value), entry->revision, entry->created};
+	return (struct kv_item){talloc_strdup(mem, entry->key),
+				talloc_strdup(mem, entry->value),
+				strlen(entry->value),
+				entry->revision,
+				entry->created,
+				entry->lease};
 }
 
 static int compare_keys(const void *a, const void *b)
@@ -291,7 +297,8 @@
 		talloc_free(op);
 		return;
 	}
-	if (fault == MEMKV_DELAY_WRITES && is_write(op)) {
+	if ((fault == MEMKV_DELAY_WRITES && is_write(op)) ||
+	    (fault == MEMKV_DELAY_TXNS && op->kind == OP_TXN)) {
 		op->cb.done(-ERR_OUTCOME_UNKNOWN, NULL, op->cb.ctx);
 		schedule_op(op, LATE_WRITE_MS, on_late_write);
 		return;
@@ -390,9 +397,12 @@
 		    strncmp(event->key, op->key, strlen(op->key)) != 0)
 			continue;
 		result->items[result->count++] =
-			(struct kv_item){event->key, event->value ? event->value : "",
+			(struct kv_item){event->key,
+					 event->value ? event->value : "",
 					 event->value ? strlen(event->value) : 0,
-					 event->value ? event->revision : 0, event->created};
+					 event->value ? event->revision : 0,
+					 event->created,
+					 event->lease};
 	}
 	result->revision = store->revision;
 }
--- a/tests/lib_memkv.h
+++ b/tests/lib_memkv.h
@@ -18,6 +18,7 @@
 	MEMKV_REJECT_CALLS, /* calls fail without effect, with -ERR_UNAVAILABLE */
 	MEMKV_LOSE_ANSWERS, /* writes take effect, but their answer is lost */
 	MEMKV_DELAY_WRITES, /* writes take effect 300 ms after their answer was lost */
+	MEMKV_DELAY_TXNS,   /* the same for transactions only; calls for leases work */
 	MEMKV_EMPTY_POLLS,  /* polls do not report changes; other calls work */
 };
 
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -326,6 +326,29 @@
 	talloc_free(f);
 }
 
+/* Guards against a leader that renews another lease than the one its key belongs to. */
+static void test_late_write_with_earlier_lease(void)
+{
+	struct fixture *f = talloc_zero(NULL, struct fixture);
+	struct node *node = &f->nodes[0];
+
+	f->ev = tevent_context_init(f);
+	f->store = memkv_create(f, f->ev);
+	start_node(f, node);
+	node->client->fault = MEMKV_DELAY_TXNS;
+	for (int i = 0; i < 100 && !node->term; i++)
+		memkv_run(f->ev, 10);
+	CU_ASSERT_EQUAL(node->term, 1);
+	node->client->fault = MEMKV_EMPTY_POLLS;
+	for (int i = 0; i < 100; i++) {
+		memkv_run(f->ev, 10);
+		CU_ASSERT(!leader_confirmed(node->leader) || memkv_value(f->store, "leader"));
+	}
+	CU_ASSERT_EQUAL(node->lost, 0);
+	CU_ASSERT_TRUE(leader_confirmed(node->leader));
+	talloc_free(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -346,6 +369,7 @@
 	CU_add_test(suite, "unknown_resignation", test_unknown_resignation);
 	CU_add_test(suite, "resignation_stored_without_answer",
 		    test_resignation_stored_without_answer);
+	CU_add_test(suite, "late_write_with_earlier_lease", test_late_write_with_earlier_lease);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
