coord: a controller that outlives its term has no authority

The controller of an ended term is freed from the event loop. If the process gains another term before that, the former controller must not decide by the new lease. Found by reading; not seen in a run.

--- a/src/coord.c
+++ b/src/coord.c
@@ -37,7 +37,7 @@
 {
 	int64_t left_ms = leader_lease_left_ms(coord->deps.leader);
 
-	if (left_ms <= -WORKER_RENEWAL_WINDOW_MS)
+	if (leader_term(coord->deps.leader) != coord->term || left_ms <= -WORKER_RENEWAL_WINDOW_MS)
 		return 0;
 	return left_ms > 0 ? WORKER_RENEWAL_WINDOW_MS
 			   : (uint32_t)(left_ms + WORKER_RENEWAL_WINDOW_MS);
