coord: keep a report that arrives before it can be applied

An agent reports to a new leader at once, often before the leader has read the jobs; the report was dropped and the next one came up to 0.7 s later. The same delay held for an agent whose key had to be stored first.

The latest report of each agent is now kept and applied when the jobs are read or the key is stored.

test_coord/report_before_jobs_are_read fails without the change.

--- a/src/coord.c
+++ b/src/coord.c
@@ -307,6 +307,8 @@
 			 coord);
 }
 
+static void apply_all_pending(struct coord *coord);
+
 void coord_on_loaded(struct coord *coord)
 {
 	coord->loaded = true;
@@ -316,6 +318,7 @@
 	announce_to_silent_agents(coord);
 	if (coord->term == 1)
 		release_inherited_jobs(coord, "this is the first leader");
+	apply_all_pending(coord);
 	coord_schedule_decision(coord);
 }
 
@@ -469,17 +472,11 @@
 	return true;
 }
 
-static void apply_report(struct coord *coord, const char *peer, const struct fleet_report *report)
+static void apply_report(struct coord *coord, struct agent_row *row,
+			 const struct fleet_report *report)
 {
 	uint64_t now_ms = util_clock_ms();
-	struct agent_row *row = coord_agent_row(coord, report->info.node);
 
-	if (!accept_process(coord, row, peer, report))
-		return;
-	if (report->sent_ms < row->echo_ms)
-		return;
-	if (needs_agent_key(report) && store_agent_address(coord, row, report->address))
-		return;
 	row->echo_ms = report->sent_ms;
 	row->last_report_ms = now_ms;
 	row->list_current = report->alive && report->settled;
@@ -500,9 +497,44 @@
 	coord_schedule_decision(coord);
 }
 
+/* Applies a report, or keeps it if it can't be applied yet. */
+static void take_report(struct coord *coord, struct agent_row *row, struct fleet_report *report)
+{
+	if (report->sent_ms < row->echo_ms)
+		return;
+	TALLOC_FREE(row->pending);
+	if (!coord->loaded ||
+	    (needs_agent_key(report) && store_agent_address(coord, row, report->address)))
+		row->pending = talloc_steal(row, report);
+	else
+		apply_report(coord, row, report);
+}
+
+void coord_apply_pending(struct coord *coord, struct agent_row *row)
+{
+	struct fleet_report *report = row->pending;
+
+	if (!report)
+		return;
+	row->pending = NULL;
+	take_report(coord, row, report);
+	if (row->pending != report)
+		talloc_free(report);
+}
+
+static void apply_all_pending(struct coord *coord)
+{
+	GList *rows = g_hash_table_get_values(coord->agents);
+
+	for (GList *at = rows; at; at = at->next)
+		coord_apply_pending(coord, at->data);
+	g_list_free(rows);
+}
+
 bool coord_message(struct coord *coord, const char *peer, const struct msg *msg)
 {
 	struct fleet_report *report;
+	struct agent_row *row;
 
 	if (msg->type != MSG_WORKER_REPORT)
 		return false;
@@ -510,15 +542,17 @@
 		leader_deposed(coord->deps.leader, msg->u.worker_report.term);
 		return true;
 	}
-	if (!coord->loaded)
-		return true; /* the agent will send its report again */
-	report = fleet_report_read(NULL, msg->u.worker_report.json.data,
+	report = fleet_report_read(coord, msg->u.worker_report.json.data,
 				   msg->u.worker_report.json.len);
-	if (report)
-		apply_report(coord, peer, report);
-	else
+	if (!report) {
 		log_warn("report_malformed", peer, "the report is not valid JSON or names no node");
-	talloc_free(report);
+		return true;
+	}
+	row = coord_agent_row(coord, report->info.node);
+	if (accept_process(coord, row, peer, report))
+		take_report(coord, row, report);
+	if (row->pending != report)
+		talloc_free(report);
 	return true;
 }
 
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -25,9 +25,10 @@
 	uint64_t sessions_issued; /* highest session given to a process of the agent */
 	char *issued_to;	  /* wire name of the process that was given it */
 	uint64_t echo_ms;
-	bool list_current;   /* the latest report had a complete list of runs */
-	uint64_t ends_seen;  /* highest number of an end that the plan has been given */
-	uint64_t ends_cycle; /* value of ends_seen when the present store cycle began */
+	struct fleet_report *pending; /* latest report, kept until it can be applied; or NULL */
+	bool list_current;	      /* the latest report had a complete list of runs */
+	uint64_t ends_seen;	      /* highest number of an end that the plan has been given */
+	uint64_t ends_cycle;	      /* value of ends_seen when the present store cycle began */
 	uint64_t ends_stored;
 	bool alive;	 /* the plan may place tasks on its worker */
 	bool key_stored; /* its key is in the store, so a later leader waits for its report */
@@ -102,6 +103,8 @@
 /* coord.c */
 void coord_on_loaded(struct coord *coord);
 void coord_confirm_ends(struct coord *coord);
+/* Applies the report of an agent that was kept until its key is stored. */
+void coord_apply_pending(struct coord *coord, struct agent_row *row);
 void coord_schedule_decision(struct coord *coord);
 struct agent_row *coord_agent_row(struct coord *coord, const char *node);
 
--- a/src/coordstore.c
+++ b/src/coordstore.c
@@ -457,6 +457,8 @@
 		if (status)
 			log_info("agent_key_failed", row->node, "%s its key: %s",
 				 change->present ? "storing" : "removing", err_name(status));
+		if (row->key_stored)
+			coord_apply_pending(coord, row);
 	}
 	talloc_free(change);
 }
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -545,6 +545,23 @@
 	tear_down(f);
 }
 
+/* Guards against a takeover that waits for the next report of an agent that reported at once. */
+static void test_report_before_jobs_are_read(void)
+{
+	struct fixture *f = set_up("1");
+	struct leader_handlers on_leader = {on_gained, on_lost, NULL, NULL, f};
+	struct leader_options options = {"e1", "127.0.0.1:1", TTL_MS, true};
+
+	f->leader = leader_create(f, f->ev, &f->client->kv, &options, &on_leader);
+	for (int i = 0; i < 700 && !f->coord; i++)
+		memkv_run(f->ev, 1);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f->coord);
+	send_report(f, 0, true, NULL, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f->agents[0].orders);
+	CU_ASSERT_EQUAL(f->agents[0].orders->valid_ms, WORKER_RENEWAL_WINDOW_MS);
+	tear_down(f);
+}
+
 static bool is_ordered(const struct fixture *f, const char *task)
 {
 	for (int i = 0; i < AGENTS; i++) {
@@ -641,6 +658,7 @@
 		{"agent_moves", test_agent_moves},
 		{"lead_unsure", test_lead_unsure},
 		{"late_report_of_ended_process", test_late_report_of_ended_process},
+		{"report_before_jobs_are_read", test_report_before_jobs_are_read},
 		{"start_of_ended_process", test_start_of_ended_process},
 		{"unconfirmed_leader_starts_nothing", test_unconfirmed_leader_starts_nothing},
 		{"advised_queue", test_advised_queue},
