runner: a run whose end is listed is over

Callers saw a task started again after it had run to its end. The stop of an earlier run got no answer while the worker was mute, so the agent kept the run as being stopped, also when the worker had listed its end and the leader had stored that. From then on the agent reported an ended run as running. A new leader, which has no other news of the task, took the run over and held the task for running there; the end of the real, later run came as that of a run that is not current and was acknowledged without effect, and the task was started again when the first run turned out to be missing.

The class of fault is a claim about the past that is taken for the present. The agent now drops a run as soon as the worker lists its end.

--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -358,8 +358,8 @@
 }
 
 /*
- * Drops the rows of runs that are missing from the list. A list proves that a confirmed run is over
- * only if the list was requested after the confirmation.
+ * Drops the rows of runs that have ended or that are missing from the list. A list proves that a
+ * confirmed run is over only if the list was requested after the confirmation.
  */
 static void drop_unlisted_rows(struct runner *runner, uint64_t sent_ms)
 {
@@ -370,11 +370,15 @@
 		bool listed = row->listed;
 
 		row->listed = false;
+		if (row->state != RUN_REFUSED && runner_end_listed(runner, row->task, row->run)) {
+			drop_row(runner, row);
+			continue;
+		}
 		if (listed || row->call_pending || row->confirmed_ms >= sent_ms)
 			continue;
-		if (row->state == RUN_CLOSED && !runner_end_listed(runner, row->task, row->run))
+		if (row->state == RUN_CLOSED)
 			refuse_run(row, PLAN_REFUSED_STALE);
-		else if (row->state == RUN_STARTED || row->state == RUN_CLOSED)
+		else if (row->state == RUN_STARTED)
 			drop_row(runner, row);
 	}
 	g_list_free(rows);
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -24,6 +24,7 @@
 	bool list_answers_lost; /* renewals get no usable answer */
 	uint64_t born_ms;
 	enum runner_call_result start_result;
+	bool stop_answers_lost;	 /* stops are carried out */
 	uint32_t start_delay_ms; /* delay of the answers to start calls */
 	uint64_t term;
 	int starts;
@@ -121,7 +122,7 @@
 	struct delayed_answer *answer = schedule_answer(f, ctx, 2, on_order_answer_due);
 
 	answer->order = done;
-	answer->result = RUNNER_STARTED;
+	answer->result = f->stop_answers_lost ? RUNNER_NO_ANSWER : RUNNER_STARTED;
 	f->stops++;
 }
 
@@ -662,6 +663,35 @@
 	tear_down(f);
 }
 
+/* Guards against an ended run that is reported as running because its stop got no answer. */
+static void test_end_after_unanswered_stop(void)
+{
+	struct fixture *f = set_up();
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	f->orders[f->order_count++] = start_order();
+	memkv_run(f->ev, 300);
+	CU_ASSERT_EQUAL(f->report->running_count, 1);
+	f->stop_answers_lost = true;
+	f->orders[0].start = false;
+	f->orders[0].payload = NULL;
+	memkv_run(f->ev, 200);
+	CU_ASSERT(f->stops > 0);
+	f->running_count = 0;
+	f->ends[f->end_count++] =
+		(struct fleet_run_end){1, {"j.0.0.0", 1, "", 0}, PLAN_END_STOPPED};
+	memkv_run(f->ev, 300);
+	CU_ASSERT_EQUAL(f->report->end_count, 1);
+	f->order_count = 0;
+	f->ends_stored = 1;
+	f->end_count = 0;
+	memkv_run(f->ev, 500);
+	CU_ASSERT_EQUAL(f->report->end_count, 0);
+	CU_ASSERT_EQUAL(f->report->running_count, 0);
+	tear_down(f);
+}
+
 /* Guards against a list that lacks a run because an earlier term's start was carried out late. */
 static void test_list_of_former_term(void)
 {
@@ -714,6 +744,7 @@
 		    test_unanswered_start_is_reported_to_new_leader);
 	CU_add_test(suite, "former_leader", test_former_leader);
 	CU_add_test(suite, "list_of_former_term", test_list_of_former_term);
+	CU_add_test(suite, "end_after_unanswered_stop", test_end_after_unanswered_stop);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
