plan: a run that is done completes its task, whichever run it is

Callers saw a task started again after it had run to its end. The end of a run that was not the current one counted only while the task waited and no later run number was known; otherwise it was acknowledged without effect.

An end as done now completes its task. If another run of it is at work, that run is stopped first, and the task is recorded as done at once, so that no later leader starts it. Long-running tasks are left out: they have to go on.

test_plan/earlier_run_is_done failed before.

--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -49,6 +49,7 @@
 	const char *stop_reason; /* in words */
 	uint64_t waited_ms;
 	bool listed;	  /* seen in the worker's list that is being read */
+	bool done_before; /* an earlier run is done; the current one is stopped */
 	bool maybe_begun; /* a replaced process of the agent may have started the run */
 	enum task_state ordered_state; /* state at the last order that plan_orders() returned */
 	char name[TASK_NAME_MAX];
@@ -143,10 +144,12 @@
 	GHashTable *jobs;  /* id -> struct job, in no order */
 	GPtrArray *active; /* struct job: all that are not removed */
 	GPtrArray *workers;
-	GQueue dirty;	  /* struct job */
-	bool has_held;	  /* a job may be held */
-	bool recovered;	  /* the runs of the former leader are known */
-	uint32_t min_run; /* lowest number for new runs */
+	GQueue dirty;	      /* struct job */
+	bool has_held;	      /* a job may be held */
+	bool has_done_before; /* a task may have ended as done in a run that is not its current one
+			       */
+	bool recovered;	      /* the runs of the former leader are known */
+	uint32_t min_run;     /* lowest number for new runs */
 	void (*on_loss)(const char *task, uint32_t run, const char *node, enum plan_loss loss,
 			void *ctx);
 	void *on_loss_ctx;
@@ -160,6 +163,8 @@
 void plan_make_due_occurrences(struct plan *plan, uint64_t now_ms);
 void plan_update_ready(struct occurrence *occurrence, uint64_t now_ms);
 void plan_task_done(struct plan *plan, struct task *task, uint64_t now_ms);
+/* Ends the tasks that are done by an earlier run, once their current runs have ended. */
+void plan_end_tasks_done_before(struct plan *plan, uint64_t now_ms);
 void plan_task_failed(struct plan *plan, struct task *task, uint32_t run, uint64_t now_ms);
 bool plan_run_set_add(struct run_set *set, uint32_t run);
 void plan_job_end(struct plan *plan, struct job *job, enum plan_job_state state);
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -254,6 +254,7 @@
 	for (guint i = 0; i < plan->workers->len; i++)
 		((struct worker *)plan->workers->pdata[i])->reserved_for = NULL;
 	mark_silent_workers(plan, now_ms);
+	plan_end_tasks_done_before(plan, now_ms);
 	plan_make_due_occurrences(plan, now_ms);
 	plan_mark_guaranteed(plan);
 	plan_keep_headroom(plan, now_ms);
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -358,6 +358,43 @@
 		finish_occurrence(plan, occurrence);
 }
 
+/* A gang is ended as a whole, so all its members must have ended their current runs. */
+static bool is_done_before(const struct step_run *step, const struct task *task)
+{
+	return task->done_before && task->state == TASK_WAITING &&
+	       (!step->spec->gang || step->waiting == step->spec->count);
+}
+
+static struct task *find_task_done_before(const struct plan *plan)
+{
+	for (guint i = 0; i < plan->active->len; i++) {
+		const struct job *job = plan->active->pdata[i];
+
+		for (const struct occurrence *o = job->occurrences; o; o = o->next) {
+			for (size_t s = 0; s < job->spec->step_count; s++) {
+				const struct step_run *step = &o->steps[s];
+
+				for (uint32_t k = 0; k < step->spec->count; k++) {
+					if (is_done_before(step, &step->tasks[k]))
+						return &step->tasks[k];
+				}
+			}
+		}
+	}
+	return NULL;
+}
+
+void plan_end_tasks_done_before(struct plan *plan, uint64_t now_ms)
+{
+	struct task *task;
+
+	if (!plan->has_done_before)
+		return;
+	/* Ending a task may free its occurrence, so the search begins anew each time. */
+	while ((task = find_task_done_before(plan)))
+		plan_task_done(plan, task, now_ms);
+}
+
 bool plan_run_set_add(struct run_set *set, uint32_t run)
 {
 	for (uint32_t i = 0; i < set->count; i++) {
--- a/src/planrecord.c
+++ b/src/planrecord.c
@@ -56,7 +56,7 @@
 
 	for (uint32_t i = 0; i < step->spec->count; i++) {
 		const struct task *task = &step->tasks[i];
-		bool done = task->state == TASK_DONE;
+		bool done = task->state == TASK_DONE || task->done_before;
 
 		if (!done && task->failures.count == 0 && !task->checkpoint)
 			continue;
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -270,7 +270,7 @@
 {
 	const struct step_run *step = task->step;
 
-	if (task->state != TASK_WAITING || run <= task->ended_run)
+	if (task->state != TASK_WAITING || run <= task->ended_run || task->done_before)
 		return false;
 	if (run != task->run && !(plan_task_job(task)->inherited && run > task->run))
 		return false;
@@ -356,10 +356,30 @@
 	plan_task_failed(plan, task, run->run, now_ms);
 }
 
+/* A run that is not the current one has done the work: the current run is not needed. */
+static void finish_by_other_run(struct plan *plan, struct task *task, uint64_t now_ms)
+{
+	struct step_run *step = task->step;
+
+	if (task->state == TASK_WAITING && !step->spec->gang) {
+		plan_task_done(plan, task, now_ms);
+		return;
+	}
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		struct task *member = step->spec->gang ? &step->tasks[i] : task;
+
+		member->done_before = true;
+		plan_stop_task(member, "an earlier run has done its work");
+	}
+	plan->has_done_before = true;
+	plan_mark_job_dirty(plan, plan_task_job(task));
+	plan_end_tasks_done_before(plan, now_ms);
+}
+
 /*
  * Handles the end of a run that is not the current run of its task: it was started by a former
  * leader, or its worker was taken for lost. If no later run has begun, the end is the task's.
- * A failure counts as an attempt in any case.
+ * A run that is done, or a failure, which counts as an attempt, is taken in any case.
  */
 static void end_other_run(struct plan *plan, struct task *task, const struct plan_run *run,
 			  enum plan_end end, uint64_t now_ms)
@@ -370,15 +390,17 @@
 
 	if (end == PLAN_END_FAILED)
 		plan_task_failed(plan, task, run->run, now_ms);
-	if (!is_latest || plan_job_ended(job))
+	if (plan_job_ended(job))
 		return;
-	task->run = run->run;
-	task->ended_run = run->run;
-	if (run->run >= job->next_run)
-		job->next_run = run->run + 1;
-	save_checkpoint(plan, task, run, now_ms);
-	if (end == PLAN_END_DONE)
-		plan_task_done(plan, task, now_ms);
+	if (is_latest) {
+		task->run = run->run;
+		task->ended_run = run->run;
+		if (run->run >= job->next_run)
+			job->next_run = run->run + 1;
+		save_checkpoint(plan, task, run, now_ms);
+	}
+	if (end == PLAN_END_DONE && (is_latest || !task->step->spec->long_running))
+		finish_by_other_run(plan, task, now_ms);
 }
 
 void plan_worker_ended(struct plan *plan, const char *node, const struct plan_run *run,
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -585,6 +585,50 @@
 	talloc_free(sim);
 }
 
+/* Guards against a task that goes on after the end of an earlier run that has done its work. */
+static void test_earlier_run_is_done(void)
+{
+	struct plansim *sim = plansim_create(NULL, 2);
+	const struct plan_run first = {"j1.0.0.0", 1, "", 100};
+	json_t *record;
+
+	plansim_add_job(sim, "j1", "batch", "b",
+			"[{\"tasks\":1,\"cpu_milli\":1000,\"estimate_ms\":2000}]");
+	plansim_run(sim, 100);
+	sim->workers[0].reachable = false;
+	sim->workers[1].reachable = false;
+	plan_worker_lost(sim->plan, "w0", sim->now_ms);
+	plan_worker_lost(sim->plan, "w1", sim->now_ms);
+	/* The run is over on its worker, which has not been heard from. */
+	for (uint32_t i = 0; i < sim->run_count; i++)
+		sim->runs[i].present = false;
+	sim->workers[0].reachable = true;
+	sim->workers[1].reachable = true;
+	plansim_run(sim, 200);
+	CU_ASSERT_EQUAL(sim->starts, 2);
+	plan_worker_ended(sim->plan, "w0", &first, PLAN_END_DONE, sim->now_ms);
+	record = plan_job_record(sim->plan, "j1");
+	CU_ASSERT_TRUE(json_is_true(json_array_get(
+		json_array_get(
+			json_object_get(
+				json_array_get(
+					json_object_get(
+						json_array_get(
+							json_object_get(record, "occurrences"), 0),
+						"steps"),
+					0),
+				"tasks"),
+			0),
+		1)));
+	json_decref(record);
+	plansim_run(sim, 800);
+	CU_ASSERT_EQUAL(sim->stops, 1);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "j1"), PLAN_JOB_COMPLETED);
+	plansim_run(sim, 3000);
+	CU_ASSERT_EQUAL(sim->starts, 2);
+	check_and_free(sim);
+}
+
 /* Guards against a job that a leader and its successor both start. */
 static void test_held_job(void)
 {
@@ -633,6 +677,7 @@
 		{"bad_record", test_bad_record},
 		{"lost_runs_are_reported", test_lost_runs_are_reported},
 		{"held_job", test_held_job},
+		{"earlier_run_is_done", test_earlier_run_is_done},
 		CU_TEST_INFO_NULL,
 	};
 	CU_SuiteInfo suites[] = {
