test_agent_gang: leaving waits until the shutdown has begun

Failed now and then beside load: SIGTERM and a HOLD were sent without waiting in between, and the agent may take the HOLD first, which is allowed. The test now waits until the agent announces its target as leaving, which it does when it begins its shutdown, and sends the HOLD then. The other task runs for 3 s instead of 1 s, so that the agent is still there when the HOLD arrives.

--- a/tests/test_agent_gang.c
+++ b/tests/test_agent_gang.c
@@ -241,13 +241,20 @@
 	rig_set_fault(&rig, "{\"silent\":false}");
 }
 
+static bool target_leaving(struct agent_rig *r, void *ctx)
+{
+	return r->entries[0].target_state == MSG_TARGET_LEAVING;
+}
+
 /* Guards against new members on a worker whose agent is shutting down. */
 static void test_leaving(void)
 {
 	rig.entries[0].target_state = 0;
 	CU_ASSERT(rig_run_until(&rig, target_alive, NULL, WAIT_MS));
-	run_gang("13", 1, 1, "{\"run_ms\":1000}");
+	run_gang("13", 1, 1, "{\"run_ms\":3000}");
 	proc_signal(&rig.agent, SIGTERM);
+	/* The agent announces this when it begins its shutdown. */
+	CU_ASSERT_FATAL(rig_run_until(&rig, target_leaving, NULL, WAIT_MS));
 	send_hold("14", 0, 2, "{}");
 	wait_for(MSG_HOLD_REFUSED, "14", 0, 0);
 	wait_for(MSG_MEMBER_STATUS, "13", 0, MSG_MEMBER_DONE);
