gangmember: an overdue ring is broken before a late ping is handled

Callers could see two runs of one task for some seconds. An agent was frozen after a member had received START and the first token. Its ring timed out, the coordinator gave the attempt up and started the next one. When the agent woke, it read the second token, which waited in its socket, before its timers ran, and started the task. A running member whose predecessor had been silent for too long was kept in its ring by a late ping in the same way.

The class of fault is a start that is carried out after its time limit, because only a timer checks the limit. Both limits are now checked by the message as well; START already checked the end of the hold.

test_gang_model/late token and late ping failed before.

--- a/src/gangmember.c
+++ b/src/gangmember.c
@@ -175,6 +175,35 @@
 		pass_token(member, now_ms, out);
 }
 
+static bool watches_predecessor(const struct gang_member *member)
+{
+	if (member->members < 2 || member->stop_pending)
+		return false;
+	/*
+	 * A done member that pings watches its predecessor too; otherwise its own pings would
+	 * keep the rest of the ring from noticing that the predecessor is lost.
+	 */
+	if (member->phase == GANG_MEMBER_ENDED)
+		return member->final_state == MSG_MEMBER_DONE && member->next_ping_ms;
+	return member->phase == GANG_MEMBER_STARTING || member->phase == GANG_MEMBER_RUNNING;
+}
+
+/*
+ * Breaks a ring that has not closed in time, or whose predecessor has been silent for too long.
+ * Also called before a ping is handled, because an agent that was frozen may read late messages
+ * before its timers run. Returns true if the ring is broken.
+ */
+static bool break_overdue_ring(struct gang_member *member, uint64_t now_ms,
+			       struct gang_action_sink out)
+{
+	if (!(member->phase == GANG_MEMBER_READY && now_ms >= member->deadline_ms) &&
+	    !(watches_predecessor(member) &&
+	      now_ms >= member->predecessor_seen_ms + GANG_PREDECESSOR_TIMEOUT_MS))
+		return false;
+	break_ring(member, now_ms, out);
+	return true;
+}
+
 void gang_member_ping(struct gang_member *member, uint32_t from, bool closed, uint64_t now_ms,
 		      struct gang_action_sink out)
 {
@@ -185,6 +214,8 @@
 		send_broken(from, out);
 		return;
 	}
+	if (break_overdue_ring(member, now_ms, out))
+		return;
 	member->predecessor_seen_ms = now_ms;
 	if (member->phase <= GANG_MEMBER_READY)
 		receive_token(member, closed, now_ms, out);
@@ -271,19 +302,6 @@
 		end_member(member, member->final_state, now_ms, out);
 }
 
-static bool watches_predecessor(const struct gang_member *member)
-{
-	if (member->members < 2 || member->stop_pending)
-		return false;
-	/*
-	 * A done member that pings watches its predecessor too; otherwise its own pings would
-	 * keep the rest of the ring from noticing that the predecessor is lost.
-	 */
-	if (member->phase == GANG_MEMBER_ENDED)
-		return member->final_state == MSG_MEMBER_DONE && member->next_ping_ms;
-	return member->phase == GANG_MEMBER_STARTING || member->phase == GANG_MEMBER_RUNNING;
-}
-
 static void send_due_ping(struct gang_member *member, uint64_t now_ms, struct gang_action_sink out)
 {
 	if (!member->next_ping_ms || now_ms < member->next_ping_ms)
@@ -307,10 +325,8 @@
 {
 	if (member->phase == GANG_MEMBER_HELD && now_ms >= member->deadline_ms)
 		end_member(member, MSG_MEMBER_START_FAILED, now_ms, out);
-	else if ((member->phase == GANG_MEMBER_READY && now_ms >= member->deadline_ms) ||
-		 (watches_predecessor(member) &&
-		  now_ms >= member->predecessor_seen_ms + GANG_PREDECESSOR_TIMEOUT_MS))
-		break_ring(member, now_ms, out);
+	else
+		break_overdue_ring(member, now_ms, out);
 	send_due_ping(member, now_ms, out);
 	if (member->next_status_ms && now_ms >= member->next_status_ms) {
 		send_status(member, out);
--- a/tests/test_gang_model.c
+++ b/tests/test_gang_model.c
@@ -558,6 +558,53 @@
 	explore(3, 1, 2, NETWORK_FAULTS | TASK_ENDS | AGENT_FAULTS);
 }
 
+/* Actions of one state machine, by kind. */
+struct emitted {
+	uint32_t count[GANG_DELETE_RECORD + 1];
+};
+
+static void count_action(const struct gang_action *action, void *ctx)
+{
+	((struct emitted *)ctx)->count[action->kind]++;
+}
+
+/* Guards against a task that a member starts when it wakes, after the ring's time has passed. */
+static void test_late_token(void)
+{
+	struct gang_member member;
+	struct emitted emitted = {0};
+	struct gang_action_sink out = {count_action, &emitted};
+	uint64_t now = 100000;
+
+	gang_member_hold(&member, 1, gang_attempt(1, 1), 1, GANG_HOLD_TTL_MS, now);
+	gang_member_start(&member, 1, 2, now, out);
+	gang_member_ping(&member, 0, false, now, out);
+	now += GANG_RING_CLOSE_TIMEOUT_MS;
+	gang_member_ping(&member, 0, true, now, out);
+	CU_ASSERT_EQUAL(emitted.count[GANG_TASK_START], 0);
+	CU_ASSERT_EQUAL(member.phase, GANG_MEMBER_ENDED);
+	CU_ASSERT_EQUAL(member.final_state, MSG_MEMBER_START_FAILED);
+}
+
+/* Guards against a running member that misses the end of its ring while it is frozen. */
+static void test_late_ping(void)
+{
+	struct gang_member member;
+	struct emitted emitted = {0};
+	struct gang_action_sink out = {count_action, &emitted};
+	uint64_t now = 100000;
+
+	gang_member_hold(&member, 1, gang_attempt(1, 1), 1, GANG_HOLD_TTL_MS, now);
+	gang_member_start(&member, 1, 2, now, out);
+	gang_member_ping(&member, 0, false, now, out);
+	gang_member_ping(&member, 0, true, now, out);
+	gang_member_task_started(&member, true, now, out);
+	now += GANG_PREDECESSOR_TIMEOUT_MS;
+	gang_member_ping(&member, 0, true, now, out);
+	CU_ASSERT_EQUAL(emitted.count[GANG_TASK_STOP], 1);
+	CU_ASSERT_EQUAL(emitted.count[GANG_SEND_BROKEN], 1);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -567,6 +614,8 @@
 	suite = CU_add_suite("gang model", NULL, NULL);
 	CU_add_test(suite, "two members", test_two_members);
 	CU_add_test(suite, "three members", test_three_members);
+	CU_add_test(suite, "late token", test_late_token);
+	CU_add_test(suite, "late ping", test_late_ping);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
