gang: an unreachable member that reports again is stopped before the attempt ends

Callers could see two runs of one task for up to a minute. The agent of a running gang was cut off from the leader for 30 s, so its member counted as unreachable, and the attempt was to end after the time within which the ring and the lease stop lost members. A gang whose members are all silent stops by neither. When the cut ended during that time, the agent reported that its task ran, and the coordinator ignored it: it sent no STOP, ended the attempt and started a job that may run twice elsewhere, beside the first run.

STOP now also goes to unreachable members until the attempt ends. A member that turns out to have its task is stopped like any other, and the attempt ends when its end is confirmed, with a certain result.

--- a/src/gang.c
+++ b/src/gang.c
@@ -59,11 +59,17 @@
 	out.emit(&action, out.ctx);
 }
 
-/* Sends the message of the phase to each member that has not answered it yet. */
+/*
+ * Sends the message of the phase to each member that has not answered it yet. STOP also goes to
+ * unreachable members, which may be reachable again.
+ */
 static void send_phase_messages(struct gang_coordinator *coordinator, uint64_t now_ms,
 				struct gang_action_sink out)
 {
 	for (uint32_t i = 0; i < coordinator->members; i++) {
+		if (coordinator->phase >= GANG_PHASE_STOPPING &&
+		    coordinator->seen[i] == GANG_SEEN_UNREACHABLE)
+			send_stop(coordinator, i, out);
 		if (is_final(coordinator->seen[i]))
 			continue;
 		if (coordinator->phase == GANG_PHASE_HOLDING &&
@@ -325,11 +331,16 @@
 	if (is_final(coordinator->seen[member]) &&
 	    coordinator->seen[member] != GANG_SEEN_UNREACHABLE)
 		return;
-	if (!is_final(seen) &&
-	    (coordinator->seen[member] >= seen || coordinator->phase == GANG_PHASE_FENCING))
+	if (coordinator->seen[member] != GANG_SEEN_UNREACHABLE && !is_final(seen) &&
+	    coordinator->seen[member] >= seen)
 		return;
 	coordinator->seen[member] = seen;
 	coordinator->checkpointed[member] = checkpoint;
+	/* The member is reachable again and has its task: its stop has to be confirmed. */
+	if (coordinator->phase == GANG_PHASE_FENCING && !is_final(seen)) {
+		stop_members(coordinator, now_ms, out);
+		return;
+	}
 	if (coordinator->fault < 0 && coordinator->outcome == PLACE_WORKER_LOST + 1 &&
 	    is_lost(seen))
 		coordinator->fault = (int)member;
@@ -417,7 +428,9 @@
 {
 	return coordinator->phase == GANG_PHASE_HOLDING ||
 	       coordinator->phase == GANG_PHASE_STARTING ||
-	       coordinator->phase == GANG_PHASE_STOPPING;
+	       coordinator->phase == GANG_PHASE_STOPPING ||
+	       (coordinator->phase == GANG_PHASE_FENCING &&
+		any_seen(coordinator, GANG_SEEN_UNREACHABLE));
 }
 
 void gang_coordinator_tick(struct gang_coordinator *coordinator, uint64_t now_ms,
--- a/src/gang.h
+++ b/src/gang.h
@@ -49,11 +49,12 @@
  *
  * Two attempts of a job. The coordinator ends an attempt only when each member has confirmed
  * that it has no task, or is lost and the time has passed within which the ring and the worker's
- * lease stop its task. So two attempts never run at the same time, with one exception: if each
- * member is unreachable or done, and no agent is known to have died, nothing breaks the ring.
- * gang_result.certain is then false, and the gang may go on running on the other side of a
- * network partition, since running gangs need no coordinator. In that case only work that may
- * run twice is started again.
+ * lease stop its task. An unreachable member is sent STOP during that time; if it turns out to be
+ * reachable again, its end has to be confirmed like that of any other member. So two attempts never
+ * run at the same time, with one exception: if each member is unreachable or done, and no agent is
+ * known to have died, nothing breaks the ring. gang_result.certain is then false, and the gang may
+ * go on running on the other side of a network partition, since running gangs need no coordinator.
+ * In that case only work that may run twice is started again.
  */
 
 /* HOLD, START and STOP are repeated at this interval until they are answered. */
--- a/tests/test_gang_model.c
+++ b/tests/test_gang_model.c
@@ -342,7 +342,7 @@
 		gang->deadline_ms = relative_ticks(gang->deadline_ms, key.now);
 		gang->resend_at_ms = relative_ticks(gang->resend_at_ms, key.now);
 		if (gang->phase != GANG_PHASE_HOLDING && gang->phase != GANG_PHASE_STARTING &&
-		    gang->phase != GANG_PHASE_STOPPING)
+		    gang->phase != GANG_PHASE_STOPPING && gang->phase != GANG_PHASE_FENCING)
 			gang->resend_at_ms = 0;
 	}
 	key.now = 0;
@@ -605,6 +605,42 @@
 	CU_ASSERT_EQUAL(emitted.count[GANG_SEND_BROKEN], 1);
 }
 
+static struct gang_coordinator run_one_member(uint64_t now, struct gang_action_sink out)
+{
+	struct gang_coordinator coordinator;
+
+	gang_coordinator_begin(&coordinator, 1, gang_attempt(1, 1), 1, now, out);
+	gang_coordinator_member_held(&coordinator, 0, now, out);
+	gang_coordinator_grant_written(&coordinator, 0, now, out);
+	gang_coordinator_member_status(&coordinator, 0, MSG_MEMBER_RUNNING, false, now, out);
+	return coordinator;
+}
+
+/* Guards against an attempt that ends while a member that was unreachable reports that it runs. */
+static void test_returned_member(void)
+{
+	struct emitted emitted = {0};
+	struct gang_action_sink out = {count_action, &emitted};
+	uint64_t now = 100000;
+	struct gang_coordinator coordinator = run_one_member(now, out);
+
+	gang_coordinator_member_lost(&coordinator, 0, false, now, out);
+	CU_ASSERT_EQUAL(coordinator.phase, GANG_PHASE_FENCING);
+	now += GANG_RESEND_INTERVAL_MS;
+	gang_coordinator_tick(&coordinator, now, out);
+	CU_ASSERT_EQUAL(emitted.count[GANG_SEND_STOP], 2);
+	gang_coordinator_member_status(&coordinator, 0, MSG_MEMBER_RUNNING, false, now, out);
+	for (int i = 0; i < 60; i++) {
+		now += TICK_MS;
+		gang_coordinator_tick(&coordinator, now, out);
+	}
+	CU_ASSERT_EQUAL(emitted.count[GANG_ENDED], 0);
+	CU_ASSERT(emitted.count[GANG_SEND_STOP] > 3);
+	gang_coordinator_member_status(&coordinator, 0, MSG_MEMBER_STOPPED, false, now, out);
+	CU_ASSERT_EQUAL(emitted.count[GANG_ENDED], 1);
+	CU_ASSERT_TRUE(gang_coordinator_result(&coordinator).certain);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -616,6 +652,7 @@
 	CU_add_test(suite, "three members", test_three_members);
 	CU_add_test(suite, "late token", test_late_token);
 	CU_add_test(suite, "late ping", test_late_ping);
+	CU_add_test(suite, "returned member", test_returned_member);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
