peers, member: a stall of the entry does not count as silence of agents

Callers saw gangs stopped and answers given up as unknown although nothing but an entry had stood still. An entry that did not run for 2.5 s counted all its agents as silent at its first tick, before it read what they had sent meanwhile, and told the other entries so; after 30 s it removed them, which makes the placement leader count the members of all gangs as unreachable and stop them. Other entries were forgotten in the same way, and agents got a list of entries without them.

The class of fault is a time limit on others that runs while the process itself does not. The tick now notices the gap and adds it to the times at which agents and entries were last heard of, so the limits start again once the messages that wait have been read.

test_peers/stall failed before (both tables suspected the agent).

--- a/src/member.c
+++ b/src/member.c
@@ -554,6 +554,22 @@
 	}
 }
 
+void member_resumed(struct membership *table, uint64_t gap_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint i = 0; i < table->handles->len; i++) {
+		struct row *row = g_ptr_array_index(table->handles, i);
+
+		if (row)
+			row->last_seen_ms += gap_ms;
+	}
+	g_hash_table_iter_init(&iter, table->digests);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		*(uint64_t *)value += gap_ms;
+}
+
 size_t member_collect_delta(struct membership *table, TALLOC_CTX *mem, bool full,
 			    struct msg_target_delta *out)
 {
--- a/src/member.h
+++ b/src/member.h
@@ -99,6 +99,13 @@
 /** member_tick() - apply the time limits; call every few hundred milliseconds */
 void member_tick(struct membership *table, uint64_t now_ms);
 
+/**
+ * member_resumed() - this process did not run for @gap_ms
+ *
+ * What others sent meanwhile has not been read yet, so the gap does not count as their silence.
+ */
+void member_resumed(struct membership *table, uint64_t gap_ms);
+
 /**
  * member_collect_delta() - collect the rows that this entry reports to the other entries
  * @full: collect all own rows, not only those changed since the last call with @full false
--- a/src/peers.c
+++ b/src/peers.c
@@ -4,11 +4,13 @@
 #include "util.h"
 
 #include <glib.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
 #define DELTA_PERIOD_MS 200
 #define DIGEST_PERIOD_MS 1000
+#define STALL_MIN_MS 1000     /* a gap this long between two ticks means the process was stopped */
 #define HELLO_PERIOD_MS 10000 /* HELLO is repeated because a restarted entry has lost it */
 #define LIST_PERIOD_MS 5000
 #define UNLISTED_TIMEOUT_MS 5000 /* without a digest, for entries that the store does not list */
@@ -36,6 +38,7 @@
 	struct registration *registration;
 	bool leaving;
 	bool listing;
+	uint64_t tick_ms; /* time of the last tick */
 	uint64_t next_digest_ms;
 	uint64_t next_renew_ms;
 	uint64_t next_list_ms;
@@ -331,6 +334,22 @@
 	}
 }
 
+/* What others sent during a stall has not been read yet, so they do not count as silent. */
+static void check_stall(struct peers *peers, uint64_t now)
+{
+	uint64_t gap = now - peers->tick_ms;
+
+	peers->tick_ms = now;
+	if (gap < STALL_MIN_MS)
+		return;
+	log_warn("process_resumed", "", "the process did not run for %" PRIu64 " ms", gap);
+	metrics_count(peers->deps.metrics, "jaycourse_frozen_total", "",
+		      "Times the process did not run for more than 1 s");
+	member_resumed(peers->deps.members, gap);
+	for (guint i = 0; i < peers->entries->len; i++)
+		((struct entry *)g_ptr_array_index(peers->entries, i))->heard_ms += gap;
+}
+
 static void start_timer(struct peers *peers);
 
 static void on_timer(struct tevent_context *ev, struct tevent_timer *te, struct timeval current,
@@ -339,6 +358,7 @@
 	struct peers *peers = data;
 	uint64_t now = util_clock_ms();
 
+	check_stall(peers, now);
 	member_tick(peers->deps.members, now);
 	send_delta(peers, NULL, false);
 	if (now >= peers->next_digest_ms) {
@@ -401,6 +421,7 @@
 	peers->registration = registration_create(peers, deps->store, deps->settings->node,
 						  own_store_value(peers));
 	list_entries(peers);
+	peers->tick_ms = util_clock_ms();
 	peers->next_renew_ms = util_clock_ms() + REGISTRATION_RENEW_MS;
 	peers->next_list_ms = util_clock_ms() + LIST_PERIOD_MS;
 	start_timer(peers);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -5,6 +5,7 @@
 
 #include <CUnit/Basic.h>
 #include <string.h>
+#include <unistd.h>
 
 /* The modules of an entry host that peers.c needs. */
 struct host {
@@ -245,6 +246,34 @@
 	teardown(&world);
 }
 
+static void count_suspect(const struct member_target *target, void *ctx)
+{
+	*(int *)ctx += target->state == MSG_TARGET_SUSPECT || target->state == MSG_TARGET_GONE;
+}
+
+/* Guards against agents that an entry takes for silent because it did not run itself. */
+static void test_stall(void)
+{
+	int suspected = 0;
+	struct member_handlers handlers = {.on_target = count_suspect, .ctx = &suspected};
+	struct world world;
+
+	setup(&world);
+	CU_ASSERT_TRUE(wait_for(&world, both_entries_found));
+	introduce_agent(&world);
+	send_heartbeat(&world);
+	CU_ASSERT_TRUE(wait_for(&world, target_at_b));
+	member_subscribe(world.a.members, &handlers);
+	member_subscribe(world.b.members, &handlers);
+	send_heartbeat(&world);
+	usleep((MEMBER_SUSPECT_MS + 500) * 1000);
+	loop_for(world.ev, 500);
+	CU_ASSERT_EQUAL(suspected, 0);
+	loop_for(world.ev, MEMBER_SUSPECT_MS + 1000);
+	CU_ASSERT_TRUE(suspected > 0);
+	teardown(&world);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -254,6 +283,7 @@
 	suite = CU_add_suite("peers", NULL, NULL);
 	CU_add_test(suite, "spread", test_spread);
 	CU_add_test(suite, "unknown_agent", test_unknown_agent);
+	CU_add_test(suite, "stall", test_stall);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
