election, jobs: a placement leader decides nothing after its lease

Callers saw healthy gangs stopped, and jobs that may run only once fail with "outcome unknown". A leader that had stood still, or was cut off from the store, went on after its lease had ended: it sent holds, evicted jobs and stopped gangs whose agents it did not hear from, while a later leader had them running. Agents obey the highest epoch that they have seen, which protects only agents that the later leader reaches; the writes of the former leader fail, but a STOP needs no write.

The class of fault is authority that outlives the lease it comes from. election_lease_left_ms() counts from the sending of the last successful renewal. Past it the leader starts no step of the decision module, no timer of a gang, and no stop because of a silence; a loss that was seen meanwhile is reported once the store has confirmed the leader, unless the agent has been heard of again. What members report is still acted on. While the store is down for all, gangs that break are stopped by their rings alone.

test_jobs/stalled leader and start after stall failed before: the gang was started again as attempt 2, and holds were sent without a lease.

--- a/src/election.c
+++ b/src/election.c
@@ -33,9 +33,12 @@
 	char *node;
 	char *address;
 	uint32_t ttl_s;
-	int64_t lease;	  /* 0: none */
-	uint64_t epoch;	  /* own epoch; 0: not the leader */
-	char *own_record; /* last record written or tried; while stored, this entry is leader */
+	int64_t lease;	     /* 0: none */
+	uint64_t sent_ms;    /* when the last store call was sent */
+	uint64_t renewed_ms; /* when the last successful grant or renewal of @lease was sent */
+	bool record_stored;  /* own record was found or written under @lease */
+	uint64_t epoch;	     /* own epoch; 0: not the leader */
+	char *own_record;    /* last record written or tried; while stored, this entry is leader */
 	uint64_t own_record_epoch;
 	char *stored_epoch;  /* value of the epoch key; NULL: absent */
 	char *leader_record; /* last record passed to on_leader(); "": no leader */
@@ -82,6 +85,7 @@
 					void (*done)(int, const struct store_result *, void *))
 {
 	election->call_pending = true;
+	election->sent_ms = util_clock_ms();
 	election->ref->pending_calls++;
 	return (struct store_cb){done, election->ref};
 }
@@ -115,6 +119,7 @@
 static void become_leader(struct election *election)
 {
 	TALLOC_FREE(election->leader_record);
+	election->record_stored = true;
 	if (election->epoch == election->own_record_epoch)
 		return;
 	election->epoch = election->own_record_epoch;
@@ -129,6 +134,7 @@
 	log_warn("duty_lost", "", "%s with epoch %" PRIu64, election->name, election->epoch);
 	election->epoch = 0;
 	election->lease = 0;
+	election->record_stored = false;
 	election->handlers.on_lost(election->handlers.ctx);
 }
 
@@ -163,6 +169,7 @@
  */
 static void handle_vacancy(struct election *election)
 {
+	election->record_stored = false;
 	if (election->epoch && !epoch_is_own(election))
 		lose_leadership(election);
 	if (!election->epoch)
@@ -297,6 +304,7 @@
 		return;
 	}
 	election->lease = result->lease;
+	election->renewed_ms = election->sent_ms;
 	write_record(election);
 }
 
@@ -316,6 +324,7 @@
 	if (!election || election->resigned)
 		return;
 	if (status == 0) {
+		election->renewed_ms = election->sent_ms;
 		schedule_next(election);
 		return;
 	}
@@ -324,6 +333,7 @@
 		return;
 	}
 	election->lease = 0;
+	election->record_stored = false;
 	read_keys(election);
 }
 
@@ -387,6 +397,16 @@
 	return election->epoch;
 }
 
+uint64_t election_lease_left_ms(const struct election *election)
+{
+	uint64_t end_ms = election->renewed_ms + (uint64_t)election->ttl_s * 1000;
+	uint64_t now_ms = util_clock_ms();
+
+	if (!election->epoch || !election->lease || !election->record_stored)
+		return 0;
+	return end_ms > now_ms ? end_ms - now_ms : 0;
+}
+
 int election_compare(const struct election *election, struct store_compare *out)
 {
 	if (!election->epoch)
--- a/src/election.h
+++ b/src/election.h
@@ -37,7 +37,9 @@
  *
  * While the store is down the leader stays leader: nobody else can be elected, and its durable
  * steps are guarded by election_compare(). It loses the leadership when the store answers again
- * and the key holds the record of another process.
+ * and the key holds the record of another process. A process that cannot reach the store, or has
+ * just woken, cannot tell whether that has happened: steps that no compare guards are allowed only
+ * while election_lease_left_ms() is above 0.
  */
 struct election *election_create(TALLOC_CTX *mem, struct tevent_context *ev, struct store *store,
 				 const char *name, const char *node, const char *address,
@@ -46,6 +48,14 @@
 /** election_epoch() - own epoch; 0: this process is not the leader */
 uint64_t election_epoch(const struct election *election);
 
+/**
+ * election_lease_left_ms() - for how long it is certain that no other process is the leader
+ *
+ * Return: the time until the lease ends, counted from the sending of its last successful renewal;
+ * 0 when this process is not the leader, or another may have been elected.
+ */
+uint64_t election_lease_left_ms(const struct election *election);
+
 /**
  * election_compare() - a compare that succeeds only while this process is the leader
  *
--- a/src/jobleader.c
+++ b/src/jobleader.c
@@ -50,6 +50,11 @@
 	return g_hash_table_lookup(leader->records, id);
 }
 
+bool job_leader_confirmed(const struct job_leader *leader)
+{
+	return election_lease_left_ms(leader->jobs->election) > 0;
+}
+
 uint32_t job_leader_count_live(const struct job_leader *leader, const char *organisation)
 {
 	GHashTableIter iter;
@@ -245,8 +250,11 @@
 	leader->step_timer = NULL;
 	if (!leader->loaded || leader->jobs->closing)
 		return;
-	/* Without the store no grant can be written: running jobs go on, nothing is decided. */
-	if (!store_healthy(leader->jobs->deps.store)) {
+	/*
+	 * Without the store no grant can be written: running jobs go on, nothing is decided. Nor
+	 * is anything decided while another process may be the leader.
+	 */
+	if (!store_healthy(leader->jobs->deps.store) || !job_leader_confirmed(leader)) {
 		schedule_step(leader, STORE_CHECK_MS);
 		return;
 	}
@@ -493,8 +501,12 @@
 		    void *data)
 {
 	struct job_leader *leader = data;
-	bool busy = leader->loaded && job_gang_tick(leader);
+	bool busy = false;
 
+	if (leader->loaded && job_leader_confirmed(leader)) {
+		job_leader_report_lost_workers(leader);
+		busy = job_gang_tick(leader);
+	}
 	if (leader->loaded &&
 	    configrepo_revision(leader->jobs->deps.configs) != leader->config_revision)
 		job_leader_apply_config(leader);
--- a/src/jobs_int.h
+++ b/src/jobs_int.h
@@ -155,6 +155,8 @@
 	char *target;
 	bool present;	  /* has announced itself and has not been lost since */
 	bool schedulable; /* in state MSG_TARGET_ALIVE: may get new work */
+	bool lost;	  /* its loss has not been reported to its gangs yet */
+	bool restarted;	  /* with @lost: its agent has been replaced by another process */
 };
 
 struct job_leader {
@@ -184,6 +186,13 @@
 /** job_leader_find_job() - the record of a job; NULL: unknown */
 struct job_record *job_leader_find_job(struct job_leader *leader, const char *id);
 
+/**
+ * job_leader_confirmed() - true while it is certain that no other process leads placement
+ *
+ * Members are neither started nor stopped by the leader's own decision at other times.
+ */
+bool job_leader_confirmed(const struct job_leader *leader);
+
 /** job_leader_schedule_step() - run the decision module in the next turn of the event loop */
 void job_leader_schedule_step(struct job_leader *leader);
 
@@ -212,6 +221,9 @@
 /** job_leader_update_worker() - an agent has announced @target, or has been lost */
 void job_leader_update_worker(struct job_leader *leader, const struct member_target *target);
 
+/** job_leader_report_lost_workers() - report losses that had to wait for job_leader_confirmed() */
+void job_leader_report_lost_workers(struct job_leader *leader);
+
 /** job_leader_apply_config() - apply the current configuration */
 void job_leader_apply_config(struct job_leader *leader);
 
--- a/src/jobworkers.c
+++ b/src/jobworkers.c
@@ -50,6 +50,31 @@
 			   util_clock_ms());
 }
 
+/* A leader that another process may have replaced must not stop gangs because of a silence. */
+static void report_loss(struct job_leader *leader, struct job_worker *worker)
+{
+	worker->lost = !job_leader_confirmed(leader);
+	if (worker->lost)
+		return;
+	if (!worker->present)
+		place_worker_down(leader->place, worker->node, util_clock_ms());
+	job_gang_worker_lost(leader, worker->node, worker->restarted);
+}
+
+void job_leader_report_lost_workers(struct job_leader *leader)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, leader->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct job_worker *worker = value;
+
+		if (worker->lost)
+			report_loss(leader, worker);
+	}
+}
+
 void job_leader_update_worker(struct job_leader *leader, const struct member_target *target)
 {
 	struct job_worker *worker;
@@ -59,15 +84,21 @@
 	    strcmp(target->region, leader->jobs->deps.region) != 0)
 		return;
 	worker = find_or_create_worker(leader, target->node);
-	if (worker->present && !gone && strcmp(worker->peer, target->peer) != 0)
-		job_gang_worker_lost(leader, target->node, true);
+	if (worker->present && !gone && strcmp(worker->peer, target->peer) != 0) {
+		worker->restarted = true;
+		report_loss(leader, worker);
+	}
 	if (worker->present && gone && !strcmp(worker->peer, target->peer)) {
 		log_warn("worker_lost", "", "%s", target->node);
 		worker->present = false;
-		place_worker_down(leader->place, target->node, util_clock_ms());
-		job_gang_worker_lost(leader, target->node, false);
+		worker->restarted = worker->lost && worker->restarted;
+		report_loss(leader, worker);
 	}
 	if (!gone) {
+		/* The agent itself has been heard of again before its loss was reported. */
+		if (worker->lost && !worker->restarted)
+			worker->lost = strcmp(worker->peer, target->peer) != 0;
+		worker->restarted = worker->lost;
 		worker->present = true;
 		worker->schedulable = target->state == MSG_TARGET_ALIVE;
 		replace_string(worker, &worker->peer, target->peer);
--- a/tests/lib_jobworld.c
+++ b/tests/lib_jobworld.c
@@ -50,6 +50,7 @@
 	struct simulated_member *member =
 		find_member(agent, hold->job, hold->attempt, hold->member);
 
+	agent->world->holds += !member;
 	if (agent->world->behaviour == AGENT_SILENT)
 		return;
 	for (int i = 0; !member && i < WORLD_MEMBERS; i++) {
--- a/tests/lib_jobworld.h
+++ b/tests/lib_jobworld.h
@@ -65,6 +65,7 @@
 	struct test_entry entries[WORLD_ENTRIES];
 	enum agent_behaviour behaviour;
 	unsigned int started_members; /* members whose task was started */
+	unsigned int holds;	      /* holds received for further members */
 	unsigned int
 		overlapping_starts;  /* tasks started while another attempt of the same job ran */
 	unsigned int partial_starts; /* tasks started of gangs without a hold for every member */
--- a/tests/test_election.c
+++ b/tests/test_election.c
@@ -140,6 +140,9 @@
 	CU_ASSERT_TRUE(loop_until(world.b.ev, &world.b.gained));
 	CU_ASSERT_EQUAL(world.b.epoch, world.a.epoch + 1);
 	CU_ASSERT_EQUAL(election_epoch(world.a.election), world.a.epoch);
+	CU_ASSERT_EQUAL(election_lease_left_ms(world.a.election), 0);
+	CU_ASSERT_TRUE(election_lease_left_ms(world.b.election) > 0);
+	CU_ASSERT_TRUE(election_lease_left_ms(world.b.election) <= 1000 * SHORT_TTL_S);
 	CU_ASSERT_EQUAL(election_compare(world.a.election, &compare), 0);
 	store_txn(world.a.store, &compare, 1, &op, 1, (struct store_cb){on_txn, &outcome});
 	CU_ASSERT_TRUE(loop_until(world.a.ev, &outcome.done));
@@ -171,6 +174,8 @@
 	CU_ASSERT_EQUAL(highest_epoch(&world), epoch);
 	CU_ASSERT_TRUE(election_epoch(world.a.election) == epoch ||
 		       election_epoch(world.b.election) == epoch);
+	CU_ASSERT_EQUAL(election_lease_left_ms(world.a.election), 0);
+	CU_ASSERT_EQUAL(election_lease_left_ms(world.b.election), 0);
 	fakestore_set_fault(world.fake, "{\"down\":false}");
 	run_both(&world, NULL, 4000);
 	while (count_leaders(&world) != 1)
@@ -198,6 +203,7 @@
 	run_both(&world, NULL, 1000);
 	CU_ASSERT_EQUAL(world.a.lost, 0);
 	CU_ASSERT_EQUAL(election_epoch(world.a.election), epoch);
+	CU_ASSERT_TRUE(election_lease_left_ms(world.a.election) > 0);
 	CU_ASSERT_EQUAL(fakestore_stat(world.fake, "keys"), 2);
 	talloc_free(world.mem);
 }
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -3,6 +3,7 @@
 
 #include <CUnit/Basic.h>
 #include <string.h>
+#include <unistd.h>
 
 #define GANG "{\"class\":\"again\",\"members\":3,\"accelerators\":4,\"cores\":1}"
 #define GANG_ONCE "{\"class\":\"once\",\"members\":2,\"accelerators\":4,\"cores\":1}"
@@ -160,6 +161,73 @@
 	world_close(&world);
 }
 
+#define LEASE_MS 3000 /* of the placement leader */
+
+/* Stops the whole process for longer than the leader's lease. */
+static void stall(void)
+{
+	usleep((LEASE_MS + 200) * 1000);
+}
+
+/* Guards against a leader that stops gangs, after its lease has ended, since it hears nothing. */
+static void test_stalled_leader(void)
+{
+	struct job_world world;
+	struct test_entry *entry;
+	struct job_reply gang;
+	struct job_reply waiting;
+	struct job_reply reply;
+
+	world_open(&world);
+	entry = world_entry(&world, 0);
+	world_submit(entry, GANG, "", DEADLINE_MS, &gang);
+	CU_ASSERT_TRUE(world_until(entry, gang.id, "running"));
+	stall();
+	member_tick(entry->members, util_clock_ms() + MEMBER_REMOVE_MS + 1);
+	loop_for(world.ev, 1500);
+	CU_ASSERT_EQUAL(world_running(&world), 3);
+	world_submit(entry, GANG, "", DEADLINE_MS, &waiting);
+	loop_for(world.ev, 500);
+	CU_ASSERT_EQUAL(world.holds, 3);
+	world.behaviour = AGENT_DONE;
+	world_finish(&world, MSG_MEMBER_DONE);
+	world_wait(entry, gang.id, &reply);
+	CU_ASSERT_STRING_EQUAL(reply.state, "done");
+	CU_ASSERT_EQUAL(reply.attempt, 1);
+	world_wait(entry, waiting.id, &reply);
+	CU_ASSERT_EQUAL(reply.attempt, 1);
+	CU_ASSERT_EQUAL(world.started_members, 6);
+	world_close(&world);
+}
+
+/* Guards against a start that a leader decides after its lease has ended. */
+static void test_start_after_stall(void)
+{
+	struct job_world world;
+	struct test_entry *entry;
+	struct job_reply gang;
+	struct job_reply waiting;
+	struct job_reply reply;
+
+	world_open(&world);
+	entry = world_entry(&world, 0);
+	world_submit(entry, GANG, "", DEADLINE_MS, &gang);
+	CU_ASSERT_TRUE(world_until(entry, gang.id, "running"));
+	world_submit(entry, GANG, "", DEADLINE_MS, &waiting);
+	CU_ASSERT_TRUE(world_until(entry, waiting.id, "waiting"));
+	world_finish(&world, MSG_MEMBER_DONE);
+	stall();
+	fakestore_set_fault(world.fake, "{\"down\":true}");
+	world.behaviour = AGENT_DONE;
+	loop_for(world.ev, 1000);
+	CU_ASSERT_EQUAL(world.holds, 3);
+	fakestore_set_fault(world.fake, "{\"down\":false}");
+	world_wait(entry, waiting.id, &reply);
+	CU_ASSERT_STRING_EQUAL(reply.state, "done");
+	CU_ASSERT_EQUAL(world.started_members, 6);
+	world_close(&world);
+}
+
 struct failure_case {
 	const char *body;
 	enum agent_behaviour behaviour;
@@ -285,6 +353,8 @@
 	CU_add_test(suite, "all replaced", test_all_entries_replaced);
 	CU_add_test(suite, "lost answers", test_lost_answers);
 	CU_add_test(suite, "outage", test_outage);
+	CU_add_test(suite, "stalled leader", test_stalled_leader);
+	CU_add_test(suite, "start after stall", test_start_after_stall);
 	CU_add_test(suite, "broken", test_failed_attempts);
 	CU_add_test(suite, "cancel", test_cancel);
 	CU_add_test(suite, "quota", test_quota);
