claim: a failed release is repeated

Callers got "outcome unknown" for a key of which nothing had run. A request was refused as not run and its claim was to be deleted, but the store did not answer at that moment. The next request with the key found the claim, and when its agent had meanwhile ended, nobody could tell that nothing had run.

The deletion is now repeated with backoff for ten minutes. It names the revision of the claim, so a repetition cannot delete another request's claim.

--- a/src/claim.c
+++ b/src/claim.c
@@ -1,5 +1,6 @@
 #include "claim.h"
 #include "log.h"
+#include "store_internal.h"
 #include "util.h"
 
 #include <inttypes.h>
@@ -15,6 +16,9 @@
 /* Added to the TTL of the lease, so that it outlives a claim made just before the rotation. */
 #define LEASE_MARGIN_S 120
 #define DEFAULT_TTL_S 600
+#define RELEASE_RETRY_MIN_MS 200
+#define RELEASE_RETRY_MAX_MS 5000
+#define RELEASE_GIVE_UP_MS 600000 /* most claims have expired by then */
 
 struct pending_claim {
 	struct pending_claim *next;
@@ -36,6 +40,15 @@
 	bool grant_pending;
 };
 
+/* The deletion of the claim of a request that did not run. */
+struct release {
+	struct claims *claims;
+	char key[KEY_MAX];
+	int64_t mod_revision;
+	uint64_t give_up_ms;
+	uint32_t failures;
+};
+
 struct claims {
 	struct tevent_context *ev;
 	struct store *store;
@@ -46,6 +59,7 @@
 	size_t batch_count;
 	struct lease *leases;
 	struct tevent_immediate *flush_event;
+	struct util_rng rng;
 	int metric_writes;
 };
 
@@ -59,6 +73,7 @@
 	claims->metrics = metrics;
 	claims->waiting_last = &claims->waiting_first;
 	claims->flush_event = tevent_create_immediate(claims);
+	util_random_bytes(&claims->rng.state, sizeof(claims->rng.state));
 	claims->metric_writes =
 		metrics_define(metrics, METRICS_COUNTER, "jaycourse_claim_writes_total", "",
 			       "Transactions that write claims of idempotency keys");
@@ -371,25 +386,55 @@
 	schedule_flush(claims);
 }
 
-/* A failed delete is only counted: an entry that finds the claim merely has to query its agent. */
+static void send_release(struct release *release);
+
+static void on_release_timer(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+			     void *data)
+{
+	send_release(data);
+}
+
+/* A conflict means that the claim is gone, or belongs to another request. */
 static void on_released(int status, const struct store_result *result, void *ctx)
 {
-	struct claims *claims = ctx;
+	struct release *release = ctx;
+	struct claims *claims = release->claims;
+	uint32_t delay_ms;
 
-	if (status)
+	if (!status || status == -ERR_CONFLICT) {
+		talloc_free(release);
+		return;
+	}
+	if (util_clock_ms() >= release->give_up_ms) {
 		metrics_count(claims->metrics, "jaycourse_claim_drops_failed_total", "",
 			      "Claims of requests that did not run and could not be deleted");
+		talloc_free(release);
+		return;
+	}
+	metrics_count_retry(claims->metrics, "claim_release");
+	delay_ms = store_backoff_ms(&claims->rng, release->failures++, RELEASE_RETRY_MIN_MS,
+				    RELEASE_RETRY_MAX_MS);
+	store_timer(claims->ev, release, delay_ms, on_release_timer, release);
+}
+
+static void send_release(struct release *release)
+{
+	struct store_compare compare = {.kind = STORE_MOD_REVISION_IS,
+					.key = release->key,
+					.number = release->mod_revision};
+	struct store_op op = {.kind = STORE_DELETE, .key = release->key};
+	struct store_cb cb = {on_released, release};
+
+	store_txn(release->claims->store, &compare, 1, &op, 1, cb);
 }
 
 void claims_release(struct claims *claims, uint64_t hash, int64_t mod_revision)
 {
-	struct store_compare compare = {.kind = STORE_MOD_REVISION_IS, .number = mod_revision};
-	struct store_op op = {.kind = STORE_DELETE};
-	struct store_cb cb = {on_released, claims};
-	char key[KEY_MAX];
+	struct release *release = talloc_zero(claims, struct release);
 
-	claim_key(hash, key);
-	compare.key = key;
-	op.key = key;
-	store_txn(claims->store, &compare, 1, &op, 1, cb);
+	release->claims = claims;
+	claim_key(hash, release->key);
+	release->mod_revision = mod_revision;
+	release->give_up_ms = util_clock_ms() + RELEASE_GIVE_UP_MS;
+	send_release(release);
 }
--- a/src/claim.h
+++ b/src/claim.h
@@ -45,7 +45,12 @@
 		    void (*done)(int status, const struct claim_record *found, void *ctx),
 		    void *ctx);
 
-/** claims_release() - delete the claim of a request that certainly did not run */
+/**
+ * claims_release() - delete the claim of a request that certainly did not run
+ *
+ * A failed deletion is repeated for some minutes; until then the key cannot be used again if the
+ * claimed agent is gone.
+ */
 void claims_release(struct claims *claims, uint64_t hash, int64_t mod_revision);
 
 #endif
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -139,6 +139,26 @@
 	talloc_free(world.mem);
 }
 
+/* Guards against a claim that stays, because its deletion failed, when its request has not run. */
+static void test_failed_release(void)
+{
+	struct world world;
+	struct result result;
+
+	setup(&world);
+	CU_ASSERT_EQUAL(acquire(&world, world.first_entry, 1, "a#1", 0, &result), 0);
+	fakestore_set_fault(world.fake, "{\"down\":true}");
+	claims_release(world.first_entry, 1, result.mod_revision);
+	loop_for(world.ev, 1000);
+	fakestore_set_fault(world.fake, "{\"down\":false}");
+	for (int i = 0; i < 100 && fakestore_stat(world.fake, "keys") > 0; i++)
+		loop_for(world.ev, 100);
+	CU_ASSERT_EQUAL(acquire(&world, world.second_entry, 1, "b#1", 0, &result), 0);
+	loop_for(world.ev, 500);
+	CU_ASSERT_EQUAL(acquire(&world, world.first_entry, 1, "c#1", 0, &result), -ERR_CONFLICT);
+	talloc_free(world.mem);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -150,6 +170,7 @@
 	CU_add_test(suite, "batch", test_batch);
 	CU_add_test(suite, "lost_answer", test_lost_answer);
 	CU_add_test(suite, "down", test_down);
+	CU_add_test(suite, "failed_release", test_failed_release);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
