msg, proxy, attempt: a key that may still run is not called completed

Callers who repeated a request with its key were told that the earlier one was completed and to use a new key to run it again, while it was still running: an agent sends ANSWER_DROPPED also for a running request whose answer is too long to be kept, and for a key that it cannot fence, which may have run or may still run. A caller who followed that advice ran the request twice.

A new state, ATTEMPT_UNKNOWN, stands for both cases, and the entry answers "outcome unknown".

test_agent_admission/long_answer and test_dispatch/unknown_attempt failed before.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -328,6 +328,10 @@
 		dispatch_retry(dispatch, request, "fenced");
 		return;
 	}
+	if (message->state != MSG_ATTEMPT_ANSWER_DROPPED) {
+		refuse_outcome_unknown(dispatch, request, "earlier_request");
+		return;
+	}
 	err_set(&request->err, ERR_EXISTS, "check the effect; use a new key to run it again",
 		"an earlier request with this key was completed and its answer is no longer kept");
 	dispatch_refuse(dispatch, request, REQUEST_UNKNOWN);
--- a/src/msg.h
+++ b/src/msg.h
@@ -89,6 +89,8 @@
 	MSG_ATTEMPT_RUNNING,	/* the answer follows as CHUNK and END for the querying request */
 	MSG_ATTEMPT_FINISHED,	/* the answer follows in the same way, from the stored copy */
 	MSG_ATTEMPT_ANSWER_DROPPED, /* ran to its end; the answer is no longer stored */
+	/* May have run, still run or run later; no answer follows. Not sent by older agents. */
+	MSG_ATTEMPT_UNKNOWN,
 };
 
 enum msg_member_state {
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -468,10 +468,10 @@
 	 */
 	if (state == OUTCOME_NONE)
 		return outcomes_fence(proxy->deps.outcomes, query->key_hash, util_clock_ms())
-			       ? MSG_ATTEMPT_ANSWER_DROPPED
+			       ? MSG_ATTEMPT_UNKNOWN
 			       : MSG_ATTEMPT_FENCED;
 	if (!*answer || !answer_has_all_bytes(*answer))
-		return MSG_ATTEMPT_ANSWER_DROPPED;
+		return state == OUTCOME_RUNNING ? MSG_ATTEMPT_UNKNOWN : MSG_ATTEMPT_ANSWER_DROPPED;
 	return state == OUTCOME_RUNNING ? MSG_ATTEMPT_RUNNING : MSG_ATTEMPT_FINISHED;
 }
 
--- a/tests/test_agent_admission.c
+++ b/tests/test_agent_admission.c
@@ -193,6 +193,11 @@
 	return rig_received_bytes(r, *(const uint64_t *)ctx) >= 256 * 1024;
 }
 
+static bool received_long(struct agent_rig *r, void *ctx)
+{
+	return rig_received_bytes(r, *(const uint64_t *)ctx) >= 700000;
+}
+
 /* Guards against sending more than an entry's credit, and against credit for the wrong answer. */
 static void test_credit(void)
 {
@@ -213,6 +218,23 @@
 	send_credit(id, 1);
 }
 
+/* Guards against calling a request completed that still runs, when its answer is not kept. */
+static void test_long_answer(void)
+{
+	uint64_t id = 650;
+	uint64_t received = 700000; /* more than is kept */
+
+	send_keyed_request(id, 7010, "{\"echo\":\"long\",\"answer_bytes\":3000000}");
+	send_credit(id, received);
+	CU_ASSERT(rig_run_until(&rig, received_long, &id, WAIT_MS));
+	CU_ASSERT_EQUAL(send_query(651, 7010, true), MSG_ATTEMPT_UNKNOWN);
+	send_credit(id, 3000000);
+	rig_wait(&rig, MSG_END, id);
+	CU_ASSERT(rig_answer_complete(&rig, id));
+	CU_ASSERT_EQUAL(send_query(652, 7010, true), MSG_ATTEMPT_ANSWER_DROPPED);
+	CU_ASSERT_EQUAL(rig_run_count(&rig, "long"), 1);
+}
+
 /* Guards against stopping cancelled work that is not idempotent, or losing its outcome. */
 static void test_cancel(void)
 {
@@ -342,6 +364,7 @@
 	CU_add_test(suite, "cut_answer", test_cut_answer);
 	CU_add_test(suite, "status", test_status);
 	CU_add_test(suite, "credit", test_credit);
+	CU_add_test(suite, "long_answer", test_long_answer);
 	CU_add_test(suite, "cancel", test_cancel);
 	CU_add_test(suite, "retired_entry", test_retired_entry);
 	CU_add_test(suite, "frozen", test_frozen);
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -49,7 +49,8 @@
 	enum behaviour behaviour;
 	bool misbehaved; /* an agent has handled a request as behaviour says */
 	bool knows_key;	 /* agents reply to queries with FINISHED and the answer, not with FENCED */
-	int hellos;	 /* received by the entry */
+	uint64_t known_state; /* if set, agents reply to queries with this state only */
+	int hellos;	      /* received by the entry */
 	int submitted;
 };
 
@@ -182,8 +183,10 @@
 	msg.u.attempt_info.key_hash = query->key_hash;
 	msg.u.attempt_info.state =
 		agent->world->knows_key ? MSG_ATTEMPT_FINISHED : MSG_ATTEMPT_FENCED;
+	if (agent->world->known_state)
+		msg.u.attempt_info.state = agent->world->known_state;
 	send_to_entry(agent, &msg);
-	if (agent->world->knows_key)
+	if (agent->world->knows_key && !agent->world->known_state)
 		send_answer(agent, query->id);
 }
 
@@ -415,6 +418,39 @@
 	teardown(&world);
 }
 
+/* Guards against advice to use a new key while the earlier request may still run. */
+static void test_unknown_attempt(void)
+{
+	static const struct {
+		uint64_t state;
+		const char *code;
+	} cases[] = {
+		{MSG_ATTEMPT_UNKNOWN, "\"outcome_unknown\""},
+		{MSG_ATTEMPT_ANSWER_DROPPED, "\"exists\""},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct request *first;
+		struct request *second;
+		struct world world;
+		char text[1024];
+
+		setup(&world, ANSWER);
+		world.known_state = cases[i].state;
+		first = submit_request(&world, "once", "k");
+		CU_ASSERT_EQUAL(wait_for_answer(&world, first, text, sizeof(text)), 200);
+		second = submit_request(&world, "once", "k");
+		CU_ASSERT(wait_for_answer(&world, second, text, sizeof(text)) >= 400);
+		CU_ASSERT_PTR_NOT_NULL(strstr(text, cases[i].code));
+		CU_ASSERT_EQUAL(strstr(text, "new key to run it") != NULL,
+				cases[i].state == MSG_ATTEMPT_ANSWER_DROPPED);
+		CU_ASSERT_EQUAL(total_requests(&world), 1);
+		request_unref(first);
+		request_unref(second);
+		teardown(&world);
+	}
+}
+
 /* Guards against requests with a key that are sent without a claim while the store is down. */
 static void test_store_down(void)
 {
@@ -482,6 +518,7 @@
 	suite = CU_add_suite("dispatch", NULL, NULL);
 	CU_add_test(suite, "scenarios", test_scenarios);
 	CU_add_test(suite, "join", test_join);
+	CU_add_test(suite, "unknown_attempt", test_unknown_attempt);
 	CU_add_test(suite, "store_down", test_store_down);
 	CU_add_test(suite, "abandon", test_abandon);
 	CU_add_test(suite, "no_target", test_no_target);
