proxy: a cancellation that can't be remembered promises nothing

An agent that remembers as many request ids as it can still answered a CANCEL that came before its REQUEST with "not run", and the request, arriving later, could run. Without the id the agent now sends nothing, as for a request whose id it can't remember; the entry treats that as unknown.

test_agent_admission/forgotten_cancel failed before.

--- a/src/proxy.c
+++ b/src/proxy.c
@@ -437,9 +437,12 @@
 	if (!streams_has_reader(proxy->deps.streams, peer, id)) {
 		if (seen_before(proxy, peer, id))
 			return;
-		remember_request(proxy, peer, id, util_clock_ms() + PROXY_EXPIRY_MAX_MS);
-		refuse_request(proxy, peer, id, -ERR_CANCELLED, "cancelled",
-			       "cancelled before it started");
+		/* Without the id the request could still run if it arrives later. */
+		if (remember_request(proxy, peer, id, util_clock_ms() + PROXY_EXPIRY_MAX_MS))
+			refuse_request(proxy, peer, id, -ERR_CANCELLED, "cancelled",
+				       "cancelled before it started");
+		else
+			metrics_count_refusal(proxy->deps.metrics, "too_many_ids");
 		return;
 	}
 	metrics_count_refusal(proxy->deps.metrics, "cancelled_running");
--- a/tests/test_agent_admission.c
+++ b/tests/test_agent_admission.c
@@ -348,6 +348,26 @@
 	CU_ASSERT(rig_answer_complete(&rig, 910));
 }
 
+#define IDS_MAX 65536 /* that an agent remembers */
+#define IDS_BATCH 1024
+
+/* Guards against a promise not to run a cancelled request whose id the agent can't remember. */
+static void test_forgotten_cancel(void)
+{
+	uint64_t id = 1;
+
+	rig_start(&rig, 1);
+	while (id <= IDS_MAX) {
+		for (int i = 0; i < IDS_BATCH; i++)
+			send_cancel(id++);
+		rig_wait(&rig, MSG_NOT_RUN, id - 1);
+	}
+	send_cancel(id);
+	send_query(id + 1, 7020, true);
+	CU_ASSERT_EQUAL(rig_message_count(&rig, MSG_NOT_RUN, id), 0);
+	rig_stop(&rig);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -371,6 +391,7 @@
 	CU_add_test(suite, "silent_target", test_silent_target);
 	CU_add_test(suite, "leaving", test_leaving);
 	CU_add_test(suite, "stop", test_stop);
+	CU_add_test(suite, "forgotten_cancel", test_forgotten_cancel);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures() + CU_get_number_of_suites_failed();
 	CU_cleanup_registry();
