relay: only the answer of a peer that was asked counts

An answer to a relayed write was matched by its number alone. A refusal that came late from the peer asked first ended the wait for the peer asked next, so the caller heard "unknown" of a job that was being stored; an answer of a peer that was not asked could have told a caller that a job was stored.

An answer now counts only from the connection of a peer that was asked for this write, and a refusal only from the one asked last.

test_relay/answer_of_other_peer failed before.

--- a/src/relay.c
+++ b/src/relay.c
@@ -232,17 +232,27 @@
 		write_for_peer(peer_write);
 }
 
-static void on_relay_answer(struct relay *relay, const struct msg_relayed *msg)
+/* Returns true if @link is the connection to a peer that was asked for this write. */
+static bool was_asked(const struct relay_call *call, const char *link)
+{
+	return g_str_has_prefix(link, LINK_PREFIX) && was_tried(call, link + strlen(LINK_PREFIX));
+}
+
+static void on_relay_answer(struct relay *relay, const char *link, const struct msg_relayed *msg)
 {
 	struct relay_call *call = g_hash_table_lookup(relay->calls, &msg->id);
 	int status = -(int)msg->code;
+	bool refused = status == -ERR_OUTCOME_UNKNOWN || status == -ERR_UNAVAILABLE;
 
-	if (!call)
+	if (!call || !was_asked(call, link))
+		return;
+	/* A late refusal does not end the wait for the peer that was asked after it. */
+	if (refused && (!call->asked || strcmp(call->asked->link, link) != 0))
 		return;
 	TALLOC_FREE(call->timer);
 	if (status == -ERR_OUTCOME_UNKNOWN)
 		call->maybe_written = true;
-	if (status == -ERR_OUTCOME_UNKNOWN || status == -ERR_UNAVAILABLE)
+	if (refused)
 		ask_next_peer(call);
 	else
 		finish_call(call, status);
@@ -253,7 +263,7 @@
 	if (msg->type == MSG_RELAY)
 		handle_request(relay, peer, &msg->u.relay);
 	else if (msg->type == MSG_RELAYED)
-		on_relay_answer(relay, &msg->u.relayed);
+		on_relay_answer(relay, peer, &msg->u.relayed);
 	else
 		return false;
 	return true;
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -155,6 +155,47 @@
 	tear_down(f);
 }
 
+static void answer_first_write(struct fixture *f, const char *link, int code)
+{
+	struct msg msg = {.type = MSG_RELAYED, .u.relayed = {.id = 1, .code = (uint64_t)code}};
+
+	relay_message(f->nodes[0].relay, link, &msg);
+}
+
+/* Starts a write that no peer answers, and returns when the second peer has been asked. */
+static struct fixture *start_unanswered_write(void)
+{
+	struct fixture *f = set_up();
+
+	TALLOC_FREE(f->nodes[1].relay);
+	TALLOC_FREE(f->nodes[2].relay);
+	relay_put(f->nodes[0].relay, "job/1", "v", "", 0, on_done, f);
+	memkv_run(f->ev, 500);
+	return f;
+}
+
+/* Guards against an answer that counts although its sender was not asked, or not asked last. */
+static void test_answer_of_other_peer(void)
+{
+	static const char *const links[] = {"entry:n1", "entry:n2"};
+	int ended_early = 0;
+
+	for (int i = 0; i < 2; i++) {
+		struct fixture *f = start_unanswered_write();
+
+		answer_first_write(f, "entry:n9", 0);
+		answer_first_write(f, "n1", 0);
+		CU_ASSERT_EQUAL(f->ended, 0);
+		answer_first_write(f, links[i], ERR_UNAVAILABLE);
+		ended_early += f->ended;
+		memkv_run(f->ev, 500);
+		CU_ASSERT_EQUAL(f->ended, 1);
+		CU_ASSERT_EQUAL(f->status, -ERR_OUTCOME_UNKNOWN);
+		tear_down(f);
+	}
+	CU_ASSERT_EQUAL(ended_early, 1);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -166,6 +207,7 @@
 	CU_add_test(suite, "asks_all_peers", test_asks_all_peers);
 	CU_add_test(suite, "silent_peer", test_silent_peer);
 	CU_add_test(suite, "required_revision", test_required_revision);
+	CU_add_test(suite, "answer_of_other_peer", test_answer_of_other_peer);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
