jobapi: an accepted job is found while it is merged

Callers got "no such job" for a job that had been accepted a moment before. An entry that knows no placement leader read the shards of the store first and the segments of new submissions after them; a job that the leader moved from its segment to its shard between the two reads was in neither answer.

The segments are now read first, and a record of a shard replaces one of a segment. A job moves only in that direction, so it is in one of the answers.

test_jobs/merge during query failed before.

--- a/src/jobapi.c
+++ b/src/jobapi.c
@@ -151,8 +151,9 @@
 }
 
 /*
- * Adds the jobs of shards or segments that match the query. A job that is in both is added once:
- * the shards are read first, because a merged record is newer than the one in the segment.
+ * Adds the jobs of segments or shards that match the query. The segments are read first: a job
+ * that the leader moves to its shard between the two reads is then found in the shard. A record of
+ * a shard replaces one of a segment, which is older.
  */
 static void add_matching_jobs(struct lookup *lookup, const struct query *query,
 			      const struct store_result *result)
@@ -167,8 +168,7 @@
 		{
 			struct job_record *job = job_from_json(NULL, json);
 
-			if (job && matches_query(query, job) &&
-			    !json_object_get(lookup->jobs, job->id))
+			if (job && matches_query(query, job))
 				json_object_set_new(lookup->jobs, job->id, job_to_reply(job));
 			talloc_free(job);
 		}
@@ -209,7 +209,7 @@
 	json_decref(list);
 }
 
-static void on_segments(int status, const struct store_result *result, void *ctx)
+static void on_shards(int status, const struct store_result *result, void *ctx)
 {
 	struct lookup *lookup = ctx;
 	struct query *query = find_query(lookup->owner, lookup->id);
@@ -224,36 +224,36 @@
 	free_lookup(lookup);
 }
 
-static void on_shards(int status, const struct store_result *result, void *ctx)
+static void on_segments(int status, const struct store_result *result, void *ctx)
 {
 	struct lookup *lookup = ctx;
 	struct query *query = find_query(lookup->owner, lookup->id);
-	struct store_cb cb = {on_segments, lookup};
+	struct store_cb cb = {on_shards, lookup};
+	char key[16];
 
 	if (!query || status) {
-		on_segments(status ? status : -ERR_UNAVAILABLE, NULL, lookup);
+		on_shards(status ? status : -ERR_UNAVAILABLE, NULL, lookup);
 		return;
 	}
 	add_matching_jobs(lookup, query, result);
-	store_range(lookup->owner->jobs->deps.store, "submit/", 0, cb);
+	if (query->job[0]) {
+		snprintf(key, sizeof(key), "jobs/%02u", job_shard(query->job));
+		store_get(lookup->owner->jobs->deps.store, key, cb);
+	} else {
+		store_range(lookup->owner->jobs->deps.store, "jobs/", 0, cb);
+	}
 }
 
 static void read_store(struct query *query)
 {
 	struct lookup *lookup = talloc_zero(query->owner, struct lookup);
-	struct store_cb cb = {on_shards, lookup};
-	char key[16];
+	struct store_cb cb = {on_segments, lookup};
 
 	lookup->owner = query->owner;
 	lookup->id = query->id;
 	lookup->jobs = json_object();
 	metrics_count_retry(query->owner->jobs->deps.metrics, "job_query_store");
-	if (query->job[0]) {
-		snprintf(key, sizeof(key), "jobs/%02u", job_shard(query->job));
-		store_get(query->owner->jobs->deps.store, key, cb);
-	} else {
-		store_range(query->owner->jobs->deps.store, "jobs/", 0, cb);
-	}
+	store_range(query->owner->jobs->deps.store, "submit/", 0, cb);
 }
 
 static bool is_read_only(const struct query *query)
--- a/tests/lib_jobworld.c
+++ b/tests/lib_jobworld.c
@@ -345,7 +345,7 @@
 	reply->jobs = json_array_size(json_object_get(json, "jobs"));
 }
 
-static struct jobs_cb reply_callback(struct job_reply *reply)
+struct jobs_cb world_reply(struct job_reply *reply)
 {
 	*reply = (struct job_reply){0};
 	return (struct jobs_cb){on_reply, reply};
@@ -361,7 +361,7 @@
 					     .body = json,
 					     .deadline_ms = deadline_ms};
 
-	jobs_submit(entry->jobs, &submission, reply_callback(reply));
+	jobs_submit(entry->jobs, &submission, world_reply(reply));
 	json_decref(json);
 	CU_ASSERT_TRUE_FATAL(loop_until(entry->world->ev, &reply->done));
 }
@@ -373,7 +373,7 @@
 
 	/* The id may be part of @reply, which is cleared. */
 	snprintf(id, sizeof(id), "%s", job);
-	jobs_query(entry->jobs, verb, id, "", reply_callback(reply));
+	jobs_query(entry->jobs, verb, id, "", world_reply(reply));
 	CU_ASSERT_TRUE_FATAL(loop_until(entry->world->ev, &reply->done));
 }
 
@@ -382,7 +382,7 @@
 	char id[32];
 
 	snprintf(id, sizeof(id), "%s", job);
-	jobs_wait(entry->jobs, id, "", JOB_TIMEOUT_MS, reply_callback(reply));
+	jobs_wait(entry->jobs, id, "", JOB_TIMEOUT_MS, world_reply(reply));
 	CU_ASSERT_TRUE_FATAL(loop_until(entry->world->ev, &reply->done));
 }
 
--- a/tests/lib_jobworld.h
+++ b/tests/lib_jobworld.h
@@ -90,6 +90,9 @@
 struct test_entry *world_entry(struct job_world *world, int i);
 void world_crash(struct test_entry *entry);
 
+/** world_reply() - callback that clears @reply and stores the result of one call in it */
+struct jobs_cb world_reply(struct job_reply *reply);
+
 /** world_submit() - submit a job and wait for the answer; @key: idempotency key, "" for none */
 void world_submit(struct test_entry *entry, const char *body, const char *key, uint32_t deadline_ms,
 		  struct job_reply *reply);
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -1,7 +1,9 @@
+#include "jobs_int.h"
 #include "lib_jobworld.h"
 #include "util.h"
 
 #include <CUnit/Basic.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -228,6 +230,100 @@
 	world_close(&world);
 }
 
+struct segment {
+	int done;
+	char *key;
+	char *value;
+};
+
+static void on_segment(int status, const struct store_result *result, void *ctx)
+{
+	struct segment *segment = ctx;
+
+	segment->done = 1;
+	CU_ASSERT_EQUAL_FATAL(result ? result->count : 0, 1);
+	segment->key = strdup(result->kvs[0].key);
+	segment->value = strndup(result->kvs[0].value, result->kvs[0].value_len);
+}
+
+static void on_moved(int status, const struct store_result *result, void *ctx)
+{
+	CU_ASSERT_EQUAL(status, 0);
+	*(int *)ctx = 1;
+}
+
+/* Merges the only segment into the shard of its job, as a placement leader does. */
+static void merge_segment(struct job_world *world, struct store *store, const char *job)
+{
+	struct segment segment = {0};
+	char shard[16];
+	int moved = 0;
+
+	store_range(store, "submit/", 0, (struct store_cb){on_segment, &segment});
+	CU_ASSERT_TRUE_FATAL(loop_until(world->ev, &segment.done));
+	snprintf(shard, sizeof(shard), "jobs/%02u", job_shard(job));
+	store_txn(store, NULL, 0,
+		  (struct store_op[]){{.kind = STORE_PUT,
+				       .key = shard,
+				       .value = segment.value,
+				       .value_len = strlen(segment.value)},
+				      {.kind = STORE_DELETE, .key = segment.key}},
+		  2, (struct store_cb){on_moved, &moved});
+	CU_ASSERT_TRUE(loop_until(world->ev, &moved));
+	free(segment.key);
+	free(segment.value);
+}
+
+/* Lets another process, which does not answer, be the placement leader. */
+static void elect_silent_leader(struct job_world *world, struct store *store)
+{
+	static const char record[] =
+		"{\"node\":\"ghost#1\",\"address\":\"127.0.0.1:9\",\"epoch\":7}";
+	int done = 0;
+
+	store_txn(store, NULL, 0,
+		  (struct store_op[]){{.kind = STORE_PUT,
+				       .key = "duty/placement/r",
+				       .value = record,
+				       .value_len = strlen(record)},
+				      {.kind = STORE_PUT,
+				       .key = "duty-epoch/placement/r",
+				       .value = "7",
+				       .value_len = 1}},
+		  2, (struct store_cb){on_moved, &done});
+	CU_ASSERT_TRUE(loop_until(world->ev, &done));
+}
+
+/* Guards against "no such job" for a job that is merged while the store is read. */
+static void test_merge_during_query(void)
+{
+	struct job_world world;
+	struct test_entry *entry;
+	struct store *store;
+	struct job_reply submitted;
+	struct job_reply reply;
+	int64_t reads;
+
+	world_open(&world);
+	store = fakestore_client(world.mem, world.fake, 0);
+	elect_silent_leader(&world, store);
+	entry = world_entry(&world, 0);
+	world_submit(entry, SMALL, "", DEADLINE_MS, &submitted);
+	CU_ASSERT_EQUAL(submitted.status, 0);
+	fakestore_set_fault(world.fake, "{\"slow_ms\":1000}");
+	reads = fakestore_stat(world.fake, "reads");
+	reply = (struct job_reply){0};
+	jobs_query(entry->jobs, "get", submitted.id, "", world_reply(&reply));
+	while (fakestore_stat(world.fake, "reads") < reads + 2 && !reply.done)
+		loop_for(world.ev, 20);
+	fakestore_set_fault(world.fake, "{\"slow_ms\":0}");
+	merge_segment(&world, store, submitted.id);
+	CU_ASSERT_TRUE(loop_until(world.ev, &reply.done));
+	CU_ASSERT_EQUAL(reply.status, 0);
+	CU_ASSERT_STRING_EQUAL(reply.id, submitted.id);
+	world_close(&world);
+}
+
 struct failure_case {
 	const char *body;
 	enum agent_behaviour behaviour;
@@ -355,6 +451,7 @@
 	CU_add_test(suite, "outage", test_outage);
 	CU_add_test(suite, "stalled leader", test_stalled_leader);
 	CU_add_test(suite, "start after stall", test_start_after_stall);
+	CU_add_test(suite, "merge during query", test_merge_during_query);
 	CU_add_test(suite, "broken", test_failed_attempts);
 	CU_add_test(suite, "cancel", test_cancel);
 	CU_add_test(suite, "quota", test_quota);
