worker, gang: one definition of the lease of gang tasks

The lease of gang tasks is now TASK_LEASE_MS, and TASK_LEASE_EXPIRY_MS beside it is derived from it. No value changes.

--- a/src/gang.c
+++ b/src/gang.c
@@ -139,7 +139,7 @@
 	coordinator->deadline_ms =
 		now_ms +
 		(uint64_t)longest_pinging_sequence(coordinator) * GANG_PREDECESSOR_TIMEOUT_MS +
-		GANG_LINGER_MS + GANG_PING_INTERVAL_MS + GANG_LEASE_EXPIRY_MS;
+		GANG_LINGER_MS + GANG_PING_INTERVAL_MS + TASK_LEASE_EXPIRY_MS;
 }
 
 static void fence_when_all_final(struct gang_coordinator *coordinator, uint64_t now_ms,
--- a/src/gang.h
+++ b/src/gang.h
@@ -3,6 +3,7 @@
 
 #include "msg.h"
 #include "place.h"
+#include "worker.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -77,8 +78,6 @@
 #define GANG_LINGER_MS 3000
 /* A final status is repeated at this interval until RELEASE. */
 #define GANG_STATUS_RESEND_INTERVAL_MS 2000
-/* A task's lease has expired after this time: worker lease of 3 s and margin for clock steps. */
-#define GANG_LEASE_EXPIRY_MS 4000
 #define GANG_ATTEMPT_BITS 16
 
 /** gang_attempt() - attempt number of the @count-th attempt, which was made in @epoch */
--- a/src/gangtask.c
+++ b/src/gangtask.c
@@ -89,7 +89,8 @@
 		return;
 	record->lease_timer =
 		tevent_add_timer(record->agent->ev, record,
-				 tevent_timeval_current_ofs(GANG_LEASE_EXPIRY_MS / 1000, 0),
+				 tevent_timeval_current_ofs(TASK_LEASE_EXPIRY_MS / 1000,
+							    TASK_LEASE_EXPIRY_MS % 1000 * 1000),
 				 on_lease_expired, record);
 }
 
--- a/src/worker.c
+++ b/src/worker.c
@@ -66,7 +66,7 @@
 {
 	if (!worker->clock_known)
 		return 0;
-	return (uint64_t)((int64_t)util_clock_ms() + worker->clock_offset_ms) + WORKER_LEASE_MS;
+	return (uint64_t)((int64_t)util_clock_ms() + worker->clock_offset_ms) + TASK_LEASE_MS;
 }
 
 static int task_destructor(struct task *task)
@@ -126,7 +126,7 @@
 static void set_lease_expiry(struct task *task, uint32_t call_timeout_ms)
 {
 	task->lease_expiry_ms =
-		util_clock_ms() + call_timeout_ms + WORKER_LEASE_MS + LEASE_EXPIRY_MARGIN_MS;
+		util_clock_ms() + call_timeout_ms + TASK_LEASE_MS + LEASE_EXPIRY_MARGIN_MS;
 }
 
 struct call {
@@ -417,7 +417,7 @@
 
 	task->renew_call = NULL;
 	if (!status && http_status == 200)
-		task->renewed_ms = task->lease_expiry_ms - RENEW_TIMEOUT_MS - WORKER_LEASE_MS -
+		task->renewed_ms = task->lease_expiry_ms - RENEW_TIMEOUT_MS - TASK_LEASE_MS -
 				   LEASE_EXPIRY_MARGIN_MS;
 }
 
@@ -539,7 +539,7 @@
 	while (task) {
 		if (task->phase == PHASE_RUNNING &&
 		    now - task->renewed_ms >
-			    WORKER_LEASE_MS + RENEW_TIMEOUT_MS + LEASE_EXPIRY_MARGIN_MS) {
+			    TASK_LEASE_MS + RENEW_TIMEOUT_MS + LEASE_EXPIRY_MARGIN_MS) {
 			log_warn("task_unconfirmed", task->id,
 				 "the worker has not answered a renewal for %" PRIu64 " ms",
 				 now - task->renewed_ms);
--- a/src/worker.h
+++ b/src/worker.h
@@ -24,7 +24,9 @@
 
 struct worker;
 
-#define WORKER_LEASE_MS 3000 /* time until the task of a dead or frozen agent stops */
+#define TASK_LEASE_MS 3000 /* time until the task of a dead or frozen agent stops */
+/* A task whose lease is no longer renewed has stopped after this time, also if clocks step. */
+#define TASK_LEASE_EXPIRY_MS (TASK_LEASE_MS + 1000)
 
 enum worker_task_state {
 	WORKER_TASK_RUNNING = 1,
--- a/src/workerjson.c
+++ b/src/workerjson.c
@@ -20,7 +20,7 @@
 
 static void set_lease(json_t *root, uint64_t lease_until_ms)
 {
-	json_object_set_new(root, "lease_ms", json_integer(WORKER_LEASE_MS));
+	json_object_set_new(root, "lease_ms", json_integer(TASK_LEASE_MS));
 	if (lease_until_ms)
 		json_object_set_new(root, "lease_until_ms",
 				    json_integer((json_int_t)lease_until_ms));
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -281,7 +281,7 @@
 	uint64_t now = util_clock_ms();
 	char state[32];
 
-	worker_set_clock(worker, now - WORKER_LEASE_MS - 1, now);
+	worker_set_clock(worker, now - TASK_LEASE_MS - 1, now);
 	CU_ASSERT(run_start("n.1.0", 1, 1, "{}") < 0);
 	task_state("n.1.0", state);
 	CU_ASSERT_STRING_NOT_EQUAL(state, "running");
@@ -298,7 +298,7 @@
 	uint64_t until_ms;
 
 	CU_ASSERT_EQUAL(run_start("m.1.0", 1, 1, "{}"), 0);
-	until_ms = util_clock_ms() + WORKER_LEASE_MS + 1000;
+	until_ms = util_clock_ms() + TASK_LEASE_MS + 1000;
 	CU_ASSERT(run_until(time_passed, &until_ms));
 	task_state("m.1.0", state);
 	CU_ASSERT_STRING_EQUAL(state, "running");
