--- a/tests/test_agent_admission.c
+++ b/tests/test_agent_admission.c
@@ -193,6 +193,11 @@
 	return rig_received_bytes(r, *(const uint64_t *)ctx) >= 256 * 1024;
 }
 
+static bool received_long(struct agent_rig *r, void *ctx)
+{
+	return rig_received_bytes(r, *(const uint64_t *)ctx) >= 700000;
+}
+
 /* Guards against sending more than an entry's credit, and against credit for the wrong answer. */
 static void test_credit(void)
 {
@@ -213,6 +218,23 @@
 	send_credit(id, 1);
 }
 
+/* Guards against calling a request completed that still runs, when its answer is not kept. */
+static void test_long_answer(void)
+{
+	uint64_t id = 650;
+	uint64_t received = 700000; /* more than is kept */
+
+	send_keyed_request(id, 7010, "{\"echo\":\"long\",\"answer_bytes\":3000000}");
+	send_credit(id, received);
+	CU_ASSERT(rig_run_until(&rig, received_long, &id, WAIT_MS));
+	CU_ASSERT_EQUAL(send_query(651, 7010, true), MSG_ATTEMPT_UNKNOWN);
+	send_credit(id, 3000000);
+	rig_wait(&rig, MSG_END, id);
+	CU_ASSERT(rig_answer_complete(&rig, id));
+	CU_ASSERT_EQUAL(send_query(652, 7010, true), MSG_ATTEMPT_ANSWER_DROPPED);
+	CU_ASSERT_EQUAL(rig_run_count(&rig, "long"), 1);
+}
+
 /* Guards against stopping cancelled work that is not idempotent, or losing its outcome. */
 static void test_cancel(void)
 {
@@ -326,6 +348,26 @@
 	CU_ASSERT(rig_answer_complete(&rig, 910));
 }
 
+#define IDS_MAX 65536 /* that an agent remembers */
+#define IDS_BATCH 1024
+
+/* Guards against a promise not to run a cancelled request whose id the agent can't remember. */
+static void test_forgotten_cancel(void)
+{
+	uint64_t id = 1;
+
+	rig_start(&rig, 1);
+	while (id <= IDS_MAX) {
+		for (int i = 0; i < IDS_BATCH; i++)
+			send_cancel(id++);
+		rig_wait(&rig, MSG_NOT_RUN, id - 1);
+	}
+	send_cancel(id);
+	send_query(id + 1, 7020, true);
+	CU_ASSERT_EQUAL(rig_message_count(&rig, MSG_NOT_RUN, id), 0);
+	rig_stop(&rig);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -342,12 +384,14 @@
 	CU_add_test(suite, "cut_answer", test_cut_answer);
 	CU_add_test(suite, "status", test_status);
 	CU_add_test(suite, "credit", test_credit);
+	CU_add_test(suite, "long_answer", test_long_answer);
 	CU_add_test(suite, "cancel", test_cancel);
 	CU_add_test(suite, "retired_entry", test_retired_entry);
 	CU_add_test(suite, "frozen", test_frozen);
 	CU_add_test(suite, "silent_target", test_silent_target);
 	CU_add_test(suite, "leaving", test_leaving);
 	CU_add_test(suite, "stop", test_stop);
+	CU_add_test(suite, "forgotten_cancel", test_forgotten_cancel);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures() + CU_get_number_of_suites_failed();
 	CU_cleanup_registry();
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -1,8 +1,11 @@
+#include "jobs_int.h"
 #include "lib_jobworld.h"
 #include "util.h"
 
 #include <CUnit/Basic.h>
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define GANG "{\"class\":\"again\",\"members\":3,\"accelerators\":4,\"cores\":1}"
 #define GANG_ONCE "{\"class\":\"once\",\"members\":2,\"accelerators\":4,\"cores\":1}"
@@ -160,6 +163,167 @@
 	world_close(&world);
 }
 
+#define LEASE_MS 3000 /* of the placement leader */
+
+/* Stops the whole process for longer than the leader's lease. */
+static void stall(void)
+{
+	usleep((LEASE_MS + 200) * 1000);
+}
+
+/* Guards against a leader that stops gangs, after its lease has ended, since it hears nothing. */
+static void test_stalled_leader(void)
+{
+	struct job_world world;
+	struct test_entry *entry;
+	struct job_reply gang;
+	struct job_reply waiting;
+	struct job_reply reply;
+
+	world_open(&world);
+	entry = world_entry(&world, 0);
+	world_submit(entry, GANG, "", DEADLINE_MS, &gang);
+	CU_ASSERT_TRUE(world_until(entry, gang.id, "running"));
+	stall();
+	member_tick(entry->members, util_clock_ms() + MEMBER_REMOVE_MS + 1);
+	loop_for(world.ev, 1500);
+	CU_ASSERT_EQUAL(world_running(&world), 3);
+	world_submit(entry, GANG, "", DEADLINE_MS, &waiting);
+	loop_for(world.ev, 500);
+	CU_ASSERT_EQUAL(world.holds, 3);
+	world.behaviour = AGENT_DONE;
+	world_finish(&world, MSG_MEMBER_DONE);
+	world_wait(entry, gang.id, &reply);
+	CU_ASSERT_STRING_EQUAL(reply.state, "done");
+	CU_ASSERT_EQUAL(reply.attempt, 1);
+	world_wait(entry, waiting.id, &reply);
+	CU_ASSERT_EQUAL(reply.attempt, 1);
+	CU_ASSERT_EQUAL(world.started_members, 6);
+	world_close(&world);
+}
+
+/* Guards against a start that a leader decides after its lease has ended. */
+static void test_start_after_stall(void)
+{
+	struct job_world world;
+	struct test_entry *entry;
+	struct job_reply gang;
+	struct job_reply waiting;
+	struct job_reply reply;
+
+	world_open(&world);
+	entry = world_entry(&world, 0);
+	world_submit(entry, GANG, "", DEADLINE_MS, &gang);
+	CU_ASSERT_TRUE(world_until(entry, gang.id, "running"));
+	world_submit(entry, GANG, "", DEADLINE_MS, &waiting);
+	CU_ASSERT_TRUE(world_until(entry, waiting.id, "waiting"));
+	world_finish(&world, MSG_MEMBER_DONE);
+	stall();
+	fakestore_set_fault(world.fake, "{\"down\":true}");
+	world.behaviour = AGENT_DONE;
+	loop_for(world.ev, 1000);
+	CU_ASSERT_EQUAL(world.holds, 3);
+	fakestore_set_fault(world.fake, "{\"down\":false}");
+	world_wait(entry, waiting.id, &reply);
+	CU_ASSERT_STRING_EQUAL(reply.state, "done");
+	CU_ASSERT_EQUAL(world.started_members, 6);
+	world_close(&world);
+}
+
+struct segment {
+	int done;
+	char *key;
+	char *value;
+};
+
+static void on_segment(int status, const struct store_result *result, void *ctx)
+{
+	struct segment *segment = ctx;
+
+	segment->done = 1;
+	CU_ASSERT_EQUAL_FATAL(result ? result->count : 0, 1);
+	segment->key = strdup(result->kvs[0].key);
+	segment->value = strndup(result->kvs[0].value, result->kvs[0].value_len);
+}
+
+static void on_moved(int status, const struct store_result *result, void *ctx)
+{
+	CU_ASSERT_EQUAL(status, 0);
+	*(int *)ctx = 1;
+}
+
+/* Merges the only segment into the shard of its job, as a placement leader does. */
+static void merge_segment(struct job_world *world, struct store *store, const char *job)
+{
+	struct segment segment = {0};
+	char shard[16];
+	int moved = 0;
+
+	store_range(store, "submit/", 0, (struct store_cb){on_segment, &segment});
+	CU_ASSERT_TRUE_FATAL(loop_until(world->ev, &segment.done));
+	snprintf(shard, sizeof(shard), "jobs/%02u", job_shard(job));
+	store_txn(store, NULL, 0,
+		  (struct store_op[]){{.kind = STORE_PUT,
+				       .key = shard,
+				       .value = segment.value,
+				       .value_len = strlen(segment.value)},
+				      {.kind = STORE_DELETE, .key = segment.key}},
+		  2, (struct store_cb){on_moved, &moved});
+	CU_ASSERT_TRUE(loop_until(world->ev, &moved));
+	free(segment.key);
+	free(segment.value);
+}
+
+/* Lets another process, which does not answer, be the placement leader. */
+static void elect_silent_leader(struct job_world *world, struct store *store)
+{
+	static const char record[] =
+		"{\"node\":\"ghost#1\",\"address\":\"127.0.0.1:9\",\"epoch\":7}";
+	int done = 0;
+
+	store_txn(store, NULL, 0,
+		  (struct store_op[]){{.kind = STORE_PUT,
+				       .key = "duty/placement/r",
+				       .value = record,
+				       .value_len = strlen(record)},
+				      {.kind = STORE_PUT,
+				       .key = "duty-epoch/placement/r",
+				       .value = "7",
+				       .value_len = 1}},
+		  2, (struct store_cb){on_moved, &done});
+	CU_ASSERT_TRUE(loop_until(world->ev, &done));
+}
+
+/* Guards against "no such job" for a job that is merged while the store is read. */
+static void test_merge_during_query(void)
+{
+	struct job_world world;
+	struct test_entry *entry;
+	struct store *store;
+	struct job_reply submitted;
+	struct job_reply reply;
+	int64_t reads;
+
+	world_open(&world);
+	store = fakestore_client(world.mem, world.fake, 0);
+	elect_silent_leader(&world, store);
+	entry = world_entry(&world, 0);
+	world_submit(entry, SMALL, "", DEADLINE_MS, &submitted);
+	CU_ASSERT_EQUAL(submitted.status, 0);
+	fakestore_set_fault(world.fake, "{\"slow_ms\":1000}");
+	reads = fakestore_stat(world.fake, "reads");
+	reply = (struct job_reply){0};
+	jobs_query(entry->jobs, "get", submitted.id, "", world_reply(&reply));
+	while (fakestore_stat(world.fake, "reads") < reads + 2 && !reply.done)
+		loop_for(world.ev, 20);
+	fakestore_set_fault(world.fake, "{\"slow_ms\":0}");
+	merge_segment(&world, store, submitted.id);
+	CU_ASSERT_TRUE(loop_until(world.ev, &reply.done));
+	CU_ASSERT_EQUAL(reply.status, 0);
+	CU_ASSERT_STRING_EQUAL(reply.id, submitted.id);
+	world_close(&world);
+}
+
 struct failure_case {
 	const char *body;
 	enum agent_behaviour behaviour;
@@ -285,6 +449,9 @@
 	CU_add_test(suite, "all replaced", test_all_entries_replaced);
 	CU_add_test(suite, "lost answers", test_lost_answers);
 	CU_add_test(suite, "outage", test_outage);
+	CU_add_test(suite, "stalled leader", test_stalled_leader);
+	CU_add_test(suite, "start after stall", test_start_after_stall);
+	CU_add_test(suite, "merge during query", test_merge_during_query);
 	CU_add_test(suite, "broken", test_failed_attempts);
 	CU_add_test(suite, "cancel", test_cancel);
 	CU_add_test(suite, "quota", test_quota);
