test_leader: a leader is confirmed by a lease without a key

failed_write_after_lapse fails on this code: a leader whose key has lapsed is granted a new lease, its write of the key gets no answer (or is refused, as by a limit on writes), and advance_election() then renews that lease, because the term and the lease are set. on_renewed() counts the answer as a confirmation although no key belongs to the lease, so another process may be elected and both are confirmed. A refused write is never repeated.

--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -349,6 +349,29 @@
 	talloc_free(f);
 }
 
+/* Guards against a leader that is confirmed by a lease that its key does not belong to yet. */
+static void test_failed_write_after_lapse(void)
+{
+	struct fixture *f = talloc_zero(NULL, struct fixture);
+	struct node *node = &f->nodes[0];
+
+	f->ev = tevent_context_init(f);
+	f->store = memkv_create(f, f->ev);
+	start_node(f, node);
+	for (int i = 0; i < 100 && !node->term; i++)
+		memkv_run(f->ev, 10);
+	CU_ASSERT_EQUAL(node->term, 1);
+	node->client->fault = MEMKV_REJECT_CALLS;
+	memkv_run(f->ev, TTL_MS * 2);
+	node->client->fault = MEMKV_DELAY_TXNS;
+	for (int i = 0; i < 100; i++) {
+		memkv_run(f->ev, 10);
+		CU_ASSERT(!leader_confirmed(node->leader) || memkv_value(f->store, "leader"));
+	}
+	CU_ASSERT_EQUAL(node->term, 1);
+	talloc_free(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -369,6 +392,7 @@
 	CU_add_test(suite, "unknown_resignation", test_unknown_resignation);
 	CU_add_test(suite, "resignation_stored_without_answer",
 		    test_resignation_stored_without_answer);
+	CU_add_test(suite, "failed_write_after_lapse", test_failed_write_after_lapse);
 	CU_add_test(suite, "late_write_with_earlier_lease", test_late_write_with_earlier_lease);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
