test_runner: a restarted worker that runs a start is reported as down

start_on_restarted_worker fails on this code: a worker restarts under its identifier, and the new incarnation carries out a start that the agent sends before a list shows the new time of start. on_renewed() then marks the worker as down, and the report says that certainly nothing runs, so the leader starts the task elsewhere while the run goes on under a lease by the former clock.

--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -735,6 +735,33 @@
 	tear_down(f);
 }
 
+/* Guards against a worker that is reported as down while a new incarnation runs a start of ours. */
+static void test_start_on_restarted_worker(void)
+{
+	struct fixture *f = set_up();
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(f->report->settled);
+	/* The worker restarts under its identifier, and its answer with the new start time is late.
+	 */
+	f->list_answers_lost = true;
+	f->born_ms = 9;
+	f->orders[f->order_count++] = start_order();
+	for (int i = 0; i < 50 && f->starts == 0; i++)
+		memkv_run(f->ev, 10);
+	CU_ASSERT_EQUAL(f->running_count, 1);
+	f->list_answers_lost = false;
+	for (int i = 0; i < 60; i++) {
+		memkv_run(f->ev, 10);
+		CU_ASSERT_TRUE(f->report->alive);
+	}
+	CU_ASSERT_EQUAL(announce(f, 9, 1), 0);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_EQUAL(f->report->running_count, 1);
+	tear_down(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -763,6 +790,7 @@
 		    test_unanswered_start_is_reported_to_new_leader);
 	CU_add_test(suite, "former_leader", test_former_leader);
 	CU_add_test(suite, "stopping_start_is_not_running", test_stopping_start_is_not_running);
+	CU_add_test(suite, "start_on_restarted_worker", test_start_on_restarted_worker);
 	CU_add_test(suite, "list_of_former_term", test_list_of_former_term);
 	CU_add_test(suite, "end_after_unanswered_stop", test_end_after_unanswered_stop);
 	CU_basic_run_tests();
