test_runner: an unanswered start is repeated under a new term

start_of_former_term_is_not_repeated fails on this code: a start that a former leader ordered and that got no answer is repeated with the number of the new term, by the authority that the former leader gave, before the new leader has answered a report. If this process of the agent ends then and the worker carries out that call late, the new term does not protect: the list of the next process lacks the run, and the new leader starts the task elsewhere.

--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -762,6 +762,29 @@
 	tear_down(f);
 }
 
+/* Guards against a start that is repeated under a term whose leader does not know of it yet. */
+static void test_start_of_former_term_is_not_repeated(void)
+{
+	struct fixture *f = set_up();
+	struct msg msg = {.type = MSG_LEAD, .u.lead = {4, "e2", wire_address(f->leader_wire)}};
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	f->start_result = RUNNER_NO_ANSWER;
+	f->start_delay_ms = 200;
+	f->orders[f->order_count++] = start_order();
+	for (int i = 0; i < 50 && f->starts == 0; i++)
+		memkv_run(f->ev, 10);
+	CU_ASSERT_EQUAL(f->starts, 1);
+	f->order_count = 0;
+	f->answers = false;
+	f->term = 4;
+	wire_send(f->leader_wire, f->agent_peer, &msg);
+	memkv_run(f->ev, 1000);
+	CU_ASSERT_EQUAL(f->starts, 1);
+	tear_down(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -791,6 +814,8 @@
 	CU_add_test(suite, "former_leader", test_former_leader);
 	CU_add_test(suite, "stopping_start_is_not_running", test_stopping_start_is_not_running);
 	CU_add_test(suite, "start_on_restarted_worker", test_start_on_restarted_worker);
+	CU_add_test(suite, "start_of_former_term_is_not_repeated",
+		    test_start_of_former_term_is_not_repeated);
 	CU_add_test(suite, "list_of_former_term", test_list_of_former_term);
 	CU_add_test(suite, "end_after_unanswered_stop", test_end_after_unanswered_stop);
 	CU_basic_run_tests();
