leader: a lease without the key confirms nothing

A leader whose key had lapsed renewed the lease that it had been granted for a new key, although the write of that key had failed or got no answer, and was confirmed by it. Another process could be elected meanwhile, so two leaders could start one task; a key whose write was refused was never written again.

The lease is now given up with the failed write, unless the mirror has shown the key.

test_leader/failed_write_after_lapse failed before.

--- a/src/leader.c
+++ b/src/leader.c
@@ -213,6 +213,9 @@
 		}
 		end_term(leader, "another process was elected");
 	}
+	/* No key is known to belong to this lease, so a renewal would confirm nothing. */
+	if (leader->term && leader->vacant)
+		leader->lease = 0;
 	advance_after(leader, RETRY_MS);
 }
 
