test_leader: a leader counts its lease from a later grant

key_of_earlier_grant fails on this code: a candidate is granted a lease, its write of the key gets no answer, and it asks for another lease, which sets renewal_sent_ms. The mirror then shows the key, written late under the first lease: on_item() calls become_leader(), which takes renewal_sent_ms for the time of confirmation, and adopt_key() changes nothing as the lease is the same. The process is confirmed for up to about one second after its key has ended.

--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -372,6 +372,51 @@
 	talloc_free(f);
 }
 
+/* Operations of the store with other grants of leases. */
+static struct kv_ops other_ops;
+static void (*real_grant)(void *impl, uint32_t ttl_ms, struct kv_cb cb);
+static struct node *granted_node;
+static int grants;
+
+static void use_other_grants(struct node *node, void (*grant)(void *, uint32_t, struct kv_cb))
+{
+	other_ops = *node->client->kv.ops;
+	real_grant = other_ops.lease_grant;
+	other_ops.lease_grant = grant;
+	node->client->kv.ops = &other_ops;
+	granted_node = node;
+	grants = 0;
+}
+
+static void grant_first(void *impl, uint32_t ttl_ms, struct kv_cb cb)
+{
+	if (grants++ == 0)
+		real_grant(impl, ttl_ms, cb);
+	else /* no answer for some time; the first write is carried out late, later ones work */
+		granted_node->client->fault = MEMKV_FAULT_NONE;
+}
+
+/* Guards against a leader that counts its lease from a later grant than that of its key. */
+static void test_key_of_earlier_grant(void)
+{
+	struct fixture *f = talloc_zero(NULL, struct fixture);
+	struct node *node = &f->nodes[0];
+
+	f->ev = tevent_context_init(f);
+	f->store = memkv_create(f, f->ev);
+	start_node(f, node);
+	use_other_grants(node, grant_first);
+	node->client->fault = MEMKV_DELAY_TXNS;
+	for (int i = 0; i < 100 && !node->term; i++)
+		memkv_run(f->ev, 10);
+	CU_ASSERT_EQUAL(node->term, 1);
+	for (int i = 0; i < 120; i++) {
+		memkv_run(f->ev, 5);
+		CU_ASSERT(!leader_confirmed(node->leader) || memkv_value(f->store, "leader"));
+	}
+	talloc_free(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -393,6 +438,7 @@
 	CU_add_test(suite, "resignation_stored_without_answer",
 		    test_resignation_stored_without_answer);
 	CU_add_test(suite, "failed_write_after_lapse", test_failed_write_after_lapse);
+	CU_add_test(suite, "key_of_earlier_grant", test_key_of_earlier_grant);
 	CU_add_test(suite, "late_write_with_earlier_lease", test_late_write_with_earlier_lease);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
