test_leader: a process that shuts down becomes leader

no_election_at_shutdown fails on this code: leader_resign() while a grant is in progress. on_lease_granted() writes the key all the same; nobody renews or ends the lease, so there is no working leader until it expires.

--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -417,6 +417,29 @@
 	talloc_free(f);
 }
 
+static void grant_at_shutdown(void *impl, uint32_t ttl_ms, struct kv_cb cb)
+{
+	if (grants++ == 0)
+		leader_resign(granted_node->leader);
+	real_grant(impl, ttl_ms, cb);
+}
+
+/* Guards against a process that shuts down and becomes leader, whose lease nobody renews. */
+static void test_no_election_at_shutdown(void)
+{
+	struct fixture *f = talloc_zero(NULL, struct fixture);
+	struct node *node = &f->nodes[0];
+
+	f->ev = tevent_context_init(f);
+	f->store = memkv_create(f, f->ev);
+	start_node(f, node);
+	use_other_grants(node, grant_at_shutdown);
+	memkv_run(f->ev, 1000);
+	CU_ASSERT_EQUAL(grants, 1);
+	CU_ASSERT_EQUAL(node->gained, 0);
+	talloc_free(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -439,6 +462,7 @@
 		    test_resignation_stored_without_answer);
 	CU_add_test(suite, "failed_write_after_lapse", test_failed_write_after_lapse);
 	CU_add_test(suite, "key_of_earlier_grant", test_key_of_earlier_grant);
+	CU_add_test(suite, "no_election_at_shutdown", test_no_election_at_shutdown);
 	CU_add_test(suite, "late_write_with_earlier_lease", test_late_write_with_earlier_lease);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
