leader: a key found in the mirror confirms nothing by itself

A process that learned from its mirror that its key had been written counted its lease from its latest request for a lease, which may be later than the one that granted the lease of the key. It was confirmed after its key had ended, while another process could be elected. Nothing is certain now before the lease of that key has been renewed, which is done at once.

--- a/src/leader.c
+++ b/src/leader.c
@@ -482,6 +482,9 @@
 	    !strcmp(item->value, leader->key_value) && !leader->resigned) {
 		become_leader(leader, item->revision);
 		adopt_key(leader, item);
+		/* The key does not show when its lease was granted. */
+		leader->confirmed_ms = 0;
+		advance_after(leader, 0);
 	}
 	leader->known_term = (uint64_t)term;
 	leader->known_revision = item->revision;
