leader: a process that shuts down does not become leader

An election that was in progress when the process was told to shut down went on, and the process became leader with a lease that nobody renewed, so the fleet had no leader that could act until it expired.

The steps of an election now end at the shutdown, and a lease that is granted after it is ended at once. test_leader/no_election_at_shutdown failed before.

--- a/src/leader.c
+++ b/src/leader.c
@@ -195,6 +195,8 @@
 	struct leader *leader = ctx;
 
 	leader->call_pending = false;
+	if (leader->resigned)
+		return; /* leader_resign() ends the lease */
 	if (status == 0) {
 		become_leader(leader, result->revision);
 		return;
@@ -254,6 +256,12 @@
 	talloc_free(own_resignation);
 }
 
+static void on_lease_revoked(int status, const struct kv_result *result, void *ctx)
+{
+	if (status)
+		log_info("leader_resign", "", "the lease could not be revoked; it will expire");
+}
+
 static void on_lease_granted(int status, const struct kv_result *result, void *ctx)
 {
 	struct leader *leader = ctx;
@@ -263,6 +271,11 @@
 		advance_after(leader, RETRY_MS);
 		return;
 	}
+	if (leader->resigned) {
+		leader->kv->ops->lease_end(leader->kv->impl, result->lease,
+					   (struct kv_cb){on_lease_revoked, leader});
+		return;
+	}
 	leader->lease = result->lease;
 	write_leader_key(leader);
 }
@@ -273,6 +286,8 @@
 	uint64_t stored = 0;
 
 	leader->call_pending = false;
+	if (leader->resigned)
+		return;
 	if (status) {
 		advance_after(leader, RETRY_MS);
 		return;
@@ -578,12 +593,6 @@
 	return leader->loaded && kv_mirror_failing_ms(leader->mirror) < leader->ttl_ms;
 }
 
-static void on_lease_revoked(int status, const struct kv_result *result, void *ctx)
-{
-	if (status)
-		log_info("leader_resign", "", "the lease could not be revoked; it will expire");
-}
-
 void leader_resign(struct leader *leader)
 {
 	int64_t lease = leader->lease;
