--- a/src/leader.c
+++ b/src/leader.c
@@ -195,6 +195,8 @@
 	struct leader *leader = ctx;
 
 	leader->call_pending = false;
+	if (leader->resigned)
+		return; /* leader_resign() ends the lease */
 	if (status == 0) {
 		become_leader(leader, result->revision);
 		return;
@@ -213,6 +215,9 @@
 		}
 		end_term(leader, "another process was elected");
 	}
+	/* No key is known to belong to this lease, so a renewal would confirm nothing. */
+	if (leader->term && leader->vacant)
+		leader->lease = 0;
 	advance_after(leader, RETRY_MS);
 }
 
@@ -251,6 +256,12 @@
 	talloc_free(own_resignation);
 }
 
+static void on_lease_revoked(int status, const struct kv_result *result, void *ctx)
+{
+	if (status)
+		log_info("leader_resign", "", "the lease could not be revoked; it will expire");
+}
+
 static void on_lease_granted(int status, const struct kv_result *result, void *ctx)
 {
 	struct leader *leader = ctx;
@@ -260,6 +271,11 @@
 		advance_after(leader, RETRY_MS);
 		return;
 	}
+	if (leader->resigned) {
+		leader->kv->ops->lease_end(leader->kv->impl, result->lease,
+					   (struct kv_cb){on_lease_revoked, leader});
+		return;
+	}
 	leader->lease = result->lease;
 	write_leader_key(leader);
 }
@@ -270,6 +286,8 @@
 	uint64_t stored = 0;
 
 	leader->call_pending = false;
+	if (leader->resigned)
+		return;
 	if (status) {
 		advance_after(leader, RETRY_MS);
 		return;
@@ -479,6 +497,9 @@
 	    !strcmp(item->value, leader->key_value) && !leader->resigned) {
 		become_leader(leader, item->revision);
 		adopt_key(leader, item);
+		/* The key does not show when its lease was granted. */
+		leader->confirmed_ms = 0;
+		advance_after(leader, 0);
 	}
 	leader->known_term = (uint64_t)term;
 	leader->known_revision = item->revision;
@@ -572,12 +593,6 @@
 	return leader->loaded && kv_mirror_failing_ms(leader->mirror) < leader->ttl_ms;
 }
 
-static void on_lease_revoked(int status, const struct kv_result *result, void *ctx)
-{
-	if (status)
-		log_info("leader_resign", "", "the lease could not be revoked; it will expire");
-}
-
 void leader_resign(struct leader *leader)
 {
 	int64_t lease = leader->lease;
