runner: a former leader's start is not repeated under a new term

A start that a former leader had ordered and that got no answer was repeated with the number of the new term, before the new leader knew of it. If the agent's process ended then and the worker carried out that call late, the new term did not protect, and the new leader could start the task elsewhere. Found by the review.

Such a start is reported as pending and called again only once the present leader orders it. test_runner/start_of_former_term_is_not_repeated failed before.

--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -245,8 +245,8 @@
 			call_stop(row);
 		else if (row->state == RUN_ORDERED && !runner->accepting)
 			give_up_start(row, PLAN_REFUSED_OTHER);
-		else if (row->state == RUN_ORDERED && runner_may_extend_lease(runner) &&
-			 runner->settled)
+		else if (row->state == RUN_ORDERED && row->term == runner->term &&
+			 runner_may_extend_lease(runner) && runner->settled)
 			call_start(row);
 	}
 	g_list_free(rows);
@@ -277,6 +277,8 @@
 		row->maybe_begun = order->maybe_begun;
 		return;
 	}
+	if (order->start)
+		row->term = runner->term; /* the present leader has taken over the start */
 	if (!order->start && (row->state == RUN_ORDERED || row->state == RUN_STARTED)) {
 		row->state = RUN_STOPPING;
 		row->retry_ms = 0;
