runner: a start that was called is reported as pending at once

A start without an answer was in no report of the current term. A worker that drained meanwhile looked empty, so the leader removed the key of its agent, and a later leader did not wait for that agent and could start the task elsewhere while the call was carried out late. Not shown by a test of the sequence as a whole; test_runner checks the report of pending runs.

--- a/src/runner.c
+++ b/src/runner.c
@@ -66,14 +66,11 @@
 	return count;
 }
 
-/*
- * A start that a former leader ordered and that the worker has not answered may still begin, so
- * it is reported to the new leader as running.
- */
+/* A start that was called and that the worker has not answered may still begin. */
 static bool may_run(const struct runner *runner, const struct run_row *row)
 {
 	if (row->state == RUN_ORDERED)
-		return row->term < runner->term;
+		return row->term < runner->term || row->attempts > 0 || row->maybe_begun;
 	return row->state != RUN_REFUSED && !runner_end_listed(runner, row->task, row->run);
 }
 
