test_coord: an agent's key is removed while a start is open

keeps_key_while_a_start_is_open fails on this code: a start call is in progress when the worker begins to drain. The run is RUN_ORDERED under the present term, which the agent lists nowhere because the leader knows the order; the report is empty and the worker accepts nothing, so needs_agent_key() is false and apply_report() removes the key. A leader that is elected before the start is confirmed does not wait for this agent, and starts the task elsewhere while the run is at work.

--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -439,6 +439,27 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against a later leader that does not wait for an agent whose worker drains while a start
+ * call is in progress, which no list of runs shows.
+ */
+static void test_keeps_key_while_a_start_is_open(void)
+{
+	struct fixture *f = set_up("");
+
+	elect_leader(f);
+	send_report(f, 0, true, NULL, NULL);
+	put_job(f, "0123456789abcdef", 1);
+	memkv_run(f->ev, 100);
+	CU_ASSERT_EQUAL(count_starts(f), 1);
+	draining = true;
+	send_report(f, 0, true, NULL, NULL);
+	draining = false;
+	CU_ASSERT_EQUAL(count_starts(f), 1);
+	CU_ASSERT_PTR_NOT_NULL(memkv_value(f->store, "agent/host0"));
+	tear_down(f);
+}
+
 /*
  * Guards against starts of tasks of an advised queue without a ticket, and against calls without a
  * pause to an advice service that is busy.
@@ -663,6 +684,7 @@
 		{"unconfirmed_leader_starts_nothing", test_unconfirmed_leader_starts_nothing},
 		{"advised_queue", test_advised_queue},
 		{"forgets_emptied_workers", test_forgets_emptied_workers},
+		{"keeps_key_while_a_start_is_open", test_keeps_key_while_a_start_is_open},
 		{"cancel", test_cancel},
 		{"forgets_ended_jobs", test_forgets_ended_jobs},
 		{"malformed_job", test_malformed_job},
