test_plan: a pending run is started while a later run is at work

later_run_of_pending_one fails on this code: two agents list runs of one task to a new leader, first one whose start got no answer under the former leader, then one that is at work under a later number, because the former leader had taken the first worker for lost. can_adopt_run() takes the first over for the task, match_run() makes the second an orphan, and the orders to the first worker start it at once while the second is still being stopped.

--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -677,6 +677,46 @@
 	check_and_free(sim);
 }
 
+static void report_worker(struct plansim *sim, const char *node)
+{
+	struct plan_worker_info info = {.node = node,
+					.id = node,
+					.incarnation = "1",
+					.service = "s",
+					.zone = "z",
+					.kind = "k",
+					.rack = "r",
+					.room = {8000, 8000, 8},
+					.accepting = true};
+
+	plan_worker_update(sim->plan, &info, sim->now_ms);
+}
+
+/* Guards against a new leader that starts an unconfirmed run while a later one is at work. */
+static void test_later_run_of_pending_one(void)
+{
+	struct plansim *sim = plansim_create(NULL, 0);
+	const struct plan_run pending = {"j1.0.0.0", 5, "", 0};
+	const struct plan_run running = {"j1.0.0.0", 6, "", 10};
+	struct plan_order *orders;
+	size_t count;
+
+	plansim_add_job(sim, "j1", "batch", "b",
+			"[{\"tasks\":1,\"cpu_milli\":1000,\"estimate_ms\":2000}]");
+	plansim_restart_leader(sim, false);
+	report_worker(sim, "a");
+	plan_worker_pending(sim->plan, "a", &pending, sim->now_ms);
+	plan_worker_list_end(sim->plan, "a", sim->now_ms);
+	report_worker(sim, "b");
+	plan_worker_running(sim->plan, "b", &running, sim->now_ms);
+	plan_worker_list_end(sim->plan, "b", sim->now_ms);
+	plan_decide(sim->plan, sim->now_ms, NULL, NULL);
+	count = plan_orders(sim->plan, sim, "a", &orders);
+	for (size_t i = 0; i < count; i++)
+		CU_ASSERT_FALSE(orders[i].start);
+	check_and_free(sim);
+}
+
 /* Guards against a job that a leader and its successor both start. */
 static void test_held_job(void)
 {
@@ -727,6 +767,7 @@
 		{"held_job", test_held_job},
 		{"waits_for_end_of_orphan_run", test_waits_for_end_of_orphan_run},
 		{"pending_run_is_not_lost", test_pending_run_is_not_lost},
+		{"later_run_of_pending_one", test_later_run_of_pending_one},
 		{"earlier_run_is_done", test_earlier_run_is_done},
 		CU_TEST_INFO_NULL,
 	};
