test_platform: a start whose connection breaks is sent twice

start_lost_with_its_connection fails on this code: libcurl itself sends a request again, on a new connection, when a connection that was used before breaks without a byte of the answer, also a POST. The agent counts one attempt. The worker may carry out the first call seconds later; if the second is refused for want of room or as unhealthy, refuse_latest_attempt() reports that the run never began, and the leader starts the task elsewhere. The same holds for a transaction of the store: a 503 to the second call counts as nothing done.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -4,9 +4,13 @@
 #include "util.h"
 
 #include <CUnit/Basic.h>
+#include <arpa/inet.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 /*
  * Decoding of the platform's formats into the scheduler's types. The bodies are taken from the
@@ -274,6 +278,117 @@
 	talloc_free(mem);
 }
 
+/* A worker that answers the first call, loses the second with its connection, then has no room. */
+struct losing_worker {
+	struct tevent_context *ev;
+	int listener;
+	int calls;
+};
+
+static void on_worker_readable(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+			       void *ctx)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 41\r\n\r\n"
+		"{\"clock_ms\":1000,\"running\":[],\"ended\":[]}",
+		"",
+		"HTTP/1.1 409 Conflict\r\nContent-Length: 33\r\n\r\n"
+		"{\"clock_ms\":1000,\"reason\":\"room\"}",
+	};
+	struct losing_worker *worker = ctx;
+	int fd = *(int *)talloc_parent(fde);
+	char buffer[4096];
+	const char *answer;
+
+	if (read(fd, buffer, sizeof(buffer)) <= 0) {
+		talloc_free(fde);
+		return;
+	}
+	answer = answers[worker->calls < 2 ? worker->calls : 2];
+	worker->calls++;
+	if (!*answer) {
+		close(fd);
+		talloc_free(fde);
+		return;
+	}
+	CU_ASSERT_EQUAL(write(fd, answer, strlen(answer)), (ssize_t)strlen(answer));
+}
+
+static void on_worker_connected(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+				void *ctx)
+{
+	struct losing_worker *worker = ctx;
+	int *fd = talloc(worker, int);
+
+	*fd = accept(worker->listener, NULL, NULL);
+	tevent_add_fd(ev, fd, *fd, TEVENT_FD_READ, on_worker_readable, worker);
+}
+
+static char *listen_as_worker(struct losing_worker *worker)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t len = sizeof(address);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	worker->listener = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL(bind(worker->listener, (struct sockaddr *)&address, len), 0);
+	CU_ASSERT_EQUAL(listen(worker->listener, 8), 0);
+	getsockname(worker->listener, (struct sockaddr *)&address, &len);
+	tevent_add_fd(worker->ev, worker, worker->listener, TEVENT_FD_READ, on_worker_connected,
+		      worker);
+	return talloc_asprintf(worker, "127.0.0.1:%u", ntohs(address.sin_port));
+}
+
+static void on_list(int status, const struct runner_list *list, void *ctx)
+{
+	CU_ASSERT_EQUAL(status, 0);
+	*(bool *)ctx = true;
+}
+
+struct start_answer {
+	bool received;
+	enum runner_call_result result;
+};
+
+static void on_start_answer(enum runner_call_result result, uint64_t clock_ms, void *ctx)
+{
+	*(struct start_answer *)ctx = (struct start_answer){true, result};
+}
+
+/* Guards against a start that is sent twice and counts as refused though the first may begin. */
+static void test_start_lost_with_its_connection(void)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	struct tevent_context *ev = tevent_context_init(mem);
+	struct losing_worker *worker = talloc_zero(mem, struct losing_worker);
+	struct runner_renewal renewal = {.worker = "w", .term = 1};
+	struct runner_start start = {
+		.worker = "w",
+		.task = "j.0.0.0",
+		.run = 1,
+		.payload = "p",
+		.checkpoint = "",
+		.ticket = "",
+		.term = 1,
+	};
+	struct start_answer answer = {0};
+	struct runner_calls *calls;
+	bool listed = false;
+
+	worker->ev = ev;
+	calls = platform_worker_create(mem, httpc_create(mem, ev), listen_as_worker(worker));
+	calls->renew(calls->impl, &renewal, on_list, &listed);
+	while (!listed)
+		tevent_loop_once(ev);
+	calls->start(calls->impl, &start, on_start_answer, &answer);
+	while (!answer.received)
+		tevent_loop_once(ev);
+	CU_ASSERT_EQUAL(worker->calls, 2);
+	CU_ASSERT_EQUAL(answer.result, RUNNER_NO_ANSWER);
+	close(worker->listener);
+	talloc_free(mem);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -287,6 +402,7 @@
 	CU_add_test(suite, "heartbeat", test_heartbeat);
 	CU_add_test(suite, "control_calls", test_control_calls);
 	CU_add_test(suite, "advice", test_advice);
+	CU_add_test(suite, "start_lost_with_its_connection", test_start_lost_with_its_connection);
 	CU_add_test(suite, "damaged_bodies", test_damaged_bodies);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
