--- a/src/httpc.c
+++ b/src/httpc.c
@@ -24,6 +24,7 @@
 	char *body;
 	size_t len;
 	bool too_large;
+	bool sent;
 };
 
 struct socket_watch {
@@ -58,6 +59,8 @@
 		return 0;
 	if (call->too_large)
 		return -ERR_TOO_LARGE;
+	if (call->sent && call->request.send_once)
+		return -ERR_OUTCOME_UNKNOWN;
 	if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
 	    code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL)
 		return -ERR_UNAVAILABLE;
@@ -216,6 +219,16 @@
 	return len;
 }
 
+/* Called each time before libcurl sends the request. */
+static int on_send(void *ctx, char *peer_ip, char *own_ip, int peer_port, int own_port)
+{
+	struct httpc_call *call = ctx;
+	bool again = call->sent;
+
+	call->sent = true;
+	return again && call->request.send_once ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 static void set_body(struct httpc_call *call)
 {
 	const struct httpc_request *request = &call->request;
@@ -239,6 +252,8 @@
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_write);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_send);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	/* A store watch may be idle for hours; only probes detect a half-open connection then. */
 	curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -27,7 +27,9 @@
  * @answer_max: longest answer in bytes; a longer one fails with -ERR_TOO_LARGE; 0 means 16 MiB.
  *	Not used with @on_data.
  * @fresh_connection: open a new connection. libcurl silently resends a request when a
- *	reused connection turns out to be closed, so requests that must not run twice need this.
+ *	reused connection turns out to be closed, so requests that must not run twice need this
+ *	or @send_once.
+ * @send_once: a request whose connection breaks fails instead of being sent again
  * @on_data: receives the answer piece by piece instead of as a whole; may be NULL. It
  *	returns false to pause; httpc_resume() then delivers the same piece again.
  * @done: called once, unless the call is cancelled. @status: 0 when a complete HTTP answer
@@ -46,6 +48,7 @@
 	uint32_t connect_timeout_ms;
 	size_t answer_max;
 	bool fresh_connection;
+	bool send_once;
 	bool (*on_data)(struct httpc_call *call, const void *data, size_t len, void *ctx);
 	void (*done)(int status, int http_status, const char *body, size_t len, void *ctx);
 	void *ctx;
