plan: a later run supersedes an adopted one

A new leader took over an older, pending run of a task from one worker and then heard of a later run at work on another. It ordered the older one to start at once, while the later one was being stopped: two runs of one task. The later run is now taken over and the older one stopped; nothing of an inherited job is started before both are known.

test_plan/later_run_of_pending_one failed before.

--- a/src/planworker.c
+++ b/src/planworker.c
@@ -295,6 +295,16 @@
 	plan_sample_speed(task, now_ms);
 }
 
+/*
+ * True for a run that is later than the one that was adopted before it. No task of an inherited job
+ * is started by this leader, so every assignment is an adoption.
+ */
+static bool supersedes_adopted_run(const struct task *task, uint32_t run)
+{
+	return plan_task_job(task)->inherited && task->worker && run > task->run &&
+	       task->state != TASK_STOPPING && !task->step->spec->gang;
+}
+
 /* Returns the task that a reported run belongs to, if it is its current run or can become it. */
 static struct task *match_run(struct plan *plan, struct worker *worker, const struct plan_run *run,
 			      uint64_t list_ms)
@@ -305,6 +315,11 @@
 		task->listed = true;
 		return task;
 	}
+	if (task && supersedes_adopted_run(task, run->run)) {
+		add_orphan_run(task->worker,
+			       &(struct plan_run){.task = task->name, .run = task->run});
+		return_to_waiting(task);
+	}
 	if (task && can_adopt_run(task, run->run)) {
 		adopt_run(plan, task, worker, run, list_ms);
 		return task;
