runner: a worker restarted under its identifier is not down

A worker restarted, and its new incarnation carried out a start that the agent sent before it knew of the restart. The next list named another start time, the agent reported that certainly nothing ran, and the leader started the task elsewhere while the run went on. Calls that were sent to the former incarnation could reach the new one even later.

The agent now takes over the new incarnation from the list, without new work until it has announced what it offers, and stops the runs whose start calls got no answer; these are reported as pending until then.

test_runner/start_on_restarted_worker failed before.

--- a/src/runner.c
+++ b/src/runner.c
@@ -233,7 +233,7 @@
 	log_warn("worker_down", runner->worker, "%s", why);
 	runner->alive = false;
 	runner->down = true;
-	runner_reset_incarnation(runner);
+	runner_reset_incarnation(runner, false);
 	runner_schedule_report(runner);
 }
 
@@ -256,6 +256,39 @@
 	runner_schedule_report(runner);
 }
 
+static void replace_string(struct runner *runner, char **field, const char *value)
+{
+	if (*field && !strcmp(*field, value))
+		return;
+	talloc_free(*field);
+	*field = talloc_strdup(runner, value);
+}
+
+static void set_incarnation(struct runner *runner, const char *id, uint64_t started_ms)
+{
+	runner_reset_incarnation(runner, runner->worker && !strcmp(runner->worker, id));
+	replace_string(runner, &runner->worker, id);
+	talloc_free(runner->incarnation);
+	runner->incarnation = talloc_asprintf(runner, "%s/%" PRIu64, id, started_ms);
+	runner->worker_started_ms = started_ms;
+}
+
+/*
+ * The worker was restarted under its identifier and has not announced itself yet. Calls that were
+ * sent since then have reached the new incarnation, which gets nothing new before it has announced
+ * what it offers.
+ */
+static void find_restarted_worker(struct runner *runner, uint64_t started_ms)
+{
+	char *id = talloc_strdup(NULL, runner->worker);
+
+	log_info("worker_restarted", id, "its list names another start time");
+	set_incarnation(runner, id, started_ms);
+	runner->sequence = 0;
+	runner->accepting = false;
+	talloc_free(id);
+}
+
 /* A call to renew the lease or to list the runs. */
 struct renewal_call {
 	struct runner *runner;
@@ -302,9 +335,7 @@
 	}
 	if (status == 0 && list->worker_started_ms && runner->worker_started_ms &&
 	    list->worker_started_ms != runner->worker_started_ms) {
-		/* The worker was restarted and has not announced itself yet. */
-		mark_worker_down(runner, "the worker was restarted");
-		return;
+		find_restarted_worker(runner, list->worker_started_ms);
 	}
 	if (status == 0) {
 		apply_renewal(runner, &call, list);
@@ -360,24 +391,11 @@
 					 on_tick, runner);
 }
 
-static void replace_string(struct runner *runner, char **field, const char *value)
-{
-	if (*field && !strcmp(*field, value))
-		return;
-	talloc_free(*field);
-	*field = talloc_strdup(runner, value);
-}
-
 static void begin_incarnation(struct runner *runner, const struct runner_announcement *announcement)
 {
 	log_info("worker_found", announcement->id, "room for %u accelerators, rack %s",
 		 announcement->room.accelerators, announcement->rack);
-	runner_reset_incarnation(runner);
-	replace_string(runner, &runner->worker, announcement->id);
-	talloc_free(runner->incarnation);
-	runner->incarnation =
-		talloc_asprintf(runner, "%s/%" PRIu64, announcement->id, announcement->started_ms);
-	runner->worker_started_ms = announcement->started_ms;
+	set_incarnation(runner, announcement->id, announcement->started_ms);
 	runner->alive = true;
 	runner->down = false;
 	runner->connect_failures = 0;
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -108,8 +108,12 @@
 /* True if the latest list shows that the run has ended. */
 bool runner_end_listed(const struct runner *runner, const char *task, uint32_t run);
 void runner_make_due_calls(struct runner *runner, uint64_t now_ms);
-/* Forgets all that is known about runs, because the incarnation that ran them has ended. */
-void runner_reset_incarnation(struct runner *runner);
+/*
+ * Forgets all that is known about runs, because the incarnation that ran them has ended.
+ * @same_id: the next incarnation has the same identifier, so it may carry out calls that were sent
+ *	to the former one; runs that may begin that way are stopped
+ */
+void runner_reset_incarnation(struct runner *runner, bool same_id);
 void runner_drop_untried_starts(struct runner *runner);
 
 #endif
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -54,13 +54,28 @@
 		talloc_free(row);
 }
 
-void runner_reset_incarnation(struct runner *runner)
+/* True if a call to start the run was made and its outcome is not known. */
+static bool may_begin(const struct run_row *row)
+{
+	return !row->confirmed && (row->attempts > 0 || row->maybe_begun) &&
+	       (row->state == RUN_ORDERED || row->state == RUN_STOPPING);
+}
+
+void runner_reset_incarnation(struct runner *runner, bool same_id)
 {
 	GList *rows = g_hash_table_get_values(runner->runs);
 
 	runner->generation++;
-	for (GList *at = rows; at; at = at->next)
-		drop_row(runner, at->data);
+	for (GList *at = rows; at; at = at->next) {
+		struct run_row *row = at->data;
+		char *task = same_id && may_begin(row) ? talloc_strdup(NULL, row->task) : NULL;
+		uint32_t run = row->run;
+
+		drop_row(runner, row);
+		if (task)
+			add_row(runner, task, run)->state = RUN_STOPPING;
+		talloc_free(task);
+	}
 	g_list_free(rows);
 	TALLOC_FREE(runner->ends_mem);
 	runner->ends = NULL;
