coord: leaders of different terms never use the same run number

A job of many tasks that are evicted often could use more than the 100 run numbers reserved for a term, so two leaders could give one number to two runs of a task.

--- a/src/coord.c
+++ b/src/coord.c
@@ -13,7 +13,7 @@
 /* For warnings to agents; in between, the answers to reports carry the same warning. */
 #define WARN_INTERVAL_MS 2000
 /* Run numbers reserved for each term, so that leaders of different terms use different ones. */
-#define RUNS_PER_TERM 100
+#define RUNS_PER_TERM 10000
 
 struct agent_row *coord_agent_row(struct coord *coord, const char *node)
 {
