coord: keep an agent's key while a run on its worker is ordered

The report of a worker that drained while a start was in progress lists nothing, so the leader removed the key of the agent, and a later leader did not wait for it. Found by the review. test_coord/keeps_key_while_a_start_is_open failed before.

--- a/src/coord.c
+++ b/src/coord.c
@@ -492,7 +492,8 @@
 		log_warn("worker_down", row->node, "the agent reports that its worker is down");
 		plan_worker_lost(coord->plan, row->node, now_ms);
 	}
-	if (row->key_stored && !needs_agent_key(report))
+	if (row->key_stored && !needs_agent_key(report) &&
+	    !plan_worker_occupied(coord->plan, row->node))
 		coord_remove_agent_key(coord, row);
 	try_release_inherited_jobs(coord, now_ms);
 	send_orders(coord, row, report);
--- a/src/plan.h
+++ b/src/plan.h
@@ -249,6 +249,9 @@
  */
 size_t plan_orders(struct plan *plan, TALLOC_CTX *mem, const char *node, struct plan_order **out);
 
+/** plan_worker_occupied() - true while a run on the worker is ordered, reported or to be stopped */
+bool plan_worker_occupied(const struct plan *plan, const char *node);
+
 /** plan_agent_replaced() - another process now carries out the orders of a worker */
 void plan_agent_replaced(struct plan *plan, const char *node);
 
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -495,6 +495,13 @@
 		orphan->listed = false;
 }
 
+bool plan_worker_occupied(const struct plan *plan, const char *node)
+{
+	const struct worker *worker = plan_find_worker(plan, node);
+
+	return worker && (worker->tasks || worker->orphans);
+}
+
 void plan_agent_replaced(struct plan *plan, const char *node)
 {
 	const struct worker *worker = plan_find_worker(plan, node);
