--- a/src/err.c
+++ b/src/err.c
@@ -42,9 +42,8 @@
 
 const char *err_name(int code)
 {
-	int positive = abs(code);
-
-	if (positive >= ERR_CODE_COUNT)
+	/* abs() of the smallest integer would be negative. */
+	if (code <= -ERR_CODE_COUNT || code >= ERR_CODE_COUNT)
 		return "unknown";
-	return code_names[positive];
+	return code_names[abs(code)];
 }
--- a/src/fields.c
+++ b/src/fields.c
@@ -100,6 +100,11 @@
 	return true;
 }
 
+bool fields_is_peer_address(const char *text)
+{
+	return fields_is_valid_address(text, NULL) && strtol(strrchr(text, ':') + 1, NULL, 10) > 0;
+}
+
 static void report_problem(struct field_reader *reader, const char *name, const char *message,
 			   const char *remedy)
 {
--- a/src/fields.h
+++ b/src/fields.h
@@ -75,4 +75,7 @@
  */
 bool fields_is_valid_address(const char *text, bool *unspecified);
 
+/** fields_is_peer_address() - can a connection be opened to @text: a valid address, port not 0? */
+bool fields_is_peer_address(const char *text);
+
 #endif
--- a/src/log.c
+++ b/src/log.c
@@ -4,6 +4,7 @@
 
 #include <fcntl.h>
 #include <jansson.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -179,3 +180,46 @@
 	g_log_structured(G_LOG_DOMAIN, level, "JAYCOURSE_EVENT", event, "JAYCOURSE_ID", id,
 			 "MESSAGE", "%s", message);
 }
+
+#define ONCE_MAX 512 /* texts kept, of some 300 bytes each */
+#define ONCE_RESET_MS (3600 * 1000)
+#define ONCE_KEY_MAX_BYTES 200
+
+static pthread_mutex_t once_lock = PTHREAD_MUTEX_INITIALIZER;
+static GHashTable *once_texts;
+static uint64_t once_since_ms;
+
+/* Takes ownership of @text. */
+static gboolean is_first(char *text)
+{
+	uint64_t now_ms = util_clock_ms();
+	gboolean first = FALSE;
+
+	pthread_mutex_lock(&once_lock);
+	if (!once_texts)
+		once_texts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	if (g_hash_table_size(once_texts) == 0 || now_ms - once_since_ms >= ONCE_RESET_MS) {
+		g_hash_table_remove_all(once_texts);
+		once_since_ms = now_ms;
+	}
+	if (g_hash_table_size(once_texts) < ONCE_MAX)
+		first = g_hash_table_add(once_texts, text);
+	else
+		g_free(text);
+	pthread_mutex_unlock(&once_lock);
+	return first;
+}
+
+void log_once(const char *event, const char *key, const char *format, ...)
+{
+	g_autofree char *part = g_strndup(key, ONCE_KEY_MAX_BYTES);
+	g_autofree char *printable = g_strescape(part, NULL);
+	g_autofree char *message = NULL;
+	va_list args;
+
+	va_start(args, format);
+	message = g_strdup_vprintf(format, args);
+	va_end(args);
+	if (is_first(g_strdup_printf("%s %s %s", event, printable, message)))
+		log_event(G_LOG_LEVEL_WARNING, event, printable, "%s", message);
+}
--- a/src/log.h
+++ b/src/log.h
@@ -22,6 +22,15 @@
 void log_event(GLogLevelFlags level, const char *event, const char *id, const char *format, ...)
 	G_GNUC_PRINTF(4, 5);
 
+/**
+ * log_once() - write a warning unless the same one has been written within an hour
+ * @key: key or name that the warning concerns; may be of any length and have any bytes
+ *
+ * For input of others that is read again and again. At most 512 different warnings are written in
+ * an hour.
+ */
+void log_once(const char *event, const char *key, const char *format, ...) G_GNUC_PRINTF(3, 4);
+
 /**
  * log_to_stdout() - write records to standard output from now on, without blocking
  * @event_limit_per_s: maximum number of records of one event per second. Further ones are counted;
