coord, plan: odd keys and numbers name no other job and do not wrap

A cancellation under a key longer than 63 bytes was taken for that of the job whose id is the start of the key, and the keys of an ended job with a long id were never removed, which kept those behind it too. Stored progress with counters that wrap could hold up a job for ever. The name of a run with a high occurrence number made a leader create all occurrences before it, up to 10^9 tasks, and numbers with a sign or an overflow were read as another task. Accelerators of a step were multiplied in 32 bits, so a job that needs more than 2^32 in total could count as guaranteed.

Ids have one check, jobspec_is_id(); numbers of runs end at PLAN_RUN_MAX in all readers. A record is used as a whole or, as before, not at all.

test_coord/odd_job_keys and odd_progress fail on the former code. odd_agent_keys does not; it guards what already held.

--- a/src/coord.c
+++ b/src/coord.c
@@ -516,7 +516,7 @@
 	if (report)
 		apply_report(coord, peer, report);
 	else
-		log_warn("report_malformed", peer, "the report is not valid JSON or names no node");
+		log_once("report_malformed", peer, "the report is not valid JSON or names no node");
 	talloc_free(report);
 	return true;
 }
--- a/src/coordstore.c
+++ b/src/coordstore.c
@@ -1,5 +1,7 @@
 #include "coord_int.h"
 
+#include "fields.h"
+#include "jsonread.h"
 #include "log.h"
 #include "util.h"
 
@@ -15,7 +17,7 @@
 
 /* An ended job whose keys are removed later. */
 struct ended_row {
-	char id[64];
+	char id[JOBSPEC_ID_LEN + 1];
 	uint64_t ended_ms;
 };
 
@@ -112,7 +114,7 @@
 	if (json_unpack(record, "{s:s, s:s, s:I, s:o}", "queue", &info.queue, "organisation",
 			&info.organisation, "accepted_ms", &accepted_ms, "spec", &spec) ||
 	    !(info.spec = jobspec_read(coord, spec, &jobspec_record_names, &err))) {
-		log_error("job_unreadable", id, "the stored job is malformed: %s", err.message);
+		log_once("job_unreadable", id, "the stored job is malformed: %s", err.message);
 		json_decref(record);
 		return;
 	}
@@ -140,19 +142,23 @@
 {
 	struct coord *coord = ctx;
 	const char *id = item->key + strlen(JOB_PREFIX);
-	char job[64];
+	char *job;
 
 	if (item->revision == 0)
 		return; /* only the leader itself removes jobs */
-	if (!g_str_has_suffix(id, CANCEL_SUFFIX)) {
-		add_job(coord, item, id);
-	} else {
-		g_strlcpy(job, id, sizeof(job));
-		job[strlen(job) - strlen(CANCEL_SUFFIX)] = '\0';
+	job = g_str_has_suffix(id, CANCEL_SUFFIX)
+		      ? talloc_strndup(NULL, id, strlen(id) - strlen(CANCEL_SUFFIX))
+		      : NULL;
+	if (!jobspec_is_id(job ? job : id)) {
+		log_once("job_unreadable", item->key, "the key names no job");
+	} else if (job) {
 		/* The job is already known: its key sorts before that of its cancellation. */
 		log_info("job_cancel", job, "cancelled by its owner");
 		plan_job_cancel(coord->plan, job);
+	} else {
+		add_job(coord, item, id);
 	}
+	talloc_free(job);
 	if (coord->loaded)
 		coord_schedule_decision(coord);
 }
@@ -187,6 +193,11 @@
 	for (size_t i = 0; i < result->count; i++) {
 		const char *id = result->items[i].key + strlen(PROGRESS_PREFIX);
 
+		if (!jobspec_is_id(id) || result->items[i].revision <= 0) {
+			log_once("progress_unreadable", result->items[i].key,
+				 "the key names no job, or its value can't be read");
+			continue;
+		}
 		job_row(coord, id)->revision = result->items[i].revision;
 		g_hash_table_insert(coord->progress, g_strdup(id),
 				    g_strdup(result->items[i].value));
@@ -216,13 +227,24 @@
 		return;
 	}
 	for (size_t i = 0; i < result->count; i++) {
-		struct agent_row *row =
-			coord_agent_row(coord, result->items[i].key + strlen(AGENT_PREFIX));
+		const struct kv_item *item = &result->items[i];
+		const char *node = item->key + strlen(AGENT_PREFIX);
+		bool reachable = fields_is_peer_address(item->value);
+		struct agent_row *row;
 
+		if (!jsonread_is_name(node) || item->revision <= 0) {
+			log_once("agent_unreadable", item->key,
+				 "the key names no node, or its value can't be read");
+			continue;
+		}
+		/* An agent without a usable address may still have runs, so it is waited for. */
+		if (!reachable)
+			log_once("agent_unreadable", item->key, "its value is no address");
+		row = coord_agent_row(coord, node);
 		talloc_free(row->address);
-		row->address = talloc_strdup(row, result->items[i].value);
+		row->address = reachable ? talloc_strdup(row, item->value) : NULL;
 		row->key_stored = true;
-		row->key_revision = result->items[i].revision;
+		row->key_revision = item->revision;
 	}
 	if (result->more && result->count > 0) {
 		read_agents(coord, result->items[result->count - 1].key);
--- a/src/fleetmsg.c
+++ b/src/fleetmsg.c
@@ -1,5 +1,7 @@
 #include "fleetmsg.h"
 
+#include "jsonread.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -79,12 +81,12 @@
 	const char *task = json_string_value(json_array_get(row, 0));
 	const char *checkpoint = json_string_value(json_array_get(row, 2));
 
-	if (!task || !checkpoint || !json_is_integer(json_array_get(row, 1)))
+	if (!task || !checkpoint ||
+	    !jsonread_u32(json_array_get(row, 1), PLAN_RUN_MAX, &run->run) ||
+	    !jsonread_u32(json_array_get(row, 3), PLAN_PERCENT_MAX, &run->percent))
 		return false;
 	run->task = talloc_strdup(mem, task);
-	run->run = (uint32_t)json_integer_value(json_array_get(row, 1));
 	run->checkpoint = talloc_strdup(mem, checkpoint);
-	run->percent = (uint32_t)json_integer_value(json_array_get(row, 3));
 	return true;
 }
 
@@ -110,10 +112,10 @@
 		struct fleet_run_end *end = &report->ends[report->end_count];
 		json_int_t how = json_integer_value(json_array_get(row, 5));
 
-		if (how < 0 || how >= PLAN_END_COUNT || !read_run(report, row, &end->run))
+		if (how < 0 || how >= PLAN_END_COUNT || !read_run(report, row, &end->run) ||
+		    !jsonread_u64(json_array_get(row, 4), INT64_MAX, &end->number))
 			continue;
 		end->how = (enum plan_end)how;
-		end->number = (uint64_t)json_integer_value(json_array_get(row, 4));
 		report->end_count++;
 	}
 }
@@ -144,11 +146,21 @@
 	return talloc_strdup(mem, text ? text : "");
 }
 
+/* Returns 0 for a number that is missing or unusable. */
 static uint64_t read_number(const json_t *json, const char *name)
 {
-	json_int_t value = json_integer_value(json_object_get(json, name));
+	uint64_t number = 0;
+
+	jsonread_u64(json_object_get(json, name), INT64_MAX, &number);
+	return number;
+}
+
+static uint32_t read_small_number(const json_t *json, const char *name)
+{
+	uint32_t number = 0;
 
-	return value > 0 ? (uint64_t)value : 0;
+	jsonread_u32(json_object_get(json, name), JSONREAD_RESOURCE_MAX, &number);
+	return number;
 }
 
 struct fleet_report *fleet_report_read(TALLOC_CTX *mem, const void *data, size_t len)
@@ -176,9 +188,9 @@
 	info->zone = read_string(report, json, "zone");
 	info->kind = read_string(report, json, "kind");
 	info->rack = read_string(report, json, "rack");
-	info->room.cpu_milli = (uint32_t)read_number(json, "cpu");
-	info->room.memory_mb = (uint32_t)read_number(json, "memory");
-	info->room.accelerators = (uint32_t)read_number(json, "accelerators");
+	info->room.cpu_milli = read_small_number(json, "cpu");
+	info->room.memory_mb = read_small_number(json, "memory");
+	info->room.accelerators = read_small_number(json, "accelerators");
 	info->accepting = json_is_true(json_object_get(json, "accepting"));
 	report->running =
 		read_runs(report, json_object_get(json, "running"), &report->running_count);
@@ -235,10 +247,9 @@
 		const char *payload = json_string_value(json_array_get(row, 3));
 		const char *ticket = json_string_value(json_array_get(row, 4));
 
-		if (!task || !json_is_integer(json_array_get(row, 1)))
+		if (!task || !jsonread_u32(json_array_get(row, 1), PLAN_RUN_MAX, &order->run))
 			continue;
 		order->task = talloc_strdup(orders, task);
-		order->run = (uint32_t)json_integer_value(json_array_get(row, 1));
 		order->start = payload != NULL;
 		order->checkpoint = talloc_strdup(orders, checkpoint ? checkpoint : "");
 		order->payload = talloc_strdup(orders, payload ? payload : "");
@@ -259,10 +270,10 @@
 	orders = talloc_zero(mem, struct fleet_orders);
 	orders->session = read_number(json, "session");
 	orders->echo_ms = read_number(json, "echo");
-	orders->valid_ms = (uint32_t)read_number(json, "valid_ms");
+	orders->valid_ms = read_small_number(json, "valid_ms");
 	orders->incarnation = read_string(orders, json, "incarnation");
 	orders->ends_stored = read_number(json, "ends_stored");
-	orders->report_ms = (uint32_t)read_number(json, "report_ms");
+	orders->report_ms = read_small_number(json, "report_ms");
 	orders->unsure = json_is_true(json_object_get(json, "unsure"));
 	orders->handled =
 		read_runs(orders, json_object_get(json, "handled"), &orders->handled_count);
--- a/src/intake.c
+++ b/src/intake.c
@@ -3,7 +3,6 @@
 #include "log.h"
 #include "util.h"
 
-#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -109,15 +108,6 @@
 	return value + 7;
 }
 
-static bool is_job_id(const char *text)
-{
-	size_t len = 0;
-
-	while (isxdigit((unsigned char)text[len]))
-		len++;
-	return len == JOB_ID_LEN && text[len] == '\0';
-}
-
 static uint64_t caller_wait_ms(const struct intake *intake, const struct httpd_call *call)
 {
 	const char *text = httpd_header(call, intake->codec.deadline_header);
@@ -218,7 +208,7 @@
 		return;
 	}
 	rest = httpd_path(call) + strlen(queue->prefix);
-	if (is_job_id(rest))
+	if (jobspec_is_id(rest))
 		handle_job_call(intake, call, rest, queue, organisation);
 	else if (*rest == '\0' && !strcmp(httpd_method(call), "GET"))
 		intake_query_job(create_request(intake, call, INTAKE_PENDING, "", queue));
--- a/src/intake_int.h
+++ b/src/intake_int.h
@@ -7,8 +7,6 @@
 
 /** DOC: Shared by the intake*.c files only */
 
-#define JOB_ID_LEN 16
-
 enum intake_kind {
 	INTAKE_SUBMIT,
 	INTAKE_STATE,
@@ -22,7 +20,7 @@
 	struct intake *intake;
 	struct httpd_call *call; /* NULL: answered, or the caller closed its connection */
 	enum intake_kind kind;
-	char id[JOB_ID_LEN + 1];
+	char id[JOBSPEC_ID_LEN + 1];
 	char *queue;
 	char *job_record; /* record of a submitted job, as written to the store */
 	uint64_t received_ms;
--- a/src/intakeread.c
+++ b/src/intakeread.c
@@ -1,5 +1,6 @@
 #include "intake_int.h"
 
+#include "jsonread.h"
 #include "log.h"
 #include "util.h"
 
@@ -208,6 +209,7 @@
 	json_t *json;
 	const char *text;
 	enum plan_job_state state;
+	uint32_t pending;
 
 	if (!request)
 		return;
@@ -217,9 +219,9 @@
 	}
 	json = json_loadb((const char *)info->json.data, info->json.len, 0, NULL);
 	text = json_string_value(json_object_get(json, "state"));
-	if (request->kind == INTAKE_PENDING && json_is_integer(json_object_get(json, "pending")))
-		answer_pending(request,
-			       (uint32_t)json_integer_value(json_object_get(json, "pending")));
+	if (request->kind == INTAKE_PENDING &&
+	    jsonread_u32(json_object_get(json, "pending"), UINT32_MAX, &pending))
+		answer_pending(request, pending);
 	else if (request->kind == INTAKE_STATE && text && plan_job_state_parse(text, &state))
 		intake_answer_state(request, state);
 	else
--- a/src/jobspec.c
+++ b/src/jobspec.c
@@ -1,5 +1,6 @@
 #include "jobspec.h"
 
+#include <ctype.h>
 #include <string.h>
 
 /* Limit of each numeric field, in thousandths of processors, megabytes or milliseconds. */
@@ -31,6 +32,15 @@
 	.max_unavailable = "max_unavailable",
 };
 
+bool jobspec_is_id(const char *text)
+{
+	size_t len = 0;
+
+	while (isxdigit((unsigned char)text[len]))
+		len++;
+	return len == JOBSPEC_ID_LEN && text[len] == '\0';
+}
+
 static int set_field_error(struct err *err, const char *name, const char *want)
 {
 	return err_set(err, ERR_INVALID, "Correct the field and send the job again.",
--- a/src/jobspec.h
+++ b/src/jobspec.h
@@ -21,6 +21,11 @@
 #define JOBSPEC_PAYLOAD_MAX 4000   /* bytes; limit of the clients' interface */
 #define JOBSPEC_REPEATS_MAX 100000 /* occurrences */
 
+#define JOBSPEC_ID_LEN 16 /* hexadecimal digits of a job's id */
+
+/** jobspec_is_id() - whether @text is the id of a job */
+bool jobspec_is_id(const char *text);
+
 /**
  * struct jobspec_step - identical tasks that may run at the same time
  * @count: number of tasks
--- a/src/plan.h
+++ b/src/plan.h
@@ -77,6 +77,11 @@
 	bool accepting;
 };
 
+/** PLAN_RUN_MAX - no run has a higher number; the next ones still fit into 31 bits */
+#define PLAN_RUN_MAX (1 << 30)
+
+#define PLAN_PERCENT_MAX 100
+
 /** struct plan_run - one run of a task, as its worker reports it */
 struct plan_run {
 	const char *task;
--- a/src/planevict.c
+++ b/src/planevict.c
@@ -21,13 +21,13 @@
 #define URGENT_VALUE 5.0
 #define ACCELERATOR_WEIGHT 8.0 /* one accelerator counts as this many processors */
 
-static uint32_t peak_accelerators(const struct jobspec *spec)
+static uint64_t peak_accelerators(const struct jobspec *spec)
 {
-	uint32_t most = 0;
+	uint64_t most = 0;
 
 	/* Steps that depend on each other do not need their accelerators at the same time. */
 	for (size_t i = 0; i < spec->step_count; i++) {
-		uint32_t need = spec->steps[i].count * spec->steps[i].accelerators;
+		uint64_t need = (uint64_t)spec->steps[i].count * spec->steps[i].accelerators;
 
 		if (need > most)
 			most = need;
@@ -57,7 +57,7 @@
 
 	for (guint i = 0; i < jobs->len; i++) {
 		struct job *job = jobs->pdata[i];
-		uint32_t need = peak_accelerators(job->spec);
+		uint64_t need = peak_accelerators(job->spec);
 
 		if (strcmp(job->organisation, organisation->name) != 0 ||
 		    used + need > organisation->guaranteed_accelerators)
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -4,6 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * Tasks that the name of a run may create ahead of their due time, some 40 MB; far more than the
+ * clocks of hosts can differ.
+ */
+#define TASKS_AHEAD_MAX 100000
 #define RETRY_AFTER_FAILURE_MS 50 /* so that further failures on the worker are reported first */
 
 struct plan *plan_create(TALLOC_CTX *mem, const struct plan_params *params)
@@ -294,13 +299,19 @@
 	unsigned int step;
 	unsigned int index;
 	char rest;
+	char text[2 * TASK_NAME_MAX];
 	struct job *job;
 
 	if (sscanf(name, "%63[^.].%u.%u.%u%c", id, &occurrence_number, &step, &index, &rest) != 4)
 		return NULL;
-	job = plan_find_job(plan, id);
+	/* Numbers with a sign, and those that overflow, are also read, but name no task. */
+	snprintf(text, sizeof(text), "%s.%u.%u.%u", id, occurrence_number, step, index);
+	job = strcmp(text, name) == 0 ? plan_find_job(plan, id) : NULL;
 	if (!job || step >= job->spec->step_count || index >= job->spec->steps[step].count ||
-	    occurrence_number >= occurrence_count(job))
+	    occurrence_number >= occurrence_count(job) ||
+	    (occurrence_number > job->created &&
+	     (uint64_t)(occurrence_number - job->created) * jobspec_task_count(job->spec) >
+		     TASKS_AHEAD_MAX))
 		return NULL;
 	/* The former leader's clock may have been ahead of ours when it created this occurrence. */
 	while (job->inherited && !plan_job_ended(job) && job->created <= occurrence_number)
--- a/src/planplace.c
+++ b/src/planplace.c
@@ -28,9 +28,9 @@
 bool plan_fits(const struct plan_resources *room, const struct plan_resources *used,
 	       const struct plan_resources *need)
 {
-	return used->cpu_milli + need->cpu_milli <= room->cpu_milli &&
-	       used->memory_mb + need->memory_mb <= room->memory_mb &&
-	       used->accelerators + need->accelerators <= room->accelerators;
+	return (uint64_t)used->cpu_milli + need->cpu_milli <= room->cpu_milli &&
+	       (uint64_t)used->memory_mb + need->memory_mb <= room->memory_mb &&
+	       (uint64_t)used->accelerators + need->accelerators <= room->accelerators;
 }
 
 bool plan_worker_available(const struct worker *worker, uint64_t now_ms)
--- a/src/planrecord.c
+++ b/src/planrecord.c
@@ -1,5 +1,7 @@
 #include "plan_int.h"
 
+#include "jsonread.h"
+
 #include <string.h>
 
 /*
@@ -38,12 +40,19 @@
 	return runs;
 }
 
-static void read_runs(struct run_set *set, const json_t *runs)
+static int read_runs(struct run_set *set, const json_t *runs)
 {
-	const json_t *run;
+	const json_t *entry;
+	uint32_t run;
 	size_t i;
 
-	json_array_foreach(runs, i, run) plan_run_set_add(set, (uint32_t)json_integer_value(run));
+	json_array_foreach(runs, i, entry)
+	{
+		if (!jsonread_u32(entry, PLAN_RUN_MAX, &run))
+			return -ERR_INVALID;
+		plan_run_set_add(set, run);
+	}
+	return 0;
 }
 
 /*
@@ -103,25 +112,26 @@
 
 static int read_task(struct step_run *step, const json_t *row)
 {
-	int index;
-	int done;
-	json_t *failures;
-	int run;
-	const char *checkpoint;
-	int percent;
+	uint32_t index;
+	uint32_t run;
+	uint32_t percent;
+	bool done = json_is_true(json_array_get(row, 1));
+	const char *checkpoint = json_string_value(json_array_get(row, 4));
 	struct task *task;
 
-	if (json_unpack((json_t *)row, "[i, b, o, i, s, i]", &index, &done, &failures, &run,
-			&checkpoint, &percent) ||
-	    index < 0 || (uint32_t)index >= step->spec->count || run < 0)
+	if (!jsonread_u32(json_array_get(row, 0), step->spec->count - 1, &index) ||
+	    !json_is_boolean(json_array_get(row, 1)) ||
+	    !jsonread_u32(json_array_get(row, 3), PLAN_RUN_MAX, &run) || !checkpoint ||
+	    !jsonread_u32(json_array_get(row, 5), UINT32_MAX, &percent))
 		return -ERR_INVALID;
 	task = &step->tasks[index];
-	read_runs(&task->failures, failures);
-	task->run = (uint32_t)run;
-	task->ended_run = (uint32_t)run;
+	if (read_runs(&task->failures, json_array_get(row, 2)))
+		return -ERR_INVALID;
+	task->run = run;
+	task->ended_run = run;
 	if (*checkpoint)
 		task->checkpoint = talloc_strdup(step->occurrence, checkpoint);
-	task->saved_percent = (uint32_t)percent;
+	task->saved_percent = MIN(percent, PLAN_PERCENT_MAX);
 	if (!done || task->state == TASK_DONE)
 		return 0;
 	task->state = TASK_DONE;
@@ -136,7 +146,8 @@
 	const json_t *rows = json_object_get(json, "tasks");
 	size_t i;
 
-	read_runs(&step->gang_failures, json_object_get(json, "gang_failures"));
+	if (read_runs(&step->gang_failures, json_object_get(json, "gang_failures")))
+		return -ERR_INVALID;
 	json_array_foreach(rows, i, row)
 	{
 		if (read_task(step, row))
@@ -150,26 +161,59 @@
 static int read_occurrence(struct plan *plan, struct job *job, const json_t *json)
 {
 	const json_t *steps = json_object_get(json, "steps");
-	json_int_t number = json_integer_value(json_object_get(json, "number"));
+	uint32_t number;
 	struct occurrence *occurrence;
 
-	if (json_array_size(steps) != job->spec->step_count || number < 0)
+	if (json_array_size(steps) != job->spec->step_count || job->created == 0 ||
+	    !jsonread_u32(json_object_get(json, "number"), job->created - 1, &number))
 		return -ERR_INVALID;
-	occurrence = plan_make_occurrence(plan, job, (uint32_t)number);
+	for (occurrence = job->occurrences; occurrence; occurrence = occurrence->next) {
+		if (occurrence->number == number)
+			return -ERR_INVALID;
+	}
+	occurrence = plan_make_occurrence(plan, job, number);
 	for (size_t i = 0; i < job->spec->step_count; i++) {
 		if (read_step(&occurrence->steps[i], json_array_get(steps, i)))
 			return -ERR_INVALID;
 	}
+	if (occurrence->steps_left == 0)
+		return -ERR_INVALID; /* it would never end */
 	plan_update_ready(occurrence, job->accepted_ms);
 	return 0;
 }
 
+/* Reads the counters of a job that has not ended. */
+static int read_counters(struct job *job, const json_t *record)
+{
+	uint32_t count = job->spec->repeats > 0 ? job->spec->repeats : 1;
+
+	if (!jsonread_u32(json_object_get(record, "created"), count, &job->created) ||
+	    !jsonread_u32(json_object_get(record, "finished"), job->created, &job->finished) ||
+	    !jsonread_u32(json_object_get(record, "next_run"), PLAN_RUN_MAX + 1, &job->next_run) ||
+	    job->finished == count)
+		return -ERR_INVALID;
+	return 0;
+}
+
+static int read_job(struct plan *plan, struct job *job, const json_t *record)
+{
+	const json_t *occurrence;
+	size_t i;
+
+	if (read_counters(job, record))
+		return -ERR_INVALID;
+	json_array_foreach(json_object_get(record, "occurrences"), i, occurrence)
+	{
+		if (read_occurrence(plan, job, occurrence))
+			return -ERR_INVALID;
+	}
+	return 0;
+}
+
 int plan_job_restore(struct plan *plan, const char *id, const json_t *record)
 {
 	struct job *job = plan_find_job(plan, id);
-	const json_t *occurrence;
 	const char *state;
-	size_t i;
 
 	if (!job)
 		return -ERR_NOT_FOUND;
@@ -179,21 +223,15 @@
 	if (plan_job_ended(job))
 		return 0;
 	job->started = json_is_true(json_object_get(record, "started"));
-	job->created = (uint32_t)json_integer_value(json_object_get(record, "created"));
-	job->finished = (uint32_t)json_integer_value(json_object_get(record, "finished"));
-	job->next_run = (uint32_t)json_integer_value(json_object_get(record, "next_run"));
-	if (job->next_run < 1)
-		job->next_run = 1;
-	json_array_foreach(json_object_get(record, "occurrences"), i, occurrence)
-	{
-		if (!read_occurrence(plan, job, occurrence))
-			continue;
-		while (job->occurrences)
-			plan_free_occurrence(job->occurrences);
-		job->created = 0;
-		job->finished = 0;
-		job->state = PLAN_JOB_QUEUED;
-		return -ERR_INVALID;
+	if (read_job(plan, job, record) == 0) {
+		job->next_run = MAX(job->next_run, 1);
+		return 0;
 	}
-	return 0;
+	while (job->occurrences)
+		plan_free_occurrence(job->occurrences);
+	job->created = 0;
+	job->finished = 0;
+	job->next_run = 1;
+	job->state = PLAN_JOB_QUEUED;
+	return -ERR_INVALID;
 }
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -608,6 +608,107 @@
 	tear_down(f);
 }
 
+/* Guards against keys that are taken for those of another job, or that keep jobs from starting. */
+static void test_odd_job_keys(void)
+{
+	static const char *const keys[] = {
+		"job/",
+		"job/.cancel",
+		"job/x",
+		"job/0123456789abcde",
+		"job/0123456789abcdeff",
+		"job/0123456789abcdef/x",
+		"job/0123456789abcdef.0.0.0",
+		"job/0123456789abcdef.cancel.cancel",
+		"job/0123456789abcdeX.cancel",
+		"job/fedcba9876543210.cancel",
+	};
+	static const char *const values[] = {"", "[", "{\"queue\":\"q\"}", "\xff", "1e400"};
+	struct fixture *f = set_up("");
+	/* Its first 56 bytes and ".cancel" fill a buffer of 64. */
+	char *long_id = talloc_asprintf(f, "job/%0100d", 0);
+	enum plan_job_state state;
+
+	elect_leader(f);
+	put_job(f, "0123456789abcdef", 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
+		memkv_put(f->store, keys[i], values[i % G_N_ELEMENTS(values)]);
+	memkv_put(f->store, long_id, "x");
+	memkv_put(f->store, talloc_asprintf(f, "%s.cancel", long_id), "1");
+	put_job(f, "0123456789abcdeg", 1);
+	put_job(f, long_id + strlen("job/"), 1);
+	put_job(f, "1123456789abcdef", 1);
+	memkv_run(f->ev, 100);
+	send_report(f, 0, true, NULL, NULL);
+	CU_ASSERT_EQUAL(count_starts(f), 2);
+	CU_ASSERT_EQUAL(coord_job_state(f->coord, "0123456789abcdef", &state), 0);
+	CU_ASSERT_EQUAL(coord_job_state(f->coord, "0123456789abcdeg", &state), -ERR_NOT_FOUND);
+	tear_down(f);
+}
+
+/* Guards against a stored record that ends a job early or with numbers that wrap. */
+static void test_odd_progress(void)
+{
+	static const char *const records[] = {
+		"",
+		"[[[",
+		"{\"state\":\"running\",\"created\":1,\"finished\":1,\"next_run\":2,"
+		"\"occurrences\":[]}",
+		"{\"state\":\"running\",\"created\":4294967297,\"finished\":0,\"next_run\":2,"
+		"\"occurrences\":[]}",
+		"{\"state\":\"running\",\"created\":1,\"finished\":0,\"next_run\":-2,"
+		"\"occurrences\":[]}",
+		"{\"state\":\"running\",\"created\":1,\"finished\":0,\"next_run\":2,"
+		"\"occurrences\":"
+		"[{\"number\":0,\"steps\":[{\"gang_failures\":[1e400],\"tasks\":[]}]}]}",
+		"{\"state\":\"running\",\"created\":1,\"finished\":0,\"next_run\":2,"
+		"\"occurrences\":"
+		"[{\"number\":0,\"steps\":[{\"gang_failures\":[],\"tasks\":[[0,true,[],1,\"\",0]]}]"
+		"}]}",
+		"{\"state\":\"running\",\"created\":1,\"finished\":0,\"next_run\":2,"
+		"\"occurrences\":"
+		"[{\"number\":0,\"steps\":[{\"gang_failures\":[],\"tasks\":[[4294967296,true,[],1,"
+		"\"\",0]]}]}]}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(records); i++) {
+		struct fixture *f = set_up("");
+
+		put_job(f, "0123456789abcdef", 1);
+		put_job(f, "1123456789abcdef", 1);
+		memkv_put(f->store, "progress/0123456789abcdef", records[i]);
+		memkv_put(f->store, "progress/", records[i]);
+		memkv_put(f->store, "progress/x.y/z", records[i]);
+		elect_leader(f);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(f->coord);
+		send_report(f, 0, true, NULL, NULL);
+		CU_ASSERT_EQUAL(count_starts(f), 2);
+		for (size_t k = 0; f->agents[0].orders && k < f->agents[0].orders->order_count; k++)
+			CU_ASSERT_EQUAL(f->agents[0].orders->orders[k].run, 1);
+		tear_down(f);
+	}
+}
+
+/* Guards against keys of agents that stop a leader, or that make it look up names. */
+static void test_odd_agent_keys(void)
+{
+	struct fixture *f = set_up("1");
+
+	memkv_put(f->store, "agent/", "127.0.0.1:1");
+	memkv_put(f->store, "agent/a/b", "127.0.0.1:1");
+	memkv_put(f->store, "agent/odd1", "some.host:80");
+	memkv_put(f->store, "agent/odd2", "127.0.0.1:99999");
+	memkv_put(f->store, "agent/odd3", "");
+	elect_leader(f);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f->coord);
+	CU_ASSERT_TRUE(f->agents[0].announced && f->agents[1].announced);
+	send_report(f, 0, true, NULL, NULL);
+	put_job(f, "0123456789abcdef", 1);
+	memkv_run(f->ev, 100);
+	CU_ASSERT_EQUAL(count_starts(f), 1);
+	tear_down(f);
+}
+
 int main(void)
 {
 	static CU_TestInfo tests[] = {
@@ -627,6 +728,9 @@
 		{"cancel", test_cancel},
 		{"forgets_ended_jobs", test_forgets_ended_jobs},
 		{"malformed_job", test_malformed_job},
+		{"odd_job_keys", test_odd_job_keys},
+		{"odd_progress", test_odd_progress},
+		{"odd_agent_keys", test_odd_agent_keys},
 		CU_TEST_INFO_NULL,
 	};
 	CU_SuiteInfo suites[] = {
