platform, kvmirror: an odd entry is left out, and the others are used

- One value that overflows in a worker's list made the whole list unreadable; the agent would no longer learn of ends, and its worker would count as lost.
Run numbers and percents were cast: -2 was run.
- A heartbeat with a start or a sequence far ahead made all later ones seem outdated.
Capacities above 32 bits wrapped ( became 16), and ids with spaces, slashes or line ends were put into paths and headers.
- One item with a NUL or an unreadable number in its key or revision failed the page, which was read again for ever.
An item without a revision counted as removed.
A page without readable keys ended the reading early.
- A route without a prefix matched all paths, a negative priority became the most urgent one, and an empty API key let calls without a key in.
A version too large made all later configurations seem older.
- An encoded NUL shortened the path of a call to that of another worker.

A row, item, route or heartbeat that can be used only in part is not used, and logged once.

test_platform/odd_heartbeats, odd_config, odd_run_lists, odd_store_items, encoded_nul and advice fail on the former code. Found by reading, without a test: the page without readable keys, the effect of a sequence on later heartbeats, and unusable numbers in the answers to writes.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -93,8 +93,8 @@
 		return;
 	conf = node->platform.read_config(node, item->value, item->value_len, &err);
 	if (!conf) {
-		log_error("config_malformed", "", "revision %" PRId64 ": %s", item->revision,
-			  err.message);
+		log_once("config_malformed", item->key, "revision %" PRId64 ": %s", item->revision,
+			 err.message);
 		return;
 	}
 	if (node->conf && conf->version < node->conf->version) {
@@ -249,7 +249,7 @@
 	int status = self ? runner_announced(node->runner, self) : -ERR_INVALID;
 
 	if (status == -ERR_INVALID)
-		log_warn("heartbeat_refused", id, "%s",
+		log_once("heartbeat_refused", id, "%s",
 			 err.code ? err.message : "the worker belongs to another service");
 	httpd_answer(call, status == -ERR_INVALID ? 400 : 200, "application/json", HEARTBEAT_ANSWER,
 		     0);
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -244,6 +244,12 @@
 	return httpd->open_calls;
 }
 
+/* A decoded "%00" would end the path, so that it named something else; it is left encoded. */
+static size_t decode_path(void *cls, struct MHD_Connection *connection, char *text)
+{
+	return strstr(text, "%00") ? strlen(text) : MHD_http_unescape(text);
+}
+
 static int open_socket(const char *address, struct err *err)
 {
 	struct sockaddr_in addr = {.sin_family = AF_INET};
@@ -311,13 +317,13 @@
 	httpd->body_max = body_max;
 	httpd->address = bound_address(httpd, fd);
 	httpd->immediate = tevent_create_immediate(httpd);
-	httpd->daemon =
-		MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
-				 httpd, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
-				 (unsigned int)CONNECTIONS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-				 (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
-				 (unsigned int)CONNECTION_IDLE_S, MHD_OPTION_NOTIFY_COMPLETED,
-				 on_completed, httpd, MHD_OPTION_END);
+	httpd->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, httpd,
+		MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
+		(unsigned int)CONNECTIONS_MAX, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
+		(unsigned int)CONNECTION_IDLE_S, MHD_OPTION_NOTIFY_COMPLETED, on_completed, httpd,
+		MHD_OPTION_UNESCAPE_CALLBACK, decode_path, httpd, MHD_OPTION_END);
 	if (!httpd->daemon) {
 		err_set(err, ERR_SYSTEM, "Raise the limit of open files.",
 			"cannot start the HTTP server on %s", address);
--- a/src/kv.h
+++ b/src/kv.h
@@ -25,7 +25,11 @@
  *	if its expectations hold then.
  */
 
-/** struct kv_item - a key and its value; @revision is 0 for a key that does not exist */
+/**
+ * struct kv_item - a key and its value
+ * @revision: 0 for a key that does not exist; KV_UNREADABLE for one that exists, but whose state
+ *	could not be read (only in results of ranges and polls)
+ */
 struct kv_item {
 	const char *key;
 	const char *value; /* NUL terminated; the NUL is not counted in value_len */
@@ -34,6 +38,8 @@
 	int64_t created;  /* revision at which the key was created */
 };
 
+#define KV_UNREADABLE (-1)
+
 struct kv_result {
 	struct kv_item *items;
 	size_t count;
--- a/src/kvmirror.c
+++ b/src/kvmirror.c
@@ -112,7 +112,7 @@
 {
 	int64_t *known = g_hash_table_lookup(mirror->known, item->key);
 
-	if (known && *known >= item->revision)
+	if (item->revision == KV_UNREADABLE || (known && *known >= item->revision))
 		return;
 	if (!known) {
 		known = g_new(int64_t, 1);
@@ -165,6 +165,11 @@
 		read_page(mirror, result->items[result->count - 1].key);
 		return;
 	}
+	if (result->more) {
+		log_once("page_unreadable", mirror->prefix, "no key of a page could be read");
+		schedule_retry(mirror);
+		return;
+	}
 	report_missing(mirror);
 	mirror->revision = mirror->first_revision;
 	mirror->loaded = true;
@@ -208,7 +213,7 @@
 	record_answer(mirror);
 	mirror->failing_since_ms = 0;
 	for (size_t i = 0; i < result->count; i++) {
-		if (result->items[i].revision > 0)
+		if (result->items[i].revision != 0)
 			report_item(mirror, &result->items[i]);
 		else
 			report_removed(mirror, result->items[i].key);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,6 +1,7 @@
 #include "platform.h"
 
 #include "httpd.h"
+#include "lib_memkv.h"
 #include "util.h"
 
 #include <CUnit/Basic.h>
@@ -149,6 +150,112 @@
 		CU_ASSERT_PTR_NULL(platform_self_read(NULL, "i-1", bad[i], strlen(bad[i]), &err));
 }
 
+/* Returns the text with the first @from replaced by @to. */
+static char *replace(TALLOC_CTX *mem, const char *text, const char *from, const char *to)
+{
+	const char *at = strstr(text, from);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
+	return talloc_asprintf(mem, "%.*s%s%s", (int)(at - text), text, to, at + strlen(from));
+}
+
+/* Guards against a worker that is used with capacities, times or addresses that can't be. */
+static void test_odd_heartbeats(void)
+{
+	static const char *const cases[][2] = {
+		{"16000", "4294967312"},
+		{"16000", "-1"},
+		{"16000", "1e300"},
+		{"16000", "1e400"},
+		{"16000", "99999999999999999999"},
+		{"16000", "16000.5"},
+		{"32768", "true"},
+		{"\"gpu\":4", "\"gpu\":[4]"},
+		{"\"seq\":4", "\"seq\":-4"},
+		{"\"seq\":4", "\"seq\":9223372036854775807"},
+		{"\"born\":123", "\"born\":9223372036854775807"},
+		{"\"born\":123", "\"born\":-123"},
+		{"\"born\":123", "\"born\":\"123\""},
+		{"10.128.0.9:8080", "10.128.0.9:99999"},
+		{"10.128.0.9:8080", "10.128.0.9:0"},
+		{"10.128.0.9:8080", "10.128.0.9"},
+		{"10.128.0.9:8080", "10.128.0.9:80a"},
+		{"10.128.0.9:8080", "some.host:80"},
+		{"10.128.0.9:8080", ":8080"},
+		{"\"zone\":\"z\"", "\"zone\":{}"},
+		{"\"service\":\"s\"", "\"service\":\"s\\u0000\""},
+		{"\"service\":\"s\"", "\"service\":\"\xff\""},
+		{"\"ready\"", "\"READY\""},
+		{"[\"a\",\"r1-3\"]", "[[[\"a\"]],\"r1-3\"]"},
+		{"[\"a\",\"r1-3\"]", "{}"},
+	};
+	static const char *const ids[] = {"", "i/1", "i 1", "i\r\nHost: x", "\xff\xfe"};
+	TALLOC_CTX *mem = talloc_new(NULL);
+	char *long_id = talloc_array(mem, char, 5000);
+	struct err err;
+
+	memset(long_id, 'i', 4999);
+	long_id[4999] = '\0';
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *body = replace(mem, heartbeat_text, cases[i][0], cases[i][1]);
+		struct runner_announcement *self =
+			platform_self_read(mem, "i-1", body, strlen(body), &err);
+
+		CU_ASSERT_PTR_NULL(self);
+		if (self)
+			printf("\naccepted: %s", body);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+		CU_ASSERT_PTR_NULL(platform_self_read(mem, ids[i], heartbeat_text,
+						      strlen(heartbeat_text), &err));
+	CU_ASSERT_PTR_NULL(
+		platform_self_read(mem, long_id, heartbeat_text, strlen(heartbeat_text), &err));
+	talloc_free(mem);
+}
+
+/* Guards against an entry of the configuration that is used in part, or hides the others. */
+static void test_odd_config(void)
+{
+	static const char *const routes[] = {
+		"{}",
+		"7",
+		"{\"name\":\"x\",\"host\":\"\",\"prefix\":\"\",\"service\":\"s\"}",
+		"{\"name\":\"x\",\"host\":\"h\",\"prefix\":5,\"service\":\"s\"}",
+		"{\"name\":\"x\",\"host\":\"h\",\"prefix\":\"/"
+		"\",\"service\":\"s\",\"priority\":-1}",
+		"{\"name\":\"x\",\"host\":\"h\",\"prefix\":\"/\",\"service\":\"s\","
+		"\"max_attempts\":1e400}",
+		"{\"name\":\"x\",\"host\":\"h\",\"prefix\":\"/"
+		"\",\"service\":\"s\",\"stretch\":1e300}",
+		"{\"name\":\"\xff\",\"host\":\"h\",\"prefix\":\"/\",\"service\":\"s\"}",
+	};
+	TALLOC_CTX *mem = talloc_new(NULL);
+	struct err err = {0};
+	struct fleetconf *conf;
+	const char *body;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+		body = replace(mem, config_text, "},{\"name\":\"r-b\"",
+			       talloc_asprintf(mem, "},%s,{\"name\":\"r-b\"", routes[i]));
+		conf = platform_config_read(mem, body, strlen(body), &err);
+		CU_ASSERT_PTR_NOT_NULL(conf);
+		if (!conf)
+			continue;
+		CU_ASSERT_EQUAL(conf->queue_count, 2);
+		CU_ASSERT_PTR_NOT_NULL(fleetconf_queue(conf, "r-a"));
+		CU_ASSERT_PTR_NOT_NULL(fleetconf_queue(conf, "r-b"));
+	}
+	body = replace(mem, config_text, "\"k1\"", "\"\",7");
+	conf = platform_config_read(mem, body, strlen(body), &err);
+	CU_ASSERT_PTR_NULL(fleetconf_organisation_of_key(conf, ""));
+	CU_ASSERT_PTR_NOT_NULL(fleetconf_organisation_of_key(conf, "k2"));
+	body = replace(mem, config_text, "\"version\":7", "\"version\":-7");
+	CU_ASSERT_PTR_NULL(platform_config_read(mem, body, strlen(body), &err));
+	body = replace(mem, config_text, "\"version\":7", "\"version\":9223372036854775807");
+	CU_ASSERT_PTR_NULL(platform_config_read(mem, body, strlen(body), &err));
+	talloc_free(mem);
+}
+
 static void test_control_calls(void)
 {
 	const char *id = NULL;
@@ -234,6 +341,9 @@
 		size_t count;
 	} cases[] = {
 		{"{\"approved\":[[\"i-1\",\"c81e\"],[\"i-2\"],7],\"valid_ms\":3000}", 200, 0, 1},
+		{"{\"approved\":[[\"i-2\",1e400],[\"\xff\",\"t\"],[\"i-1\",\"c81e\"]],"
+		 "\"valid_ms\":3000}",
+		 200, 0, 1},
 		{"{\"approved\":[],\"valid_ms\":3000}", 200, 0, 0},
 		{"{\"approved\":{},\"valid_ms\":3000}", 200, -ERR_FAILED, 0},
 		{"{\"approved\":[],\"valid_ms\":-1}", 200, -ERR_FAILED, 0},
@@ -274,6 +384,194 @@
 	talloc_free(mem);
 }
 
+/* Server that gives one answer to all calls but polls, which it refuses. */
+struct answers {
+	TALLOC_CTX *mem;
+	struct tevent_context *ev;
+	struct httpd *server;
+	const char *body;
+	char path[64]; /* of the latest call */
+};
+
+static void serve_answer(struct httpd_call *call, void *ctx)
+{
+	struct answers *answers = ctx;
+
+	g_strlcpy(answers->path, httpd_path(call), sizeof(answers->path));
+	httpd_answer(call, strcmp(httpd_path(call), "/v1/kv-watch") ? 200 : 503, "application/json",
+		     answers->body, 0);
+}
+
+static void start_answers(struct answers *answers)
+{
+	struct httpd_handlers handlers = {serve_answer, NULL, answers};
+	struct err err = {0};
+
+	answers->mem = talloc_new(NULL);
+	answers->ev = tevent_context_init(answers->mem);
+	answers->server =
+		httpd_create(answers->mem, answers->ev, "127.0.0.1:0", 10000, &handlers, &err);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(answers->server);
+}
+
+struct listed {
+	int calls;
+	int status;
+	char text[256]; /* runs and ends: "task/run percent;" */
+};
+
+static void on_list(int status, const struct runner_list *list, void *ctx)
+{
+	struct listed *listed = ctx;
+	GString *text = g_string_new(NULL);
+
+	listed->calls++;
+	listed->status = status;
+	for (size_t i = 0; list && i < list->running_count; i++)
+		g_string_append_printf(text, "%s/%u %u;", list->running[i].task,
+				       list->running[i].run, list->running[i].percent);
+	for (size_t i = 0; list && i < list->end_count; i++)
+		g_string_append_printf(text, "%s/%u #%u;", list->ends[i].run.task,
+				       list->ends[i].run.run, (unsigned int)list->ends[i].number);
+	g_strlcpy(listed->text, text->str, sizeof(listed->text));
+	g_string_free(text, TRUE);
+}
+
+/* Guards against a row of a worker's list that hides the other runs or is used in part. */
+static void test_odd_run_lists(void)
+{
+	static const struct {
+		const char *running;
+		const char *ended;
+		const char *read;
+	} cases[] = {
+		{"[\"x.0.0.0\",2,\"\",1e400]", "[]", "x.0.0.0/2 0;"},
+		{"[\"x.0.0.0\",2,\"\",1e300]", "[]", "x.0.0.0/2 100;"},
+		{"[\"x.0.0.0\",2,\"\",-5]", "[]", "x.0.0.0/2 0;"},
+		{"[\"x.0.0.0\",2,7,50]", "[]", "x.0.0.0/2 50;"},
+		{"[\"x.0.0.0\",-2,\"\",1]", "[9,\"x.0.0.0\",-1,\"done\",\"\"]", ""},
+		{"[\"x.0.0.0\",4294967298,\"\",1]", "[-9,\"x.0.0.0\",1,\"done\",\"\"]", ""},
+		{"[\"x/y\",1,\"\",1]", "[99999999999999999999,\"x\",1,\"done\",\"\"]", ""},
+		{"[\"\xff\",1,\"\",1]", "[9223372036854775807,\"x\",1,\"done\",\"\"]", ""},
+		{"{\"a\":[[[[]]]]}", "null", ""},
+	};
+	struct answers answers = {0};
+	struct runner_calls *calls;
+
+	start_answers(&answers);
+	calls = platform_worker_create(answers.mem, httpc_create(answers.mem, answers.ev),
+				       httpd_address(answers.server));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct runner_renewal renewal = {.term = 1};
+		struct listed listed = {0};
+		char *want = talloc_asprintf(answers.mem,
+					     "a.0.0.0/1 10;%sb.0.0.0/1 20;a.0.0.1/1 #1;"
+					     "b.0.0.1/1 #3;",
+					     cases[i].read);
+
+		answers.body = talloc_asprintf(answers.mem,
+					       "{\"clock_ms\":5,\"running\":[[\"a.0.0.0\",1,\"\","
+					       "10],%s,[\"b.0.0.0\",1,\"\",20]],"
+					       "\"ended\":[[1,\"a.0.0.1\",1,\"done\",\"\"],%s,[3,"
+					       "\"b.0.0.1\",1,\"done\",\"\"]]}",
+					       cases[i].running, cases[i].ended);
+		calls->renew(calls->impl, &renewal, on_list, &listed);
+		while (listed.calls == 0)
+			tevent_loop_once(answers.ev);
+		CU_ASSERT_EQUAL(listed.status, 0);
+		CU_ASSERT_STRING_EQUAL(listed.text, want);
+		if (strcmp(listed.text, want) != 0)
+			printf("\n%zu: %s", i, listed.text);
+	}
+	talloc_free(answers.mem);
+}
+
+struct followed {
+	char text[256];
+	int loaded;
+};
+
+static void on_followed_item(const struct kv_item *item, void *ctx)
+{
+	struct followed *followed = ctx;
+	size_t len = strlen(followed->text);
+
+	snprintf(followed->text + len, sizeof(followed->text) - len, "%s=%s;", item->key,
+		 item->value);
+}
+
+static void on_followed_loaded(void *ctx)
+{
+	((struct followed *)ctx)->loaded++;
+}
+
+/* Guards against an item of the store that keeps the items of the same page from being read. */
+static void test_odd_store_items(void)
+{
+	static const char *const items[] = {
+		"{\"key\":\"p/\\u0000\",\"value\":\"\",\"revision\":2,\"created\":2}",
+		"{\"key\":\"p/\xff\",\"value\":\"\",\"revision\":-2,\"created\":2}",
+		"{\"key\":\"p/\\ud800\",\"value\":\"\",\"revision\":0,\"created\":2}",
+		"{\"key\":\"p/b\",\"value\":\"\",\"revision\":1e400,\"created\":2}",
+		"{\"key\":\"p/b\",\"value\":\"\",\"revision\":99999999999999999999,\"created\":2}",
+		"{\"key\":\"p/b\",\"value\":\"\",\"revision\":\"2\",\"created\":2}",
+		"{\"key\":\"p/b\",\"value\":[[[]]],\"revision\":2,\"created\":2}",
+		"{\"key\":[\"p/b\"],\"value\":\"\",\"revision\":2,\"created\":2}",
+		"[]",
+		"1e400",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(items); i++) {
+		struct answers answers = {0};
+		struct followed followed = {0};
+		struct kv_mirror_handlers handlers = {on_followed_item, on_followed_loaded,
+						      &followed};
+		struct kv *kv;
+
+		start_answers(&answers);
+		answers.body = talloc_asprintf(answers.mem,
+					       "{\"current_rev\":9,\"has_more\":false,\"items\":[{"
+					       "\"key\":\"p/a\",\"value\":\"MQ==\","
+					       "\"revision\":1,\"created\":1},%s,{\"key\":\"p/"
+					       "z\",\"value\":\"Mg==\",\"revision\":3,"
+					       "\"created\":3}]}",
+					       items[i]);
+		kv = platform_kv_create(answers.mem, httpc_create(answers.mem, answers.ev),
+					httpd_address(answers.server), metrics_create(answers.mem));
+		kv_mirror_create(answers.mem, answers.ev, kv, "p/", &handlers);
+		for (int k = 0; k < 30 && !followed.loaded; k++)
+			memkv_run(answers.ev, 10);
+		CU_ASSERT_EQUAL(followed.loaded, 1);
+		CU_ASSERT_STRING_EQUAL(followed.text, "p/a=1;p/z=2;");
+		if (strcmp(followed.text, "p/a=1;p/z=2;") != 0)
+			printf("\n%zu: %s", i, followed.text);
+		talloc_free(answers.mem);
+	}
+}
+
+static void on_answer_ignored(int status, int http_status, const char *body, size_t len, void *ctx)
+{
+	(*(int *)ctx)++;
+}
+
+/* Guards against an encoded NUL that shortens the id of a worker to that of another one. */
+static void test_encoded_nul(void)
+{
+	struct answers answers = {.body = "{}"};
+	int calls = 0;
+	struct httpc_request request = {
+		.method = "GET", .timeout_ms = 1000, .done = on_answer_ignored, .ctx = &calls};
+
+	start_answers(&answers);
+	request.url = talloc_asprintf(answers.mem, "http://%s/v1/instances/i-1%%00x%%41",
+				      httpd_address(answers.server));
+	httpc_start(httpc_create(answers.mem, answers.ev), &request);
+	while (calls == 0)
+		tevent_loop_once(answers.ev);
+	CU_ASSERT_STRING_NOT_EQUAL(answers.path, "/v1/instances/i-1");
+	talloc_free(answers.mem);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -285,6 +583,11 @@
 	CU_add_test(suite, "bad_jobs", test_bad_jobs);
 	CU_add_test(suite, "config", test_config);
 	CU_add_test(suite, "heartbeat", test_heartbeat);
+	CU_add_test(suite, "odd_heartbeats", test_odd_heartbeats);
+	CU_add_test(suite, "odd_config", test_odd_config);
+	CU_add_test(suite, "odd_run_lists", test_odd_run_lists);
+	CU_add_test(suite, "odd_store_items", test_odd_store_items);
+	CU_add_test(suite, "encoded_nul", test_encoded_nul);
 	CU_add_test(suite, "control_calls", test_control_calls);
 	CU_add_test(suite, "advice", test_advice);
 	CU_add_test(suite, "damaged_bodies", test_damaged_bodies);
