leader, runner: odd keys of the election do not stop it

A term of -1 in the record made agents ignore all real leaders, and their reports then ended each leader's term.

leader_record_read() is the one reader of the record; it accepts it as a whole, with a usable address and a term up to LEADER_TERM_MAX. A leader writes an overwritten key again. Without a leader the key is replaced after two leases, when the former leader has seen it or its lease is over. An unusable counter goes on from the latest term known, a term with a resignation is left out, and of several resignations the next one counts.

Not covered: a well-formed record with a higher term than any so far.

Five tests of test_leader and test_runner/odd_leader_record fail on the former code.

--- a/src/leader.c
+++ b/src/leader.c
@@ -1,5 +1,7 @@
 #include "leader.h"
 
+#include "fields.h"
+#include "jsonread.h"
 #include "log.h"
 #include "util.h"
 
@@ -24,6 +26,11 @@
 #define CANDIDATE_DELAY_MS \
 	150 /* lets a leader return first whose lease expired in a store outage */
 #define CANDIDATE_JITTER_MS 250
+/*
+ * A leader key that another writer has overwritten is replaced after this many leases. The elected
+ * leader sees it by then and writes its own again, or its lease has expired.
+ */
+#define UNREADABLE_KEY_LEASES 2
 
 struct leader {
 	struct tevent_context *ev;
@@ -60,6 +67,8 @@
 	uint64_t confirmed_ms;
 	bool renewal_failed; /* by the latest answer to a renewal; a late answer is no failure */
 	char *key_value;     /* latest leader value that this process tried to write */
+	int64_t unreadable_revision; /* of a leader key with an unusable value; 0: it is usable */
+	uint64_t heard_term;	     /* latest term of another leader that an agent has reported */
 };
 
 static void advance_election(struct leader *leader);
@@ -193,6 +202,10 @@
 				become_leader(leader, item->revision);
 				return;
 			}
+			/* A resignation of a term that has not begun: the term is left out. */
+			if (!leader->term && item->revision > 0 &&
+			    g_str_has_prefix(item->key, RESIGNED_PREFIX))
+				leader->heard_term = MAX(leader->heard_term, leader->next_term);
 		}
 		end_term(leader, "another process was elected");
 	}
@@ -247,6 +260,25 @@
 	write_leader_key(leader);
 }
 
+/* The agents follow no term below one that they know, whatever the counter says. */
+static uint64_t known_term(const struct leader *leader)
+{
+	return MAX(leader->term, MAX(leader->known_term, leader->heard_term));
+}
+
+/* An unusable counter is counted on from the latest term known otherwise. */
+static uint64_t read_term_counter(const struct leader *leader, const char *text)
+{
+	uint64_t stored;
+
+	if (jsonread_decimal(text, LEADER_TERM_MAX - 1, &stored) && stored > 0)
+		return stored;
+	log_once("term_unreadable", TERM_KEY,
+		 "the counter of terms is unusable; %" PRIu64 " is the latest term known",
+		 known_term(leader));
+	return known_term(leader);
+}
+
 static void on_term_read(int status, const struct kv_result *result, void *ctx)
 {
 	struct leader *leader = ctx;
@@ -260,11 +292,11 @@
 	leader->term_revision = 0;
 	if (result->count > 0) {
 		leader->term_revision = result->items[0].revision;
-		stored = strtoull(result->items[0].value, NULL, 10);
+		stored = read_term_counter(leader, result->items[0].value);
 	}
 	if (leader->term && stored != leader->term)
 		end_term(leader, "another process has been leader since");
-	leader->next_term = leader->term ? leader->term : stored + 1;
+	leader->next_term = leader->term ? leader->term : MAX(stored, known_term(leader)) + 1;
 	leader->renewal_sent_ms = util_clock_ms();
 	leader->call_pending = true;
 	leader->kv->ops->lease_grant(leader->kv->impl, leader->ttl_ms,
@@ -419,41 +451,112 @@
 	advance_after(leader, (uint32_t)util_rng_below(&leader->rng, RESIGN_JITTER_MS));
 }
 
+/*
+ * Of several resignations, the one of the present or the next later term counts, so that one with
+ * a number out of order does not hide those of real leaders.
+ */
 static void note_resignation(struct leader *leader, const struct kv_item *item)
 {
-	uint64_t term = strtoull(item->key + strlen(RESIGNED_PREFIX), NULL, 10);
+	uint64_t term;
 
-	if (item->revision == 0 || term <= leader->resigned_term)
+	if (item->revision == 0)
+		return;
+	if (!jsonread_decimal(item->key + strlen(RESIGNED_PREFIX), LEADER_TERM_MAX, &term)) {
+		log_once("resignation_unreadable", item->key, "the key names no term");
+		return;
+	}
+	if (term < leader->known_term ||
+	    (leader->resigned_term >= leader->known_term && leader->resigned_term <= term &&
+	     leader->resigned_term > 0))
 		return;
 	leader->resigned_term = term;
 	log_info("leader_resigned", "",
-		 "%s, term %" PRIu64 ", has resigned because the store refuses it", item->value,
+		 "%.64s, term %" PRIu64 ", has resigned because the store refuses it", item->value,
 		 term);
 	replace_resigned_leader(leader);
 }
 
+struct leader_record *leader_record_read(TALLOC_CTX *mem, const struct kv_item *item)
+{
+	json_t *json = json_loadb(item->value, item->value_len, 0, NULL);
+	const char *node = jsonread_text(json_object_get(json, "node"));
+	const char *address = jsonread_text(json_object_get(json, "address"));
+	struct leader_record *record = NULL;
+	uint64_t term = 0;
+
+	if (node && *node && address && fields_is_peer_address(address) &&
+	    jsonread_u64(json_object_get(json, "term"), LEADER_TERM_MAX, &term) && term > 0) {
+		record = talloc_zero(mem, struct leader_record);
+		record->node = talloc_strdup(record, node);
+		record->address = talloc_strdup(record, address);
+		record->term = term;
+	} else {
+		log_once("leader_unreadable", item->key,
+			 "the record of the leader has an unusable node, address or term");
+	}
+	json_decref(json);
+	return record;
+}
+
+static void replace_unreadable_key_later(struct leader *leader)
+{
+	advance_after(leader, leader->ttl_ms * UNREADABLE_KEY_LEASES +
+				      (uint32_t)util_rng_below(&leader->rng, CANDIDATE_JITTER_MS));
+}
+
+/*
+ * Another writer has overwritten the leader key. The leader writes its own again, unless another
+ * one has been elected. Without a leader the key would stay, as it may belong to no lease.
+ */
+static void handle_unreadable_key(struct leader *leader, const struct kv_item *item)
+{
+	leader->unreadable_revision = item->revision;
+	leader->replaceable_revision = item->revision;
+	leader->known_revision = item->revision;
+	if (leader->term) {
+		leader->lease = 0;
+		advance_after(leader, 0);
+		return;
+	}
+	if (leader->loaded)
+		replace_unreadable_key_later(leader);
+}
+
+/* Every election raises the term, so none has written this record over that of this process. */
+static bool is_foreign_record(const struct leader *leader, const struct kv_item *item,
+			      const struct leader_record *record)
+{
+	bool foreign = leader->term && item->revision > leader->revision &&
+		       record->term <= leader->term && strcmp(item->value, leader->key_value) != 0;
+
+	if (foreign)
+		log_once("leader_unreadable", item->key,
+			 "another writer has replaced the record of term %" PRIu64, leader->term);
+	return foreign;
+}
+
 static void on_item(const struct kv_item *item, void *ctx)
 {
 	struct leader *leader = ctx;
-	const char *node = "";
-	const char *address = "";
-	json_int_t term = 0;
-	json_t *record;
+	struct leader_record *record;
 
 	if (g_str_has_prefix(item->key, RESIGNED_PREFIX))
 		note_resignation(leader, item);
 	if (strcmp(item->key, LEADER_KEY) != 0)
 		return;
+	leader->unreadable_revision = 0;
 	if (item->revision == 0) {
 		handle_vacancy(leader);
 		return;
 	}
 	leader->vacant = false;
-	record = json_loadb(item->value, item->value_len, 0, NULL);
-	if (json_unpack(record, "{s:s, s:s, s:I}", "node", &node, "address", &address, "term",
-			&term))
-		log_warn("leader_unreadable", "", "the record of the leader is malformed");
-	if (leader->term && (uint64_t)term > leader->term)
+	record = leader_record_read(leader, item);
+	if (!record || is_foreign_record(leader, item, record)) {
+		talloc_free(record);
+		handle_unreadable_key(leader, item);
+		return;
+	}
+	if (leader->term && record->term > leader->term)
 		end_term(leader, "another process was elected");
 	/* This process wrote the key, but the answer to its attempt was lost. */
 	if (leader->term && !strcmp(item->value, leader->key_value))
@@ -461,12 +564,12 @@
 	if (!leader->term && leader->lease && leader->key_value &&
 	    !strcmp(item->value, leader->key_value) && !leader->resigned)
 		become_leader(leader, item->revision);
-	leader->known_term = (uint64_t)term;
+	leader->known_term = record->term;
 	leader->known_revision = item->revision;
-	note_stale_key(leader, item, node);
+	note_stale_key(leader, item, record->node);
 	replace_resigned_leader(leader);
-	report_known_leader(leader, node, address, (uint64_t)term);
-	json_decref(record);
+	report_known_leader(leader, record->node, record->address, record->term);
+	talloc_free(record);
 }
 
 static void on_loaded(void *ctx)
@@ -475,7 +578,9 @@
 	bool first = !leader->loaded;
 
 	leader->loaded = true;
-	if (first && !leader->known_address)
+	if (first && leader->unreadable_revision)
+		replace_unreadable_key_later(leader);
+	else if (first && !leader->known_address)
 		handle_vacancy(leader);
 	else if (first && leader->replaceable_revision)
 		advance_after(leader, 0);
@@ -539,8 +644,12 @@
 
 void leader_deposed(struct leader *leader, uint64_t term)
 {
-	if (term > leader->term)
-		end_term(leader, "a worker obeys a later leader");
+	if (term > LEADER_TERM_MAX)
+		log_once("term_unreadable", "", "an agent names a term that can't exist");
+	if (term > LEADER_TERM_MAX || term <= leader->term)
+		return;
+	leader->heard_term = MAX(leader->heard_term, term);
+	end_term(leader, "a worker obeys a later leader");
 }
 
 const char *leader_address(const struct leader *leader)
--- a/src/leader.h
+++ b/src/leader.h
@@ -83,6 +83,20 @@
  */
 bool leader_renewal_overdue(const struct leader *leader);
 
+/** LEADER_TERM_MAX - no counter of elections gets as far; run numbers made from it fit PLAN_RUN_MAX
+ */
+#define LEADER_TERM_MAX 10000000
+
+/** struct leader_record - content of the leader's key; strings are owned by the reader's parent */
+struct leader_record {
+	const char *node;
+	const char *address;
+	uint64_t term;
+};
+
+/** leader_record_read() - parse the value of the leader's key; NULL if a part of it is unusable */
+struct leader_record *leader_record_read(TALLOC_CTX *mem, const struct kv_item *item);
+
 /** leader_deposed() - another process is known to lead with a later @term */
 void leader_deposed(struct leader *leader, uint64_t term);
 
--- a/src/runner.c
+++ b/src/runner.c
@@ -1,11 +1,12 @@
 #include "runner_int.h"
 
+#include "fields.h"
 #include "fleetlimits.h"
+#include "leader.h"
 #include "log.h"
 #include "util.h"
 
 #include <inttypes.h>
-#include <jansson.h>
 #include <string.h>
 
 #define TICK_MS 100
@@ -157,7 +158,7 @@
 static void follow_leader(struct runner *runner, uint64_t term, const char *node,
 			  const char *address)
 {
-	if (term < runner->term || !*address)
+	if (term < runner->term || term > LEADER_TERM_MAX || !fields_is_peer_address(address))
 		return;
 	if (term == runner->term && runner->leader_address &&
 	    !strcmp(address, runner->leader_address) &&
@@ -179,19 +180,15 @@
 static void on_leader_record(int status, const struct kv_result *result, void *ctx)
 {
 	struct runner *runner = ctx;
-	const char *node;
-	const char *address;
-	json_int_t term;
-	json_t *record;
+	struct leader_record *record;
 
 	runner->leader_query_pending = false;
 	if (status || result->count == 0)
 		return; /* on_tick() repeats the query */
-	record = json_loadb(result->items[0].value, result->items[0].value_len, 0, NULL);
-	if (!json_unpack(record, "{s:s, s:s, s:I}", "node", &node, "address", &address, "term",
-			 &term))
-		follow_leader(runner, (uint64_t)term, node, address);
-	json_decref(record);
+	record = leader_record_read(runner, &result->items[0]);
+	if (record)
+		follow_leader(runner, record->term, record->node, record->address);
+	talloc_free(record);
 }
 
 static void query_leader_if_due(struct runner *runner, uint64_t now_ms)
@@ -449,7 +446,7 @@
 	if (orders)
 		apply_orders(runner, orders);
 	else
-		log_warn("orders_malformed", "", "cannot parse the leader's orders");
+		log_once("orders_malformed", "", "cannot parse the leader's orders");
 	talloc_free(orders);
 	return true;
 }
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -326,6 +326,130 @@
 	talloc_free(f);
 }
 
+/* Guards against a leader key of another writer that leaves the fleet without a leader. */
+static void test_odd_leader_record(void)
+{
+	static const char *const records[] = {
+		"",
+		"x",
+		"[]",
+		"{}",
+		"{\"node\":\"x\",\"address\":\"127.0.0.1:1\",\"term\":-1}",
+		"{\"node\":\"x\",\"address\":\"127.0.0.1:1\",\"term\":9223372036854775807}",
+		"{\"node\":\"x\",\"address\":\"127.0.0.1:1\",\"term\":99999999999999999999}",
+		"{\"node\":\"x\",\"address\":\"127.0.0.1:99999\",\"term\":2}",
+		"{\"node\":\"x\",\"address\":\"some.host:1\",\"term\":2}",
+		"{\"node\":\"x\",\"address\":\"127.0.0.1:1\",\"term\":1}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(records); i++) {
+		struct fixture *f = set_up();
+		int count;
+		struct node *node = find_leader(f, &count);
+
+		CU_ASSERT_EQUAL_FATAL(count, 1);
+		memkv_put(f->store, "leader", records[i]);
+		memkv_run(f->ev, 300);
+		CU_ASSERT_PTR_EQUAL(find_leader(f, &count), node);
+		CU_ASSERT_EQUAL(count, 1);
+		CU_ASSERT_TRUE(leader_confirmed(node->leader));
+		CU_ASSERT_EQUAL(leader_expect(node->leader).revision,
+				memkv_revision(f->store, "leader"));
+		CU_ASSERT_EQUAL(node->lost, 0);
+		talloc_free(f);
+	}
+}
+
+/* Guards against an unreadable leader key without a lease that nobody replaces. */
+static void test_odd_record_without_leader(void)
+{
+	struct fixture *f = set_up();
+	int count;
+	struct node *old = find_leader(f, &count);
+	struct node *fresh;
+
+	CU_ASSERT_EQUAL_FATAL(count, 1);
+	old->client->fault = MEMKV_REJECT_CALLS;
+	memkv_put(f->store, "leader", "[[[");
+	memkv_run(f->ev, TTL_MS);
+	CU_ASSERT_PTR_EQUAL(find_leader(f, &count), old);
+	memkv_run(f->ev, TTL_MS + 600);
+	CU_ASSERT_FALSE(leader_confirmed(old->leader));
+	old->client->fault = MEMKV_FAULT_NONE;
+	memkv_run(f->ev, 900);
+	fresh = find_leader(f, &count);
+	CU_ASSERT_EQUAL(count, 1);
+	CU_ASSERT(fresh && fresh != old && fresh->term == 2);
+	talloc_free(f);
+}
+
+/* Guards against a counter of terms that stops elections or makes terms go back. */
+static void test_odd_term_counter(void)
+{
+	static const char *const counters[] = {"", "x", "-1", "18446744073709551615", "1e5", "0"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(counters); i++) {
+		struct fixture *f = set_up();
+		int count;
+		struct node *old = find_leader(f, &count);
+		struct node *fresh;
+
+		CU_ASSERT_EQUAL_FATAL(count, 1);
+		memkv_put(f->store, "term", counters[i]);
+		leader_resign(old->leader);
+		memkv_run(f->ev, 900);
+		fresh = find_leader(f, &count);
+		CU_ASSERT_EQUAL(count, 1);
+		CU_ASSERT(fresh && fresh->term == 2);
+		CU_ASSERT_STRING_EQUAL(memkv_value(f->store, "term"), "2");
+		talloc_free(f);
+	}
+}
+
+/* Guards against a resignation with an odd term that hides that of the real leader. */
+static void test_odd_resignation(void)
+{
+	static const char *const terms[] = {"", "x", "-1", "9999999", "99999999999999999999", "1x"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(terms); i++) {
+		struct fixture *f = set_up();
+		int count;
+		struct node *old = find_leader(f, &count);
+		char *key = talloc_asprintf(f, "leader.resigned.%s", terms[i]);
+
+		CU_ASSERT_EQUAL_FATAL(count, 1);
+		memkv_put(f->store, key, "n9");
+		memkv_run(f->ev, 100);
+		CU_ASSERT_PTR_EQUAL(find_leader(f, &count), old);
+		CU_ASSERT_EQUAL(old->term, 1);
+		old->peer_writes = true;
+		old->client->fault = MEMKV_REJECT_CALLS;
+		memkv_run(f->ev, TTL_MS * 8 / 10);
+		CU_ASSERT_PTR_NOT_EQUAL(find_leader(f, &count), old);
+		CU_ASSERT_EQUAL(count, 1);
+		talloc_free(f);
+	}
+}
+
+/* Guards against a stored resignation of a term to come that ends all elections. */
+static void test_resignation_of_later_term(void)
+{
+	struct fixture *f = set_up();
+	int count;
+	struct node *old = find_leader(f, &count);
+	struct node *fresh;
+
+	CU_ASSERT_EQUAL_FATAL(count, 1);
+	memkv_put(f->store, "leader.resigned.2", "n9");
+	memkv_put(f->store, "leader.resigned.3", "n9");
+	leader_resign(old->leader);
+	memkv_run(f->ev, 1500);
+	fresh = find_leader(f, &count);
+	CU_ASSERT_EQUAL(count, 1);
+	CU_ASSERT(fresh && fresh != old && fresh->term == 4);
+	talloc_free(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -346,6 +470,11 @@
 	CU_add_test(suite, "unknown_resignation", test_unknown_resignation);
 	CU_add_test(suite, "resignation_stored_without_answer",
 		    test_resignation_stored_without_answer);
+	CU_add_test(suite, "odd_leader_record", test_odd_leader_record);
+	CU_add_test(suite, "odd_record_without_leader", test_odd_record_without_leader);
+	CU_add_test(suite, "odd_term_counter", test_odd_term_counter);
+	CU_add_test(suite, "odd_resignation", test_odd_resignation);
+	CU_add_test(suite, "resignation_of_later_term", test_resignation_of_later_term);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -536,6 +536,36 @@
 	tear_down(f);
 }
 
+/* Guards against an agent that follows no leader any more after an odd record of a leader. */
+static void test_odd_leader_record(void)
+{
+	static const char *const records[] = {
+		"{\"node\":\"x\",\"address\":\"127.0.0.1:1\",\"term\":-1}",
+		"{\"node\":\"x\",\"address\":\"127.0.0.1:1\",\"term\":9223372036854775807}",
+		"{\"node\":\"x\",\"address\":\"127.0.0.1:99999\",\"term\":9}",
+		"{\"node\":\"x\",\"address\":\"some.host:1\",\"term\":9}",
+		"",
+	};
+	struct fixture *f = set_up();
+	char *record = talloc_strdup(f, memkv_value(f->store, "leader"));
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	for (size_t i = 0; i < G_N_ELEMENTS(records); i++) {
+		int last;
+
+		f->unsure = true; /* lets the agent read the record */
+		memkv_put(f->store, "leader", records[i]);
+		memkv_run(f->ev, 900);
+		memkv_put(f->store, "leader", record);
+		f->unsure = false;
+		last = f->extensions;
+		memkv_run(f->ev, 900);
+		CU_ASSERT(f->extensions > last);
+	}
+	tear_down(f);
+}
+
 /* Guards against work that ends because the store is unreachable and no leader was elected. */
 static void test_unsure_leader_is_kept(void)
 {
@@ -663,6 +693,7 @@
 	CU_add_test(suite, "lease_needs_leader", test_lease_needs_leader);
 	CU_add_test(suite, "replaceable_leader", test_replaceable_leader);
 	CU_add_test(suite, "unsure_leader", test_unsure_leader);
+	CU_add_test(suite, "odd_leader_record", test_odd_leader_record);
 	CU_add_test(suite, "unsure_leader_is_kept", test_unsure_leader_is_kept);
 	CU_add_test(suite, "lives", test_incarnations);
 	CU_add_test(suite, "order_before_first_list", test_order_before_first_list);
