wire, relay: check addresses and answers of others before use

An entry whose address is a host name made ZeroMQ look it up on the thread that serves all connections of the process. A request to an entry with such an address, or with one without a port, waited for its time-out before the next entry was asked. An answer with a code that no release uses was passed on as the final result. A key that is not UTF-8 in a peer's request was left out of the transaction, and with it the condition of the write.

wire_connect() takes numeric addresses with a port only; relay refuses such requests as not written and takes unknown codes for an unknown outcome.

test_wire/odd_addresses, test_relay/odd_entries and odd_messages fail on the former code. No message was found that ended a process.

--- a/src/relay.c
+++ b/src/relay.c
@@ -1,5 +1,7 @@
 #include "relay.h"
 
+#include "fields.h"
+#include "jsonread.h"
 #include "log.h"
 #include "util.h"
 
@@ -223,19 +225,25 @@
 		talloc_strndup(peer_write, (const char *)msg->value.data, msg->value.len);
 	peer_write->requires = talloc_strdup(peer_write, msg->requires_key);
 	peer_write->requires_revision = (int64_t)msg->requires_revision;
-	if (!kv->ops->is_responding(kv->impl))
+	/* A key that can't be sent to the store would be left out of the transaction. */
+	if (!g_utf8_validate(msg->key, -1, NULL) || !g_utf8_validate(msg->requires_key, -1, NULL) ||
+	    !*msg->key || msg->requires_revision > INT64_MAX) {
+		log_once("relay_refused", peer, "the write names an unusable key or revision");
 		answer_peer(peer_write, -ERR_UNAVAILABLE);
-	else if (*msg->requires_key && !msg->requires_revision)
+	} else if (!kv->ops->is_responding(kv->impl)) {
+		answer_peer(peer_write, -ERR_UNAVAILABLE);
+	} else if (*msg->requires_key && !msg->requires_revision) {
 		kv->ops->get(kv->impl, msg->requires_key,
 			     (struct kv_cb){on_required_key_read, peer_write});
-	else
+	} else {
 		write_for_peer(peer_write);
+	}
 }
 
 static void on_relay_answer(struct relay *relay, const struct msg_relayed *msg)
 {
 	struct relay_call *call = g_hash_table_lookup(relay->calls, &msg->id);
-	int status = -(int)msg->code;
+	int status = msg->code < ERR_CODE_COUNT ? -(int)msg->code : -ERR_OUTCOME_UNKNOWN;
 
 	if (!call)
 		return;
@@ -292,6 +300,11 @@
 	remove_peer(relay, node);
 	if (item->revision == 0)
 		return;
+	if (!jsonread_is_name(node) || !fields_is_peer_address(item->value)) {
+		log_once("entry_unreadable", item->key,
+			 "the key names no node, or its value is no address");
+		return;
+	}
 	peer = talloc_zero(relay, struct peer_entry);
 	peer->node = talloc_strdup(peer, node);
 	peer->address = talloc_strdup(peer, item->value);
--- a/src/wire.c
+++ b/src/wire.c
@@ -1,4 +1,5 @@
 #include "wire.h"
+#include "fields.h"
 #include "log.h"
 
 #include <errno.h>
@@ -88,7 +89,7 @@
 
 	if (msg_decode(mem, data, len, &msg, &err)) {
 		metrics_add(wire->metrics, wire->malformed, 1);
-		log_warn("wire_malformed", "", "from %s: %s", peer, err.message);
+		log_once("wire_malformed", peer, "%s", err.message);
 	} else {
 		metrics_add(wire->metrics, wire->received_bytes[traffic_class(msg->type)], len);
 		metrics_add(wire->metrics, wire->received[msg->type], 1);
@@ -338,6 +339,11 @@
 
 	if (find_link(wire, peer))
 		return 0;
+	/* ZeroMQ would look up a host name on the thread that serves all connections. */
+	if (!fields_is_peer_address(address)) {
+		log_once("address_unusable", peer, "no connection to %.64s", address);
+		return -ERR_SYSTEM;
+	}
 	link = open_link(wire, ZMQ_DEALER, peer);
 	if (!link)
 		return -ERR_SYSTEM;
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -155,6 +155,69 @@
 	tear_down(f);
 }
 
+/* Guards against an entry with an odd address that keeps writes from the other entries. */
+static void test_odd_entries(void)
+{
+	static const char *const addresses[] = {"",
+						"x",
+						"127.0.0.1",
+						"127.0.0.1:0",
+						"127.0.0.1:99999",
+						"some.host:80",
+						"127.0.0.1:1;:2",
+						"*:80",
+						"[::1:80"};
+	struct fixture *f = set_up();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++)
+		memkv_put(f->store, talloc_asprintf(f, "entry/odd%zu", i), addresses[i]);
+	memkv_put(f->store, "entry/", "127.0.0.1:1");
+	memkv_put(f->store, "entry/a/b", "127.0.0.1:1");
+	memkv_run(f->ev, 50);
+	f->nodes[0].client->fault = MEMKV_REJECT_CALLS;
+	put(f, "job/1", "");
+	CU_ASSERT_EQUAL(f->status, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++)
+		CU_ASSERT_FALSE(
+			wire_connected(f->nodes[0].wire, talloc_asprintf(f, "entry:odd%zu", i)));
+	tear_down(f);
+}
+
+/* Guards against a write of a peer whose condition can't be sent to the store, and odd answers. */
+static void test_odd_messages(void)
+{
+	struct fixture *f = set_up();
+	struct msg request = {.type = MSG_RELAY,
+			      .u.relay = {.id = 1, .key = "job/\xff", .requires_key = ""}};
+	struct msg answer = {.type = MSG_RELAYED, .u.relayed = {.id = 1}};
+	static const uint64_t codes[] = {0x80000000U, UINT64_MAX, ERR_CODE_COUNT};
+	uint32_t writes = f->nodes[1].client->writes;
+
+	request.u.relay.value = (struct msg_bytes){(uint8_t *)"v", 1};
+	relay_message(f->nodes[1].relay, "n0", &request);
+	request.u.relay.key = "job/1";
+	request.u.relay.requires_key = "job/\xff";
+	request.u.relay.requires_revision = 3;
+	relay_message(f->nodes[1].relay, "n0", &request);
+	CU_ASSERT_EQUAL(f->nodes[1].client->writes, writes);
+	for (size_t i = 0; i < G_N_ELEMENTS(codes); i++) {
+		f->status = 1;
+		f->ended = 0;
+		f->nodes[1].client->unresponsive = true;
+		f->nodes[2].client->unresponsive = true;
+		relay_put(f->nodes[0].relay, "job/2", "v", "", 0, on_done, f);
+		tevent_loop_once(f->ev);
+		answer.u.relayed.id = i + 1;
+		answer.u.relayed.code = codes[i];
+		relay_message(f->nodes[0].relay, "n1", &answer);
+		memkv_run(f->ev, 900);
+		CU_ASSERT_EQUAL(f->ended, 1);
+		CU_ASSERT_EQUAL(f->status, -ERR_OUTCOME_UNKNOWN);
+	}
+	CU_ASSERT_STRING_EQUAL(err_name(INT32_MIN), "unknown");
+	tear_down(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -166,6 +229,8 @@
 	CU_add_test(suite, "asks_all_peers", test_asks_all_peers);
 	CU_add_test(suite, "silent_peer", test_silent_peer);
 	CU_add_test(suite, "required_revision", test_required_revision);
+	CU_add_test(suite, "odd_entries", test_odd_entries);
+	CU_add_test(suite, "odd_messages", test_odd_messages);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -58,6 +58,29 @@
 	talloc_free(mem);
 }
 
+/* Guards against addresses that need a name to be looked up, which stalls all connections. */
+static void test_odd_addresses(void)
+{
+	static const char *const addresses[] = {"",
+						"127.0.0.1",
+						"127.0.0.1:0",
+						"127.0.0.1:99999",
+						"some.host:80",
+						"127.0.0.1:1;127.0.0.1:2",
+						"lo:80",
+						"127.0.0.1:80 "};
+	TALLOC_CTX *mem = talloc_new(NULL);
+	struct tevent_context *ev = tevent_context_init(mem);
+	struct test_peer client = {0};
+
+	open_peer(mem, ev, &client, "client#1");
+	for (size_t i = 0; i < sizeof(addresses) / sizeof(addresses[0]); i++)
+		CU_ASSERT_EQUAL(wire_connect(client.wire, "x#1", addresses[i]), -ERR_SYSTEM);
+	CU_ASSERT_FALSE(wire_connected(client.wire, "x#1"));
+	wire_destroy(client.wire, 0);
+	talloc_free(mem);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -66,6 +89,7 @@
 	CU_initialize_registry();
 	suite = CU_add_suite("wire", NULL, NULL);
 	CU_add_test(suite, "burst", test_burst);
+	CU_add_test(suite, "odd_addresses", test_odd_addresses);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
