store, election, jobs: odd keys do not hide the others or stop a duty

One key with a NUL under a prefix failed each read of the prefix, so entries and agents no longer found each other. A record of a duty without a lease, or a counter of epochs that overflows, left the duty without a leader. An entry registered with an incarnation far in the future replaced that of its node for good. A key such as jobs/x was taken for shard 0, and one unreadable job made the other jobs of its shard or segment be dropped without a log line. Negative numbers of a stored job wrapped.

Items that can't be read are left out. A duty's record is replaced after two leases, its counter goes on from the latest epoch seen.

test_store/odd items, test_election/odd record and odd counter, and test_jobs_record/odd numbers fail on the former code.

--- a/src/discover.c
+++ b/src/discover.c
@@ -1,4 +1,6 @@
 #include "discover.h"
+#include "fields.h"
+#include "jsonread.h"
 #include "log.h"
 #include "util.h"
 
@@ -52,7 +54,12 @@
 	const char *peer = json_string_value(json_object_get(entry, "peer"));
 	const char *address = json_string_value(json_object_get(entry, "peer_address"));
 
-	if (!peer || !address || found->count == ENTRIES_MAX)
+	if (!peer || !address || !jsonread_is_name(peer) || !fields_is_peer_address(address)) {
+		log_once("entry_unreadable", peer ? peer : "",
+			 "the record of an entry has no usable name or address");
+		return;
+	}
+	if (found->count == ENTRIES_MAX)
 		return;
 	found->peers[found->count] = peer;
 	found->addresses[found->count] = address;
@@ -141,7 +148,7 @@
 
 	discover->call = NULL;
 	if (!status && http_status == 200)
-		root = json_loadb(body, len, 0, NULL);
+		root = jsonread_document(body, len, NULL);
 	json_array_foreach(root, i, entry) add_found(&found, entry);
 	if (discover->searching && !report_found(discover, &found))
 		query_next_seed(discover);
--- a/src/election.c
+++ b/src/election.c
@@ -1,5 +1,7 @@
 #include "election.h"
 
+#include "fields.h"
+#include "jsonread.h"
 #include "log.h"
 #include "store_internal.h"
 #include "util.h"
@@ -12,6 +14,10 @@
 #define KEEPALIVE_DIVISOR 3 /* two keepalives may fail before the lease lapses */
 #define RETRY_BASE_MS 100
 #define RETRY_MAX_MS 1000
+/* No counter of elections gets as far; a larger one would overflow. */
+#define EPOCH_MAX ((uint64_t)1 << 40)
+/* A leader whose record another writer has overwritten stops before this many leases are over. */
+#define UNREADABLE_RECORD_LEASES 2
 #define FOLLOWER_POLL_MS 15000 /* for events that the watch misses; 0.07 reads/s per entry host */
 
 /*
@@ -37,8 +43,12 @@
 	uint64_t epoch;	  /* own epoch; 0: not the leader */
 	char *own_record; /* last record written or tried; while stored, this entry is leader */
 	uint64_t own_record_epoch;
-	char *stored_epoch;  /* value of the epoch key; NULL: absent */
-	char *leader_record; /* last record passed to on_leader(); "": no leader */
+	char *stored_epoch;	     /* value of the epoch key; NULL: absent */
+	char *leader_record;	     /* last record passed to on_leader(); "": no leader */
+	uint64_t seen_epoch;	     /* highest epoch of a readable record */
+	int64_t unreadable_revision; /* of a stored record that can't be read; 0: none */
+	uint64_t unreadable_since_ms;
+	bool replace_record; /* the unreadable record may be replaced */
 	uint32_t failures;
 	bool call_pending; /* a store call is under way; there is at most one */
 	bool reread;	   /* read the keys again after the call under way */
@@ -132,29 +142,51 @@
 	election->handlers.on_lost(election->handlers.ctx);
 }
 
-static void report_leader(struct election *election, const char *value)
+/* Returns false, and reports no leader, if the record is unusable. */
+static bool report_leader(struct election *election, const char *value)
 {
 	json_t *record;
-	const char *node = "";
-	const char *address = "";
-	json_int_t epoch = 0;
+	const char *node;
+	const char *address;
+	uint64_t epoch = 0;
+	bool valid;
 
 	if (election->leader_record && !strcmp(election->leader_record, value))
-		return;
+		return !election->unreadable_revision;
 	talloc_free(election->leader_record);
 	election->leader_record = talloc_strdup(election, value);
 	record = json_loads(value, 0, NULL);
-	json_unpack(record, "{s:s, s:s, s:I}", "node", &node, "address", &address, "epoch", &epoch);
+	node = jsonread_text(json_object_get(record, "node"));
+	address = jsonread_text(json_object_get(record, "address"));
+	valid = node && *node && address && fields_is_peer_address(address) &&
+		jsonread_u64(json_object_get(record, "epoch"), EPOCH_MAX, &epoch) && epoch > 0;
+	if (!valid && *value)
+		log_once("duty_unreadable", election->key,
+			 "the record of the leader has an unusable node, address or epoch");
+	election->seen_epoch = valid ? MAX(election->seen_epoch, epoch) : election->seen_epoch;
 	if (election->handlers.on_leader)
-		election->handlers.on_leader(node, address, (uint64_t)epoch,
-					     election->handlers.ctx);
+		election->handlers.on_leader(valid ? node : "", valid ? address : "",
+					     valid ? epoch : 0, election->handlers.ctx);
 	json_decref(record);
+	return valid;
+}
+
+/* The stored counter; counted on from the latest epoch seen if it is unusable. */
+static uint64_t last_epoch(const struct election *election)
+{
+	uint64_t epoch;
+
+	if (!election->stored_epoch)
+		return 0;
+	if (jsonread_decimal(election->stored_epoch, EPOCH_MAX - 1, &epoch))
+		return MAX(epoch, election->seen_epoch);
+	log_once("duty_unreadable", election->epoch_key, "the counter of epochs is unusable");
+	return election->seen_epoch;
 }
 
 static bool epoch_is_own(const struct election *election)
 {
-	return election->stored_epoch &&
-	       strtoull(election->stored_epoch, NULL, 10) == election->epoch;
+	return election->stored_epoch && last_epoch(election) == election->epoch;
 }
 
 /*
@@ -170,12 +202,33 @@
 	acquire_leadership(election);
 }
 
+/*
+ * A record of another writer may belong to no lease, so it would stay for ever. It is replaced
+ * once the leader whose record it has overwritten can no longer act.
+ */
+static void handle_unreadable_record(struct election *election, int64_t revision)
+{
+	uint64_t wait_ms = (uint64_t)election->ttl_s * 1000 * UNREADABLE_RECORD_LEASES;
+
+	if (election->unreadable_revision != revision) {
+		election->unreadable_revision = revision;
+		election->unreadable_since_ms = util_clock_ms();
+	}
+	if (util_clock_ms() - election->unreadable_since_ms < wait_ms) {
+		schedule_timer(election, (uint32_t)wait_ms);
+		return;
+	}
+	election->replace_record = true;
+	acquire_leadership(election);
+}
+
 /* Updates the election to the current values of both keys. */
 static void apply_keys(struct election *election, const struct store_result *result)
 {
 	const struct store_kv *leader = NULL;
 
 	TALLOC_FREE(election->stored_epoch);
+	election->replace_record = false;
 	for (size_t i = 0; i < result->count; i++) {
 		const struct store_kv *kv = &result->kvs[i];
 
@@ -185,6 +238,7 @@
 			election->stored_epoch = talloc_strdup(election, kv->value);
 	}
 	if (!leader) {
+		election->unreadable_revision = 0;
 		handle_vacancy(election);
 		return;
 	}
@@ -192,8 +246,12 @@
 		become_leader(election);
 	} else {
 		lose_leadership(election);
-		report_leader(election, leader->value);
+		if (!report_leader(election, leader->value)) {
+			handle_unreadable_record(election, leader->mod_revision);
+			return;
+		}
 	}
+	election->unreadable_revision = 0;
 	schedule_next(election);
 }
 
@@ -243,15 +301,13 @@
 
 static void prepare_record(struct election *election)
 {
-	uint64_t last_epoch =
-		election->stored_epoch ? strtoull(election->stored_epoch, NULL, 10) : 0;
+	uint64_t epoch = last_epoch(election) + 1;
 	json_t *record;
 	char *text;
 
-	if (election->epoch ||
-	    (election->own_record && election->own_record_epoch == last_epoch + 1))
+	if (election->epoch || (election->own_record && election->own_record_epoch == epoch))
 		return;
-	election->own_record_epoch = last_epoch + 1;
+	election->own_record_epoch = epoch;
 	record = json_pack("{s:s, s:s, s:I}", "node", election->node, "address", election->address,
 			   "epoch", (json_int_t)election->own_record_epoch);
 	text = json_dumps(record, JSON_COMPACT);
@@ -273,6 +329,10 @@
 		{.kind = STORE_PUT, .key = election->epoch_key, .value = epoch},
 	};
 
+	if (election->replace_record)
+		compares[0] = (struct store_compare){.kind = STORE_MOD_REVISION_IS,
+						     .key = election->key,
+						     .number = election->unreadable_revision};
 	prepare_record(election);
 	snprintf(epoch, sizeof(epoch), "%" PRIu64, election->own_record_epoch);
 	ops[0].value = election->own_record;
--- a/src/jobleader.c
+++ b/src/jobleader.c
@@ -1,4 +1,5 @@
 #include "jobs_int.h"
+#include "jsonread.h"
 #include "log.h"
 #include "util.h"
 
@@ -309,7 +310,10 @@
 
 	if (g_hash_table_contains(leader->segments, kv->key))
 		return;
-	list = json_loadb(kv->value, kv->value_len, 0, NULL);
+	list = jsonread_document(kv->value, kv->value_len, NULL);
+	if (!json_is_array(list))
+		log_error("submission_malformed", "", "segment %s is no list; it is removed",
+			  kv->key);
 	json_array_foreach(list, i, json) all_merged = merge_job(leader, json) && all_merged;
 	if (all_merged) {
 		g_hash_table_add(leader->segments, g_strdup(kv->key));
@@ -372,21 +376,28 @@
 
 static void load_shard(struct job_leader *leader, const struct store_kv *kv)
 {
-	uint32_t shard = (uint32_t)strtoul(kv->key + strlen("jobs/"), NULL, 10);
-	json_t *list = json_loadb(kv->value, kv->value_len, 0, NULL);
+	json_t *list;
 	size_t i;
 	json_t *json;
 
-	if (shard < JOBS_SHARDS)
-		job_shards_set_revision(leader->shards, shard, kv->mod_revision);
+	if (!job_shards_set_revision(leader->shards, kv->key, kv->mod_revision)) {
+		log_once("shard_unreadable", kv->key, "the key names no shard");
+		return;
+	}
+	list = jsonread_document(kv->value, kv->value_len, NULL);
+	if (!json_is_array(list))
+		log_error("job_malformed", "", "%s is no list; its jobs are lost", kv->key);
 	json_array_foreach(list, i, json)
 	{
 		struct job_record *job = job_from_json(leader, json);
 
-		if (job)
+		if (job && !job_leader_find_job(leader, job->id)) {
 			g_hash_table_insert(leader->records, job->id, job);
-		else
-			log_error("job_malformed", "", "a job record of %s is malformed", kv->key);
+			continue;
+		}
+		log_error("job_malformed", job ? job->id : "",
+			  "a job record of %s is malformed or listed twice", kv->key);
+		talloc_free(job);
 	}
 	json_decref(list);
 }
--- a/src/jobrecord.c
+++ b/src/jobrecord.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define MASK_DIGITS_MAX 16 /* of 64 bits in hexadecimal */
+
 static const char *const state_names[JOBS_STATE_COUNT] = {
 	[JOBS_ACCEPTED] = "accepted",	[JOBS_WAITING] = "waiting", [JOBS_STARTING] = "starting",
 	[JOBS_RUNNING] = "running",	[JOBS_DONE] = "done",	    [JOBS_FAILED] = "failed",
@@ -86,7 +88,9 @@
 		const char *mask;
 
 		if (json_unpack(json_array_get(list, i), "{s:s, s:s}", "worker", &worker, "mask",
-				&mask))
+				&mask) ||
+		    strlen(mask) > MASK_DIGITS_MAX ||
+		    strspn(mask, "0123456789abcdef") != strlen(mask))
 			return false;
 		job->members[i].worker = talloc_strdup(job, worker);
 		job->members[i].mask = strtoull(mask, NULL, 16);
@@ -122,7 +126,9 @@
 			"ended_ms", &ended, "urgent", &urgent, "cancel", &cancel, "state", &state,
 			"attempt", &attempt, "grant", &grant, "members", &list) ||
 	    !parse_members(job, list) || !parse_state(job, state) || within < 0 ||
-	    within > PLACE_WITHIN_WORKER) {
+	    within > PLACE_WITHIN_WORKER || members < 0 || accelerators < 0 || cores < 0 ||
+	    memory < 0 || declared < 0 || submitted < 0 || ended < 0 || attempt < 0 ||
+	    attempt > UINT32_MAX || grant < 0) {
 		talloc_free(job);
 		return NULL;
 	}
--- a/src/jobs_int.h
+++ b/src/jobs_int.h
@@ -114,8 +114,12 @@
 /** job_shards_create() - state without revisions; @records (id to job_record) is borrowed */
 struct job_shards *job_shards_create(TALLOC_CTX *mem, struct jobs *jobs, GHashTable *records);
 
-/** job_shards_set_revision() - note the revision at which a shard was read from the store */
-void job_shards_set_revision(struct job_shards *shards, uint32_t shard, int64_t mod_revision);
+/**
+ * job_shards_set_revision() - note the revision at which a shard was read from the store
+ *
+ * Return: false if @key is not that of a shard.
+ */
+bool job_shards_set_revision(struct job_shards *shards, const char *key, int64_t mod_revision);
 
 /**
  * job_shards_write() - write a job's shard in the next turn of the event loop
--- a/src/jobstore.c
+++ b/src/jobstore.c
@@ -78,9 +78,15 @@
 	return shards;
 }
 
-void job_shards_set_revision(struct job_shards *shards, uint32_t shard, int64_t mod_revision)
+bool job_shards_set_revision(struct job_shards *shards, const char *key, int64_t mod_revision)
 {
-	shards->table[shard].mod_revision = mod_revision;
+	for (int i = 0; i < JOBS_SHARDS; i++) {
+		if (strcmp(shards->table[i].key, key) != 0)
+			continue;
+		shards->table[i].mod_revision = mod_revision;
+		return true;
+	}
+	return false;
 }
 
 static gint compare_end(gconstpointer a, gconstpointer b)
--- a/src/peers.c
+++ b/src/peers.c
@@ -1,4 +1,5 @@
 #include "peers.h"
+#include "jsonread.h"
 #include "log.h"
 #include "registration.h"
 #include "util.h"
@@ -11,6 +12,7 @@
 #define DIGEST_PERIOD_MS 1000
 #define HELLO_PERIOD_MS 10000 /* HELLO is repeated because a restarted entry has lost it */
 #define LIST_PERIOD_MS 5000
+#define INCARNATION_AHEAD_MAX_MS (24 * 3600 * 1000) /* clocks of hosts differ by less */
 #define UNLISTED_TIMEOUT_MS 5000 /* without a digest, for entries that the store does not list */
 /* Listed entries time out as well, because the list is out of date while the store is down. */
 #define LISTED_TIMEOUT_MS 30000
@@ -120,12 +122,10 @@
 static bool split_peer(TALLOC_CTX *mem, const char *peer, char **node, uint64_t *incarnation)
 {
 	const char *mark = strrchr(peer, '#');
-	char *end = NULL;
 
-	if (!mark || mark == peer)
-		return false;
-	*incarnation = g_ascii_strtoull(mark + 1, &end, 10);
-	if (!mark[1] || *end)
+	/* A start far in the future would make every later process seem outdated. */
+	if (!mark || mark == peer || !jsonread_is_name(peer) ||
+	    !jsonread_decimal(mark + 1, util_wall_ms() + INCARNATION_AHEAD_MAX_MS, incarnation))
 		return false;
 	*node = talloc_strndup(mem, peer, (size_t)(mark - peer));
 	return true;
@@ -190,6 +190,9 @@
 	if (!json_unpack(json, "{s:s, s:s, s?s, s?s, s?s}", "peer", &peer, "peer_address", &address,
 			 "http_address", &http, "zone", &zone, "region", &region))
 		entry = find_or_add_entry(peers, peer, address);
+	else
+		log_once("entry_unreadable", kv->key,
+			 "its record lacks a field or has a wrong one");
 	if (entry) {
 		entry->listed = true;
 		replace_string(entry, &entry->http_address, http);
--- a/src/storejson.c
+++ b/src/storejson.c
@@ -1,5 +1,8 @@
 #include "storejson.h"
 
+#include "jsonread.h"
+#include "log.h"
+
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -180,23 +183,21 @@
 	kv->value = decode_base64_field(mem, json, "value", &kv->value_len);
 	kv->version = storejson_number(json, "version");
 	kv->mod_revision = storejson_number(json, "mod_revision");
-	return key_len > 0 && strlen(kv->key) == key_len;
+	if (key_len > 0 && strlen(kv->key) == key_len && kv->version >= 0 && kv->mod_revision >= 0)
+		return true;
+	log_once("store_item_unreadable", kv->key, "its key has a NUL, or a revision is negative");
+	return false;
 }
 
-static int append_kvs(TALLOC_CTX *mem, const json_t *list, struct store_result *result)
+static void append_kvs(TALLOC_CTX *mem, const json_t *list, struct store_result *result)
 {
 	size_t more = json_array_size(list);
 	const json_t *item;
 	size_t i;
 
 	result->kvs = talloc_realloc(mem, result->kvs, struct store_kv, result->count + more + 1);
-	json_array_foreach(list, i, item)
-	{
-		if (!storejson_kv(mem, item, &result->kvs[result->count]))
-			return -ERR_INVALID;
-		result->count++;
-	}
-	return 0;
+	json_array_foreach(list, i, item) result->count +=
+		storejson_kv(mem, item, &result->kvs[result->count]);
 }
 
 static int read_txn(TALLOC_CTX *mem, const json_t *json, struct store_result *result)
@@ -208,8 +209,7 @@
 	{
 		const json_t *range = json_object_get(response, "response_range");
 
-		if (range && append_kvs(mem, json_object_get(range, "kvs"), result))
-			return -ERR_INVALID;
+		append_kvs(mem, json_object_get(range, "kvs"), result);
 	}
 	return json_is_true(json_object_get(json, "succeeded")) ? 0 : -ERR_CONFLICT;
 }
@@ -233,8 +233,10 @@
 	if (!json_is_object(json_object_get(json, "header")))
 		return -ERR_INVALID;
 	result->revision = storejson_number(json_object_get(json, "header"), "revision");
-	if (kind == STOREJSON_RANGE)
-		return append_kvs(mem, json_object_get(json, "kvs"), result);
+	if (kind == STOREJSON_RANGE) {
+		append_kvs(mem, json_object_get(json, "kvs"), result);
+		return 0;
+	}
 	if (kind == STOREJSON_TXN)
 		return read_txn(mem, json, result);
 	if (kind == STOREJSON_REVOKE)
@@ -246,12 +248,16 @@
 int storejson_result(TALLOC_CTX *mem, enum storejson_answer kind, const char *body, size_t len,
 		     struct store_result *result)
 {
-	json_t *json = json_loadb(body, len, 0, NULL);
+	size_t replaced;
+	json_t *json = jsonread_document(body, len, &replaced);
 	int status;
 
 	*result = (struct store_result){0};
 	if (!json)
 		return -ERR_INVALID;
+	if (replaced)
+		log_once("store_answer", "", "%zu values of an answer of the store are unreadable",
+			 replaced);
 	status = read_answer(mem, kind, json, result);
 	json_decref(json);
 	return status;
--- a/src/storewatch.c
+++ b/src/storewatch.c
@@ -1,3 +1,4 @@
+#include "jsonread.h"
 #include "log.h"
 #include "store.h"
 #include "store_internal.h"
@@ -215,7 +216,7 @@
 
 static json_t *pop_line(struct store_watch *watch, size_t len)
 {
-	json_t *line = json_loadb(watch->buffer, len, 0, NULL);
+	json_t *line = jsonread_document(watch->buffer, len, NULL);
 
 	watch->len -= len;
 	memmove(watch->buffer, watch->buffer + len, watch->len);
--- a/tests/test_election.c
+++ b/tests/test_election.c
@@ -241,6 +241,48 @@
 	talloc_free(world.mem);
 }
 
+static void write_key(struct world *world, const char *key, const char *value)
+{
+	struct store_op op = {
+		.kind = STORE_PUT, .key = key, .value = value, .value_len = strlen(value)};
+	struct outcome outcome = {0};
+
+	store_txn(world->a.store, NULL, 0, &op, 1, (struct store_cb){on_txn, &outcome});
+	CU_ASSERT_TRUE(loop_until(world->a.ev, &outcome.done));
+}
+
+/* Guards against a record of another writer, without a lease, that nobody replaces. */
+static void test_odd_record(void)
+{
+	struct world world;
+
+	start_two_candidates(&world, SHORT_TTL_S);
+	write_key(&world, "duty/placement/test",
+		  "{\"node\":\"x\",\"address\":\"127.0.0.1:99999\",\"epoch\":-1}");
+	run_both(&world, NULL, 3500);
+	CU_ASSERT_EQUAL(count_leaders(&world), 1);
+	CU_ASSERT(world.a.epoch == 2 || world.b.epoch == 2);
+	talloc_free(world.mem);
+}
+
+/* Guards against a counter that stops elections or makes epochs go back. */
+static void test_odd_counter(void)
+{
+	static const char *const counters[] = {"18446744073709551615", "-1", "x", ""};
+
+	for (size_t i = 0; i < sizeof(counters) / sizeof(counters[0]); i++) {
+		struct world world;
+
+		start_two_candidates(&world, LONG_TTL_S);
+		run_both(&world, NULL, 300);
+		write_key(&world, "duty-epoch/placement/test", counters[i]);
+		election_resign(world.a.election, on_resigned, &world.a);
+		CU_ASSERT_TRUE(run_both(&world, &world.b.gained, 0));
+		CU_ASSERT_EQUAL(world.b.epoch, 2);
+		talloc_free(world.mem);
+	}
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -254,6 +296,8 @@
 	CU_add_test(suite, "lapse", test_lapsed_lease);
 	CU_add_test(suite, "lost answers", test_lost_answers);
 	CU_add_test(suite, "resign", test_resign);
+	CU_add_test(suite, "odd record", test_odd_record);
+	CU_add_test(suite, "odd counter", test_odd_counter);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
--- a/tests/test_jobs_record.c
+++ b/tests/test_jobs_record.c
@@ -203,6 +203,44 @@
 	talloc_free(mem);
 }
 
+/* Guards against numbers of a stored record that wrap when they are read. */
+static void test_odd_numbers(void)
+{
+	static const char *const names[] = {"declared_ms", "submitted_ms", "ended_ms", "attempt",
+					    "grant"};
+	TALLOC_CTX *mem = talloc_new(NULL);
+	json_t *whole = job_to_json(make_job(mem));
+	json_t *shape = json_deep_copy(json_object_get(whole, "shape"));
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		json_t *part = json_copy(whole);
+
+		json_object_set_new(part, names[i], json_integer(-1));
+		CU_ASSERT_PTR_NULL(job_from_json(mem, part));
+		json_object_set_new(part, names[i], json_real(1e300));
+		CU_ASSERT_PTR_NULL(job_from_json(mem, part));
+		json_decref(part);
+	}
+	for (size_t i = 0; i < json_array_size(shape); i++) {
+		json_t *part = json_copy(whole);
+		json_t *odd = json_deep_copy(shape);
+
+		json_array_set_new(odd, i, json_integer(-1));
+		json_object_set_new(part, "shape", odd);
+		CU_ASSERT_PTR_NULL(job_from_json(mem, part));
+		json_decref(part);
+	}
+	json_object_set_new(whole, "attempt", json_integer(4294967297));
+	CU_ASSERT_PTR_NULL(job_from_json(mem, whole));
+	json_object_set_new(whole, "attempt", json_integer(1));
+	json_object_set_new(json_array_get(json_object_get(whole, "members"), 0), "mask",
+			    json_string("-1"));
+	CU_ASSERT_PTR_NULL(job_from_json(mem, whole));
+	json_decref(shape);
+	json_decref(whole);
+	talloc_free(mem);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -214,6 +252,7 @@
 	CU_add_test(suite, "payload limit", test_payload_limit);
 	CU_add_test(suite, "round trip", test_round_trip);
 	CU_add_test(suite, "malformed", test_malformed);
+	CU_add_test(suite, "odd numbers", test_odd_numbers);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -1,5 +1,6 @@
 #include "lib_fakestore.h"
 #include "store_internal.h"
+#include "storejson.h"
 
 #include <CUnit/Basic.h>
 #include <stdio.h>
@@ -390,6 +391,43 @@
 	CU_ASSERT_FALSE(probe);
 }
 
+/* Guards against a key of another writer that keeps all other keys from being read. */
+static void test_odd_items(void)
+{
+	/* The first key has a NUL; then none, one of a wrong type, and a number that overflows. */
+	static const char *const items[] = {
+		"{\"key\":\"YQBi\",\"value\":\"\",\"version\":\"1\"}",
+		"{\"value\":\"\",\"version\":\"1\"}",
+		"{\"key\":7,\"version\":\"1\"}",
+		"{\"key\":\"YWI=\",\"mod_revision\":\"-5\"}",
+		"7",
+		"1e400",
+		"99999999999999999999",
+		"{\"key\":\"\xff\"}",
+	};
+	TALLOC_CTX *mem = talloc_new(NULL);
+
+	for (size_t i = 0; i < sizeof(items) / sizeof(items[0]); i++) {
+		struct store_result result;
+		char *kvs = talloc_asprintf(
+			mem,
+			"[{\"key\":\"YQ==\",\"value\":\"MQ==\",\"version\":\"1\"},%s,"
+			"{\"key\":\"eg==\",\"value\":\"Mg==\",\"version\":\"1\"}]",
+			items[i]);
+		char *body =
+			talloc_asprintf(mem, "{\"header\":{\"revision\":\"3\"},\"kvs\":%s}", kvs);
+
+		CU_ASSERT_EQUAL(storejson_result(mem, STOREJSON_RANGE, body, strlen(body), &result),
+				0);
+		CU_ASSERT_EQUAL(result.count, 2);
+		if (result.count != 2)
+			continue;
+		CU_ASSERT_STRING_EQUAL(result.kvs[0].key, "a");
+		CU_ASSERT_STRING_EQUAL(result.kvs[1].key, "z");
+	}
+	talloc_free(mem);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -408,6 +446,7 @@
 	CU_add_test(suite, "endpoints", test_endpoints);
 	CU_add_test(suite, "watch", test_watch);
 	CU_add_test(suite, "watch renewed", test_watch_renewed);
+	CU_add_test(suite, "odd items", test_odd_items);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
