fake_minion: keep the latest ends after more than 4,096

The loops over the ends went on past the end of the array once more than ENDS_MAX runs had ended. They now cover the ends that are still held, oldest first. Not run with so many ends.

--- a/tests/fake_minion.c
+++ b/tests/fake_minion.c
@@ -93,6 +93,12 @@
 	free(run);
 }
 
+/* Index of the oldest end that is still held. */
+static size_t first_end(void)
+{
+	return minion.end_count > ENDS_MAX ? minion.end_count - ENDS_MAX : 0;
+}
+
 static json_t *runs_json(uint64_t seen)
 {
 	json_t *running = json_array();
@@ -102,13 +108,13 @@
 		json_array_append_new(running,
 				      json_pack("[s, i, s, i]", run->task, (int)run->number, "",
 						(int)(util_clock_ms() / 50 % 100)));
-	for (size_t i = 0; i < minion.end_count; i++) {
-		if (minion.ends[i].number > seen)
-			json_array_append_new(ended, json_pack("[I, s, i, s, s]",
-							       (json_int_t)minion.ends[i].number,
-							       minion.ends[i].task,
-							       (int)minion.ends[i].run,
-							       minion.ends[i].how, ""));
+	for (size_t i = first_end(); i < minion.end_count; i++) {
+		const struct end *end = &minion.ends[i % ENDS_MAX];
+
+		if (end->number > seen)
+			json_array_append_new(ended,
+					      json_pack("[I, s, i, s, s]", (json_int_t)end->number,
+							end->task, (int)end->run, end->how, ""));
 	}
 	return json_pack("{s:I, s:o, s:o}", "born", (json_int_t)minion.born_ms, "running", running,
 			 "ended", ended);
@@ -116,8 +122,10 @@
 
 static bool run_has_ended(const char *task, uint32_t run)
 {
-	for (size_t i = 0; i < minion.end_count; i++) {
-		if (!strcmp(minion.ends[i].task, task) && minion.ends[i].run >= run)
+	for (size_t i = first_end(); i < minion.end_count; i++) {
+		const struct end *end = &minion.ends[i % ENDS_MAX];
+
+		if (!strcmp(end->task, task) && end->run >= run)
 			return true;
 	}
 	return false;
