--- a/src/coord.c
+++ b/src/coord.c
@@ -549,7 +549,7 @@
 	report = fleet_report_read(coord, msg->u.worker_report.json.data,
 				   msg->u.worker_report.json.len);
 	if (!report) {
-		log_warn("report_malformed", peer, "the report is not valid JSON or names no node");
+		log_once("report_malformed", peer, "the report is not valid JSON or names no node");
 		return true;
 	}
 	row = coord_agent_row(coord, report->info.node);
--- a/src/relay.c
+++ b/src/relay.c
@@ -1,5 +1,7 @@
 #include "relay.h"
 
+#include "fields.h"
+#include "jsonread.h"
 #include "log.h"
 #include "util.h"
 
@@ -223,13 +225,19 @@
 		talloc_strndup(peer_write, (const char *)msg->value.data, msg->value.len);
 	peer_write->requires = talloc_strdup(peer_write, msg->requires_key);
 	peer_write->requires_revision = (int64_t)msg->requires_revision;
-	if (!kv->ops->is_responding(kv->impl))
+	/* A key that can't be sent to the store would be left out of the transaction. */
+	if (!g_utf8_validate(msg->key, -1, NULL) || !g_utf8_validate(msg->requires_key, -1, NULL) ||
+	    !*msg->key || msg->requires_revision > INT64_MAX) {
+		log_once("relay_refused", peer, "the write names an unusable key or revision");
 		answer_peer(peer_write, -ERR_UNAVAILABLE);
-	else if (*msg->requires_key && !msg->requires_revision)
+	} else if (!kv->ops->is_responding(kv->impl)) {
+		answer_peer(peer_write, -ERR_UNAVAILABLE);
+	} else if (*msg->requires_key && !msg->requires_revision) {
 		kv->ops->get(kv->impl, msg->requires_key,
 			     (struct kv_cb){on_required_key_read, peer_write});
-	else
+	} else {
 		write_for_peer(peer_write);
+	}
 }
 
 /* Returns true if @link is the connection to a peer that was asked for this write. */
@@ -241,7 +249,7 @@
 static void on_relay_answer(struct relay *relay, const char *link, const struct msg_relayed *msg)
 {
 	struct relay_call *call = g_hash_table_lookup(relay->calls, &msg->id);
-	int status = -(int)msg->code;
+	int status = msg->code < ERR_CODE_COUNT ? -(int)msg->code : -ERR_OUTCOME_UNKNOWN;
 	bool refused = status == -ERR_OUTCOME_UNKNOWN || status == -ERR_UNAVAILABLE;
 
 	if (!call || !was_asked(call, link))
@@ -302,6 +310,11 @@
 	remove_peer(relay, node);
 	if (item->revision == 0)
 		return;
+	if (!jsonread_is_name(node) || !fields_is_peer_address(item->value)) {
+		log_once("entry_unreadable", item->key,
+			 "the key names no node, or its value is no address");
+		return;
+	}
 	peer = talloc_zero(relay, struct peer_entry);
 	peer->node = talloc_strdup(peer, node);
 	peer->address = talloc_strdup(peer, item->value);
