election: a leader whose record could not be written writes it again

Callers' jobs were accepted and never ran, for as long as one looked. After its lease had lapsed, a leader that nobody had replaced was granted a new lease, and the store refused the record that was to be written under it. From then on the leader only renewed the lease, which succeeded, and its record was missing: each write of job state failed its compare, the state was loaded again every 500 ms, and no other entry saw a vacancy but by its poll every 15 s.

The timer now renews a lease only while the record is known to be stored, and otherwise reads the keys and writes the record.

test_election/failed record failed before.

Also: test_jobs/start after stall pauses the store instead of running the event loop in between.

--- a/src/election.c
+++ b/src/election.c
@@ -405,7 +405,7 @@
 	election->timer = NULL;
 	if (election->call_pending)
 		return;
-	if (election->epoch && election->lease && !election->reread)
+	if (election->record_stored && election->lease && !election->reread)
 		store_lease_keepalive(election->store, election->lease,
 				      begin_store_call(election, on_lease_renewed));
 	else
--- a/tests/test_election.c
+++ b/tests/test_election.c
@@ -208,6 +208,26 @@
 	talloc_free(world.mem);
 }
 
+/* Guards against a leader that renews a new lease for ever without its record. */
+static void test_failed_record(void)
+{
+	static const char *const flags[] = {"--writes-per-s=1", NULL};
+	struct world world = {.ttl_s = LONG_TTL_S};
+
+	world.mem = talloc_new(NULL);
+	world.ev = tevent_context_init(world.mem);
+	world.fake = fakestore_start(world.mem, world.ev, flags);
+	start_candidate(&world, &world.a, "a");
+	CU_ASSERT_TRUE(loop_until(world.a.ev, &world.a.gained));
+	fakestore_set_fault(world.fake, "{\"expire_leases\":true}");
+	/* The store allows the grant, refuses the record and allows a renewal a second later. */
+	loop_for(world.a.ev, 6000);
+	CU_ASSERT_EQUAL(fakestore_stat(world.fake, "keys"), 2);
+	CU_ASSERT_EQUAL(world.a.lost, 0);
+	CU_ASSERT_TRUE(election_lease_left_ms(world.a.election) > 0);
+	talloc_free(world.mem);
+}
+
 /* Guards against no leader, or two, after the answer to any write of the election was lost. */
 static void test_lost_answers(void)
 {
@@ -300,6 +320,7 @@
 	CU_add_test(suite, "paused", test_paused_leader);
 	CU_add_test(suite, "outage", test_outage);
 	CU_add_test(suite, "lapse", test_lapsed_lease);
+	CU_add_test(suite, "failed record", test_failed_record);
 	CU_add_test(suite, "lost answers", test_lost_answers);
 	CU_add_test(suite, "resign", test_resign);
 	CU_add_test(suite, "odd record", test_odd_record);
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -218,12 +218,12 @@
 	world_submit(entry, GANG, "", DEADLINE_MS, &waiting);
 	CU_ASSERT_TRUE(world_until(entry, waiting.id, "waiting"));
 	world_finish(&world, MSG_MEMBER_DONE);
+	fakestore_pause(world.fake, true);
 	stall();
-	fakestore_set_fault(world.fake, "{\"down\":true}");
 	world.behaviour = AGENT_DONE;
 	loop_for(world.ev, 1000);
 	CU_ASSERT_EQUAL(world.holds, 3);
-	fakestore_set_fault(world.fake, "{\"down\":false}");
+	fakestore_pause(world.fake, false);
 	world_wait(entry, waiting.id, &reply);
 	CU_ASSERT_STRING_EQUAL(reply.state, "done");
 	CU_ASSERT_EQUAL(world.started_members, 6);
