fake_minion, fake_platform: faults and records for a fault soak

The stand-in of a worker read past its table after 4,096 ends and used calls whose caller had gone. It also let a start pass that a stop had closed before, or whose lease was over. It now keeps the highest run number of each task, checks the lease of a start, can leave orders unanswered and carry them out 2 to 12 s later, and can drain. Each line of its log has a time, and it tells what the agent has confirmed and when its lease ended.

Polls look only at events since their revision.

--- a/tests/fake_minion.c
+++ b/tests/fake_minion.c
@@ -14,8 +14,17 @@
  * Stand-in for a worker of the platform, written from the platform's documentation.
  *
  * Usage: fake_minion ID SERVICE RACK CONTROL_ADDRESS ADDRESS. Prints "listening ip:port". The
- * task_spec of a task is its run time in milliseconds, or "fail". Each start and end is written to
- * standard error, where tests read what ran: "start TASK RUN", "end TASK RUN HOW".
+ * task_spec of a task is its run time in milliseconds, or "fail". What happens is written to
+ * standard error, where tests read it, with times by util_clock_ms():
+ *
+ *   start TASK RUN MS DEADLINE_MS   a run begins; DEADLINE_MS is the end of the lease in the order
+ *   end TASK RUN HOW MS NUMBER
+ *   seen NUMBER MS                  the agent has confirmed the ends up to NUMBER
+ *   lapse MS                        the lease has ended
+ *   drain ON MS                     the agent has answered the first heartbeat of this state
+ *
+ * PUT /test/late/MS leaves half of the orders of the next MS milliseconds unanswered and carries
+ * them out 2 to 12 s later; PUT /test/drain/ON sets whether the worker drains.
  */
 
 #define BODY_BYTES_MAX (1024 * 1024)
@@ -24,6 +33,8 @@
 #define STOP_DELAY_MS 50
 #define ACCELERATORS 8
 #define ENDS_MAX 4096
+#define LATE_MIN_MS 2000
+#define LATE_MAX_MS 12000
 
 struct run {
 	struct run *next;
@@ -49,6 +60,14 @@
 	uint64_t seen;
 };
 
+/* An order that is carried out late and never answered. */
+struct late_order {
+	struct late_order *next;
+	uint64_t at_ms;
+	char path[32];
+	json_t *body;
+};
+
 static struct {
 	struct tevent_context *ev;
 	struct httpd *httpd;
@@ -67,12 +86,22 @@
 	size_t end_count;
 	uint64_t ends_known;
 	struct waiting *waiting;
+	GHashTable *seen_runs; /* task to the highest run number started or stopped */
+	struct late_order *late_orders;
+	uint64_t late_until_ms;
+	bool lapsed;
+	bool draining;
+	bool drain_told;
 } minion;
 
 static void send_answer(struct httpd_call *call, int status, json_t *json)
 {
 	char *text;
 
+	if (!call) {
+		json_decref(json);
+		return;
+	}
 	json_object_set_new(json, "clock_ms", json_integer((json_int_t)util_clock_ms()));
 	text = json_dumps(json, JSON_COMPACT);
 	httpd_answer(call, status, "application/json", text, 0);
@@ -80,7 +109,7 @@
 	json_decref(json);
 }
 
-static void end_run(struct run **at, const char *how)
+static void end_run(struct run **at, const char *how, uint64_t ended_ms)
 {
 	struct run *run = *at;
 	struct end *end = &minion.ends[minion.end_count % ENDS_MAX];
@@ -89,7 +118,8 @@
 	*end = (struct end){.number = minion.end_count + 1, .run = run->number, .how = how};
 	g_strlcpy(end->task, run->task, sizeof(end->task));
 	minion.end_count++;
-	fprintf(stderr, "end %s %u %s\n", run->task, run->number, how);
+	fprintf(stderr, "end %s %u %s %" PRIu64 " %zu\n", run->task, run->number, how, ended_ms,
+		minion.end_count);
 	free(run);
 }
 
@@ -102,25 +132,34 @@
 		json_array_append_new(running,
 				      json_pack("[s, i, s, i]", run->task, (int)run->number, "",
 						(int)(util_clock_ms() / 50 % 100)));
-	for (size_t i = 0; i < minion.end_count; i++) {
-		if (minion.ends[i].number > seen)
-			json_array_append_new(ended, json_pack("[I, s, i, s, s]",
-							       (json_int_t)minion.ends[i].number,
-							       minion.ends[i].task,
-							       (int)minion.ends[i].run,
-							       minion.ends[i].how, ""));
+	for (size_t i = minion.end_count > ENDS_MAX ? minion.end_count - ENDS_MAX : 0;
+	     i < minion.end_count; i++) {
+		const struct end *end = &minion.ends[i % ENDS_MAX];
+
+		if (end->number > seen)
+			json_array_append_new(ended,
+					      json_pack("[I, s, i, s, s]", (json_int_t)end->number,
+							end->task, (int)end->run, end->how, ""));
 	}
 	return json_pack("{s:I, s:o, s:o}", "born", (json_int_t)minion.born_ms, "running", running,
 			 "ended", ended);
 }
 
-static bool run_has_ended(const char *task, uint32_t run)
+/* Returns false if this or a later run of the task was started or stopped before. */
+static bool note_run(const char *task, uint32_t run)
 {
-	for (size_t i = 0; i < minion.end_count; i++) {
-		if (!strcmp(minion.ends[i].task, task) && minion.ends[i].run >= run)
-			return true;
-	}
-	return false;
+	if (GPOINTER_TO_UINT(g_hash_table_lookup(minion.seen_runs, task)) >= run)
+		return false;
+	g_hash_table_insert(minion.seen_runs, g_strdup(task), GUINT_TO_POINTER(run));
+	return true;
+}
+
+static void extend_lease(uint64_t deadline_ms)
+{
+	if (deadline_ms <= minion.lease_ms || deadline_ms <= util_clock_ms())
+		return;
+	minion.lease_ms = deadline_ms;
+	minion.lapsed = false;
 }
 
 static void start_run(struct httpd_call *call, const json_t *body)
@@ -128,6 +167,8 @@
 	const char *task = json_string_value(json_object_get(body, "task"));
 	const char *spec = json_string_value(json_object_get(body, "task_spec"));
 	uint32_t number = (uint32_t)json_integer_value(json_object_get(body, "run"));
+	uint64_t deadline_ms = (uint64_t)json_integer_value(json_object_get(body, "deadline_ms"));
+	const char *refusal = NULL;
 	struct run *run;
 	size_t count = 0;
 
@@ -138,11 +179,17 @@
 			return;
 		}
 	}
-	if (run_has_ended(task, number) || count >= ACCELERATORS) {
-		send_answer(call, 409,
-			    json_pack("{s:s}", "reason", count >= ACCELERATORS ? "room" : "old"));
+	if (deadline_ms <= util_clock_ms())
+		refusal = "late";
+	else if (count >= ACCELERATORS)
+		refusal = "room";
+	else if (!note_run(task, number))
+		refusal = "old";
+	if (refusal) {
+		send_answer(call, 409, json_pack("{s:s}", "reason", refusal));
 		return;
 	}
+	extend_lease(deadline_ms);
 	run = calloc(1, sizeof(*run));
 	g_strlcpy(run->task, task, sizeof(run->task));
 	run->number = number;
@@ -150,7 +197,8 @@
 	run->end_ms = util_clock_ms() + (uint64_t)(run->fails ? 20 : atoi(spec));
 	run->next = minion.runs;
 	minion.runs = run;
-	fprintf(stderr, "start %s %u\n", task, number);
+	fprintf(stderr, "start %s %u %" PRIu64 " %" PRIu64 "\n", task, number, util_clock_ms(),
+		deadline_ms);
 	send_answer(call, 200, json_object());
 }
 
@@ -159,8 +207,9 @@
 	const char *task = json_string_value(json_object_get(body, "task"));
 	uint32_t number = (uint32_t)json_integer_value(json_object_get(body, "run"));
 
+	note_run(task, number);
 	for (struct run *run = minion.runs; run; run = run->next) {
-		if (strcmp(run->task, task) != 0 || run->number != number)
+		if (strcmp(run->task, task) != 0 || run->number != number || run->stopping)
 			continue;
 		run->stopping = true;
 		run->end_ms = util_clock_ms() + STOP_DELAY_MS;
@@ -170,48 +219,126 @@
 
 static void handle_hold(struct httpd_call *call, const json_t *body)
 {
-	struct waiting *waiting = calloc(1, sizeof(*waiting));
-	uint64_t deadline = (uint64_t)json_integer_value(json_object_get(body, "deadline_ms"));
+	uint64_t seen = (uint64_t)json_integer_value(json_object_get(body, "last_seen"));
+	struct waiting *waiting;
 
-	if (deadline > minion.lease_ms)
-		minion.lease_ms = deadline;
+	extend_lease((uint64_t)json_integer_value(json_object_get(body, "deadline_ms")));
+	if (seen > minion.ends_known) {
+		minion.ends_known = seen;
+		fprintf(stderr, "seen %" PRIu64 " %" PRIu64 "\n", seen, util_clock_ms());
+	}
+	if (!call)
+		return;
+	waiting = calloc(1, sizeof(*waiting));
 	waiting->call = call;
-	waiting->seen = (uint64_t)json_integer_value(json_object_get(body, "last_seen"));
+	waiting->seen = seen;
 	waiting->until_ms =
 		util_clock_ms() + (uint64_t)json_integer_value(json_object_get(body, "wait_ms"));
 	waiting->next = minion.waiting;
 	minion.waiting = waiting;
 }
 
+/* @call: NULL for an order that is carried out late */
+static void carry_out(struct httpd_call *call, const char *path, const json_t *body)
+{
+	uint64_t fence = (uint64_t)json_integer_value(json_object_get(body, "fencing_token"));
+
+	if (fence < minion.fence) {
+		send_answer(call, 409, json_pack("{s:s}", "reason", "fence"));
+		return;
+	}
+	minion.fence = fence;
+	if (!strcmp(path, "/v1/run-start"))
+		start_run(call, body);
+	else if (!strcmp(path, "/v1/run-stop"))
+		stop_run(call, body);
+	else if (!strcmp(path, "/v1/hold"))
+		handle_hold(call, body);
+	else
+		send_answer(call, 404, json_object());
+}
+
+static void delay_order(const char *path, json_t *body)
+{
+	struct late_order *order = calloc(1, sizeof(*order));
+
+	order->at_ms = util_clock_ms() + (uint64_t)g_random_int_range(LATE_MIN_MS, LATE_MAX_MS);
+	g_strlcpy(order->path, path, sizeof(order->path));
+	order->body = json_incref(body);
+	order->next = minion.late_orders;
+	minion.late_orders = order;
+}
+
+static void carry_out_late_orders(uint64_t now_ms)
+{
+	for (struct late_order **at = &minion.late_orders; *at;) {
+		struct late_order *order = *at;
+
+		if (now_ms < order->at_ms) {
+			at = &order->next;
+			continue;
+		}
+		*at = order->next;
+		carry_out(NULL, order->path, order->body);
+		json_decref(order->body);
+		free(order);
+	}
+}
+
+static void serve_test_control(struct httpd_call *call, const char *path)
+{
+	unsigned int value = 0;
+
+	if (sscanf(path, "/test/late/%u", &value) == 1) {
+		minion.late_until_ms = util_clock_ms() + value;
+	} else if (sscanf(path, "/test/drain/%u", &value) == 1) {
+		minion.draining = value != 0;
+		minion.drain_told = false;
+		minion.next_heartbeat_ms = 0;
+	}
+	send_answer(call, 200, json_object());
+}
+
 static void on_call(struct httpd_call *call, void *ctx)
 {
 	const char *path = httpd_path(call);
 	const char *target = httpd_header(call, "Target-Instance");
 	size_t len;
 	json_t *body = json_loads(httpd_body(call, &len), 0, NULL);
-	uint64_t fence = (uint64_t)json_integer_value(json_object_get(body, "fencing_token"));
 
-	if (target && strcmp(target, minion.id) != 0) {
+	if (!strncmp(path, "/test/", 6))
+		serve_test_control(call, path);
+	else if (target && strcmp(target, minion.id) != 0)
 		send_answer(call, 421, json_object());
-	} else if (fence < minion.fence) {
-		send_answer(call, 409, json_pack("{s:s}", "reason", "fence"));
-	} else {
-		minion.fence = fence;
-		if (!strcmp(path, "/v1/run-start"))
-			start_run(call, body);
-		else if (!strcmp(path, "/v1/run-stop"))
-			stop_run(call, body);
-		else if (!strcmp(path, "/v1/hold"))
-			handle_hold(call, body);
-		else
-			send_answer(call, 404, json_object());
-	}
+	else if (util_clock_ms() < minion.late_until_ms && g_random_boolean())
+		delay_order(path, body);
+	else
+		carry_out(call, path, body);
 	json_decref(body);
 }
 
+static void on_disconnect(struct httpd_call *call, void *ctx)
+{
+	for (struct waiting **at = &minion.waiting; *at; at = &(*at)->next) {
+		struct waiting *waiting = *at;
+
+		if (waiting->call != call)
+			continue;
+		*at = waiting->next;
+		free(waiting);
+		return;
+	}
+}
+
 static void on_heartbeat_answer(int status, int http_status, const char *body, size_t len,
 				void *ctx)
 {
+	bool draining = GPOINTER_TO_INT(ctx);
+
+	if (status || http_status != 200 || draining != minion.draining || minion.drain_told)
+		return;
+	minion.drain_told = true;
+	fprintf(stderr, "drain %d %" PRIu64 "\n", draining, util_clock_ms());
 }
 
 static void send_heartbeat(void)
@@ -221,9 +348,10 @@
 	json_t *json = json_pack(
 		"{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:{s:i, s:i, s:i}, s:[s, s], s:I, s:I}",
 		"service", minion.service, "address", httpd_address(minion.httpd), "zone", "z",
-		"version", "v1", "slots", 8, "state", "ready", "cold_remaining_ms", 0, "capacity",
-		"cpu", 128000, "mem_mb", 524288, "gpu", ACCELERATORS, "labels", "a", minion.rack,
-		"seq", (json_int_t)++minion.sequence, "born", (json_int_t)minion.born_ms);
+		"version", "v1", "slots", 8, "state", minion.draining ? "draining" : "ready",
+		"cold_remaining_ms", 0, "capacity", "cpu", 128000, "mem_mb", 524288, "gpu",
+		ACCELERATORS, "labels", "a", minion.rack, "seq", (json_int_t)++minion.sequence,
+		"born", (json_int_t)minion.born_ms);
 	char *text = json_dumps(json, JSON_COMPACT);
 	struct httpc_request request = {.method = "PUT",
 					.url = url,
@@ -232,7 +360,8 @@
 					.body = text,
 					.body_len = strlen(text),
 					.timeout_ms = 1000,
-					.done = on_heartbeat_answer};
+					.done = on_heartbeat_answer,
+					.ctx = GINT_TO_POINTER(minion.draining)};
 
 	httpc_start(minion.httpc, &request);
 	free(text);
@@ -262,14 +391,25 @@
 
 	for (struct run **at = &minion.runs; *at;) {
 		struct run *run = *at;
+		bool lapses = minion.lease_ms && now_ms > minion.lease_ms &&
+			      run->end_ms > minion.lease_ms;
 
-		if (minion.lease_ms && now_ms > minion.lease_ms)
-			end_run(at, "lapsed");
+		if (lapses)
+			end_run(at, "lapsed", minion.lease_ms);
 		else if (now_ms >= run->end_ms)
-			end_run(at, run->stopping ? "stopped" : run->fails ? "failed" : "done");
+			end_run(at,
+				run->stopping ? "stopped"
+				: run->fails  ? "failed"
+					      : "done",
+				run->end_ms);
 		else
 			at = &run->next;
 	}
+	if (minion.lease_ms && now_ms > minion.lease_ms && !minion.lapsed) {
+		minion.lapsed = true;
+		fprintf(stderr, "lapse %" PRIu64 "\n", minion.lease_ms);
+	}
+	carry_out_late_orders(now_ms);
 	answer_waiting_calls(now_ms);
 	if (now_ms >= minion.next_heartbeat_ms) {
 		minion.next_heartbeat_ms = now_ms + HEARTBEAT_PERIOD_MS;
@@ -282,7 +422,7 @@
 int main(int argc, char **argv)
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
-	struct httpd_handlers handlers = {on_call, NULL, NULL};
+	struct httpd_handlers handlers = {on_call, on_disconnect, NULL};
 	struct err err = {0};
 
 	if (argc != 6) {
@@ -295,6 +435,7 @@
 	minion.rack = argv[3];
 	minion.control = argv[4];
 	minion.born_ms = util_wall_ms();
+	minion.seen_runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	minion.ev = tevent_context_init(mem);
 	minion.httpc = httpc_create(mem, minion.ev);
 	minion.httpd = httpd_create(mem, minion.ev, argv[5], BODY_BYTES_MAX, &handlers, &err);
--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -10,9 +10,12 @@
 #include <string.h>
 
 /*
- * Stand-in for the platform's metadata store, written from the platform's documentation. Prints
- * "listening ip:port". PUT /trouble/N sets the fault N of enum memkv_fault for all clients, PUT
- * /operator/KEY writes a key without a client, as the operator does.
+ * Stand-in for the platform's metadata store, written from the platform's documentation.
+ *
+ * Usage: fake_platform [ADDRESS [JOURNAL]]. Prints "listening ip:port". With a journal file the
+ * contents outlive the process. PUT /trouble/N[/MS] sets the fault N of enum memkv_fault for all
+ * clients, MS is the delay of late writes; PUT /operator/KEY writes a key without a client, as the
+ * operator does.
  */
 
 #define BODY_BYTES_MAX (2 * 1024 * 1024)
@@ -168,9 +171,15 @@
 	size_t len;
 	const char *body = httpd_body(call, &len);
 
-	if (!strncmp(path, "/trouble/", 9))
-		platform->client->fault = (enum memkv_fault)atoi(path + 9);
-	else
+	unsigned int fault;
+	unsigned int late_ms;
+	int count = sscanf(path, "/trouble/%u/%u", &fault, &late_ms);
+
+	if (count >= 1)
+		platform->client->fault = (enum memkv_fault)fault;
+	if (count == 2)
+		platform->client->late_write_ms = late_ms;
+	if (count < 1)
 		memkv_put(platform->store, path + strlen("/operator/"), body);
 	httpd_answer(call, HTTP_OK, NULL, NULL, 0);
 }
@@ -226,7 +235,7 @@
 		serve_test_control(ctx, call, path);
 }
 
-int main(void)
+int main(int argc, char **argv)
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
 	struct platform platform = {.ev = tevent_context_init(mem)};
@@ -237,7 +246,12 @@
 	signal(SIGPIPE, SIG_IGN);
 	platform.store = memkv_create(mem, platform.ev);
 	platform.client = memkv_client(platform.store);
-	httpd = httpd_create(mem, platform.ev, "127.0.0.1:0", BODY_BYTES_MAX, &handlers, &err);
+	if (argc > 2 && !memkv_open_journal(platform.store, argv[2])) {
+		perror(argv[2]);
+		return 1;
+	}
+	httpd = httpd_create(mem, platform.ev, argc > 1 ? argv[1] : "127.0.0.1:0", BODY_BYTES_MAX,
+			     &handlers, &err);
 	if (!httpd) {
 		fprintf(stderr, "%s\n", err.message);
 		return 1;
--- a/tests/lib_memkv.c
+++ b/tests/lib_memkv.c
@@ -2,13 +2,18 @@
 
 #include "util.h"
 
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define ITEMS_MAX 512
-#define EVENTS_MAX 4096
+#define ITEMS_MAX 4096
+#define EVENTS_MAX 65536
 #define ANSWER_MS 1
+#define SLOW_ANSWER_MS 250
 #define LATE_WRITE_MS 300
+#define JOURNAL_LINE_MAX (1024 * 1024)
 
 struct entry {
 	char *key;
@@ -41,6 +46,7 @@
 	size_t lease_count;
 	int64_t revision;
 	int64_t compacted_revision; /* polls after an earlier revision than this fail */
+	FILE *journal;		    /* all changes; NULL: nothing outlives the process */
 };
 
 enum op_kind {
@@ -93,6 +99,21 @@
 	return NULL;
 }
 
+static void write_journal(struct memkv *store, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+static void write_journal(struct memkv *store, const char *format, ...)
+{
+	va_list args;
+
+	if (!store->journal)
+		return;
+	va_start(args, format);
+	if (vfprintf(store->journal, format, args) < 0 || fflush(store->journal))
+		abort();
+	va_end(args);
+}
+
 static void append_event(struct memkv *store, const char *key, const char *value, int64_t created)
 {
 	if (store->event_count == EVENTS_MAX)
@@ -117,6 +138,8 @@
 	entry->revision = store->revision;
 	entry->lease = lease;
 	append_event(store, key, value, entry->created);
+	write_journal(store, "put %" PRId64 " %" PRId64 " %s %s\n", store->revision, lease, key,
+		      value);
 }
 
 static void remove_entry(struct memkv *store, const char *key)
@@ -125,6 +148,7 @@
 		if (strcmp(store->entries[i]->key, key) != 0)
 			continue;
 		append_event(store, key, NULL, 0);
+		write_journal(store, "remove %" PRId64 " 0 %s \n", store->revision, key);
 		talloc_free(store->entries[i]);
 		store->entries[i] = store->entries[--store->entry_count];
 		return;
@@ -137,6 +161,7 @@
 
 	store->leases[index] = store->leases[--store->lease_count];
 	store->revision++;
+	write_journal(store, "end %" PRId64 " %" PRId64 " - \n", store->revision, id);
 	for (size_t i = store->entry_count; i > 0; i--) {
 		if (store->entries[i - 1]->lease == id)
 			remove_entry(store, store->entries[i - 1]->key);
@@ -219,6 +244,7 @@
 		*lease =
 			(struct lease){++store->revision, util_clock_ms() + op->ttl_ms, op->ttl_ms};
 		result->lease = lease->id;
+		write_journal(store, "lease %" PRId64 " %" PRIu32 " - \n", lease->id, op->ttl_ms);
 		return 0;
 	}
 	if (!lease)
@@ -274,8 +300,16 @@
 
 static void schedule_op(struct op *op, uint32_t ms, tevent_timer_handler_t handler)
 {
-	tevent_add_timer(op->client->store->ev, op, tevent_timeval_current_ofs(0, ms * 1000),
-			 handler, op);
+	tevent_add_timer(op->client->store->ev, op,
+			 tevent_timeval_current_ofs(ms / 1000, ms % 1000 * 1000), handler, op);
+}
+
+static void on_op_due(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+		      void *ctx);
+
+static void schedule_answer(struct op *op)
+{
+	schedule_op(op, op->client->fault == MEMKV_SLOW ? SLOW_ANSWER_MS : ANSWER_MS, on_op_due);
 }
 
 static void on_op_due(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
@@ -293,7 +327,7 @@
 	}
 	if (fault == MEMKV_DELAY_WRITES && is_write(op)) {
 		op->cb.done(-ERR_OUTCOME_UNKNOWN, NULL, op->cb.ctx);
-		schedule_op(op, LATE_WRITE_MS, on_late_write);
+		schedule_op(op, op->client->late_write_ms, on_late_write);
 		return;
 	}
 	status = execute_op(op, &result);
@@ -322,7 +356,7 @@
 
 static void mem_get(void *impl, const char *key, struct kv_cb cb)
 {
-	schedule_op(create_op(impl, OP_GET, key, cb), ANSWER_MS, on_op_due);
+	schedule_answer(create_op(impl, OP_GET, key, cb));
 }
 
 static void mem_range(void *impl, const char *prefix, const char *from, struct kv_cb cb)
@@ -330,7 +364,7 @@
 	struct op *op = create_op(impl, OP_RANGE, prefix, cb);
 
 	op->after = talloc_strdup(op, from);
-	schedule_op(op, ANSWER_MS, on_op_due);
+	schedule_answer(op);
 }
 
 static void mem_txn(void *impl, const struct kv_txn *txn, struct kv_cb cb)
@@ -351,7 +385,7 @@
 		removes[i] = talloc_strdup(op, txn->removes[i]);
 	op->txn = (struct kv_txn){expects,	  txn->expect_count, puts,
 				  txn->put_count, removes,	     txn->remove_count};
-	schedule_op(op, ANSWER_MS, on_op_due);
+	schedule_answer(op);
 }
 
 static void mem_lease_grant(void *impl, uint32_t ttl_ms, struct kv_cb cb)
@@ -359,7 +393,7 @@
 	struct op *op = create_op(impl, OP_LEASE_GRANT, "", cb);
 
 	op->ttl_ms = ttl_ms;
-	schedule_op(op, ANSWER_MS, on_op_due);
+	schedule_answer(op);
 }
 
 static void mem_lease_keep(void *impl, int64_t lease, struct kv_cb cb)
@@ -367,7 +401,7 @@
 	struct op *op = create_op(impl, OP_LEASE_KEEP, "", cb);
 
 	op->number = lease;
-	schedule_op(op, ANSWER_MS, on_op_due);
+	schedule_answer(op);
 }
 
 static void mem_lease_end(void *impl, int64_t lease, struct kv_cb cb)
@@ -375,19 +409,22 @@
 	struct op *op = create_op(impl, OP_LEASE_END, "", cb);
 
 	op->number = lease;
-	schedule_op(op, ANSWER_MS, on_op_due);
+	schedule_answer(op);
 }
 
 static void collect_events(struct op *op, struct kv_result *result)
 {
 	const struct memkv *store = op->client->store;
 
-	result->items = talloc_zero_array(op, struct kv_item, store->event_count + 1);
-	for (size_t i = 0; i < store->event_count; i++) {
+	size_t first = store->event_count;
+
+	while (first > 0 && store->events[first - 1].revision > op->number)
+		first--;
+	result->items = talloc_zero_array(op, struct kv_item, store->event_count - first + 1);
+	for (size_t i = first; i < store->event_count; i++) {
 		const struct event *event = &store->events[i];
 
-		if (event->revision <= op->number ||
-		    strncmp(event->key, op->key, strlen(op->key)) != 0)
+		if (strncmp(event->key, op->key, strlen(op->key)) != 0)
 			continue;
 		result->items[result->count++] =
 			(struct kv_item){event->key, event->value ? event->value : "",
@@ -453,10 +490,53 @@
 	struct memkv_client *client = talloc_zero(store, struct memkv_client);
 
 	client->store = store;
+	client->late_write_ms = LATE_WRITE_MS;
 	client->kv = (struct kv){&mem_ops, client};
 	return client;
 }
 
+/* Leases last their whole time again, since the store does not know how long it was away. */
+static void replay_line(struct memkv *store, const char *line)
+{
+	char verb[8];
+	char key[256];
+	int64_t revision;
+	int64_t number;
+	int value;
+
+	if (sscanf(line, "%7s %" SCNd64 " %" SCNd64 " %255s %n", verb, &revision, &number, key,
+		   &value) != 4)
+		return;
+	store->revision = revision;
+	if (!strcmp(verb, "put")) {
+		put_entry(store, key, line + value, number);
+	} else if (!strcmp(verb, "remove")) {
+		remove_entry(store, key);
+	} else if (!strcmp(verb, "lease")) {
+		store->leases[store->lease_count++] = (struct lease){
+			revision, util_clock_ms() + (uint64_t)number, (uint32_t)number};
+	} else {
+		for (size_t i = 0; i < store->lease_count; i++) {
+			if (store->leases[i].id == number)
+				store->leases[i] = store->leases[--store->lease_count];
+		}
+	}
+}
+
+bool memkv_open_journal(struct memkv *store, const char *path)
+{
+	char *line = talloc_size(store, JOURNAL_LINE_MAX);
+	FILE *file = fopen(path, "a+");
+
+	while (file && fgets(line, JOURNAL_LINE_MAX, file)) {
+		line[strcspn(line, "\n")] = '\0';
+		replay_line(store, line);
+	}
+	talloc_free(line);
+	store->journal = file;
+	return file != NULL;
+}
+
 void memkv_put(struct memkv *store, const char *key, const char *value)
 {
 	store->revision++;
--- a/tests/lib_memkv.h
+++ b/tests/lib_memkv.h
@@ -17,21 +17,26 @@
 	MEMKV_FAULT_NONE,
 	MEMKV_REJECT_CALLS, /* calls fail without effect, with -ERR_UNAVAILABLE */
 	MEMKV_LOSE_ANSWERS, /* writes take effect, but their answer is lost */
-	MEMKV_DELAY_WRITES, /* writes take effect 300 ms after their answer was lost */
+	MEMKV_DELAY_WRITES, /* writes take effect some time after their answer was lost */
 	MEMKV_EMPTY_POLLS,  /* polls do not report changes; other calls work */
+	MEMKV_SLOW,	    /* answers take 250 ms */
 };
 
 struct memkv_client {
 	struct memkv *store;
 	enum memkv_fault fault;
 	bool unresponsive; /* result of the answers operation: true when it is to return false */
-	uint32_t calls;	   /* calls made so far */
-	uint32_t writes;   /* transactions among them */
+	uint32_t late_write_ms; /* delay of MEMKV_DELAY_WRITES */
+	uint32_t calls;		/* calls made so far */
+	uint32_t writes;	/* transactions among them */
 	struct kv kv;
 };
 
 struct memkv *memkv_create(TALLOC_CTX *mem, struct tevent_context *ev);
 
+/** memkv_open_journal() - read the changes stored in a file and add all later ones to it */
+bool memkv_open_journal(struct memkv *store, const char *path);
+
 /** memkv_client() - create a client of the store; owned by the store */
 struct memkv_client *memkv_client(struct memkv *store);
 
