httpc: a request that libcurl sent twice is not reported as unsent

Callers were refused with 503, which means "not run", and their job ran. An entry had sent the job to the store on a reused connection, which was closed before the answer. libcurl sends such a request again on a new connection; the store refused that one, and httpc took the error of the second attempt for proof that no byte of the request had been sent. An agent could likewise report a start as refused that its worker carries out, since RUNNER_NOT_SENT comes from the same result.

-ERR_UNAVAILABLE now also requires that no attempt has sent a byte. A crashed worker is noticed one retry (200 ms) later when the renewal in progress was sent on a reused connection.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -50,14 +50,20 @@
 
 /*
  * Only errors from before the first byte of the request is sent give -ERR_UNAVAILABLE; after other
- * errors the request may have run.
+ * errors the request may have run. libcurl sends a request again on a new connection if a reused
+ * one was closed without an answer, so a connection that can't be made proves nothing then.
  */
 static int call_status(const struct httpc_call *call, CURLcode code)
 {
+	long sent_bytes = 0;
+
 	if (code == CURLE_OK)
 		return 0;
 	if (call->too_large)
 		return -ERR_TOO_LARGE;
+	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+	if (sent_bytes > 0)
+		return -ERR_OUTCOME_UNKNOWN;
 	if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
 	    code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL)
 		return -ERR_UNAVAILABLE;
