measure_fleet_faults: a randomized fault soak of the fleet scheduler

No test of ours ran the real programs under overlapping faults.

The program starts entries, agents, workers and the store as processes on loopback and lets random faults begin from a seed: kills, SIGTERM, freezes, restarts, faults of the store, orders that workers carry out late, workers that crash and drain, and faults of the network. For these a proxy stands between each two processes; redirect_connect.c, preloaded into them, gives each pair an address of its own, so that no program needs a setting for it. Bytes that a proxy holds back reach the process to which they were sent or none, and those of a process that has ended may arrive after those of its successor.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 LINT_PACKAGES = clang-format clang-tidy clang cppcheck
 C_FILES = $(wildcard src/*.c src/*.h platform/*.c platform/*.h tests/*.c tests/*.h bench/*.c bench/*.h)
 
-.PHONY: all deps lint-deps build check demo bench soak plots format lint sanitize-check \
+.PHONY: all deps lint-deps build check demo bench soak soak-fleet plots format lint sanitize-check \
 	thread-check install clean
 
 all: build
@@ -40,6 +40,13 @@
 			{ code=1; echo "seed $$seed failed"; }; \
 	done; exit $$code
 
+# The same for the fleet scheduler, with the seeds that have shown a fault of it first.
+soak-fleet: build
+	@code=0; program=$(BUILD)/bin/measure_fleet_faults; export JAYCOURSE_BIN=$(BUILD)/bin; \
+	for seed in $$($$program --regressions | cut -d " " -f 1) $(SEEDS); do \
+		$$program --seed $$seed --json || { code=1; echo "seed $$seed failed"; }; \
+	done; exit $$code
+
 plots: build
 	@tools/install_packages.sh gnuplot-nox
 	tools/plots.sh $(BUILD)/bin out
--- /dev/null
+++ b/bench/measure_fleet_faults.c
@@ -0,0 +1,504 @@
+/* Runs the fleet scheduler under load and faults generated from a seed and checks its promises. */
+#include "lib_fleethosts.h"
+#include "lib_fleetload.h"
+#include "lib_memkv.h"
+#include "util.h"
+
+#include <argp.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_MS 20
+#define START_MS 4000	      /* from the start of the processes to the first fault */
+#define GAP_MIN_MS 200	      /* between the beginnings of two faults */
+#define GAP_MAX_LEAST_MS 1200 /* limits of the longest gap, which differs by seed */
+#define GAP_MAX_MOST_MS 4500
+#define STORE_REFUSES_AFTER_MS 280 /* longer than an answer of a slow store takes */
+#define STORE_REFUSES_MS 800
+#define RECOVERY_MS 60000 /* for all accepted jobs to end after the faults */
+#define SETTLE_MS 2000	  /* for starts after all jobs have ended */
+
+/*
+ * Seeds that have shown a fault of the product. The processes do not repeat a run exactly, so a
+ * seed may need several runs to show its fault again.
+ */
+static const struct {
+	unsigned int seed;
+	const char *cause;
+} regressions[] = {
+	{1, "a report of an ended agent process was taken for one of its successor"},
+	{2, "a report of an ended agent process was taken for one of its successor"},
+	{3, "a leader that was cut off, frozen and woken started tasks after its lease was over"},
+	{8, "a write that libcurl had sent on a reused connection was taken for unsent"},
+};
+
+struct arguments {
+	unsigned int seed;
+	unsigned int seconds;
+	unsigned int workers;
+	unsigned int entries;
+	bool json_only;
+};
+
+static struct {
+	struct arguments args;
+	struct tevent_context *ev;
+	struct fleethosts *fleet;
+	struct fleetcheck *check;
+	struct fleetload *load;
+	GRand *rand;
+	unsigned int faults;
+	uint64_t next_fault_ms;
+	uint32_t gap_max_ms;
+} soak;
+
+static uint32_t random_ms(uint32_t from, uint32_t to)
+{
+	return (uint32_t)g_rand_int_range(soak.rand, (gint32)from, (gint32)to);
+}
+
+static bool chance(unsigned int percent)
+{
+	return random_ms(0, 100) < percent;
+}
+
+static struct fleethost *pick_host(enum fleetrole role)
+{
+	return fleethosts_at(soak.fleet, role, random_ms(0, fleethosts_count(soak.fleet, role)));
+}
+
+static struct fleethost *pick_entry(void)
+{
+	return chance(60) ? fleethosts_leader(soak.fleet) : pick_host(ROLE_ENTRY);
+}
+
+static void add_to(bool *set, const struct fleethost *host)
+{
+	set[host - soak.fleet->hosts] = true;
+}
+
+static void add_role(bool *set, enum fleetrole role)
+{
+	for (unsigned int i = 0; i < fleethosts_count(soak.fleet, role); i++)
+		add_to(set, fleethosts_at(soak.fleet, role, i));
+}
+
+/* Adds about a share of the agents and their workers, at least one. */
+static void add_agents(bool *set, unsigned int percent)
+{
+	unsigned int sure = random_ms(0, soak.args.workers);
+
+	for (unsigned int i = 0; i < soak.args.workers; i++) {
+		if (i != sure && !chance(percent))
+			continue;
+		add_to(set, fleethosts_at(soak.fleet, ROLE_AGENT, i));
+		add_to(set, fleethosts_at(soak.fleet, ROLE_WORKER, i));
+	}
+}
+
+static void later(uint32_t ms, enum fleetaction action, struct fleethost *host, uint32_t value)
+{
+	fleethosts_later(soak.fleet, ms, action, host, value);
+}
+
+static void begin_cut(struct fleetcut *cut, bool there, bool back, uint32_t ms)
+{
+	struct fleetcut reverse = *cut;
+
+	memcpy(reverse.from, cut->to, sizeof(reverse.from));
+	memcpy(reverse.to, cut->from, sizeof(reverse.to));
+	if (there)
+		fleethosts_cut(soak.fleet, cut, 0, ms);
+	if (back)
+		fleethosts_cut(soak.fleet, &reverse, 0, ms);
+}
+
+/* One way in either direction, or both ways. */
+static void begin_random_cut(struct fleetcut *cut, uint32_t ms)
+{
+	uint32_t percent = random_ms(0, 100);
+
+	begin_cut(cut, percent < 75, percent >= 35, ms);
+}
+
+static enum netproxy_flow random_flow(void)
+{
+	return chance(60) ? NETPROXY_HOLD : NETPROXY_DROP;
+}
+
+static enum fleetaction random_end(void)
+{
+	return chance(60) ? ACTION_KILL : ACTION_TERMINATE;
+}
+
+static void restart_entry(void)
+{
+	later(0, random_end(), pick_entry(), random_ms(100, 4000));
+}
+
+static void restart_agent(void)
+{
+	later(0, random_end(), pick_host(ROLE_AGENT), random_ms(100, 3000));
+}
+
+/* One after the other, or all at once. */
+static void restart_all(void)
+{
+	enum fleetrole role = chance(60) ? ROLE_AGENT : ROLE_ENTRY;
+	uint32_t pause_ms = chance(30) ? 0 : random_ms(200, 1000);
+	enum fleetaction action = random_end();
+
+	for (unsigned int i = 0; i < fleethosts_count(soak.fleet, role); i++)
+		later(i * pause_ms, action, fleethosts_at(soak.fleet, role, i),
+		      random_ms(300, 1500));
+}
+
+static void freeze_process(void)
+{
+	later(0, ACTION_FREEZE, chance(50) ? pick_entry() : pick_host(ROLE_AGENT),
+	      random_ms(500, 8000));
+}
+
+/* A leader and agents that wake together do not know what the others did meanwhile. */
+static void freeze_leader_with_agents(void)
+{
+	uint32_t ms = random_ms(2500, 8000);
+	bool set[FLEETHOSTS_MAX] = {false};
+
+	add_agents(set, 30);
+	later(0, ACTION_FREEZE, fleethosts_leader(soak.fleet), ms);
+	for (unsigned int i = 0; i < soak.args.workers; i++) {
+		struct fleethost *agent = fleethosts_at(soak.fleet, ROLE_AGENT, i);
+
+		if (set[agent - soak.fleet->hosts])
+			later(0, ACTION_FREEZE, agent, ms);
+	}
+}
+
+static void freeze_store(void)
+{
+	later(0, ACTION_FREEZE, fleethosts_at(soak.fleet, ROLE_STORE, 0),
+	      random_ms(500, chance(30) ? 8000 : 3000));
+}
+
+static void restart_store(void)
+{
+	later(0, ACTION_KILL, fleethosts_at(soak.fleet, ROLE_STORE, 0), random_ms(100, 2000));
+}
+
+static void trouble_store(void)
+{
+	static const uint32_t kinds[] = {MEMKV_REJECT_CALLS, MEMKV_LOSE_ANSWERS, MEMKV_DELAY_WRITES,
+					 MEMKV_EMPTY_POLLS, MEMKV_SLOW};
+	uint32_t kind = kinds[random_ms(0, G_N_ELEMENTS(kinds))];
+	struct fleetcut refusal = {.flow = NETPROXY_REFUSE};
+	struct fleethost *store = fleethosts_at(soak.fleet, ROLE_STORE, 0);
+	g_autofree char *path = g_strdup_printf("/trouble/%u/%u", kind, random_ms(200, 3000));
+
+	/* The entries lose their connections while the store carries out what they sent. */
+	if (kind == MEMKV_SLOW) {
+		add_role(refusal.from, ROLE_ENTRY);
+		add_role(refusal.to, ROLE_STORE);
+		fleethosts_cut(soak.fleet, &refusal, STORE_REFUSES_AFTER_MS, STORE_REFUSES_MS);
+	}
+	fleethosts_log(soak.fleet, "%s", path);
+	fleethosts_put(soak.fleet, store, PORT_STORE, path, "");
+	later(random_ms(300, 4000), ACTION_STORE_FAULT, store, 0);
+}
+
+/* The leader and some agents on one side, the store and all others on the other one. */
+static void cut_leader_with_agents(void)
+{
+	struct fleetcut cut = {.flow = random_flow()};
+
+	add_to(cut.from, fleethosts_leader(soak.fleet));
+	add_agents(cut.from, 40);
+	for (unsigned int i = 0; i < soak.fleet->host_count; i++)
+		cut.to[i] = !cut.from[i];
+	begin_cut(&cut, true, true, random_ms(3000, 14000));
+}
+
+static void cut_entry(void)
+{
+	struct fleetcut cut = {.flow = random_flow()};
+
+	add_to(cut.from, pick_entry());
+	add_role(cut.to, chance(60) ? ROLE_STORE : ROLE_ENTRY);
+	begin_random_cut(&cut, random_ms(500, 8000));
+}
+
+static void cut_agents(void)
+{
+	struct fleetcut cut = {.flow = random_flow()};
+
+	add_agents(cut.from, 20);
+	add_role(cut.to, ROLE_ENTRY);
+	if (chance(40))
+		add_role(cut.to, ROLE_STORE);
+	begin_random_cut(&cut, random_ms(1000, 10000));
+}
+
+/* What an agent reported before its restart arrives after the reports of its successor. */
+static void restart_cut_agent(void)
+{
+	struct fleetcut cut = {.flow = NETPROXY_HOLD};
+	struct fleethost *agent = pick_host(ROLE_AGENT);
+	uint32_t restart_at = random_ms(800, 3000);
+
+	add_to(cut.from, agent);
+	add_role(cut.to, ROLE_ENTRY);
+	begin_cut(&cut, true, chance(30), restart_at + random_ms(500, 4000));
+	if (chance(60))
+		later(random_ms(0, 500), ACTION_KILL,
+		      fleethosts_at(soak.fleet, ROLE_WORKER, agent->index), random_ms(500, 3000));
+	later(restart_at, random_end(), agent, random_ms(100, 800));
+}
+
+static void delay_agents(void)
+{
+	struct fleetcut cut = {.delay_ms = random_ms(30, 1500)};
+
+	add_agents(cut.from, 30);
+	add_role(cut.to, ROLE_ENTRY);
+	begin_random_cut(&cut, random_ms(1000, 8000));
+}
+
+static void cut_worker(void)
+{
+	struct fleetcut cut = {.flow = random_flow()};
+	unsigned int index = random_ms(0, soak.args.workers);
+
+	if (chance(30)) {
+		cut.flow = NETPROXY_PASS;
+		cut.delay_ms = random_ms(30, 1200);
+	}
+	add_to(cut.from, fleethosts_at(soak.fleet, ROLE_AGENT, index));
+	add_to(cut.to, fleethosts_at(soak.fleet, ROLE_WORKER, index));
+	begin_random_cut(&cut, random_ms(500, 6000));
+}
+
+static void reset_links(void)
+{
+	fleethosts_reset(soak.fleet, &soak.fleet->hosts[random_ms(0, soak.fleet->host_count)]);
+}
+
+static void delay_orders(void)
+{
+	for (uint32_t i = random_ms(1, 4); i > 0; i--)
+		later(0, ACTION_LATE_ORDERS, pick_host(ROLE_WORKER), random_ms(500, 6000));
+}
+
+static void crash_worker(void)
+{
+	later(0, ACTION_KILL, pick_host(ROLE_WORKER), random_ms(100, 6000));
+}
+
+static void drain_worker(void)
+{
+	struct fleethost *worker = pick_host(ROLE_WORKER);
+
+	later(0, ACTION_DRAIN, worker, 1);
+	later(random_ms(2500, 7000), ACTION_DRAIN, worker, 0);
+}
+
+/* Faults that led to an incident are more frequent. */
+static const struct {
+	void (*begin)(void);
+	unsigned int weight;
+} kinds[] = {
+	{restart_entry, 3},
+	{restart_agent, 3},
+	{restart_all, 1},
+	{freeze_process, 4},
+	{freeze_leader_with_agents, 2},
+	{freeze_store, 1},
+	{restart_store, 1},
+	{trouble_store, 3},
+	{cut_leader_with_agents, 3},
+	{cut_entry, 3},
+	{cut_agents, 3},
+	{restart_cut_agent, 4},
+	{delay_agents, 2},
+	{cut_worker, 3},
+	{reset_links, 2},
+	{delay_orders, 4},
+	{crash_worker, 3},
+	{drain_worker, 2},
+};
+
+static void begin_fault(void)
+{
+	unsigned int sum = 0;
+	uint32_t value;
+	size_t i = 0;
+
+	for (size_t k = 0; k < G_N_ELEMENTS(kinds); k++)
+		sum += kinds[k].weight;
+	value = random_ms(0, sum);
+	while (value >= kinds[i].weight)
+		value -= kinds[i++].weight;
+	kinds[i].begin();
+	soak.faults++;
+}
+
+static void on_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+		    void *ctx)
+{
+	if (util_clock_ms() >= soak.next_fault_ms) {
+		begin_fault();
+		soak.next_fault_ms = util_clock_ms() + random_ms(GAP_MIN_MS, soak.gap_max_ms);
+	}
+	tevent_add_timer(ev, ev, tevent_timeval_current_ofs(0, TICK_MS * 1000), on_tick, NULL);
+}
+
+static void run_for(uint64_t ms)
+{
+	uint64_t end_ms = util_clock_ms() + ms;
+
+	while (util_clock_ms() < end_ms)
+		tevent_loop_once(soak.ev);
+}
+
+static void put_config(void)
+{
+	static const char config[] =
+		"{\"version\":1,\"routes\":[{\"name\":\"u\",\"host\":\"" FLEETLOAD_HOST
+		"\",\"prefix\":\"" FLEETLOAD_URGENT_PREFIX "\",\"service\":\"s\",\"priority\":0,"
+		"\"max_attempts\":3,\"stretch\":3.0,\"slo_ms\":1000},{\"name\":\"q\",\"host\":"
+		"\"" FLEETLOAD_HOST "\",\"prefix\":\"" FLEETLOAD_PREFIX "\",\"service\":\"s\","
+		"\"priority\":1,\"max_attempts\":3,\"stretch\":5.0,\"slo_ms\":5000}],"
+		"\"services\":[{\"name\":\"s\",\"rejects_overload\":true}],\"tenants\":[{\"name\":"
+		"\"t\",\"api_keys\":[\"" FLEETLOAD_KEY "\"],\"guaranteed\":{\"gpu\":8}}]}";
+
+	fleethosts_put(soak.fleet, fleethosts_at(soak.fleet, ROLE_STORE, 0), PORT_STORE,
+		       "/operator/op/config", config);
+}
+
+static void start_load(void)
+{
+	static const char *entries[FLEETHOSTS_ENTRIES_MAX];
+	struct fleetload_options options = {.entries = entries,
+					    .entry_count = soak.args.entries,
+					    .clients = 2 + soak.args.workers / 2,
+					    .seed = soak.args.seed};
+
+	for (unsigned int i = 0; i < soak.args.entries; i++)
+		entries[i] = fleethosts_address(
+			soak.fleet, NULL, fleethosts_at(soak.fleet, ROLE_ENTRY, i), PORT_CALLERS);
+	soak.load = fleetload_create(soak.ev, soak.ev, soak.check, &options);
+}
+
+static bool report_result(uint64_t recovery_ms)
+{
+	unsigned int violations = fleetcheck_count(soak.check, NULL);
+	json_t *json = json_pack(
+		"{s:i, s:i, s:i, s:i, s:i, s:i, s:f, s:o, s:i, s:o}", "seed", (int)soak.args.seed,
+		"seconds", (int)soak.args.seconds, "processes", (int)soak.fleet->host_count,
+		"faults", (int)soak.faults, "jobs", (int)fleetcheck_jobs(soak.check)->len, "runs",
+		(int)fleetcheck_runs(soak.check), "recovery_s", (double)recovery_ms / 1000.0,
+		"answers", fleetload_answers(soak.load), "violations", (int)violations, "kinds",
+		fleetcheck_counts(soak.check));
+
+	json_dumpf(json, stdout,
+		   (soak.args.json_only ? JSON_COMPACT : JSON_INDENT(1)) | JSON_REAL_PRECISION(4));
+	putchar('\n');
+	json_decref(json);
+	return violations == 0;
+}
+
+static bool run_soak(void)
+{
+	uint64_t faults_end_ms;
+	uint64_t recovery_ms;
+
+	run_for(START_MS / 4);
+	put_config();
+	run_for(START_MS / 2);
+	start_load();
+	run_for(START_MS / 4);
+	soak.next_fault_ms = 0;
+	run_for(soak.args.seconds * 1000ULL);
+	fleethosts_end_faults(soak.fleet);
+	soak.next_fault_ms = UINT64_MAX;
+	faults_end_ms = util_clock_ms();
+	fleetload_finish(soak.load);
+	do {
+		run_for(TICK_MS);
+		recovery_ms = util_clock_ms() - faults_end_ms;
+	} while (!fleetload_all_ended(soak.load) && recovery_ms < RECOVERY_MS);
+	run_for(SETTLE_MS);
+	fleethosts_check(soak.fleet);
+	fleetcheck_finish(soak.check);
+	return report_result(recovery_ms);
+}
+
+enum option_key {
+	OPT_SEED = 256,
+	OPT_SECONDS,
+	OPT_WORKERS,
+	OPT_ENTRIES,
+	OPT_JSON,
+	OPT_REGRESSIONS,
+};
+
+static const struct argp_option options[] = {
+	{"seed", OPT_SEED, "N", 0, "Seed of the faults and the load; default 1", 0},
+	{"seconds", OPT_SECONDS, "N", 0, "How long faults begin; default 30", 0},
+	{"workers", OPT_WORKERS, "N", 0, "Workers, each with an agent; default 6", 0},
+	{"entries", OPT_ENTRIES, "N", 0, "Entries; default 3", 0},
+	{"json", OPT_JSON, NULL, 0, "Print the result on one line", 0},
+	{"regressions", OPT_REGRESSIONS, NULL, 0, "Print the seeds that have shown a fault", 0},
+	{0},
+};
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct arguments *args = state->input;
+	unsigned int *const numbers[] = {&args->seed, &args->seconds, &args->workers,
+					 &args->entries};
+
+	if (key >= OPT_SEED && key <= OPT_ENTRIES) {
+		*numbers[key - OPT_SEED] = (unsigned int)strtoul(arg, NULL, 10);
+	} else if (key == OPT_JSON) {
+		args->json_only = true;
+	} else if (key == OPT_REGRESSIONS) {
+		for (size_t i = 0; i < G_N_ELEMENTS(regressions); i++)
+			printf("%u %s\n", regressions[i].seed, regressions[i].cause);
+		exit(EXIT_SUCCESS);
+	} else if (key != ARGP_KEY_END) {
+		return ARGP_ERR_UNKNOWN;
+	} else if (args->workers < 1 || args->workers > FLEETHOSTS_WORKERS_MAX ||
+		   args->entries < 1 || args->entries > FLEETHOSTS_ENTRIES_MAX) {
+		argp_error(state, "1 to %d workers and 1 to %d entries", FLEETHOSTS_WORKERS_MAX,
+			   FLEETHOSTS_ENTRIES_MAX);
+	}
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	const struct argp argp = {
+		options, parse_option,
+		NULL,	 "Run the fleet scheduler on loopback under faults and check its promises.",
+		NULL,	 NULL,
+		NULL};
+	bool ok;
+
+	soak.args = (struct arguments){.seed = 1, .seconds = 30, .workers = 6, .entries = 3};
+	argp_parse(&argp, argc, argv, 0, NULL, &soak.args);
+	signal(SIGPIPE, SIG_IGN);
+	soak.ev = tevent_context_init(NULL);
+	soak.check = fleetcheck_create(soak.args.seed);
+	soak.rand = g_rand_new_with_seed(soak.args.seed);
+	soak.gap_max_ms = random_ms(GAP_MAX_LEAST_MS, GAP_MAX_MOST_MS);
+	soak.next_fault_ms = UINT64_MAX;
+	soak.fleet = fleethosts_start(soak.ev, soak.check, soak.args.entries, soak.args.workers);
+	if (!soak.fleet)
+		return EXIT_FAILURE;
+	on_tick(soak.ev, NULL, tevent_timeval_zero(), NULL);
+	ok = run_soak();
+	fprintf(stderr, "logs in %s\n", proc_log_folder());
+	fleethosts_stop(soak.fleet);
+	return ok ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/lib_fleethosts.c
@@ -0,0 +1,588 @@
+#include "lib_fleethosts.h"
+
+#include "util.h"
+
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define TICK_MS 20
+#define CHECK_MS 500
+#define LEADER_POLL_MS 300
+#define RETRY_MS 100
+#define STOP_LIMIT_MS 9000 /* SIGTERM to the end of the process, which has 6 s of grace */
+#define SELF_RESTART_MS 1000
+
+/* Second bytes of the addresses of runs: one of these for each run on the machine. */
+#define NETWORK_FIRST 64
+#define NETWORK_COUNT 128
+
+/* Last byte of the address of the first host of each role. */
+#define NUMBER_STORE 1
+#define NUMBER_ENTRY 10
+#define NUMBER_AGENT 20
+#define NUMBER_WORKER 130
+#define NUMBER_LOCK 255
+
+struct fleetlink {
+	struct netlink *netlink;
+	const struct fleethost *caller;
+	const struct fleethost *target;
+};
+
+struct fleetstep {
+	uint64_t at_ms;
+	enum fleetaction action;
+	struct fleethost *host;
+	uint32_t value;
+};
+
+/* The hosts are ordered by role: the store, the entries, the agents, the workers. */
+static unsigned int role_first(const struct fleethosts *fleet, enum fleetrole role)
+{
+	const unsigned int first[] = {0, 1, 1 + fleet->entries,
+				      1 + fleet->entries + fleet->workers};
+
+	return first[role];
+}
+
+unsigned int fleethosts_count(const struct fleethosts *fleet, enum fleetrole role)
+{
+	if (role == ROLE_STORE)
+		return 1;
+	return role == ROLE_ENTRY ? fleet->entries : fleet->workers;
+}
+
+struct fleethost *fleethosts_at(struct fleethosts *fleet, enum fleetrole role, unsigned int index)
+{
+	return &fleet->hosts[role_first(fleet, role) + index];
+}
+
+void fleethosts_log(struct fleethosts *fleet, const char *format, ...)
+{
+	uint64_t now_ms = util_clock_ms();
+	va_list args;
+
+	fprintf(fleet->events, "%" PRIu64 " (%.2f s) ", now_ms,
+		(double)(now_ms - fleet->began_ms) / 1000.0);
+	va_start(args, format);
+	vfprintf(fleet->events, format, args);
+	va_end(args);
+	fputc('\n', fleet->events);
+	fflush(fleet->events);
+}
+
+char *fleethosts_address(struct fleethosts *fleet, const struct fleethost *caller,
+			 const struct fleethost *host, unsigned int port)
+{
+	return talloc_asprintf(fleet->ev, "127.%u.%u.%u:%u", fleet->network,
+			       caller ? caller->number : 0, host->number, port);
+}
+
+static bool is_up(const struct fleethost *host)
+{
+	return !host->start_ms;
+}
+
+static bool is_free(const struct fleethost *host)
+{
+	return is_up(host) && !host->thaw_ms && !host->stop_limit_ms;
+}
+
+static void update_links(struct fleethosts *fleet, uint64_t now_ms)
+{
+	for (guint i = 0; i < fleet->links->len; i++) {
+		struct fleetlink *link = &g_array_index(fleet->links, struct fleetlink, i);
+		ptrdiff_t ends[] = {link->caller - fleet->hosts, link->target - fleet->hosts};
+		enum netproxy_flow worst = NETPROXY_PASS;
+
+		for (int d = 0; d < NETPROXY_DIRECTIONS; d++) {
+			enum netproxy_flow flow = NETPROXY_PASS;
+			uint32_t delay_ms = 0;
+
+			for (guint c = 0; c < fleet->cuts->len; c++) {
+				const struct fleetcut *cut =
+					&g_array_index(fleet->cuts, struct fleetcut, c);
+
+				if (cut->from_ms > now_ms || !cut->from[ends[d]] ||
+				    !cut->to[ends[1 - d]])
+					continue;
+				flow = MAX(flow, cut->flow);
+				delay_ms = MAX(delay_ms, cut->delay_ms);
+			}
+			worst = MAX(worst, flow);
+			netlink_set(link->netlink, d, flow, delay_ms);
+		}
+		/* A caller that is cut off does not see that nobody listens at the target. */
+		netlink_listen(link->netlink, worst == NETPROXY_PASS ? is_up(link->target)
+								     : worst != NETPROXY_REFUSE);
+	}
+}
+
+static void add_links(struct fleethosts *fleet, const struct fleethost *caller, enum fleetrole role,
+		      unsigned int port)
+{
+	for (unsigned int i = 0; i < fleethosts_count(fleet, role); i++) {
+		const struct fleethost *target = fleethosts_at(fleet, role, i);
+		struct fleetlink link = {.caller = caller, .target = target};
+
+		if (caller == target || (port >= PORT_CONTROL && caller->index != target->index))
+			continue;
+		link.netlink =
+			netproxy_add(fleet->proxy, fleethosts_address(fleet, caller, target, port),
+				     fleethosts_address(fleet, NULL, target, port));
+		g_array_append_val(fleet->links, link);
+	}
+}
+
+static void create_links(struct fleethosts *fleet)
+{
+	for (unsigned int i = 0; i < fleet->host_count; i++) {
+		const struct fleethost *host = &fleet->hosts[i];
+
+		if (host->role == ROLE_WORKER)
+			add_links(fleet, host, ROLE_AGENT, PORT_CONTROL);
+		if (host->role == ROLE_STORE || host->role == ROLE_WORKER)
+			continue;
+		add_links(fleet, host, ROLE_STORE, PORT_STORE);
+		add_links(fleet, host, ROLE_ENTRY, PORT_MESSAGES);
+		if (host->role == ROLE_ENTRY)
+			add_links(fleet, host, ROLE_AGENT, PORT_MESSAGES);
+		else
+			add_links(fleet, host, ROLE_WORKER, PORT_WORKER);
+	}
+}
+
+/* A process ignores the settings of the other role. */
+static bool write_settings(struct fleethosts *fleet, struct fleethost *host)
+{
+	const struct fleethost *store = fleethosts_at(fleet, ROLE_STORE, 0);
+	const struct fleethost *worker = fleethosts_at(fleet, ROLE_WORKER, host->index);
+	json_t *json =
+		json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i}", "node", host->name,
+			  "message_address", fleethosts_address(fleet, NULL, host, PORT_MESSAGES),
+			  "store_address", fleethosts_address(fleet, NULL, store, PORT_STORE),
+			  "callers_address", fleethosts_address(fleet, NULL, host, PORT_CALLERS),
+			  "ready_address", fleethosts_address(fleet, NULL, host, PORT_READY),
+			  "control_address", fleethosts_address(fleet, NULL, host, PORT_CONTROL),
+			  "worker_address", fleethosts_address(fleet, NULL, worker, PORT_WORKER),
+			  "service", "s", "grace_s", 6, "stop_ms", 200);
+	bool written;
+
+	snprintf(host->settings, sizeof(host->settings), "%s/%s.json", proc_log_folder(),
+		 host->name);
+	written = json_dump_file(json, host->settings, 0) == 0;
+	json_decref(json);
+	return written;
+}
+
+static bool spawn(struct fleethosts *fleet, struct fleethost *host, const char *program,
+		  const char *const *arguments)
+{
+	const char *folder = getenv("JAYCOURSE_BIN");
+	g_autofree char *preload =
+		g_strdup_printf("LD_PRELOAD=%s/redirect_connect.so", folder ? folder : "build/bin");
+	g_autofree char *redirect =
+		g_strdup_printf("JAYCOURSE_REDIRECT=%u %u", fleet->network, host->number);
+	const char *const environment[] = {redirect, preload, NULL};
+	char label[32];
+
+	snprintf(label, sizeof(label), "%s-%u", host->name, ++host->processes);
+	if (!proc_spawn(&host->proc, program, label, arguments,
+			host->role == ROLE_STORE ? NULL : environment))
+		return false;
+	host->start_ms = 0;
+	if (host->role == ROLE_WORKER) {
+		host->log = fopen(host->proc.log, "a+");
+		host->record = fleetcheck_worker(fleet->check, label);
+	}
+	return true;
+}
+
+static bool start_host(struct fleethosts *fleet, struct fleethost *host)
+{
+	const char *const node[] = {host->role == ROLE_ENTRY ? "entry" : "agent", "--config",
+				    host->settings, NULL};
+	g_autofree char *journal = g_strdup_printf("%s/store.journal", proc_log_folder());
+	g_autofree char *id = g_strdup_printf("i-%u", host->index);
+	g_autofree char *rack = g_strdup_printf("r%u", host->index / 3);
+	const char *const store[] = {fleethosts_address(fleet, NULL, host, PORT_STORE), journal,
+				     NULL};
+	const char *const worker[] = {
+		id,
+		"s",
+		rack,
+		fleethosts_address(fleet, NULL, fleethosts_at(fleet, ROLE_AGENT, host->index),
+				   PORT_CONTROL),
+		fleethosts_address(fleet, NULL, host, PORT_WORKER),
+		NULL};
+
+	fleethosts_log(fleet, "start %s", host->name);
+	if (host->role == ROLE_STORE)
+		return spawn(fleet, host, "fake_platform", store);
+	if (host->role == ROLE_WORKER)
+		return spawn(fleet, host, "fake_minion", worker);
+	return write_settings(fleet, host) && spawn(fleet, host, "jaycourse-fleet", node);
+}
+
+static void read_worker_log(struct fleethosts *fleet, struct fleethost *host)
+{
+	char line[256];
+
+	clearerr(host->log);
+	while (fgets(line, sizeof(line), host->log))
+		fleetcheck_line(fleet->check, host->record, line);
+}
+
+/* Called when the process has ended; it is started again after @restart_ms. */
+static void host_ended(struct fleethosts *fleet, struct fleethost *host, uint32_t restart_ms)
+{
+	host->start_ms = util_clock_ms() + restart_ms;
+	host->thaw_ms = 0;
+	host->stop_limit_ms = 0;
+	if (host->role != ROLE_WORKER)
+		return;
+	read_worker_log(fleet, host);
+	fleetcheck_worker_gone(fleet->check, host->record, util_clock_ms());
+	fclose(host->log);
+}
+
+static void on_ignored_answer(int status, int http_status, const char *body, size_t len, void *ctx)
+{
+}
+
+void fleethosts_put(struct fleethosts *fleet, const struct fleethost *host, unsigned int port,
+		    const char *path, const char *body)
+{
+	char *url = talloc_asprintf(fleet->ev, "http://%s%s",
+				    fleethosts_address(fleet, NULL, host, port), path);
+	struct httpc_request request = {.method = "PUT",
+					.url = url,
+					.body = body,
+					.body_len = strlen(body),
+					.timeout_ms = 1000,
+					.done = on_ignored_answer};
+
+	httpc_start(fleet->http, &request);
+	talloc_free(url);
+}
+
+static void put_number(struct fleethosts *fleet, const struct fleethost *host, unsigned int port,
+		       const char *path, uint32_t value)
+{
+	g_autofree char *whole = g_strdup_printf("%s%u", path, value);
+
+	fleethosts_put(fleet, host, port, whole, "");
+}
+
+void fleethosts_later(struct fleethosts *fleet, uint32_t ms, enum fleetaction action,
+		      struct fleethost *host, uint32_t value)
+{
+	struct fleetstep step = {util_clock_ms() + ms, action, host, value};
+
+	g_array_append_val(fleet->steps, step);
+}
+
+static void take_step(struct fleethosts *fleet, const struct fleetstep *step)
+{
+	static const char *const names[] = {"kill",	   "terminate", "freeze",
+					    "late orders", "drain",	"store fault"};
+	struct fleethost *host = step->host;
+
+	if (is_up(host) && host->thaw_ms && step->action >= ACTION_DRAIN)
+		fleethosts_later(fleet, RETRY_MS, step->action, host, step->value);
+	if (!is_free(host))
+		return;
+	fleethosts_log(fleet, "%s %s %u", names[step->action], host->name, step->value);
+	switch (step->action) {
+	case ACTION_KILL:
+		proc_kill(&host->proc);
+		host_ended(fleet, host, step->value);
+		break;
+	case ACTION_TERMINATE:
+		proc_signal(&host->proc, SIGTERM);
+		host->stop_limit_ms = util_clock_ms() + STOP_LIMIT_MS;
+		host->restart_ms = step->value;
+		break;
+	case ACTION_FREEZE:
+		proc_signal(&host->proc, SIGSTOP);
+		host->thaw_ms = util_clock_ms() + step->value;
+		break;
+	case ACTION_LATE_ORDERS:
+		put_number(fleet, host, PORT_WORKER, "/test/late/", step->value);
+		break;
+	case ACTION_DRAIN:
+		put_number(fleet, host, PORT_WORKER, "/test/drain/", step->value);
+		break;
+	default:
+		put_number(fleet, host, PORT_STORE, "/trouble/", step->value);
+		break;
+	}
+}
+
+static void print_set(struct fleethosts *fleet, GString *text, const bool *set)
+{
+	for (unsigned int i = 0; i < fleet->host_count; i++) {
+		if (set[i])
+			g_string_append_printf(text, " %s", fleet->hosts[i].name);
+	}
+}
+
+void fleethosts_cut(struct fleethosts *fleet, const struct fleetcut *pattern, uint32_t after_ms,
+		    uint32_t ms)
+{
+	static const char *const names[] = {"delay", "hold", "drop", "refuse"};
+	g_autoptr(GString) text = g_string_new("");
+	struct fleetcut cut = *pattern;
+
+	cut.from_ms = util_clock_ms() + after_ms;
+	cut.until_ms = cut.from_ms + ms;
+	g_string_printf(text, "%s %u ms, after %u ms, for %u ms, from", names[cut.flow],
+			cut.delay_ms, after_ms, ms);
+	print_set(fleet, text, cut.from);
+	g_string_append(text, " to");
+	print_set(fleet, text, cut.to);
+	fleethosts_log(fleet, "%s", text->str);
+	g_array_append_val(fleet->cuts, cut);
+}
+
+static void check_process(struct fleethosts *fleet, struct fleethost *host, uint64_t now_ms)
+{
+	int status = 0;
+
+	if (is_up(host) && proc_ended(&host->proc, &status)) {
+		bool asked = host->stop_limit_ms && WIFEXITED(status) && WEXITSTATUS(status) == 0;
+		g_autofree char *text =
+			g_strdup_printf("%s, process %u: wait status 0x%x", host->name,
+					host->processes, (unsigned int)status);
+
+		if (!asked)
+			fleetcheck_report(fleet->check,
+					  host->stop_limit_ms ? "failed end after SIGTERM"
+							      : "process ended by itself",
+					  text);
+		host_ended(fleet, host, host->stop_limit_ms ? host->restart_ms : SELF_RESTART_MS);
+	} else if (host->stop_limit_ms && now_ms > host->stop_limit_ms) {
+		fleetcheck_report(fleet->check, "process did not stop", host->name);
+		proc_kill(&host->proc);
+		host_ended(fleet, host, host->restart_ms);
+	}
+	if (host->thaw_ms && now_ms >= host->thaw_ms) {
+		fleethosts_log(fleet, "wake %s", host->name);
+		proc_signal(&host->proc, SIGCONT);
+		host->thaw_ms = 0;
+	}
+	if (host->start_ms && now_ms >= host->start_ms) {
+		if (!start_host(fleet, host))
+			fleetcheck_report(fleet->check, "process did not start", host->name);
+	}
+}
+
+static void end_cuts(struct fleethosts *fleet, uint64_t now_ms)
+{
+	for (guint i = fleet->cuts->len; i > 0; i--) {
+		if (g_array_index(fleet->cuts, struct fleetcut, i - 1).until_ms > now_ms)
+			continue;
+		g_array_remove_index(fleet->cuts, i - 1);
+		fleethosts_log(fleet, "%u cuts left", fleet->cuts->len);
+	}
+}
+
+static void take_due_steps(struct fleethosts *fleet, uint64_t now_ms)
+{
+	for (guint i = 0; i < fleet->steps->len;) {
+		struct fleetstep step = g_array_index(fleet->steps, struct fleetstep, i);
+
+		if (step.at_ms > now_ms) {
+			i++;
+			continue;
+		}
+		g_array_remove_index(fleet->steps, i);
+		take_step(fleet, &step);
+	}
+}
+
+static void on_leader(int status, int http_status, const char *body, size_t len, void *ctx)
+{
+	struct fleethosts *fleet = ctx;
+	json_t *json = status ? NULL : json_loadb(body, len, 0, NULL);
+	const char *value = json_string_value(json_object_get(json, "value"));
+	gsize value_len = 0;
+	guchar *text = value ? g_base64_decode(value, &value_len) : NULL;
+	json_t *record = text ? json_loadb((char *)text, value_len, 0, NULL) : NULL;
+	const char *node = json_string_value(json_object_get(record, "node"));
+
+	if (node && strcmp(node, fleet->leader) != 0) {
+		g_strlcpy(fleet->leader, node, sizeof(fleet->leader));
+		fleethosts_log(fleet, "%s leads, term %d", node,
+			       (int)json_integer_value(json_object_get(record, "term")));
+	}
+	json_decref(record);
+	g_free(text);
+	json_decref(json);
+}
+
+static void poll_leader(struct fleethosts *fleet)
+{
+	char *url = talloc_asprintf(
+		fleet->ev, "http://%s/v1/kv-key?key=leader",
+		fleethosts_address(fleet, NULL, fleethosts_at(fleet, ROLE_STORE, 0), PORT_STORE));
+	struct httpc_request request = {.method = "GET",
+					.url = url,
+					.timeout_ms = LEADER_POLL_MS,
+					.done = on_leader,
+					.ctx = fleet};
+
+	httpc_start(fleet->http, &request);
+	talloc_free(url);
+}
+
+void fleethosts_check(struct fleethosts *fleet)
+{
+	for (unsigned int i = 0; i < fleet->workers; i++) {
+		struct fleethost *host = fleethosts_at(fleet, ROLE_WORKER, i);
+
+		if (is_up(host))
+			read_worker_log(fleet, host);
+	}
+	fleetcheck_run(fleet->check);
+}
+
+void fleethosts_end_faults(struct fleethosts *fleet)
+{
+	uint64_t now_ms = util_clock_ms();
+
+	g_array_set_size(fleet->steps, 0);
+	g_array_set_size(fleet->cuts, 0);
+	for (unsigned int i = 0; i < fleet->host_count; i++) {
+		struct fleethost *host = &fleet->hosts[i];
+
+		host->thaw_ms = MIN(host->thaw_ms, now_ms);
+		host->start_ms = MIN(host->start_ms, now_ms);
+		if (host->role == ROLE_WORKER && is_up(host))
+			fleethosts_later(fleet, 0, ACTION_DRAIN, host, 0);
+		if (host->role == ROLE_STORE)
+			fleethosts_later(fleet, RETRY_MS, ACTION_STORE_FAULT, host, 0);
+	}
+	fleethosts_log(fleet, "the faults end");
+}
+
+/* The address of a lock keeps other runs on this machine from using the same network. */
+static bool take_network(struct fleethosts *fleet)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	for (unsigned int i = 0; i < NETWORK_COUNT; i++) {
+		struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons(PORT_STORE)};
+
+		fleet->network = NETWORK_FIRST + ((unsigned int)getpid() + i) % NETWORK_COUNT;
+		address.sin_addr.s_addr = htonl(127U << 24 | fleet->network << 16 | NUMBER_LOCK);
+		if (bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0)
+			return true;
+	}
+	close(fd);
+	return false;
+}
+
+static void create_hosts(struct fleethosts *fleet)
+{
+	static const char *const names[] = {"store", "entry", "agent", "worker"};
+	static const unsigned int numbers[] = {NUMBER_STORE, NUMBER_ENTRY, NUMBER_AGENT,
+					       NUMBER_WORKER};
+
+	for (enum fleetrole role = ROLE_STORE; role <= ROLE_WORKER; role++) {
+		for (unsigned int i = 0; i < fleethosts_count(fleet, role); i++) {
+			struct fleethost *host = fleethosts_at(fleet, role, i);
+
+			host->role = role;
+			host->index = i;
+			host->number = numbers[role] + i;
+			host->start_ms = 1; /* at once */
+			snprintf(host->name, sizeof(host->name), "%s%u", names[role], i);
+			fleet->host_count++;
+		}
+	}
+}
+
+void fleethosts_reset(struct fleethosts *fleet, const struct fleethost *host)
+{
+	fleethosts_log(fleet, "reset the connections of %s", host->name);
+	for (guint i = 0; i < fleet->links->len; i++) {
+		const struct fleetlink *link = &g_array_index(fleet->links, struct fleetlink, i);
+
+		if (link->caller == host || link->target == host)
+			netlink_reset(link->netlink);
+	}
+}
+
+struct fleethost *fleethosts_leader(struct fleethosts *fleet)
+{
+	for (unsigned int i = 0; i < fleet->entries; i++) {
+		struct fleethost *host = fleethosts_at(fleet, ROLE_ENTRY, i);
+
+		if (!strcmp(host->name, fleet->leader))
+			return host;
+	}
+	return fleethosts_at(fleet, ROLE_ENTRY, 0);
+}
+
+static void on_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+		    void *ctx)
+{
+	struct fleethosts *fleet = ctx;
+	uint64_t now_ms = util_clock_ms();
+
+	end_cuts(fleet, now_ms);
+	take_due_steps(fleet, now_ms);
+	for (unsigned int i = 0; i < fleet->host_count; i++)
+		check_process(fleet, &fleet->hosts[i], now_ms);
+	update_links(fleet, now_ms);
+	if (now_ms >= fleet->next_poll_ms) {
+		poll_leader(fleet);
+		fleet->next_poll_ms = now_ms + LEADER_POLL_MS;
+	}
+	if (now_ms >= fleet->next_check_ms) {
+		fleethosts_check(fleet);
+		fleet->next_check_ms = now_ms + CHECK_MS;
+	}
+	tevent_add_timer(ev, fleet, tevent_timeval_current_ofs(0, TICK_MS * 1000), on_tick, fleet);
+}
+
+struct fleethosts *fleethosts_start(struct tevent_context *ev, struct fleetcheck *check,
+				    unsigned int entries, unsigned int workers)
+{
+	struct fleethosts *fleet = talloc_zero(ev, struct fleethosts);
+	g_autofree char *events = g_strdup_printf("%s/events.log", proc_log_folder());
+
+	fleet->ev = ev;
+	fleet->check = check;
+	fleet->entries = entries;
+	fleet->workers = workers;
+	fleet->events = fopen(events, "w");
+	if (!fleet->events || !take_network(fleet)) {
+		perror(events);
+		return NULL;
+	}
+	fleet->began_ms = util_clock_ms();
+	fleet->proxy = netproxy_create(fleet, ev);
+	fleet->http = httpc_create(fleet, ev);
+	fleet->links = g_array_new(FALSE, FALSE, sizeof(struct fleetlink));
+	fleet->cuts = g_array_new(FALSE, FALSE, sizeof(struct fleetcut));
+	fleet->steps = g_array_new(FALSE, FALSE, sizeof(struct fleetstep));
+	create_hosts(fleet);
+	create_links(fleet);
+	on_tick(ev, NULL, tevent_timeval_zero(), fleet);
+	return fleet;
+}
+
+void fleethosts_stop(struct fleethosts *fleet)
+{
+	for (unsigned int i = 0; i < fleet->host_count; i++)
+		proc_kill(&fleet->hosts[i].proc);
+}
--- /dev/null
+++ b/tests/lib_fleethosts.h
@@ -0,0 +1,137 @@
+#ifndef JAYCOURSE_LIB_FLEETHOSTS_H
+#define JAYCOURSE_LIB_FLEETHOSTS_H
+
+#include "httpc.h"
+#include "lib_fleetcheck.h"
+#include "lib_netproxy.h"
+#include "lib_proc.h"
+
+#include <stdio.h>
+
+/**
+ * DOC: The processes of a fleet on loopback, the proxies between them and their faults
+ *
+ * Each process has an address 127.NETWORK.0.NUMBER of its own. redirect_connect.c makes its
+ * connections to another one go to 127.NETWORK.OWN_NUMBER.NUMBER, where a proxy listens. What is
+ * done to the processes is written to events.log in the log folder. All runs on the event loop.
+ */
+
+#define FLEETHOSTS_ENTRIES_MAX 8
+#define FLEETHOSTS_WORKERS_MAX 100
+#define FLEETHOSTS_MAX (1 + FLEETHOSTS_ENTRIES_MAX + 2 * FLEETHOSTS_WORKERS_MAX)
+
+#define PORT_STORE 7000
+#define PORT_MESSAGES 7001
+#define PORT_CALLERS 7002
+#define PORT_READY 7003
+#define PORT_CONTROL 7004
+#define PORT_WORKER 7005
+
+enum fleetrole {
+	ROLE_STORE,
+	ROLE_ENTRY,
+	ROLE_AGENT,
+	ROLE_WORKER,
+};
+
+enum fleetaction {
+	ACTION_KILL,	    /* value: restart after this time */
+	ACTION_TERMINATE,   /* value: restart after this time */
+	ACTION_FREEZE,	    /* value: duration */
+	ACTION_LATE_ORDERS, /* value: duration */
+	ACTION_DRAIN,	    /* value: on or off */
+	ACTION_STORE_FAULT, /* value: enum memkv_fault */
+};
+
+struct fleethost {
+	enum fleetrole role;
+	unsigned int index; /* within the role */
+	unsigned int number;
+	unsigned int processes; /* started so far */
+	char name[16];
+	char settings[300];
+	struct proc proc;
+	uint64_t start_ms;	/* when to start it; 0: it runs */
+	uint64_t thaw_ms;	/* when to send SIGCONT; 0: it is not frozen */
+	uint64_t stop_limit_ms; /* SIGTERM was sent; 0: it was not */
+	uint32_t restart_ms;	/* after its end by SIGTERM */
+	FILE *log;		/* of a worker */
+	unsigned int record;	/* number of a worker in the check */
+};
+
+/* Fault of the bytes from some hosts to others, by their index in &struct fleethosts. */
+struct fleetcut {
+	uint64_t from_ms;
+	uint64_t until_ms;
+	enum netproxy_flow flow;
+	uint32_t delay_ms;
+	bool from[FLEETHOSTS_MAX];
+	bool to[FLEETHOSTS_MAX];
+};
+
+struct fleethosts {
+	struct tevent_context *ev;
+	struct netproxy *proxy;
+	struct httpc *http;
+	struct fleetcheck *check;
+	FILE *events;
+	unsigned int network; /* second byte of all addresses */
+	unsigned int entries;
+	unsigned int workers;
+	struct fleethost hosts[FLEETHOSTS_MAX];
+	unsigned int host_count;
+	GArray *links;
+	GArray *cuts;
+	GArray *steps;
+	uint64_t began_ms;
+	uint64_t next_check_ms;
+	uint64_t next_poll_ms;
+	char leader[32];
+};
+
+/** fleethosts_start() - start the proxies and processes; NULL if no network is free */
+struct fleethosts *fleethosts_start(struct tevent_context *ev, struct fleetcheck *check,
+				    unsigned int entries, unsigned int workers);
+
+/** fleethosts_stop() - kill all processes */
+void fleethosts_stop(struct fleethosts *fleet);
+
+unsigned int fleethosts_count(const struct fleethosts *fleet, enum fleetrole role);
+struct fleethost *fleethosts_at(struct fleethosts *fleet, enum fleetrole role, unsigned int index);
+
+/** fleethosts_leader() - the entry that led last, by the store */
+struct fleethost *fleethosts_leader(struct fleethosts *fleet);
+
+/**
+ * fleethosts_address() - "ip:port" of a process
+ * @caller: whose proxy is meant; NULL: the process itself
+ */
+char *fleethosts_address(struct fleethosts *fleet, const struct fleethost *caller,
+			 const struct fleethost *host, unsigned int port);
+
+/** fleethosts_log() - write a line to events.log */
+void fleethosts_log(struct fleethosts *fleet, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/** fleethosts_put() - make a call to a stand-in without waiting for its answer */
+void fleethosts_put(struct fleethosts *fleet, const struct fleethost *host, unsigned int port,
+		    const char *path, const char *body);
+
+/** fleethosts_later() - do something after a time, unless the process is down or frozen then */
+void fleethosts_later(struct fleethosts *fleet, uint32_t ms, enum fleetaction action,
+		      struct fleethost *host, uint32_t value);
+
+/** fleethosts_cut() - let a fault of the network begin after @after_ms and last for @ms */
+void fleethosts_cut(struct fleethosts *fleet, const struct fleetcut *pattern, uint32_t after_ms,
+		    uint32_t ms);
+
+/** fleethosts_reset() - reset all connections of a process */
+void fleethosts_reset(struct fleethosts *fleet, const struct fleethost *host);
+
+/** fleethosts_end_faults() - end all faults and start what is down */
+void fleethosts_end_faults(struct fleethosts *fleet);
+
+/** fleethosts_check() - read what the workers have done and check the record */
+void fleethosts_check(struct fleethosts *fleet);
+
+#endif
--- a/tests/lib_proc.c
+++ b/tests/lib_proc.c
@@ -127,6 +127,36 @@
 	return true;
 }
 
+bool proc_spawn(struct proc *proc, const char *name, const char *label,
+		const char *const *arguments, const char *const *environment)
+{
+	char path[512];
+
+	memset(proc, 0, sizeof(*proc));
+	program_path(name, path, sizeof(path));
+	snprintf(proc->name, sizeof(proc->name), "%s", label);
+	snprintf(proc->log, sizeof(proc->log), "%s/%s.log", proc_log_folder(), label);
+	proc->pid = fork();
+	if (proc->pid == 0) {
+		int log = open(proc->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+
+		dup2(log, STDOUT_FILENO);
+		dup2(log, STDERR_FILENO);
+		for (size_t i = 0; environment && environment[i]; i++)
+			putenv((char *)environment[i]);
+		exec_program(path, arguments);
+	}
+	return proc->pid > 0;
+}
+
+bool proc_ended(struct proc *proc, int *status)
+{
+	if (proc->pid <= 0 || waitpid(proc->pid, status, WNOHANG) != proc->pid)
+		return false;
+	proc->pid = 0;
+	return true;
+}
+
 void proc_signal(const struct proc *proc, int signal)
 {
 	if (proc->pid > 0)
--- a/tests/lib_proc.h
+++ b/tests/lib_proc.h
@@ -34,6 +34,16 @@
 bool proc_start(struct proc *proc, const char *name, const char *label,
 		const char *const *arguments);
 
+/**
+ * proc_spawn() - start a program without waiting for it; its whole output goes to its log
+ * @environment: NULL-terminated list of "NAME=value" added to the environment, or NULL
+ */
+bool proc_spawn(struct proc *proc, const char *name, const char *label,
+		const char *const *arguments, const char *const *environment);
+
+/** proc_ended() - whether a process has ended; sets @status as waitpid() does and reaps it */
+bool proc_ended(struct proc *proc, int *status);
+
 /** proc_signal() - send a signal to a started process */
 void proc_signal(const struct proc *proc, int signal);
 
