--- a/bench/measure_fleet_faults.c
+++ b/bench/measure_fleet_faults.c
@@ -27,7 +27,7 @@
 	unsigned int seed;
 	const char *cause;
 } regressions[] = {
-	{1, "a report of an ended agent process was taken for one of its successor"},
+	{1, "both faults of the next two lines, in different runs"},
 	{2, "a report of an ended agent process was taken for one of its successor"},
 	{3, "a leader that was cut off, frozen and woken started tasks after its lease was over"},
 	{8, "a write that libcurl had sent on a reused connection was taken for unsent"},
