test_coord: two rules of a leader's authority that no test guarded

With the hold of jobs seen without a lease taken out of add_job(), or with authority given on reports without a list, all tests of this program passed. holds_jobs_seen_without_lease and no_authority_without_list fail then; both pass on the code as it is.

--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -620,6 +620,48 @@
 	tear_down(f);
 }
 
+/* Guards against authority by a report that does not end the wait of a later leader. */
+static void test_no_authority_without_list(void)
+{
+	struct fixture *f = set_up("");
+
+	elect_leader(f);
+	send_report(f, 0, true, NULL, NULL);
+	CU_ASSERT(f->agents[0].orders->valid_ms > 0);
+	send_report(f, 0, false, NULL, NULL);
+	CU_ASSERT_EQUAL(f->agents[0].orders->valid_ms, 0);
+	tear_down(f);
+}
+
+static void refuse_keep(void *impl, int64_t lease, struct kv_cb cb)
+{
+	cb.done(-ERR_UNAVAILABLE, NULL, cb.ctx);
+}
+
+static void refuse_grant(void *impl, uint32_t ttl_ms, struct kv_cb cb)
+{
+	cb.done(-ERR_UNAVAILABLE, NULL, cb.ctx);
+}
+
+/* Guards against starts of a job that was accepted after the lease of the leader was over. */
+static void test_holds_jobs_seen_without_lease(void)
+{
+	struct fixture *f = set_up("");
+	struct kv_ops ops = *f->client->kv.ops;
+
+	elect_leader(f);
+	send_report(f, 0, true, NULL, NULL);
+	ops.lease_keep = refuse_keep;
+	ops.lease_grant = refuse_grant;
+	f->client->kv.ops = &ops;
+	memkv_run(f->ev, TTL_MS + 200);
+	CU_ASSERT_FALSE(leader_confirmed(f->leader));
+	put_job(f, "0123456789abcdef", 1);
+	memkv_run(f->ev, 200);
+	CU_ASSERT_EQUAL(count_starts(f), 0);
+	tear_down(f);
+}
+
 /* Guards against starts of a job that its owner has cancelled. */
 static void test_cancel(void)
 {
@@ -783,6 +825,8 @@
 		{"report_before_jobs_are_read", test_report_before_jobs_are_read},
 		{"start_of_ended_process", test_start_of_ended_process},
 		{"unconfirmed_leader_starts_nothing", test_unconfirmed_leader_starts_nothing},
+		{"no_authority_without_list", test_no_authority_without_list},
+		{"holds_jobs_seen_without_lease", test_holds_jobs_seen_without_lease},
 		{"advised_queue", test_advised_queue},
 		{"forgets_emptied_workers", test_forgets_emptied_workers},
 		{"keeps_key_while_a_start_is_open", test_keeps_key_while_a_start_is_open},
