--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -144,9 +144,9 @@
 	GHashTable *jobs;  /* id -> struct job, in no order */
 	GPtrArray *active; /* struct job: all that are not removed */
 	GPtrArray *workers;
-	GQueue dirty;	      /* struct job */
-	bool has_held;	      /* a job may be held */
-	bool has_orphans;     /* a worker has orphan runs; set by each plan_decide() */
+	GQueue dirty;		  /* struct job */
+	bool has_held;		  /* a job may be held */
+	GHashTable *orphan_tasks; /* names of tasks with orphan runs; only during plan_decide() */
 	bool has_done_before; /* a task may have ended as done in a run that is not its current one
 			       */
 	bool recovered;	      /* the runs of the former leader are known */
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -157,16 +157,7 @@
 /* True while a worker lists a run of the task that is not its current one and has to be stopped. */
 static bool has_orphan_run(const struct plan *plan, const struct task *task)
 {
-	for (guint i = 0; i < plan->workers->len; i++) {
-		const struct worker *worker = plan->workers->pdata[i];
-
-		for (const struct orphan_run *orphan = worker->orphans; orphan;
-		     orphan = orphan->next) {
-			if (!strcmp(orphan->task, task->name))
-				return true;
-		}
-	}
-	return false;
+	return plan->orphan_tasks && g_hash_table_contains(plan->orphan_tasks, task->name);
 }
 
 static bool gang_has_orphan_run(const struct plan *plan, const struct step_run *step)
@@ -183,7 +174,7 @@
 	struct worker **workers;
 	bool found;
 
-	if (!retry_is_due(step, now_ms) || (plan->has_orphans && gang_has_orphan_run(plan, step)))
+	if (!retry_is_due(step, now_ms) || gang_has_orphan_run(plan, step))
 		return true;
 	workers = talloc_zero_array(NULL, struct worker *, step->spec->count);
 	found = plan_pick_gang_workers(plan, step, false, now_ms, workers);
@@ -205,7 +196,7 @@
 		struct worker *worker;
 
 		if (task->state != TASK_WAITING || task->retry_after_ms > now_ms ||
-		    (plan->has_orphans && has_orphan_run(plan, task)))
+		    has_orphan_run(plan, task))
 			continue;
 		worker = plan_pick_worker(plan, task, now_ms);
 		if (!worker)
@@ -258,16 +249,24 @@
 		reserve_workers(plan, step, now_ms, reserved);
 }
 
+static void note_orphans(struct plan *plan, const struct worker *worker)
+{
+	for (const struct orphan_run *orphan = worker->orphans; orphan; orphan = orphan->next) {
+		if (!plan->orphan_tasks)
+			plan->orphan_tasks = g_hash_table_new(g_str_hash, g_str_equal);
+		g_hash_table_add(plan->orphan_tasks, orphan->task);
+	}
+}
+
 static void inspect_workers(struct plan *plan, uint64_t now_ms)
 {
 	uint32_t silent_after_ms = worker_silence_limit_ms(plan->workers->len);
 
-	plan->has_orphans = false;
 	for (guint i = 0; i < plan->workers->len; i++) {
 		struct worker *worker = plan->workers->pdata[i];
 
 		worker->silent = now_ms - worker->last_report_ms > silent_after_ms;
-		plan->has_orphans = plan->has_orphans || worker->orphans;
+		note_orphans(plan, worker);
 	}
 }
 
@@ -293,6 +292,7 @@
 		place_step(plan, &g_array_index(ranked_steps, struct ranked_step, i), now_ms,
 			   &reserved);
 	g_array_free(ranked_steps, TRUE);
+	g_clear_pointer(&plan->orphan_tasks, g_hash_table_destroy);
 	for (guint i = 0; i < plan->workers->len; i++) {
 		struct worker *worker = plan->workers->pdata[i];
 
