coord: a report under an earlier term is not taken

Each controller numbers sessions from the beginning, so a report that an agent had addressed to an earlier term of the same entry could carry a session of the present one. The agent is told the term and reports again.

--- a/src/coord.c
+++ b/src/coord.c
@@ -195,14 +195,28 @@
 	}
 }
 
-static void announce_leader(struct coord *coord, const struct agent_row *row)
+static struct msg lead_message(const struct coord *coord)
 {
-	struct msg msg = {
+	return (struct msg){
 		.type = MSG_LEAD,
 		.u.lead = {.term = coord->term,
 			   .node = coord->deps.node,
 			   .address = wire_address(coord->deps.wire)},
 	};
+}
+
+/* A report under an earlier term may have a session of that term's controller. */
+static void tell_term(struct coord *coord, const char *peer)
+{
+	struct msg msg = lead_message(coord);
+
+	if (wire_send(coord->deps.wire, peer, &msg))
+		log_debug("lead_unsent", peer, "no connection to the agent");
+}
+
+static void announce_leader(struct coord *coord, const struct agent_row *row)
+{
+	struct msg msg = lead_message(coord);
 
 	if (!row->address || wire_connect(coord->deps.wire, row->node, row->address) ||
 	    wire_send(coord->deps.wire, row->node, &msg))
@@ -546,6 +560,10 @@
 		leader_deposed(coord->deps.leader, msg->u.worker_report.term);
 		return true;
 	}
+	if (msg->u.worker_report.term < coord->term) {
+		tell_term(coord, peer);
+		return true;
+	}
 	report = fleet_report_read(coord, msg->u.worker_report.json.data,
 				   msg->u.worker_report.json.len);
 	if (!report) {
