runner: the worker's clock is estimated on a clock that stops with the host

After the host was suspended, the agent added the time of the suspension to its latest reading of the worker's clock, which had stood still, and extended the lease by that much too long, up to the 10 s that the worker allows. If the agent was then cut off, its runs could outlive the 6.9 s after which the leader starts them elsewhere. Found by the review; not shown by a test, which can't suspend a host.

--- a/src/runner.c
+++ b/src/runner.c
@@ -34,13 +34,16 @@
 void runner_read_clock(struct runner *runner, uint64_t clock_ms)
 {
 	runner->worker_clock_ms = clock_ms;
-	runner->clock_read_ms = util_clock_ms();
+	runner->clock_read_ms = util_running_ms();
 }
 
-/* An old reading or a slow clock of the worker makes the lease shorter, never longer. */
+/*
+ * An old reading or a slow clock of the worker makes the lease shorter, never longer. The worker's
+ * clock stands still while its host, which is also the agent's, is suspended.
+ */
 uint64_t runner_lease_end(const struct runner *runner)
 {
-	uint64_t passed = util_clock_ms() - runner->clock_read_ms;
+	uint64_t passed = util_running_ms() - runner->clock_read_ms;
 
 	return runner->worker_clock_ms + (uint64_t)((double)passed * (1 - WORKER_CLOCK_ERROR)) +
 	       WORKER_LEASE_MS;
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -58,7 +58,7 @@
 	uint64_t worker_started_ms;
 	uint64_t sequence;
 	uint64_t worker_clock_ms;   /* last reading of the worker's clock */
-	uint64_t clock_read_ms;	    /* own clock at that reading */
+	uint64_t clock_read_ms;	    /* util_running_ms() at that reading */
 	GHashTable *runs;	    /* key -> struct run_row */
 	struct fleet_run_end *ends; /* from the latest list, owned by ends_mem */
 	size_t end_count;
--- a/src/util.c
+++ b/src/util.c
@@ -25,6 +25,11 @@
 	return util_clock_us() / 1000U;
 }
 
+uint64_t util_running_ms(void)
+{
+	return clock_us(CLOCK_MONOTONIC) / 1000U;
+}
+
 uint64_t util_wall_ms(void)
 {
 	return clock_us(CLOCK_REALTIME) / 1000U;
--- a/src/util.h
+++ b/src/util.h
@@ -17,6 +17,9 @@
 /** util_wall_ms() - wall clock in milliseconds since 1970, for logs and stored records only */
 uint64_t util_wall_ms(void);
 
+/** util_running_ms() - milliseconds that this host has run; stands still while it is suspended */
+uint64_t util_running_ms(void);
+
 /**
  * util_hash64() - 64-bit hash that is the same on every machine and in every run
  * @data: bytes to hash, borrowed
