leader: two gaps around a stored resignation

A leader that wrote its key again after a lapse, with a lost answer, took its key in the conflict for success although the same answer showed that its resignation was stored. A request to store the resignation could be made while the key was being written again, with the new revision, and be forgotten when that write was answered. Found by the review; not shown by a test.

--- a/src/leader.c
+++ b/src/leader.c
@@ -59,6 +59,7 @@
 	uint64_t resigning_term; /* term whose resignation a peer is asked to store; 0: none */
 	/* Since when a resignation of this term may be stored; 0: it is certain that none is. */
 	uint64_t maybe_resigned_ms;
+	bool rewriting; /* the key is being written again, see end_possible_resignation() */
 	bool resignation_unknown; /* the outcome of a request to a peer is unknown */
 	uint64_t next_term;
 	int64_t term_revision;
@@ -129,7 +130,7 @@
 
 	schedule_renewal_check(leader);
 	if (!leader->renewal_failed || passed_ms < leader->ttl_ms * RESIGN_LEASE_SHARE ||
-	    leader->resigning_term || !leader->handlers.on_refused)
+	    leader->resigning_term || leader->rewriting || !leader->handlers.on_refused)
 		return;
 	leader->resigning_term = leader->term;
 	if (!leader->maybe_resigned_ms)
@@ -199,6 +200,36 @@
 	leader->handlers.on_gained(leader->term, leader->handlers.ctx);
 }
 
+/*
+ * After a lost answer, the leader key shows whether the attempt took effect. Returns false if it
+ * did not, or if a resignation of the term is stored.
+ */
+static bool take_own_key(struct leader *leader, const struct kv_result *result)
+{
+	const struct kv_item *own = NULL;
+	bool resigned = false;
+
+	for (size_t i = 0; i < result->count; i++) {
+		const struct kv_item *item = &result->items[i];
+
+		if (item->revision == 0)
+			continue;
+		if (!strcmp(item->key, LEADER_KEY) && !strcmp(item->value, leader->key_value))
+			own = item;
+		resigned = resigned || g_str_has_prefix(item->key, RESIGNED_PREFIX);
+	}
+	if (own && !resigned) {
+		become_leader(leader, own->revision);
+		adopt_key(leader, own);
+		return true;
+	}
+	/* A resignation of a term that has not begun: the term is left out. */
+	if (resigned && !leader->term)
+		leader->heard_term = MAX(leader->heard_term, leader->next_term);
+	end_term(leader, resigned ? "its resignation is stored" : "another process was elected");
+	return false;
+}
+
 static void on_leader_key_written(int status, const struct kv_result *result, void *ctx)
 {
 	struct leader *leader = ctx;
@@ -210,24 +241,8 @@
 		become_leader(leader, result->revision);
 		return;
 	}
-	/* After a lost answer, the leader key shows whether the attempt took effect. */
-	if (status == -ERR_CONFLICT) {
-		for (size_t i = 0; i < result->count; i++) {
-			const struct kv_item *item = &result->items[i];
-
-			if (!strcmp(item->key, LEADER_KEY) && item->revision > 0 &&
-			    !strcmp(item->value, leader->key_value)) {
-				become_leader(leader, item->revision);
-				adopt_key(leader, item);
-				return;
-			}
-			/* A resignation of a term that has not begun: the term is left out. */
-			if (!leader->term && item->revision > 0 &&
-			    g_str_has_prefix(item->key, RESIGNED_PREFIX))
-				leader->heard_term = MAX(leader->heard_term, leader->next_term);
-		}
-		end_term(leader, "another process was elected");
-	}
+	if (status == -ERR_CONFLICT && take_own_key(leader, result))
+		return;
 	/* No key is known to belong to this lease, so a renewal would confirm nothing. */
 	if (leader->term && leader->vacant)
 		leader->lease = 0;
@@ -366,6 +381,7 @@
 	struct leader *leader = ctx;
 
 	leader->call_pending = false;
+	leader->rewriting = false;
 	if (!leader->term)
 		return;
 	if (status == 0) {
@@ -391,6 +407,7 @@
 	struct kv_txn txn = {.expects = expects, .expect_count = 2, .puts = &put, .put_count = 1};
 
 	leader->call_pending = true;
+	leader->rewriting = true;
 	leader->kv->ops->txn(leader->kv->impl, &txn, (struct kv_cb){on_key_rewritten, leader});
 	talloc_free(resigned);
 }
