--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -582,6 +582,8 @@
 	CU_ASSERT_PTR_NOT_NULL_FATAL(f->coord);
 	send_report(f, 0, true, NULL, NULL);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(f->agents[0].orders);
+	if (!f->agents[0].orders)
+		return;
 	CU_ASSERT_EQUAL(f->agents[0].orders->valid_ms, WORKER_RENEWAL_WINDOW_MS);
 	tear_down(f);
 }
