plan: a record of which all tasks are done ends the job

Callers saw tasks started again that had run to their end. When a run has done a task while another run of it is still to be stopped, the task is recorded as done at once, but its occurrence ends only with that stop. If a later leader read the record in between, it found an occurrence without tasks to do, refused the record as one that would never end, and started the job from the beginning; before records were checked, such a job would have stayed open for ever. The leader now ends such occurrences when it reads them.

--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -164,6 +164,8 @@
 void plan_make_due_occurrences(struct plan *plan, uint64_t now_ms);
 void plan_update_ready(struct occurrence *occurrence, uint64_t now_ms);
 void plan_task_done(struct plan *plan, struct task *task, uint64_t now_ms);
+/* Ends an occurrence whose tasks are all done, and the job with its last one. */
+void plan_finish_occurrence(struct plan *plan, struct occurrence *occurrence);
 /* Ends the tasks that are done by an earlier run, once their current runs have ended. */
 void plan_end_tasks_done_before(struct plan *plan, uint64_t now_ms);
 void plan_task_failed(struct plan *plan, struct task *task, uint32_t run, uint64_t now_ms);
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -324,7 +324,7 @@
 	return NULL;
 }
 
-static void finish_occurrence(struct plan *plan, struct occurrence *occurrence)
+void plan_finish_occurrence(struct plan *plan, struct occurrence *occurrence)
 {
 	struct job *job = occurrence->job;
 
@@ -366,7 +366,7 @@
 	occurrence->steps_left--;
 	plan_update_ready(occurrence, now_ms);
 	if (occurrence->steps_left == 0)
-		finish_occurrence(plan, occurrence);
+		plan_finish_occurrence(plan, occurrence);
 }
 
 /* A gang is ended as a whole, so all its members must have ended their current runs. */
--- a/src/planrecord.c
+++ b/src/planrecord.c
@@ -176,8 +176,6 @@
 		if (read_step(&occurrence->steps[i], json_array_get(steps, i)))
 			return -ERR_INVALID;
 	}
-	if (occurrence->steps_left == 0)
-		return -ERR_INVALID; /* it would never end */
 	plan_update_ready(occurrence, job->accepted_ms);
 	return 0;
 }
@@ -210,6 +208,18 @@
 	return 0;
 }
 
+/* All tasks of an occurrence may be recorded as done while a run of one was still to be stopped. */
+static void finish_ended_occurrences(struct plan *plan, struct job *job)
+{
+	struct occurrence *next;
+
+	for (struct occurrence *occurrence = job->occurrences; occurrence; occurrence = next) {
+		next = occurrence->next;
+		if (occurrence->steps_left == 0)
+			plan_finish_occurrence(plan, occurrence);
+	}
+}
+
 int plan_job_restore(struct plan *plan, const char *id, const json_t *record)
 {
 	struct job *job = plan_find_job(plan, id);
@@ -225,6 +235,7 @@
 	job->started = json_is_true(json_object_get(record, "started"));
 	if (read_job(plan, job, record) == 0) {
 		job->next_run = MAX(job->next_run, 1);
+		finish_ended_occurrences(plan, job);
 		return 0;
 	}
 	while (job->occurrences)
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -717,6 +717,26 @@
 	check_and_free(sim);
 }
 
+/* Guards against a job that starts anew because its record says that all its tasks are done. */
+static void test_record_of_done_tasks(void)
+{
+	struct plansim *sim = plansim_create(NULL, 2);
+	json_t *record = json_loads("{\"state\":\"running\",\"started\":true,\"created\":1,"
+				    "\"finished\":0,\"next_run\":3,\"occurrences\":[{"
+				    "\"number\":0,\"steps\":[{\"gang_failures\":[],\"tasks\":"
+				    "[[0,true,[],1,\"\",0]]}]}]}",
+				    0, NULL);
+
+	plansim_add_job(sim, "j1", "batch", "b",
+			"[{\"tasks\":1,\"cpu_milli\":1000,\"estimate_ms\":500}]");
+	CU_ASSERT_EQUAL(plan_job_restore(sim->plan, "j1", record), 0);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "j1"), PLAN_JOB_COMPLETED);
+	plansim_run(sim, 1000);
+	CU_ASSERT_EQUAL(sim->starts, 0);
+	json_decref(record);
+	check_and_free(sim);
+}
+
 /* Guards against a job that a leader and its successor both start. */
 static void test_held_job(void)
 {
@@ -765,6 +785,7 @@
 		{"bad_record", test_bad_record},
 		{"lost_runs_are_reported", test_lost_runs_are_reported},
 		{"held_job", test_held_job},
+		{"record_of_done_tasks", test_record_of_done_tasks},
 		{"waits_for_end_of_orphan_run", test_waits_for_end_of_orphan_run},
 		{"pending_run_is_not_lost", test_pending_run_is_not_lost},
 		{"later_run_of_pending_one", test_later_run_of_pending_one},
