--- a/tests/lib_fleethosts.c
+++ b/tests/lib_fleethosts.c
@@ -173,12 +173,13 @@
 			  "control_address", fleethosts_address(fleet, NULL, host, PORT_CONTROL),
 			  "worker_address", fleethosts_address(fleet, NULL, worker, PORT_WORKER),
 			  "service", "s", "grace_s", 6, "stop_ms", 200);
+	char *path = talloc_asprintf(NULL, "%s/%s.json", proc_log_folder(), host->name);
 	bool written;
 
-	snprintf(host->settings, sizeof(host->settings), "%s/%s.json", proc_log_folder(),
-		 host->name);
-	written = json_dump_file(json, host->settings, 0) == 0;
+	g_strlcpy(host->settings, path, sizeof(host->settings));
+	written = json_dump_file(json, path, 0) == 0;
 	json_decref(json);
+	talloc_free(path);
 	return written;
 }
 
