leader, fake_platform: a key without a lease is no key of an earlier lease

The stand-in of the platform's store named the lease 0 for each key, and the leader took its own key for one under another lease and was never confirmed, so nothing started. The stand-in now names the lease, as the store does, and the leader keeps its own lease if the key names none.

--- a/src/leader.c
+++ b/src/leader.c
@@ -174,7 +174,7 @@
 static void adopt_key(struct leader *leader, const struct kv_item *item)
 {
 	leader->revision = item->revision;
-	if (item->lease == leader->lease)
+	if (item->lease == 0 || item->lease == leader->lease)
 		return;
 	log_info("leader_lease", "", "the leader key belongs to an earlier lease of this process");
 	leader->lease = item->lease;
--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -49,9 +49,9 @@
 		json = json_pack("{s:s, s:I, s:b}", "key", item->key, "revision", (json_int_t)1,
 				 "deleted", 1);
 	else
-		json = json_pack("{s:s, s:s, s:I, s:I, s:i}", "key", item->key, "value", value,
+		json = json_pack("{s:s, s:s, s:I, s:I, s:I}", "key", item->key, "value", value,
 				 "revision", (json_int_t)item->revision, "created",
-				 (json_int_t)item->created, "lease", 0);
+				 (json_int_t)item->created, "lease", (json_int_t)item->lease);
 	g_free(value);
 	return json;
 }
