wire: a flood of messages leaves the loop to other events

Cause: when a socket had more messages than one batch, reading went on from a tevent immediate. Immediates go before timers and descriptors, so a process that got messages faster than it handled them did nothing else.

Change: reading goes on from an event descriptor, which takes its turn with the others, and a batch ends after 5 ms. test_wire/flood_leaves_other_events failed before: neither a timer nor a descriptor was served during 400 messages.

--- a/src/wire.c
+++ b/src/wire.c
@@ -1,18 +1,24 @@
 #include "wire.h"
 #include "fields.h"
 #include "log.h"
+#include "util.h"
 
 #include <errno.h>
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 #include <zmq.h>
 
 #define HIGH_WATER_MARK_MESSAGES 4096
 #define MESSAGE_MAX_BYTES (2 * 1024 * 1024)
 #define RECONNECT_MIN_MS 100
 #define RECONNECT_MAX_MS 2000
-#define READ_BATCH_MESSAGES 64 /* messages read from a socket before other events are handled */
-#define PEER_NAME_MAX 255      /* limit of a ZeroMQ routing id */
+/* A socket is read up to these limits before other events are handled. */
+#define READ_BATCH_MESSAGES 64
+#define READ_BATCH_MS 5
+#define PEER_NAME_MAX 255 /* limit of a ZeroMQ routing id */
 
 /* One ZeroMQ socket: the ROUTER, or the DEALER that connects to @peer. */
 struct link {
@@ -21,9 +27,8 @@
 	char *peer; /* NULL for the ROUTER */
 	void *socket;
 	struct tevent_fd *fde;
-	struct tevent_immediate *read_immediate; /* continues reading from the loop */
-	bool read_scheduled;
-	bool reading; /* read_link() is running */
+	bool read_scheduled; /* it is in the wire's list of unread links */
+	bool reading;	     /* read_link() is running */
 };
 
 struct wire {
@@ -35,6 +40,14 @@
 	struct metrics *metrics;
 	struct link *router;
 	struct link *links;
+	GQueue unread; /* links whose reading goes on from the loop, longest waiting first */
+	/*
+	 * Event descriptor that is readable while there are unread links. Immediates and due timers
+	 * would go before all descriptors, so a socket that always has messages would keep the
+	 * loop from every other one.
+	 */
+	int unread_fd;
+	struct tevent_fd *unread_fde;
 	/* Metric handles, by traffic_class() or by enum msg_type. */
 	int received_bytes[2];
 	int sent_bytes[2];
@@ -156,12 +169,11 @@
 
 static void read_link(struct link *link);
 
-static void on_read_immediate(struct tevent_context *ev, struct tevent_immediate *im, void *data)
+static void set_unread(struct wire *wire)
 {
-	struct link *link = data;
-
-	link->read_scheduled = false;
-	read_link(link);
+	if (eventfd_write(wire->unread_fd, 1))
+		log_error("wire_unread", "", "cannot write to the event descriptor: %s",
+			  strerror(errno));
 }
 
 static void schedule_read(struct link *link)
@@ -169,7 +181,24 @@
 	if (link->read_scheduled)
 		return;
 	link->read_scheduled = true;
-	tevent_schedule_immediate(link->read_immediate, link->wire->ev, on_read_immediate, link);
+	if (g_queue_is_empty(&link->wire->unread))
+		set_unread(link->wire);
+	g_queue_push_tail(&link->wire->unread, link);
+}
+
+static void on_unread(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *data)
+{
+	struct wire *wire = data;
+	struct link *link = g_queue_pop_head(&wire->unread);
+	eventfd_t count;
+
+	if (g_queue_is_empty(&wire->unread) && eventfd_read(wire->unread_fd, &count))
+		log_error("wire_unread", "", "cannot read the event descriptor: %s",
+			  strerror(errno));
+	if (!link)
+		return;
+	link->read_scheduled = false;
+	read_link(link);
 }
 
 /*
@@ -188,17 +217,19 @@
 {
 	/* A handler may close the link, so the reference keeps it allocated during the loop. */
 	TALLOC_CTX *guard = talloc_new(NULL);
+	uint64_t end_ms = util_clock_ms() + READ_BATCH_MS;
 	int budget = READ_BATCH_MESSAGES;
+	bool more = true;
 
 	if (!talloc_reference(guard, link)) {
 		talloc_free(guard);
 		return;
 	}
 	link->reading = true;
-	while (link->socket && budget > 0 && receive_message(link))
-		budget--;
+	while (link->socket && more && budget-- > 0 && util_clock_ms() < end_ms)
+		more = receive_message(link);
 	link->reading = false;
-	if (link->socket && budget == 0)
+	if (link->socket && more)
 		schedule_read(link);
 	talloc_free(guard);
 }
@@ -212,7 +243,9 @@
 static void close_link(struct link *link)
 {
 	TALLOC_FREE(link->fde);
-	TALLOC_FREE(link->read_immediate);
+	if (link->read_scheduled)
+		g_queue_remove(&link->wire->unread, link);
+	link->read_scheduled = false;
 	if (link->socket)
 		zmq_close(link->socket);
 	link->socket = NULL;
@@ -258,7 +291,6 @@
 	set_common_options(link->socket);
 	zmq_setsockopt(link->socket, ZMQ_ROUTING_ID, wire->self, strlen(wire->self));
 	zmq_getsockopt(link->socket, ZMQ_FD, &fd, &size);
-	link->read_immediate = tevent_create_immediate(link);
 	link->fde = tevent_add_fd(wire->ev, link, fd, TEVENT_FD_READ, on_link_readable, link);
 	return link;
 }
@@ -295,6 +327,8 @@
 	}
 	TALLOC_FREE(wire->router);
 	zmq_ctx_term(wire->zmq);
+	TALLOC_FREE(wire->unread_fde);
+	close(wire->unread_fd);
 	return 0;
 }
 
@@ -308,6 +342,16 @@
 	wire->self = talloc_strdup(wire, self);
 	wire->handlers = *handlers;
 	wire->metrics = metrics;
+	wire->unread_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	if (wire->unread_fd < 0) {
+		err_set(err, ERR_SYSTEM, "raise the limit of open files",
+			"cannot create an event descriptor: %s", strerror(errno));
+		talloc_free(wire);
+		return NULL;
+	}
+	wire->unread_fde =
+		tevent_add_fd(ev, wire, wire->unread_fd, TEVENT_FD_READ, on_unread, wire);
+	g_queue_init(&wire->unread);
 	wire->zmq = zmq_ctx_new();
 	talloc_set_destructor(wire, wire_destructor);
 	define_counters(wire);
