election: candidates on larger hosts go first; takeovers cost a new leader less

The time went into connections: the leader opened one to each agent to announce itself while each agent opened one back, the queue for new connections held 100 (measure_takeover: 240 agents took 1,121 ms, of which one second was the repetition of dropped opening packets; with a longer queue 154 ms), and a decision over all waiting jobs followed each few reports.

Change: a host with less than 0.25 of a processor lets the others go first; the queue takes 4,096 connections; the leader announces itself to 16 agents each 25 ms, and agents without a leader ask the store every 250 ms, so most need no announcement; a decision is followed by a pause of twice its duration; a leader that shuts down tells its agents to look for the next one.

--- a/src/coord.c
+++ b/src/coord.c
@@ -9,7 +9,20 @@
 
 #define WATCH_MS 200 /* interval of the check for lost workers and silent agents */
 #define SUSPENDED_RECHECK_MS 50
-#define ANNOUNCE_INTERVAL_MS 1000 /* for the announcement to agents that have not reported */
+/*
+ * A pause of this many times the duration of a decision follows it. A decision takes tens of
+ * milliseconds on a small host of a large fleet, where the reports of hundreds of agents ask for
+ * one each, so reports and renewals would wait without the pause.
+ */
+#define DECISION_PAUSE_FACTOR 2
+/*
+ * A new leader announces itself to agents that have not reported, a few at a time. Most agents of a
+ * large fleet find the leader in the store meanwhile, which costs the leader half as many
+ * connections.
+ */
+#define ANNOUNCE_BATCH 16
+#define ANNOUNCE_BATCH_INTERVAL_MS 25
+#define ANNOUNCE_INTERVAL_MS 1000 /* until an agent that has not reported gets the next one */
 /* For warnings to agents; in between, the answers to reports carry the same warning. */
 #define WARN_INTERVAL_MS 2000
 /* Run numbers reserved for each term, so that leaders of different terms use different ones. */
@@ -86,7 +99,7 @@
 		.incarnation = row->incarnation,
 		.ends_stored = row->ends_stored,
 		.report_ms = report_interval_ms(g_hash_table_size(coord->agents)),
-		.unsure = leader_renewal_overdue(coord->deps.leader),
+		.unsure = coord->ending || leader_renewal_overdue(coord->deps.leader),
 	};
 
 	/* Acknowledges only refusals passed to the plan; the agent repeats the others. */
@@ -127,6 +140,11 @@
 	send_orders(coord, row, NULL);
 }
 
+uint64_t coord_decision_pause_ms(uint64_t took_ms)
+{
+	return DECISION_PAUSE_FACTOR * took_ms;
+}
+
 static void on_decide_timer(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
 			    void *ctx)
 {
@@ -136,6 +154,21 @@
 	coord_schedule_decision(coord);
 }
 
+static void set_decide_timer(struct coord *coord, uint64_t due_ms)
+{
+	uint64_t now_ms = util_clock_ms();
+	uint64_t wait_ms = due_ms > now_ms ? due_ms - now_ms : 0;
+
+	if (coord->decide_timer && coord->decide_timer_ms <= due_ms)
+		return;
+	TALLOC_FREE(coord->decide_timer);
+	coord->decide_timer_ms = due_ms;
+	coord->decide_timer = tevent_add_timer(
+		coord->deps.ev, coord,
+		tevent_timeval_current_ofs((uint32_t)(wait_ms / 1000), wait_ms % 1000 * 1000),
+		on_decide_timer, coord);
+}
+
 /* Suspends decisions while another process may be the leader and act on its own. */
 static bool may_decide(struct coord *coord)
 {
@@ -152,6 +185,9 @@
 static void run_decision(struct tevent_context *ev, struct tevent_immediate *im, void *ctx)
 {
 	struct coord *coord = ctx;
+	uint64_t began_ms = util_clock_ms();
+	uint64_t pause_ms;
+	uint64_t now_ms;
 	uint32_t wait_ms = SUSPENDED_RECHECK_MS;
 
 	coord->decide_scheduled = false;
@@ -160,21 +196,25 @@
 	if (leader_confirmed(coord->deps.leader))
 		plan_release_held(coord->plan);
 	if (may_decide(coord)) {
-		wait_ms = plan_decide(coord->plan, util_clock_ms(), on_orders_changed, coord);
+		wait_ms = plan_decide(coord->plan, began_ms, on_orders_changed, coord);
 		coord_ask_advice(coord, util_clock_ms());
 	}
 	coord_store_dirty(coord);
+	now_ms = util_clock_ms();
+	pause_ms = coord_decision_pause_ms(now_ms - began_ms);
+	coord->decide_after_ms = now_ms + pause_ms;
 	TALLOC_FREE(coord->decide_timer);
-	coord->decide_timer =
-		tevent_add_timer(coord->deps.ev, coord,
-				 tevent_timeval_current_ofs(wait_ms / 1000, wait_ms % 1000 * 1000),
-				 on_decide_timer, coord);
+	set_decide_timer(coord, now_ms + (pause_ms > wait_ms ? pause_ms : wait_ms));
 }
 
 void coord_schedule_decision(struct coord *coord)
 {
 	if (coord->decide_scheduled)
 		return;
+	if (util_clock_ms() < coord->decide_after_ms) {
+		set_decide_timer(coord, coord->decide_after_ms);
+		return;
+	}
 	coord->decide_scheduled = true;
 	tevent_schedule_immediate(coord->decide_immediate, coord->deps.ev, run_decision, coord);
 }
@@ -214,16 +254,46 @@
 		log_debug("lead_unsent", peer, "no connection to the agent");
 }
 
-static void announce_leader(struct coord *coord, const struct agent_row *row)
+static void announce_leader(struct coord *coord, struct agent_row *row, uint64_t now_ms)
 {
 	struct msg msg = lead_message(coord);
 
+	row->announced_ms = now_ms;
 	if (!row->address || wire_connect(coord->deps.wire, row->node, row->address) ||
 	    wire_send(coord->deps.wire, row->node, &msg))
 		log_warn("agent_unreachable", row->node,
 			 "cannot announce term %" PRIu64 " to the agent", coord->term);
 }
 
+/* Announces the leader to the next agents that have not reported, until inherited jobs may start.
+ */
+static void on_announce_timer(struct tevent_context *ev, struct tevent_timer *te,
+			      struct timeval now, void *ctx)
+{
+	struct coord *coord = ctx;
+	uint64_t now_ms = util_clock_ms();
+	int left = ANNOUNCE_BATCH;
+	GHashTableIter iter;
+	gpointer value;
+
+	coord->announce_timer = NULL;
+	if (coord->inherited_released)
+		return;
+	g_hash_table_iter_init(&iter, coord->agents);
+	while (left > 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct agent_row *row = value;
+
+		if (row->sessions_issued || row->last_report_ms ||
+		    (row->announced_ms && now_ms - row->announced_ms < ANNOUNCE_INTERVAL_MS))
+			continue;
+		announce_leader(coord, row, now_ms);
+		left--;
+	}
+	coord->announce_timer = tevent_add_timer(
+		ev, coord, tevent_timeval_current_ofs(0, ANNOUNCE_BATCH_INTERVAL_MS * 1000),
+		on_announce_timer, coord);
+}
+
 static void release_inherited_jobs(struct coord *coord, const char *why)
 {
 	coord->inherited_released = true;
@@ -293,18 +363,6 @@
 	}
 }
 
-static void announce_to_silent_agents(struct coord *coord)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, coord->agents);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (!((struct agent_row *)value)->last_report_ms)
-			announce_leader(coord, value);
-	}
-}
-
 static void on_watch_timer(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
 			   void *ctx)
 {
@@ -314,9 +372,6 @@
 	detect_lost_workers(coord, now_ms);
 	try_release_inherited_jobs(coord, now_ms);
 	coord_remove_ended_jobs(coord, now_ms);
-	if (!coord->inherited_released &&
-	    (now_ms - coord->elected_ms) % ANNOUNCE_INTERVAL_MS < WATCH_MS)
-		announce_to_silent_agents(coord);
 	tevent_add_timer(ev, coord, tevent_timeval_current_ofs(0, WATCH_MS * 1000), on_watch_timer,
 			 coord);
 }
@@ -329,7 +384,7 @@
 	log_info("jobs_loaded", "", "%u jobs, %u agents", g_hash_table_size(coord->jobs),
 		 g_hash_table_size(coord->agents));
 	plan_set_min_run(coord->plan, (uint32_t)((coord->term - 1) * RUNS_PER_TERM + 1));
-	announce_to_silent_agents(coord);
+	on_announce_timer(coord->deps.ev, NULL, tevent_timeval_zero(), coord);
 	if (coord->term == 1)
 		release_inherited_jobs(coord, "this is the first leader");
 	apply_all_pending(coord);
@@ -578,6 +633,12 @@
 	return true;
 }
 
+void coord_end(struct coord *coord)
+{
+	coord->ending = true;
+	coord_warn_agents(coord);
+}
+
 void coord_warn_agents(struct coord *coord)
 {
 	uint64_t now_ms = util_clock_ms();
--- a/src/coord.h
+++ b/src/coord.h
@@ -63,6 +63,13 @@
  */
 void coord_warn_agents(struct coord *coord);
 
+/**
+ * coord_end() - tell the agents that this process is about to give up the lead
+ *
+ * They look for the next leader at once then, and not only when this one has been silent.
+ */
+void coord_end(struct coord *coord);
+
 /**
  * coord_job_state() - state of a job to report to callers
  *
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -19,6 +19,7 @@
 	char *address;
 	char *peer; /* wire name that its reports come from; NULL before the first report */
 	char *incarnation;
+	uint64_t announced_ms;	  /* when this leader last announced itself to it; 0: never */
 	uint64_t last_report_ms;  /* time of the last report; 0: none under this leader */
 	uint64_t last_list_ms;	  /* last report of what runs, or that nothing does; 0: none */
 	uint64_t session;	  /* of the process that reports; 0: none yet */
@@ -67,14 +68,18 @@
 	struct metrics_histogram settling_ms; /* from the election until inherited jobs may start */
 	struct metrics_histogram progress_ms; /* one transaction that stores progress */
 	uint64_t batch_sent_ms;
-	struct metrics_histogram advice_ms; /* one call to the advice service */
-	uint64_t warned_ms;		    /* last warning of coord_warn_agents() */
-	uint32_t advice_calls;		    /* in progress */
-	int losses[PLAN_LOSS_COUNT];	    /* metric handles */
-	int agent_restarts;		    /* metric handle */
+	struct metrics_histogram advice_ms;  /* one call to the advice service */
+	uint64_t warned_ms;		     /* last warning of coord_warn_agents() */
+	bool ending;			     /* this process gives up the lead */
+	struct tevent_timer *announce_timer; /* set while agents have not reported */
+	uint32_t advice_calls;		     /* in progress */
+	int losses[PLAN_LOSS_COUNT];	     /* metric handles */
+	int agent_restarts;		     /* metric handle */
 	struct tevent_immediate *decide_immediate;
 	bool decide_scheduled;
 	struct tevent_timer *decide_timer;
+	uint64_t decide_timer_ms; /* when decide_timer is due; only while it is set */
+	uint64_t decide_after_ms; /* no decision before this time, see coord_decision_pause_ms() */
 	struct coord_link *link;
 };
 
@@ -101,6 +106,8 @@
 void coord_ask_advice(struct coord *coord, uint64_t now_ms);
 
 /* coord.c */
+/* Pause after a decision that took @took_ms, so that other events get their share of the time. */
+uint64_t coord_decision_pause_ms(uint64_t took_ms);
 void coord_on_loaded(struct coord *coord);
 void coord_confirm_ends(struct coord *coord);
 /* Applies the report of an agent that was kept until its key is stored. */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -205,6 +205,7 @@
 		.address = wire_address(node->wire),
 		.ttl_ms = node->settings->leader_ttl_ms,
 		.candidate = true,
+		.processors = node->settings->processor_share * node->settings->processors,
 	};
 	struct leader_handlers on_leader = {on_gained, on_lost, on_leader_changed, on_refused,
 					    node};
@@ -340,6 +341,8 @@
 	node->drain_began_ms = util_clock_ms();
 	node->done = done;
 	node->done_ctx = ctx;
+	if (node->coord)
+		coord_end(node->coord);
 	if (node->leader)
 		leader_resign(node->leader);
 	if (node->callers)
--- a/src/fleetnode.c
+++ b/src/fleetnode.c
@@ -11,6 +11,7 @@
 #define KEEP_ENDED_DEFAULT_S 120
 #define STOP_DEFAULT_MS 900
 #define DURATION_MAX_S 86400
+#define PROCESSORS_MAX 4096
 #define DURATION_MAX_MS (DURATION_MAX_S * 1000)
 
 #define FIELD_OFFSET(field) offsetof(struct fleetnode_settings, field)
@@ -29,6 +30,8 @@
 	{"service", FIELD_STRING, FIELD_OFFSET(service), 1, 200, 0},
 	{"grace_s", FIELD_DOUBLE, FIELD_OFFSET(grace_s), 0.1, DURATION_MAX_S, 0},
 	{"leader_ttl_ms", FIELD_U32, FIELD_OFFSET(leader_ttl_ms), 500, DURATION_MAX_MS, 0},
+	{"processor_share", FIELD_DOUBLE, FIELD_OFFSET(processor_share), 0, 1, 0},
+	{"processors", FIELD_U32, FIELD_OFFSET(processors), 1, PROCESSORS_MAX, 0},
 	{"stall_ms", FIELD_U32, FIELD_OFFSET(stall_ms), 100, DURATION_MAX_MS, 0},
 	{"keep_ended_s", FIELD_DOUBLE, FIELD_OFFSET(keep_ended_s), 0, DURATION_MAX_S, 0},
 	{"stop_ms", FIELD_DOUBLE, FIELD_OFFSET(stop_ms), 0, DURATION_MAX_MS, 0},
@@ -100,6 +103,7 @@
 	settings->stall_ms = STALL_DEFAULT_MS;
 	settings->keep_ended_s = KEEP_ENDED_DEFAULT_S;
 	settings->stop_ms = STOP_DEFAULT_MS;
+	settings->processors = 1;
 	drop_unused_fields(object);
 	check_required(object, role, report);
 	fields_read(settings, object, "", known_fields, COUNT_OF(known_fields), settings, &sink);
--- a/src/fleetnode.h
+++ b/src/fleetnode.h
@@ -25,6 +25,8 @@
  * @service: agent: pool that the worker belongs to
  * @grace_s: time between SIGTERM and the end of the process
  * @leader_ttl_ms: duration of the leader's lease; a leader silent for longer is replaced
+ * @processor_share: share of each processor that this process may use; 0: unknown
+ * @processors: number of processors that this process may use at once
  * @stall_ms: a task without progress for this long counts as stuck
  * @keep_ended_s: the states of ended jobs can be queried for this long
  */
@@ -41,6 +43,8 @@
 	const char *service;
 	double grace_s;
 	uint32_t leader_ttl_ms;
+	double processor_share;
+	uint32_t processors;
 	uint32_t stall_ms;
 	double keep_ended_s;
 	double stop_ms;
--- a/src/leader.c
+++ b/src/leader.c
@@ -26,6 +26,9 @@
 #define CANDIDATE_DELAY_MS \
 	150 /* lets a leader return first whose lease expired in a store outage */
 #define CANDIDATE_JITTER_MS 250
+/* Candidates on small hosts wait until those on larger ones have had the time for an election. */
+#define SMALL_HOST_DELAY_MS (CANDIDATE_JITTER_MS + 50)
+#define SMALL_HOST_RESIGN_DELAY_MS (RESIGN_JITTER_MS + 50)
 /*
  * A leader key that another writer has overwritten is replaced after this many leases. The elected
  * leader sees it by then and writes its own again, or its lease has expired.
@@ -46,6 +49,7 @@
 	char *known_address;
 	uint32_t ttl_ms;
 	bool candidate;
+	bool small_host; /* lets candidates on larger hosts go first */
 	bool resigned;
 	bool call_pending; /* a store call of the election is in progress; one at a time */
 	bool vacant;	   /* the leader key is absent */
@@ -473,7 +477,7 @@
 		advance_after(leader, 0);
 		return;
 	}
-	advance_after(leader, CANDIDATE_DELAY_MS +
+	advance_after(leader, CANDIDATE_DELAY_MS + (leader->small_host ? SMALL_HOST_DELAY_MS : 0) +
 				      (uint32_t)util_rng_below(&leader->rng, CANDIDATE_JITTER_MS));
 }
 
@@ -500,7 +504,8 @@
 	    leader->resigned_term != leader->known_term || leader->known_revision == 0)
 		return;
 	leader->replaceable_revision = leader->known_revision;
-	advance_after(leader, (uint32_t)util_rng_below(&leader->rng, RESIGN_JITTER_MS));
+	advance_after(leader, (leader->small_host ? SMALL_HOST_RESIGN_DELAY_MS : 0) +
+				      (uint32_t)util_rng_below(&leader->rng, RESIGN_JITTER_MS));
 }
 
 /*
@@ -657,6 +662,7 @@
 	leader->address = talloc_strdup(leader, options->address);
 	leader->ttl_ms = options->ttl_ms;
 	leader->candidate = options->candidate;
+	leader->small_host = options->processors > 0 && options->processors < LEADER_PROCESSORS_MIN;
 	util_random_bytes(&leader->rng.state, sizeof(leader->rng.state));
 	leader->mirror = kv_mirror_create(leader, ev, kv, LEADER_KEY, &mirror);
 	return leader;
--- a/src/leader.h
+++ b/src/leader.h
@@ -24,7 +24,8 @@
 	const char *node;
 	const char *address; /* where other processes send messages to this one */
 	uint32_t ttl_ms;
-	bool candidate; /* false: only observes who is the leader */
+	bool candidate;	   /* false: only observes who is the leader */
+	double processors; /* that this process may use, 0.5: half of one; 0: unknown */
 };
 
 /**
@@ -49,6 +50,14 @@
 			     const struct leader_options *options,
 			     const struct leader_handlers *handlers);
 
+/**
+ * LEADER_PROCESSORS_MIN - a host with less than this becomes leader only if no other one does
+ *
+ * In a fleet of 240 workers a leader needs seconds to hear from all agents on 0.12 of a processor,
+ * and a third of a second on 0.5.
+ */
+#define LEADER_PROCESSORS_MIN 0.25
+
 /** leader_term() - term of this process, 0 when it is not the leader */
 uint64_t leader_term(const struct leader *leader);
 
--- a/src/runner.c
+++ b/src/runner.c
@@ -18,12 +18,11 @@
 #define REPORT_DELAY_MS 4	   /* joins changes that occur together in one report */
 #define CONNECT_FAILURES_TO_DOWN 2 /* a single refused connection may be a reset */
 #define LEADER_SILENT_MS 1500	   /* without orders for this long, the store is asked who leads */
-#define LEADER_QUERY_MS 500
 /*
- * Interval while the leader reports that the store has not confirmed it. It is shorter because
- * a later leader waits only WORKER_LOST_MS for this worker.
+ * Short enough that an agent finds a new leader without its announcement, and that it follows it
+ * before WORKER_LOST_MS is over if the leader before can't reach the store.
  */
-#define UNCONFIRMED_LEADER_QUERY_MS 250
+#define LEADER_QUERY_MS 250
 #define LEADER_LINK "leader"
 
 bool runner_may_extend_lease(const struct runner *runner)
@@ -213,9 +212,7 @@
 
 static void query_leader_if_due(struct runner *runner, uint64_t now_ms)
 {
-	if (runner->leader_query_pending ||
-	    now_ms - runner->leader_queried_ms <
-		    (runner->leader_unconfirmed ? UNCONFIRMED_LEADER_QUERY_MS : LEADER_QUERY_MS))
+	if (runner->leader_query_pending || now_ms - runner->leader_queried_ms < LEADER_QUERY_MS)
 		return;
 	if (runner->connected && !runner->leader_unconfirmed &&
 	    now_ms - runner->leader_contact_ms < LEADER_SILENT_MS)
--- a/src/wire.c
+++ b/src/wire.c
@@ -13,6 +13,11 @@
 
 #define HIGH_WATER_MARK_MESSAGES 4096
 #define MESSAGE_MAX_BYTES (2 * 1024 * 1024)
+/*
+ * All agents of a fleet connect to a new leader within a few milliseconds. An opening packet that
+ * finds the queue full is dropped and sent again after a second or more.
+ */
+#define PENDING_CONNECTIONS_MAX 4096
 #define RECONNECT_MIN_MS 100
 #define RECONNECT_MAX_MS 2000
 /* A socket is read up to these limits before other events are handled. */
@@ -307,6 +312,7 @@
 			       "cannot create a ZeroMQ socket: %s", zmq_strerror(errno));
 	set_int(wire->router->socket, ZMQ_ROUTER_MANDATORY, 1);
 	set_int(wire->router->socket, ZMQ_ROUTER_HANDOVER, 1);
+	set_int(wire->router->socket, ZMQ_BACKLOG, PENDING_CONNECTIONS_MAX);
 	snprintf(endpoint, sizeof(endpoint), "tcp://%s", bind_address);
 	if (zmq_bind(wire->router->socket, endpoint))
 		return err_set(err, ERR_SYSTEM,
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -1,4 +1,4 @@
-#include "coord.h"
+#include "coord_int.h"
 #include "fleetlimits.h"
 #include "fleetmsg.h"
 #include "lib_memkv.h"
@@ -21,6 +21,7 @@
 	struct wire *wire;
 	char node[16];
 	bool announced; /* the leader has announced itself */
+	int announcements;
 	struct fleet_orders *orders;
 	int answers;
 	uint64_t terms_behind; /* it follows an earlier term */
@@ -66,8 +67,10 @@
 {
 	struct agent *agent = ctx;
 
-	if (msg->type == MSG_LEAD)
+	if (msg->type == MSG_LEAD) {
 		agent->announced = true;
+		agent->announcements++;
+	}
 	if (msg->type != MSG_WORKER_ORDERS)
 		return;
 	talloc_free(agent->orders);
@@ -167,12 +170,24 @@
 static void elect_leader(struct fixture *f)
 {
 	struct leader_handlers on_leader = {on_gained, on_lost, NULL, NULL, f};
-	struct leader_options options = {"e1", "127.0.0.1:1", TTL_MS, true};
+	struct leader_options options = {"e1", "127.0.0.1:1", TTL_MS, true, 0};
 
 	f->leader = leader_create(f, f->ev, &f->client->kv, &options, &on_leader);
 	memkv_run(f->ev, 700);
 }
 
+/* Runs until the leader has just been elected and has read the jobs. */
+static void elect_until_loaded(struct fixture *f)
+{
+	struct leader_handlers on_leader = {on_gained, on_lost, NULL, NULL, f};
+	struct leader_options options = {"e1", "127.0.0.1:1", TTL_MS, true, 0};
+	enum plan_job_state state;
+
+	f->leader = leader_create(f, f->ev, &f->client->kv, &options, &on_leader);
+	while (!f->coord || coord_job_state(f->coord, "x", &state) == -ERR_UNAVAILABLE)
+		tevent_loop_once(f->ev);
+}
+
 static void tear_down(struct fixture *f)
 {
 	TALLOC_FREE(f->coord);
@@ -574,7 +589,7 @@
 {
 	struct fixture *f = set_up("1");
 	struct leader_handlers on_leader = {on_gained, on_lost, NULL, NULL, f};
-	struct leader_options options = {"e1", "127.0.0.1:1", TTL_MS, true};
+	struct leader_options options = {"e1", "127.0.0.1:1", TTL_MS, true, 0};
 
 	f->leader = leader_create(f, f->ev, &f->client->kv, &options, &on_leader);
 	for (int i = 0; i < 700 && !f->coord; i++)
@@ -828,6 +843,57 @@
 	tear_down(f);
 }
 
+#define SILENT_AGENTS 60
+
+/*
+ * Guards against a new leader that connects to all agents of a large fleet at once, while most of
+ * them connect to it: on a small host it did nothing else for seconds. Agents that find it in the
+ * store need no announcement; the others get one.
+ */
+static void test_announces_a_few_at_a_time(void)
+{
+	struct fixture *f = set_up("3");
+	int early;
+
+	for (int i = 0; i < SILENT_AGENTS; i++)
+		memkv_put(f->store, talloc_asprintf(f, "agent/silent%d", i),
+			  wire_address(f->agents[1].wire));
+	elect_until_loaded(f);
+	send_report(f, 0, true, NULL, NULL);
+	early = f->agents[1].announcements;
+	CU_ASSERT_TRUE(early > 0);
+	CU_ASSERT_TRUE(early < SILENT_AGENTS);
+	memkv_run(f->ev, 600);
+	CU_ASSERT_TRUE(f->agents[1].announcements >= SILENT_AGENTS);
+	CU_ASSERT_TRUE(f->agents[0].announcements <= 1);
+	tear_down(f);
+}
+
+/*
+ * Guards against agents that look for the next leader only when the former one, which has shut
+ * down, has been silent for 1.5 s.
+ */
+static void test_end_is_told_to_agents(void)
+{
+	struct fixture *f = set_up("");
+
+	elect_leader(f);
+	send_report(f, 0, true, NULL, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(f->agents[0].orders);
+	CU_ASSERT_FALSE(f->agents[0].orders->unsure);
+	coord_end(f->coord);
+	memkv_run(f->ev, 60);
+	CU_ASSERT_TRUE(f->agents[0].orders->unsure);
+	tear_down(f);
+}
+
+/* Guards against decisions that leave no time for reports and renewals on a small host. */
+static void test_pause_after_decision(void)
+{
+	CU_ASSERT_EQUAL(coord_decision_pause_ms(0), 0);
+	CU_ASSERT_TRUE(coord_decision_pause_ms(40) >= 80);
+}
+
 int main(void)
 {
 	static CU_TestInfo tests[] = {
@@ -856,6 +922,9 @@
 		{"odd_job_keys", test_odd_job_keys},
 		{"odd_progress", test_odd_progress},
 		{"odd_agent_keys", test_odd_agent_keys},
+		{"announces_a_few_at_a_time", test_announces_a_few_at_a_time},
+		{"end_is_told_to_agents", test_end_is_told_to_agents},
+		{"pause_after_decision", test_pause_after_decision},
 		CU_TEST_INFO_NULL,
 	};
 	CU_SuiteInfo suites[] = {
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -71,7 +71,7 @@
 {
 	struct fixture *f = talloc_zero(NULL, struct fixture);
 	struct wire_handlers wire = {on_message, f};
-	struct leader_options options = {"e1", "127.0.0.1:1", 1000, false};
+	struct leader_options options = {"e1", "127.0.0.1:1", 1000, false, 0};
 	struct leader_handlers leader = {0};
 	struct intake_deps deps = {0};
 	struct relay_deps relay = {0};
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -16,6 +16,7 @@
 	int refused;
 	bool peer_writes;
 	bool peer_answers_lost;
+	double processors;
 	int64_t own_revision; /* of the leader key, at the latest request to the peer */
 	struct memkv *store;
 	char known[32];
@@ -67,7 +68,8 @@
 static void start_node(struct fixture *f, struct node *node)
 {
 	static const char *const names[] = {"n0", "n1", "n2"};
-	struct leader_options options = {names[node - f->nodes], "127.0.0.1:1", TTL_MS, true};
+	struct leader_options options = {names[node - f->nodes], "127.0.0.1:1", TTL_MS, true,
+					 node->processors};
 	struct leader_handlers handlers = {on_gained, on_lost, on_changed, on_refused, node};
 
 	node->store = f->store;
@@ -117,6 +119,34 @@
 	talloc_free(f);
 }
 
+/*
+ * Guards against a leader on a small host while a larger one is there: on 0.12 of a processor it
+ * needed 2.2 s to hear from 240 agents.
+ */
+static void test_larger_hosts_go_first(void)
+{
+	struct fixture *f = talloc_zero(NULL, struct fixture);
+	int count;
+
+	f->ev = tevent_context_init(f);
+	f->store = memkv_create(f, f->ev);
+	f->nodes[0].processors = 0.12;
+	f->nodes[1].processors = 0.12;
+	f->nodes[2].processors = 0.5;
+	for (int i = 0; i < 3; i++)
+		start_node(f, &f->nodes[i]);
+	for (int i = 0; i < 5; i++) {
+		memkv_run(f->ev, 900);
+		CU_ASSERT_PTR_EQUAL(find_leader(f, &count), &f->nodes[2]);
+		CU_ASSERT_EQUAL(count, 1);
+		memkv_expire(f->store);
+	}
+	f->nodes[2].client->fault = MEMKV_REJECT_CALLS;
+	memkv_run(f->ev, TTL_MS + 1200);
+	CU_ASSERT_TRUE(f->nodes[0].term > 0 || f->nodes[1].term > 0);
+	talloc_free(f);
+}
+
 /* Guards against a leader that is not replaced although the store refuses its renewals. */
 static void test_refused_leader_is_replaced(void)
 {
@@ -572,6 +602,7 @@
 	CU_initialize_registry();
 	suite = CU_add_suite("leader", NULL, NULL);
 	CU_add_test(suite, "one_leader", test_one_leader);
+	CU_add_test(suite, "larger_hosts_go_first", test_larger_hosts_go_first);
 	CU_add_test(suite, "refused_leader_is_replaced", test_refused_leader_is_replaced);
 	CU_add_test(suite, "same_leader_after_lapse", test_same_leader_after_lapse);
 	CU_add_test(suite, "lost_answers", test_lost_answers);
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -436,7 +436,7 @@
 	struct world *world = talloc_zero(NULL, struct world);
 	struct wire_handlers handlers = {on_message, world};
 	struct leader_handlers on_leader = {on_gained, on_lost, NULL, NULL, world};
-	struct leader_options options = {"e1", "127.0.0.1:1", TTL_MS, true};
+	struct leader_options options = {"e1", "127.0.0.1:1", TTL_MS, true, 0};
 	struct relay_deps relay = {.node = "e1"};
 	struct err err;
 
