relay: a write goes only to a peer that the store answers

Cause: an entry that the store does not answer sent each submission to its peers one after the other.

Change: up to eight peers are asked at once whether the store answers them, and the write is sent only to one that says so. If none does within 150 ms, nothing was sent and the caller gets 503 with Retry-After. test_relay/nobody_can_write failed before.

--- a/src/msg.c
+++ b/src/msg.c
@@ -309,6 +309,15 @@
 	FIELD_U64(struct msg_relayed, code),
 };
 
+static const struct field relay_probe_fields[] = {
+	FIELD_U64(struct msg_relay_probe, id),
+};
+
+static const struct field relay_probed_fields[] = {
+	FIELD_U64(struct msg_relay_probed, id),
+	FIELD_U64(struct msg_relay_probed, code),
+};
+
 #define LAYOUT(type, member) [type] = {#member, member##_fields, ARRAY_LEN(member##_fields)}
 
 static const struct layout layouts[MSG_TYPE_COUNT] = {
@@ -349,6 +358,8 @@
 	LAYOUT(MSG_WORKER_ORDERS, worker_orders),
 	LAYOUT(MSG_RELAY, relay),
 	LAYOUT(MSG_RELAYED, relayed),
+	LAYOUT(MSG_RELAY_PROBE, relay_probe),
+	LAYOUT(MSG_RELAY_PROBED, relay_probed),
 };
 
 /* View of the adjacent members @rows and @row_count of struct msg_target_delta. */
--- a/src/msg.h
+++ b/src/msg.h
@@ -59,6 +59,8 @@
 	MSG_WORKER_ORDERS,
 	MSG_RELAY,
 	MSG_RELAYED,
+	MSG_RELAY_PROBE,
+	MSG_RELAY_PROBED,
 	MSG_TYPE_COUNT,
 };
 
@@ -406,6 +408,16 @@
 	uint64_t code; /* 0 or enum err_code */
 };
 
+/* From an entry that can't reach the store to another: does the store answer you? */
+struct msg_relay_probe {
+	uint64_t id; /* of the write that is to be made */
+};
+
+struct msg_relay_probed {
+	uint64_t id;
+	uint64_t code; /* 0: the store answers; or enum err_code */
+};
+
 /**
  * struct msg - one message of any type
  * @type: selects the member of the union
@@ -452,6 +464,8 @@
 		struct msg_worker_orders worker_orders;
 		struct msg_relay relay;
 		struct msg_relayed relayed;
+		struct msg_relay_probe relay_probe;
+		struct msg_relay_probed relay_probed;
 	} u;
 };
 
--- a/src/relay.c
+++ b/src/relay.c
@@ -13,6 +13,8 @@
 #define ANSWER_WAIT_MS 350	 /* a peer whose store works answers within a tenth of this */
 #define SILENT_PEER_SKIP_MS 5000 /* a peer that did not answer is not asked for this time */
 #define REGISTER_RETRY_MS 500
+#define PROBED_PEERS_MAX 8 /* asked at once whether the store answers them */
+#define PROBE_WAIT_MS 150  /* an entry answers a probe without a call to the store */
 
 struct peer_entry {
 	struct peer_entry *next;
@@ -28,6 +30,7 @@
 	struct peer_entry *peers;
 	GHashTable *calls; /* number -> struct relay_call */
 	uint64_t next_number;
+	struct util_rng rng;
 	bool registered;
 };
 
@@ -42,8 +45,13 @@
 	struct peer_entry *asked; /* peer that was asked last, NULL once it is removed */
 	char **tried;		  /* nodes of the peers tried so far */
 	size_t tried_count;
+	char *probed[PROBED_PEERS_MAX]; /* nodes of the peers that have not answered the probe */
+	size_t probed_count;
+	char *ready[PROBED_PEERS_MAX]; /* nodes of the peers that the store answers */
+	size_t ready_count;
 	bool maybe_written;
-	struct tevent_timer *timer;
+	struct tevent_timer *timer;	  /* for the answer of the peer that was asked last */
+	struct tevent_timer *probe_timer; /* set while answers to probes are waited for */
 	void (*done)(int status, void *ctx);
 	void *ctx;
 };
@@ -91,12 +99,22 @@
 	return false;
 }
 
+static struct peer_entry *find_peer(const struct relay *relay, const char *node)
+{
+	for (struct peer_entry *peer = relay->peers; peer; peer = peer->next) {
+		if (!strcmp(peer->node, node))
+			return peer;
+	}
+	return NULL;
+}
+
+/* The next peer that the store answers and that was not asked for the write yet. */
 static struct peer_entry *next_peer(const struct relay_call *call)
 {
-	uint64_t now_ms = util_clock_ms();
+	for (size_t i = 0; i < call->ready_count; i++) {
+		struct peer_entry *peer = find_peer(call->relay, call->ready[i]);
 
-	for (struct peer_entry *peer = call->relay->peers; peer; peer = peer->next) {
-		if (peer->skip_until_ms <= now_ms && !was_tried(call, peer->node))
+		if (peer && !was_tried(call, peer->node))
 			return peer;
 	}
 	return NULL;
@@ -131,13 +149,118 @@
 					       on_answer_timeout, call);
 		return;
 	}
-	finish_call(call, -ERR_UNAVAILABLE);
+	call->asked = NULL;
+	if (!call->probe_timer)
+		finish_call(call, -ERR_UNAVAILABLE);
+}
+
+/* Continues without the peers that have not answered the probe. */
+static void on_probe_timeout(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+			     void *ctx)
+{
+	struct relay_call *call = ctx;
+
+	call->probe_timer = NULL;
+	for (size_t i = 0; i < call->probed_count; i++) {
+		struct peer_entry *peer = find_peer(call->relay, call->probed[i]);
+
+		if (peer)
+			peer->skip_until_ms = util_clock_ms() + SILENT_PEER_SKIP_MS;
+	}
+	if (!call->timer)
+		ask_next_peer(call);
+}
+
+static bool send_probe(struct relay_call *call, const struct peer_entry *peer)
+{
+	struct wire *wire = call->relay->deps.wire;
+	struct msg msg = {.type = MSG_RELAY_PROBE, .u.relay_probe.id = call->number};
+
+	return !wire_connect(wire, peer->link, peer->address) && !wire_send(wire, peer->link, &msg);
+}
+
+/* Asks some peers, from a random one on, whether the store answers them. */
+static void probe_peers(struct relay_call *call)
+{
+	struct relay *relay = call->relay;
+	uint64_t now_ms = util_clock_ms();
+	uint64_t count = 0;
+	uint64_t skipped;
+
+	for (struct peer_entry *peer = relay->peers; peer; peer = peer->next)
+		count++;
+	skipped = count ? util_rng_below(&relay->rng, count) : 0;
+	for (int round = 0; round < 2; round++) {
+		uint64_t index = 0;
+
+		for (struct peer_entry *peer = relay->peers; peer; peer = peer->next, index++) {
+			bool in_round = round == 0 ? index >= skipped : index < skipped;
+
+			if (!in_round || peer->skip_until_ms > now_ms ||
+			    call->probed_count == PROBED_PEERS_MAX || !send_probe(call, peer))
+				continue;
+			call->probed[call->probed_count++] = talloc_strdup(call, peer->node);
+		}
+	}
 }
 
 static void on_put_timer(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
 			 void *ctx)
 {
-	ask_next_peer(ctx);
+	struct relay_call *call = ctx;
+
+	probe_peers(call);
+	if (!call->probed_count) {
+		finish_call(call, -ERR_UNAVAILABLE);
+		return;
+	}
+	call->probe_timer = tevent_add_timer(call->relay->deps.ev, call,
+					     tevent_timeval_current_ofs(0, PROBE_WAIT_MS * 1000),
+					     on_probe_timeout, call);
+}
+
+/* Returns false if no answer to a probe is expected from the peer. */
+static bool take_probed(struct relay_call *call, const char *node)
+{
+	for (size_t i = 0; i < call->probed_count; i++) {
+		if (strcmp(call->probed[i], node) != 0)
+			continue;
+		talloc_free(call->probed[i]);
+		call->probed[i] = call->probed[--call->probed_count];
+		return true;
+	}
+	return false;
+}
+
+static void on_probe_answer(struct relay *relay, const char *link,
+			    const struct msg_relay_probed *msg)
+{
+	struct relay_call *call = g_hash_table_lookup(relay->calls, &msg->id);
+	const char *node;
+
+	if (!call || !call->probe_timer || !g_str_has_prefix(link, LINK_PREFIX))
+		return;
+	node = link + strlen(LINK_PREFIX);
+	if (!take_probed(call, node))
+		return;
+	if (msg->code == 0)
+		call->ready[call->ready_count++] = talloc_strdup(call, node);
+	if (!call->probed_count)
+		TALLOC_FREE(call->probe_timer);
+	if (!call->timer && (msg->code == 0 || !call->probe_timer))
+		ask_next_peer(call);
+}
+
+static void answer_probe(struct relay *relay, const char *peer, const struct msg_relay_probe *msg)
+{
+	struct kv *kv = relay->deps.kv;
+	bool answers = kv->ops->is_responding(kv->impl);
+	struct msg answer = {
+		.type = MSG_RELAY_PROBED,
+		.u.relay_probed = {.id = msg->id, .code = answers ? 0 : ERR_UNAVAILABLE}};
+
+	if (wire_send(relay->deps.wire, peer, &answer))
+		log_debug("probe_unsent", peer, "cannot send the answer to the entry that asked");
 }
 
 void relay_put(struct relay *relay, const char *key, const char *value, const char *requires,
@@ -272,6 +395,10 @@
 		handle_request(relay, peer, &msg->u.relay);
 	else if (msg->type == MSG_RELAYED)
 		on_relay_answer(relay, peer, &msg->u.relayed);
+	else if (msg->type == MSG_RELAY_PROBE)
+		answer_probe(relay, peer, &msg->u.relay_probe);
+	else if (msg->type == MSG_RELAY_PROBED)
+		on_probe_answer(relay, peer, &msg->u.relay_probed);
 	else
 		return false;
 	return true;
@@ -365,6 +492,7 @@
 
 	relay->deps = *deps;
 	relay->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	util_random_bytes(&relay->rng.state, sizeof(relay->rng.state));
 	talloc_set_destructor(relay, relay_destructor);
 	register_entry(relay);
 	relay->mirror = kv_mirror_create(relay, deps->ev, deps->kv, ENTRY_PREFIX, &handlers);
--- a/src/relay.h
+++ b/src/relay.h
@@ -9,7 +9,9 @@
  * DOC: Writes to the store through another entry
  *
  * The store may refuse one host while it serves the others. An entry that can't reach the
- * store asks its peers to write for it, so that its callers need not retry at another entry.
+ * store asks its peers to write for it, so that its callers need not retry at another entry. It
+ * first asks several whether the store answers them, and sends the write only to one that says so.
+ * If the store is down for all, nothing was sent, and the caller is told that nothing was stored.
  * Each entry stores its address under the key "entry/NODE".
  */
 
@@ -28,7 +30,7 @@
 struct relay *relay_create(TALLOC_CTX *mem, const struct relay_deps *deps);
 
 /**
- * relay_put() - ask peers, one after the other, to create a key
+ * relay_put() - ask peers that the store answers, one after the other, to create a key
  * @requires: key that must exist, NULL for none; its absence gives -ERR_NOT_FOUND
  * @requires_revision: the write takes effect only while @requires has this revision; 0: any
  * @done: called once with the status of the write: -ERR_CONFLICT if the key exists already or
