lib_faultcheck: time in which all remaining members of a gang are frozen is not partial work

The lapsed member's end was moved to the begin of the freeze, the other's was not, so the gang counted as having run in part for 4,545 ms (bound 4,000).

The check now leaves out time in which every member that has not ended is on a frozen worker; a member that runs elsewhere meanwhile still counts in full. test_faultcheck/frozen_members failed before, and has two cases that must still be found.

--- a/tests/lib_faultcheck.c
+++ b/tests/lib_faultcheck.c
@@ -158,19 +158,60 @@
 	return task->started_ms <= at && (at < task->ended_ms || is_done(task));
 }
 
+static bool is_frozen(const struct faultcheck *check, const struct task *task, uint64_t at)
+{
+	for (guint i = 0; i < check->freezes->len; i++) {
+		const struct freeze *freeze = &g_array_index(check->freezes, struct freeze, i);
+
+		if (!strcmp(freeze->target, task->target) && freeze->from_ms <= at &&
+		    at < freeze->until_ms)
+			return true;
+	}
+	return false;
+}
+
+static void take_earlier(uint64_t *next, uint64_t time, uint64_t after)
+{
+	if (time > after && time < *next)
+		*next = time;
+}
+
+/* The next time at which the set of members that run can change. */
+static uint64_t next_change(const struct faultcheck *check, const GArray *tasks,
+			    unsigned int attempt, uint64_t after)
+{
+	uint64_t next = UINT64_MAX;
+
+	for (guint i = 0; i < tasks->len; i++) {
+		const struct task *task = &g_array_index(tasks, struct task, i);
+
+		if (task->attempt != attempt)
+			continue;
+		take_earlier(&next, task->started_ms, after);
+		take_earlier(&next, task->ended_ms, after);
+	}
+	for (guint i = 0; i < check->freezes->len; i++) {
+		take_earlier(&next, g_array_index(check->freezes, struct freeze, i).from_ms, after);
+		take_earlier(&next, g_array_index(check->freezes, struct freeze, i).until_ms,
+			     after);
+	}
+	return next;
+}
+
 /*
  * How long from a time on only part of an attempt's members ran while the others neither ran nor
- * were done; UINT64_MAX if without end.
+ * were done; UINT64_MAX if without end. While all that are left are frozen, nothing runs.
  */
-static uint64_t partial_duration_ms(const GArray *tasks, unsigned int attempt, unsigned int members,
-				    uint64_t from)
+static uint64_t partial_duration_ms(const struct faultcheck *check, const GArray *tasks,
+				    unsigned int attempt, unsigned int members, uint64_t from)
 {
-	uint64_t until = from;
+	uint64_t duration_ms = 0;
+	uint64_t at = from;
 
-	/* The set of running members changes only at starts and ends. */
 	while (true) {
-		uint64_t next = UINT64_MAX;
+		uint64_t next = next_change(check, tasks, attempt, at);
 		unsigned int present = 0;
+		bool started = false;
 		bool running = false;
 
 		for (guint i = 0; i < tasks->len; i++) {
@@ -178,22 +219,24 @@
 
 			if (task->attempt != attempt)
 				continue;
-			present += runs_or_is_done(task, until);
-			running = running || (task->started_ms <= until && until < task->ended_ms);
-			if (task->started_ms > until && task->started_ms < next)
-				next = task->started_ms;
-			if (task->ended_ms > until && task->ended_ms < next)
-				next = task->ended_ms;
+			present += runs_or_is_done(task, at);
+			if (task->started_ms > at || at >= task->ended_ms)
+				continue;
+			started = true;
+			running = running || !is_frozen(check, task, at);
 		}
-		if (!running || present >= members)
-			return until - from;
+		if (!started || present >= members)
+			return duration_ms;
 		if (next == UINT64_MAX)
 			return UINT64_MAX;
-		until = next;
+		if (running)
+			duration_ms += next - at;
+		at = next;
 	}
 }
 
-static bool ran_as_partial_gang(const struct faultload_job *job, const GArray *tasks)
+static bool ran_as_partial_gang(const struct faultcheck *check, const struct faultload_job *job,
+				const GArray *tasks)
 {
 	for (guint i = 0; i < tasks->len; i++) {
 		const struct task *task = &g_array_index(tasks, struct task, i);
@@ -201,8 +244,8 @@
 
 		for (int m = 0; m < 2; m++) {
 			if (moments[m] != UINT64_MAX &&
-			    partial_duration_ms(tasks, task->attempt, job->members, moments[m]) >
-				    PARTIAL_BOUND_MS)
+			    partial_duration_ms(check, tasks, task->attempt, job->members,
+						moments[m]) > PARTIAL_BOUND_MS)
 				return true;
 		}
 	}
@@ -254,7 +297,7 @@
 		out->doubled++;
 		print_tasks(job, tasks, job->duplicate_id ? "has a second id" : "ran twice");
 	}
-	if (tasks && ran_as_partial_gang(job, tasks)) {
+	if (tasks && ran_as_partial_gang(check, job, tasks)) {
 		out->partial_gangs++;
 		print_tasks(job, tasks, "ran with part of its members");
 	}
--- a/tests/test_faultcheck.c
+++ b/tests/test_faultcheck.c
@@ -121,6 +121,48 @@
 	}
 }
 
+static unsigned int count_partial_gangs(const char *worker, const char *other_worker,
+					unsigned int members, bool frozen)
+{
+	struct faultload_job job = {
+		.id = "job", .class_name = "class", .members = members, .ended = true};
+	struct faultcheck *check = faultcheck_create();
+	GPtrArray *jobs = g_ptr_array_new();
+	json_t *first = create_history(worker);
+	json_t *second = create_history(other_worker);
+	struct faultcheck_result got;
+
+	snprintf(job.state, sizeof(job.state), "failed");
+	g_ptr_array_add(jobs, &job);
+	faultcheck_add(check, "worker", first, UINT64_MAX);
+	faultcheck_add(check, "other", second, UINT64_MAX);
+	if (frozen)
+		faultcheck_add_freeze(check, "worker", 500, 5000);
+	got = faultcheck_check_jobs(check, jobs);
+	json_decref(first);
+	json_decref(second);
+	g_ptr_array_free(jobs, TRUE);
+	faultcheck_free(check);
+	return got.partial_gangs;
+}
+
+/*
+ * A frozen worker runs nothing. Of two members on it one may lapse and one be done when it goes on,
+ * if only the second one's renewal was waiting for it: fault_seed_1 showed that as a gang that ran
+ * in part for the time of the freeze. A member on another worker does run meanwhile.
+ */
+static void test_frozen_members(void)
+{
+	static const char frozen[] = "1.0 100 5000 stopped lapsed, 1.1 100 5003 done -";
+
+	CU_ASSERT_EQUAL(count_partial_gangs(frozen, "", 2, true), 0);
+	CU_ASSERT_EQUAL(count_partial_gangs(frozen, "1.2 100 2500 done -", 3, true), 0);
+	CU_ASSERT_EQUAL(count_partial_gangs(frozen, "1.2 100 9000 done -", 3, true), 1);
+	CU_ASSERT_EQUAL(count_partial_gangs("1.0 100 600 stopped lapsed, 1.1 100 5003 done -", "",
+					    2, false),
+			1);
+}
+
 int main(void)
 {
 	unsigned int failures;
@@ -129,6 +171,7 @@
 	CU_initialize_registry();
 	suite = CU_add_suite("faultcheck", NULL, NULL);
 	CU_add_test(suite, "rows", test_rows);
+	CU_add_test(suite, "frozen_members", test_frozen_members);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
