--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -125,10 +125,8 @@
 	struct task *tasks;
 	struct orphan_run *orphans;
 	uint64_t backoff_until_ms; /* no new tasks before, after a refused start */
-	/* It refused a start as unhealthy and has confirmed none since; until this time. */
-	uint64_t shedding_until_ms;
-	uint64_t last_report_ms; /* time of the latest report */
-	uint64_t last_list_ms;	 /* when the worker made its latest list of runs */
+	uint64_t last_report_ms;   /* time of the latest report */
+	uint64_t last_list_ms;	   /* when the worker made its latest list of runs */
 	bool silent; /* no report for worker_silence_limit_ms(); set by each plan_decide() */
 	uint64_t suspect_until_ms; /* no new tasks before, after failures or a stall */
 	uint64_t slow_until_ms;	   /* no new tasks before, after slow samples */
@@ -216,8 +214,6 @@
 	       const struct plan_resources *need);
 struct plan_resources plan_step_need(const struct jobspec_step *spec);
 bool plan_worker_available(const struct worker *worker, uint64_t now_ms);
-/* True if the worker would most likely refuse a start. */
-bool plan_worker_sheds(const struct worker *worker, uint64_t now_ms);
 /* True if tasks of the step may be started on the worker now; its free room is not checked. */
 bool plan_worker_usable(const struct worker *worker, const struct step_run *step, uint64_t now_ms);
 /* Number of tasks of the same step and occurrence on a worker. */
--- a/src/planevict.c
+++ b/src/planevict.c
@@ -179,9 +179,6 @@
 		if (task->state != TASK_STOPPING && !is_victim(victims, task))
 			plan_add_resources(&used, &taken);
 	}
-	/* A start that is refused would have cost the stopped work for nothing. */
-	if (plan_worker_sheds(worker, now_ms))
-		return plan_fits(&worker->room, &used, need);
 	while (!plan_fits(&worker->room, &used, need)) {
 		struct task *cheapest = NULL;
 		struct plan_resources taken;
--- a/src/planplace.c
+++ b/src/planplace.c
@@ -8,8 +8,6 @@
  * for a worker on the rack of the data; a longer wait costs more than the slower run.
  */
 #define DATA_WAIT_FACTOR 1.0
-/* Added to the score of a worker that sheds load: chosen if no other fits, see unused_share(). */
-#define SHEDDING_PENALTY 8.0
 
 struct plan_resources plan_step_need(const struct jobspec_step *spec)
 {
@@ -42,11 +40,6 @@
 	       worker->slow_until_ms <= now_ms;
 }
 
-bool plan_worker_sheds(const struct worker *worker, uint64_t now_ms)
-{
-	return worker->shedding_until_ms > now_ms;
-}
-
 bool plan_worker_could_hold(const struct worker *worker, const struct step_run *step)
 {
 	const struct job *job = step->occurrence->job;
@@ -163,8 +156,6 @@
 			score += 10; /* above any unused share: chosen only if no other fits */
 		if (data_on_other_rack(worker, step->spec))
 			score += 5;
-		if (plan_worker_sheds(worker, now_ms))
-			score += SHEDDING_PENALTY;
 		if (best && score >= best_score)
 			continue;
 		best = worker;
@@ -194,7 +185,6 @@
 	struct plan_resources *used_after_stops; /* room in use unless more tasks are stopped */
 	uint32_t *member_count;
 	size_t count;
-	uint64_t now_ms;
 };
 
 static void collect_candidates(struct plan *plan, struct step_run *step, bool evict,
@@ -202,17 +192,14 @@
 {
 	const struct job *job = step->occurrence->job;
 
-	candidates->now_ms = now_ms;
 	for (guint i = 0; i < plan->workers->len; i++) {
 		struct worker *worker = plan->workers->pdata[i];
-		bool may_evict = evict && !plan_worker_sheds(worker, now_ms);
 
 		if (!plan_worker_usable(worker, step, now_ms))
 			continue;
 		candidates->workers[candidates->count] = worker;
 		candidates->used[candidates->count] =
-			may_evict ? used_by_unevictable(worker, job)
-				  : (evict ? plan_use_after_stops(worker) : worker->used);
+			evict ? used_by_unevictable(worker, job) : worker->used;
 		candidates->used_after_stops[candidates->count] =
 			evict ? plan_use_after_stops(worker) : worker->used;
 		candidates->member_count[candidates->count] = plan_count_siblings(worker, step);
@@ -287,9 +274,6 @@
 			score = unused_share(candidates.workers[i], &candidates.used[i], &need);
 			score += data_on_other_rack(candidates.workers[i], step->spec) ? 5 : 0;
 			score += displacement_penalty(&candidates, i, &need);
-			score += plan_worker_sheds(candidates.workers[i], candidates.now_ms)
-					 ? SHEDDING_PENALTY
-					 : 0;
 			if (best < candidates.count && score >= best_score)
 				continue;
 			best = i;
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -4,11 +4,6 @@
 
 #define NO_ROOM_BACKOFF_MS 200 /* the next report of the worker shows its real room */
 #define UNHEALTHY_BACKOFF_MS 1000
-/*
- * A worker that sheds load refuses starts for seconds, but does what it has started. It gets starts
- * where it has room, and loses its doubtful state with the first that it confirms.
- */
-#define SHEDDING_MS 3000
 /* Shortest time between stored checkpoints of a job; a loss of all hosts costs no more work. */
 #define CHECKPOINT_RECORD_INTERVAL_MS 2000
 #define SUSPECT_BASE_MS 3000 /* doubles each time, so that a faulty worker uses up few attempts */
@@ -175,7 +170,6 @@
 		worker->suspicions = 0;
 		worker->failure_streak = 0;
 		worker->backoff_until_ms = 0;
-		worker->shedding_until_ms = 0;
 	}
 	set_worker_text(worker, &worker->incarnation, info->incarnation);
 	set_worker_text(worker, &worker->id, info->id);
@@ -294,7 +288,6 @@
 		task->state = TASK_RUNNING;
 		task->began_ms = now_ms;
 		task->progress_ms = now_ms;
-		task->worker->shedding_until_ms = 0;
 	}
 	if (run->percent != task->percent)
 		task->progress_ms = now_ms;
@@ -479,8 +472,6 @@
 		plan_drop_ticket(worker, task->step);
 	else if (refusal != PLAN_REFUSED_STALE)
 		worker->backoff_until_ms = now_ms + UNHEALTHY_BACKOFF_MS;
-	if (refusal == PLAN_REFUSED_UNHEALTHY)
-		worker->shedding_until_ms = now_ms + SHEDDING_MS;
 }
 
 void plan_worker_list_end(struct plan *plan, const char *node, uint64_t list_ms)
