runner: an agent reports the end of a leaving worker before it ends

Cause: a worker that is taken away for good says that it shuts down, and its agent gets SIGTERM 1 s later and ended at once.

Change: after the word of its worker an agent ends when the leader has answered its report that the worker is down, within grace_s at most.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -323,7 +323,8 @@
 	uint64_t passed_ms = util_clock_ms() - node->drain_began_ms;
 	uint64_t grace_ms = (uint64_t)(node->settings->grace_s * 1000);
 	uint64_t limit_ms = grace_ms > DRAIN_MARGIN_MS ? grace_ms - DRAIN_MARGIN_MS : 0;
-	bool idle = !node->callers || httpd_open_calls(node->callers) == 0;
+	bool idle = node->callers ? httpd_open_calls(node->callers) == 0
+				  : runner_may_stop(node->runner);
 
 	if (passed_ms >= limit_ms || (idle && (!node->callers || passed_ms >= DRAIN_MIN_MS))) {
 		log_info("drained", "", "after %" PRIu64 " ms", passed_ms);
--- a/src/runner.c
+++ b/src/runner.c
@@ -230,6 +230,7 @@
 	log_warn("worker_down", runner->worker, "%s", why);
 	runner->alive = false;
 	runner->down = true;
+	runner->down_ms = util_clock_ms();
 	runner_reset_incarnation(runner, false);
 	runner_schedule_report(runner);
 }
@@ -395,6 +396,8 @@
 	set_incarnation(runner, announcement->id, announcement->started_ms);
 	runner->alive = true;
 	runner->down = false;
+	runner->down_received = false;
+	runner->leaving = false;
 	runner->connect_failures = 0;
 	runner->renew_due_ms = 0;
 }
@@ -435,9 +438,15 @@
 		return;
 	log_info("worker_leaves", id, "the worker shuts down");
 	runner->accepting = false;
+	runner->leaving = true;
 	runner_schedule_report(runner);
 }
 
+bool runner_may_stop(const struct runner *runner)
+{
+	return !runner->leaving || runner->down_received;
+}
+
 static void apply_orders(struct runner *runner, const struct fleet_orders *orders)
 {
 	uint64_t authority_end_ms = orders->echo_ms + orders->valid_ms;
@@ -446,6 +455,8 @@
 		runner->session = orders->session;
 		runner_schedule_report(runner);
 	}
+	if (runner->down && orders->echo_ms >= runner->down_ms)
+		runner->down_received = true;
 	if (orders->valid_ms && authority_end_ms > runner->authority_end_ms)
 		runner->authority_end_ms = authority_end_ms;
 	runner->leader_unconfirmed = orders->unsure;
--- a/src/runner.h
+++ b/src/runner.h
@@ -137,6 +137,15 @@
 /** runner_leaving() - the worker has announced that it shuts down */
 void runner_leaving(struct runner *runner, const char *id);
 
+/**
+ * runner_may_stop() - true if the leader loses nothing when this agent ends now
+ *
+ * While a worker shuts down, only its agent can tell the leader at once that nothing runs there any
+ * more. Without that report the tasks of the worker, and all inherited jobs of a later
+ * leader, wait until its leases have expired.
+ */
+bool runner_may_stop(const struct runner *runner);
+
 /** runner_message() - process a message; Return: true if its type is one for the agent */
 bool runner_message(struct runner *runner, const char *peer, const struct msg *msg);
 
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -302,6 +302,37 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against an agent that ends before it has reported the end of its worker, which shuts down
+ * for good: on a day with 12 such workers the leader heard of 5. The others' tasks, and all
+ * inherited jobs of the next leader, waited for 6.9 s.
+ */
+static void test_reports_end_of_leaving_worker(void)
+{
+	struct fixture *f = set_up();
+
+	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(runner_may_stop(f->runner));
+	runner_leaving(f->runner, "another");
+	CU_ASSERT_TRUE(runner_may_stop(f->runner));
+	runner_leaving(f->runner, f->report->info.id);
+	CU_ASSERT_FALSE(runner_may_stop(f->runner));
+	f->answers = false;
+	f->worker_up = false;
+	memkv_run(f->ev, 1000);
+	CU_ASSERT_FALSE(f->report->alive);
+	CU_ASSERT_FALSE(runner_may_stop(f->runner));
+	f->answers = true;
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(runner_may_stop(f->runner));
+	f->worker_up = true;
+	f->born_ms = 9;
+	CU_ASSERT_EQUAL(announce(f, 9, 1), 0);
+	CU_ASSERT_TRUE(runner_may_stop(f->runner));
+	tear_down(f);
+}
+
 /* Guards against starts that are not carried out, not confirmed, or carried out twice. */
 static void test_start(void)
 {
@@ -825,6 +856,7 @@
 	CU_add_test(suite, "reports_to_leader", test_reports_to_leader);
 	CU_add_test(suite, "unknown_worker_is_not_down", test_unknown_worker_is_not_down);
 	CU_add_test(suite, "absent_worker_is_down", test_absent_worker_is_down);
+	CU_add_test(suite, "reports_end_of_leaving_worker", test_reports_end_of_leaving_worker);
 	CU_add_test(suite, "start", test_start);
 	CU_add_test(suite, "ticket", test_ticket);
 	CU_add_test(suite, "drain_after_unanswered_start", test_drain_after_unanswered_start);
