--- a/src/coord.c
+++ b/src/coord.c
@@ -265,8 +265,7 @@
 			 "cannot announce term %" PRIu64 " to the agent", coord->term);
 }
 
-/* Announces the leader to the next agents that have not reported, until inherited jobs may start.
- */
+/* Announces the leader to the next silent agents, until inherited jobs may start. */
 static void on_announce_timer(struct tevent_context *ev, struct tevent_timer *te,
 			      struct timeval now, void *ctx)
 {
--- a/src/runner.c
+++ b/src/runner.c
@@ -19,8 +19,8 @@
 #define CONNECT_FAILURES_TO_DOWN 2 /* a single refused connection may be a reset */
 #define LEADER_SILENT_MS 1500	   /* without orders for this long, the store is asked who leads */
 /*
- * Short enough that an agent finds a new leader without its announcement, and that it follows it
- * before WORKER_LOST_MS is over if the leader before can't reach the store.
+ * An agent without a leader mostly finds the next one by this query, before the announcement. It
+ * has to do so within WORKER_LOST_MS of the election, after which its worker counts as lost.
  */
 #define LEADER_QUERY_MS 250
 #define LEADER_LINK "leader"
