tests: a simulation of leader, agents, workers and store that shows two runs of a task

test_fleet_sim runs the real controllers of three entries and four agents, with workers and a store as their interfaces say, on a simulated clock and network: timers, clocks, random numbers, log records and wires are replaced at link time.

--- /dev/null
+++ b/tests/sim_worker.c
@@ -0,0 +1,764 @@
+#include "sim_worker.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CALL_TIMEOUT_MS 1000
+#define LEASE_MAX_MS 10000
+#define LATE_MIN_MS 2000
+#define LATE_MAX_MS 12000
+#define STOP_TAKES_MS 150
+#define BEAT_MS 1500
+#define GANG_WAIT_MS 3000
+#define ENDS_MAX 512
+
+/* What is known of a task across all workers. */
+struct task_history {
+	uint32_t active; /* runs at work */
+	uint32_t done_noted;
+	uint64_t last_start_ms;
+};
+
+/* The members of one run of a gang. */
+struct gang {
+	uint32_t size;
+	uint32_t present;
+	uint64_t began_ms; /* when all were present; 0: not yet */
+	bool broken;
+};
+
+struct run {
+	struct run *next;
+	char *task;
+	uint32_t number;
+	uint64_t began_ms;
+	uint64_t work_ms;
+	bool stopping;
+	struct gang *gang; /* NULL: a task by itself */
+};
+
+struct end {
+	uint64_t number;
+	char *task;
+	uint32_t run;
+	enum plan_end how;
+	uint64_t at_ms;
+	uint64_t lapses; /* of the worker's lease until then */
+	bool noted;
+};
+
+struct sim_worker {
+	int host;
+	char *node;
+	char *id;
+	uint64_t born;
+	uint32_t ids;
+	uint64_t sequence;
+	uint64_t clock_began_ms; /* simulated time at zero of its clock */
+	double clock_rate;
+	uint64_t lease_end; /* by its clock */
+	uint64_t lapses;
+	bool leased;
+	bool up;
+	bool dark;
+	bool served; /* a call has extended the lease of this incarnation */
+	uint64_t fence;
+	struct run *runs;
+	GHashTable *closed; /* task -> highest run that was stopped or has ended */
+	struct end ends[ENDS_MAX];
+	size_t end_count;
+	uint64_t last_end;
+	uint64_t ends_known; /* ends up to this number are forgotten */
+	struct sim_worker_faults faults;
+	struct sim_process *agent;
+	struct runner *runner;
+	GPtrArray *waiting; /* renewals that wait for the end of a run */
+	TALLOC_CTX *life;   /* freed at the end of an incarnation */
+};
+
+static GHashTable *histories; /* task -> struct task_history */
+static GHashTable *gangs;     /* "job.occurrence.step/run" -> struct gang */
+static int violations;
+
+void sim_runs_create(void)
+{
+	if (histories)
+		g_hash_table_destroy(histories);
+	if (gangs)
+		g_hash_table_destroy(gangs);
+	histories = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gangs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	violations = 0;
+}
+
+int sim_runs_violations(void)
+{
+	return violations;
+}
+
+static struct task_history *history(const char *task)
+{
+	struct task_history *found = g_hash_table_lookup(histories, task);
+
+	if (found)
+		return found;
+	found = g_new0(struct task_history, 1);
+	g_hash_table_insert(histories, g_strdup(task), found);
+	return found;
+}
+
+bool sim_runs_done(const char *task)
+{
+	return history(task)->done_noted > 0;
+}
+
+static void violate(const char *task, const char *what)
+{
+	violations++;
+	sim_print("TWICE %s: %s", task, what);
+}
+
+static uint64_t worker_clock(const struct sim_worker *worker)
+{
+	return (uint64_t)((double)(sim_now_ms() - worker->clock_began_ms) * worker->clock_rate);
+}
+
+static void answer_waiting(struct sim_worker *worker);
+
+static void end_run(struct sim_worker *worker, struct run *run, enum plan_end how)
+{
+	struct end *end;
+	uint32_t *closed = g_hash_table_lookup(worker->closed, run->task);
+
+	for (struct run **at = &worker->runs; *at; at = &(*at)->next) {
+		if (*at == run) {
+			*at = run->next;
+			break;
+		}
+	}
+	history(run->task)->active--;
+	if (!closed) {
+		closed = g_new0(uint32_t, 1);
+		g_hash_table_insert(worker->closed, g_strdup(run->task), closed);
+	}
+	*closed = MAX(*closed, run->number);
+	sim_print("%s: %s run %u ends: %d", worker->node, run->task, run->number, (int)how);
+	if (worker->end_count == ENDS_MAX) {
+		memmove(worker->ends, worker->ends + 1, sizeof(worker->ends[0]) * (ENDS_MAX - 1));
+		worker->end_count--;
+	}
+	end = &worker->ends[worker->end_count++];
+	*end = (struct end){.number = ++worker->last_end,
+			    .task = talloc_strdup(sim_now, run->task),
+			    .run = run->number,
+			    .how = how,
+			    .at_ms = sim_now_ms(),
+			    .lapses = worker->lapses};
+	if (run->gang) {
+		run->gang->present--;
+		run->gang->broken |= how != PLAN_END_DONE;
+	}
+	talloc_free(run);
+	answer_waiting(worker);
+}
+
+static void end_all(struct sim_worker *worker, enum plan_end how)
+{
+	while (worker->runs)
+		end_run(worker, worker->runs, how);
+}
+
+static void check_lease(struct sim_worker *worker)
+{
+	if (!worker->leased || worker_clock(worker) < worker->lease_end)
+		return;
+	worker->leased = false;
+	worker->lapses++;
+	sim_print("%s: its lease lapses", worker->node);
+	end_all(worker, PLAN_END_LAPSED);
+}
+
+static void extend_lease(struct sim_worker *worker, uint64_t end)
+{
+	check_lease(worker);
+	end = MIN(end, worker_clock(worker) + LEASE_MAX_MS);
+	if (end > worker_clock(worker)) {
+		worker->lease_end = MAX(worker->lease_end, end);
+		worker->leased = true;
+	}
+}
+
+static struct gang *join_gang(const char *task, uint32_t run, uint32_t size)
+{
+	char *last = strrchr(task, '.');
+	char *key = g_strdup_printf("%.*s/%u", (int)(last - task), task, run);
+	struct gang *gang = g_hash_table_lookup(gangs, key);
+
+	if (gang) {
+		g_free(key);
+	} else {
+		gang = g_new0(struct gang, 1);
+		gang->size = size;
+		g_hash_table_insert(gangs, key, gang);
+	}
+	gang->present++;
+	if (gang->present == gang->size && !gang->began_ms)
+		gang->began_ms = sim_now_ms();
+	return gang;
+}
+
+static void begin_run(struct sim_worker *worker, const struct runner_start *start)
+{
+	struct run *run = talloc_zero(worker->life, struct run);
+	struct task_history *task = history(start->task);
+	unsigned int size = 0;
+	unsigned int work_ms = 1000;
+
+	/* The payload names the size of the gang, 0 for none, and the work. */
+	sscanf(start->payload, "%u %u", &size, &work_ms);
+	sim_print("%s: %s run %u begins", worker->node, start->task, start->run);
+	if (task->active > 0)
+		violate(start->task, "two runs at the same time");
+	if (task->done_noted)
+		violate(start->task, "starts after a run has ended as done");
+	task->active++;
+	task->last_start_ms = sim_now_ms();
+	run->task = talloc_strdup(run, start->task);
+	run->number = start->run;
+	run->began_ms = sim_now_ms();
+	run->work_ms = work_ms;
+	run->next = worker->runs;
+	worker->runs = run;
+	if (size)
+		run->gang = join_gang(start->task, start->run, size);
+}
+
+static struct run *find_run(struct sim_worker *worker, const char *task, uint32_t number)
+{
+	struct run *run = worker->runs;
+
+	while (run && (run->number != number || strcmp(run->task, task) != 0))
+		run = run->next;
+	return run;
+}
+
+static enum runner_call_result carry_out_start(struct sim_worker *worker,
+					       const struct runner_start *start)
+{
+	uint32_t *closed = g_hash_table_lookup(worker->closed, start->task);
+
+	if (strcmp(start->worker, worker->id) != 0)
+		return RUNNER_OTHER_INCARNATION;
+	if (start->term < worker->fence)
+		return RUNNER_REFUSED_FENCED;
+	worker->fence = start->term;
+	extend_lease(worker, start->lease_end_ms);
+	if (find_run(worker, start->task, start->run))
+		return RUNNER_STARTED;
+	if (closed && start->run <= *closed)
+		return RUNNER_REFUSED_STALE;
+	if (!worker->leased)
+		return RUNNER_REFUSED_LATE;
+	for (struct run *run = worker->runs; run; run = run->next) {
+		if (!strcmp(run->task, start->task) && run->number > start->run)
+			return RUNNER_REFUSED_STALE;
+	}
+	begin_run(worker, start);
+	return RUNNER_STARTED;
+}
+
+struct stopping {
+	struct sim_worker *worker;
+	char *task;
+	uint32_t run;
+};
+
+static void finish_stop(void *ctx)
+{
+	struct stopping *stopping = ctx;
+	struct run *run = find_run(stopping->worker, stopping->task, stopping->run);
+
+	if (run)
+		end_run(stopping->worker, run, PLAN_END_STOPPED);
+	talloc_free(stopping);
+}
+
+static enum runner_call_result carry_out_stop(struct sim_worker *worker, const char *id,
+					      const char *task, uint32_t number, uint64_t term)
+{
+	uint32_t *closed = g_hash_table_lookup(worker->closed, task);
+	struct run *run;
+
+	if (strcmp(id, worker->id) != 0)
+		return RUNNER_OTHER_INCARNATION;
+	if (term < worker->fence)
+		return RUNNER_REFUSED_FENCED;
+	worker->fence = term;
+	check_lease(worker);
+	run = find_run(worker, task, number);
+	if (run && !run->stopping) {
+		struct stopping *stopping = talloc_zero(worker->life, struct stopping);
+
+		run->stopping = true;
+		stopping->worker = worker;
+		stopping->task = talloc_strdup(stopping, task);
+		stopping->run = number;
+		sim_at(NULL, stopping, sim_below(STOP_TAKES_MS), finish_stop, stopping);
+	}
+	if (!run && !closed) {
+		closed = g_new0(uint32_t, 1);
+		g_hash_table_insert(worker->closed, g_strdup(task), closed);
+	}
+	if (!run)
+		*closed = MAX(*closed, number);
+	return RUNNER_STARTED;
+}
+
+/* A call of an agent. */
+struct call {
+	struct sim_worker *worker;
+	struct sim_process *agent;
+	uint64_t born; /* of the incarnation that it was made to */
+	enum {
+		CALL_START,
+		CALL_STOP,
+		CALL_RENEW
+	} kind;
+	char *id;
+	char *task;
+	char *payload;
+	struct runner_start start;
+	struct runner_renewal renewal;
+	uint64_t due_ms; /* of a renewal that waits */
+	void (*order_done)(enum runner_call_result, uint64_t, void *);
+	void (*list_done)(int, const struct runner_list *, void *);
+	void *ctx;
+	bool answered; /* by the end of its time */
+	enum runner_call_result result;
+	int status;
+	struct runner_list list;
+};
+
+static void answer_order(void *ctx)
+{
+	struct call *call = ctx;
+
+	call->order_done(call->result, call->list.clock_ms, call->ctx);
+	talloc_free(call);
+}
+
+static void answer_list(void *ctx)
+{
+	struct call *call = ctx;
+
+	call->list_done(call->status, call->status ? NULL : &call->list, call->ctx);
+	talloc_free(call);
+}
+
+static void fail_call(struct call *call, uint32_t ms, enum runner_call_result result, int status)
+{
+	call->result = result;
+	call->status = status;
+	sim_at(call->agent, call, ms, call->kind == CALL_RENEW ? answer_list : answer_order, call);
+}
+
+static void note_ends(struct sim_worker *worker, uint64_t number)
+{
+	worker->ends_known = MAX(worker->ends_known, MIN(number, worker->last_end));
+	for (size_t i = 0; i < worker->end_count; i++) {
+		struct end *end = &worker->ends[i];
+		struct task_history *task = history(end->task);
+
+		if (end->number > number || end->noted)
+			continue;
+		end->noted = true;
+		if (end->how != PLAN_END_DONE || end->lapses != worker->lapses)
+			continue;
+		if (task->done_noted == 0 && task->last_start_ms > end->at_ms)
+			violate(end->task, "a later run began after the one that is done");
+		task->done_noted++;
+	}
+}
+
+static void fill_list(struct sim_worker *worker, struct call *call)
+{
+	struct runner_list *list = &call->list;
+	size_t count = 0;
+
+	for (const struct run *run = worker->runs; run; run = run->next)
+		count++;
+	list->clock_ms = worker_clock(worker);
+	list->worker_started_ms = worker->born;
+	list->running = talloc_zero_array(call, struct plan_run, count + 1);
+	list->ends = talloc_zero_array(call, struct fleet_run_end, worker->end_count + 1);
+	for (const struct run *run = worker->runs; run; run = run->next) {
+		uint64_t passed_ms = sim_now_ms() - run->began_ms;
+
+		list->running[list->running_count++] = (struct plan_run){
+			talloc_strdup(call, run->task), run->number, "",
+			(uint32_t)MIN(99, passed_ms * 100 / MAX(run->work_ms, 1))};
+	}
+	for (size_t i = 0; i < worker->end_count; i++) {
+		const struct end *end = &worker->ends[i];
+
+		if (end->number > worker->ends_known)
+			list->ends[list->end_count++] = (struct fleet_run_end){
+				end->number,
+				{talloc_strdup(call, end->task), end->run, "", 0},
+				end->how};
+	}
+}
+
+static void send_list(struct sim_worker *worker, struct call *call)
+{
+	fill_list(worker, call);
+	sim_at(call->agent, call, sim_between(1, 3), answer_list, call);
+}
+
+static void answer_waiting(struct sim_worker *worker)
+{
+	while (worker->waiting->len > 0) {
+		struct call *call = worker->waiting->pdata[0];
+
+		g_ptr_array_remove_index(worker->waiting, 0);
+		send_list(worker, call);
+	}
+}
+
+static void on_wait_over(void *ctx)
+{
+	struct call *call = ctx;
+
+	if (g_ptr_array_remove(call->worker->waiting, call))
+		send_list(call->worker, call);
+}
+
+static int carry_out_renewal(struct sim_worker *worker, struct call *call)
+{
+	if (call->id && strcmp(call->id, worker->id) != 0)
+		return -ERR_STALE;
+	if (call->renewal.term < worker->fence)
+		return -ERR_DENIED;
+	worker->fence = call->renewal.term;
+	check_lease(worker);
+	if (call->renewal.extend)
+		extend_lease(worker, call->renewal.lease_end_ms);
+	note_ends(worker, call->renewal.ends_known);
+	return 0;
+}
+
+static enum runner_call_result carry_out(struct call *call)
+{
+	struct sim_worker *worker = call->worker;
+
+	check_lease(worker);
+	if (call->kind == CALL_START)
+		return carry_out_start(worker, &call->start);
+	if (call->kind == CALL_STOP)
+		return carry_out_stop(worker, call->id, call->task, call->start.run,
+				      call->start.term);
+	call->status = carry_out_renewal(worker, call);
+	return RUNNER_STARTED;
+}
+
+/*
+ * A late call of a former incarnation reaches a new one only when an agent works with it: nothing
+ * that an agent could do keeps it from an incarnation that no agent has reached yet.
+ */
+static void on_late(void *ctx)
+{
+	struct call *call = ctx;
+
+	if (call->worker->up && (call->born == call->worker->born || call->worker->served)) {
+		sim_print("%s: a late call is carried out: %d %s run %u: %d", call->worker->node,
+			  (int)call->kind, call->task ? call->task : "", call->start.run,
+			  (int)carry_out(call));
+	}
+	talloc_free(call);
+}
+
+static bool has_unknown_end(const struct sim_worker *worker)
+{
+	return worker->last_end > worker->ends_known;
+}
+
+static struct call *copy_call(const struct call *call)
+{
+	struct call *copy = talloc_memdup(sim_now, call, sizeof(*call));
+
+	copy->id = call->id ? talloc_strdup(copy, call->id) : NULL;
+	copy->task = call->task ? talloc_strdup(copy, call->task) : NULL;
+	copy->payload = call->payload ? talloc_strdup(copy, call->payload) : NULL;
+	copy->start.worker = copy->id;
+	copy->start.task = copy->task;
+	copy->start.payload = copy->payload;
+	return copy;
+}
+
+static void on_arrival(void *ctx)
+{
+	struct call *call = ctx;
+	struct sim_worker *worker = call->worker;
+
+	if (!worker->up && !worker->dark) {
+		fail_call(call, 1, RUNNER_NOT_SENT, -ERR_UNAVAILABLE);
+		return;
+	}
+	if (!worker->up || worker->faults.mute) {
+		fail_call(call, CALL_TIMEOUT_MS, RUNNER_NO_ANSWER, -ERR_DEADLINE);
+		return;
+	}
+	if (sim_chance(worker->faults.late)) {
+		struct call *late = copy_call(call);
+
+		sim_at(NULL, late, sim_between(LATE_MIN_MS, LATE_MAX_MS), on_late, late);
+		fail_call(call, CALL_TIMEOUT_MS, RUNNER_NO_ANSWER, -ERR_DEADLINE);
+		return;
+	}
+	call->result = carry_out(call);
+	worker->served |= worker->leased;
+	call->list.clock_ms = worker_clock(worker);
+	if (sim_chance(worker->faults.lost))
+		fail_call(call, CALL_TIMEOUT_MS, RUNNER_NO_ANSWER, -ERR_DEADLINE);
+	else if (call->kind != CALL_RENEW)
+		sim_at(call->agent, call, sim_between(1, 3), answer_order, call);
+	else if (call->status)
+		sim_at(call->agent, call, sim_between(1, 3), answer_list, call);
+	else if (!call->renewal.wait_ms || has_unknown_end(worker))
+		send_list(worker, call);
+	else {
+		g_ptr_array_add(worker->waiting, call);
+		sim_at(NULL, call, call->renewal.wait_ms, on_wait_over, call);
+	}
+}
+
+struct calls {
+	struct runner_calls calls;
+	struct sim_worker *worker;
+	struct sim_process *agent;
+};
+
+static struct call *create_call(struct runner_calls *impl, const char *id)
+{
+	struct calls *calls = (struct calls *)impl;
+	struct call *call = talloc_zero(sim_now, struct call);
+
+	call->worker = calls->worker;
+	call->agent = calls->agent;
+	call->born = calls->worker->born;
+	call->id = id ? talloc_strdup(call, id) : NULL;
+	sim_at(NULL, call, sim_between(0, 3), on_arrival, call);
+	return call;
+}
+
+static void call_start(void *impl, const struct runner_start *start,
+		       void (*done)(enum runner_call_result, uint64_t, void *), void *ctx)
+{
+	struct call *call = create_call(impl, start->worker);
+
+	call->kind = CALL_START;
+	call->task = talloc_strdup(call, start->task);
+	call->payload = talloc_strdup(call, start->payload);
+	call->start = *start;
+	call->start.worker = call->id;
+	call->start.task = call->task;
+	call->start.payload = call->payload;
+	call->order_done = done;
+	call->ctx = ctx;
+}
+
+static void call_stop(void *impl, const char *id, const char *task, uint32_t run, uint64_t term,
+		      void (*done)(enum runner_call_result, uint64_t, void *), void *ctx)
+{
+	struct call *call = create_call(impl, id);
+
+	call->kind = CALL_STOP;
+	call->task = talloc_strdup(call, task);
+	call->start.run = run;
+	call->start.term = term;
+	call->order_done = done;
+	call->ctx = ctx;
+}
+
+static void call_renew(void *impl, const struct runner_renewal *renewal,
+		       void (*done)(int, const struct runner_list *, void *), void *ctx)
+{
+	struct call *call = create_call(impl, renewal->worker);
+
+	call->kind = CALL_RENEW;
+	call->renewal = *renewal;
+	call->renewal.worker = call->id;
+	call->list_done = done;
+	call->ctx = ctx;
+}
+
+struct runner_calls *sim_worker_calls(struct sim_worker *worker, struct sim_process *agent)
+{
+	struct calls *calls = talloc_zero(sim_now, struct calls);
+
+	calls->calls = (struct runner_calls){call_start, call_stop, call_renew, calls};
+	calls->worker = worker;
+	calls->agent = agent;
+	return &calls->calls;
+}
+
+static bool run_is_over(const struct run *run, enum plan_end *how)
+{
+	const struct gang *gang = run->gang;
+
+	*how = PLAN_END_DONE;
+	if (!gang)
+		return sim_now_ms() - run->began_ms >= run->work_ms;
+	if (gang->broken) {
+		*how = PLAN_END_BROKEN;
+		return true;
+	}
+	if (!gang->began_ms) {
+		*how = PLAN_END_ALONE;
+		return sim_now_ms() - run->began_ms >= GANG_WAIT_MS;
+	}
+	return sim_now_ms() - gang->began_ms >= run->work_ms;
+}
+
+static void on_worker_tick(void *ctx)
+{
+	struct sim_worker *worker = ctx;
+	struct run *next;
+	enum plan_end how;
+
+	check_lease(worker);
+	for (struct run *run = worker->runs; run; run = next) {
+		next = run->next;
+		if (!run->stopping && run_is_over(run, &how))
+			end_run(worker, run, how);
+	}
+	sim_at(NULL, worker->life, 10, on_worker_tick, worker);
+}
+
+/* An announcement on its way. */
+struct beat {
+	struct sim_worker *worker;
+	struct runner_announcement announcement;
+};
+
+static void deliver_beat(void *ctx)
+{
+	struct beat *beat = ctx;
+	struct sim_worker *worker = beat->worker;
+
+	if (worker->agent && sim_process_alive(worker->agent) && worker->runner)
+		runner_announced(worker->runner, &beat->announcement);
+	talloc_free(beat);
+}
+
+static void carry_beat(void *ctx)
+{
+	struct beat *beat = ctx;
+
+	if (beat->worker->agent && sim_process_alive(beat->worker->agent))
+		sim_at(beat->worker->agent, beat, 0, deliver_beat, beat);
+	else
+		talloc_free(beat);
+}
+
+static void on_beat(void *ctx)
+{
+	struct sim_worker *worker = ctx;
+	struct beat *beat = talloc_zero(sim_now, struct beat);
+
+	beat->worker = worker;
+	beat->announcement = (struct runner_announcement){.id = talloc_strdup(beat, worker->id),
+							  .service = "s",
+							  .zone = "z",
+							  .kind = "k",
+							  .rack = "r",
+							  .room = {8000, 8000, 8},
+							  .accepting = true,
+							  .started_ms = worker->born,
+							  .sequence = ++worker->sequence};
+	sim_at(NULL, beat, sim_chance(worker->faults.late_beats) ? sim_between(500, 6000) : 1,
+	       carry_beat, beat);
+	sim_at(NULL, worker->life, BEAT_MS, on_beat, worker);
+}
+
+static void start_worker(void *ctx)
+{
+	struct sim_worker *worker = ctx;
+
+	worker->up = true;
+	worker->born = util_wall_ms();
+	worker->clock_began_ms = sim_now_ms() - sim_below(500);
+	worker->clock_rate = sim_chance(0.5) ? 1 : 0.98;
+	worker->sequence = 0;
+	worker->fence = 0;
+	worker->lease_end = 0;
+	worker->leased = false;
+	worker->served = false;
+	worker->end_count = 0;
+	worker->last_end = 0;
+	worker->ends_known = 0;
+	g_hash_table_remove_all(worker->closed);
+	worker->life = talloc_new(sim_now);
+	sim_print("%s: worker %s born %lu", worker->node, worker->id, (unsigned long)worker->born);
+	sim_at(NULL, worker->life, sim_below(400), on_beat, worker);
+	sim_at(NULL, worker->life, 10, on_worker_tick, worker);
+}
+
+static int worker_destructor(struct sim_worker *worker)
+{
+	g_hash_table_destroy(worker->closed);
+	g_ptr_array_free(worker->waiting, TRUE);
+	return 0;
+}
+
+struct sim_worker *sim_worker_create(int host, const char *node)
+{
+	struct sim_worker *worker = talloc_zero(sim_now, struct sim_worker);
+
+	worker->host = host;
+	worker->node = talloc_strdup(worker, node);
+	worker->id = talloc_asprintf(worker, "w-%s-%u", node, worker->ids++);
+	worker->closed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	worker->waiting = g_ptr_array_new();
+	talloc_set_destructor(worker, worker_destructor);
+	start_worker(worker);
+	return worker;
+}
+
+struct sim_worker_faults *sim_worker_faults(struct sim_worker *worker)
+{
+	return &worker->faults;
+}
+
+void sim_worker_attach(struct sim_worker *worker, struct sim_process *agent, struct runner *runner)
+{
+	worker->agent = agent;
+	worker->runner = runner;
+}
+
+void sim_worker_crash(struct sim_worker *worker, uint32_t down_ms, bool same_id, bool dark)
+{
+	if (!worker->up)
+		return;
+	sim_print("%s: worker %s crashes for %u ms%s", worker->node, worker->id, down_ms,
+		  same_id ? ", same id" : "");
+	for (guint i = 0; i < worker->waiting->len; i++)
+		fail_call(worker->waiting->pdata[i], dark ? CALL_TIMEOUT_MS : 1, RUNNER_NO_ANSWER,
+			  -ERR_FAILED);
+	g_ptr_array_set_size(worker->waiting, 0);
+	for (struct run *run = worker->runs; run; run = run->next) {
+		history(run->task)->active--;
+		if (run->gang) {
+			run->gang->present--;
+			run->gang->broken = true;
+		}
+	}
+	worker->runs = NULL;
+	worker->up = false;
+	worker->dark = dark;
+	TALLOC_FREE(worker->life);
+	if (!same_id)
+		worker->id = talloc_asprintf(worker, "w-%s-%u", worker->node, worker->ids++);
+	sim_at(NULL, worker, down_ms, start_worker, worker);
+}
