runner: calls of the past have no effect on the worker

Cause: the fence of calls to a worker was the leader's term alone. Within a term nothing but a stop of the very run kept a start whose answer was lost from being carried out seconds later. What knew of that start was dropped when the worker restarted under its identifier, was found down, or was counted as lost and then had another agent process, and a restarted worker knows no stopped runs. So the start took effect while the task ran elsewhere or was done. A late renewal made a restarted worker forget ends that nobody had heard of, so their tasks ran again.

Change: the fence also has the session of the agent's process, which the leader gives out, and an epoch of the agent, which begins when the worker restarts, is found down, or gets authority again after it had ended. A list of runs is complete only if it was made for a call with the present fence. An agent whose worker is down goes on calling it, so a worker that returns refuses earlier calls from then on.

--- a/src/runner.c
+++ b/src/runner.c
@@ -24,6 +24,12 @@
  */
 #define LEADER_QUERY_MS 250
 #define LEADER_LINK "leader"
+/*
+ * A fence has the term in its high bits, then the session, then the epoch. With the highest term it
+ * is below 2^53, which all JSON parsers can read.
+ */
+#define FENCE_SESSION_BITS 12
+#define FENCE_EPOCH_BITS 17
 
 bool runner_may_extend_lease(const struct runner *runner)
 {
@@ -48,13 +54,38 @@
 	       WORKER_LEASE_MS;
 }
 
+uint64_t runner_fence(const struct runner *runner)
+{
+	/* Sessions beyond the highest number share it. */
+	uint64_t session = MIN(runner->session, (1 << FENCE_SESSION_BITS) - 1);
+
+	return ((runner->term << FENCE_SESSION_BITS | session) << FENCE_EPOCH_BITS) | runner->epoch;
+}
+
+/* A renewal that may wait for a run to end is superseded by one with the present fence. */
+static void supersede_renewal(struct runner *runner)
+{
+	runner->renewing = false;
+	runner->renew_due_ms = 0;
+}
+
+void runner_begin_epoch(struct runner *runner)
+{
+	if (runner->epoch == (1 << FENCE_EPOCH_BITS) - 1)
+		log_error("epochs_used_up", "",
+			  "earlier calls to the worker may still take effect");
+	else
+		runner->epoch++;
+	supersede_renewal(runner);
+}
+
 /*
- * A worker that has answered a call under the present term ignores calls that were sent under
- * earlier ones, so no run that is missing from its list can begin any more.
+ * A worker that has answered a call with the present fence ignores those with lower ones, so no run
+ * that is missing from its list can begin any more.
  */
 static bool has_current_list(const struct runner *runner)
 {
-	return runner->settled && runner->list_term == runner->term;
+	return runner->settled && runner->list_fence == runner_fence(runner);
 }
 
 static size_t count_rows_in_state(const struct runner *runner, enum run_state state)
@@ -183,10 +214,8 @@
 	if (term > runner->term) {
 		runner_drop_untried_starts(runner);
 		runner->session = 0;
-		/* A renewal under the former term, which may wait for a run to end, is superseded.
-		 */
-		runner->renewing = false;
-		runner->renew_due_ms = 0;
+		runner->epoch = 0;
+		supersede_renewal(runner);
 	}
 	runner->term = term;
 	runner->leader_unconfirmed = false;
@@ -246,7 +275,7 @@
 		runner->connect_failures = 0;
 		return;
 	}
-	if (++runner->connect_failures < CONNECT_FAILURES_TO_DOWN)
+	if (runner->down || ++runner->connect_failures < CONNECT_FAILURES_TO_DOWN)
 		return;
 	log_info("worker_absent", "",
 		 "no worker has announced itself, and nothing listens at its address");
@@ -292,21 +321,21 @@
 	struct runner *runner;
 	uint32_t number;
 	uint32_t generation;
-	uint64_t term;
+	uint64_t fence;
 	uint64_t sent_ms;
 };
 
 static void apply_renewal(struct runner *runner, const struct renewal_call *call,
 			  const struct runner_list *list)
 {
-	bool new_term = runner->list_term != call->term;
+	bool new_fence = runner->list_fence != call->fence;
 
 	runner->connect_failures = 0;
 	if (list->clock_ms)
 		runner_read_clock(runner, list->clock_ms);
-	runner->list_term = call->term;
+	runner->list_fence = call->fence;
 	runner_apply_list(runner, list, call->sent_ms);
-	if (new_term)
+	if (new_fence)
 		runner_schedule_report(runner);
 	if (runner->end_count && runner->ends[runner->end_count - 1].number > runner->ends_stored)
 		runner->renew_due_ms = util_clock_ms() + UNSTORED_ENDS_PAUSE_MS;
@@ -331,6 +360,10 @@
 		handle_probe_result(runner, status);
 		return;
 	}
+	if (!runner->alive) {
+		runner->renew_due_ms = now_ms + TICK_MS;
+		return;
+	}
 	if (status == 0 && list->worker_started_ms && runner->worker_started_ms &&
 	    list->worker_started_ms != runner->worker_started_ms) {
 		find_restarted_worker(runner, list->worker_started_ms);
@@ -349,27 +382,27 @@
 
 static void renew_lease_if_due(struct runner *runner, uint64_t now_ms)
 {
-	struct runner_renewal renewal = {
-		.worker = runner->worker,
-		.term = runner->term,
-		/* The first call reads the worker's clock, which the end of a lease needs. */
-		.extend = runner_may_extend_lease(runner) && runner->worker_clock_ms,
-		.ends_known = runner->ends_stored,
-	};
+	struct runner_renewal renewal = {.worker = runner->worker, .fence = runner_fence(runner)};
 	struct renewal_call *call;
 
 	if (runner->renewing || now_ms < runner->renew_due_ms)
 		return;
-	/* Before the first announcement the call only checks whether a worker listens. */
-	if (!runner->alive && (runner->worker || runner->down))
-		return;
+	/*
+	 * Before the first announcement, and while the worker is down, the call only shows whether
+	 * a worker listens, and makes it ignore earlier calls. The first call to an incarnation
+	 * reads its clock, which the end of a lease needs.
+	 */
+	renewal.extend =
+		runner->alive && runner_may_extend_lease(runner) && runner->worker_clock_ms;
+	if (runner->alive)
+		renewal.ends_known = runner->ends_stored;
 	renewal.lease_end_ms = runner_lease_end(runner);
 	renewal.wait_ms = renewal.extend && has_current_list(runner) ? RENEW_WAIT_MS : 0;
 	if (!renewal.extend)
 		runner->renew_due_ms = now_ms + RENEW_RETRY_MS;
 	runner->renewing = true;
 	call = talloc_zero(runner, struct renewal_call);
-	*call = (struct renewal_call){runner, ++runner->renewals, runner->generation, runner->term,
+	*call = (struct renewal_call){runner, ++runner->renewals, runner->generation, renewal.fence,
 				      now_ms};
 	runner->calls.renew(runner->calls.impl, &renewal, on_renewed, call);
 }
@@ -451,14 +484,21 @@
 {
 	uint64_t authority_end_ms = orders->echo_ms + orders->valid_ms;
 
-	if (orders->session != runner->session) {
+	if (orders->session > runner->session) {
 		runner->session = orders->session;
+		runner->epoch = 0;
+		supersede_renewal(runner);
+		renew_lease_if_due(runner, util_clock_ms());
 		runner_schedule_report(runner);
 	}
 	if (runner->down && orders->echo_ms >= runner->down_ms)
 		runner->down_received = true;
-	if (orders->valid_ms && authority_end_ms > runner->authority_end_ms)
+	if (orders->valid_ms && authority_end_ms > runner->authority_end_ms) {
+		/* The leader may have counted the worker as lost meanwhile. */
+		if (runner->authority_end_ms && !runner_may_extend_lease(runner))
+			runner_begin_epoch(runner);
 		runner->authority_end_ms = authority_end_ms;
+	}
 	runner->leader_unconfirmed = orders->unsure;
 	if (orders->report_ms)
 		runner->report_ms = orders->report_ms;
--- a/src/runner.h
+++ b/src/runner.h
@@ -18,7 +18,7 @@
 /* Result of a start or stop call to the worker. */
 enum runner_call_result {
 	RUNNER_STARTED,	       /* the worker has carried out the start or stop */
-	RUNNER_REFUSED_FENCED, /* the worker has accepted the term of a later leader */
+	RUNNER_REFUSED_FENCED, /* the worker has accepted a call with a higher fence */
 	RUNNER_REFUSED_STALE,  /* the worker has seen the same or a later run of the task */
 	RUNNER_REFUSED_LATE,   /* the lease has expired */
 	RUNNER_REFUSED_NO_ROOM,
@@ -30,27 +30,34 @@
 	RUNNER_NO_ANSWER,	  /* the call may still take effect */
 };
 
+/**
+ * struct runner_start - start of a run
+ * @worker: identifier of the worker
+ * @fence: the worker ignores calls whose fence is lower than one that it has accepted
+ * @lease_end_ms: by the worker's clock
+ */
 struct runner_start {
-	const char *worker; /* identifier of the worker's incarnation */
+	const char *worker;
 	const char *task;
 	uint32_t run;
 	const char *payload;
 	const char *checkpoint;
 	const char *ticket; /* "": none */
-	uint64_t term;
-	uint64_t lease_end_ms; /* by the worker's clock */
+	uint64_t fence;
+	uint64_t lease_end_ms;
 };
 
 /**
  * struct runner_renewal - request to extend the lease and list the runs
- * @worker: identifier of the incarnation, NULL for any
+ * @worker: identifier of the worker, NULL for any
+ * @fence: as in &struct runner_start
  * @extend: extend the lease to @lease_end_ms; if false, only list the runs
  * @ends_known: the worker may forget ends up to this number
  * @wait_ms: the worker answers as soon as a run ends, otherwise after this time
  */
 struct runner_renewal {
 	const char *worker;
-	uint64_t term;
+	uint64_t fence;
 	bool extend;
 	uint64_t lease_end_ms;
 	uint64_t ends_known;
@@ -76,7 +83,7 @@
  * struct runner_calls - calls to the worker
  * @renew: its callback receives status 0 with a list; -ERR_UNAVAILABLE when nothing listens
  *	at the worker's address; -ERR_STALE when another incarnation answered; -ERR_DENIED
- *	when the worker has accepted a later leader; another error without a usable answer
+ *	when the worker has accepted a higher fence; another error without a usable answer
  *
  * Each callback runs once, from the event loop. Its clock_ms is 0 if the answer lacks the
  * worker's clock.
@@ -85,7 +92,7 @@
 	void (*start)(void *impl, const struct runner_start *start,
 		      void (*done)(enum runner_call_result result, uint64_t clock_ms, void *ctx),
 		      void *ctx);
-	void (*stop)(void *impl, const char *worker, const char *task, uint32_t run, uint64_t term,
+	void (*stop)(void *impl, const char *worker, const char *task, uint32_t run, uint64_t fence,
 		     void (*done)(enum runner_call_result result, uint64_t clock_ms, void *ctx),
 		     void *ctx);
 	void (*renew)(void *impl, const struct runner_renewal *renewal,
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -67,12 +67,13 @@
 	uint64_t list_received_ms; /* time of the latest list */
 	uint64_t renew_due_ms;
 	uint32_t renewals;	   /* number sent so far; only the answer to the latest counts */
-	uint64_t list_term;	   /* term of the call that returned the latest list */
+	uint64_t list_fence;	   /* of the call that returned the latest list */
 	uint32_t connect_failures; /* calls in a row that found nothing listening */
 	/* The leader. */
 	uint64_t term;
 	char *leader_address;
 	uint64_t session;	    /* given by the leader to this process; 0: none yet */
+	uint32_t epoch;		    /* see runner_fence() */
 	uint64_t authority_end_ms;  /* until then the orders allow starts and renewals */
 	uint64_t leader_contact_ms; /* last orders, or last attempt to connect */
 	uint64_t reported_ms;
@@ -99,6 +100,17 @@
 /* End of a lease that begins now, by the worker's clock. */
 uint64_t runner_lease_end(const struct runner *runner);
 void runner_read_clock(struct runner *runner, uint64_t clock_ms);
+/**
+ * runner_fence() - fence of calls to the worker
+ *
+ * It rises with the leader's term, with the session of the agent's process, and with the epoch.
+ */
+uint64_t runner_fence(const struct runner *runner);
+/*
+ * Begins an epoch: once the worker has answered a call of it, no earlier call has an effect on the
+ * worker any more, nor on a later incarnation under the same identifier.
+ */
+void runner_begin_epoch(struct runner *runner);
 
 /* runnerruns.c */
 struct run_row *runner_find_row(const struct runner *runner, const char *task, uint32_t run);
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -83,6 +83,7 @@
 	runner->ends_stored = 0;
 	runner->settled = false;
 	runner->worker_clock_ms = 0;
+	runner_begin_epoch(runner);
 }
 
 /* A new leader does not know of starts that were not attempted yet; it places those tasks anew. */
@@ -225,7 +226,7 @@
 		.payload = row->payload,
 		.checkpoint = row->checkpoint,
 		.ticket = row->ticket,
-		.term = runner->term,
+		.fence = runner_fence(runner),
 		.lease_end_ms = runner_lease_end(runner),
 	};
 
@@ -239,8 +240,8 @@
 	struct runner *runner = row->runner;
 
 	row->call_pending = true;
-	runner->calls.stop(runner->calls.impl, runner->worker, row->task, row->run, runner->term,
-			   on_stopped, row);
+	runner->calls.stop(runner->calls.impl, runner->worker, row->task, row->run,
+			   runner_fence(runner), on_stopped, row);
 }
 
 /* Makes the start and stop calls that are due. */
--- a/tests/sim_worker.c
+++ b/tests/sim_worker.c
@@ -250,9 +250,9 @@
 
 	if (strcmp(start->worker, worker->id) != 0)
 		return RUNNER_OTHER_INCARNATION;
-	if (start->term < worker->fence)
+	if (start->fence < worker->fence)
 		return RUNNER_REFUSED_FENCED;
-	worker->fence = start->term;
+	worker->fence = start->fence;
 	extend_lease(worker, start->lease_end_ms);
 	if (find_run(worker, start->task, start->run))
 		return RUNNER_STARTED;
@@ -285,16 +285,16 @@
 }
 
 static enum runner_call_result carry_out_stop(struct sim_worker *worker, const char *id,
-					      const char *task, uint32_t number, uint64_t term)
+					      const char *task, uint32_t number, uint64_t fence)
 {
 	uint32_t *closed = g_hash_table_lookup(worker->closed, task);
 	struct run *run;
 
 	if (strcmp(id, worker->id) != 0)
 		return RUNNER_OTHER_INCARNATION;
-	if (term < worker->fence)
+	if (fence < worker->fence)
 		return RUNNER_REFUSED_FENCED;
-	worker->fence = term;
+	worker->fence = fence;
 	check_lease(worker);
 	run = find_run(worker, task, number);
 	if (run && !run->stopping) {
@@ -438,9 +438,9 @@
 {
 	if (call->id && strcmp(call->id, worker->id) != 0)
 		return -ERR_STALE;
-	if (call->renewal.term < worker->fence)
+	if (call->renewal.fence < worker->fence)
 		return -ERR_DENIED;
-	worker->fence = call->renewal.term;
+	worker->fence = call->renewal.fence;
 	check_lease(worker);
 	if (call->renewal.extend)
 		extend_lease(worker, call->renewal.lease_end_ms);
@@ -457,7 +457,7 @@
 		return carry_out_start(worker, &call->start);
 	if (call->kind == CALL_STOP)
 		return carry_out_stop(worker, call->id, call->task, call->start.run,
-				      call->start.term);
+				      call->start.fence);
 	call->status = carry_out_renewal(worker, call);
 	return RUNNER_STARTED;
 }
@@ -568,7 +568,7 @@
 	call->ctx = ctx;
 }
 
-static void call_stop(void *impl, const char *id, const char *task, uint32_t run, uint64_t term,
+static void call_stop(void *impl, const char *id, const char *task, uint32_t run, uint64_t fence,
 		      void (*done)(enum runner_call_result, uint64_t, void *), void *ctx)
 {
 	struct call *call = create_call(impl, id);
@@ -576,7 +576,7 @@
 	call->kind = CALL_STOP;
 	call->task = talloc_strdup(call, task);
 	call->start.run = run;
-	call->start.term = term;
+	call->start.fence = fence;
 	call->order_done = done;
 	call->ctx = ctx;
 }
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -309,7 +309,7 @@
 {
 	struct world *world = talloc_zero(NULL, struct world);
 	struct httpd_handlers handlers = {serve_list, NULL, world};
-	struct runner_renewal renewal = {.term = 1};
+	struct runner_renewal renewal = {.fence = 1};
 	struct err err;
 	struct httpd *server;
 	struct runner_calls *calls;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -471,7 +471,7 @@
 	TALLOC_CTX *mem = talloc_new(NULL);
 	struct tevent_context *ev = tevent_context_init(mem);
 	struct losing_worker *worker = talloc_zero(mem, struct losing_worker);
-	struct runner_renewal renewal = {.worker = "w", .term = 1};
+	struct runner_renewal renewal = {.worker = "w", .fence = 1};
 	struct runner_start start = {
 		.worker = "w",
 		.task = "j.0.0.0",
@@ -479,7 +479,7 @@
 		.payload = "p",
 		.checkpoint = "",
 		.ticket = "",
-		.term = 1,
+		.fence = 1,
 	};
 	struct start_answer answer = {0};
 	struct runner_calls *calls;
@@ -577,7 +577,7 @@
 	calls = platform_worker_create(answers.mem, httpc_create(answers.mem, answers.ev),
 				       httpd_address(answers.server));
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct runner_renewal renewal = {.term = 1};
+		struct runner_renewal renewal = {.fence = 1};
 		struct listed listed = {0};
 		char *want = talloc_asprintf(answers.mem,
 					     "a.0.0.0/1 10;%sb.0.0.0/1 20;a.0.0.1/1 #1;"
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -31,6 +31,8 @@
 	int stops;
 	uint64_t lease_end_ms; /* latest end of the lease that the worker was sent */
 	int extensions;	       /* renewals of the lease */
+	uint64_t start_fence;  /* of the latest start */
+	uint64_t list_fence;   /* of the latest renewal */
 	char ticket[32];       /* of the latest start */
 	struct plan_run running[LIST_MAX];
 	size_t running_count;
@@ -42,6 +44,7 @@
 	struct fleet_report *report; /* latest */
 	int reports;
 	bool answers;
+	uint64_t session;
 	bool unsure; /* the orders say that the store has not confirmed the leader */
 	bool echo_outdated;
 	uint32_t valid_ms; /* from the time of the report on */
@@ -107,6 +110,7 @@
 	answer->order = done;
 	answer->result = f->start_result;
 	f->starts++;
+	f->start_fence = start->fence;
 	g_strlcpy(f->ticket, start->ticket, sizeof(f->ticket));
 	if (start->lease_end_ms > f->lease_end_ms)
 		f->lease_end_ms = start->lease_end_ms;
@@ -138,6 +142,7 @@
 
 	answer->list = done;
 	f->ends_known = renewal->ends_known;
+	f->list_fence = renewal->fence;
 	f->extensions += renewal->extend;
 	if (renewal->extend && renewal->lease_end_ms > f->lease_end_ms)
 		f->lease_end_ms = renewal->lease_end_ms;
@@ -153,7 +158,8 @@
 
 static void send_orders(struct fixture *f)
 {
-	struct fleet_orders orders = {.echo_ms = f->echo_outdated ? 1 : f->report->sent_ms,
+	struct fleet_orders orders = {.session = f->session,
+				      .echo_ms = f->echo_outdated ? 1 : f->report->sent_ms,
 				      .incarnation = f->report->info.incarnation,
 				      .ends_stored = f->ends_stored,
 				      .valid_ms = f->valid_ms,
@@ -823,6 +829,90 @@
 	tear_down(f);
 }
 
+/* Gives the agent a start that gets no answer. */
+static void leave_start_unanswered(struct fixture *f)
+{
+	f->start_result = RUNNER_NO_ANSWER;
+	f->start_delay_ms = 5000;
+	f->orders[f->order_count++] = start_order();
+	for (int i = 0; i < 50 && f->starts == 0; i++)
+		memkv_run(f->ev, 10);
+	CU_ASSERT_EQUAL(f->starts, 1);
+	CU_ASSERT_TRUE(f->start_fence >= f->list_fence);
+}
+
+/* Guards against a late start that a restarted worker carries out under its identifier. */
+static void test_late_start_on_restarted_worker(void)
+{
+	struct fixture *f = set_up();
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	leave_start_unanswered(f);
+	f->born_ms = 9;
+	announce(f, 9, 1);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(f->list_fence > f->start_fence);
+	tear_down(f);
+}
+
+/* Guards against a late start on a worker that is down and restarts before it announces itself. */
+static void test_late_start_on_returning_worker(void)
+{
+	struct fixture *f = set_up();
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	leave_start_unanswered(f);
+	f->worker_up = false;
+	memkv_run(f->ev, 1000);
+	CU_ASSERT_FALSE(f->report->alive);
+	f->worker_up = true;
+	f->list_fence = 0;
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(f->list_fence > f->start_fence);
+	tear_down(f);
+}
+
+/* Guards against a late start on a worker that the leader has counted as lost meanwhile. */
+static void test_late_start_on_lost_worker(void)
+{
+	struct fixture *f = set_up();
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	leave_start_unanswered(f);
+	f->answers = false;
+	memkv_run(f->ev, WORKER_RENEWAL_WINDOW_MS + 300);
+	CU_ASSERT_TRUE(f->list_fence <= f->start_fence);
+	f->answers = true;
+	memkv_run(f->ev, 1500);
+	CU_ASSERT_TRUE(f->list_fence > f->start_fence);
+	tear_down(f);
+}
+
+/* Guards against a late start of a former process of the agent, and a list that may lack it. */
+static void test_list_of_former_session(void)
+{
+	struct fixture *f = set_up();
+	uint64_t fence;
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(f->report->settled);
+	fence = f->list_fence;
+	f->list_answers_lost = true;
+	f->session = 1;
+	memkv_run(f->ev, 400);
+	CU_ASSERT_EQUAL(f->report->session, 1);
+	CU_ASSERT_FALSE(f->report->settled);
+	f->list_answers_lost = false;
+	memkv_run(f->ev, 600);
+	CU_ASSERT_TRUE(f->report->settled);
+	CU_ASSERT_TRUE(f->list_fence > fence);
+	tear_down(f);
+}
+
 /* Guards against a start that is repeated under a term whose leader does not know of it yet. */
 static void test_start_of_former_term_is_not_repeated(void)
 {
@@ -880,6 +970,10 @@
 	CU_add_test(suite, "start_of_former_term_is_not_repeated",
 		    test_start_of_former_term_is_not_repeated);
 	CU_add_test(suite, "list_of_former_term", test_list_of_former_term);
+	CU_add_test(suite, "list_of_former_session", test_list_of_former_session);
+	CU_add_test(suite, "late_start_on_restarted_worker", test_late_start_on_restarted_worker);
+	CU_add_test(suite, "late_start_on_returning_worker", test_late_start_on_returning_worker);
+	CU_add_test(suite, "late_start_on_lost_worker", test_late_start_on_lost_worker);
 	CU_add_test(suite, "end_after_unanswered_stop", test_end_after_unanswered_stop);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
