runner: the numbers of ends of one incarnation are not told to the next

Cause: an agent that did not know yet that its worker had restarted under its identifier told the new incarnation to forget ends up to the number that it knew of the former one.

Change: after a renewal without a usable answer the next one names no ends.

Evidence: test_runner/ends_known_after_failure fails without the change.

--- a/src/runner.c
+++ b/src/runner.c
@@ -331,6 +331,7 @@
 	bool new_fence = runner->list_fence != call->fence;
 
 	runner->connect_failures = 0;
+	runner->renewal_failed = false;
 	if (list->clock_ms)
 		runner_read_clock(runner, list->clock_ms);
 	runner->list_fence = call->fence;
@@ -373,6 +374,7 @@
 		return;
 	}
 	runner->renew_due_ms = now_ms + RENEW_RETRY_MS;
+	runner->renewal_failed = true;
 	if (status == -ERR_STALE)
 		mark_worker_down(runner, "another incarnation answered");
 	else if (status == -ERR_UNAVAILABLE &&
@@ -394,7 +396,8 @@
 	 */
 	renewal.extend =
 		runner->alive && runner_may_extend_lease(runner) && runner->worker_clock_ms;
-	if (runner->alive)
+	/* To another incarnation the numbers of the ends mean other ends. */
+	if (runner->alive && !runner->renewal_failed)
 		renewal.ends_known = runner->ends_stored;
 	renewal.lease_end_ms = runner_lease_end(runner);
 	renewal.wait_ms = renewal.extend && has_current_list(runner) ? RENEW_WAIT_MS : 0;
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -69,6 +69,7 @@
 	uint32_t renewals;	   /* number sent so far; only the answer to the latest counts */
 	uint64_t list_fence;	   /* of the call that returned the latest list */
 	uint32_t connect_failures; /* calls in a row that found nothing listening */
+	bool renewal_failed;	   /* the latest one */
 	/* The leader. */
 	uint64_t term;
 	char *leader_address;
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -83,6 +83,7 @@
 	runner->ends_stored = 0;
 	runner->settled = false;
 	runner->worker_clock_ms = 0;
+	runner->renewal_failed = false;
 	runner_begin_epoch(runner);
 }
 
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -913,6 +913,27 @@
 	tear_down(f);
 }
 
+/* Guards against ends of a restarted worker that are forgotten by the numbers of its former ones.
+ */
+static void test_ends_known_after_failure(void)
+{
+	struct fixture *f = set_up();
+
+	f->ends[f->end_count++] = (struct fleet_run_end){57, {"t.0.0.1", 3, "", 0}, PLAN_END_DONE};
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	f->ends_stored = 57;
+	memkv_run(f->ev, 600);
+	CU_ASSERT_EQUAL(f->ends_known, 57);
+	f->list_answers_lost = true;
+	memkv_run(f->ev, 600);
+	CU_ASSERT_EQUAL(f->ends_known, 0);
+	f->list_answers_lost = false;
+	memkv_run(f->ev, 600);
+	CU_ASSERT_EQUAL(f->ends_known, 57);
+	tear_down(f);
+}
+
 /* Guards against a start that is repeated under a term whose leader does not know of it yet. */
 static void test_start_of_former_term_is_not_repeated(void)
 {
@@ -974,6 +995,7 @@
 	CU_add_test(suite, "late_start_on_restarted_worker", test_late_start_on_restarted_worker);
 	CU_add_test(suite, "late_start_on_returning_worker", test_late_start_on_returning_worker);
 	CU_add_test(suite, "late_start_on_lost_worker", test_late_start_on_lost_worker);
+	CU_add_test(suite, "ends_known_after_failure", test_ends_known_after_failure);
 	CU_add_test(suite, "end_after_unanswered_stop", test_end_after_unanswered_stop);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
