runner: a restarted worker gets no runs while its lease may be long

Cause: the end of a lease is a time on the worker's clock. A call that was computed for one incarnation and reached the next one under the same identifier, whose clock starts anew, named an end far ahead, so the lease lasted the 10 s that a worker allows.

Change: after such a restart the worker gets no starts, and runs found on it are stopped, until a lease that an earlier call may have given is no longer than a normal one: 6.2 s after the first answer to a call that fences off all earlier ones.

--- a/src/fleetlimits.h
+++ b/src/fleetlimits.h
@@ -13,9 +13,12 @@
  */
 #define WORKER_RENEWAL_WINDOW_MS 2500
 
-/* Duration of each lease renewal; the worker interface allows 10 s at most. */
+/* Duration of each lease renewal. */
 #define WORKER_LEASE_MS 4000
 
+/* A worker shortens longer leases to this, according to the worker interface. */
+#define WORKER_LEASE_MAX_MS 10000
+
 /* A worker's clock may be slow by up to this share, according to the worker interface. */
 #define WORKER_CLOCK_ERROR 0.02
 
--- a/src/runner.c
+++ b/src/runner.c
@@ -24,6 +24,8 @@
  */
 #define LEADER_QUERY_MS 250
 #define LEADER_LINK "leader"
+/* A lease that is given now and lasts as long as the worker allows is a normal one after this. */
+#define LONG_LEASE_MS ((uint64_t)(WORKER_LEASE_MAX_MS * (1 + WORKER_CLOCK_ERROR)) - WORKER_LEASE_MS)
 /*
  * A fence has the term in its high bits, then the session, then the epoch. With the highest term it
  * is below 2^53, which all JSON parsers can read.
@@ -88,6 +90,16 @@
 	return runner->settled && runner->list_fence == runner_fence(runner);
 }
 
+bool runner_lease_may_be_long(const struct runner *runner)
+{
+	return runner->lease_unknown || util_clock_ms() < runner->long_lease_until_ms;
+}
+
+bool runner_accepts(const struct runner *runner)
+{
+	return runner->accepting && !runner_lease_may_be_long(runner);
+}
+
 static size_t count_rows_in_state(const struct runner *runner, enum run_state state)
 {
 	GHashTableIter iter;
@@ -153,7 +165,7 @@
 			 .kind = runner->kind ? runner->kind : "",
 			 .rack = runner->rack ? runner->rack : "",
 			 .room = runner->room,
-			 .accepting = runner->accepting},
+			 .accepting = runner_accepts(runner)},
 		.ends = runner->ends,
 		.end_count = runner->end_count,
 	};
@@ -335,6 +347,11 @@
 	if (list->clock_ms)
 		runner_read_clock(runner, list->clock_ms);
 	runner->list_fence = call->fence;
+	/* A call to the former incarnation may have got here before, but none can from now on. */
+	if (runner->lease_unknown && runner->list_fence == runner_fence(runner)) {
+		runner->lease_unknown = false;
+		runner->long_lease_until_ms = util_clock_ms() + LONG_LEASE_MS;
+	}
 	runner_apply_list(runner, list, call->sent_ms);
 	if (new_fence)
 		runner_schedule_report(runner);
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -70,6 +70,12 @@
 	uint64_t list_fence;	   /* of the call that returned the latest list */
 	uint32_t connect_failures; /* calls in a row that found nothing listening */
 	bool renewal_failed;	   /* the latest one */
+	/*
+	 * A call with the end of a lease by the clock of the former incarnation may reach this one,
+	 * whose clock started anew; the worker then shortens the lease to WORKER_LEASE_MAX_MS.
+	 */
+	bool lease_unknown;
+	uint64_t long_lease_until_ms; /* end of the time in which such a lease is a longer one */
 	/* The leader. */
 	uint64_t term;
 	char *leader_address;
@@ -112,6 +118,10 @@
  * worker any more, nor on a later incarnation under the same identifier.
  */
 void runner_begin_epoch(struct runner *runner);
+/* True if the worker takes starts. */
+bool runner_accepts(const struct runner *runner);
+/* True while the worker may have a longer lease than the leader expects. */
+bool runner_lease_may_be_long(const struct runner *runner);
 
 /* runnerruns.c */
 struct run_row *runner_find_row(const struct runner *runner, const char *task, uint32_t run);
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -84,6 +84,8 @@
 	runner->settled = false;
 	runner->worker_clock_ms = 0;
 	runner->renewal_failed = false;
+	runner->lease_unknown = same_id;
+	runner->long_lease_until_ms = 0;
 	runner_begin_epoch(runner);
 }
 
@@ -260,7 +262,7 @@
 			continue;
 		if (row->state == RUN_STOPPING)
 			call_stop(row);
-		else if (row->state == RUN_ORDERED && !runner->accepting)
+		else if (row->state == RUN_ORDERED && !runner_accepts(runner))
 			give_up_start(row, PLAN_REFUSED_OTHER);
 		else if (row->state == RUN_ORDERED && row->term == runner->term &&
 			 runner_may_extend_lease(runner) && runner->settled)
@@ -350,7 +352,8 @@
 
 	if (!row) {
 		row = add_row(runner, run->task, run->run);
-		row->state = RUN_STARTED;
+		/* A call to the former incarnation has started it. */
+		row->state = runner_lease_may_be_long(runner) ? RUN_STOPPING : RUN_STARTED;
 	}
 	if (row->state == RUN_ORDERED && !row->call_pending)
 		row->state = RUN_STARTED;
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -934,6 +934,32 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against runs that outlive the time after which the leader counts their worker as lost: a
+ * worker that has restarted may have a lease by its former clock.
+ */
+static void test_no_start_under_long_lease(void)
+{
+	struct fixture *f = set_up();
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	f->born_ms = 9;
+	f->running[f->running_count++] = (struct plan_run){"t.0.0.1", 3, "", 1};
+	announce(f, 9, 1);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_FALSE(f->report->info.accepting);
+	CU_ASSERT(f->stops > 0);
+	f->orders[f->order_count++] = start_order();
+	memkv_run(f->ev, 300);
+	CU_ASSERT_EQUAL(f->starts, 0);
+	CU_ASSERT_EQUAL(f->report->refusal_count, 1);
+	f->order_count = 0;
+	memkv_run(f->ev, WORKER_LEASE_MAX_MS - WORKER_LEASE_MS + 500);
+	CU_ASSERT_TRUE(f->report->info.accepting);
+	tear_down(f);
+}
+
 /* Guards against a start that is repeated under a term whose leader does not know of it yet. */
 static void test_start_of_former_term_is_not_repeated(void)
 {
@@ -996,6 +1022,7 @@
 	CU_add_test(suite, "late_start_on_returning_worker", test_late_start_on_returning_worker);
 	CU_add_test(suite, "late_start_on_lost_worker", test_late_start_on_lost_worker);
 	CU_add_test(suite, "ends_known_after_failure", test_ends_known_after_failure);
+	CU_add_test(suite, "no_start_under_long_lease", test_no_start_under_long_lease);
 	CU_add_test(suite, "end_after_unanswered_stop", test_end_after_unanswered_stop);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
