plan: a new leader does not repeat the starts of its predecessor

Cause: an agent that had stood still kept a start whose outcome it did not know. The new leader adopted it with the agent's first report, and the answer to that report ordered the start again at once, although a worker that had not reported yet could have a later run of the task. later_run_of_pending_one misses it, because it asks for orders only after both reports.

Change: a start of the former leader that may still take effect is stopped; the task starts anew when all agents have reported.

Evidence: test_plan/pending_run_of_former_leader fails before.

--- a/src/planworker.c
+++ b/src/planworker.c
@@ -211,15 +211,22 @@
 	plan_mark_job_dirty(plan, job);
 }
 
+static struct orphan_run *find_orphan_run(const struct worker *worker, const struct plan_run *run)
+{
+	struct orphan_run *orphan = worker->orphans;
+
+	while (orphan && (orphan->run != run->run || strcmp(orphan->task, run->task) != 0))
+		orphan = orphan->next;
+	return orphan;
+}
+
 static void add_orphan_run(struct worker *worker, const struct plan_run *run)
 {
-	struct orphan_run *orphan;
+	struct orphan_run *orphan = find_orphan_run(worker, run);
 
-	for (orphan = worker->orphans; orphan; orphan = orphan->next) {
-		if (orphan->run == run->run && !strcmp(orphan->task, run->task)) {
-			orphan->listed = true;
-			return;
-		}
+	if (orphan) {
+		orphan->listed = true;
+		return;
 	}
 	orphan = talloc_zero(worker, struct orphan_run);
 	orphan->task = talloc_strdup(orphan, run->task);
@@ -305,13 +312,19 @@
 	       task->state != TASK_STOPPING && !task->step->spec->gang;
 }
 
+static bool is_current_run(const struct task *task, const struct worker *worker,
+			   const struct plan_run *run)
+{
+	return task->worker == worker && task->run == run->run;
+}
+
 /* Returns the task that a reported run belongs to, if it is its current run or can become it. */
 static struct task *match_run(struct plan *plan, struct worker *worker, const struct plan_run *run,
 			      uint64_t list_ms)
 {
 	struct task *task = plan_find_task(plan, run->task);
 
-	if (task && task->worker == worker && task->run == run->run) {
+	if (task && is_current_run(task, worker, run)) {
 		task->listed = true;
 		return task;
 	}
@@ -320,7 +333,7 @@
 			       &(struct plan_run){.task = task->name, .run = task->run});
 		return_to_waiting(task);
 	}
-	if (task && can_adopt_run(task, run->run)) {
+	if (task && !find_orphan_run(worker, run) && can_adopt_run(task, run->run)) {
 		adopt_run(plan, task, worker, run, list_ms);
 		return task;
 	}
@@ -344,8 +357,17 @@
 			 uint64_t list_ms)
 {
 	struct worker *worker = plan_find_worker(plan, node);
+	const struct task *task = plan_find_task(plan, run->task);
 
-	if (worker)
+	if (!worker)
+		return;
+	/*
+	 * A start of the former leader is not repeated: a worker that has not reported yet may have
+	 * a later run of the task.
+	 */
+	if (task && plan_task_job(task)->inherited && !is_current_run(task, worker, run))
+		add_orphan_run(worker, run);
+	else
 		match_run(plan, worker, run, list_ms);
 }
 
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -717,6 +717,30 @@
 	check_and_free(sim);
 }
 
+/* Guards against a start of the former leader that is repeated before the other workers report. */
+static void test_pending_run_of_former_leader(void)
+{
+	struct plansim *sim = plansim_create(NULL, 0);
+	const struct plan_run pending = {"j1.0.0.0", 5, "", 0};
+	const struct plan_run running = {"j1.0.0.0", 6, "", 10};
+	struct plan_order *orders;
+
+	plansim_add_job(sim, "j1", "batch", "b",
+			"[{\"tasks\":1,\"cpu_milli\":1000,\"estimate_ms\":2000}]");
+	plansim_restart_leader(sim, false);
+	report_worker(sim, "a");
+	plan_worker_pending(sim->plan, "a", &pending, sim->now_ms);
+	plan_worker_list_end(sim->plan, "a", sim->now_ms);
+	CU_ASSERT_EQUAL_FATAL(plan_orders(sim->plan, sim, "a", &orders), 1);
+	CU_ASSERT_FALSE(orders[0].start);
+	CU_ASSERT_EQUAL(orders[0].run, 5);
+	report_worker(sim, "b");
+	plan_worker_running(sim->plan, "b", &running, sim->now_ms);
+	plan_worker_list_end(sim->plan, "b", sim->now_ms);
+	CU_ASSERT_EQUAL(plan_orders(sim->plan, sim, "b", &orders), 0);
+	check_and_free(sim);
+}
+
 /* Guards against a job that starts anew because its record says that all its tasks are done. */
 static void test_record_of_done_tasks(void)
 {
@@ -789,6 +813,7 @@
 		{"waits_for_end_of_orphan_run", test_waits_for_end_of_orphan_run},
 		{"pending_run_is_not_lost", test_pending_run_is_not_lost},
 		{"later_run_of_pending_one", test_later_run_of_pending_one},
+		{"pending_run_of_former_leader", test_pending_run_of_former_leader},
 		{"earlier_run_is_done", test_earlier_run_is_done},
 		CU_TEST_INFO_NULL,
 	};
