plan: a later run of a gang supersedes an adopted one

Change: the rule for single tasks holds for gangs: all members of the earlier run are stopped, and the later run is adopted.

Evidence: test_plan/later_run_of_gang fails before.

--- a/src/planworker.c
+++ b/src/planworker.c
@@ -303,13 +303,22 @@
 }
 
 /*
- * True for a run that is later than the one that was adopted before it. No task of an inherited job
- * is started by this leader, so every assignment is an adoption.
+ * Lets go of an adopted run that a later one has replaced. No task of an inherited job is started
+ * by this leader, so every assignment is an adoption. The members of a gang run under one number.
  */
-static bool supersedes_adopted_run(const struct task *task, uint32_t run)
+static void supersede_adopted_run(struct task *task, uint32_t run)
 {
-	return plan_task_job(task)->inherited && task->worker && run > task->run &&
-	       task->state != TASK_STOPPING && !task->step->spec->gang;
+	struct step_run *step = task->step;
+
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		struct task *member = step->spec->gang ? &step->tasks[i] : task;
+
+		if (!member->worker || member->run >= run || member->state == TASK_STOPPING)
+			continue;
+		add_orphan_run(member->worker,
+			       &(struct plan_run){.task = member->name, .run = member->run});
+		return_to_waiting(member);
+	}
 }
 
 static bool is_current_run(const struct task *task, const struct worker *worker,
@@ -328,11 +337,8 @@
 		task->listed = true;
 		return task;
 	}
-	if (task && supersedes_adopted_run(task, run->run)) {
-		add_orphan_run(task->worker,
-			       &(struct plan_run){.task = task->name, .run = task->run});
-		return_to_waiting(task);
-	}
+	if (task && plan_task_job(task)->inherited)
+		supersede_adopted_run(task, run->run);
 	if (task && !find_orphan_run(worker, run) && can_adopt_run(task, run->run)) {
 		adopt_run(plan, task, worker, run, list_ms);
 		return task;
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -741,6 +741,30 @@
 	check_and_free(sim);
 }
 
+/* Guards against a gang at work that is stopped for a member's earlier run of the former leader. */
+static void test_later_run_of_gang(void)
+{
+	struct plansim *sim = plansim_create(NULL, 0);
+	const struct plan_run earlier = {"j1.0.0.0", 5, "", 10};
+	const struct plan_run later[] = {{"j1.0.0.0", 6, "", 10}, {"j1.0.0.1", 6, "", 10}};
+	struct plan_order *orders;
+
+	plansim_add_job(sim, "j1", "batch", "b",
+			"[{\"tasks\":2,\"cpu_milli\":1000,\"estimate_ms\":2000,\"gang\":true}]");
+	plansim_restart_leader(sim, false);
+	report_worker(sim, "a");
+	plan_worker_running(sim->plan, "a", &earlier, sim->now_ms);
+	plan_worker_list_end(sim->plan, "a", sim->now_ms);
+	report_worker(sim, "b");
+	plan_worker_running(sim->plan, "b", &later[0], sim->now_ms);
+	plan_worker_running(sim->plan, "b", &later[1], sim->now_ms);
+	plan_worker_list_end(sim->plan, "b", sim->now_ms);
+	CU_ASSERT_EQUAL(plan_orders(sim->plan, sim, "b", &orders), 0);
+	CU_ASSERT_EQUAL_FATAL(plan_orders(sim->plan, sim, "a", &orders), 1);
+	CU_ASSERT_FALSE(orders[0].start);
+	check_and_free(sim);
+}
+
 /* Guards against a job that starts anew because its record says that all its tasks are done. */
 static void test_record_of_done_tasks(void)
 {
@@ -814,6 +838,7 @@
 		{"pending_run_is_not_lost", test_pending_run_is_not_lost},
 		{"later_run_of_pending_one", test_later_run_of_pending_one},
 		{"pending_run_of_former_leader", test_pending_run_of_former_leader},
+		{"later_run_of_gang", test_later_run_of_gang},
 		{"earlier_run_is_done", test_earlier_run_is_done},
 		CU_TEST_INFO_NULL,
 	};
