--- a/src/runner.c
+++ b/src/runner.c
@@ -71,8 +71,10 @@
 	runner->renew_due_ms = 0;
 }
 
-void runner_begin_epoch(struct runner *runner)
+void runner_begin_epoch(struct runner *runner, const char *why)
 {
+	log_info("calls_fenced_off", runner->worker ? runner->worker : "",
+		 "calls of epoch %u and before: %s", runner->epoch, why);
 	if (runner->epoch == (1 << FENCE_EPOCH_BITS) - 1)
 		log_error("epochs_used_up", "",
 			  "earlier calls to the worker may still take effect");
@@ -516,7 +518,7 @@
 	if (orders->valid_ms && authority_end_ms > runner->authority_end_ms) {
 		/* The leader may have counted the worker as lost meanwhile. */
 		if (runner->authority_end_ms && !runner_may_extend_lease(runner))
-			runner_begin_epoch(runner);
+			runner_begin_epoch(runner, "the leader's authority had ended");
 		runner->authority_end_ms = authority_end_ms;
 	}
 	runner->leader_unconfirmed = orders->unsure;
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -117,7 +117,7 @@
  * Begins an epoch: once the worker has answered a call of it, no earlier call has an effect on the
  * worker any more, nor on a later incarnation under the same identifier.
  */
-void runner_begin_epoch(struct runner *runner);
+void runner_begin_epoch(struct runner *runner, const char *why);
 /* True if the worker takes starts. */
 bool runner_accepts(const struct runner *runner);
 /* True while the worker may have a longer lease than the leader expects. */
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -86,7 +86,7 @@
 	runner->renewal_failed = false;
 	runner->lease_unknown = same_id;
 	runner->long_lease_until_ms = 0;
-	runner_begin_epoch(runner);
+	runner_begin_epoch(runner, "another incarnation of the worker, or none");
 }
 
 /* A new leader does not know of starts that were not attempted yet; it places those tasks anew. */
@@ -352,6 +352,11 @@
 
 	if (!row) {
 		row = add_row(runner, run->task, run->run);
+		/* The first list of an agent process has runs that a former one started. */
+		if (runner->settled || runner_lease_may_be_long(runner))
+			log_warn("run_unordered", run->task,
+				 "run %u is listed, but was not ordered through this process",
+				 run->run);
 		/* A call to the former incarnation has started it. */
 		row->state = runner_lease_may_be_long(runner) ? RUN_STOPPING : RUN_STARTED;
 	}
