gang, worker: a start without an answer counts as one that may have run

Callers saw: a job of a class that must run at most once was started again after its task had run.

Cause: an agent whose start got no answer within 2 s stops the task and waits until it is over, but then reported "start failed" as for a refused start. The coordinator took that for "never started", so gang_result.may_have_run was false and the job was placed again.

Change: worker_start_task() tells a start that the worker did not know (-ERR_UNAVAILABLE) from one that was stopped or whose lease had to expire (-ERR_OUTCOME_UNKNOWN). MEMBER_STATUS says may_have_run with START_FAILED, and the coordinator counts the attempt as one that may have run. The worker is still blamed for the failed start. Agents and entries of earlier releases read the missing field as 0 and ignore it.

--- a/src/gang.c
+++ b/src/gang.c
@@ -244,7 +244,7 @@
 			   out);
 }
 
-static enum gang_seen seen_from_status(uint32_t state)
+static enum gang_seen seen_from_status(const struct gang_status *status)
 {
 	static const enum gang_seen seen[] = {
 		[MSG_MEMBER_STARTING] = GANG_SEEN_READY,
@@ -257,9 +257,11 @@
 		[MSG_MEMBER_UNKNOWN] = GANG_SEEN_DEAD,
 	};
 
-	if (state >= sizeof(seen) / sizeof(seen[0]))
+	if (status->state >= sizeof(seen) / sizeof(seen[0]))
 		return GANG_SEEN_NONE;
-	return seen[state];
+	if (status->state == MSG_MEMBER_START_FAILED && status->may_have_run)
+		return GANG_SEEN_UNANSWERED;
+	return seen[status->state];
 }
 
 static void set_outcome_by_member(struct gang_coordinator *coordinator, uint32_t member)
@@ -269,6 +271,7 @@
 		set_outcome(coordinator, PLACE_JOB_FAILED, (int)member);
 		break;
 	case GANG_SEEN_UNSTARTED:
+	case GANG_SEEN_UNANSWERED:
 		set_outcome(coordinator, PLACE_START_FAILED, (int)member);
 		break;
 	case GANG_SEEN_DEAD:
@@ -318,10 +321,10 @@
 }
 
 void gang_coordinator_member_status(struct gang_coordinator *coordinator, uint32_t member,
-				    uint32_t state, bool checkpoint, uint64_t now_ms,
+				    const struct gang_status *status, uint64_t now_ms,
 				    struct gang_action_sink out)
 {
-	enum gang_seen seen = seen_from_status(state);
+	enum gang_seen seen = seen_from_status(status);
 
 	if (member >= coordinator->members || seen == GANG_SEEN_NONE)
 		return;
@@ -335,7 +338,7 @@
 	    coordinator->seen[member] >= seen)
 		return;
 	coordinator->seen[member] = seen;
-	coordinator->checkpointed[member] = checkpoint;
+	coordinator->checkpointed[member] = status->checkpoint;
 	/* The member is reachable again and has its task: its stop has to be confirmed. */
 	if (coordinator->phase == GANG_PHASE_FENCING && !is_final(seen)) {
 		stop_members(coordinator, now_ms, out);
--- a/src/gang.h
+++ b/src/gang.h
@@ -107,7 +107,7 @@
 	GANG_SEND_STATUS,   /* state @status to the coordinator */
 	GANG_SEND_PING,	    /* to member @member with @closed */
 	GANG_SEND_BROKEN,   /* to member @member */
-	GANG_TASK_START,    /* then call gang_member_task_started() */
+	GANG_TASK_START,    /* then gang_member_task_started() or _start_unanswered() */
 	GANG_TASK_STOP,	    /* with @checkpoint and @grace_ms; then gang_member_task_stopped() */
 	GANG_RELEASE_SLOTS, /* release accelerators, cores and memory */
 	GANG_DELETE_RECORD, /* delete the record of the member */
@@ -132,9 +132,10 @@
 enum gang_seen {
 	GANG_SEEN_NONE = 0,
 	GANG_SEEN_HELD,
-	GANG_SEEN_READY,     /* has received START */
-	GANG_SEEN_RUNNING,   /* its task runs */
-	GANG_SEEN_UNSTARTED, /* the first final value: its task never started and never will */
+	GANG_SEEN_READY,      /* has received START */
+	GANG_SEEN_RUNNING,    /* its task runs */
+	GANG_SEEN_UNSTARTED,  /* the first final value: its task never started and never will */
+	GANG_SEEN_UNANSWERED, /* its worker did not answer the start: its task may have run */
 	GANG_SEEN_STOPPED,
 	GANG_SEEN_DONE,
 	GANG_SEEN_FAILED,
@@ -215,12 +216,16 @@
 void gang_coordinator_grant_written(struct gang_coordinator *coordinator, int status,
 				    uint64_t now_ms, struct gang_action_sink out);
 
-/**
- * gang_coordinator_member_status() - MEMBER_STATUS from a member
- * @state: enum msg_member_state
- */
+/* What MEMBER_STATUS says about a member. */
+struct gang_status {
+	uint32_t state; /* enum msg_member_state */
+	bool may_have_run;
+	bool checkpoint;
+};
+
+/** gang_coordinator_member_status() - MEMBER_STATUS from a member */
 void gang_coordinator_member_status(struct gang_coordinator *coordinator, uint32_t member,
-				    uint32_t state, bool checkpoint, uint64_t now_ms,
+				    const struct gang_status *status, uint64_t now_ms,
 				    struct gang_action_sink out);
 
 /**
@@ -274,6 +279,7 @@
 	bool token_received; /* the first token has arrived */
 	bool ring_closed;    /* the ring is closed: all members have received START */
 	bool stop_pending;   /* stop the task once the worker has answered the start */
+	bool may_have_run;   /* the start got no answer; readable by callers */
 };
 
 /** gang_member_hold() - initialise a member whose accelerators have just been reserved */
@@ -310,10 +316,17 @@
 /** gang_member_release() - RELEASE of the same attempt */
 void gang_member_release(struct gang_member *member, uint64_t now_ms, struct gang_action_sink out);
 
-/** gang_member_task_started() - result of GANG_TASK_START */
+/**
+ * gang_member_task_started() - result of GANG_TASK_START
+ * @runs: false: the task has not run and never will
+ */
 void gang_member_task_started(struct gang_member *member, bool runs, uint64_t now_ms,
 			      struct gang_action_sink out);
 
+/** gang_member_start_unanswered() - the task of GANG_TASK_START is over, and may have run */
+void gang_member_start_unanswered(struct gang_member *member, uint64_t now_ms,
+				  struct gang_action_sink out);
+
 /**
  * gang_member_task_ended() - the task ended by itself, not through GANG_TASK_STOP
  * @state: MSG_MEMBER_DONE, MSG_MEMBER_FAILED or MSG_MEMBER_LOST
--- a/src/gangagent.c
+++ b/src/gangagent.c
@@ -84,6 +84,7 @@
 		.reason = record->reason,
 		.usage_percent = record->usage_percent,
 		.checkpoint_ms = record->checkpoint_ms,
+		.may_have_run = record->member.may_have_run,
 	};
 	wire_send(record->agent->wire, record->coordinator, &msg);
 }
--- a/src/gangmember.c
+++ b/src/gangmember.c
@@ -264,15 +264,29 @@
 	}
 }
 
+static void fail_start(struct gang_member *member, uint64_t now_ms, struct gang_action_sink out)
+{
+	member->next_ping_ms = 0;
+	send_broken_to_all(member, out);
+	end_member(member, MSG_MEMBER_START_FAILED, now_ms, out);
+}
+
+void gang_member_start_unanswered(struct gang_member *member, uint64_t now_ms,
+				  struct gang_action_sink out)
+{
+	if (member->phase != GANG_MEMBER_STARTING)
+		return;
+	member->may_have_run = true;
+	fail_start(member, now_ms, out);
+}
+
 void gang_member_task_started(struct gang_member *member, bool runs, uint64_t now_ms,
 			      struct gang_action_sink out)
 {
 	if (member->phase != GANG_MEMBER_STARTING)
 		return;
 	if (!runs) {
-		member->next_ping_ms = 0;
-		send_broken_to_all(member, out);
-		end_member(member, MSG_MEMBER_START_FAILED, now_ms, out);
+		fail_start(member, now_ms, out);
 		return;
 	}
 	member->phase = GANG_MEMBER_RUNNING;
--- a/src/gangtask.c
+++ b/src/gangtask.c
@@ -31,8 +31,12 @@
 		log_warn("task_start_failed", record->job, "member %u: %s", record->member.index,
 			 record->reason);
 	}
-	gang_member_task_started(&record->member, status == 0, util_clock_ms(),
-				 gangagent_action_queue(record));
+	if (status == -ERR_OUTCOME_UNKNOWN)
+		gang_member_start_unanswered(&record->member, util_clock_ms(),
+					     gangagent_action_queue(record));
+	else
+		gang_member_task_started(&record->member, status == 0, util_clock_ms(),
+					 gangagent_action_queue(record));
 	gangagent_run_actions(agent);
 }
 
--- a/src/jobgang.c
+++ b/src/jobgang.c
@@ -465,6 +465,12 @@
 static void apply_status(struct job_gang *gang, uint32_t member,
 			 const struct msg_member_status *status)
 {
+	struct gang_status seen = {
+		.state = (uint32_t)status->state,
+		.may_have_run = status->may_have_run,
+		.checkpoint = status->checkpoint_ms > 0,
+	};
+
 	if (status->state == MSG_MEMBER_FAILED || status->state == MSG_MEMBER_START_FAILED ||
 	    status->state == MSG_MEMBER_LOST) {
 		if (!gang->reason)
@@ -472,8 +478,7 @@
 	}
 	if (status->checkpoint_ms)
 		place_checkpointed(gang->leader->place, gang->job->id, status->checkpoint_ms);
-	gang_coordinator_member_status(&gang->protocol, member, (uint32_t)status->state,
-				       status->checkpoint_ms > 0, util_clock_ms(),
+	gang_coordinator_member_status(&gang->protocol, member, &seen, util_clock_ms(),
 				       gang_output(gang));
 }
 
--- a/src/msg.c
+++ b/src/msg.c
@@ -236,6 +236,7 @@
 	FIELD_STRING(struct msg_member_status, reason),
 	FIELD_U64(struct msg_member_status, usage_percent),
 	FIELD_U64(struct msg_member_status, checkpoint_ms),
+	FIELD_U64(struct msg_member_status, may_have_run),
 };
 
 static const struct field release_fields[] = {
--- a/src/msg.h
+++ b/src/msg.h
@@ -101,7 +101,7 @@
 	MSG_MEMBER_STOPPED,	 /* stopped as asked; checkpoint taken if asked and possible */
 	MSG_MEMBER_DONE,	 /* the task ended by itself with success */
 	MSG_MEMBER_FAILED,	 /* the task ended by itself with an error */
-	MSG_MEMBER_START_FAILED, /* the worker or agent could not start it; nothing runs */
+	MSG_MEMBER_START_FAILED, /* the worker or agent did not start it; nothing runs */
 	MSG_MEMBER_LOST, /* stopped unasked, as when the ring of pings between the members broke */
 	MSG_MEMBER_UNKNOWN, /* the agent has no record of the member, because it has restarted */
 };
@@ -328,6 +328,7 @@
 	const char *reason;
 	uint64_t usage_percent;
 	uint64_t checkpoint_ms; /* run time that the last checkpoint preserves */
+	uint64_t may_have_run;	/* START_FAILED: the worker did not answer; the task may have run */
 };
 
 struct msg_release {
--- a/src/worker.c
+++ b/src/worker.c
@@ -176,7 +176,11 @@
 	talloc_free(id);
 }
 
-static void finish_stop(struct task *task, int status, uint64_t checkpoint_ms)
+/*
+ * @start_status: result of a start that was not answered: -ERR_UNAVAILABLE if the worker says that
+ * it did not know the task, otherwise -ERR_OUTCOME_UNKNOWN.
+ */
+static void finish_stop(struct task *task, int status, uint64_t checkpoint_ms, int start_status)
 {
 	void (*start_done)(int, const char *, void *) = task->start_done;
 	void (*stop_done)(int, uint64_t, void *) = task->stop_done;
@@ -189,7 +193,7 @@
 	}
 	remove_task(task);
 	if (start_done)
-		start_done(-ERR_UNAVAILABLE, "the worker did not answer in time", start_ctx);
+		start_done(start_status, "the worker did not answer in time", start_ctx);
 	if (stop_done)
 		stop_done(status, checkpoint_ms, stop_ctx);
 }
@@ -224,7 +228,8 @@
 		return;
 	}
 	root = json_loadb(body, len, 0, NULL);
-	finish_stop(task, 0, workerjson_number(root, "checkpoint_ms"));
+	finish_stop(task, 0, workerjson_number(root, "checkpoint_ms"),
+		    http_status == 404 ? -ERR_UNAVAILABLE : -ERR_OUTCOME_UNKNOWN);
 	json_decref(root);
 }
 
@@ -241,7 +246,7 @@
 	if (util_clock_ms() >= task->lease_expiry_ms) {
 		log_warn("task_lapsed", task->id,
 			 "the worker did not confirm the stop before the lease expired");
-		finish_stop(task, -ERR_UNAVAILABLE, 0);
+		finish_stop(task, -ERR_UNAVAILABLE, 0, -ERR_OUTCOME_UNKNOWN);
 		return;
 	}
 	task->phase_call = call_task(task->worker, task->id, &call);
--- a/src/worker.h
+++ b/src/worker.h
@@ -67,7 +67,8 @@
 
 /**
  * worker_start_task() - start a task
- * @done: status 0: the task runs; otherwise it is certain that it does not run and never will
+ * @done: status 0: the task runs; -ERR_OUTCOME_UNKNOWN: the worker did not answer, and the task
+ *	may have run but is over; otherwise it is certain that it has not run and never will
  */
 void worker_start_task(struct worker *worker, const struct worker_task_spec *spec,
 		       void (*done)(int status, const char *reason, void *ctx), void *ctx);
--- a/tests/fake_worker.c
+++ b/tests/fake_worker.c
@@ -17,6 +17,7 @@
 #define LEAVE_GRACE_MS 2000   /* time for running tasks to end when the worker leaves */
 #define NEVER_RUNS_FAIL_MS 20 /* a task with never_runs fails after this time */
 #define LATE_ANSWER_MS 1500   /* delay of answers with late_renewals; the agent waits 900 ms */
+#define LATE_START_MS 2500    /* delay of answers with late_starts; the agent waits 2000 ms */
 
 enum task_state {
 	TASK_RUNNING,
@@ -51,6 +52,7 @@
 	bool silent;
 	bool freeze_tasks;
 	bool late_renewals; /* renewals take effect, but their answers come too late */
+	bool late_starts;   /* likewise starts */
 };
 
 struct worker {
@@ -276,6 +278,7 @@
 	faults->silent = read_bool(root, "silent", faults->silent);
 	faults->freeze_tasks = read_bool(root, "freeze_tasks", faults->freeze_tasks);
 	faults->late_renewals = read_bool(root, "late_renewals", faults->late_renewals);
+	faults->late_starts = read_bool(root, "late_starts", faults->late_starts);
 	fake_reply_json(reply, 200, json_object());
 }
 
@@ -302,7 +305,7 @@
 {
 	struct worker *worker = ctx;
 	json_t *body = json_loadb(request->body, request->body_len, 0, NULL);
-	bool late;
+	uint32_t delay_ms = 0;
 
 	pthread_mutex_lock(&worker->lock);
 	if (!strcmp(request->path, "/history"))
@@ -313,11 +316,14 @@
 		list_tasks(worker, false, reply);
 	else if (!strncmp(request->path, "/tasks/", strlen("/tasks/")))
 		handle_task(worker, request, body, reply);
-	late = worker->faults.late_renewals && strstr(request->path, "/renew") != NULL;
+	if (worker->faults.late_renewals && strstr(request->path, "/renew"))
+		delay_ms = LATE_ANSWER_MS;
+	else if (worker->faults.late_starts && !strcmp(request->method, "PUT"))
+		delay_ms = LATE_START_MS;
 	pthread_mutex_unlock(&worker->lock);
 	json_decref(body);
-	if (late)
-		usleep(LATE_ANSWER_MS * 1000);
+	if (delay_ms)
+		usleep(delay_ms * 1000);
 }
 
 static void advance_task(struct worker *worker, struct task *task, uint64_t now, uint64_t passed)
--- a/tests/lib_gangworld.c
+++ b/tests/lib_gangworld.c
@@ -125,6 +125,7 @@
 		packet.member = (uint8_t)emitter_index;
 		packet.from = 0;
 		packet.arg = (uint8_t)action->status;
+		packet.may_have_run = agent->gang.may_have_run;
 		add_packet(packet);
 		break;
 	case GANG_SEND_PING:
@@ -165,6 +166,7 @@
 	packet.kind = kind;
 	packet.arg = arg;
 	packet.from = 0;
+	packet.may_have_run = 0;
 	add_packet(packet);
 }
 
@@ -275,6 +277,7 @@
 {
 	struct coordinator *coordinator = &world_now->coordinators[packet->coordinator];
 	struct gang_coordinator *gang = &coordinator->gang;
+	struct gang_status status = {.state = packet->arg, .may_have_run = packet->may_have_run};
 
 	if (!coordinator->alive)
 		return;
@@ -288,8 +291,7 @@
 		gang_coordinator_member_refused(gang, packet->member, world_now->now,
 						world_coordinator_out(packet->coordinator));
 	} else {
-		gang_coordinator_member_status(gang, packet->member, packet->arg, false,
-					       world_now->now,
+		gang_coordinator_member_status(gang, packet->member, &status, world_now->now,
 					       world_coordinator_out(packet->coordinator));
 	}
 }
@@ -413,6 +415,7 @@
 
 	if (agent->task == TASK_STARTING) {
 		agent->task = ok ? TASK_RUNNING : TASK_NONE;
+		world_now->task_has_run[agent->task_epoch][agent->task_count] |= ok;
 		gang_member_task_started(&agent->gang, ok, world_now->now, member_out((int)i));
 	} else {
 		agent->task = TASK_NONE;
@@ -420,6 +423,16 @@
 	}
 }
 
+/* The worker runs the task, but its answers are lost until the task has been stopped. */
+void world_run_without_answer(uint32_t i)
+{
+	struct agent *agent = &world_now->agents[i];
+
+	agent->task = TASK_NONE;
+	world_now->task_has_run[agent->task_epoch][agent->task_count] = 1;
+	gang_member_start_unanswered(&agent->gang, world_now->now, member_out((int)i));
+}
+
 void world_apply_grant(struct coordinator *coordinator)
 {
 	world_now->granted_epoch = epoch_of(coordinator->gang.attempt);
@@ -455,6 +468,9 @@
 	}
 	if (!result.certain)
 		world_now->overlap_allowed = 1;
+	if (!result.may_have_run && world_now->task_has_run[epoch_of(coordinator->gang.attempt)]
+							   [count_of(coordinator->gang.attempt)])
+		world_report_violation("an attempt that has run counts as never started");
 	world_now->granted_count = 0;
 	if (result.outcome == PLACE_DONE || result.outcome == PLACE_JOB_FAILED)
 		world_now->job_ended = 1;
@@ -498,6 +514,7 @@
 	struct agent *agent = &world_now->agents[i];
 
 	if (world_task_exists(agent) && agent->task != TASK_ORPHAN) {
+		world_now->task_has_run[agent->task_epoch][agent->task_count] = 1;
 		agent->task = TASK_ORPHAN;
 		agent->orphan_ticks = LEASE_TICKS;
 	} else if (agent->task == TASK_DONE) {
--- a/tests/lib_gangworld.h
+++ b/tests/lib_gangworld.h
@@ -40,7 +40,7 @@
 	uint8_t arg;	     /* state, closed or checkpoint, depending on kind */
 	uint8_t epoch;
 	uint8_t count;
-	uint8_t unused;
+	uint8_t may_have_run; /* of STATUS */
 };
 
 enum write_state {
@@ -94,6 +94,7 @@
 	/* Bits of the members that have received START, by epoch and count of the attempt. */
 	uint8_t start_received[COORDINATORS + 1][ATTEMPTS + 1];
 	uint8_t grant_written[COORDINATORS + 1][ATTEMPTS + 1]; /* the grant is in the store */
+	uint8_t task_has_run[COORDINATORS + 1][ATTEMPTS + 1];
 	uint8_t overlap_allowed; /* attempts may overlap, because gang_result.certain was false */
 	uint8_t stop_sent;	 /* a STOP has been sent */
 	uint8_t kills;
@@ -115,6 +116,7 @@
 void world_tick(void);
 bool world_find_pending_task(uint32_t *member);
 void world_answer_task(uint32_t i, bool ok);
+void world_run_without_answer(uint32_t i);
 void world_apply_grant(struct coordinator *coordinator);
 void world_answer_write(int i, bool available);
 void world_record_end(int i);
--- a/tests/test_agent_gang.c
+++ b/tests/test_agent_gang.c
@@ -165,6 +165,26 @@
 	wait_for(MSG_MEMBER_STATUS, "0b", 0, MSG_MEMBER_FAILED);
 }
 
+/*
+ * Guards against a member that is reported as never started although its task has run: a job that
+ * must run once would be started again.
+ */
+static void test_unanswered_start(void)
+{
+	const struct msg *status;
+	char state[32];
+
+	rig_set_fault(&rig, "{\"late_starts\":true}");
+	send_hold("15", 0, 1, "{}");
+	wait_for(MSG_HELD, "15", 0, 0);
+	send_start("15", 0, 1);
+	status = wait_for(MSG_MEMBER_STATUS, "15", 0, MSG_MEMBER_START_FAILED);
+	CU_ASSERT_EQUAL(status->u.member_status.may_have_run, 1);
+	rig_set_fault(&rig, "{\"late_starts\":false}");
+	task_state("15.1.0", state);
+	CU_ASSERT_STRING_EQUAL(state, "stopped");
+}
+
 /* Guards against a stop that loses the checkpoint or leaves the task running. */
 static void test_stop_task(void)
 {
@@ -276,6 +296,7 @@
 	CU_add_test(suite, "run", test_run);
 	CU_add_test(suite, "never_runs", test_never_runs);
 	CU_add_test(suite, "stop_task", test_stop_task);
+	CU_add_test(suite, "unanswered_start", test_unanswered_start);
 	CU_add_test(suite, "refused", test_refused);
 	CU_add_test(suite, "frozen_agent", test_frozen_agent);
 	CU_add_test(suite, "silent_worker", test_silent_worker);
--- a/tests/test_gang_model.c
+++ b/tests/test_gang_model.c
@@ -9,8 +9,9 @@
 /*
  * Model checker of the gang protocol. Explores all interleavings of events of one job's gang,
  * with a limited number of faults: messages delivered in any order, lost, duplicated or delayed;
- * failed starts; death of agents and coordinators; a coordinator that goes on after its successor
- * has taken over; an unavailable store; and lost answers to the write of the grant.
+ * failed starts; starts that are not answered; death of agents and coordinators; a coordinator that
+ * goes on after its successor has taken over; an unavailable store; and lost answers to the write
+ * of the grant.
  */
 
 #define STABLE_WITHIN_TICKS 90
@@ -27,6 +28,7 @@
 	MOVE_DUPLICATE,
 	MOVE_TASK,
 	MOVE_TASK_FAILS,
+	MOVE_TASK_UNANSWERED,
 	MOVE_WRITE,
 	MOVE_STORE_UNAVAILABLE,
 	MOVE_ANSWER_LOST,	/* the write has taken effect */
@@ -50,8 +52,9 @@
 #define NETWORK_FAULTS (1U << MOVE_LOSE | 1U << MOVE_DUPLICATE)
 
 /* Without these and the network faults, only coordinators and the store fail. */
-#define AGENT_FAULTS \
-	(1U << MOVE_CANCEL | 1U << MOVE_TASK_FAILS | 1U << MOVE_UNREACHABLE | 1U << MOVE_KILL)
+#define AGENT_FAULTS                                                              \
+	(1U << MOVE_CANCEL | 1U << MOVE_TASK_FAILS | 1U << MOVE_TASK_UNANSWERED | \
+	 1U << MOVE_UNREACHABLE | 1U << MOVE_KILL)
 #define TASK_ENDS (1U << MOVE_DONE | 1U << MOVE_FAILED)
 
 static bool use_fault(void)
@@ -98,6 +101,11 @@
 			return false;
 		world_answer_task(n, false);
 		return true;
+	case MOVE_TASK_UNANSWERED:
+		if (agent->task != TASK_STARTING || !use_fault())
+			return false;
+		world_run_without_answer(n);
+		return true;
 	case MOVE_KILL:
 		if (!agent->has_record || !use_fault())
 			return false;
@@ -542,8 +550,9 @@
 }
 
 /*
- * Guards against tasks that start without the others, two attempts that run at once, holds that
- * are never released, and gangs that remain partly started or stopped after the last fault.
+ * Guards against tasks that start without the others, two attempts that run at once, attempts that
+ * have run but count as never started, holds that are never released, and gangs that remain partly
+ * started or stopped after the last fault.
  */
 static void test_two_members(void)
 {
@@ -605,6 +614,9 @@
 	CU_ASSERT_EQUAL(emitted.count[GANG_SEND_BROKEN], 1);
 }
 
+static const struct gang_status running = {.state = MSG_MEMBER_RUNNING};
+static const struct gang_status stopped = {.state = MSG_MEMBER_STOPPED};
+
 static struct gang_coordinator run_one_member(uint64_t now, struct gang_action_sink out)
 {
 	struct gang_coordinator coordinator;
@@ -612,7 +624,7 @@
 	gang_coordinator_begin(&coordinator, 1, gang_attempt(1, 1), 1, now, out);
 	gang_coordinator_member_held(&coordinator, 0, now, out);
 	gang_coordinator_grant_written(&coordinator, 0, now, out);
-	gang_coordinator_member_status(&coordinator, 0, MSG_MEMBER_RUNNING, false, now, out);
+	gang_coordinator_member_status(&coordinator, 0, &running, now, out);
 	return coordinator;
 }
 
@@ -629,14 +641,14 @@
 	now += GANG_RESEND_INTERVAL_MS;
 	gang_coordinator_tick(&coordinator, now, out);
 	CU_ASSERT_EQUAL(emitted.count[GANG_SEND_STOP], 2);
-	gang_coordinator_member_status(&coordinator, 0, MSG_MEMBER_RUNNING, false, now, out);
+	gang_coordinator_member_status(&coordinator, 0, &running, now, out);
 	for (int i = 0; i < 60; i++) {
 		now += TICK_MS;
 		gang_coordinator_tick(&coordinator, now, out);
 	}
 	CU_ASSERT_EQUAL(emitted.count[GANG_ENDED], 0);
 	CU_ASSERT(emitted.count[GANG_SEND_STOP] > 3);
-	gang_coordinator_member_status(&coordinator, 0, MSG_MEMBER_STOPPED, false, now, out);
+	gang_coordinator_member_status(&coordinator, 0, &stopped, now, out);
 	CU_ASSERT_EQUAL(emitted.count[GANG_ENDED], 1);
 	CU_ASSERT_TRUE(gang_coordinator_result(&coordinator).certain);
 }
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -332,6 +332,21 @@
 	set_fault("{\"late_renewals\":false}");
 }
 
+/*
+ * Guards against a start without an answer that is reported as refused although its task has run:
+ * the job would be started again.
+ */
+static void test_unanswered_start(void)
+{
+	char state[32];
+
+	set_fault("{\"late_starts\":true}");
+	CU_ASSERT_EQUAL(run_start("q.1.0", 1, 1, "{}"), -ERR_OUTCOME_UNKNOWN);
+	set_fault("{\"late_starts\":false}");
+	task_state("q.1.0", state);
+	CU_ASSERT_STRING_EQUAL(state, "stopped");
+}
+
 static void test_stop(void)
 {
 	talloc_free(worker);
@@ -355,6 +370,7 @@
 	CU_add_test(suite, "expired_start", test_expired_start);
 	CU_add_test(suite, "lease", test_lease);
 	CU_add_test(suite, "lost_renewal_answers", test_lost_renewal_answers);
+	CU_add_test(suite, "unanswered_start", test_unanswered_start);
 	CU_add_test(suite, "stop", test_stop);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
