worker: starts and renewals name the incarnation of the worker

Cause: the end of a task's lease is given by the worker's clock, which the agent learns from announcements. A restarted worker may be reached at the same address before its first announcement, and its clock may start anew. Such a start took effect with a lease that ended by the former clock, in the test an hour later. When the announcement arrives, the agent drops its client, counts the task as over after 4 s and never stops it, so the job runs twice.

Change: worker_create() takes the announced incarnation, each start and renewal names it, and the worker refuses one for another incarnation with 409. Workers that don't know the field ignore it and are as before.

--- a/src/agent.c
+++ b/src/agent.c
@@ -80,7 +80,8 @@
 
 	if (agent->worker)
 		return;
-	agent->worker = worker_create(agent, agent->ev, info->url, &handlers, agent->metrics);
+	agent->worker = worker_create(agent, agent->ev, info->url, info->incarnation, &handlers,
+				      agent->metrics);
 	gangagent_set_worker(agent->gang, agent->worker);
 }
 
--- a/src/worker.c
+++ b/src/worker.c
@@ -52,6 +52,7 @@
 	struct tevent_context *ev;
 	struct httpc *http;
 	char *url;
+	uint64_t incarnation; /* 0: unknown */
 	struct worker_handlers handlers;
 	struct metrics *metrics;
 	struct task *tasks;
@@ -61,12 +62,15 @@
 	int64_t clock_offset_ms; /* to add to util_clock_ms(); never ahead of the worker's clock */
 };
 
-/* End of a lease that begins now, by the worker's clock; 0 if that clock is unknown. */
-static uint64_t lease_end_ms(const struct worker *worker)
+/* A lease that begins now. */
+static struct workerjson_lease new_lease(const struct worker *worker)
 {
-	if (!worker->clock_known)
-		return 0;
-	return (uint64_t)((int64_t)util_clock_ms() + worker->clock_offset_ms) + TASK_LEASE_MS;
+	struct workerjson_lease lease = {.incarnation = worker->incarnation};
+
+	if (worker->clock_known)
+		lease.until_ms = (uint64_t)((int64_t)util_clock_ms() + worker->clock_offset_ms) +
+				 TASK_LEASE_MS;
+	return lease;
 }
 
 static int task_destructor(struct task *task)
@@ -364,7 +368,8 @@
 		       void (*done)(int status, const char *reason, void *ctx), void *ctx)
 {
 	struct task *task = add_task(worker, spec->id, PHASE_STARTING);
-	char *body = workerjson_start(spec, lease_end_ms(worker));
+	struct workerjson_lease lease = new_lease(worker);
+	char *body = workerjson_start(spec, &lease);
 	struct call call = {
 		.method = "PUT",
 		.path = "",
@@ -428,6 +433,7 @@
 
 static void renew_task(struct task *task)
 {
+	struct workerjson_lease lease = new_lease(task->worker);
 	char *body;
 	struct call call = {
 		.method = "POST",
@@ -439,7 +445,7 @@
 
 	if (task->renew_call || (task->phase != PHASE_RUNNING && task->phase != PHASE_CHECKPOINT))
 		return;
-	body = workerjson_renew(lease_end_ms(task->worker));
+	body = workerjson_renew(&lease);
 	call.body = body;
 	set_lease_expiry(task, RENEW_TIMEOUT_MS);
 	task->renew_call = call_task(task->worker, task->id, &call);
@@ -580,13 +586,15 @@
 }
 
 struct worker *worker_create(TALLOC_CTX *mem, struct tevent_context *ev, const char *url,
-			     const struct worker_handlers *handlers, struct metrics *metrics)
+			     uint64_t incarnation, const struct worker_handlers *handlers,
+			     struct metrics *metrics)
 {
 	struct worker *worker = talloc_zero(mem, struct worker);
 
 	worker->ev = ev;
 	worker->http = httpc_create(worker, ev);
 	worker->url = talloc_strdup(worker, url);
+	worker->incarnation = incarnation;
 	worker->handlers = *handlers;
 	worker->metrics = metrics;
 	talloc_set_destructor(worker, worker_destructor);
--- a/src/worker.h
+++ b/src/worker.h
@@ -20,6 +20,11 @@
  * expires, so no task outlives its agent for long. Once the worker has announced its clock, each
  * start and renewal carries the end of the lease by that clock. So a worker that was frozen and
  * reads the request late finds that the lease has expired already.
+ *
+ * Incarnations. Each start and renewal names the incarnation of the worker that it is meant for,
+ * and the worker refuses it with 409 if that is not its own. A restarted worker may be reached
+ * before it has announced itself, and its clock may start anew, so that the end of a lease by the
+ * former clock would be far ahead.
  */
 
 struct worker;
@@ -52,9 +57,14 @@
 	void *ctx;
 };
 
-/** worker_create() - @url: base address that the worker has announced, "http://ip:port" */
+/**
+ * worker_create() - client of one incarnation of the worker
+ * @url: base address that the worker has announced, "http://ip:port"
+ * @incarnation: as announced; 0: unknown
+ */
 struct worker *worker_create(TALLOC_CTX *mem, struct tevent_context *ev, const char *url,
-			     const struct worker_handlers *handlers, struct metrics *metrics);
+			     uint64_t incarnation, const struct worker_handlers *handlers,
+			     struct metrics *metrics);
 
 /**
  * worker_set_clock() - set the offset of the worker's clock, from an announcement
--- a/src/workerjson.c
+++ b/src/workerjson.c
@@ -18,26 +18,29 @@
 	return text ? text : "the worker refused the task";
 }
 
-static void set_lease(json_t *root, uint64_t lease_until_ms)
+static void set_lease(json_t *root, const struct workerjson_lease *lease)
 {
 	json_object_set_new(root, "lease_ms", json_integer(TASK_LEASE_MS));
-	if (lease_until_ms)
+	if (lease->until_ms)
 		json_object_set_new(root, "lease_until_ms",
-				    json_integer((json_int_t)lease_until_ms));
+				    json_integer((json_int_t)lease->until_ms));
+	if (lease->incarnation)
+		json_object_set_new(root, "incarnation",
+				    json_integer((json_int_t)lease->incarnation));
 }
 
-char *workerjson_renew(uint64_t lease_until_ms)
+char *workerjson_renew(const struct workerjson_lease *lease)
 {
 	json_t *root = json_object();
 	char *text;
 
-	set_lease(root, lease_until_ms);
+	set_lease(root, lease);
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	return text;
 }
 
-char *workerjson_start(const struct worker_task_spec *spec, uint64_t lease_until_ms)
+char *workerjson_start(const struct worker_task_spec *spec, const struct workerjson_lease *lease)
 {
 	json_t *payload = json_loads(spec->payload ? spec->payload : "", 0, NULL);
 	char mask[24];
@@ -50,7 +53,7 @@
 	root = json_pack("{s:s, s:i, s:i, s:o}", "accelerator_mask", mask, "cores",
 			 (int)spec->cores, "memory_mb", (int)spec->memory_mb, "payload",
 			 payload ? payload : json_null());
-	set_lease(root, lease_until_ms);
+	set_lease(root, lease);
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	return text;
--- a/src/workerjson.h
+++ b/src/workerjson.h
@@ -16,13 +16,20 @@
 const char *workerjson_error(json_t *root);
 
 /**
- * workerjson_start() - body of PUT /tasks/ID; the caller frees it
- * @lease_until_ms: end of the lease by the worker's clock; 0 if that clock is unknown
+ * struct workerjson_lease - a lease that the worker is asked for
+ * @until_ms: end of the lease by the worker's clock; 0 if that clock is unknown
+ * @incarnation: of the worker that the request is meant for; 0 if it is unknown
  */
-char *workerjson_start(const struct worker_task_spec *spec, uint64_t lease_until_ms);
+struct workerjson_lease {
+	uint64_t until_ms;
+	uint64_t incarnation;
+};
+
+/** workerjson_start() - body of PUT /tasks/ID; the caller frees it */
+char *workerjson_start(const struct worker_task_spec *spec, const struct workerjson_lease *lease);
 
 /** workerjson_renew() - body of POST /tasks/ID/renew; the caller frees it */
-char *workerjson_renew(uint64_t lease_until_ms);
+char *workerjson_renew(const struct workerjson_lease *lease);
 
 /** workerjson_state() - state for its name in the list of tasks */
 enum worker_task_state workerjson_state(const char *text);
--- a/tests/fake_worker.c
+++ b/tests/fake_worker.c
@@ -171,6 +171,14 @@
 	task->lease_until_ms = lease_end(root);
 }
 
+/* Calls that name no incarnation are accepted by each. */
+static bool is_own_incarnation(const struct worker *worker, json_t *body)
+{
+	json_t *value = json_object_get(body, "incarnation");
+
+	return !value || (uint64_t)json_integer_value(value) == worker->incarnation;
+}
+
 static void start_task(struct worker *worker, const char *id, json_t *body,
 		       struct fake_reply *reply)
 {
@@ -185,6 +193,10 @@
 		fake_reply_error(reply, 410, "the task has ended or was stopped");
 		return;
 	}
+	if (!is_own_incarnation(worker, body)) {
+		fake_reply_error(reply, 409, "meant for another incarnation");
+		return;
+	}
 	if (worker->faults.fail_starts) {
 		fake_reply_error(reply, 500, "fault fail_starts");
 		return;
@@ -297,7 +309,7 @@
 		start_task(worker, id, body, reply);
 	else if (!slash && !strcmp(request->method, "DELETE"))
 		stop_task(worker, id, reply);
-	else if (slash && task && task->state == TASK_RUNNING)
+	else if (slash && task && task->state == TASK_RUNNING && is_own_incarnation(worker, body))
 		act_on_task(task, request->path + strlen("/tasks/") + strlen(id) + 1, body, reply);
 }
 
--- a/tests/test_gangagent.c
+++ b/tests/test_gangagent.c
@@ -82,7 +82,7 @@
 	deps.wire = node->wire;
 	deps.slots = node->slots;
 	node->gang = gangagent_create(t.mem, &deps);
-	node->worker = worker_create(t.mem, t.ev, url, &worker, t.metrics);
+	node->worker = worker_create(t.mem, t.ev, url, 0, &worker, t.metrics);
 	gangagent_set_worker(node->gang, node->worker);
 	gangagent_set_accepting(node->gang, true);
 	CU_ASSERT_EQUAL(wire_connect(t.coordinator, node->peer, wire_address(node->wire)), 0);
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -162,13 +162,18 @@
 	return !strcmp(state, "stopped");
 }
 
-static void create_worker(void)
+static struct worker *create_client(uint64_t incarnation)
 {
 	struct worker_handlers handlers = {.on_task = on_task, .on_usage = on_usage};
 	char url[128];
 
 	snprintf(url, sizeof(url), "http://%s", fake.address[0]);
-	worker = worker_create(mem, ev, url, &handlers, metrics_create(mem));
+	return worker_create(mem, ev, url, incarnation, &handlers, metrics_create(mem));
+}
+
+static void create_worker(void)
+{
+	worker = create_client(0);
 }
 
 static void test_start(void)
@@ -347,6 +352,26 @@
 	CU_ASSERT_STRING_EQUAL(state, "stopped");
 }
 
+/*
+ * Guards against a start that reaches a restarted worker with a lease by the clock of its former
+ * incarnation: nobody would renew or stop the task, and it would run for as long as the clocks
+ * differ while the job is started elsewhere.
+ */
+static void test_start_for_former_incarnation(void)
+{
+	uint64_t now = util_clock_ms();
+	char state[32];
+
+	talloc_free(worker);
+	worker = create_client(1);
+	worker_set_clock(worker, now + 3600000, now);
+	CU_ASSERT(run_start("r.1.0", 1, 1, "{}") < 0);
+	talloc_free(worker);
+	create_worker();
+	task_state("r.1.0", state);
+	CU_ASSERT_STRING_EQUAL(state, "");
+}
+
 static void test_stop(void)
 {
 	talloc_free(worker);
@@ -371,6 +396,7 @@
 	CU_add_test(suite, "lease", test_lease);
 	CU_add_test(suite, "lost_renewal_answers", test_lost_renewal_answers);
 	CU_add_test(suite, "unanswered_start", test_unanswered_start);
+	CU_add_test(suite, "start_for_former_incarnation", test_start_for_former_incarnation);
 	CU_add_test(suite, "stop", test_stop);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
