gang: the fence of an unreachable member lasts for its checkpoint too

Cause: a member that received STOP with a checkpoint keeps its lease while the checkpoint is taken, for up to the grace period (reclaim_grace_ms, 30 s by default, at most 600 s), and isn't ended by a broken ring. If it couldn't be reached any more, the coordinator counted its task as over 11 s after it had found it lost and called that certain, so the next attempt of the job could run beside the one that was being saved.

Change: fence_lost_members() adds the grace period while such a member is unreachable. Members whose agent has died get no more renewals and are waited for as before.

Evidence: test_gang_model/fence_during_checkpoint failed before: the attempt ended before the grace period was over. A takeover during such a stop isn't covered: the new coordinator doesn't know the grace period of its predecessor.

--- a/src/gang.c
+++ b/src/gang.c
@@ -126,7 +126,9 @@
  * Called when no reachable member has a task. Waits until the tasks of lost members must have
  * stopped. In a sequence of lost or done members the first one no longer receives pings and
  * breaks the ring, then the next one does, so each member adds one detection time
- * (GANG_PREDECESSOR_TIMEOUT_MS). The task of a frozen agent ends with the worker's lease.
+ * (GANG_PREDECESSOR_TIMEOUT_MS). The task of a frozen agent ends with the worker's lease. An
+ * unreachable member may have received STOP and takes its checkpoint under its lease, for up to the
+ * grace period, although the ring breaks.
  */
 static void fence_lost_members(struct gang_coordinator *coordinator, uint64_t now_ms,
 			       struct gang_action_sink out)
@@ -140,6 +142,8 @@
 		now_ms +
 		(uint64_t)longest_pinging_sequence(coordinator) * GANG_PREDECESSOR_TIMEOUT_MS +
 		GANG_LINGER_MS + GANG_PING_INTERVAL_MS + TASK_LEASE_EXPIRY_MS;
+	if (coordinator->checkpoint && any_seen(coordinator, GANG_SEEN_UNREACHABLE))
+		coordinator->deadline_ms += coordinator->grace_ms;
 }
 
 static void fence_when_all_final(struct gang_coordinator *coordinator, uint64_t now_ms,
--- a/src/gang.h
+++ b/src/gang.h
@@ -46,7 +46,9 @@
  * - only some of the tasks have stopped, after a STOP that some members did not receive: at most
  *   GANG_LINGER_MS longer than that, so that a repeated STOP (and its checkpoint) arrives before
  *   the ring breaks;
- * - accelerators are held without a task: hold TTL + GANG_RING_CLOSE_TIMEOUT_MS.
+ * - accelerators are held without a task: hold TTL + GANG_RING_CLOSE_TIMEOUT_MS;
+ * - a member that is stopped with a checkpoint and can't be reached runs for the grace period
+ *   longer; the coordinator waits for as long.
  *
  * Two attempts of a job. The coordinator ends an attempt only when each member has confirmed
  * that it has no task, or is lost and the time has passed within which the ring and the worker's
--- a/tests/test_gang_model.c
+++ b/tests/test_gang_model.c
@@ -653,6 +653,34 @@
 	CU_ASSERT_TRUE(gang_coordinator_result(&coordinator).certain);
 }
 
+/*
+ * Guards against an attempt that ends while a member that can't be reached may still take the
+ * checkpoint that it was stopped with: its task runs on under its lease meanwhile.
+ */
+static void test_fence_during_checkpoint(void)
+{
+	struct emitted emitted = {0};
+	struct gang_action_sink out = {count_action, &emitted};
+	const uint32_t grace_ms = 60000;
+	uint64_t now = 100000;
+	uint64_t stopped_at = now;
+	struct gang_coordinator coordinator;
+
+	gang_coordinator_restore(&coordinator, 1, gang_attempt(1, 1), 2, true, now, out);
+	for (uint32_t i = 0; i < 2; i++)
+		gang_coordinator_member_status(&coordinator, i, &running, now, out);
+	gang_coordinator_stop(&coordinator, true, grace_ms, now, out);
+	gang_coordinator_member_status(&coordinator, 1, &stopped, now, out);
+	gang_coordinator_member_lost(&coordinator, 0, false, now, out);
+	while (!emitted.count[GANG_ENDED] && now < stopped_at + 2 * grace_ms) {
+		now += TICK_MS;
+		gang_coordinator_tick(&coordinator, now, out);
+	}
+	CU_ASSERT_EQUAL(emitted.count[GANG_ENDED], 1);
+	CU_ASSERT(now >= stopped_at + grace_ms + TASK_LEASE_EXPIRY_MS);
+	CU_ASSERT_TRUE(gang_coordinator_result(&coordinator).certain);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -665,6 +693,7 @@
 	CU_add_test(suite, "late token", test_late_token);
 	CU_add_test(suite, "late ping", test_late_ping);
 	CU_add_test(suite, "returned member", test_returned_member);
+	CU_add_test(suite, "fence during checkpoint", test_fence_during_checkpoint);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
