member: a report of another entry doesn't replace the row of a live agent

Cause: the row of the highest incarnation counts, and the incarnation is the start time of the agent. After the host's clock was set back, the row of the ended process has the higher one. An entry that stood still while the others removed that row reports it once it runs again. The others then dropped the row of the live process: the placement leader takes its worker for lost, sends STOP to the ended process, and starts a gang of one member of a restartable job again while it runs.

Change: a delta about another process of an agent is ignored while the agent's home entry is a third one and the row isn't suspect.

The effect on gangs is by reading; no test plays the whole chain.

--- a/src/member.c
+++ b/src/member.c
@@ -375,6 +375,18 @@
 	return in->version > row->data.version || !row->home_entry[0];
 }
 
+/*
+ * Returns true when @peer reports another process of the agent than its home entry does, which
+ * still hears of it. The higher incarnation may then be that of the process that has ended: it is
+ * the start time, and the host's clock may have been set back. A process that has replaced another
+ * says HELLO to each entry, and the row of the former one becomes suspect in any case.
+ */
+static bool contradicts_live_row(const struct row *row, const char *peer, const struct msg_row *in)
+{
+	return row->data.incarnation != in->incarnation && row->home_entry[0] &&
+	       strcmp(row->home_entry, peer) != 0 && row->data.state != MSG_TARGET_SUSPECT;
+}
+
 static void apply_delta_row(struct membership *table, const char *peer, const struct msg_row *in,
 			    uint64_t now_ms)
 {
@@ -391,6 +403,8 @@
 			remove_row(table, row);
 		return;
 	}
+	if (row && contradicts_live_row(row, peer, in))
+		return;
 	row = find_or_add_row(table, in->node, in->incarnation);
 	if (!row || !is_newer(row, peer, in))
 		return;
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -252,6 +252,48 @@
 	talloc_free(world.mem);
 }
 
+static uint64_t listed_incarnation(struct membership *table)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	struct msg_target_delta delta;
+	uint64_t incarnation = 0;
+
+	if (member_collect_delta(table, mem, true, &delta) == 1)
+		incarnation = delta.rows[0].incarnation;
+	talloc_free(mem);
+	return incarnation;
+}
+
+/*
+ * Guards against a live agent that is taken for lost because of the row of its former process: the
+ * host's clock was set back between them, and an entry that stood still has kept the row.
+ */
+static void test_row_of_ended_process(void)
+{
+	const uint64_t now = 31000;
+	struct msg_heartbeat heartbeat = {.clock_ms = 500};
+	struct world world;
+
+	setup(&world);
+	announce_agent(world.a, 2, 0);
+	announce_agent(world.b, 2, 0);
+	CU_ASSERT_TRUE(member_heartbeat(world.b, "n1#2", &heartbeat, 0));
+	exchange_tables(world.b, "b#1", world.a, 0);
+	member_tick(world.a, now);
+	CU_ASSERT_EQUAL(state_in_table(world.a), 0);
+	announce_agent(world.a, 1, now);
+	CU_ASSERT_TRUE(send_heartbeat(world.a, now));
+	member_resumed(world.b, now);
+	exchange_tables(world.b, "b#1", world.a, now);
+	CU_ASSERT_EQUAL(state_in_table(world.a), MSG_TARGET_ALIVE);
+	CU_ASSERT_EQUAL(listed_incarnation(world.a), 1);
+	/* A row of another process still replaces one that is silent. */
+	member_tick(world.a, now + MEMBER_SUSPECT_MS + 100);
+	exchange_tables(world.b, "b#1", world.a, now + MEMBER_SUSPECT_MS + 100);
+	CU_ASSERT_EQUAL(listed_incarnation(world.a), 0);
+	talloc_free(world.mem);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -266,6 +308,7 @@
 	CU_add_test(suite, "home_lost", test_home_lost);
 	CU_add_test(suite, "incarnations", test_incarnations);
 	CU_add_test(suite, "announce", test_announce);
+	CU_add_test(suite, "row_of_ended_process", test_row_of_ended_process);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
