test_fleet_sim: graceful stops, drains, refusals, failures, cancellations, steps, outages

The simulator knew independent tasks, kills, cuts, freezes and crashes only. Checked besides two runs of a task: order of steps, attempts, room, cancelled jobs, the states shown.

The processes are in sim_fleet.c, the faults in sim_faults.c.

--- a/tests/lib_memkv.c
+++ b/tests/lib_memkv.c
@@ -45,6 +45,7 @@
 	size_t event_count;
 	struct lease leases[ITEMS_MAX];
 	size_t lease_count;
+	uint64_t paused_ms; /* since when leases are paused; 0: they are not */
 	int64_t revision;
 	int64_t compacted_revision; /* polls after an earlier revision than this fail */
 	FILE *journal;		    /* all changes; NULL: nothing outlives the process */
@@ -172,6 +173,8 @@
 
 static void end_leases(struct memkv *store, uint64_t now_ms)
 {
+	if (store->paused_ms)
+		return;
 	for (size_t i = store->lease_count; i > 0; i--) {
 		if (store->leases[i - 1].end_ms <= now_ms)
 			end_lease(store, i - 1);
@@ -578,6 +581,22 @@
 	end_leases(store, UINT64_MAX);
 }
 
+void memkv_pause_leases(struct memkv *store, bool paused)
+{
+	uint64_t now_ms = util_clock_ms();
+
+	if (paused == (store->paused_ms > 0))
+		return;
+	if (paused) {
+		end_leases(store, now_ms);
+		store->paused_ms = now_ms;
+		return;
+	}
+	for (size_t i = 0; i < store->lease_count; i++)
+		store->leases[i].end_ms += now_ms - store->paused_ms;
+	store->paused_ms = 0;
+}
+
 void memkv_compact(struct memkv *store)
 {
 	store->compacted_revision = store->revision;
--- a/tests/lib_memkv.h
+++ b/tests/lib_memkv.h
@@ -54,6 +54,13 @@
 /** memkv_expire() - let all leases expire at once */
 void memkv_expire(struct memkv *store);
 
+/**
+ * memkv_pause_leases() - let leases neither expire nor grow older, until called with false
+ *
+ * A store that is down does this or counts on.
+ */
+void memkv_pause_leases(struct memkv *store, bool paused);
+
 /** memkv_compact() - discard the history; polls from an earlier revision fail with -ERR_STALE */
 void memkv_compact(struct memkv *store);
 
--- a/tests/sim_core.c
+++ b/tests/sim_core.c
@@ -231,7 +231,13 @@
 
 uint64_t __wrap_util_wall_ms(void)
 {
-	return sim_now->now_us / 1000 + WALL_EPOCH_MS;
+	return sim_now->current ? sim_wall_ms(sim_now->current->host)
+				: sim_now->now_us / 1000 + WALL_EPOCH_MS;
+}
+
+uint64_t sim_wall_ms(int host)
+{
+	return sim_now->now_us / 1000 + WALL_EPOCH_MS + (uint64_t)sim_now->wall_offset_ms[host];
 }
 
 void __wrap_util_random_bytes(void *out, size_t len)
@@ -608,7 +614,8 @@
 	struct sim_process *to = NULL;
 	bool returns = !connection;
 	struct packet *packet;
-	uint64_t at_us = sim_now->now_us + LATENCY_MIN_US + sim_below(LATENCY_SPREAD_US);
+	uint64_t at_us = sim_now->now_us + LATENCY_MIN_US + sim_below(LATENCY_SPREAD_US) +
+			 (uint64_t)sim_now->lag_ms[wire->process->host] * 1000;
 
 	if (connection) {
 		to = find_process_at(connection->address);
--- a/tests/sim_core.h
+++ b/tests/sim_core.h
@@ -28,6 +28,8 @@
 	struct util_rng rng;
 	bool verbose;				/* print log records */
 	bool cut[SIM_HOSTS_MAX][SIM_HOSTS_MAX]; /* [from][to]: messages wait until it heals */
+	uint32_t lag_ms[SIM_HOSTS_MAX];		/* added to the latency of messages of the host */
+	int64_t wall_offset_ms[SIM_HOSTS_MAX];	/* error of the wall clock of the host */
 	struct sim_process *current;		/* whose event is handled; NULL: none's */
 };
 
@@ -40,6 +42,8 @@
 /** sim_run_until() - handle all events up to @ms */
 void sim_run_until(uint64_t ms);
 uint64_t sim_now_ms(void);
+/** sim_wall_ms() - wall clock of a host, milliseconds since 1970 */
+uint64_t sim_wall_ms(int host);
 
 /** sim_below() - random integer in [0, @bound) */
 uint32_t sim_below(uint32_t bound);
--- /dev/null
+++ b/tests/sim_faults.h
@@ -0,0 +1,26 @@
+#ifndef JAYCOURSE_SIM_FAULTS_H
+#define JAYCOURSE_SIM_FAULTS_H
+
+#include "sim_fleet.h"
+
+/** DOC: Random faults of the simulated fleet */
+
+/** struct sim_fault_mix - which faults may happen */
+struct sim_fault_mix {
+	bool new_ids_only;    /* workers never restart under their identifier */
+	bool without_crashes; /* of workers */
+	const char *only;     /* comma-separated names of the kinds; NULL: all */
+};
+
+#define SIM_FAULTS_FROM_MS 4000
+#define SIM_FAULTS_UNTIL_MS 32000
+/* All faults have ended, and calls that were held up have been carried out. */
+#define SIM_FAULTS_END_MS 55000
+
+/** sim_faults_plan() - draw the faults of a day */
+void sim_faults_plan(const struct sim_fault_mix *mix);
+
+/** sim_faults_list() - names of the kinds, for the help text */
+void sim_faults_list(void);
+
+#endif
--- a/tests/sim_worker.c
+++ b/tests/sim_worker.c
@@ -16,7 +16,9 @@
 /* What is known of a task across all workers. */
 struct task_history {
 	uint32_t active; /* runs at work */
+	uint32_t done;
 	uint32_t done_noted;
+	uint32_t failed_noted;
 	uint64_t last_start_ms;
 };
 
@@ -34,6 +36,8 @@
 	uint32_t number;
 	uint64_t began_ms;
 	uint64_t work_ms;
+	uint32_t cpu_milli;
+	bool fails;
 	bool stopping;
 	struct gang *gang; /* NULL: a task by itself */
 };
@@ -45,6 +49,7 @@
 	enum plan_end how;
 	uint64_t at_ms;
 	uint64_t lapses; /* of the worker's lease until then */
+	bool gang;
 	bool noted;
 };
 
@@ -63,6 +68,8 @@
 	bool up;
 	bool dark;
 	bool served; /* a call has extended the lease of this incarnation */
+	bool guards; /* refuses starts for which it has no room */
+	bool accepting;
 	uint64_t fence;
 	struct run *runs;
 	GHashTable *closed; /* task -> highest run that was stopped or has ended */
@@ -79,9 +86,36 @@
 
 static GHashTable *histories; /* task -> struct task_history */
 static GHashTable *gangs;     /* "job.occurrence.step/run" -> struct gang */
+static GHashTable *ended_jobs;
+static uint32_t attempts_max;
 static int violations;
+static char first_violation[160];
 
-void sim_runs_create(void)
+char *sim_steps_write(TALLOC_CTX *mem, const struct sim_step *steps, size_t count)
+{
+	char *text = talloc_strdup(mem, "");
+
+	for (size_t i = 0; i < count; i++)
+		text = talloc_asprintf_append(text, "%u %u %u %u %u %u;", steps[i].count,
+					      steps[i].gang, steps[i].work_ms, steps[i].cpu_milli,
+					      steps[i].after_former, steps[i].fail_percent);
+	return text;
+}
+
+/* Reads the steps of a job up to @last. */
+static void read_steps(const char *payload, struct sim_step *steps, uint32_t last)
+{
+	for (uint32_t i = 0; i <= last && payload; i++) {
+		struct sim_step *step = &steps[i];
+
+		sscanf(payload, "%u %u %u %u %u %u;", &step->count, &step->gang, &step->work_ms,
+		       &step->cpu_milli, &step->after_former, &step->fail_percent);
+		payload = strchr(payload, ';');
+		payload = payload ? payload + 1 : NULL;
+	}
+}
+
+void sim_runs_create(uint32_t max_attempts)
 {
 	if (histories)
 		g_hash_table_destroy(histories);
@@ -89,7 +123,12 @@
 		g_hash_table_destroy(gangs);
 	histories = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gangs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	if (ended_jobs)
+		g_hash_table_destroy(ended_jobs);
+	ended_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	attempts_max = max_attempts;
 	violations = 0;
+	first_violation[0] = '\0';
 }
 
 int sim_runs_violations(void)
@@ -110,13 +149,49 @@
 
 bool sim_runs_done(const char *task)
 {
-	return history(task)->done_noted > 0;
+	return history(task)->done > 0;
+}
+
+const char *sim_runs_violation(void)
+{
+	return first_violation;
+}
+
+void sim_runs_violate(const char *task, const char *what)
+{
+	if (violations++ == 0)
+		g_snprintf(first_violation, sizeof(first_violation), "%8.3f s %s: %s",
+			   (double)sim_now_ms() / 1000, task, what);
+	sim_print("VIOLATION %s: %s", task, what);
 }
 
-static void violate(const char *task, const char *what)
+static bool is_task_of(const char *task, const char *job)
 {
-	violations++;
-	sim_print("TWICE %s: %s", task, what);
+	return g_str_has_prefix(task, job) && task[strlen(job)] == '.';
+}
+
+void sim_runs_end_job(const char *job)
+{
+	GHashTableIter iter;
+	gpointer task;
+	gpointer value;
+
+	g_hash_table_add(ended_jobs, g_strdup(job));
+	g_hash_table_iter_init(&iter, histories);
+	while (g_hash_table_iter_next(&iter, &task, &value)) {
+		if (((struct task_history *)value)->active > 0 && is_task_of(task, job))
+			sim_runs_violate(task, "runs though its job was cancelled long ago");
+	}
+}
+
+/* True once the job of the task has been cancelled for long. */
+static bool is_of_ended_job(const char *task)
+{
+	char *job = g_strndup(task, strcspn(task, "."));
+	bool ended = g_hash_table_contains(ended_jobs, job);
+
+	g_free(job);
+	return ended;
 }
 
 static uint64_t worker_clock(const struct sim_worker *worker)
@@ -138,6 +213,7 @@
 		}
 	}
 	history(run->task)->active--;
+	history(run->task)->done += how == PLAN_END_DONE;
 	if (!closed) {
 		closed = g_new0(uint32_t, 1);
 		g_hash_table_insert(worker->closed, g_strdup(run->task), closed);
@@ -154,7 +230,8 @@
 			    .run = run->number,
 			    .how = how,
 			    .at_ms = sim_now_ms(),
-			    .lapses = worker->lapses};
+			    .lapses = worker->lapses,
+			    .gang = run->gang != NULL};
 	if (run->gang) {
 		run->gang->present--;
 		run->gang->broken |= how != PLAN_END_DONE;
@@ -208,30 +285,92 @@
 	return gang;
 }
 
+static uint32_t used_cpu_milli(const struct sim_worker *worker)
+{
+	uint32_t used = 0;
+
+	for (const struct run *run = worker->runs; run; run = run->next)
+		used += run->cpu_milli;
+	return used;
+}
+
+/* Reads what a task does; @steps has room for SIM_STEPS_MAX. Returns the number of its step. */
+static uint32_t read_task(const struct runner_start *start, struct sim_step *steps,
+			  uint32_t *occurrence)
+{
+	uint32_t step = 0;
+
+	sscanf(start->task, "%*[^.].%u.%u.", occurrence, &step);
+	if (step >= SIM_STEPS_MAX)
+		step = 0;
+	read_steps(start->payload, steps, step);
+	return step;
+}
+
+/* The end of one member of a gang as done stands for all of them. */
+static bool step_is_done(const char *task, uint32_t occurrence, const struct sim_step *steps,
+			 uint32_t step)
+{
+	uint32_t done = 0;
+
+	for (uint32_t i = 0; i < steps[step].count; i++) {
+		char *member = g_strdup_printf("%.*s.%u.%u.%u", (int)strcspn(task, "."), task,
+					       occurrence, step, i);
+
+		done += sim_runs_done(member);
+		g_free(member);
+	}
+	return steps[step].gang ? done > 0 : done == steps[step].count;
+}
+
 static void begin_run(struct sim_worker *worker, const struct runner_start *start)
 {
 	struct run *run = talloc_zero(worker->life, struct run);
 	struct task_history *task = history(start->task);
-	unsigned int size = 0;
-	unsigned int work_ms = 1000;
+	struct sim_step steps[SIM_STEPS_MAX] = {{0}};
+	uint32_t occurrence = 0;
+	uint32_t number = read_task(start, steps, &occurrence);
+	const struct sim_step *step = &steps[number];
 
-	/* The payload names the size of the gang, 0 for none, and the work. */
-	sscanf(start->payload, "%u %u", &size, &work_ms);
 	sim_print("%s: %s run %u begins", worker->node, start->task, start->run);
 	if (task->active > 0)
-		violate(start->task, "two runs at the same time");
+		sim_runs_violate(start->task, "two runs at the same time");
 	if (task->done_noted)
-		violate(start->task, "starts after a run has ended as done");
+		sim_runs_violate(start->task, "starts after a run has ended as done");
+	if (!step->gang && task->failed_noted >= attempts_max)
+		sim_runs_violate(start->task, "starts after its last attempt has failed");
+	if (is_of_ended_job(start->task))
+		sim_runs_violate(start->task, "starts though its job was cancelled long ago");
+	if (used_cpu_milli(worker) + step->cpu_milli > SIM_WORKER_CPU_MILLI)
+		sim_runs_violate(start->task, "starts without room");
+	if (step->after_former && number > 0 &&
+	    !step_is_done(start->task, occurrence, steps, number - 1))
+		sim_runs_violate(start->task, "starts before the step before it is done");
 	task->active++;
 	task->last_start_ms = sim_now_ms();
 	run->task = talloc_strdup(run, start->task);
 	run->number = start->run;
 	run->began_ms = sim_now_ms();
-	run->work_ms = work_ms;
+	run->work_ms = step->work_ms;
+	run->cpu_milli = step->cpu_milli;
+	run->fails = sim_below(100) < step->fail_percent;
+	if (run->fails)
+		run->work_ms = sim_below(step->work_ms);
 	run->next = worker->runs;
 	worker->runs = run;
-	if (size)
-		run->gang = join_gang(start->task, start->run, size);
+	if (step->gang)
+		run->gang = join_gang(start->task, start->run, step->count);
+}
+
+/* A worker that guards its room, or that never gets more than it has. */
+static bool has_room(const struct sim_worker *worker, const struct runner_start *start)
+{
+	struct sim_step steps[SIM_STEPS_MAX] = {{0}};
+	uint32_t occurrence = 0;
+	uint32_t step = read_task(start, steps, &occurrence);
+
+	return !worker->guards ||
+	       used_cpu_milli(worker) + steps[step].cpu_milli <= SIM_WORKER_CPU_MILLI;
 }
 
 static struct run *find_run(struct sim_worker *worker, const char *task, uint32_t number)
@@ -250,6 +389,8 @@
 
 	if (strcmp(start->worker, worker->id) != 0)
 		return RUNNER_OTHER_INCARNATION;
+	if (sim_chance(worker->faults.unhealthy))
+		return RUNNER_REFUSED_UNHEALTHY;
 	if (start->fence < worker->fence)
 		return RUNNER_REFUSED_FENCED;
 	worker->fence = start->fence;
@@ -264,6 +405,8 @@
 		if (!strcmp(run->task, start->task) && run->number > start->run)
 			return RUNNER_REFUSED_STALE;
 	}
+	if (!has_room(worker, start))
+		return RUNNER_REFUSED_NO_ROOM;
 	begin_run(worker, start);
 	return RUNNER_STARTED;
 }
@@ -373,10 +516,11 @@
 		if (end->number > number || end->noted)
 			continue;
 		end->noted = true;
+		task->failed_noted += end->how == PLAN_END_FAILED;
 		if (end->how != PLAN_END_DONE || end->lapses != worker->lapses)
 			continue;
 		if (task->done_noted == 0 && task->last_start_ms > end->at_ms)
-			violate(end->task, "a later run began after the one that is done");
+			sim_runs_violate(end->task, "a later run began after the one that is done");
 		task->done_noted++;
 	}
 }
@@ -412,6 +556,10 @@
 
 static void send_list(struct sim_worker *worker, struct call *call)
 {
+	if (worker->faults.cut) {
+		fail_call(call, CALL_TIMEOUT_MS, RUNNER_NO_ANSWER, -ERR_DEADLINE);
+		return;
+	}
 	fill_list(worker, call);
 	sim_at(call->agent, call, sim_between(1, 3), answer_list, call);
 }
@@ -470,6 +618,10 @@
 {
 	struct call *call = ctx;
 
+	if (call->worker->faults.cut) {
+		sim_at(NULL, call, sim_between(100, 1000), on_late, call);
+		return;
+	}
 	if (call->worker->up && (call->born == call->worker->born || call->worker->served)) {
 		sim_print("%s: a late call is carried out: %d %s run %u: %d", call->worker->node,
 			  (int)call->kind, call->task ? call->task : "", call->start.run,
@@ -501,6 +653,14 @@
 	struct call *call = ctx;
 	struct sim_worker *worker = call->worker;
 
+	if (worker->faults.cut) {
+		struct call *late = sim_chance(0.5) ? copy_call(call) : NULL;
+
+		if (late)
+			sim_at(NULL, late, sim_between(LATE_MIN_MS, LATE_MAX_MS), on_late, late);
+		fail_call(call, CALL_TIMEOUT_MS, RUNNER_NO_ANSWER, -ERR_DEADLINE);
+		return;
+	}
 	if (!worker->up && !worker->dark) {
 		fail_call(call, 1, RUNNER_NOT_SENT, -ERR_UNAVAILABLE);
 		return;
@@ -607,7 +767,7 @@
 {
 	const struct gang *gang = run->gang;
 
-	*how = PLAN_END_DONE;
+	*how = run->fails ? PLAN_END_FAILED : PLAN_END_DONE;
 	if (!gang)
 		return sim_now_ms() - run->began_ms >= run->work_ms;
 	if (gang->broken) {
@@ -656,15 +816,15 @@
 {
 	struct beat *beat = ctx;
 
-	if (beat->worker->agent && sim_process_alive(beat->worker->agent))
+	if (!beat->worker->faults.cut && beat->worker->agent &&
+	    sim_process_alive(beat->worker->agent))
 		sim_at(beat->worker->agent, beat, 0, deliver_beat, beat);
 	else
 		talloc_free(beat);
 }
 
-static void on_beat(void *ctx)
+static void send_beat(struct sim_worker *worker)
 {
-	struct sim_worker *worker = ctx;
 	struct beat *beat = talloc_zero(sim_now, struct beat);
 
 	beat->worker = worker;
@@ -673,12 +833,19 @@
 							  .zone = "z",
 							  .kind = "k",
 							  .rack = "r",
-							  .room = {8000, 8000, 8},
-							  .accepting = true,
+							  .room = {SIM_WORKER_CPU_MILLI, 8000, 8},
+							  .accepting = worker->accepting,
 							  .started_ms = worker->born,
 							  .sequence = ++worker->sequence};
 	sim_at(NULL, beat, sim_chance(worker->faults.late_beats) ? sim_between(500, 6000) : 1,
 	       carry_beat, beat);
+}
+
+static void on_beat(void *ctx)
+{
+	struct sim_worker *worker = ctx;
+
+	send_beat(worker);
 	sim_at(NULL, worker->life, BEAT_MS, on_beat, worker);
 }
 
@@ -687,7 +854,8 @@
 	struct sim_worker *worker = ctx;
 
 	worker->up = true;
-	worker->born = util_wall_ms();
+	worker->accepting = true;
+	worker->born = sim_wall_ms(worker->host);
 	worker->clock_began_ms = sim_now_ms() - sim_below(500);
 	worker->clock_rate = sim_chance(0.5) ? 1 : 0.98;
 	worker->sequence = 0;
@@ -712,11 +880,12 @@
 	return 0;
 }
 
-struct sim_worker *sim_worker_create(int host, const char *node)
+struct sim_worker *sim_worker_create(int host, const char *node, bool guards)
 {
 	struct sim_worker *worker = talloc_zero(sim_now, struct sim_worker);
 
 	worker->host = host;
+	worker->guards = guards;
 	worker->node = talloc_strdup(worker, node);
 	worker->id = talloc_asprintf(worker, "w-%s-%u", node, worker->ids++);
 	worker->closed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -762,3 +931,55 @@
 		worker->id = talloc_asprintf(worker, "w-%s-%u", worker->node, worker->ids++);
 	sim_at(NULL, worker, down_ms, start_worker, worker);
 }
+
+/* Tells the agent that the worker shuts down. */
+static void deliver_leaving(void *ctx)
+{
+	struct beat *beat = ctx;
+	struct sim_worker *worker = beat->worker;
+
+	if (worker->agent && sim_process_alive(worker->agent) && worker->runner)
+		runner_leaving(worker->runner, beat->announcement.id);
+	talloc_free(beat);
+}
+
+struct drain {
+	struct sim_worker *worker;
+	uint32_t down_ms;
+};
+
+static void end_drain(void *ctx)
+{
+	struct drain *drain = ctx;
+
+	sim_worker_crash(drain->worker, drain->down_ms, false, false);
+}
+
+static void leave(void *ctx)
+{
+	struct drain *drain = ctx;
+	struct sim_worker *worker = drain->worker;
+	struct beat *beat = talloc_zero(sim_now, struct beat);
+
+	sim_print("%s: worker %s leaves", worker->node, worker->id);
+	beat->worker = worker;
+	beat->announcement.id = talloc_strdup(beat, worker->id);
+	if (!worker->faults.cut && worker->agent && sim_process_alive(worker->agent))
+		sim_at(worker->agent, beat, 1, deliver_leaving, beat);
+	sim_at(NULL, drain, sim_between(1, 300), end_drain, drain);
+}
+
+void sim_worker_drain(struct sim_worker *worker, uint32_t drain_ms, uint32_t down_ms)
+{
+	struct drain *drain;
+
+	if (!worker->up || !worker->accepting)
+		return;
+	sim_print("%s: worker %s drains for %u ms", worker->node, worker->id, drain_ms);
+	worker->accepting = false;
+	send_beat(worker);
+	drain = talloc_zero(worker->life, struct drain);
+	drain->worker = worker;
+	drain->down_ms = down_ms;
+	sim_at(NULL, drain, drain_ms, leave, drain);
+}
--- a/tests/sim_worker.h
+++ b/tests/sim_worker.h
@@ -18,16 +18,51 @@
 	double late;	   /* share of calls that get no answer and are carried out later */
 	double lost;	   /* share that is carried out and gets no answer */
 	bool mute;	   /* no call is carried out or answered */
+	bool cut;	   /* nothing passes between agent and worker; some calls pass later */
+	double unhealthy;  /* share of starts that an unhealthy worker refuses */
 	double late_beats; /* share of announcements that arrive later */
 };
 
-/** sim_runs_create() - begin to check; counts violations of all workers */
-void sim_runs_create(void);
+#define SIM_STEPS_MAX 4
+
+/**
+ * struct sim_step - what the tasks of a step do
+ * @after_former: its tasks may start once those of the step before are done
+ * @fail_percent: of the runs that fail
+ */
+struct sim_step {
+	uint32_t count;
+	uint32_t gang;
+	uint32_t work_ms;
+	uint32_t cpu_milli;
+	uint32_t after_former;
+	uint32_t fail_percent;
+};
+
+/** sim_steps_write() - payload of a job, from which workers know what its tasks do */
+char *sim_steps_write(TALLOC_CTX *mem, const struct sim_step *steps, size_t count);
+
+/**
+ * sim_runs_create() - begin to check; counts violations of all workers
+ * @max_attempts: failed runs after which a task must not start again
+ */
+void sim_runs_create(uint32_t max_attempts);
 int sim_runs_violations(void);
-/** sim_runs_done() - true if a run of the task has ended as done and that was noted */
+/** sim_runs_violation() - description of the first one */
+const char *sim_runs_violation(void);
+void sim_runs_violate(const char *task, const char *what);
+/** sim_runs_done() - true if a run of the task has ended as done */
 bool sim_runs_done(const char *task);
+/** sim_runs_end_job() - from now on, runs of the job and starts of its tasks are violations */
+void sim_runs_end_job(const char *job);
+
+#define SIM_WORKER_CPU_MILLI 8000
 
-struct sim_worker *sim_worker_create(int host, const char *node);
+/**
+ * sim_worker_create() - start a worker
+ * @guards: it refuses starts for which it has no room; otherwise these are violations
+ */
+struct sim_worker *sim_worker_create(int host, const char *node, bool guards);
 struct runner_calls *sim_worker_calls(struct sim_worker *worker, struct sim_process *agent);
 struct sim_worker_faults *sim_worker_faults(struct sim_worker *worker);
 
@@ -42,4 +77,11 @@
  */
 void sim_worker_crash(struct sim_worker *worker, uint32_t down_ms, bool same_id, bool dark);
 
+/**
+ * sim_worker_drain() - the worker drains, leaves and is replaced
+ * @drain_ms: until it leaves
+ * @down_ms: from then until the start of the next one
+ */
+void sim_worker_drain(struct sim_worker *worker, uint32_t drain_ms, uint32_t down_ms);
+
 #endif
