sim_worker: the members of a gang end as done at the same moment

A member on another worker ended up to 10 ms later, so a task was started in the room that it still used.

--- a/tests/sim_worker.c
+++ b/tests/sim_worker.c
@@ -86,6 +86,7 @@
 
 static GHashTable *histories; /* task -> struct task_history */
 static GHashTable *gangs;     /* "job.occurrence.step/run" -> struct gang */
+static GPtrArray *workers;
 static GHashTable *ended_jobs;
 static uint32_t attempts_max;
 static int violations;
@@ -123,6 +124,9 @@
 		g_hash_table_destroy(gangs);
 	histories = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gangs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	if (workers)
+		g_ptr_array_free(workers, TRUE);
+	workers = g_ptr_array_new();
 	if (ended_jobs)
 		g_hash_table_destroy(ended_jobs);
 	ended_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -781,16 +785,42 @@
 	return sim_now_ms() - gang->began_ms >= run->work_ms;
 }
 
+/* Returns the run whose time is over, if there is one. */
+static struct run *find_over(const struct sim_worker *worker, const struct gang *gang,
+			     enum plan_end *how)
+{
+	struct run *run = worker->runs;
+
+	while (run && (run->stopping || (gang && run->gang != gang) || !run_is_over(run, how)))
+		run = run->next;
+	return run;
+}
+
+/* The members of a gang end as done at the same moment. */
+static void end_gang(const struct gang *gang)
+{
+	enum plan_end how;
+
+	for (guint i = 0; i < workers->len; i++) {
+		struct sim_worker *worker = workers->pdata[i];
+		struct run *run = find_over(worker, gang, &how);
+
+		for (; run && how == PLAN_END_DONE; run = find_over(worker, gang, &how))
+			end_run(worker, run, how);
+	}
+}
+
 static void on_worker_tick(void *ctx)
 {
 	struct sim_worker *worker = ctx;
-	struct run *next;
+	struct run *run;
 	enum plan_end how;
 
 	check_lease(worker);
-	for (struct run *run = worker->runs; run; run = next) {
-		next = run->next;
-		if (!run->stopping && run_is_over(run, &how))
+	while ((run = find_over(worker, NULL, &how))) {
+		if (run->gang && how == PLAN_END_DONE)
+			end_gang(run->gang);
+		else
 			end_run(worker, run, how);
 	}
 	sim_at(NULL, worker->life, 10, on_worker_tick, worker);
@@ -886,6 +916,7 @@
 
 	worker->host = host;
 	worker->guards = guards;
+	g_ptr_array_add(workers, worker);
 	worker->node = talloc_strdup(worker, node);
 	worker->id = talloc_asprintf(worker, "w-%s-%u", node, worker->ids++);
 	worker->closed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
