--- a/tests/sim_fleet.c
+++ b/tests/sim_fleet.c
@@ -49,7 +49,7 @@
 				  .params = &params,
 				  .keep_ended_ms = KEEP_ENDED_MS};
 
-	entry->coord = coord_create(deps.ev, &deps, &sim_fleet.conf);
+	entry->coord = coord_create(entry->owner, &deps, &sim_fleet.conf);
 	if (sim_fleet.on_elected)
 		sim_fleet.on_elected();
 }
@@ -64,8 +64,7 @@
 	struct sim_entry *entry = ctx;
 
 	if (entry->coord)
-		sim_at(entry->process, sim_process_loop(entry->process), 0, free_coord,
-		       entry->coord);
+		sim_at(entry->process, entry->owner, 0, free_coord, entry->coord);
 	entry->coord = NULL;
 }
 
@@ -145,9 +144,9 @@
 	entry->metrics = metrics_create(entry->process);
 	options.address = wire_address(entry->wire);
 	sim_now->current = entry->process;
-	entry->leader =
-		leader_create(sim_process_loop(entry->process), sim_process_loop(entry->process),
-			      entry->kv, &options, &handlers);
+	entry->owner = talloc_new(entry->process);
+	entry->leader = leader_create(entry->owner, sim_process_loop(entry->process), entry->kv,
+				      &options, &handlers);
 	sim_now->current = NULL;
 }
 
@@ -158,7 +157,7 @@
 	sim_print("%s is killed for %u ms", entry->node, down_ms);
 	sim_now->current = entry->process;
 	TALLOC_FREE(entry->coord);
-	TALLOC_FREE(entry->leader);
+	TALLOC_FREE(entry->owner);
 	sim_now->current = NULL;
 	sim_process_kill(entry->process);
 	sim_at(NULL, NULL, down_ms, start_entry, entry);
@@ -237,7 +236,7 @@
 		return;
 	sim_print("%s is stopped, ends in %u ms", entry->node, drain_ms);
 	entry->stopping = true;
-	sim_at(entry->process, sim_process_loop(entry->process), 0, resign, entry);
+	sim_at(entry->process, entry->owner, 0, resign, entry);
 	ending = talloc_zero(sim_now, struct ending);
 	*ending = (struct ending){entry, entry->process, down_ms};
 	sim_at(NULL, ending, drain_ms, end_entry, ending);
@@ -302,8 +301,7 @@
 	for (int i = 0; i < SIM_ENTRIES; i++) {
 		sim_now->current = sim_fleet.entries[i].process;
 		TALLOC_FREE(sim_fleet.entries[i].coord);
-		if (sim_process_alive(sim_fleet.entries[i].process))
-			TALLOC_FREE(sim_fleet.entries[i].leader);
+		TALLOC_FREE(sim_fleet.entries[i].owner);
 	}
 	for (int i = 0; i < sim_fleet.agent_count; i++)
 		TALLOC_FREE(sim_fleet.agents[i].runner);
--- a/tests/sim_fleet.h
+++ b/tests/sim_fleet.h
@@ -21,6 +21,7 @@
 	struct memkv_client *client;
 	struct kv *kv;
 	struct metrics *metrics;
+	TALLOC_CTX *owner; /* of the controllers, freed before the process's loop */
 	struct leader *leader;
 	struct coord *coord; /* NULL: it does not lead */
 	bool stopping;
