--- a/tests/sim_worker.c
+++ b/tests/sim_worker.c
@@ -926,6 +926,12 @@
 	return worker;
 }
 
+bool sim_worker_is_served(struct sim_worker *worker)
+{
+	check_lease(worker);
+	return !worker->up || worker->leased;
+}
+
 struct sim_worker_faults *sim_worker_faults(struct sim_worker *worker)
 {
 	return &worker->faults;
--- a/tests/sim_worker.h
+++ b/tests/sim_worker.h
@@ -63,6 +63,8 @@
  * @guards: it refuses starts for which it has no room; otherwise these are violations
  */
 struct sim_worker *sim_worker_create(int host, const char *node, bool guards);
+/** sim_worker_is_served() - false if it is up and no agent has renewed its lease */
+bool sim_worker_is_served(struct sim_worker *worker);
 struct runner_calls *sim_worker_calls(struct sim_worker *worker, struct sim_process *agent);
 struct sim_worker_faults *sim_worker_faults(struct sim_worker *worker);
 
--- a/tests/test_fleet_sim.c
+++ b/tests/test_fleet_sim.c
@@ -192,6 +192,14 @@
 	}
 }
 
+static void check_workers(void)
+{
+	for (int i = 0; i < sim_fleet.agent_count; i++) {
+		if (!sim_worker_is_served(sim_fleet.agents[i].worker))
+			sim_runs_violate(sim_fleet.agents[i].node, "its worker is not used");
+	}
+}
+
 static void end_cancelled_jobs(void)
 {
 	for (uint32_t i = 0; i < job_count; i++) {
@@ -213,6 +221,7 @@
 	plan_jobs();
 	sim_faults_plan(mix);
 	sim_run_until(SIM_FAULTS_END_MS + CANCEL_LIMIT_MS);
+	check_workers();
 	end_cancelled_jobs();
 	while ((*unfinished = count_unfinished()) > 0 && sim_now_ms() < DAY_MAX_MS)
 		sim_run_until(sim_now_ms() + 1000);
