runner: a worker that starts after its host's clock was set back is used

Such a worker was never used: its announcements name a start before that of its predecessor, so they were taken for late ones of an earlier incarnation, until the agent was started again. While a worker is down, calls now go to any incarnation, and the announcements of the one that answers are taken.

--- a/src/runner.c
+++ b/src/runner.c
@@ -382,6 +382,7 @@
 	}
 	if (!runner->alive) {
 		runner->renew_due_ms = now_ms + TICK_MS;
+		runner->answered_started_ms = status == 0 ? list->worker_started_ms : 0;
 		return;
 	}
 	if (status == 0 && list->worker_started_ms && runner->worker_started_ms &&
@@ -403,15 +404,16 @@
 
 static void renew_lease_if_due(struct runner *runner, uint64_t now_ms)
 {
-	struct runner_renewal renewal = {.worker = runner->worker, .fence = runner_fence(runner)};
+	struct runner_renewal renewal = {.worker = runner->alive ? runner->worker : NULL,
+					 .fence = runner_fence(runner)};
 	struct renewal_call *call;
 
 	if (runner->renewing || now_ms < runner->renew_due_ms)
 		return;
 	/*
 	 * Before the first announcement, and while the worker is down, the call only shows whether
-	 * a worker listens, and makes it ignore earlier calls. The first call to an incarnation
-	 * reads its clock, which the end of a lease needs.
+	 * a worker listens, and which one, and makes it ignore earlier calls. The first call to an
+	 * incarnation reads its clock, which the end of a lease needs.
 	 */
 	renewal.extend =
 		runner->alive && runner_may_extend_lease(runner) && runner->worker_clock_ms;
@@ -450,6 +452,7 @@
 		 announcement->room.accelerators, announcement->rack);
 	set_incarnation(runner, announcement->id, announcement->started_ms);
 	runner->alive = true;
+	runner->answered_started_ms = 0;
 	runner->down = false;
 	runner->down_received = false;
 	runner->leaving = false;
@@ -464,8 +467,12 @@
 
 	if (strcmp(announcement->service, runner->deps.service) != 0)
 		return -ERR_INVALID;
-	/* Announcements delayed by a partition may arrive after those of a later incarnation. */
-	if (!same && announcement->started_ms < runner->worker_started_ms)
+	/*
+	 * Announcements delayed by a partition may arrive after those of a later incarnation. After
+	 * a step of the clock by which start times are taken, the later one names an earlier time.
+	 */
+	if (!same && announcement->started_ms < runner->worker_started_ms &&
+	    announcement->started_ms != runner->answered_started_ms)
 		return -ERR_STALE;
 	if (same && announcement->sequence < runner->sequence)
 		return 0;
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -56,6 +56,8 @@
 	struct plan_resources room;
 	uint32_t generation; /* number of times that the state of the runs was reset, plus 1 */
 	uint64_t worker_started_ms;
+	/* Start time in the answer to the latest call while the worker was down; 0: none. */
+	uint64_t answered_started_ms;
 	uint64_t sequence;
 	uint64_t worker_clock_ms;   /* last reading of the worker's clock */
 	uint64_t clock_read_ms;	    /* util_running_ms() at that reading */
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -661,6 +661,28 @@
 }
 
 /* Guards against starts that are refused because the worker has not sent its first list yet. */
+/* The worker's start time comes from a clock that may be set back; it must be used nevertheless. */
+static void test_clock_set_back(void)
+{
+	struct fixture *f = set_up();
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	f->worker_up = false;
+	memkv_run(f->ev, 900);
+	CU_ASSERT_FALSE(f->report->alive);
+	CU_ASSERT_EQUAL(announce(f, 5, 1), -ERR_STALE);
+	f->worker_up = true;
+	f->born_ms = 5;
+	memkv_run(f->ev, 500);
+	CU_ASSERT_EQUAL(announce(f, 6, 99), -ERR_STALE);
+	CU_ASSERT_EQUAL(announce(f, 5, 2), 0);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(f->report->alive);
+	CU_ASSERT_STRING_EQUAL(f->report->info.incarnation, "w1/5");
+	tear_down(f);
+}
+
 static void test_order_before_first_list(void)
 {
 	struct fixture *f = set_up();
@@ -1008,6 +1030,7 @@
 	CU_add_test(suite, "odd_leader_record", test_odd_leader_record);
 	CU_add_test(suite, "unsure_leader_is_kept", test_unsure_leader_is_kept);
 	CU_add_test(suite, "lives", test_incarnations);
+	CU_add_test(suite, "clock_set_back", test_clock_set_back);
 	CU_add_test(suite, "order_before_first_list", test_order_before_first_list);
 	CU_add_test(suite, "unanswered_start_is_told_to_new_leader",
 		    test_unanswered_start_is_reported_to_new_leader);
