--- a/tests/sim_faults.c
+++ b/tests/sim_faults.c
@@ -346,7 +346,7 @@
 /* Faults come in clusters, since it takes several that overlap to break anything. */
 void sim_faults_plan(const struct sim_fault_mix *faults)
 {
-	uint32_t clusters = sim_between(2, 6);
+	uint32_t clusters = sim_chance(0.4) ? sim_between(6, 12) : sim_between(2, 6);
 
 	mix = *faults;
 	election_faults = 0;
