--- a/tests/test_fleet_sim.c
+++ b/tests/test_fleet_sim.c
@@ -26,10 +26,10 @@
 #define SEEDS_IN_CI 150
 
 struct job {
-	char id[JOBSPEC_ID_LEN + 1];
 	struct sim_step steps[SIM_STEPS_MAX];
 	uint32_t step_count;
 	uint32_t repeats;
+	char id[JOBSPEC_ID_LEN + 1];
 	bool cancelled;
 	bool may_fail;
 };
