--- a/tests/sim_worker.c
+++ b/tests/sim_worker.c
@@ -28,6 +28,7 @@
 	uint32_t present;
 	uint64_t began_ms; /* when all were present; 0: not yet */
 	bool broken;
+	bool halted; /* a member is being stopped, so the others don't work either */
 };
 
 struct run {
@@ -448,6 +449,8 @@
 		struct stopping *stopping = talloc_zero(worker->life, struct stopping);
 
 		run->stopping = true;
+		if (run->gang)
+			run->gang->halted = true;
 		stopping->worker = worker;
 		stopping->task = talloc_strdup(stopping, task);
 		stopping->run = number;
@@ -778,6 +781,8 @@
 		*how = PLAN_END_BROKEN;
 		return true;
 	}
+	if (gang->halted)
+		return false;
 	if (!gang->began_ms) {
 		*how = PLAN_END_ALONE;
 		return sim_now_ms() - run->began_ms >= GANG_WAIT_MS;
