--- a/tests/sim_faults.c
+++ b/tests/sim_faults.c
@@ -87,6 +87,20 @@
 	sim_at(NULL, NULL, ms, heal_cut, cut);
 }
 
+static void begin_cut_of(int host, uint32_t ms)
+{
+	struct cut_fault *cut = talloc_zero(sim_now, struct cut_fault);
+
+	cut->both = true;
+	cut->from[host] = true;
+	for (int i = 0; i < sim_fleet_hosts(); i++)
+		cut->to[i] = i != host;
+	cut->store[host] = true;
+	sim_print("a cut of host %d for %u ms", host, ms);
+	apply_cut(cut, 1);
+	sim_at(NULL, NULL, ms, heal_cut, cut);
+}
+
 static void begin_freeze(void)
 {
 	uint32_t ms = draw_duration();
@@ -338,6 +352,81 @@
 	election_faults = sim_between(1, 3);
 }
 
+/* A chain of faults that keeps a start without an answer from its agent, see plan_chain(). */
+static void silence_agent(void *ctx)
+{
+	struct sim_agent *agent = ctx;
+	uint32_t ms = sim_between(6500, 9500);
+
+	switch (sim_below(3)) {
+	case 0:
+		sim_print("%s stands still for %u ms", agent->node, ms);
+		sim_process_freeze(agent->process, ms);
+		break;
+	case 1:
+		begin_cut_of(agent->host, ms);
+		break;
+	default:
+		sim_agent_kill(agent, sim_chance(0.5) ? ms : sim_between(100, 900));
+		break;
+	}
+}
+
+static void delay_starts(void *ctx)
+{
+	struct sim_worker_faults *faults = sim_worker_faults(ctx);
+	uint32_t ms = sim_between(300, 2500);
+
+	sim_print("calls of a worker are late for %u ms", ms);
+	faults->late = sim_chance(0.5) ? 1 : 0.5;
+	sim_at(NULL, NULL, ms, end_worker_faults, ctx);
+}
+
+static void crash_worker(void *ctx)
+{
+	if (!mix.without_crashes)
+		sim_worker_crash(ctx, sim_between(50, 1500), sim_chance(0.7) && !mix.new_ids_only,
+				 sim_chance(0.3));
+}
+
+static void lag_others(void *ctx)
+{
+	const struct sim_agent *agent = ctx;
+
+	for (int i = SIM_ENTRIES; i < sim_fleet_hosts(); i++) {
+		if (i == agent->host || sim_chance(0.3))
+			continue;
+		sim_now->lag_ms[i] = sim_between(100, 3000);
+		sim_at(NULL, NULL, sim_between(1000, 5000), end_lag, &sim_now->lag_ms[i]);
+	}
+}
+
+/*
+ * Starts that the workers carry out late; then an agent that knows of them falls silent, or its
+ * worker restarts; then a change of the leader, with the agent's report being the first. Random
+ * faults hardly ever meet in this order.
+ */
+static void plan_chain(uint32_t at_ms)
+{
+	uint32_t one = sim_below((uint32_t)sim_fleet.agent_count);
+	struct sim_agent *agent = &sim_fleet.agents[one];
+	uint32_t silent_ms = sim_between(300, 2500);
+	uint32_t election_ms = silent_ms + sim_between(100, 11000);
+
+	for (uint32_t i = 0; i < (uint32_t)sim_fleet.agent_count; i++) {
+		if (i == one || sim_chance(0.3))
+			sim_at(NULL, NULL, at_ms, delay_starts, sim_fleet.agents[i].worker);
+	}
+	if (sim_chance(0.7))
+		sim_at(NULL, NULL, at_ms + silent_ms, silence_agent, agent);
+	else
+		sim_at(NULL, NULL, at_ms + silent_ms, crash_worker, agent->worker);
+	if (sim_chance(0.7))
+		sim_at(NULL, NULL, at_ms + election_ms, begin_election, NULL);
+	if (sim_chance(0.5))
+		sim_at(NULL, NULL, at_ms + election_ms + sim_below(500), lag_others, agent);
+}
+
 /* Faults come in clusters, since it takes several that overlap to break anything. */
 void sim_faults_plan(const struct sim_fault_mix *faults)
 {
@@ -352,6 +441,10 @@
 		uint32_t count = sim_between(1, 4);
 		bool election = sim_chance(0.35);
 
+		if (!mix.only && sim_chance(0.3)) {
+			plan_chain(MIN(at_ms, SIM_FAULTS_UNTIL_MS - 8000)); /* it takes longer */
+			continue;
+		}
 		if (election)
 			sim_at(NULL, NULL, at_ms + sim_below(spread_ms), begin_election, NULL);
 		for (uint32_t k = 0; k < count; k++)
--- a/tests/test_fleet_sim.c
+++ b/tests/test_fleet_sim.c
@@ -16,7 +16,7 @@
  * seeds by hand.
  */
 
-#define JOBS_MAX 64
+#define JOBS_MAX 128
 #define REPEATS_MAX 3
 #define JOBS_FROM_MS 500
 #define JOBS_UNTIL_MS 30000
@@ -83,7 +83,7 @@
 		sim_at(NULL, NULL, sim_below(12000), cancel_job, job);
 }
 
-static void draw_steps(struct job *job)
+static void draw_steps(struct job *job, bool busy)
 {
 	uint32_t fail_percent = 0;
 
@@ -96,7 +96,8 @@
 
 		step->gang = sim_chance(0.4);
 		step->count = step->gang ? sim_between(2, 3) : sim_between(1, 4);
-		step->work_ms = sim_chance(0.3) ? sim_between(100, 1500) : sim_between(1000, 9000);
+		step->work_ms = sim_chance(busy ? 0.8 : 0.3) ? sim_between(100, 1500)
+							     : sim_between(1000, 9000);
 		step->cpu_milli = sim_between(1, 6) * 1000;
 		step->after_former = i > 0 && sim_chance(0.7);
 		step->fail_percent = fail_percent;
@@ -105,13 +106,15 @@
 
 static void plan_jobs(void)
 {
+	bool busy = sim_chance(0.3); /* more starts, so that more of them meet a fault */
+
 	memset(jobs, 0, sizeof(jobs));
-	job_count = sim_between(12, 35);
+	job_count = busy ? sim_between(50, 100) : sim_between(12, 35);
 	for (uint32_t i = 0; i < job_count; i++) {
 		struct job *job = &jobs[i];
 
 		g_snprintf(job->id, sizeof(job->id), "%016x", i + 1);
-		draw_steps(job);
+		draw_steps(job, busy);
 		if (sim_chance(0.1))
 			job->repeats = sim_between(2, REPEATS_MAX);
 		sim_at(NULL, NULL, sim_between(JOBS_FROM_MS, JOBS_UNTIL_MS), submit_job, job);
