--- a/tests/sim_core.c
+++ b/tests/sim_core.c
@@ -365,6 +365,16 @@
 			     : sim_below(THAW_SPREAD_US);
 }
 
+/* A message must not overtake those of its stream that came while the process stood still. */
+static bool is_delayed_by_freeze(const struct event *event)
+{
+	uint64_t until_us = event->process->frozen_until_us;
+
+	if (event->stream)
+		until_us += thaw_delay_us(event);
+	return until_us > sim_now->now_us;
+}
+
 void sim_run_until(uint64_t ms)
 {
 	while (heap->len > 0 && heap_at(0)->at_us <= ms * 1000) {
@@ -375,7 +385,7 @@
 		sim_now->now_us = MAX(sim_now->now_us, event->at_us);
 		if (process && !process->alive)
 			continue;
-		if (process && process->frozen_until_us > sim_now->now_us) {
+		if (process && is_delayed_by_freeze(event)) {
 			enqueue(event, process->frozen_until_us + thaw_delay_us(event));
 			continue;
 		}
