worker: a restarted worker doesn't vouch for a start that was sent to the former one

Cause: when a start gets no answer, the agent stops the task, and a worker that answers 404 has never started it. If the worker crashed after it had begun the task and was restarted, the new process answers 404 as well, often before its first announcement. The start was reported as one that had no effect, so a job that must run at most once started again. A task that crashes its worker would do so on one worker after the other.

Change: the 404 counts once the worker has announced itself again under the same incarnation (worker_announced(), so far worker_set_clock()). Without such an announcement until the lease is over the start counts as one that may have run. A start that had no effect is reported up to one announcement later than before, about 1 s.

--- a/src/agent.c
+++ b/src/agent.c
@@ -127,14 +127,14 @@
 	int ret = target_announce(agent->target, info, now, &changes, err);
 
 	if (!ret && !changes && agent->worker)
-		worker_set_clock(agent->worker, info->clock_ms, now);
+		worker_announced(agent->worker, info->clock_ms, now);
 	if (ret || !changes)
 		return ret;
 	log_info("target_changed", "", "target %s incarnation %" PRIu64 " is %s", info->name,
 		 info->incarnation, target_state_name(target_usable(agent->target, now)));
 	apply_target(agent, changes & TARGET_RESTARTED);
 	if (agent->worker)
-		worker_set_clock(agent->worker, info->clock_ms, now);
+		worker_announced(agent->worker, info->clock_ms, now);
 	return 0;
 }
 
--- a/src/worker.c
+++ b/src/worker.c
@@ -38,7 +38,9 @@
 	uint64_t started_ms;	  /* time of the successful start */
 	uint64_t renewed_ms;	  /* time when the last successful renewal was sent */
 	uint64_t lease_expiry_ms; /* the lease has expired by then, unless it is renewed again */
-	bool renewals_failed;	  /* stopped because no renewal was answered in time */
+	/* The worker that answers doesn't know this unanswered start; it may have restarted. */
+	bool start_unknown;
+	bool renewals_failed; /* stopped because no renewal was answered in time */
 	void (*start_done)(int status, const char *reason, void *ctx);
 	void *start_ctx;
 	bool stop_requested;
@@ -181,8 +183,8 @@
 }
 
 /*
- * @start_status: result of a start that was not answered: -ERR_UNAVAILABLE if the worker says that
- * it did not know the task, otherwise -ERR_OUTCOME_UNKNOWN.
+ * @start_status: result of a start that was not answered: -ERR_UNAVAILABLE if it certainly had no
+ * effect, otherwise -ERR_OUTCOME_UNKNOWN.
  */
 static void finish_stop(struct task *task, int status, uint64_t checkpoint_ms, int start_status)
 {
@@ -221,6 +223,27 @@
 	task->retry_timer = tevent_add_timer(task->worker->ev, task, at, retry_delete, task);
 }
 
+static void on_no_announcement(struct tevent_context *ev, struct tevent_timer *te,
+			       struct timeval now, void *data)
+{
+	finish_stop(data, 0, 0, -ERR_OUTCOME_UNKNOWN);
+}
+
+/*
+ * The start has had no effect if the worker has not restarted since, which its next announcement
+ * shows. Without one until the lease has expired the task counts as one that may have run.
+ */
+static void wait_for_announcement(struct task *task)
+{
+	uint64_t now = util_clock_ms();
+	uint64_t wait_ms = task->lease_expiry_ms > now ? task->lease_expiry_ms - now : 0;
+	struct timeval at = tevent_timeval_current_ofs((uint32_t)(wait_ms / 1000),
+						       (uint32_t)(wait_ms % 1000) * 1000);
+
+	task->start_unknown = true;
+	task->retry_timer = tevent_add_timer(task->worker->ev, task, at, on_no_announcement, task);
+}
+
 static void on_deleted(int status, int http_status, const char *body, size_t len, void *ctx)
 {
 	struct task *task = ctx;
@@ -231,9 +254,12 @@
 		schedule_delete_retry(task);
 		return;
 	}
+	if (http_status == 404 && task->start_done) {
+		wait_for_announcement(task);
+		return;
+	}
 	root = json_loadb(body, len, 0, NULL);
-	finish_stop(task, 0, workerjson_number(root, "checkpoint_ms"),
-		    http_status == 404 ? -ERR_UNAVAILABLE : -ERR_OUTCOME_UNKNOWN);
+	finish_stop(task, 0, workerjson_number(root, "checkpoint_ms"), -ERR_OUTCOME_UNKNOWN);
 	json_decref(root);
 }
 
@@ -358,10 +384,26 @@
 	}
 }
 
-void worker_set_clock(struct worker *worker, uint64_t clock_ms, uint64_t now_ms)
+/* The worker has not restarted since it was sent these starts. */
+static void finish_unknown_starts(struct worker *worker)
+{
+	struct task *task = worker->tasks;
+
+	while (task) {
+		if (task->start_unknown) {
+			finish_stop(task, 0, 0, -ERR_UNAVAILABLE);
+			task = worker->tasks; /* the callback may have removed tasks */
+		} else {
+			task = task->next;
+		}
+	}
+}
+
+void worker_announced(struct worker *worker, uint64_t clock_ms, uint64_t now_ms)
 {
 	worker->clock_known = clock_ms > 0;
 	worker->clock_offset_ms = (int64_t)clock_ms - (int64_t)now_ms;
+	finish_unknown_starts(worker);
 }
 
 void worker_start_task(struct worker *worker, const struct worker_task_spec *spec,
--- a/src/worker.h
+++ b/src/worker.h
@@ -67,13 +67,14 @@
 			     struct metrics *metrics);
 
 /**
- * worker_set_clock() - set the offset of the worker's clock, from an announcement
+ * worker_announced() - an announcement of this client's incarnation of the worker was received
  * @clock_ms: worker's clock when it sent the announcement; 0: not announced
  * @now_ms: util_clock_ms() when the announcement was received
  *
- * The resulting estimate of the worker's clock is never ahead of that clock.
+ * The resulting estimate of the worker's clock is never ahead of that clock. Starts that the worker
+ * did not answer and doesn't know have had no effect, since it has not restarted.
  */
-void worker_set_clock(struct worker *worker, uint64_t clock_ms, uint64_t now_ms);
+void worker_announced(struct worker *worker, uint64_t clock_ms, uint64_t now_ms);
 
 /**
  * worker_start_task() - start a task
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -286,12 +286,12 @@
 	uint64_t now = util_clock_ms();
 	char state[32];
 
-	worker_set_clock(worker, now - TASK_LEASE_MS - 1, now);
+	worker_announced(worker, now - TASK_LEASE_MS - 1, now);
 	CU_ASSERT(run_start("n.1.0", 1, 1, "{}") < 0);
 	task_state("n.1.0", state);
 	CU_ASSERT_STRING_NOT_EQUAL(state, "running");
 	now = util_clock_ms();
-	worker_set_clock(worker, now, now);
+	worker_announced(worker, now, now);
 	CU_ASSERT_EQUAL(run_start("o.1.0", 1, 1, "{}"), 0);
 	CU_ASSERT_EQUAL(run_stop("o.1.0", false).status, 0);
 }
@@ -364,7 +364,7 @@
 
 	talloc_free(worker);
 	worker = create_client(1);
-	worker_set_clock(worker, now + 3600000, now);
+	worker_announced(worker, now + 3600000, now);
 	CU_ASSERT(run_start("r.1.0", 1, 1, "{}") < 0);
 	talloc_free(worker);
 	create_worker();
@@ -372,6 +372,57 @@
 	CU_ASSERT_STRING_EQUAL(state, "");
 }
 
+static void restart_fake(struct tevent_context *context, struct tevent_timer *te,
+			 struct timeval now, void *data)
+{
+	char address[64];
+	const char *const arguments[] = {"--target", "worker-1", "--listen", address, NULL};
+
+	snprintf(address, sizeof(address), "%s", fake.address[0]);
+	proc_kill(&fake);
+	CU_ASSERT_FATAL(proc_start(&fake, "fake_worker", "worker-restarted", arguments));
+}
+
+/*
+ * Guards against a start that is reported as refused because the worker, which has restarted since,
+ * doesn't know the task: its former process may have run it.
+ */
+static void test_worker_restarts_after_start(void)
+{
+	set_fault("{\"late_starts\":true}");
+	tevent_add_timer(ev, mem, tevent_timeval_current_ofs(0, 300000), restart_fake, NULL);
+	CU_ASSERT_EQUAL(run_start("s.1.0", 1, 1, "{}"), -ERR_OUTCOME_UNKNOWN);
+}
+
+static void thaw_fake(struct tevent_context *context, struct tevent_timer *te, struct timeval now,
+		      void *data)
+{
+	proc_signal(&fake, SIGCONT);
+}
+
+static void announce(struct tevent_context *context, struct tevent_timer *te, struct timeval now,
+		     void *data)
+{
+	worker_announced(worker, util_clock_ms() - TASK_LEASE_MS - 1, util_clock_ms());
+	tevent_add_timer(ev, data, tevent_timeval_current_ofs(0, 200000), announce, data);
+}
+
+/*
+ * Guards against a job that is given up as one that may have run, although its worker says that it
+ * never started the task and still announces itself under the same incarnation.
+ */
+static void test_refused_late(void)
+{
+	TALLOC_CTX *timers = talloc_new(mem);
+
+	/* The lease is over when the worker reads the start. */
+	announce(NULL, NULL, (struct timeval){0}, timers);
+	proc_signal(&fake, SIGSTOP);
+	tevent_add_timer(ev, timers, tevent_timeval_current_ofs(2, 500000), thaw_fake, NULL);
+	CU_ASSERT_EQUAL(run_start("t.1.0", 1, 1, "{}"), -ERR_UNAVAILABLE);
+	talloc_free(timers);
+}
+
 static void test_stop(void)
 {
 	talloc_free(worker);
@@ -397,6 +448,8 @@
 	CU_add_test(suite, "lost_renewal_answers", test_lost_renewal_answers);
 	CU_add_test(suite, "unanswered_start", test_unanswered_start);
 	CU_add_test(suite, "start_for_former_incarnation", test_start_for_former_incarnation);
+	CU_add_test(suite, "worker_restarts_after_start", test_worker_restarts_after_start);
+	CU_add_test(suite, "refused_late", test_refused_late);
 	CU_add_test(suite, "stop", test_stop);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
