storewatch: a watch that starts anew ends the breaker's probe

Callers saw every call to the store refused for ever, by a process whose circuit breaker was open when the store came back with an older revision.

The connection of a watch can be the breaker's probe. When the store answered it with an older revision, or cancelled the watch because its start revision was compacted, the watch started anew without a result for the probe. The breaker then stayed open and refused all calls, the watch's own included.

Such an answer now counts as a success of the store, which closes the breaker.

--- a/src/storewatch.c
+++ b/src/storewatch.c
@@ -174,6 +174,10 @@
  */
 static void restart_from_present(struct store_watch *watch)
 {
+	/* The store has answered; the circuit breaker's probe, if this is it, has succeeded. */
+	if (!watch->created)
+		store_record_result(watch->store, watch->endpoint, true);
+	watch->probe = false;
 	cancel_call(watch);
 	watch->next_revision = 0;
 	schedule_connect(watch, store_backoff_ms(&watch->store->rng, 0, RECONNECT_BASE_MS,
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -365,6 +365,61 @@
 	talloc_free(fixture.mem);
 }
 
+/*
+ * Guards against a circuit breaker that refuses every call for ever: the watch's connection was
+ * its probe, and the watch started anew because the store came back with an older revision.
+ */
+static void test_older_revision_after_outage(void)
+{
+	struct fixture fixture;
+	struct watch_log watch_log = {0};
+	struct store_watch_handlers handlers = {on_change, on_resync, &watch_log};
+	struct call_outcome outcome;
+	struct fakestore *fakes[2];
+	const char *urls[2];
+	struct store_options options = {.endpoints = urls, .endpoint_count = 2};
+	struct store *store;
+	size_t first;
+	uint64_t end_ms;
+	int status = -1;
+
+	setup(&fixture, NULL, 0);
+	fakes[0] = fixture.fake;
+	fakes[1] = fakestore_start(fixture.mem, fixture.ev, NULL);
+	urls[0] = fakestore_url(fakes[0]);
+	urls[1] = fakestore_url(fakes[1]);
+	store = store_create(fixture.mem, fixture.ev, &options, NULL, NULL);
+	store_watch_create(fixture.mem, store, "w/", &handlers);
+	CU_ASSERT_TRUE_FATAL(loop_until(fixture.ev, &watch_log.resyncs));
+	first = store->endpoint;
+	fixture.store = fakestore_client(fixture.mem, fakes[first], 0);
+	for (int i = 0; i < 10; i++)
+		CU_ASSERT_EQUAL(put_key(&fixture, "w/1", "x", 0), 0);
+	end_ms = util_clock_ms() + LOOP_TIMEOUT_MS;
+	while (watch_log.changes < 10 && util_clock_ms() < end_ms)
+		loop_for(fixture.ev, 10);
+	CU_ASSERT_EQUAL(watch_log.changes, 10);
+	fakestore_set_fault(fakes[1 - first], "{\"down\":true}");
+	fakestore_set_fault(fakes[first], "{\"down\":true}");
+	end_ms = util_clock_ms() + LOOP_TIMEOUT_MS;
+	while (!store->opened_ms && util_clock_ms() < end_ms)
+		loop_for(fixture.ev, 10);
+	CU_ASSERT_FALSE(store_healthy(store));
+	/* Only the watch calls the store now, so its connection is the probe. */
+	fakestore_set_fault(fakes[1 - first], "{\"down\":false}");
+	end_ms = util_clock_ms() + LOOP_TIMEOUT_MS;
+	while (watch_log.resyncs < 2 && util_clock_ms() < end_ms)
+		loop_for(fixture.ev, 10);
+	CU_ASSERT_EQUAL(watch_log.resyncs, 2);
+	fixture.store = store;
+	for (int i = 0; i < 100 && status; i++) {
+		status = get_key(&fixture, "key", &outcome);
+		loop_for(fixture.ev, 10);
+	}
+	CU_ASSERT_EQUAL(status, 0);
+	talloc_free(fixture.mem);
+}
+
 /* Guards against a breaker that never closes, and a delay that grows without bound. */
 static void test_breaker_times(void)
 {
@@ -446,6 +501,7 @@
 	CU_add_test(suite, "endpoints", test_endpoints);
 	CU_add_test(suite, "watch", test_watch);
 	CU_add_test(suite, "watch renewed", test_watch_renewed);
+	CU_add_test(suite, "older revision after outage", test_older_revision_after_outage);
 	CU_add_test(suite, "odd items", test_odd_items);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
