jobserve: "no such job" only after the submissions have been read

Callers got "no such job" for a job that had been accepted, from a placement leader that had loaded the jobs of its predecessor and not yet read the segments of new submissions. A wait for the job's end ended with that answer.

The leader read the segments and answered 300 ms later, whether the read had ended or not. A slow store, or a process that did not run for that time, makes the read longer; one that failed also counted as the absence of the job.

The answer now follows a read that began after the question. When the read fails, the answer is "unavailable", which the asking entry host repeats.

test_jobs/query before merge failed before, with status, state and attempt wrong.

--- a/src/jobleader.c
+++ b/src/jobleader.c
@@ -331,6 +331,28 @@
 	job_leader_schedule_step(leader);
 }
 
+/* A caller of job_leader_read_segments_for(). */
+struct segment_waiter {
+	struct segment_waiter *next;
+	void (*done)(int status, void *ctx);
+	void *ctx;
+};
+
+/* Answers the waiters of the read that has ended; they may wait for another read at once. */
+static void answer_segment_waiters(struct job_leader *leader, int status)
+{
+	struct segment_waiter *waiter = leader->read_waiters;
+
+	leader->read_waiters = NULL;
+	while (waiter) {
+		struct segment_waiter *next = waiter->next;
+
+		waiter->done(status, waiter->ctx);
+		talloc_free(waiter);
+		waiter = next;
+	}
+}
+
 static void on_segments_read(int status, const struct store_result *result, void *ctx)
 {
 	struct job_leader *leader = end_store_call(ctx);
@@ -340,6 +362,7 @@
 	leader->reading_segments = false;
 	for (size_t i = 0; !status && i < result->count; i++)
 		merge_segment(leader, &result->kvs[i]);
+	answer_segment_waiters(leader, status);
 	if (leader->reread_segments) {
 		leader->reread_segments = false;
 		job_leader_read_segments(leader);
@@ -354,10 +377,24 @@
 	if (leader->reading_segments)
 		return;
 	leader->reading_segments = true;
+	leader->read_waiters = leader->next_read_waiters;
+	leader->next_read_waiters = NULL;
 	store_range(leader->jobs->deps.store, "submit/", 0,
 		    begin_store_call(leader, on_segments_read));
 }
 
+void job_leader_read_segments_for(struct job_leader *leader, void (*done)(int status, void *ctx),
+				  void *ctx)
+{
+	struct segment_waiter *waiter = talloc_zero(leader, struct segment_waiter);
+
+	waiter->done = done;
+	waiter->ctx = ctx;
+	waiter->next = leader->next_read_waiters;
+	leader->next_read_waiters = waiter;
+	job_leader_read_segments(leader);
+}
+
 static void on_segment_change(const struct store_kv *kv, void *ctx)
 {
 	struct job_leader *leader = ctx;
--- a/src/jobs_int.h
+++ b/src/jobs_int.h
@@ -179,6 +179,8 @@
 	bool stepping;
 	bool reading_segments;
 	bool reread_segments; /* another read was requested during the one under way */
+	struct segment_waiter *read_waiters;	  /* answered by the read under way */
+	struct segment_waiter *next_read_waiters; /* answered by the next read */
 	uint64_t loaded_ms;
 	uint64_t config_revision;
 	uint64_t members_checked_ms; /* last check for members on workers that are not present */
@@ -203,6 +205,17 @@
 /** job_leader_read_segments() - merge the submissions that are below submit/ in the store */
 void job_leader_read_segments(struct job_leader *leader);
 
+/**
+ * job_leader_read_segments_for() - as job_leader_read_segments(), on behalf of a caller
+ * @done: called once a read that began after this call has ended: with 0 when the jobs recorded
+ *	before are merged, or with an error when the store could not be read. Not called when the
+ *	leader is freed.
+ *
+ * Only for a leader that has loaded its jobs.
+ */
+void job_leader_read_segments_for(struct job_leader *leader, void (*done)(int status, void *ctx),
+				  void *ctx);
+
 /** job_leader_cancel_job() - cancel a job; @done is called when that is recorded */
 void job_leader_cancel_job(struct job_leader *leader, struct job_record *job,
 			   void (*done)(int status, void *ctx), void *ctx);
--- a/src/jobserve.c
+++ b/src/jobserve.c
@@ -5,8 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define LIST_JOBS_MAX 1000  /* keeps an answer under the message size limit */
-#define SEGMENT_WAIT_MS 300 /* for a job that may still be in a segment */
+#define LIST_JOBS_MAX 1000 /* keeps an answer under the message size limit */
 
 /* A query that waits for submissions to be merged, or for a write. */
 struct pending_query {
@@ -180,14 +179,17 @@
 	return NULL;
 }
 
-static void on_segment_wait_end(struct tevent_context *ev, struct tevent_timer *te,
-				struct timeval now, void *data)
+static void on_segments_merged(int status, void *ctx)
 {
-	struct pending_query *pending = data;
+	struct pending_query *pending = ctx;
 	struct job_record *job = find_visible_job(pending->leader, &pending->query);
 
 	if (job)
 		serve_job(pending->leader, pending->peer, &pending->query, job);
+	else if (status)
+		send_error(pending->leader, pending->peer, pending->query.id, ERR_UNAVAILABLE,
+			   "retry in a second",
+			   "the placement leader could not read the latest submissions");
 	else
 		send_error(pending->leader, pending->peer, pending->query.id, ERR_NOT_FOUND,
 			   "check the id; results are kept for 24 hours", "there is no such job");
@@ -221,8 +223,10 @@
 		serve_job(leader, peer, query, job);
 		return;
 	}
-	/* Another entry host may have recorded the job a moment ago. */
-	job_leader_read_segments(leader);
+	/*
+	 * Another entry host may have recorded the job a moment ago. That there is no such job is
+	 * known only once the segments have been read.
+	 */
 	pending = create_pending_query(leader, peer, query);
-	jobs_timer(leader->jobs, pending, SEGMENT_WAIT_MS, on_segment_wait_end, pending);
+	job_leader_read_segments_for(leader, on_segments_merged, pending);
 }
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -324,6 +324,59 @@
 	world_close(&world);
 }
 
+/* Ends the leadership that elect_silent_leader() has given to another process. */
+static void end_silent_leader(struct job_world *world, struct store *store)
+{
+	int done = 0;
+
+	store_txn(store, NULL, 0,
+		  (struct store_op[]){{.kind = STORE_DELETE, .key = "duty/placement/r"}}, 1,
+		  (struct store_cb){on_moved, &done});
+	CU_ASSERT_TRUE(loop_until(world->ev, &done));
+}
+
+/* Waits until @entry is the placement leader and has loaded the jobs; false after 30 s. */
+static bool until_leader_loaded(struct test_entry *entry)
+{
+	uint64_t end_ms = util_clock_ms() + LOOP_TIMEOUT_MS;
+
+	while (util_clock_ms() < end_ms) {
+		if (entry->jobs->leader && entry->jobs->leader->loaded)
+			return true;
+		loop_for(entry->world->ev, 10);
+	}
+	return false;
+}
+
+/*
+ * Guards against "no such job" from a leader that has not read the submissions yet, because the
+ * store is slow. A query that waits for the job's end would end with that answer.
+ */
+static void test_query_before_merge(void)
+{
+	struct job_world world;
+	struct test_entry *entry;
+	struct store *store;
+	struct job_reply submitted;
+	struct job_reply reply;
+
+	world_open(&world);
+	world.behaviour = AGENT_DONE;
+	store = fakestore_client(world.mem, world.fake, 0);
+	elect_silent_leader(&world, store);
+	entry = world_entry(&world, 0);
+	world_submit(entry, SMALL, "", DEADLINE_MS, &submitted);
+	CU_ASSERT_EQUAL(submitted.status, 0);
+	fakestore_set_fault(world.fake, "{\"slow_ms\":700}");
+	end_silent_leader(&world, store);
+	CU_ASSERT_TRUE_FATAL(until_leader_loaded(entry));
+	world_wait(entry, submitted.id, &reply);
+	CU_ASSERT_EQUAL(reply.status, 0);
+	CU_ASSERT_STRING_EQUAL(reply.state, "done");
+	CU_ASSERT_EQUAL(reply.attempt, 1);
+	world_close(&world);
+}
+
 struct failure_case {
 	const char *body;
 	enum agent_behaviour behaviour;
@@ -452,6 +505,7 @@
 	CU_add_test(suite, "stalled leader", test_stalled_leader);
 	CU_add_test(suite, "start after stall", test_start_after_stall);
 	CU_add_test(suite, "merge during query", test_merge_during_query);
+	CU_add_test(suite, "query before merge", test_query_before_merge);
 	CU_add_test(suite, "broken", test_failed_attempts);
 	CU_add_test(suite, "cancel", test_cancel);
 	CU_add_test(suite, "quota", test_quota);
