fake_minion: calls that outlive a restart, a clock of its own, leases of 10 s at most

The clock now starts at about 0 with each process and may be 2% slow. With a file of late calls the next process of the same identifier carries them out, with deadline and last_seen as sent, once an agent has extended its lease. Ends up to last_seen are forgotten, also by late calls; leases last 10 s at most, and a start that is refused as old or for want of room extends them. A lease that is over ends its runs before the next call, not only at the next tick. A start is late by its own deadline or by the lease, drawn for each process, because the documentation allows both readings.

--- a/tests/fake_minion.c
+++ b/tests/fake_minion.c
@@ -13,17 +13,21 @@
 /*
  * Stand-in for a worker of the platform, written from the platform's documentation.
  *
- * Usage: fake_minion ID SERVICE RACK CONTROL_ADDRESS ADDRESS. Prints "listening ip:port". The
- * task_spec of a task is its run time in milliseconds, or "fail". What happens is written to
- * standard error, where tests read it, with times by util_clock_ms():
+ * Usage: fake_minion ID SERVICE RACK CONTROL_ADDRESS ADDRESS [LATE_CALLS SEED]. Prints "listening
+ * ip:port". The task_spec of a task is its run time in milliseconds, or "fail". The file LATE_CALLS
+ * holds calls that will be carried out late, also by the next process of the same ID. The clock of
+ * a process starts at about 0. What happens is written to standard error, where tests read it, with
+ * times by util_clock_ms():
  *
  *   start TASK RUN MS DEADLINE_MS   a run begins; DEADLINE_MS is the end of the lease in the order
  *   end TASK RUN HOW MS NUMBER
  *   seen NUMBER MS                  the agent has confirmed the ends up to NUMBER
  *   lapse MS                        the lease has ended
  *   drain ON MS                     the agent has answered the first heartbeat of this state
+ *   delay PATH                      a call is left unanswered, to be carried out late
+ *   late MS ...                     a call is carried out late
  *
- * PUT /test/late/MS leaves half of the orders of the next MS milliseconds unanswered and carries
+ * PUT /test/late/MS leaves half of the calls of the next MS milliseconds unanswered and carries
  * them out 2 to 12 s later; PUT /test/drain/ON sets whether the worker drains.
  */
 
@@ -35,6 +39,9 @@
 #define ENDS_MAX 4096
 #define LATE_MIN_MS 2000
 #define LATE_MAX_MS 12000
+#define LEASE_MAX_MS 10000
+#define CLOCK_START_MAX_MS 500
+#define SLOW_CLOCK_RATE 0.98 /* the slowest that the platform allows */
 
 struct run {
 	struct run *next;
@@ -60,12 +67,11 @@
 	uint64_t seen;
 };
 
-/* An order that is carried out late and never answered. */
-struct late_order {
-	struct late_order *next;
+/* A call that is carried out late and never answered. */
+struct late_call {
+	struct late_call *next;
 	uint64_t at_ms;
-	char path[32];
-	json_t *body;
+	json_t *record; /* as in the file of late calls */
 };
 
 static struct {
@@ -77,8 +83,15 @@
 	const char *rack;
 	const char *control;
 	uint64_t born_ms;
+	uint64_t began_ms; /* by util_clock_ms() */
+	uint64_t clock_start_ms;
+	double clock_rate;
+	bool late_by_order; /* a start is late by its own deadline, not by the lease */
+	bool served;	    /* a call of an agent has extended the lease of this process */
+	FILE *late_file;
+	GRand *rand;
 	uint64_t fence;
-	uint64_t lease_ms;
+	uint64_t lease_ms; /* by util_clock_ms() */
 	uint64_t sequence;
 	uint64_t next_heartbeat_ms;
 	struct run *runs;
@@ -87,13 +100,20 @@
 	uint64_t ends_known;
 	struct waiting *waiting;
 	GHashTable *seen_runs; /* task to the highest run number started or stopped */
-	struct late_order *late_orders;
+	struct late_call *late_calls;
 	uint64_t late_until_ms;
 	bool lapsed;
 	bool draining;
 	bool drain_told;
 } minion;
 
+/* The worker's clock, which starts anew with each process. */
+static uint64_t worker_clock_ms(void)
+{
+	return minion.clock_start_ms +
+	       (uint64_t)((double)(util_clock_ms() - minion.began_ms) * minion.clock_rate);
+}
+
 static void send_answer(struct httpd_call *call, int status, json_t *json)
 {
 	char *text;
@@ -102,7 +122,7 @@
 		json_decref(json);
 		return;
 	}
-	json_object_set_new(json, "clock_ms", json_integer((json_int_t)util_clock_ms()));
+	json_object_set_new(json, "clock_ms", json_integer((json_int_t)worker_clock_ms()));
 	text = json_dumps(json, JSON_COMPACT);
 	httpd_answer(call, status, "application/json", text, 0);
 	free(text);
@@ -129,7 +149,7 @@
 	return minion.end_count > ENDS_MAX ? minion.end_count - ENDS_MAX : 0;
 }
 
-static json_t *runs_json(uint64_t seen)
+static json_t *runs_json(void)
 {
 	json_t *running = json_array();
 	json_t *ended = json_array();
@@ -141,7 +161,7 @@
 	for (size_t i = first_end(); i < minion.end_count; i++) {
 		const struct end *end = &minion.ends[i % ENDS_MAX];
 
-		if (end->number > seen)
+		if (end->number > minion.ends_known)
 			json_array_append_new(ended,
 					      json_pack("[I, s, i, s, s]", (json_int_t)end->number,
 							end->task, (int)end->run, end->how, ""));
@@ -159,15 +179,55 @@
 	return true;
 }
 
+/* Ends the runs that are over, and all of them when the lease is over. */
+static void end_due_runs(uint64_t now_ms)
+{
+	for (struct run **at = &minion.runs; *at;) {
+		struct run *run = *at;
+		bool lapses = minion.lease_ms && now_ms > minion.lease_ms &&
+			      run->end_ms > minion.lease_ms;
+
+		if (lapses)
+			end_run(at, "lapsed", minion.lease_ms);
+		else if (now_ms >= run->end_ms)
+			end_run(at,
+				run->stopping ? "stopped"
+				: run->fails  ? "failed"
+					      : "done",
+				run->end_ms);
+		else
+			at = &run->next;
+	}
+	if (minion.lease_ms && now_ms > minion.lease_ms && !minion.lapsed) {
+		minion.lapsed = true;
+		fprintf(stderr, "lapse %" PRIu64 "\n", minion.lease_ms);
+	}
+}
+
+static bool has_lease(void)
+{
+	return minion.lease_ms > util_clock_ms();
+}
+
+/* @deadline_ms: by the worker's clock; a lease never gets shorter */
 static void extend_lease(uint64_t deadline_ms)
 {
-	if (deadline_ms <= minion.lease_ms || deadline_ms <= util_clock_ms())
+	uint64_t now_ms = util_clock_ms();
+	uint64_t clock_ms = worker_clock_ms();
+	uint64_t lasts_ms;
+
+	if (deadline_ms <= clock_ms)
+		return;
+	lasts_ms = MIN(deadline_ms - clock_ms, LEASE_MAX_MS);
+	lasts_ms = (uint64_t)((double)lasts_ms / minion.clock_rate);
+	if (now_ms + lasts_ms <= minion.lease_ms)
 		return;
-	minion.lease_ms = deadline_ms;
+	minion.lease_ms = now_ms + lasts_ms;
 	minion.lapsed = false;
 }
 
-static void start_run(struct httpd_call *call, const json_t *body)
+/* @offset_ms: from the clock by which the order was computed to util_clock_ms() */
+static void start_run(struct httpd_call *call, const json_t *body, int64_t offset_ms)
 {
 	const char *task = json_string_value(json_object_get(body, "task"));
 	const char *spec = json_string_value(json_object_get(body, "task_spec"));
@@ -184,7 +244,8 @@
 			return;
 		}
 	}
-	if (deadline_ms <= util_clock_ms())
+	extend_lease(deadline_ms);
+	if (minion.late_by_order ? deadline_ms <= worker_clock_ms() : !has_lease())
 		refusal = "late";
 	else if (count >= ACCELERATORS)
 		refusal = "room";
@@ -194,7 +255,6 @@
 		send_answer(call, 409, json_pack("{s:s}", "reason", refusal));
 		return;
 	}
-	extend_lease(deadline_ms);
 	run = calloc(1, sizeof(*run));
 	g_strlcpy(run->task, task, sizeof(run->task));
 	run->number = number;
@@ -203,7 +263,7 @@
 	run->next = minion.runs;
 	minion.runs = run;
 	fprintf(stderr, "start %s %u %" PRIu64 " %" PRIu64 "\n", task, number, util_clock_ms(),
-		deadline_ms);
+		(uint64_t)((int64_t)deadline_ms + offset_ms));
 	send_answer(call, 200, json_object());
 }
 
@@ -228,6 +288,7 @@
 	struct waiting *waiting;
 
 	extend_lease((uint64_t)json_integer_value(json_object_get(body, "deadline_ms")));
+	seen = MIN(seen, minion.end_count);
 	if (seen > minion.ends_known) {
 		minion.ends_known = seen;
 		fprintf(stderr, "seen %" PRIu64 " %" PRIu64 "\n", seen, util_clock_ms());
@@ -243,18 +304,20 @@
 	minion.waiting = waiting;
 }
 
-/* @call: NULL for an order that is carried out late */
-static void carry_out(struct httpd_call *call, const char *path, const json_t *body)
+/* @call: NULL for a call that is carried out late */
+static void carry_out(struct httpd_call *call, const char *path, const json_t *body,
+		      int64_t offset_ms)
 {
 	uint64_t fence = (uint64_t)json_integer_value(json_object_get(body, "fencing_token"));
 
+	end_due_runs(util_clock_ms());
 	if (fence < minion.fence) {
 		send_answer(call, 409, json_pack("{s:s}", "reason", "fence"));
 		return;
 	}
 	minion.fence = fence;
 	if (!strcmp(path, "/v1/run-start"))
-		start_run(call, body);
+		start_run(call, body, offset_ms);
 	else if (!strcmp(path, "/v1/run-stop"))
 		stop_run(call, body);
 	else if (!strcmp(path, "/v1/hold"))
@@ -263,30 +326,106 @@
 		send_answer(call, 404, json_object());
 }
 
-static void delay_order(const char *path, json_t *body)
+static int64_t clock_offset_ms(void)
+{
+	return (int64_t)util_clock_ms() - (int64_t)worker_clock_ms();
+}
+
+static void add_late_call(json_t *record)
+{
+	struct late_call *late = calloc(1, sizeof(*late));
+
+	late->at_ms = (uint64_t)json_integer_value(json_object_get(record, "at_ms"));
+	late->record = record;
+	late->next = minion.late_calls;
+	minion.late_calls = late;
+}
+
+static void delay_call(const char *path, const char *target, json_t *body)
+{
+	uint64_t at_ms =
+		util_clock_ms() + (uint64_t)g_rand_int_range(minion.rand, LATE_MIN_MS, LATE_MAX_MS);
+	json_t *record =
+		json_pack("{s:I, s:I, s:I, s:s, s:s, s:O}", "at_ms", (json_int_t)at_ms, "born",
+			  (json_int_t)minion.born_ms, "offset_ms", (json_int_t)clock_offset_ms(),
+			  "path", path, "target", target ? target : "", "body", body);
+
+	add_late_call(record);
+	fprintf(stderr, "delay %s\n", path);
+	if (!minion.late_file)
+		return;
+	json_dumpf(record, minion.late_file, JSON_COMPACT);
+	fputc('\n', minion.late_file);
+	fflush(minion.late_file);
+}
+
+/* Takes over the calls that a former process left; those due before now found no process. */
+static void read_late_calls(const char *path)
+{
+	json_t *record;
+
+	minion.late_file = fopen(path, "a+");
+	if (!minion.late_file) {
+		perror(path);
+		exit(1);
+	}
+	while ((record = json_loadf(minion.late_file, JSON_DISABLE_EOF_CHECK, NULL))) {
+		if ((uint64_t)json_integer_value(json_object_get(record, "at_ms")) >
+		    util_clock_ms())
+			add_late_call(record);
+		else
+			json_decref(record);
+	}
+}
+
+/*
+ * A late call to a former process reaches this one only when an agent works with it: nothing that
+ * an agent could do keeps it from a process that no agent has reached yet.
+ */
+static bool takes_late_call(const json_t *record)
+{
+	const char *target = json_string_value(json_object_get(record, "target"));
+	json_int_t born = json_integer_value(json_object_get(record, "born"));
+
+	return (!*target || !strcmp(target, minion.id)) &&
+	       (born == (json_int_t)minion.born_ms || minion.served);
+}
+
+static void log_late_call(const json_t *record, uint64_t now_ms)
 {
-	struct late_order *order = calloc(1, sizeof(*order));
+	const json_t *body = json_object_get(record, "body");
+	const char *task = json_string_value(json_object_get(body, "task"));
 
-	order->at_ms = util_clock_ms() + (uint64_t)g_random_int_range(LATE_MIN_MS, LATE_MAX_MS);
-	g_strlcpy(order->path, path, sizeof(order->path));
-	order->body = json_incref(body);
-	order->next = minion.late_orders;
-	minion.late_orders = order;
+	fprintf(stderr,
+		"late %" PRIu64 " %s of process %" JSON_INTEGER_FORMAT
+		", task %s %d, fence %" JSON_INTEGER_FORMAT " here %" PRIu64
+		", deadline %" JSON_INTEGER_FORMAT " here %" PRIu64 "\n",
+		now_ms, json_string_value(json_object_get(record, "path")),
+		json_integer_value(json_object_get(record, "born")), task ? task : "-",
+		(int)json_integer_value(json_object_get(body, "run")),
+		json_integer_value(json_object_get(body, "fencing_token")), minion.fence,
+		json_integer_value(json_object_get(body, "deadline_ms")), worker_clock_ms());
 }
 
-static void carry_out_late_orders(uint64_t now_ms)
+static void carry_out_late_calls(uint64_t now_ms)
 {
-	for (struct late_order **at = &minion.late_orders; *at;) {
-		struct late_order *order = *at;
+	for (struct late_call **at = &minion.late_calls; *at;) {
+		struct late_call *late = *at;
+		const char *path = json_string_value(json_object_get(late->record, "path"));
+		const json_t *body = json_object_get(late->record, "body");
 
-		if (now_ms < order->at_ms) {
-			at = &order->next;
+		if (now_ms < late->at_ms) {
+			at = &late->next;
 			continue;
 		}
-		*at = order->next;
-		carry_out(NULL, order->path, order->body);
-		json_decref(order->body);
-		free(order);
+		*at = late->next;
+		if (takes_late_call(late->record)) {
+			log_late_call(late->record, now_ms);
+			carry_out(NULL, path, body,
+				  json_integer_value(json_object_get(late->record, "offset_ms")));
+		}
+		json_decref(late->record);
+		free(late);
 	}
 }
 
@@ -315,10 +454,11 @@
 		serve_test_control(call, path);
 	else if (target && strcmp(target, minion.id) != 0)
 		send_answer(call, 421, json_object());
-	else if (util_clock_ms() < minion.late_until_ms && g_random_boolean())
-		delay_order(path, body);
+	else if (util_clock_ms() < minion.late_until_ms && g_rand_boolean(minion.rand))
+		delay_call(path, target, body);
 	else
-		carry_out(call, path, body);
+		carry_out(call, path, body, clock_offset_ms());
+	minion.served |= has_lease();
 	json_decref(body);
 }
 
@@ -379,11 +519,12 @@
 	for (struct waiting **at = &minion.waiting; *at;) {
 		struct waiting *waiting = *at;
 
-		if (now_ms < waiting->until_ms && minion.end_count <= waiting->seen) {
+		if (now_ms < waiting->until_ms &&
+		    minion.end_count <= MAX(waiting->seen, minion.ends_known)) {
 			at = &waiting->next;
 			continue;
 		}
-		send_answer(waiting->call, 200, runs_json(waiting->seen));
+		send_answer(waiting->call, 200, runs_json());
 		*at = waiting->next;
 		free(waiting);
 	}
@@ -394,27 +535,8 @@
 {
 	uint64_t now_ms = util_clock_ms();
 
-	for (struct run **at = &minion.runs; *at;) {
-		struct run *run = *at;
-		bool lapses = minion.lease_ms && now_ms > minion.lease_ms &&
-			      run->end_ms > minion.lease_ms;
-
-		if (lapses)
-			end_run(at, "lapsed", minion.lease_ms);
-		else if (now_ms >= run->end_ms)
-			end_run(at,
-				run->stopping ? "stopped"
-				: run->fails  ? "failed"
-					      : "done",
-				run->end_ms);
-		else
-			at = &run->next;
-	}
-	if (minion.lease_ms && now_ms > minion.lease_ms && !minion.lapsed) {
-		minion.lapsed = true;
-		fprintf(stderr, "lapse %" PRIu64 "\n", minion.lease_ms);
-	}
-	carry_out_late_orders(now_ms);
+	end_due_runs(now_ms);
+	carry_out_late_calls(now_ms);
 	answer_waiting_calls(now_ms);
 	if (now_ms >= minion.next_heartbeat_ms) {
 		minion.next_heartbeat_ms = now_ms + HEARTBEAT_PERIOD_MS;
@@ -430,8 +552,9 @@
 	struct httpd_handlers handlers = {on_call, on_disconnect, NULL};
 	struct err err = {0};
 
-	if (argc != 6) {
-		fprintf(stderr, "usage: fake_minion ID SERVICE RACK CONTROL_ADDRESS ADDRESS\n");
+	if (argc != 6 && argc != 8) {
+		fprintf(stderr, "usage: fake_minion ID SERVICE RACK CONTROL_ADDRESS ADDRESS "
+				"[LATE_CALLS SEED]\n");
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
@@ -440,6 +563,13 @@
 	minion.rack = argv[3];
 	minion.control = argv[4];
 	minion.born_ms = util_wall_ms();
+	minion.began_ms = util_clock_ms();
+	minion.rand = g_rand_new_with_seed(argc > 7 ? (guint32)atoi(argv[7]) : 0);
+	minion.clock_start_ms = (uint64_t)g_rand_int_range(minion.rand, 1, CLOCK_START_MAX_MS);
+	minion.clock_rate = argc > 7 && g_rand_boolean(minion.rand) ? SLOW_CLOCK_RATE : 1;
+	minion.late_by_order = argc < 8 || g_rand_boolean(minion.rand);
+	if (argc > 7)
+		read_late_calls(argv[6]);
 	minion.seen_runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	minion.ev = tevent_context_init(mem);
 	minion.httpc = httpc_create(mem, minion.ev);
