measure_fleet_faults: restarts with late calls, series of faults, changes

Drawing 2, the default, adds workers that are started again under the same or another identifier while calls to them are unanswered, also when their agent does not reach them, is frozen or is started again; agents cut off from the leader with such calls; agents that wake with unanswered starts under a leader that has not heard of the others; series of SIGHUP, also during a shutdown; and series of configuration versions. Faults come in series and overlap, and a seed may make faults of workers or of leaders more frequent. Some runs last 9 s, and the load leaves workers idle, since a lost task starts elsewhere at once only where there is room. The stand-ins and the proxies draw from the seed as well.

Drawing 1 keeps the former faults and load for the seeds that showed a fault with them.

--- a/Makefile
+++ b/Makefile
@@ -43,9 +43,12 @@
 # The same for the fleet scheduler, with the seeds that have shown a fault of it first.
 soak-fleet: build
 	@code=0; program=$(BUILD)/bin/measure_fleet_faults; export JAYCOURSE_BIN=$(BUILD)/bin; \
-	for seed in $$($$program --regressions | cut -d " " -f 1) $(SEEDS); do \
+	$$program --regressions | { while read -r seed drawing cause; do \
+		$$program --seed $$seed --drawing $$drawing --json </dev/null || \
+			{ code=1; echo "seed $$seed of drawing $$drawing failed"; }; \
+	done; for seed in $(SEEDS); do \
 		$$program --seed $$seed --json || { code=1; echo "seed $$seed failed"; }; \
-	done; exit $$code
+	done; exit $$code; }
 
 plots: build
 	@tools/install_packages.sh gnuplot-nox
--- a/bench/measure_fleet_faults.c
+++ b/bench/measure_fleet_faults.c
@@ -16,6 +16,10 @@
 #define GAP_MAX_MOST_MS 4500
 #define STORE_REFUSES_AFTER_MS 280 /* longer than an answer of a slow store takes */
 #define STORE_REFUSES_MS 800
+#define SERIES_PERCENT 30 /* of the faults; others follow these at once */
+#define SERIES_MOST 5
+#define SERIES_GAP_MAX_MS 600
+#define FOCUS_FACTOR 12
 #define RECOVERY_MS 60000 /* for all accepted jobs to end after the faults */
 #define SETTLE_MS 2000	  /* for starts after all jobs have ended */
 
@@ -25,12 +29,16 @@
  */
 static const struct {
 	unsigned int seed;
+	unsigned int drawing;
 	const char *cause;
 } regressions[] = {
-	{1, "both faults of the next two lines, in different runs"},
-	{2, "a report of an ended agent process was taken for one of its successor"},
-	{3, "a leader that was cut off, frozen and woken started tasks after its lease was over"},
-	{8, "a write that libcurl had sent on a reused connection was taken for unsent"},
+	{1, 1, "both faults of the next two lines, in different runs"},
+	{2, 1, "a report of an ended agent process was taken for one of its successor"},
+	{3, 1,
+	 "a leader that was cut off, frozen and woken started tasks after its lease was over"},
+	{8, 1, "a write that libcurl had sent on a reused connection was taken for unsent"},
+	{606, 2, "a late call made a restarted worker forget ends that nobody had seen"},
+	{631, 2, "a restarted worker carried out a start that was sent to it before"},
 };
 
 struct arguments {
@@ -38,9 +46,18 @@
 	unsigned int seconds;
 	unsigned int workers;
 	unsigned int entries;
+	unsigned int drawing;
 	bool json_only;
 };
 
+/* Related faults are more frequent in a run, since some failures need several of them. */
+enum focus {
+	FOCUS_NONE,
+	FOCUS_WORKERS,
+	FOCUS_LEADERS,
+	FOCUS_COUNT,
+};
+
 static struct {
 	struct arguments args;
 	struct tevent_context *ev;
@@ -51,6 +68,9 @@
 	unsigned int faults;
 	uint64_t next_fault_ms;
 	uint32_t gap_max_ms;
+	uint32_t series_left;
+	enum focus focus;
+	unsigned int config_version;
 } soak;
 
 static uint32_t random_ms(uint32_t from, uint32_t to)
@@ -102,16 +122,22 @@
 	fleethosts_later(soak.fleet, ms, action, host, value);
 }
 
-static void begin_cut(struct fleetcut *cut, bool there, bool back, uint32_t ms)
+static void begin_cut_after(struct fleetcut *cut, uint32_t after_ms, bool there, bool back,
+			    uint32_t ms)
 {
 	struct fleetcut reverse = *cut;
 
 	memcpy(reverse.from, cut->to, sizeof(reverse.from));
 	memcpy(reverse.to, cut->from, sizeof(reverse.to));
 	if (there)
-		fleethosts_cut(soak.fleet, cut, 0, ms);
+		fleethosts_cut(soak.fleet, cut, after_ms, ms);
 	if (back)
-		fleethosts_cut(soak.fleet, &reverse, 0, ms);
+		fleethosts_cut(soak.fleet, &reverse, after_ms, ms);
+}
+
+static void begin_cut(struct fleetcut *cut, bool there, bool back, uint32_t ms)
+{
+	begin_cut_after(cut, 0, there, back, ms);
 }
 
 /* One way in either direction, or both ways. */
@@ -302,31 +328,156 @@
 	later(random_ms(2500, 7000), ACTION_DRAIN, worker, 0);
 }
 
+static uint32_t short_or_long_ms(void)
+{
+	return chance(60) ? random_ms(100, 800) : random_ms(800, 6000);
+}
+
+static void replace_worker(void)
+{
+	later(0, ACTION_REPLACE, pick_host(ROLE_WORKER), short_or_long_ms());
+}
+
+/*
+ * Calls to a worker get no answer and are carried out after it was started again. Its agent may
+ * not reach it meanwhile, or is started again as well.
+ */
+static void restart_one_with_late_calls(void)
+{
+	struct fleetcut cut = {.flow = random_flow()};
+	struct fleethost *worker = pick_host(ROLE_WORKER);
+	struct fleethost *agent = fleethosts_at(soak.fleet, ROLE_AGENT, worker->index);
+	uint32_t late_ms = random_ms(500, 5000);
+	uint32_t restart_at = random_ms(200, late_ms + 1500);
+
+	if (chance(70)) {
+		later(restart_at, ACTION_CRASH, worker, short_or_long_ms());
+		late_ms += random_ms(1000, 6000);
+	} else {
+		later(restart_at, chance(60) ? ACTION_KILL : ACTION_REPLACE, worker,
+		      short_or_long_ms());
+	}
+	later(0, ACTION_LATE_ORDERS, worker, late_ms);
+	if (chance(50)) {
+		add_to(cut.from, agent);
+		add_to(cut.to, worker);
+		begin_cut_after(&cut, restart_at + random_ms(0, 1000), true, chance(50),
+				random_ms(300, 5000));
+	}
+	if (chance(35))
+		later(restart_at + random_ms(0, 1000), random_end(), agent, random_ms(100, 1500));
+	if (chance(20))
+		later(restart_at + random_ms(0, 1000), ACTION_FREEZE, agent, random_ms(500, 9000));
+	if (chance(30))
+		later(restart_at + random_ms(1500, 5000), ACTION_KILL, worker, short_or_long_ms());
+}
+
+static void restart_worker_with_late_calls(void)
+{
+	for (uint32_t i = random_ms(1, 5); i > 0; i--)
+		restart_one_with_late_calls();
+}
+
+/* The leader counts the worker as lost while calls to it are still on their way. */
+static void cut_agent_with_late_calls(void)
+{
+	struct fleetcut cut = {.flow = random_flow()};
+	struct fleethost *worker = pick_host(ROLE_WORKER);
+
+	later(0, ACTION_LATE_ORDERS, worker, random_ms(1000, 6000));
+	add_to(cut.from, fleethosts_at(soak.fleet, ROLE_AGENT, worker->index));
+	add_role(cut.to, ROLE_ENTRY);
+	if (chance(50))
+		add_role(cut.to, ROLE_STORE);
+	begin_random_cut(&cut, random_ms(5000, 11000));
+	if (chance(30))
+		later(random_ms(500, 6000), ACTION_KILL, worker, short_or_long_ms());
+	if (chance(30))
+		later(random_ms(500, 6000), random_end(), fleethosts_leader(soak.fleet),
+		      random_ms(100, 4000));
+}
+
+/*
+ * An agent stands still with starts of which it knows no outcome until the leader counts its worker
+ * as lost. It wakes under another leader, which may not have heard of the other agents yet.
+ */
+static void freeze_agent_and_replace_leader(void)
+{
+	struct fleetcut cut = {.flow = NETPROXY_HOLD};
+	struct fleethost *worker = pick_host(ROLE_WORKER);
+	struct fleethost *agent = fleethosts_at(soak.fleet, ROLE_AGENT, worker->index);
+	uint32_t freeze_at = random_ms(300, 2000);
+	uint32_t end_at = freeze_at + random_ms(6500, 9000);
+
+	later(0, ACTION_LATE_ORDERS, worker, freeze_at + random_ms(0, 9000));
+	later(freeze_at, ACTION_FREEZE, agent, random_ms(6000, 10000));
+	later(end_at, random_end(), fleethosts_leader(soak.fleet), random_ms(100, 4000));
+	if (!chance(60))
+		return;
+	add_role(cut.from, ROLE_AGENT);
+	cut.from[agent - soak.fleet->hosts] = false;
+	add_role(cut.to, ROLE_ENTRY);
+	fleethosts_cut(soak.fleet, &cut, end_at + random_ms(0, 300), random_ms(500, 4000));
+}
+
+static void signal_series(void)
+{
+	for (uint32_t i = random_ms(3, 10), at = 0; i > 0; i--, at += random_ms(20, 500))
+		later(at, ACTION_RELOAD, chance(50) ? pick_entry() : pick_host(ROLE_AGENT), 0);
+}
+
+static void on_config_change(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+			     void *ctx);
+
+static void change_config(void)
+{
+	for (uint32_t i = random_ms(1, 6), at = 0; i > 0; i--, at += random_ms(50, 1500))
+		tevent_add_timer(soak.ev, soak.ev,
+				 tevent_timeval_current_ofs(at / 1000, at % 1000 * 1000),
+				 on_config_change, NULL);
+}
+
 /* Faults that led to an incident are more frequent. */
 static const struct {
 	void (*begin)(void);
 	unsigned int weight;
+	unsigned int drawing; /* the first one with this fault */
+	enum focus focus;     /* with this focus it is more frequent */
 } kinds[] = {
-	{restart_entry, 3},
-	{restart_agent, 3},
-	{restart_all, 1},
-	{freeze_process, 4},
-	{freeze_leader_with_agents, 2},
-	{freeze_store, 1},
-	{restart_store, 1},
-	{trouble_store, 3},
-	{cut_leader_with_agents, 3},
-	{cut_entry, 3},
-	{cut_agents, 3},
-	{restart_cut_agent, 4},
-	{delay_agents, 2},
-	{cut_worker, 3},
-	{reset_links, 2},
-	{delay_orders, 4},
-	{crash_worker, 3},
-	{drain_worker, 2},
+	{restart_entry, 3, 1, FOCUS_LEADERS},
+	{restart_agent, 3, 1, FOCUS_WORKERS},
+	{restart_all, 1, 1, FOCUS_NONE},
+	{freeze_process, 4, 1, FOCUS_NONE},
+	{freeze_leader_with_agents, 2, 1, FOCUS_LEADERS},
+	{freeze_store, 1, 1, FOCUS_NONE},
+	{restart_store, 1, 1, FOCUS_NONE},
+	{trouble_store, 3, 1, FOCUS_NONE},
+	{cut_leader_with_agents, 3, 1, FOCUS_LEADERS},
+	{cut_entry, 3, 1, FOCUS_NONE},
+	{cut_agents, 3, 1, FOCUS_NONE},
+	{restart_cut_agent, 4, 1, FOCUS_NONE},
+	{delay_agents, 2, 1, FOCUS_LEADERS},
+	{cut_worker, 3, 1, FOCUS_WORKERS},
+	{reset_links, 2, 1, FOCUS_NONE},
+	{delay_orders, 4, 1, FOCUS_WORKERS},
+	{crash_worker, 3, 1, FOCUS_WORKERS},
+	{drain_worker, 2, 1, FOCUS_NONE},
+	{replace_worker, 2, 2, FOCUS_WORKERS},
+	{restart_worker_with_late_calls, 12, 2, FOCUS_WORKERS},
+	{cut_agent_with_late_calls, 5, 2, FOCUS_WORKERS},
+	{freeze_agent_and_replace_leader, 4, 2, FOCUS_LEADERS},
+	{signal_series, 2, 2, FOCUS_NONE},
+	{change_config, 2, 2, FOCUS_NONE},
 };
 
+static unsigned int weight_of(size_t kind)
+{
+	if (kinds[kind].drawing > soak.args.drawing)
+		return 0;
+	return kinds[kind].weight *
+	       (soak.focus && kinds[kind].focus == soak.focus ? FOCUS_FACTOR : 1);
+}
+
 static void begin_fault(void)
 {
 	unsigned int sum = 0;
@@ -334,20 +485,31 @@
 	size_t i = 0;
 
 	for (size_t k = 0; k < G_N_ELEMENTS(kinds); k++)
-		sum += kinds[k].weight;
+		sum += weight_of(k);
 	value = random_ms(0, sum);
-	while (value >= kinds[i].weight)
-		value -= kinds[i++].weight;
+	while (value >= weight_of(i))
+		value -= weight_of(i++);
 	kinds[i].begin();
 	soak.faults++;
 }
 
+static uint32_t next_gap_ms(void)
+{
+	if (soak.series_left > 0)
+		soak.series_left--;
+	else if (soak.args.drawing > 1 && chance(SERIES_PERCENT))
+		soak.series_left = random_ms(1, SERIES_MOST);
+	else
+		return random_ms(GAP_MIN_MS, soak.gap_max_ms);
+	return random_ms(0, SERIES_GAP_MAX_MS);
+}
+
 static void on_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
 		    void *ctx)
 {
 	if (util_clock_ms() >= soak.next_fault_ms) {
 		begin_fault();
-		soak.next_fault_ms = util_clock_ms() + random_ms(GAP_MIN_MS, soak.gap_max_ms);
+		soak.next_fault_ms = util_clock_ms() + next_gap_ms();
 	}
 	tevent_add_timer(ev, ev, tevent_timeval_current_ofs(0, TICK_MS * 1000), on_tick, NULL);
 }
@@ -360,29 +522,50 @@
 		tevent_loop_once(soak.ev);
 }
 
+/* Versions differ in an additional queue, in an additional key and in the times of a queue. */
 static void put_config(void)
 {
-	static const char config[] =
-		"{\"version\":1,\"routes\":[{\"name\":\"u\",\"host\":\"" FLEETLOAD_HOST
+	static const char format[] =
+		"{\"version\":%u,\"routes\":[%s{\"name\":\"u\",\"host\":\"" FLEETLOAD_HOST
 		"\",\"prefix\":\"" FLEETLOAD_URGENT_PREFIX "\",\"service\":\"s\",\"priority\":0,"
 		"\"max_attempts\":3,\"stretch\":3.0,\"slo_ms\":1000},{\"name\":\"q\",\"host\":"
 		"\"" FLEETLOAD_HOST "\",\"prefix\":\"" FLEETLOAD_PREFIX "\",\"service\":\"s\","
-		"\"priority\":1,\"max_attempts\":3,\"stretch\":5.0,\"slo_ms\":5000}],"
+		"\"priority\":1,\"max_attempts\":3,\"stretch\":5.0,\"slo_ms\":%u}],"
 		"\"services\":[{\"name\":\"s\",\"rejects_overload\":true}],\"tenants\":[{\"name\":"
-		"\"t\",\"api_keys\":[\"" FLEETLOAD_KEY "\"],\"guaranteed\":{\"gpu\":8}}]}";
+		"\"t\",\"api_keys\":[\"" FLEETLOAD_KEY "\"%s],\"guaranteed\":{\"gpu\":8}}]}";
+	static const char queue[] =
+		"{\"name\":\"x\",\"host\":\"x.example\",\"prefix\":\"/x/\",\"service\":\"s\","
+		"\"priority\":1,\"max_attempts\":3,\"stretch\":5.0,\"slo_ms\":5000},";
+	unsigned int change = soak.config_version % 4;
+	g_autofree char *config =
+		g_strdup_printf(format, ++soak.config_version, change & 1 ? queue : "",
+				5000 + 1000 * change, change & 2 ? ",\"k2\"" : "");
 
 	fleethosts_put(soak.fleet, fleethosts_at(soak.fleet, ROLE_STORE, 0), PORT_STORE,
 		       "/operator/op/config", config);
 }
 
+static void on_config_change(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+			     void *ctx)
+{
+	put_config();
+	fleethosts_log(soak.fleet, "configuration %u", soak.config_version);
+}
+
 static void start_load(void)
 {
 	static const char *entries[FLEETHOSTS_ENTRIES_MAX];
 	struct fleetload_options options = {.entries = entries,
 					    .entry_count = soak.args.entries,
 					    .clients = 2 + soak.args.workers / 2,
+					    .submit_percent = 30,
 					    .seed = soak.args.seed};
 
+	/* A lost task starts elsewhere at once only where other workers have room. */
+	if (soak.args.drawing > 1) {
+		options.submit_percent = 16;
+		options.long_runs = true;
+	}
 	for (unsigned int i = 0; i < soak.args.entries; i++)
 		entries[i] = fleethosts_address(
 			soak.fleet, NULL, fleethosts_at(soak.fleet, ROLE_ENTRY, i), PORT_CALLERS);
@@ -393,7 +576,8 @@
 {
 	unsigned int violations = fleetcheck_count(soak.check, NULL);
 	json_t *json = json_pack(
-		"{s:i, s:i, s:i, s:i, s:i, s:i, s:f, s:o, s:i, s:o}", "seed", (int)soak.args.seed,
+		"{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:f, s:o, s:i, s:o}", "seed",
+		(int)soak.args.seed, "drawing", (int)soak.args.drawing, "focus", (int)soak.focus,
 		"seconds", (int)soak.args.seconds, "processes", (int)soak.fleet->host_count,
 		"faults", (int)soak.faults, "jobs", (int)fleetcheck_jobs(soak.check)->len, "runs",
 		(int)fleetcheck_runs(soak.check), "recovery_s", (double)recovery_ms / 1000.0,
@@ -438,6 +622,7 @@
 	OPT_SECONDS,
 	OPT_WORKERS,
 	OPT_ENTRIES,
+	OPT_DRAWING,
 	OPT_JSON,
 	OPT_REGRESSIONS,
 };
@@ -447,8 +632,11 @@
 	{"seconds", OPT_SECONDS, "N", 0, "How long faults begin; default 30", 0},
 	{"workers", OPT_WORKERS, "N", 0, "Workers, each with an agent; default 6", 0},
 	{"entries", OPT_ENTRIES, "N", 0, "Entries; default 3", 0},
+	{"drawing", OPT_DRAWING, "N", 0,
+	 "1: without the faults that were added for the second incident; default 2", 0},
 	{"json", OPT_JSON, NULL, 0, "Print the result on one line", 0},
-	{"regressions", OPT_REGRESSIONS, NULL, 0, "Print the seeds that have shown a fault", 0},
+	{"regressions", OPT_REGRESSIONS, NULL, 0,
+	 "Print seeds and drawings that have shown a fault", 0},
 	{0},
 };
 
@@ -456,15 +644,16 @@
 {
 	struct arguments *args = state->input;
 	unsigned int *const numbers[] = {&args->seed, &args->seconds, &args->workers,
-					 &args->entries};
+					 &args->entries, &args->drawing};
 
-	if (key >= OPT_SEED && key <= OPT_ENTRIES) {
+	if (key >= OPT_SEED && key <= OPT_DRAWING) {
 		*numbers[key - OPT_SEED] = (unsigned int)strtoul(arg, NULL, 10);
 	} else if (key == OPT_JSON) {
 		args->json_only = true;
 	} else if (key == OPT_REGRESSIONS) {
 		for (size_t i = 0; i < G_N_ELEMENTS(regressions); i++)
-			printf("%u %s\n", regressions[i].seed, regressions[i].cause);
+			printf("%u %u %s\n", regressions[i].seed, regressions[i].drawing,
+			       regressions[i].cause);
 		exit(EXIT_SUCCESS);
 	} else if (key != ARGP_KEY_END) {
 		return ARGP_ERR_UNKNOWN;
@@ -485,15 +674,20 @@
 		NULL};
 	bool ok;
 
-	soak.args = (struct arguments){.seed = 1, .seconds = 30, .workers = 6, .entries = 3};
+	soak.args = (struct arguments){
+		.seed = 1, .seconds = 30, .workers = 6, .entries = 3, .drawing = 2};
 	argp_parse(&argp, argc, argv, 0, NULL, &soak.args);
 	signal(SIGPIPE, SIG_IGN);
 	soak.ev = tevent_context_init(NULL);
 	soak.check = fleetcheck_create(soak.args.seed);
 	soak.rand = g_rand_new_with_seed(soak.args.seed);
+	g_random_set_seed(soak.args.seed); /* of the proxies */
 	soak.gap_max_ms = random_ms(GAP_MAX_LEAST_MS, GAP_MAX_MOST_MS);
+	if (soak.args.drawing > 1)
+		soak.focus = random_ms(0, FOCUS_COUNT);
 	soak.next_fault_ms = UINT64_MAX;
-	soak.fleet = fleethosts_start(soak.ev, soak.check, soak.args.entries, soak.args.workers);
+	soak.fleet = fleethosts_start(soak.ev, soak.check, soak.args.entries, soak.args.workers,
+				      soak.args.seed);
 	if (!soak.fleet)
 		return EXIT_FAILURE;
 	on_tick(soak.ev, NULL, tevent_timeval_zero(), NULL);
--- a/tests/lib_fleethosts.c
+++ b/tests/lib_fleethosts.c
@@ -18,6 +18,7 @@
 #define RETRY_MS 100
 #define STOP_LIMIT_MS 9000 /* SIGTERM to the end of the process, which has 6 s of grace */
 #define SELF_RESTART_MS 1000
+#define YOUNG_MS 500 /* after its start a process may not handle signals yet */
 
 /* Second bytes of the addresses of runs: one of these for each run on the machine. */
 #define NETWORK_FIRST 64
@@ -199,9 +200,11 @@
 			host->role == ROLE_STORE ? NULL : environment))
 		return false;
 	host->start_ms = 0;
+	host->started_ms = util_clock_ms();
 	if (host->role == ROLE_WORKER) {
 		host->log = fopen(host->proc.log, "a+");
 		host->record = fleetcheck_worker(fleet->check, label);
+		host->delayed_start = false;
 	}
 	return true;
 }
@@ -211,7 +214,10 @@
 	const char *const node[] = {host->role == ROLE_ENTRY ? "entry" : "agent", "--config",
 				    host->settings, NULL};
 	g_autofree char *journal = g_strdup_printf("%s/store.journal", proc_log_folder());
-	g_autofree char *id = g_strdup_printf("i-%u", host->index);
+	g_autofree char *id = g_strdup_printf("i-%u-%u", host->index, host->identifiers);
+	g_autofree char *late_calls = g_strdup_printf("%s/%s.late", proc_log_folder(), host->name);
+	g_autofree char *seed = g_strdup_printf(
+		"%" PRIu64, fleet->seed * 10000 + host->index * 100 + host->processes);
 	g_autofree char *rack = g_strdup_printf("r%u", host->index / 3);
 	const char *const store[] = {fleethosts_address(fleet, NULL, host, PORT_STORE), journal,
 				     NULL};
@@ -222,6 +228,8 @@
 		fleethosts_address(fleet, NULL, fleethosts_at(fleet, ROLE_AGENT, host->index),
 				   PORT_CONTROL),
 		fleethosts_address(fleet, NULL, host, PORT_WORKER),
+		late_calls,
+		seed,
 		NULL};
 
 	fleethosts_log(fleet, "start %s", host->name);
@@ -237,8 +245,11 @@
 	char line[256];
 
 	clearerr(host->log);
-	while (fgets(line, sizeof(line), host->log))
+	while (fgets(line, sizeof(line), host->log)) {
 		fleetcheck_line(fleet->check, host->record, line);
+		if (!strcmp(line, "delay /v1/run-start\n"))
+			host->delayed_start = true;
+	}
 }
 
 /* Called when the process has ended; it is started again after @restart_ms. */
@@ -292,20 +303,39 @@
 
 static void take_step(struct fleethosts *fleet, const struct fleetstep *step)
 {
-	static const char *const names[] = {"kill",	   "terminate", "freeze",
+	static const char *const names[] = {"kill",	   "terminate", "replace",
+					    "crash",	   "freeze",	"reload",
 					    "late orders", "drain",	"store fault"};
 	struct fleethost *host = step->host;
 
 	if (is_up(host) && host->thaw_ms && step->action >= ACTION_DRAIN)
 		fleethosts_later(fleet, RETRY_MS, step->action, host, step->value);
-	if (!is_free(host))
+	if (is_up(host) && util_clock_ms() < host->started_ms + YOUNG_MS &&
+	    (step->action == ACTION_TERMINATE || step->action == ACTION_RELOAD)) {
+		fleethosts_later(fleet, RETRY_MS, step->action, host, step->value);
+		return;
+	}
+	if (step->action == ACTION_CRASH && !host->delayed_start) {
+		fleethosts_later(fleet, TICK_MS, step->action, host, step->value);
+		return;
+	}
+	if (!is_free(host) && !(is_up(host) && step->action == ACTION_RELOAD))
 		return;
 	fleethosts_log(fleet, "%s %s %u", names[step->action], host->name, step->value);
 	switch (step->action) {
 	case ACTION_KILL:
+	case ACTION_CRASH:
 		proc_kill(&host->proc);
 		host_ended(fleet, host, step->value);
 		break;
+	case ACTION_REPLACE:
+		host->identifiers++;
+		proc_kill(&host->proc);
+		host_ended(fleet, host, step->value);
+		break;
+	case ACTION_RELOAD:
+		proc_signal(&host->proc, SIGHUP);
+		break;
 	case ACTION_TERMINATE:
 		proc_signal(&host->proc, SIGTERM);
 		host->stop_limit_ms = util_clock_ms() + STOP_LIMIT_MS;
@@ -556,13 +586,14 @@
 }
 
 struct fleethosts *fleethosts_start(struct tevent_context *ev, struct fleetcheck *check,
-				    unsigned int entries, unsigned int workers)
+				    unsigned int entries, unsigned int workers, uint64_t seed)
 {
 	struct fleethosts *fleet = talloc_zero(ev, struct fleethosts);
 	g_autofree char *events = g_strdup_printf("%s/events.log", proc_log_folder());
 
 	fleet->ev = ev;
 	fleet->check = check;
+	fleet->seed = seed;
 	fleet->entries = entries;
 	fleet->workers = workers;
 	fleet->events = fopen(events, "w");
--- a/tests/lib_fleethosts.h
+++ b/tests/lib_fleethosts.h
@@ -37,7 +37,10 @@
 enum fleetaction {
 	ACTION_KILL,	    /* value: restart after this time */
 	ACTION_TERMINATE,   /* value: restart after this time */
+	ACTION_REPLACE,	    /* of a worker: as ACTION_KILL, but another identifier follows */
+	ACTION_CRASH,	    /* of a worker: ACTION_KILL once it has delayed a start */
 	ACTION_FREEZE,	    /* value: duration */
+	ACTION_RELOAD,	    /* SIGHUP, also while the process ends */
 	ACTION_LATE_ORDERS, /* value: duration */
 	ACTION_DRAIN,	    /* value: on or off */
 	ACTION_STORE_FAULT, /* value: enum memkv_fault */
@@ -47,16 +50,19 @@
 	enum fleetrole role;
 	unsigned int index; /* within the role */
 	unsigned int number;
-	unsigned int processes; /* started so far */
+	unsigned int processes;	  /* started so far */
+	unsigned int identifiers; /* of a worker: used before the present one */
 	char name[16];
 	char settings[300];
 	struct proc proc;
 	uint64_t start_ms;	/* when to start it; 0: it runs */
+	uint64_t started_ms;	/* when it was started last */
 	uint64_t thaw_ms;	/* when to send SIGCONT; 0: it is not frozen */
 	uint64_t stop_limit_ms; /* SIGTERM was sent; 0: it was not */
 	uint32_t restart_ms;	/* after its end by SIGTERM */
 	FILE *log;		/* of a worker */
 	unsigned int record;	/* number of a worker in the check */
+	bool delayed_start;	/* this process of a worker has delayed a start */
 };
 
 /* Fault of the bytes from some hosts to others, by their index in &struct fleethosts. */
@@ -74,6 +80,7 @@
 	struct netproxy *proxy;
 	struct httpc *http;
 	struct fleetcheck *check;
+	uint64_t seed; /* of what the workers draw */
 	FILE *events;
 	unsigned int network; /* second byte of all addresses */
 	unsigned int entries;
@@ -91,7 +98,7 @@
 
 /** fleethosts_start() - start the proxies and processes; NULL if no network is free */
 struct fleethosts *fleethosts_start(struct tevent_context *ev, struct fleetcheck *check,
-				    unsigned int entries, unsigned int workers);
+				    unsigned int entries, unsigned int workers, uint64_t seed);
 
 /** fleethosts_stop() - kill all processes */
 void fleethosts_stop(struct fleethosts *fleet);
--- a/tests/lib_fleetload.c
+++ b/tests/lib_fleetload.c
@@ -13,10 +13,10 @@
 #define DEADLINE_MS 3000
 #define TIMEOUT_MS 3500
 #define ATTEMPTS_MAX 8
-#define SUBMIT_PERCENT 30
 #define CANCEL_PERCENT 5
 #define GIVE_UP_PERCENT 30 /* of the submissions that were refused */
 #define LONG_RUN_MS 3500
+#define LONGEST_RUN_MS 9000
 
 #define OK 200
 #define GONE 410
@@ -172,15 +172,18 @@
 	struct fleetload *load = client->load;
 	bool urgent = g_rand_int_range(client->rand, 0, 5) == 0;
 	int steps = g_rand_int_range(client->rand, 1, 4);
-	int run_ms = g_rand_int_range(client->rand, 0, 10) == 0
-			     ? LONG_RUN_MS
-			     : g_rand_int_range(client->rand, 100, 2500);
+	int kind = g_rand_int_range(client->rand, 0, 10);
+	int run_ms = kind == 0 ? LONG_RUN_MS : g_rand_int_range(client->rand, 100, 2500);
 	json_t *list = json_array();
 	char id[20];
 	char payload[16];
 	json_t *json;
 	char *text;
 
+	if (load->options.long_runs && kind == 1) {
+		run_ms = LONGEST_RUN_MS;
+		steps = 1;
+	}
 	g_snprintf(id, sizeof(id), "%c%015x", urgent ? 'a' : 'b', ++load->next_id);
 	client->job = fleetcheck_job(load->check, id);
 	g_ptr_array_add(client->jobs, client->job);
@@ -217,6 +220,7 @@
 		     void *ctx)
 {
 	struct client *client = ctx;
+	const struct fleetload *load = client->load;
 	int percent = g_rand_int_range(client->rand, 0, 100);
 
 	if (client->verb) {
@@ -227,12 +231,13 @@
 	if (g_rand_int_range(client->rand, 0, 4) == 0)
 		client->entry = (unsigned int)g_rand_int_range(
 			client->rand, 0, (gint32)client->load->options.entry_count);
-	if (!client->load->finishing && percent < SUBMIT_PERCENT) {
+	if (!client->load->finishing && percent < load->options.submit_percent) {
 		begin_submission(client);
 	} else if (!pick_job(client)) {
 		end_action(client);
 		return;
-	} else if (!client->load->finishing && percent < SUBMIT_PERCENT + CANCEL_PERCENT) {
+	} else if (!client->load->finishing &&
+		   percent < load->options.submit_percent + CANCEL_PERCENT) {
 		client->job->cancel_sent = true;
 		client->verb = "DELETE";
 	} else {
