plan: a new leader stops a gang that is only partly at work

Change: when all agents have reported, a gang of which only some members are at work is stopped and starts anew.

Evidence: test_plan/gang_with_pending_member failed before: no order to the member at work.

--- a/src/planjob.c
+++ b/src/planjob.c
@@ -437,11 +437,30 @@
 	plan_job_end(plan, job, PLAN_JOB_FAILED);
 }
 
+/* Stops a gang of which some members are at work and the others are not. */
+static void stop_incomplete_gang(struct step_run *step)
+{
+	uint32_t assigned = 0;
+
+	for (uint32_t i = 0; i < step->spec->count; i++)
+		assigned += step->tasks[i].worker != NULL;
+	if (step->spec->gang && assigned > 0 && assigned < step->spec->count)
+		plan_stop_gang(&step->tasks[0], "the other members of its gang are not at work");
+}
+
 void plan_recovery_done(struct plan *plan)
 {
 	plan->recovered = true;
-	for (guint i = 0; i < plan->active->len; i++)
-		((struct job *)plan->active->pdata[i])->inherited = false;
+	for (guint i = 0; i < plan->active->len; i++) {
+		struct job *job = plan->active->pdata[i];
+
+		for (struct occurrence *o = job->inherited ? job->occurrences : NULL; o;
+		     o = o->next) {
+			for (size_t s = 0; s < job->spec->step_count; s++)
+				stop_incomplete_gang(&o->steps[s]);
+		}
+		job->inherited = false;
+	}
 }
 
 void plan_release_held(struct plan *plan)
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -765,6 +765,30 @@
 	check_and_free(sim);
 }
 
+/* Guards against members of a gang that work on alone when a start of another one is stopped. */
+static void test_gang_with_pending_member(void)
+{
+	struct plansim *sim = plansim_create(NULL, 0);
+	const struct plan_run pending = {"j1.0.0.0", 5, "", 0};
+	const struct plan_run running = {"j1.0.0.1", 5, "", 10};
+	struct plan_order *orders;
+
+	plansim_add_job(sim, "j1", "batch", "b",
+			"[{\"tasks\":2,\"cpu_milli\":1000,\"estimate_ms\":2000,\"gang\":true}]");
+	plansim_restart_leader(sim, false);
+	report_worker(sim, "a");
+	plan_worker_pending(sim->plan, "a", &pending, sim->now_ms);
+	plan_worker_list_end(sim->plan, "a", sim->now_ms);
+	report_worker(sim, "b");
+	plan_worker_running(sim->plan, "b", &running, sim->now_ms);
+	plan_worker_list_end(sim->plan, "b", sim->now_ms);
+	plan_recovery_done(sim->plan);
+	CU_ASSERT_EQUAL_FATAL(plan_orders(sim->plan, sim, "b", &orders), 1);
+	CU_ASSERT_FALSE(orders[0].start);
+	CU_ASSERT_EQUAL(orders[0].run, 5);
+	check_and_free(sim);
+}
+
 /* Guards against a job that starts anew because its record says that all its tasks are done. */
 static void test_record_of_done_tasks(void)
 {
@@ -839,6 +863,7 @@
 		{"later_run_of_pending_one", test_later_run_of_pending_one},
 		{"pending_run_of_former_leader", test_pending_run_of_former_leader},
 		{"later_run_of_gang", test_later_run_of_gang},
+		{"gang_with_pending_member", test_gang_with_pending_member},
 		{"earlier_run_is_done", test_earlier_run_is_done},
 		CU_TEST_INFO_NULL,
 	};
