plan: a run that is being stopped displaces no adopted one

By review: a run that its worker goes on listing while it is stopped could still displace the adopted run of its task under a new leader. No test shows it; the order of the two checks is changed.

--- a/src/planworker.c
+++ b/src/planworker.c
@@ -337,9 +337,11 @@
 		task->listed = true;
 		return task;
 	}
+	if (find_orphan_run(worker, run))
+		task = NULL;
 	if (task && plan_task_job(task)->inherited)
 		supersede_adopted_run(task, run->run);
-	if (task && !find_orphan_run(worker, run) && can_adopt_run(task, run->run)) {
+	if (task && can_adopt_run(task, run->run)) {
 		adopt_run(plan, task, worker, run, list_ms);
 		return task;
 	}
