runner: calls are fenced off at the first sign of a restart

Cause: an epoch began only when a list with another start time was answered or the worker announced itself again. Until then the new incarnation took calls with the old fence, so a late start of the same epoch could still take effect.

Change: an epoch also begins when a renewal fails otherwise than by silence, and when the clock in an answer has gone back, which only a restart explains. Authority that is over already when it arrives begins none.

Evidence: test_runner/late_start_after_failed_renewal and clock_of_worker_goes_back fail before.

--- a/src/runner.c
+++ b/src/runner.c
@@ -24,6 +24,11 @@
  */
 #define LEADER_QUERY_MS 250
 #define LEADER_LINK "leader"
+/*
+ * Answers may overtake each other by less than this. A clock that goes back further is that of a
+ * restarted worker.
+ */
+#define CLOCK_DISORDER_MS 2000
 /* A lease that is given now and lasts as long as the worker allows is a normal one after this. */
 #define LONG_LEASE_MS ((uint64_t)(WORKER_LEASE_MAX_MS * (1 + WORKER_CLOCK_ERROR)) - WORKER_LEASE_MS)
 /*
@@ -40,6 +45,14 @@
 
 void runner_read_clock(struct runner *runner, uint64_t clock_ms)
 {
+	if (runner->worker_clock_ms > clock_ms + CLOCK_DISORDER_MS) {
+		log_info("worker_clock_back", runner->worker ? runner->worker : "",
+			 "from %" PRIu64 " to %" PRIu64 " ms", runner->worker_clock_ms, clock_ms);
+		runner_begin_epoch(runner, "the worker's clock went back");
+		runner->renewal_failed = true;
+		runner->settled = false;
+		runner->lease_unknown = true;
+	}
 	runner->worker_clock_ms = clock_ms;
 	runner->clock_read_ms = util_running_ms();
 }
@@ -394,6 +407,11 @@
 		return;
 	}
 	runner->renew_due_ms = now_ms + RENEW_RETRY_MS;
+	/* A connection that breaks may be the first sign of a restart. */
+	if (!runner->renewal_failed && status != -ERR_DEADLINE) {
+		runner_begin_epoch(runner, "a renewal failed");
+		runner->renew_due_ms = now_ms + RENEW_RETRY_MS;
+	}
 	runner->renewal_failed = true;
 	if (status == -ERR_STALE)
 		mark_worker_down(runner, "another incarnation answered");
@@ -524,7 +542,8 @@
 		runner->down_received = true;
 	if (orders->valid_ms && authority_end_ms > runner->authority_end_ms) {
 		/* The leader may have counted the worker as lost meanwhile. */
-		if (runner->authority_end_ms && !runner_may_extend_lease(runner))
+		if (runner->authority_end_ms && !runner_may_extend_lease(runner) &&
+		    authority_end_ms > util_clock_ms())
 			runner_begin_epoch(runner, "the leader's authority had ended");
 		runner->authority_end_ms = authority_end_ms;
 	}
--- a/src/runner.h
+++ b/src/runner.h
@@ -83,7 +83,8 @@
  * struct runner_calls - calls to the worker
  * @renew: its callback receives status 0 with a list; -ERR_UNAVAILABLE when nothing listens
  *	at the worker's address; -ERR_STALE when another incarnation answered; -ERR_DENIED
- *	when the worker has accepted a higher fence; another error without a usable answer
+ *	when the worker has accepted a higher fence; -ERR_DEADLINE when there was no answer in
+ *	time; another error without a usable answer
  *
  * Each callback runs once, from the event loop. Its clock_ms is 0 if the answer lacks the
  * worker's clock.
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -23,6 +23,7 @@
 	bool draining;
 	bool list_answers_lost; /* renewals get no usable answer */
 	uint64_t born_ms;
+	uint64_t clock_ms;
 	enum runner_call_result start_result;
 	bool stop_answers_lost;	 /* stops are carried out */
 	uint32_t start_delay_ms; /* delay of the answers to start calls */
@@ -66,7 +67,7 @@
 {
 	struct delayed_answer *answer = ctx;
 
-	answer->order(answer->result, 1000, answer->ctx);
+	answer->order(answer->result, answer->f->clock_ms, answer->ctx);
 	talloc_free(answer);
 }
 
@@ -74,7 +75,7 @@
 			       struct timeval now, void *ctx)
 {
 	struct delayed_answer *answer = ctx;
-	struct runner_list list = {.clock_ms = 1000,
+	struct runner_list list = {.clock_ms = answer->f->clock_ms,
 				   .worker_started_ms = answer->f->born_ms,
 				   .running = answer->f->running,
 				   .running_count = answer->f->running_count,
@@ -209,6 +210,7 @@
 	f->calls = (struct runner_calls){fake_start, fake_stop, fake_renew, f};
 	f->worker_up = true;
 	f->born_ms = 7;
+	f->clock_ms = 10000;
 	f->answers = true;
 	f->start_delay_ms = 2;
 	f->term = 3;
@@ -896,6 +898,37 @@
 	tear_down(f);
 }
 
+/* Guards against a late start on a worker whose connection broke because it restarted. */
+static void test_late_start_after_failed_renewal(void)
+{
+	struct fixture *f = set_up();
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	leave_start_unanswered(f);
+	f->list_answers_lost = true;
+	memkv_run(f->ev, 600);
+	CU_ASSERT_TRUE(f->list_fence > f->start_fence);
+	tear_down(f);
+}
+
+/* Guards against a restart that only the clock in the answer to a start shows. */
+static void test_clock_of_worker_goes_back(void)
+{
+	struct fixture *f = set_up();
+	uint64_t fence;
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	fence = f->list_fence;
+	f->clock_ms = 500;
+	f->orders[f->order_count++] = start_order();
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(f->list_fence > fence);
+	CU_ASSERT_FALSE(f->report->info.accepting);
+	tear_down(f);
+}
+
 /* Guards against a late start on a worker that the leader has counted as lost meanwhile. */
 static void test_late_start_on_lost_worker(void)
 {
@@ -977,7 +1010,9 @@
 	CU_ASSERT_EQUAL(f->starts, 0);
 	CU_ASSERT_EQUAL(f->report->refusal_count, 1);
 	f->order_count = 0;
-	memkv_run(f->ev, WORKER_LEASE_MAX_MS - WORKER_LEASE_MS + 500);
+	memkv_run(f->ev, WORKER_LEASE_MAX_MS - WORKER_LEASE_MS - 800);
+	CU_ASSERT_FALSE(f->report->info.accepting);
+	memkv_run(f->ev, 1300);
 	CU_ASSERT_TRUE(f->report->info.accepting);
 	tear_down(f);
 }
@@ -1044,6 +1079,8 @@
 	CU_add_test(suite, "late_start_on_restarted_worker", test_late_start_on_restarted_worker);
 	CU_add_test(suite, "late_start_on_returning_worker", test_late_start_on_returning_worker);
 	CU_add_test(suite, "late_start_on_lost_worker", test_late_start_on_lost_worker);
+	CU_add_test(suite, "late_start_after_failed_renewal", test_late_start_after_failed_renewal);
+	CU_add_test(suite, "clock_of_worker_goes_back", test_clock_of_worker_goes_back);
 	CU_add_test(suite, "ends_known_after_failure", test_ends_known_after_failure);
 	CU_add_test(suite, "no_start_under_long_lease", test_no_start_under_long_lease);
 	CU_add_test(suite, "end_after_unanswered_stop", test_end_after_unanswered_stop);
