coord: a restarted worker counts as lost later

Cause: only the agent process that saw a worker restart under its identifier knew that its lease may be long. The next process gave it work, and a run that was being stopped could outlast the 6.9 s after which the leader counts the worker as lost.

Change: for 10.3 s after the first list of such an incarnation the leader does not count the worker as lost. A later leader does not know of the restart; that remains.

Evidence: test_coord/restarted_worker_is_lost_later.

--- a/src/coord.c
+++ b/src/coord.c
@@ -350,7 +350,8 @@
 		struct agent_row *row = value;
 
 		/* An agent that gets no list of runs does not renew its worker's lease either. */
-		if (!row->alive || now_ms - row->last_list_ms <= WORKER_LOST_MS)
+		if (!row->alive || now_ms - row->last_list_ms <= WORKER_LOST_MS ||
+		    now_ms < row->long_lease_until_ms)
 			continue;
 		row->alive = false;
 		log_warn("worker_lost", row->node,
@@ -455,6 +456,14 @@
 	}
 }
 
+/* An incarnation begins with the identifier of its worker. */
+static bool is_same_worker(const char *incarnation, const char *id)
+{
+	size_t len = strlen(id);
+
+	return strncmp(incarnation, id, len) == 0 && incarnation[len] == '/';
+}
+
 static void apply_worker_report(struct coord *coord, struct agent_row *row,
 				const struct fleet_report *report, uint64_t now_ms)
 {
@@ -462,6 +471,9 @@
 	bool new_incarnation = false;
 
 	if (strcmp(row->incarnation, report->info.incarnation) != 0) {
+		row->long_lease_until_ms = is_same_worker(row->incarnation, report->info.id)
+						   ? now_ms + WORKER_LONG_LEASE_MS
+						   : 0;
 		talloc_free(row->incarnation);
 		row->incarnation = talloc_strdup(row, report->info.incarnation);
 		row->ends_seen = 0;
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -31,6 +31,9 @@
 	uint64_t ends_seen;	      /* highest number of an end that the plan has been given */
 	uint64_t ends_cycle;	      /* value of ends_seen when the present store cycle began */
 	uint64_t ends_stored;
+	/* Until then runs may be left on its restarted worker, see WORKER_LONG_LEASE_MS; 0: none.
+	 */
+	uint64_t long_lease_until_ms;
 	bool alive;	 /* the plan may place tasks on its worker */
 	bool key_stored; /* its key is in the store, so a later leader waits for its report */
 	int64_t key_revision;
--- a/src/fleetlimits.h
+++ b/src/fleetlimits.h
@@ -19,6 +19,13 @@
 /* A worker shortens longer leases to this, according to the worker interface. */
 #define WORKER_LEASE_MAX_MS 10000
 
+/*
+ * For this long after its first list a worker that has restarted under its identifier may have a
+ * lease by its former clock. The agent lets it start nothing while such a lease is longer than
+ * usual, but a later process of the agent does not know of the restart.
+ */
+#define WORKER_LONG_LEASE_MS 10300
+
 /* A worker's clock may be slow by up to this share, according to the worker interface. */
 #define WORKER_CLOCK_ERROR 0.02
 
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -2,6 +2,7 @@
 #include "fleetlimits.h"
 #include "fleetmsg.h"
 #include "lib_memkv.h"
+#include "util.h"
 
 #include <CUnit/Basic.h>
 #include <glib.h>
@@ -210,6 +211,7 @@
 }
 
 static bool draining; /* reports say that the worker accepts no work */
+static const char *reported_incarnation = "w/1";
 static const struct fleet_refusal *reported_refusal; /* included in each report; NULL for none */
 
 /* @settled: the agent has a complete list of runs. */
@@ -225,7 +227,7 @@
 					     .settled = settled,
 					     .info = {.node = agent->node,
 						      .id = "w",
-						      .incarnation = "w/1",
+						      .incarnation = reported_incarnation,
 						      .service = "s",
 						      .zone = "z",
 						      .kind = "k",
@@ -263,6 +265,34 @@
 	return count;
 }
 
+/* Guards against two runs of a task: a restarted worker may have a lease by its former clock. */
+static void test_restarted_worker_is_lost_later(void)
+{
+	struct fixture *f = set_up("");
+	uint64_t began_ms;
+
+	elect_leader(f);
+	send_report(f, 0, true, NULL, NULL);
+	reported_incarnation = "w/2";
+	send_report(f, 0, true, NULL, NULL);
+	began_ms = util_clock_ms();
+	reported_incarnation = "w/1";
+	put_job(f, "0123456789abcdef", 1);
+	memkv_run(f->ev, 100);
+	CU_ASSERT_EQUAL(count_starts(f), 1);
+	while (util_clock_ms() - began_ms < WORKER_LONG_LEASE_MS - 500) {
+		send_report(f, 1, true, NULL, NULL);
+		memkv_run(f->ev, 500);
+		CU_ASSERT_EQUAL(f->agents[1].orders->order_count, 0);
+	}
+	while (util_clock_ms() - began_ms < WORKER_LONG_LEASE_MS + 600) {
+		send_report(f, 1, true, NULL, NULL);
+		memkv_run(f->ev, 200);
+	}
+	CU_ASSERT_EQUAL(f->agents[1].orders->order_count, 1);
+	tear_down(f);
+}
+
 /* Guards against jobs that a leader does not see or does not place. */
 static void test_places_jobs(void)
 {
@@ -918,6 +948,7 @@
 {
 	static CU_TestInfo tests[] = {
 		{"places_jobs", test_places_jobs},
+		{"restarted_worker_is_lost_later", test_restarted_worker_is_lost_later},
 		{"stores_ends_first", test_stores_ends_first},
 		{"lost_answers", test_lost_answers},
 		{"waits_for_lists", test_waits_for_lists},
