worker: a stop counts only a checkpoint that was taken for it

Cause: a job that must run at most once runs again after a stop if it was stopped with a checkpoint. When the checkpoint of the stop failed, the worker still named an older one in its answer, such as the one that the task had resumed from. The agent passed that on, and the coordinator took the job for saved, so the work done since the older checkpoint ran twice.

Change: worker_stop_task() reports 0 unless a checkpoint was taken for this stop.

Evidence: test_worker/failed_checkpoint failed before.

--- a/src/worker.c
+++ b/src/worker.c
@@ -45,6 +45,7 @@
 	void *start_ctx;
 	bool stop_requested;
 	bool stop_checkpoint;
+	bool checkpoint_taken; /* for this stop */
 	uint32_t stop_grace_ms;
 	void (*stop_done)(int status, uint64_t checkpoint_ms, void *ctx);
 	void *stop_ctx;
@@ -259,7 +260,9 @@
 		return;
 	}
 	root = json_loadb(body, len, 0, NULL);
-	finish_stop(task, 0, workerjson_number(root, "checkpoint_ms"), -ERR_OUTCOME_UNKNOWN);
+	/* An older checkpoint lacks the work done since. */
+	finish_stop(task, 0, task->checkpoint_taken ? workerjson_number(root, "checkpoint_ms") : 0,
+		    -ERR_OUTCOME_UNKNOWN);
 	json_decref(root);
 }
 
@@ -298,7 +301,8 @@
 	struct task *task = ctx;
 
 	task->phase_call = NULL;
-	if (status || http_status != 200)
+	task->checkpoint_taken = !status && http_status == 200;
+	if (!task->checkpoint_taken)
 		log_warn("checkpoint_failed", task->id,
 			 "no new checkpoint; stopping the task without it");
 	begin_delete(task);
--- a/src/worker.h
+++ b/src/worker.h
@@ -87,7 +87,8 @@
 /**
  * worker_stop_task() - stop a task, after a checkpoint if @checkpoint is set
  * @grace_ms: time-out of the checkpoint in ms; 0: STOP_TIMEOUT_MS
- * @done: called once the worker has confirmed the stop, or the lease must have expired
+ * @done: called once the worker has confirmed the stop, or the lease must have expired;
+ *	checkpoint_ms is 0 unless a checkpoint was taken for this stop
  */
 void worker_stop_task(struct worker *worker, const char *id, bool checkpoint, uint32_t grace_ms,
 		      void (*done)(int status, uint64_t checkpoint_ms, void *ctx), void *ctx);
--- a/tests/fake_worker.c
+++ b/tests/fake_worker.c
@@ -52,7 +52,8 @@
 	bool silent;
 	bool freeze_tasks;
 	bool late_renewals; /* renewals take effect, but their answers come too late */
-	bool late_starts;   /* likewise starts */
+	bool fail_checkpoints;
+	bool late_starts; /* likewise starts */
 };
 
 struct worker {
@@ -232,8 +233,13 @@
 				  (json_int_t)task->checkpoint_ms));
 }
 
-static void act_on_task(struct task *task, const char *verb, json_t *body, struct fake_reply *reply)
+static void act_on_task(const struct worker *worker, struct task *task, const char *verb,
+			json_t *body, struct fake_reply *reply)
 {
+	if (worker->faults.fail_checkpoints && !strcmp(verb, "checkpoint")) {
+		fake_reply_error(reply, 500, "fault fail_checkpoints");
+		return;
+	}
 	if (!strcmp(verb, "renew"))
 		task->lease_until_ms = lease_end(body);
 	else if (!strcmp(verb, "checkpoint"))
@@ -290,6 +296,7 @@
 	faults->silent = read_bool(root, "silent", faults->silent);
 	faults->freeze_tasks = read_bool(root, "freeze_tasks", faults->freeze_tasks);
 	faults->late_renewals = read_bool(root, "late_renewals", faults->late_renewals);
+	faults->fail_checkpoints = read_bool(root, "fail_checkpoints", faults->fail_checkpoints);
 	faults->late_starts = read_bool(root, "late_starts", faults->late_starts);
 	fake_reply_json(reply, 200, json_object());
 }
@@ -310,7 +317,8 @@
 	else if (!slash && !strcmp(request->method, "DELETE"))
 		stop_task(worker, id, reply);
 	else if (slash && task && task->state == TASK_RUNNING && is_own_incarnation(worker, body))
-		act_on_task(task, request->path + strlen("/tasks/") + strlen(id) + 1, body, reply);
+		act_on_task(worker, task, request->path + strlen("/tasks/") + strlen(id) + 1, body,
+			    reply);
 }
 
 static void handle_request(const struct fake_request *request, struct fake_reply *reply, void *ctx)
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -372,6 +372,20 @@
 	CU_ASSERT_STRING_EQUAL(state, "");
 }
 
+/*
+ * Guards against an older checkpoint that counts as taken for a stop: a job that must run once
+ * would go on from it and repeat the work that it did since.
+ */
+static void test_failed_checkpoint(void)
+{
+	CU_ASSERT_EQUAL(run_start("u.1.0", 1, 1, "{\"resume_ms\":50}"), 0);
+	set_fault("{\"fail_checkpoints\":true}");
+	CU_ASSERT_EQUAL(run_stop("u.1.0", true).checkpoint_ms, 0);
+	set_fault("{\"fail_checkpoints\":false}");
+	CU_ASSERT_EQUAL(run_start("v.1.0", 1, 1, "{\"resume_ms\":50}"), 0);
+	CU_ASSERT(run_stop("v.1.0", true).checkpoint_ms >= 50);
+}
+
 static void restart_fake(struct tevent_context *context, struct tevent_timer *te,
 			 struct timeval now, void *data)
 {
@@ -448,6 +462,7 @@
 	CU_add_test(suite, "lost_renewal_answers", test_lost_renewal_answers);
 	CU_add_test(suite, "unanswered_start", test_unanswered_start);
 	CU_add_test(suite, "start_for_former_incarnation", test_start_for_former_incarnation);
+	CU_add_test(suite, "failed_checkpoint", test_failed_checkpoint);
 	CU_add_test(suite, "worker_restarts_after_start", test_worker_restarts_after_start);
 	CU_add_test(suite, "refused_late", test_refused_late);
 	CU_add_test(suite, "stop", test_stop);
