test_gang_model: explore gangs of one member

No ring stops such a gang, and no exploration covered it. Messages of coordinators reach only the process that they were sent to, as wire.h promises; without that, a repeated HOLD that reaches a later process of the agent is answered with START_FAILED, and an attempt that has run counts as never started. The time of the predecessor's last ping, which such a member doesn't use, is left out of the state, since it would grow for ever.

--- a/tests/lib_gangworld.c
+++ b/tests/lib_gangworld.c
@@ -4,6 +4,7 @@
 
 uint32_t world_members;
 uint32_t world_attempts;
+bool world_named_processes;
 const char *world_violation;
 struct world *world_now;
 static int emitter_index; /* index of the coordinator or member whose actions are being emitted */
@@ -96,6 +97,7 @@
 		packet = make_packet(kinds[action->kind], (uint32_t)emitter_index, action->member,
 				     coordinator->gang.attempt);
 		packet.arg = action->checkpoint;
+		packet.process = world_now->agents[action->member].process;
 		if (action->kind == GANG_SEND_STOP)
 			world_now->stop_sent = 1;
 		add_packet(packet);
@@ -126,6 +128,7 @@
 		packet.from = 0;
 		packet.arg = (uint8_t)action->status;
 		packet.may_have_run = agent->gang.may_have_run;
+		packet.process = agent->process;
 		add_packet(packet);
 		break;
 	case GANG_SEND_PING:
@@ -239,7 +242,7 @@
 		agent_ring(agent, packet);
 		return;
 	}
-	if (epoch < agent->epoch)
+	if (epoch < agent->epoch || packet->process != agent->process)
 		return;
 	agent->epoch = epoch;
 	if (packet->kind == HOLD) {
@@ -524,6 +527,7 @@
 	agent->epoch = 0;
 	agent->death_unreported = 1;
 	agent->down = 1;
+	agent->process += world_named_processes;
 	world_now->kills++;
 	memset(&agent->gang, 0, sizeof(agent->gang));
 }
--- a/tests/lib_gangworld.h
+++ b/tests/lib_gangworld.h
@@ -41,6 +41,7 @@
 	uint8_t epoch;
 	uint8_t count;
 	uint8_t may_have_run; /* of STATUS */
+	uint8_t process;      /* of the agent that receives the message or has sent the answer */
 };
 
 enum write_state {
@@ -77,6 +78,7 @@
 	uint8_t orphan_ticks;
 	uint8_t death_unreported; /* the agent has died and the coordinator has not been told */
 	uint8_t down;		  /* the agent has not been restarted */
+	uint8_t process;	  /* grows when the agent dies */
 };
 
 struct world {
@@ -105,6 +107,11 @@
 
 extern uint32_t world_members;
 extern uint32_t world_attempts;
+/*
+ * Messages of coordinators reach only the process that they were sent to, as those of wire.h do.
+ * Otherwise they may reach a later process of the agent.
+ */
+extern bool world_named_processes;
 extern const char *world_violation; /* first violated invariant, or NULL */
 extern struct world *world_now;	    /* state that all functions below read and change */
 
--- a/tests/test_gang_model.c
+++ b/tests/test_gang_model.c
@@ -332,9 +332,9 @@
 					      ? relative_ticks(member->deadline_ms, key.now)
 					      : 0;
 		member->predecessor_seen_ms =
-			member->phase < GANG_MEMBER_STOPPING ||
-					(member->final_state == MSG_MEMBER_DONE &&
-					 member->next_ping_ms)
+			world_members > 1 && (member->phase < GANG_MEMBER_STOPPING ||
+					      (member->final_state == MSG_MEMBER_DONE &&
+					       member->next_ping_ms))
 				? relative_ticks(member->predecessor_seen_ms, key.now)
 				: 0;
 		member->next_ping_ms = relative_ticks(member->next_ping_ms, key.now);
@@ -549,6 +549,17 @@
 	free(search.verified.slots);
 }
 
+/*
+ * Guards against two attempts that run at once and attempts that have run but count as never
+ * started, in a gang of one member, which no ring stops.
+ */
+static void test_one_member(void)
+{
+	world_named_processes = true;
+	explore(1, 2, 2, 0);
+	world_named_processes = false;
+}
+
 /*
  * Guards against tasks that start without the others, two attempts that run at once, attempts that
  * have run but count as never started, holds that are never released, and gangs that remain partly
@@ -688,6 +699,7 @@
 
 	CU_initialize_registry();
 	suite = CU_add_suite("gang model", NULL, NULL);
+	CU_add_test(suite, "one member", test_one_member);
 	CU_add_test(suite, "two members", test_two_members);
 	CU_add_test(suite, "three members", test_three_members);
 	CU_add_test(suite, "late token", test_late_token);
