jobs: no "never fits" before the workers have announced themselves

Callers of an entry host that had just started got "never fits" for a job that fits. That answer tells the caller not to send the job again.

Workers announce themselves one by one, and the shape was checked against those that had done so by then. Only before the first one nothing was refused.

For the first 30 s no shape is refused now. That is the time after which the table drops a silent worker, and after which the placement leader gives up members on workers that have not connected. A job that fits nowhere and comes in that time is accepted and waits, as one before the first worker did.

test_jobs/submission before workers failed before: the submission was refused. test_jobs/broken did not look at the answer to its submission; after a refusal it asked for a job without an id and found "state" and "attempt" wrong. It checks the answer now.

--- a/src/jobbody.c
+++ b/src/jobbody.c
@@ -142,14 +142,14 @@
 /*
  * The shape must fit on the announced workers, or on the planned fleet of the configuration, so
  * that a job isn't refused because workers are unreachable for a moment. Before any worker is
- * announced no shape is refused.
+ * announced, or while @members is NULL, no shape is refused.
  */
 static int check_fits(const struct place_shape *shape, const struct config *config,
 		      struct membership *members, struct err *err)
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
 	struct place_worker_spec *workers;
-	size_t count = list_announced_workers(mem, members, &workers);
+	size_t count = members ? list_announced_workers(mem, members, &workers) : 0;
 	bool ok = count == 0 || fits_on_workers(shape, workers, count) ||
 		  fits_on_workers(shape, config->fleet, config->fleet_count);
 
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -95,6 +95,7 @@
 	char *name = talloc_asprintf(jobs, "placement/%s", deps->region);
 
 	jobs->deps = *deps;
+	jobs->created_ms = util_clock_ms();
 	set_known_leader(jobs, "", "");
 	jobs->submit_queue = job_submit_queue_create(jobs);
 	jobs->queries = job_queries_create(jobs);
@@ -156,6 +157,15 @@
 	return org && org->quota_jobs;
 }
 
+/*
+ * After a start the workers announce themselves one by one. One that runs and has not done so for
+ * as long as a silent one is kept in the table isn't expected any more.
+ */
+static bool workers_known(const struct jobs *jobs)
+{
+	return util_clock_ms() >= jobs->created_ms + MEMBER_REMOVE_MS;
+}
+
 static struct job_record *check_submission(struct jobs *jobs,
 					   const struct jobs_submission *submission, bool *quota,
 					   struct err *err)
@@ -172,7 +182,7 @@
 		return NULL;
 	}
 	job = job_from_body(jobs, submission->body, submission->organisation, config,
-			    jobs->deps.members, err);
+			    workers_known(jobs) ? jobs->deps.members : NULL, err);
 	*quota = has_job_quota(config, submission->organisation);
 	configrepo_release(jobs->deps.configs, config);
 	return job;
--- a/src/jobs_int.h
+++ b/src/jobs_int.h
@@ -84,7 +84,8 @@
 /**
  * job_from_body() - check a submission
  * @json: request body
- * @members: announced workers, to refuse shapes that could never fit
+ * @members: announced workers, to refuse shapes that could never fit; NULL: not all workers have
+ *	had the time to announce themselves, and no shape is refused
  * @err: set on failure
  *
  * Return: the record, still without an id, or NULL on failure.
@@ -309,6 +310,7 @@
 	struct job_queries *queries;
 	char *leader_peer; /* peer name of the leader; "": unknown, or this process */
 	char *leader_address;
+	uint64_t created_ms; /* util_clock_ms() */
 	bool closing;
 	void (*shutdown_done)(void *ctx);
 	void *shutdown_ctx;
--- a/tests/lib_jobworld.c
+++ b/tests/lib_jobworld.c
@@ -194,6 +194,8 @@
 
 	for (int e = 0; e < WORLD_ENTRIES; e++) {
 		for (int i = 0; i < WORLD_AGENTS && world->entries[e].mem; i++) {
+			if (world->agents[i].silent)
+				continue;
 			wire_connect(world->agents[i].wire, world->entries[e].peer,
 				     world->entries[e].address);
 			announce_agent(&world->agents[i], world->entries[e].peer);
--- a/tests/lib_jobworld.h
+++ b/tests/lib_jobworld.h
@@ -40,6 +40,7 @@
 	struct wire *wire;
 	char node[16];
 	struct simulated_member members[WORLD_MEMBERS];
+	bool silent; /* does not announce itself */
 	uint64_t epoch;
 	bool up;
 };
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -377,6 +377,54 @@
 	world_close(&world);
 }
 
+/* Waits until @entry knows @count workers; false after 30 s. */
+static bool until_workers(struct test_entry *entry, size_t count)
+{
+	uint64_t end_ms = util_clock_ms() + LOOP_TIMEOUT_MS;
+
+	while (util_clock_ms() < end_ms) {
+		TALLOC_CTX *mem = talloc_new(NULL);
+		struct member_target *targets;
+		size_t known = member_targets(entry->members, mem, MSG_TARGET_WORKER, &targets);
+
+		talloc_free(mem);
+		if (known == count)
+			return true;
+		loop_for(entry->world->ev, 10);
+	}
+	return false;
+}
+
+/*
+ * Guards against "never fits" from an entry host that has just started and to which not all workers
+ * have announced themselves; and against accepting such a job later, when they have had the time.
+ */
+static void test_submission_before_workers(void)
+{
+	struct job_world world;
+	struct test_entry *entry;
+	struct job_reply submitted;
+	struct job_reply reply;
+
+	world_open(&world);
+	world.behaviour = AGENT_DONE;
+	for (int i = 1; i < WORLD_AGENTS; i++)
+		world.agents[i].silent = true;
+	entry = world_entry(&world, 0);
+	CU_ASSERT_TRUE_FATAL(until_workers(entry, 1));
+	world_submit(entry, GANG, "", DEADLINE_MS, &submitted);
+	CU_ASSERT_EQUAL(submitted.status, 0);
+	entry->jobs->created_ms -= MEMBER_REMOVE_MS;
+	world_submit(entry, GANG, "", DEADLINE_MS, &reply);
+	CU_ASSERT_EQUAL(reply.status, -ERR_NEVER_FITS);
+	for (int i = 1; i < WORLD_AGENTS; i++)
+		world.agents[i].silent = false;
+	world_wait(entry, submitted.id, &reply);
+	CU_ASSERT_STRING_EQUAL(reply.state, "done");
+	CU_ASSERT_EQUAL(world.started_members, 3);
+	world_close(&world);
+}
+
 struct failure_case {
 	const char *body;
 	enum agent_behaviour behaviour;
@@ -404,6 +452,7 @@
 		entry = world_entry(&world, 0);
 		world.behaviour = failure_cases[i].behaviour;
 		world_submit(entry, failure_cases[i].body, "", DEADLINE_MS, &reply);
+		CU_ASSERT_EQUAL(reply.status, 0);
 		world_wait(entry, reply.id, &reply);
 		CU_ASSERT_STRING_EQUAL(reply.state, failure_cases[i].state);
 		CU_ASSERT_EQUAL(reply.attempt, failure_cases[i].attempt);
@@ -506,6 +555,7 @@
 	CU_add_test(suite, "start after stall", test_start_after_stall);
 	CU_add_test(suite, "merge during query", test_merge_during_query);
 	CU_add_test(suite, "query before merge", test_query_before_merge);
+	CU_add_test(suite, "submission before workers", test_submission_before_workers);
 	CU_add_test(suite, "broken", test_failed_attempts);
 	CU_add_test(suite, "cancel", test_cancel);
 	CU_add_test(suite, "quota", test_quota);
