jobapi: free the result of a store lookup that outlives the module

The address sanitizer reported a leaked JSON object when the module ended while the store had not answered a query. The lookup was freed with the module, its JSON object only in the store's answer. A destructor frees it now.

--- a/src/jobapi.c
+++ b/src/jobapi.c
@@ -176,12 +176,6 @@
 	}
 }
 
-static void free_lookup(struct lookup *lookup)
-{
-	json_decref(lookup->jobs);
-	talloc_free(lookup);
-}
-
 static void answer_from_store(struct query *query, json_t *found)
 {
 	json_t *list = json_array();
@@ -221,7 +215,7 @@
 		add_matching_jobs(lookup, query, result);
 		answer_from_store(query, lookup->jobs);
 	}
-	free_lookup(lookup);
+	talloc_free(lookup);
 }
 
 static void on_segments(int status, const struct store_result *result, void *ctx)
@@ -244,6 +238,13 @@
 	}
 }
 
+/* A lookup also ends with the module, while the store has not answered yet. */
+static int lookup_destructor(struct lookup *lookup)
+{
+	json_decref(lookup->jobs);
+	return 0;
+}
+
 static void read_store(struct query *query)
 {
 	struct lookup *lookup = talloc_zero(query->owner, struct lookup);
@@ -252,6 +253,7 @@
 	lookup->owner = query->owner;
 	lookup->id = query->id;
 	lookup->jobs = json_object();
+	talloc_set_destructor(lookup, lookup_destructor);
 	metrics_count_retry(query->owner->jobs->deps.metrics, "job_query_store");
 	store_range(query->owner->jobs->deps.store, "submit/", 0, cb);
 }
