--- a/review/world.c
+++ b/review/world.c
@@ -28,6 +28,9 @@
 #define CALL_RETRY_MS 500
 #define CALLS_MAX 5 /* a first call and four retries */
 #define START_WAIT_MS 15000
+#define PORT_MIN 10000
+#define PORT_BLOCKS 200
+#define PORTS_A_BLOCK 100
 #define CPU_MILLI 128000
 #define MEMORY_MB 524288
 #define ACCELERATORS 8
@@ -65,8 +68,7 @@
 	uint64_t lapse_ms; /* when the lease last ended; 0: never */
 	uint32_t cpu;
 	uint32_t gpu;
-	bool draining;
-	bool told; /* the agent has acknowledged the present state */
+	bool told; /* the agent has acknowledged a heartbeat */
 };
 
 static struct {
@@ -88,7 +90,6 @@
 	GHashTable *jobs;
 	GPtrArray *runs;
 	int next_entry;
-	bool up;
 } world;
 
 uint64_t world_now_ms(void)
@@ -114,18 +115,28 @@
 	fputc('\n', world.record);
 }
 
+/* Takes ports below those that the system gives to outgoing connections. */
 static void free_address(char out[32])
 {
+	static unsigned int port;
 	struct sockaddr_in address = {.sin_family = AF_INET,
 				      .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-	socklen_t len = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	if (bind(fd, (struct sockaddr *)&address, len) ||
-	    getsockname(fd, (struct sockaddr *)&address, &len))
+	int fd = -1;
+
+	if (!port)
+		port = PORT_MIN + (unsigned int)getpid() % PORT_BLOCKS * PORTS_A_BLOCK;
+	for (int tries = 0; tries < PORTS_A_BLOCK && fd < 0; tries++) {
+		address.sin_port = htons((uint16_t)++port);
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		if (bind(fd, (struct sockaddr *)&address, sizeof(address))) {
+			close(fd);
+			fd = -1;
+		}
+	}
+	if (fd < 0)
 		exit(WORLD_UNUSABLE);
 	close(fd);
-	snprintf(out, 32, "127.0.0.1:%u", ntohs(address.sin_port));
+	snprintf(out, 32, "127.0.0.1:%u", port);
 }
 
 static void start_process(struct process *process)
@@ -454,8 +465,7 @@
 	if (status || http_status != 200 || worker->told)
 		return;
 	worker->told = true;
-	world_note("heartbeat of %s acknowledged: %s", worker->id,
-		   worker->draining ? "draining" : "ready");
+	world_note("heartbeat of %s acknowledged", worker->id);
 }
 
 static void request(const char *method, char *url, const char *const *headers, size_t count,
@@ -488,11 +498,10 @@
 	json = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:{s:i, s:i, s:i}, s:[s, s], s:I, "
 			 "s:I, s:I}",
 			 "service", "planner", "address", worker->address, "zone", "z1", "version",
-			 "v1", "slots", 8, "state", worker->draining ? "draining" : "ready",
-			 "cold_remaining_ms", 0, "capacity", "cpu", CPU_MILLI, "mem_mb", MEMORY_MB,
-			 "gpu", ACCELERATORS, "labels", "a", rack, "clock_ms",
-			 (json_int_t)worker_clock(worker), "seq", (json_int_t)++worker->sequence,
-			 "born", (json_int_t)worker->born_ms);
+			 "v1", "slots", 8, "state", "ready", "cold_remaining_ms", 0, "capacity",
+			 "cpu", CPU_MILLI, "mem_mb", MEMORY_MB, "gpu", ACCELERATORS, "labels", "a",
+			 rack, "clock_ms", (json_int_t)worker_clock(worker), "seq",
+			 (json_int_t)++worker->sequence, "born", (json_int_t)worker->born_ms);
 	text = json_dumps(json, JSON_COMPACT);
 	request("PUT", g_strdup_printf("http://%s/v1/instances/%s", worker->control, worker->id),
 		headers, 1, text, HEARTBEAT_LATE_MS, on_heartbeat, worker);
@@ -507,10 +516,11 @@
 
 	snprintf(worker->id, sizeof(worker->id), "i-%d", worker->index);
 	free_address(worker->control);
-	worker->httpd = httpd_create(world.mem, world.ev, "127.0.0.1:0", BODY_MAX, &handlers, &err);
+	free_address(worker->address);
+	worker->httpd =
+		httpd_create(world.mem, world.ev, worker->address, BODY_MAX, &handlers, &err);
 	if (!worker->httpd)
 		exit(WORLD_UNUSABLE);
-	snprintf(worker->address, sizeof(worker->address), "%s", httpd_address(worker->httpd));
 	worker->born_ms = util_wall_ms();
 	worker->clock_began_ms = util_clock_ms() - 1000;
 	worker->ends = g_ptr_array_new();
@@ -617,7 +627,6 @@
 	job->cpu = (uint32_t)json_integer_value(json_object_get(step, "cpu"));
 	job->gpu = (uint32_t)json_integer_value(json_object_get(step, "gpu"));
 	job->lasts = json_is_true(json_object_get(step, "long_running"));
-	job->sent_ms = world_now_ms();
 	g_hash_table_insert(world.jobs, job->id, job);
 	json_decref(json);
 	send_job(job);
@@ -641,20 +650,6 @@
 	call_entry("GET", job, take_entry(), NULL, on_state);
 }
 
-static void on_cancelled(int status, int http_status, const char *body, size_t len, void *ctx)
-{
-	struct world_job *job = ctx;
-
-	world_note("answer to the cancellation of %s: %d", job->id, status ? status : http_status);
-	if (status == 0 && http_status / 100 == 2)
-		job->cancelled_ms = world_now_ms();
-}
-
-void world_cancel(struct world_job *job)
-{
-	call_entry("DELETE", job, take_entry(), NULL, on_cancelled);
-}
-
 /* Operator and disruptions */
 
 static void on_operator_answer(int status, int http_status, const char *body, size_t len, void *ctx)
@@ -676,13 +671,6 @@
 		config, 1000, on_operator_answer, NULL);
 }
 
-void world_drain(int worker, bool draining)
-{
-	world.worker[worker].draining = draining;
-	world.worker[worker].told = false;
-	world.worker[worker].next_heartbeat_ms = 0;
-}
-
 static struct process *find_entry_process(int entry)
 {
 	char label[32];
--- a/review/world.h
+++ b/review/world.h
@@ -24,10 +24,8 @@
 	char *body;
 	uint32_t cpu; /* of each task, in thousandths */
 	uint32_t gpu;
-	bool lasts; /* its tasks are at work until the job is cancelled */
-	uint64_t sent_ms;
-	uint64_t accepted_ms;  /* 0: not accepted */
-	uint64_t cancelled_ms; /* when the cancellation was acknowledged */
+	bool lasts;	      /* its tasks are at work until the job is cancelled */
+	uint64_t accepted_ms; /* 0: not accepted */
 	uint32_t calls;
 	char state[16]; /* by the latest answer */
 	int status;	/* of the latest answer to a GET */
@@ -74,14 +72,10 @@
 
 /** world_submit() - hand a job of one step in, through any entry, until it is accepted */
 struct world_job *world_submit(const char *key, const char *queue, const char *id, char *body);
-void world_cancel(struct world_job *job);
 
 /** world_ask() - ask for the state of a job; the answer is in it 1 s later */
 void world_ask(struct world_job *job);
 
-/** world_drain() - a worker says from now on that it drains, or that it is ready */
-void world_drain(int worker, bool draining);
-
 /** world_signal() - send a signal to entry @i, or to all with -1 */
 void world_signal(int entry, int signal);
 void world_restart(int entry);
