runner, coord: absence from a list that is cut short proves nothing

Cause: a worker lists at most 500 ends at a time. While the store is down its agent may not confirm any, so the ends beyond 500 are in no list. The agent dropped such runs, the leader gave their tasks up as unlisted, and a new leader counted the agent as one that had reported everything.

Change: a list and a report say whether ends may be missing (more_ends) and whether rows were unreadable; absence counts only if neither is set. The task stays with its worker and does not count as stalled. A new leader starts nothing inherited while an agent has more ends. Unreadable rows of reports and orders have the same effect. The limit is known to platform/worker.c only.

--- a/src/coord.c
+++ b/src/coord.c
@@ -325,14 +325,25 @@
 	GHashTableIter iter;
 	gpointer value;
 	bool all = true;
+	bool more_ends = false;
 
 	if (coord->inherited_released || !coord->loaded)
 		return;
 	g_hash_table_iter_init(&iter, coord->agents);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		all = all && ((struct agent_row *)value)->last_list_ms;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct agent_row *row = value;
+
+		all = all && row->last_list_ms;
+		more_ends = more_ends || row->more_ends;
+		if (row->more_ends)
+			log_once("ends_awaited", row->node,
+				 "inherited jobs wait until its worker has listed all ends");
+	}
+	/* A run that is neither running nor listed as ended may have ended as done. */
+	if (more_ends)
+		return;
 	if (all) {
-		release_inherited_jobs(coord, "all agents have reported what runs");
+		release_inherited_jobs(coord, "all agents have reported what runs and what ended");
 	} else if (now_ms - coord->elected_ms > WORKER_LOST_MS) {
 		release_inherited_jobs(coord,
 				       "the leases of workers that have not reported have expired");
@@ -354,6 +365,7 @@
 		    now_ms < row->long_lease_until_ms)
 			continue;
 		row->alive = false;
+		row->more_ends = false; /* its lease has lapsed, so they no longer count */
 		log_warn("worker_lost", row->node,
 			 "no list of its runs received for %" PRIu64 " ms",
 			 now_ms - row->last_list_ms);
@@ -497,7 +509,8 @@
 		plan_worker_running(coord->plan, row->node, &report->running[i], list_ms);
 	for (size_t i = 0; i < report->pending_count; i++)
 		plan_worker_pending(coord->plan, row->node, &report->pending[i], list_ms);
-	plan_worker_list_end(coord->plan, row->node, list_ms);
+	plan_worker_list_end(coord->plan, row->node, !report->more_ends && !report->unreadable,
+			     list_ms);
 }
 
 /*
@@ -563,8 +576,10 @@
 	row->echo_ms = report->sent_ms;
 	row->last_report_ms = now_ms;
 	row->list_current = report->alive && report->settled;
-	if (!report->alive || report->settled)
+	if (!report->alive || report->settled) {
 		row->last_list_ms = now_ms;
+		row->more_ends = report->alive && report->more_ends;
+	}
 	if (report->alive && report->settled) {
 		apply_worker_report(coord, row, report, now_ms);
 	} else if (!report->alive && row->alive) {
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -27,7 +27,8 @@
 	char *issued_to;	  /* wire name of the process that was given it */
 	uint64_t echo_ms;
 	struct fleet_report *pending; /* latest report, kept until it can be applied; or NULL */
-	bool list_current;	      /* the latest report had a complete list of runs */
+	bool list_current;	      /* the latest report had a list of all running tasks */
+	bool more_ends;		      /* the latest list may lack ends of runs */
 	uint64_t ends_seen;	      /* highest number of an end that the plan has been given */
 	uint64_t ends_cycle;	      /* value of ends_seen when the present store cycle began */
 	uint64_t ends_stored;
--- a/src/fleetmsg.c
+++ b/src/fleetmsg.c
@@ -59,21 +59,23 @@
 {
 	const struct plan_worker_info *info = &report->info;
 
-	return dump_json(
-		mem,
-		json_pack("{s:I, s:I, s:I, s:s, s:b, s:b, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:i, "
-			  "s:i, s:i, s:b, s:o, s:o, s:o, s:o}",
-			  "session", (json_int_t)report->session, "sent",
-			  (json_int_t)report->sent_ms, "list_age", (json_int_t)report->list_age_ms,
-			  "address", report->address, "alive", report->alive, "settled",
-			  report->settled, "node", info->node, "worker", info->id, "incarnation",
-			  info->incarnation, "service", info->service, "zone", info->zone, "kind",
-			  info->kind, "rack", info->rack, "cpu", (int)info->room.cpu_milli,
-			  "memory", (int)info->room.memory_mb, "accelerators",
-			  (int)info->room.accelerators, "accepting", info->accepting, "running",
-			  write_runs(report->running, report->running_count), "pending",
-			  write_runs(report->pending, report->pending_count), "ends",
-			  write_ends(report), "refusals", write_refusals(report)));
+	return dump_json(mem,
+			 json_pack("{s:I, s:I, s:I, s:s, s:b, s:b, s:b, s:b, s:s, s:s, s:s, s:s, "
+				   "s:s, s:s, s:s, s:i, "
+				   "s:i, s:i, s:b, s:o, s:o, s:o, s:o}",
+				   "session", (json_int_t)report->session, "sent",
+				   (json_int_t)report->sent_ms, "list_age",
+				   (json_int_t)report->list_age_ms, "address", report->address,
+				   "alive", report->alive, "settled", report->settled, "more_ends",
+				   report->more_ends, "unreadable", report->unreadable, "node",
+				   info->node, "worker", info->id, "incarnation", info->incarnation,
+				   "service", info->service, "zone", info->zone, "kind", info->kind,
+				   "rack", info->rack, "cpu", (int)info->room.cpu_milli, "memory",
+				   (int)info->room.memory_mb, "accelerators",
+				   (int)info->room.accelerators, "accepting", info->accepting,
+				   "running", write_runs(report->running, report->running_count),
+				   "pending", write_runs(report->pending, report->pending_count),
+				   "ends", write_ends(report), "refusals", write_refusals(report)));
 }
 
 /* Reads the first four fields of a row; the strings belong to @mem. */
@@ -164,6 +166,14 @@
 	return number;
 }
 
+/* True if the list is missing or has rows that were not among the @count read ones. */
+static bool has_lost_rows(const json_t *json, const char *name, size_t count)
+{
+	const json_t *rows = json_object_get(json, name);
+
+	return !json_is_array(rows) || json_array_size(rows) > count;
+}
+
 struct fleet_report *fleet_report_read(TALLOC_CTX *mem, const void *data, size_t len)
 {
 	json_t *json = json_loadb(data, len, 0, NULL);
@@ -199,6 +209,11 @@
 		read_runs(report, json_object_get(json, "pending"), &report->pending_count);
 	read_ends(report, json_object_get(json, "ends"));
 	read_refusals(report, json_object_get(json, "refusals"));
+	report->more_ends = json_is_true(json_object_get(json, "more_ends"));
+	report->unreadable = json_is_true(json_object_get(json, "unreadable")) ||
+			     has_lost_rows(json, "running", report->running_count) ||
+			     has_lost_rows(json, "pending", report->pending_count) ||
+			     has_lost_rows(json, "ends", report->end_count);
 	json_decref(json);
 	if (*info->node)
 		return report;
@@ -283,6 +298,7 @@
 	orders->handled =
 		read_runs(orders, json_object_get(json, "handled"), &orders->handled_count);
 	read_order_rows(orders, json_object_get(json, "orders"));
+	orders->unreadable = has_lost_rows(json, "orders", orders->order_count);
 	json_decref(json);
 	return orders;
 }
--- a/src/fleetmsg.h
+++ b/src/fleetmsg.h
@@ -34,7 +34,10 @@
  * @list_age_ms: time since the worker made the list of its runs
  * @settled: the agent has a complete list of runs, and no call that was sent under an earlier term
  *	can add to it any more; otherwise only @info is valid
- * @pending: runs that the worker has neither confirmed nor listed and that may still begin
+ * @more_ends: the worker may have further ends, so a run that @running and @ends lack may have
+ *ended
+ * @unreadable: the same is true because parts of the list or of the report could not be read
+ * @pending: runs that may still begin, and those of which it is not known whether they have ended
  */
 struct fleet_report {
 	uint64_t session;
@@ -43,6 +46,8 @@
 	uint64_t list_age_ms;
 	bool alive;
 	bool settled;
+	bool more_ends;
+	bool unreadable;
 	struct plan_worker_info info;
 	struct plan_run *running;
 	size_t running_count;
@@ -68,6 +73,7 @@
  * @report_ms: interval of reports while the agent's state does not change
  * @unsure: the renewal of the leader's own lease is overdue, so another process may have become
  *	the leader
+ * @unreadable: parts of @orders could not be read
  */
 struct fleet_orders {
 	uint64_t session;
@@ -81,6 +87,7 @@
 	size_t order_count;
 	uint32_t report_ms;
 	bool unsure;
+	bool unreadable;
 };
 
 /** fleet_report_write() - convert a report to JSON text, owned by @mem */
--- a/src/plan.h
+++ b/src/plan.h
@@ -228,10 +228,14 @@
 
 /**
  * plan_worker_list_end() - all runs of a worker's list have been reported
+ * @complete: the list and the reported ends together name every run that the worker has started
+ *	and whose end is not stored
  *
- * Confirmed runs that are missing from the list are taken for lost; their tasks wait again.
+ * Confirmed runs that are missing from a complete list are taken for lost; their tasks wait again.
+ * A run that is missing from another list may have ended, also as done. Its task stays with the
+ * worker until the end is reported or a complete list lacks the run.
  */
-void plan_worker_list_end(struct plan *plan, const char *node, uint64_t list_ms);
+void plan_worker_list_end(struct plan *plan, const char *node, bool complete, uint64_t list_ms);
 
 /** struct plan_order - a start or a stop; repeated until the worker has confirmed it */
 struct plan_order {
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -365,7 +365,7 @@
 			 uint64_t list_ms)
 {
 	struct worker *worker = plan_find_worker(plan, node);
-	const struct task *task = plan_find_task(plan, run->task);
+	struct task *task = plan_find_task(plan, run->task);
 
 	if (!worker)
 		return;
@@ -375,8 +375,8 @@
 	 */
 	if (task && plan_task_job(task)->inherited && !is_current_run(task, worker, run))
 		add_orphan_run(worker, run);
-	else
-		match_run(plan, worker, run, list_ms);
+	else if ((task = match_run(plan, worker, run, list_ms)) && task->state == TASK_RUNNING)
+		task->progress_ms = list_ms; /* unknown, so it does not count as stalled */
 }
 
 static void record_success(struct worker *worker)
@@ -504,7 +504,7 @@
 		worker->backoff_until_ms = now_ms + UNHEALTHY_BACKOFF_MS;
 }
 
-void plan_worker_list_end(struct plan *plan, const char *node, uint64_t list_ms)
+void plan_worker_list_end(struct plan *plan, const char *node, bool complete, uint64_t list_ms)
 {
 	struct worker *worker = plan_find_worker(plan, node);
 	struct task *task;
@@ -518,8 +518,10 @@
 
 		next = task->next_on_worker;
 		task->listed = false;
-		if (is_gone)
+		if (is_gone && complete)
 			lose_run(plan, task, PLAN_LOSS_UNLISTED);
+		else if (is_gone)
+			task->progress_ms = list_ms; /* unknown, so it does not count as stalled */
 	}
 	for (struct orphan_run *orphan = worker->orphans; orphan; orphan = orphan->next)
 		orphan->listed = false;
--- a/src/runner.c
+++ b/src/runner.c
@@ -155,7 +155,7 @@
 		if (row->state == RUN_REFUSED)
 			report->refusals[report->refusal_count++] =
 				(struct fleet_refusal){run, row->refusal};
-		else if (may_run(runner, row) && row->confirmed)
+		else if (may_run(runner, row) && row->confirmed && !row->unaccounted)
 			report->running[report->running_count++] = run;
 		else if (may_run(runner, row))
 			report->pending[report->pending_count++] = run;
@@ -172,6 +172,8 @@
 		.address = runner->address,
 		.alive = !runner->down,
 		.settled = has_current_list(runner),
+		.more_ends = runner->more_ends,
+		.unreadable = runner->list_unreadable,
 		.info = {.node = runner->deps.node,
 			 .id = runner->worker ? runner->worker : "",
 			 .incarnation = runner->incarnation ? runner->incarnation : "",
@@ -559,7 +561,8 @@
 		runner->ends_stored = orders->ends_stored;
 		runner->renew_due_ms = 0;
 	}
-	runner_drop_abandoned(runner, orders);
+	if (!orders->unreadable)
+		runner_drop_abandoned(runner, orders);
 	for (size_t i = 0; i < orders->order_count; i++)
 		runner_apply_order(runner, &orders->orders[i]);
 	runner_make_due_calls(runner, util_clock_ms());
--- a/src/runner.h
+++ b/src/runner.h
@@ -69,6 +69,9 @@
  * @clock_ms: the worker's clock, 0 if the answer lacks it
  * @worker_started_ms: start of this incarnation of the worker, milliseconds since 1970; 0 if the
  *	answer lacks it
+ * @ends: in the order of their numbers
+ * @more_ends: the worker may have further ends, which it lists once these are confirmed
+ * @unreadable: rows were left out because they could not be read
  */
 struct runner_list {
 	uint64_t clock_ms;
@@ -77,6 +80,8 @@
 	size_t running_count;
 	struct fleet_run_end *ends;
 	size_t end_count;
+	bool more_ends;
+	bool unreadable;
 };
 
 /**
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -37,6 +37,8 @@
 	char *saved_checkpoint; /* latest that the worker listed */
 	uint32_t percent;
 	bool listed; /* in the list that is being processed */
+	/* Confirmed, but missing from the latest list, which does not show whether it has ended. */
+	bool unaccounted;
 	/* Copy of runner.generation; an answer is ignored when the two differ. 0: row dropped. */
 	uint32_t generation;
 };
@@ -66,6 +68,8 @@
 	size_t end_count;
 	TALLOC_CTX *ends_mem;
 	uint64_t ends_stored;
+	bool more_ends; /* see &struct runner_list; of the latest list */
+	bool list_unreadable;
 	uint64_t list_received_ms; /* time of the latest list */
 	uint64_t renew_due_ms;
 	uint32_t renewals;	   /* number sent so far; only the answer to the latest counts */
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -80,6 +80,8 @@
 	TALLOC_FREE(runner->ends_mem);
 	runner->ends = NULL;
 	runner->end_count = 0;
+	runner->more_ends = false;
+	runner->list_unreadable = false;
 	runner->ends_stored = 0;
 	runner->settled = false;
 	runner->worker_clock_ms = 0;
@@ -363,6 +365,7 @@
 	if (row->state == RUN_ORDERED && !row->call_pending)
 		row->state = RUN_STARTED;
 	row->listed = true;
+	row->unaccounted = false;
 	row->confirmed = true;
 	row->percent = run->percent;
 	if (strcmp(row->saved_checkpoint, run->checkpoint) != 0) {
@@ -388,9 +391,10 @@
 
 /*
  * Drops the rows of runs that have ended or that are missing from the list. A list proves that a
- * confirmed run is over only if the list was requested after the confirmation.
+ * confirmed run is over only if it is complete and was requested after the confirmation; if it is
+ * not complete, it may lack the end.
  */
-static void drop_unlisted_rows(struct runner *runner, uint64_t sent_ms)
+static void drop_unlisted_rows(struct runner *runner, bool complete, uint64_t sent_ms)
 {
 	GList *rows = g_hash_table_get_values(runner->runs);
 
@@ -405,7 +409,9 @@
 		}
 		if (listed || row->call_pending || row->confirmed_ms >= sent_ms)
 			continue;
-		if (row->state == RUN_CLOSED)
+		if (!complete)
+			row->unaccounted = true;
+		else if (row->state == RUN_CLOSED)
 			refuse_run(row, PLAN_REFUSED_STALE);
 		else if (row->state == RUN_STARTED)
 			drop_row(runner, row);
@@ -421,7 +427,13 @@
 	for (size_t i = 0; i < list->running_count; i++)
 		record_running(runner, &list->running[i]);
 	copy_ends(runner, list);
-	drop_unlisted_rows(runner, sent_ms);
+	if (list->more_ends && !runner->more_ends)
+		log_info("ends_cut", runner->worker,
+			 "%zu ends are listed; the worker lists the rest once these are stored",
+			 list->end_count);
+	runner->more_ends = list->more_ends;
+	runner->list_unreadable = list->unreadable;
+	drop_unlisted_rows(runner, !list->more_ends && !list->unreadable, sent_ms);
 	if (!runner->settled ||
 	    (runner->end_count && runner->ends[runner->end_count - 1].number > newest))
 		runner_schedule_report(runner);
--- a/tests/lib_plansim.c
+++ b/tests/lib_plansim.c
@@ -278,7 +278,7 @@
 			run.percent = 100;
 		plan_worker_running(sim->plan, reporter->node, &run, sim->now_ms);
 	}
-	plan_worker_list_end(sim->plan, reporter->node, sim->now_ms);
+	plan_worker_list_end(sim->plan, reporter->node, true, sim->now_ms);
 }
 
 static bool same_gang(const struct sim_run *a, const struct sim_run *b)
--- a/tests/sim_worker.c
+++ b/tests/sim_worker.c
@@ -90,6 +90,7 @@
 static GPtrArray *workers;
 static GHashTable *ended_jobs;
 static uint32_t attempts_max;
+static uint32_t listed_ends_max; /* in one list */
 static int violations;
 static char first_violation[160];
 
@@ -132,10 +133,16 @@
 		g_hash_table_destroy(ended_jobs);
 	ended_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	attempts_max = max_attempts;
+	listed_ends_max = SIM_LISTED_ENDS_MAX;
 	violations = 0;
 	first_violation[0] = '\0';
 }
 
+void sim_workers_limit_ends(uint32_t max)
+{
+	listed_ends_max = max;
+}
+
 int sim_runs_violations(void)
 {
 	return violations;
@@ -550,7 +557,7 @@
 			talloc_strdup(call, run->task), run->number, "",
 			(uint32_t)MIN(99, passed_ms * 100 / MAX(run->work_ms, 1))};
 	}
-	for (size_t i = 0; i < worker->end_count; i++) {
+	for (size_t i = 0; i < worker->end_count && list->end_count < listed_ends_max; i++) {
 		const struct end *end = &worker->ends[i];
 
 		if (end->number > worker->ends_known)
@@ -559,6 +566,7 @@
 				{talloc_strdup(call, end->task), end->run, "", 0},
 				end->how};
 	}
+	list->more_ends = list->end_count == listed_ends_max;
 }
 
 static void send_list(struct sim_worker *worker, struct call *call)
--- a/tests/sim_worker.h
+++ b/tests/sim_worker.h
@@ -47,6 +47,8 @@
  * @max_attempts: failed runs after which a task must not start again
  */
 void sim_runs_create(uint32_t max_attempts);
+/** sim_workers_limit_ends() - lists name at most @max ends, those with the lowest numbers */
+void sim_workers_limit_ends(uint32_t max);
 int sim_runs_violations(void);
 /** sim_runs_violation() - description of the first one */
 const char *sim_runs_violation(void);
@@ -57,6 +59,7 @@
 void sim_runs_end_job(const char *job);
 
 #define SIM_WORKER_CPU_MILLI 8000
+#define SIM_LISTED_ENDS_MAX 500 /* in one list, unless sim_workers_limit_ends() says otherwise */
 
 /**
  * sim_worker_create() - start a worker
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -213,6 +213,8 @@
 static bool draining; /* reports say that the worker accepts no work */
 static const char *reported_incarnation = "w/1";
 static const struct fleet_refusal *reported_refusal; /* included in each report; NULL for none */
+static bool reported_more_ends;			     /* the lists may lack ends of runs */
+static bool reported_unreadable;		     /* the lists may lack anything */
 
 /* @settled: the agent has a complete list of runs. */
 static char *compose_report(struct fixture *f, int number, bool settled,
@@ -225,6 +227,8 @@
 					     .address = wire_address(agent->wire),
 					     .alive = true,
 					     .settled = settled,
+					     .more_ends = reported_more_ends,
+					     .unreadable = reported_unreadable,
 					     .info = {.node = agent->node,
 						      .id = "w",
 						      .incarnation = reported_incarnation,
@@ -389,6 +393,61 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against a task that is started again while its end is among those that its worker has not
+ * listed yet, or while its row can't be read.
+ */
+static void test_run_missing_from_partial_list(void)
+{
+	const struct plan_run running = {"0123456789abcdef.0.0.0", 1, "", 10};
+	struct fixture *f = set_up("");
+
+	elect_leader(f);
+	send_report(f, 0, true, NULL, NULL);
+	put_job(f, "0123456789abcdef", 1);
+	memkv_run(f->ev, 100);
+	send_report(f, 0, true, &running, NULL);
+	CU_ASSERT_EQUAL(count_starts(f), 0);
+	reported_more_ends = true;
+	send_report(f, 0, true, NULL, NULL);
+	reported_more_ends = false;
+	reported_unreadable = true;
+	send_report(f, 0, true, NULL, NULL);
+	reported_unreadable = false;
+	CU_ASSERT_EQUAL(f->agents[0].orders->order_count, 0);
+	CU_ASSERT(f->agents[0].orders->valid_ms > 0);
+	send_report(f, 0, true, NULL, NULL);
+	CU_ASSERT_EQUAL(count_starts(f), 1);
+	tear_down(f);
+}
+
+/*
+ * Guards against inherited tasks that are started while the ends of their runs are not listed yet,
+ * also by an agent process that knows of no run, and also after the time in which leases expire.
+ */
+static void test_waits_for_more_ends(void)
+{
+	const struct plan_run other = {"1123456789abcdef.0.0.0", 5, "", 10};
+	struct fixture *f = set_up("7");
+	uint64_t began_ms = util_clock_ms();
+
+	put_job(f, "0123456789abcdef", 1);
+	elect_leader(f);
+	while (util_clock_ms() - began_ms < WORKER_LOST_MS + 1500) {
+		send_report(f, 0, true, NULL, NULL);
+		reported_more_ends = true;
+		send_report(f, 1, true, &other, NULL);
+		reported_more_ends = false;
+		send_report(f, 1, false, NULL, NULL);
+		CU_ASSERT_EQUAL(count_starts(f), 0);
+		memkv_run(f->ev, 300);
+	}
+	send_report(f, 1, true, &other, NULL);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_EQUAL(count_starts(f), 1);
+	tear_down(f);
+}
+
 /*
  * Guards against a refusal that the leader acknowledges without passing it to the plan: the agent
  * dropped it and started the repeated order, then the leader processed the refusal from a later
@@ -952,6 +1011,8 @@
 		{"stores_ends_first", test_stores_ends_first},
 		{"lost_answers", test_lost_answers},
 		{"waits_for_lists", test_waits_for_lists},
+		{"run_missing_from_partial_list", test_run_missing_from_partial_list},
+		{"waits_for_more_ends", test_waits_for_more_ends},
 		{"refusal_of_unsettled_agent", test_refusal_of_unsettled_agent},
 		{"new_jobs_need_not_wait", test_new_jobs_need_not_wait},
 		{"forgets_gone_agents", test_forgets_gone_agents},
--- a/tests/test_fleet_sim.c
+++ b/tests/test_fleet_sim.c
@@ -12,8 +12,8 @@
  * agent's controllers are the real ones. Guards against two runs of one task, starts out of order,
  * starts without room, runs of cancelled jobs and jobs that never end.
  *
- * test_fleet_sim FIRST COUNT [-v] [--new-ids] [--no-crashes] [--faults KIND,KIND...] plays other
- * seeds by hand.
+ * test_fleet_sim FIRST COUNT [-v] [--new-ids] [--no-crashes] [--faults KIND,KIND...] [--ends MAX]
+ * plays other seeds by hand; with --ends, lists of workers name at most MAX ends.
  */
 
 #define JOBS_MAX 128
@@ -24,6 +24,7 @@
 /* After the end of the faults a cancelled job has this long to stop. */
 #define CANCEL_LIMIT_MS 10000
 #define SEEDS_IN_CI 30
+#define SEEDS_OF_KIND 15 /* of days that are drawn for one kind of fault */
 
 struct job {
 	struct sim_step steps[SIM_STEPS_MAX];
@@ -222,6 +223,8 @@
 
 	sim->verbose = verbose;
 	sim_runs_create(SIM_MAX_ATTEMPTS);
+	if (mix->listed_ends)
+		sim_workers_limit_ends(mix->listed_ends);
 	sim_fleet_create(sim_chance(0.1) ? (int)sim_between(8, 12) : 4, sim_chance(0.5));
 	plan_jobs();
 	sim_faults_plan(mix);
@@ -240,11 +243,10 @@
 	return violations;
 }
 
-static void check_day(uint64_t seed)
+static void check_mixed_day(uint64_t seed, const struct sim_fault_mix *mix)
 {
-	const struct sim_fault_mix mix = {0};
 	uint32_t unfinished;
-	int violations = play_day(seed, &mix, false, &unfinished);
+	int violations = play_day(seed, mix, false, &unfinished);
 
 	CU_ASSERT_EQUAL(violations, 0);
 	CU_ASSERT_EQUAL(unfinished, 0);
@@ -253,6 +255,13 @@
 		       violations, unfinished, sim_runs_violation());
 }
 
+static void check_day(uint64_t seed)
+{
+	const struct sim_fault_mix mix = {0};
+
+	check_mixed_day(seed, &mix);
+}
+
 static void test_random_days(void)
 {
 	for (uint64_t seed = 1; seed <= SEEDS_IN_CI; seed++)
@@ -269,6 +278,18 @@
 		check_day(seeds[i]);
 }
 
+/*
+ * Guards against a list that is cut short and taken as complete: the tasks whose ends it lacks
+ * were started again.
+ */
+static void test_lists_cut_short(void)
+{
+	const struct sim_fault_mix mix = {.listed_ends = 2};
+
+	for (uint64_t seed = 1; seed <= SEEDS_OF_KIND; seed++)
+		check_mixed_day(seed, &mix);
+}
+
 static int play_by_hand(int argc, char **argv)
 {
 	uint64_t first = strtoull(argv[1], NULL, 10);
@@ -284,6 +305,8 @@
 		mix.without_crashes = mix.without_crashes || !strcmp(argv[i], "--no-crashes");
 		if (!strcmp(argv[i], "--faults") && i + 1 < argc)
 			mix.only = argv[i + 1];
+		if (!strcmp(argv[i], "--ends") && i + 1 < argc)
+			mix.listed_ends = (uint32_t)atoi(argv[i + 1]);
 	}
 	for (uint64_t seed = first; seed < first + count; seed++) {
 		uint32_t unfinished;
@@ -312,6 +335,7 @@
 	suite = CU_add_suite("fleet_sim", NULL, NULL);
 	CU_add_test(suite, "random_days", test_random_days);
 	CU_add_test(suite, "late_calls", test_late_calls);
+	CU_add_test(suite, "lists_cut_short", test_lists_cut_short);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -574,7 +574,7 @@
 	plan_on_loss(sim->plan, count_loss, losses);
 	plansim_add_job(sim, "j1", "batch", "b", SMALL);
 	plansim_run(sim, 100);
-	plan_worker_list_end(sim->plan, "w0", sim->now_ms);
+	plan_worker_list_end(sim->plan, "w0", true, sim->now_ms);
 	CU_ASSERT_EQUAL(losses[PLAN_LOSS_UNLISTED], 4);
 	plansim_run(sim, 100);
 	plan_worker_lost(sim->plan, "w0", sim->now_ms);
@@ -642,9 +642,9 @@
 			"[{\"tasks\":1,\"cpu_milli\":1000,\"estimate_ms\":2000}]");
 	plansim_run(sim, 20);
 	plan_worker_pending(sim->plan, "w0", &pending, sim->now_ms);
-	plan_worker_list_end(sim->plan, "w0", sim->now_ms);
+	plan_worker_list_end(sim->plan, "w0", true, sim->now_ms);
 	plan_agent_replaced(sim->plan, "w0");
-	plan_worker_list_end(sim->plan, "w0", sim->now_ms);
+	plan_worker_list_end(sim->plan, "w0", true, sim->now_ms);
 	CU_ASSERT_EQUAL_FATAL(plan_orders(sim->plan, sim, "w0", &orders), 1);
 	CU_ASSERT_TRUE(orders[0].start);
 	CU_ASSERT_EQUAL(orders[0].run, 1);
@@ -667,7 +667,7 @@
 	plansim_run(sim, 20);
 	plan_worker_refused(sim->plan, "w0", &orphan, PLAN_REFUSED_UNHEALTHY, sim->now_ms);
 	plan_worker_running(sim->plan, "w0", &orphan, sim->now_ms);
-	plan_worker_list_end(sim->plan, "w0", sim->now_ms);
+	plan_worker_list_end(sim->plan, "w0", true, sim->now_ms);
 	sim->workers[1].draining = false;
 	plansim_run(sim, 500);
 	CU_ASSERT_EQUAL(sim->starts, 0);
@@ -706,10 +706,10 @@
 	plansim_restart_leader(sim, false);
 	report_worker(sim, "a");
 	plan_worker_pending(sim->plan, "a", &pending, sim->now_ms);
-	plan_worker_list_end(sim->plan, "a", sim->now_ms);
+	plan_worker_list_end(sim->plan, "a", true, sim->now_ms);
 	report_worker(sim, "b");
 	plan_worker_running(sim->plan, "b", &running, sim->now_ms);
-	plan_worker_list_end(sim->plan, "b", sim->now_ms);
+	plan_worker_list_end(sim->plan, "b", true, sim->now_ms);
 	plan_decide(sim->plan, sim->now_ms, NULL, NULL);
 	count = plan_orders(sim->plan, sim, "a", &orders);
 	for (size_t i = 0; i < count; i++)
@@ -730,13 +730,13 @@
 	plansim_restart_leader(sim, false);
 	report_worker(sim, "a");
 	plan_worker_pending(sim->plan, "a", &pending, sim->now_ms);
-	plan_worker_list_end(sim->plan, "a", sim->now_ms);
+	plan_worker_list_end(sim->plan, "a", true, sim->now_ms);
 	CU_ASSERT_EQUAL_FATAL(plan_orders(sim->plan, sim, "a", &orders), 1);
 	CU_ASSERT_FALSE(orders[0].start);
 	CU_ASSERT_EQUAL(orders[0].run, 5);
 	report_worker(sim, "b");
 	plan_worker_running(sim->plan, "b", &running, sim->now_ms);
-	plan_worker_list_end(sim->plan, "b", sim->now_ms);
+	plan_worker_list_end(sim->plan, "b", true, sim->now_ms);
 	CU_ASSERT_EQUAL(plan_orders(sim->plan, sim, "b", &orders), 0);
 	check_and_free(sim);
 }
@@ -754,11 +754,11 @@
 	plansim_restart_leader(sim, false);
 	report_worker(sim, "a");
 	plan_worker_running(sim->plan, "a", &earlier, sim->now_ms);
-	plan_worker_list_end(sim->plan, "a", sim->now_ms);
+	plan_worker_list_end(sim->plan, "a", true, sim->now_ms);
 	report_worker(sim, "b");
 	plan_worker_running(sim->plan, "b", &later[0], sim->now_ms);
 	plan_worker_running(sim->plan, "b", &later[1], sim->now_ms);
-	plan_worker_list_end(sim->plan, "b", sim->now_ms);
+	plan_worker_list_end(sim->plan, "b", true, sim->now_ms);
 	CU_ASSERT_EQUAL(plan_orders(sim->plan, sim, "b", &orders), 0);
 	CU_ASSERT_EQUAL_FATAL(plan_orders(sim->plan, sim, "a", &orders), 1);
 	CU_ASSERT_FALSE(orders[0].start);
@@ -778,10 +778,10 @@
 	plansim_restart_leader(sim, false);
 	report_worker(sim, "a");
 	plan_worker_pending(sim->plan, "a", &pending, sim->now_ms);
-	plan_worker_list_end(sim->plan, "a", sim->now_ms);
+	plan_worker_list_end(sim->plan, "a", true, sim->now_ms);
 	report_worker(sim, "b");
 	plan_worker_running(sim->plan, "b", &running, sim->now_ms);
-	plan_worker_list_end(sim->plan, "b", sim->now_ms);
+	plan_worker_list_end(sim->plan, "b", true, sim->now_ms);
 	plan_recovery_done(sim->plan);
 	CU_ASSERT_EQUAL_FATAL(plan_orders(sim->plan, sim, "b", &orders), 1);
 	CU_ASSERT_FALSE(orders[0].start);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -533,6 +533,9 @@
 	int calls;
 	int status;
 	char text[256]; /* runs and ends: "task/run percent;" */
+	size_t end_count;
+	bool more_ends;
+	bool unreadable;
 };
 
 static void on_list(int status, const struct runner_list *list, void *ctx)
@@ -542,6 +545,9 @@
 
 	listed->calls++;
 	listed->status = status;
+	listed->end_count = list ? list->end_count : 0;
+	listed->more_ends = list && list->more_ends;
+	listed->unreadable = list && list->unreadable;
 	for (size_t i = 0; list && i < list->running_count; i++)
 		g_string_append_printf(text, "%s/%u %u;", list->running[i].task,
 				       list->running[i].run, list->running[i].percent);
@@ -560,6 +566,8 @@
 		const char *ended;
 		const char *read;
 	} cases[] = {
+		/* Each has a row that can't be used, so the list does not name all runs and ends.
+		 */
 		{"[\"x.0.0.0\",2,\"\",1e400]", "[]", "x.0.0.0/2 0;"},
 		{"[\"x.0.0.0\",2,\"\",1e300]", "[]", "x.0.0.0/2 100;"},
 		{"[\"x.0.0.0\",2,\"\",-5]", "[]", "x.0.0.0/2 0;"},
@@ -594,6 +602,8 @@
 		while (listed.calls == 0)
 			tevent_loop_once(answers.ev);
 		CU_ASSERT_EQUAL(listed.status, 0);
+		CU_ASSERT_TRUE(listed.unreadable);
+		CU_ASSERT_FALSE(listed.more_ends);
 		CU_ASSERT_STRING_EQUAL(listed.text, want);
 		if (strcmp(listed.text, want) != 0)
 			printf("\n%zu: %s", i, listed.text);
@@ -601,6 +611,36 @@
 	talloc_free(answers.mem);
 }
 
+/* Guards against a list with as many ends as a worker lists at a time that is taken as complete. */
+static void test_long_run_lists(void)
+{
+	static const int counts[] = {0, 1, 499, 500, 501};
+	struct answers answers = {0};
+	struct runner_calls *calls;
+
+	start_answers(&answers);
+	calls = platform_worker_create(answers.mem, httpc_create(answers.mem, answers.ev),
+				       httpd_address(answers.server));
+	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
+		struct runner_renewal renewal = {.fence = 1};
+		struct listed listed = {0};
+		char *ends = talloc_strdup(answers.mem, "");
+
+		for (int n = 1; n <= counts[i]; n++)
+			ends = talloc_asprintf_append(ends, "%s[%d,\"a.0.0.%d\",1,\"done\",\"\"]",
+						      n > 1 ? "," : "", n, n);
+		answers.body = talloc_asprintf(
+			answers.mem, "{\"clock_ms\":5,\"running\":[],\"ended\":[%s]}", ends);
+		calls->renew(calls->impl, &renewal, on_list, &listed);
+		while (listed.calls == 0)
+			tevent_loop_once(answers.ev);
+		CU_ASSERT_EQUAL(listed.end_count, (size_t)counts[i]);
+		CU_ASSERT_EQUAL(listed.more_ends, counts[i] >= 500);
+		CU_ASSERT_FALSE(listed.unreadable);
+	}
+	talloc_free(answers.mem);
+}
+
 struct followed {
 	char text[256];
 	int loaded;
@@ -701,6 +741,7 @@
 	CU_add_test(suite, "odd_heartbeats", test_odd_heartbeats);
 	CU_add_test(suite, "odd_config", test_odd_config);
 	CU_add_test(suite, "odd_run_lists", test_odd_run_lists);
+	CU_add_test(suite, "long_run_lists", test_long_run_lists);
 	CU_add_test(suite, "odd_store_items", test_odd_store_items);
 	CU_add_test(suite, "encoded_nul", test_encoded_nul);
 	CU_add_test(suite, "control_calls", test_control_calls);
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -39,6 +39,8 @@
 	size_t running_count;
 	struct fleet_run_end ends[LIST_MAX];
 	size_t end_count;
+	bool more_ends; /* than the list names */
+	bool unreadable;
 	uint64_t ends_known;
 	/* The leader. */
 	char agent_peer[64];
@@ -80,7 +82,9 @@
 				   .running = answer->f->running,
 				   .running_count = answer->f->running_count,
 				   .ends = answer->f->ends,
-				   .end_count = answer->f->end_count};
+				   .end_count = answer->f->end_count,
+				   .more_ends = answer->f->more_ends,
+				   .unreadable = answer->f->unreadable};
 
 	if (answer->f->list_answers_lost)
 		answer->list(-ERR_OUTCOME_UNKNOWN, NULL, answer->ctx);
@@ -1040,6 +1044,81 @@
 	tear_down(f);
 }
 
+/* The list of the worker names neither the run nor its end; then it names the end. */
+static void check_missing_run(bool more_ends)
+{
+	struct fixture *f = set_up();
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	f->orders[f->order_count++] = start_order();
+	memkv_run(f->ev, 300);
+	CU_ASSERT_EQUAL(f->report->running_count, 1);
+	f->order_count = 0;
+	f->running_count = 0;
+	f->more_ends = more_ends;
+	f->unreadable = !more_ends;
+	f->ends[f->end_count++] = (struct fleet_run_end){1, {"k.0.0.0", 1, "", 0}, PLAN_END_DONE};
+	memkv_run(f->ev, 400);
+	CU_ASSERT_EQUAL(f->report->more_ends, more_ends);
+	CU_ASSERT_EQUAL(f->report->unreadable, !more_ends);
+	CU_ASSERT_EQUAL(f->report->running_count, 0);
+	CU_ASSERT_EQUAL(f->report->pending_count, 1);
+	f->orders[f->order_count++] =
+		(struct plan_order){.task = "j.0.0.0", .run = 1, .stop_reason = ""};
+	memkv_run(f->ev, 400);
+	CU_ASSERT(f->stops > 0);
+	CU_ASSERT_EQUAL(f->report->refusal_count, 0);
+	CU_ASSERT_EQUAL(f->report->pending_count, 1);
+	f->order_count = 0;
+	f->more_ends = false;
+	f->unreadable = false;
+	f->ends[f->end_count++] = (struct fleet_run_end){2, {"j.0.0.0", 1, "", 0}, PLAN_END_DONE};
+	memkv_run(f->ev, 400);
+	CU_ASSERT_EQUAL(f->report->end_count, 2);
+	CU_ASSERT_EQUAL(f->report->pending_count, 0);
+	CU_ASSERT_EQUAL(f->report->refusal_count, 0);
+	tear_down(f);
+}
+
+/*
+ * Guards against a second start of a task whose end is among those that the worker has not listed
+ * yet, or whose row can't be read.
+ */
+static void test_run_missing_from_partial_list(void)
+{
+	check_missing_run(true);
+	check_missing_run(false);
+}
+
+/* Guards against starts that are withdrawn because a part of the orders can't be read. */
+static void test_unreadable_order(void)
+{
+	struct fixture *f = set_up();
+	char *text;
+	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = 3};
+
+	announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	f->start_result = RUNNER_NO_ANSWER;
+	f->start_delay_ms = 900;
+	f->orders[f->order_count++] = start_order();
+	memkv_run(f->ev, 300);
+	CU_ASSERT_EQUAL(f->starts, 1);
+	f->answers = false;
+	text = talloc_asprintf(f,
+			       "{\"session\":0,\"echo\":1,\"incarnation\":\"%s\","
+			       "\"orders\":[[7,1,\"\",\"p\"]]}",
+			       f->report->info.incarnation);
+	msg.u.worker_orders.json.data = (uint8_t *)text;
+	msg.u.worker_orders.json.len = strlen(text);
+	wire_send(f->leader_wire, f->agent_peer, &msg);
+	memkv_run(f->ev, 1000); /* a withdrawn start is stopped when its call has ended */
+	CU_ASSERT_EQUAL(f->starts, 2);
+	CU_ASSERT_EQUAL(f->stops, 0);
+	tear_down(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -1084,6 +1163,8 @@
 	CU_add_test(suite, "ends_known_after_failure", test_ends_known_after_failure);
 	CU_add_test(suite, "no_start_under_long_lease", test_no_start_under_long_lease);
 	CU_add_test(suite, "end_after_unanswered_stop", test_end_after_unanswered_stop);
+	CU_add_test(suite, "run_missing_from_partial_list", test_run_missing_from_partial_list);
+	CU_add_test(suite, "unreadable_order", test_unreadable_order);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
