coordstore: a page without a readable key does not end the load

What callers would see: after an election, jobs whose progress stands on later pages start from their beginning, completed ones too.

Cause: the readers of progress/ and agent/ took a page that has more after it and no readable key for the last one.

Change: kv_range_next() in one place for all three readers of ranges; when it is unknown where the range goes on, the load begins again.

Evidence: test_coord/page_without_readable_key failed before (a completed job was started).

--- a/src/coordstore.c
+++ b/src/coordstore.c
@@ -180,9 +180,22 @@
 	coord_load(ctx);
 }
 
+/* Returns NULL and begins the load again if the page does not show where the range goes on. */
+static const char *next_page(struct coord *coord, const char *prefix, const struct kv_result *page)
+{
+	const char *next = kv_range_next(page);
+
+	if (!next) {
+		log_once("page_unreadable", prefix, "no key of a page could be read");
+		schedule_after(coord, RETRY_MS, on_load_retry);
+	}
+	return next;
+}
+
 static void on_progress_read(int status, const struct kv_result *result, void *ctx)
 {
 	struct coord *coord = coord_end_call(ctx);
+	const char *next;
 
 	if (!coord)
 		return;
@@ -202,8 +215,10 @@
 		g_hash_table_insert(coord->progress, g_strdup(id),
 				    g_strdup(result->items[i].value));
 	}
-	if (result->more && result->count > 0) {
-		read_progress(coord, result->items[result->count - 1].key);
+	if (!(next = next_page(coord, PROGRESS_PREFIX, result)))
+		return;
+	if (*next) {
+		read_progress(coord, next);
 		return;
 	}
 	coord->progress_loaded = true;
@@ -219,6 +234,7 @@
 static void on_agents_read(int status, const struct kv_result *result, void *ctx)
 {
 	struct coord *coord = coord_end_call(ctx);
+	const char *next;
 
 	if (!coord)
 		return;
@@ -246,8 +262,10 @@
 		row->key_stored = true;
 		row->key_revision = item->revision;
 	}
-	if (result->more && result->count > 0) {
-		read_agents(coord, result->items[result->count - 1].key);
+	if (!(next = next_page(coord, AGENT_PREFIX, result)))
+		return;
+	if (*next) {
+		read_agents(coord, next);
 		return;
 	}
 	coord->agents_loaded = true;
--- a/src/kv.h
+++ b/src/kv.h
@@ -113,6 +113,14 @@
 	void *impl;
 };
 
+/**
+ * kv_range_next() - key after which the next page of a range begins
+ *
+ * Return: "" if @page is the last one; NULL if the range goes on and it can't be read where, so
+ * that what was read so far is not all and must not be taken for it. The key is owned by @page.
+ */
+const char *kv_range_next(const struct kv_result *page);
+
 struct kv_mirror;
 
 /**
--- a/src/kvmirror.c
+++ b/src/kvmirror.c
@@ -144,9 +144,17 @@
 	g_list_free(keys);
 }
 
+const char *kv_range_next(const struct kv_result *page)
+{
+	if (!page->more)
+		return "";
+	return page->count > 0 ? page->items[page->count - 1].key : NULL;
+}
+
 static void on_page(int status, const struct kv_result *result, void *ctx)
 {
 	struct kv_mirror *mirror = end_call(ctx);
+	const char *next;
 
 	if (!mirror)
 		return;
@@ -161,15 +169,16 @@
 		g_hash_table_add(mirror->seen, g_strdup(result->items[i].key));
 		report_item(mirror, &result->items[i]);
 	}
-	if (result->more && result->count > 0) {
-		read_page(mirror, result->items[result->count - 1].key);
-		return;
-	}
-	if (result->more) {
+	next = kv_range_next(result);
+	if (!next) {
 		log_once("page_unreadable", mirror->prefix, "no key of a page could be read");
 		schedule_retry(mirror);
 		return;
 	}
+	if (*next) {
+		read_page(mirror, next);
+		return;
+	}
 	report_missing(mirror);
 	mirror->revision = mirror->first_revision;
 	mirror->loaded = true;
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -912,6 +912,45 @@
 	}
 }
 
+static const struct kv_ops *real_ops;
+static int cut_pages; /* pages of stored progress still to be answered without a readable key */
+
+static void cut_range(void *impl, const char *prefix, const char *after, struct kv_cb cb)
+{
+	struct kv_result page = {.more = true, .revision = 1};
+
+	if (strcmp(prefix, "progress/") != 0 || cut_pages == 0) {
+		real_ops->range(impl, prefix, after, cb);
+		return;
+	}
+	cut_pages--;
+	cb.done(0, &page, cb.ctx);
+}
+
+/* Guards against a job that starts from its beginning because a page of progress was unreadable. */
+static void test_page_without_readable_key(void)
+{
+	struct fixture *f = set_up("");
+	struct kv_ops ops = *f->client->kv.ops;
+	enum plan_job_state state;
+
+	real_ops = f->client->kv.ops;
+	ops.range = cut_range;
+	f->client->kv.ops = &ops;
+	cut_pages = 2;
+	put_job(f, "0123456789abcdef", 1);
+	memkv_put(f->store, "progress/0123456789abcdef", "{\"state\":\"completed\"}");
+	elect_leader(f);
+	memkv_run(f->ev, 300);
+	send_report(f, 0, true, NULL, NULL);
+	CU_ASSERT_EQUAL(cut_pages, 0);
+	CU_ASSERT_EQUAL(count_starts(f), 0);
+	CU_ASSERT_EQUAL(coord_job_state(f->coord, "0123456789abcdef", &state), 0);
+	CU_ASSERT_EQUAL(state, PLAN_JOB_COMPLETED);
+	f->client->kv.ops = real_ops;
+	tear_down(f);
+}
+
 /* Guards against keys of agents that stop a leader, or that make it look up names. */
 static void test_odd_agent_keys(void)
 {
@@ -1034,6 +1073,7 @@
 		{"odd_job_keys", test_odd_job_keys},
 		{"odd_progress", test_odd_progress},
 		{"odd_agent_keys", test_odd_agent_keys},
+		{"page_without_readable_key", test_page_without_readable_key},
 		{"announces_a_few_at_a_time", test_announces_a_few_at_a_time},
 		{"end_is_told_to_agents", test_end_is_told_to_agents},
 		{"pause_after_decision", test_pause_after_decision},
