store, cli: a part of a range or list is not used as the whole

What callers would see: "there is no such job" and entries taken for dead, if the store returns a part of a range; jobs and trace records left out by the command line without a word. Not reported.

Cause: "more" in the store's answer was not read; "truncated" and a limit of records were not shown.

Change: store_range() without a limit fails on a part; the configuration reader goes on while there is more; the commands say what they leave out.

Evidence: test_store "cut range" and test_cli "rows" failed before. No test of its own: the trace message, the configuration reader.

--- a/src/cli_job.c
+++ b/src/cli_job.c
@@ -360,6 +360,12 @@
 		cli_print_json(answer.json);
 	else
 		cli_print_table(jobs, columns, COUNT_OF(columns));
+	if (json_is_true(json_object_get(answer.json, "truncated")))
+		fprintf(stderr,
+			"jaycourse jobs: only the newest %zu of %" JSON_INTEGER_FORMAT
+			" jobs are listed\n",
+			json_array_size(jobs),
+			json_integer_value(json_object_get(answer.json, "total")));
 	return CLI_OK;
 }
 
--- a/src/cli_trace.c
+++ b/src/cli_trace.c
@@ -28,6 +28,7 @@
 	struct record *records;
 	size_t record_count;
 	size_t malformed_lines;
+	size_t records_left_out; /* beyond RECORDS_MAX */
 };
 
 static error_t parse_arguments(int key, char *arg, struct argp_state *state)
@@ -88,8 +89,12 @@
 				 copy_string(trace, json, "event"), copy_string(trace, json, "id"),
 				 copy_string(trace, json, "message")};
 	json_decref(json);
-	if (!is_about_job(trace, &record) || trace->record_count == RECORDS_MAX)
+	if (!is_about_job(trace, &record))
 		return;
+	if (trace->record_count == RECORDS_MAX) {
+		trace->records_left_out++;
+		return;
+	}
 	trace->records = talloc_realloc(trace->cli->mem, trace->records, struct record,
 					trace->record_count + 1);
 	trace->records[trace->record_count++] = record;
@@ -160,6 +165,10 @@
 			printf("%s  %-20s %-18s %s  %s\n", record->time, record->node,
 			       record->event, record->id, record->message);
 	}
+	if (trace.records_left_out)
+		fprintf(stderr,
+			"jaycourse trace: %zu more records are left out; name fewer log files\n",
+			trace.records_left_out);
 	if (trace.malformed_lines)
 		fprintf(stderr, "jaycourse trace: %zu lines are not complete JSON records\n",
 			trace.malformed_lines);
--- a/src/configrepo.c
+++ b/src/configrepo.c
@@ -218,7 +218,7 @@
 	repo->gap = !fits;
 	if (!fits && repo->head > 0)
 		read_snapshot(repo);
-	else if (fits && result->count == RECORDS_PER_READ)
+	else if (fits && (result->more || result->count == RECORDS_PER_READ))
 		read_changes(repo);
 	else
 		end_sync(repo, fits ? 0 : -ERR_UNAVAILABLE);
--- a/src/store.c
+++ b/src/store.c
@@ -28,7 +28,8 @@
 	const char *path;
 	char *body;
 	bool write;
-	bool repeatable; /* running it twice does no harm; libcurl may resend it */
+	bool whole_range; /* a part of the range is no result */
+	bool repeatable;  /* running it twice does no harm; libcurl may resend it */
 	enum storejson_answer answer;
 	struct store_cb cb;
 	uint64_t queued_ms;
@@ -199,6 +200,10 @@
 	if (status == -ERR_INVALID && http_status == HTTP_OK)
 		status = call->write ? -ERR_OUTCOME_UNKNOWN : -ERR_UNAVAILABLE;
 	record_result(call, status, http_status);
+	if (!status && call->whole_range && result.more) {
+		log_once("store_range_cut", "", "the store returned only a part of a range");
+		status = -ERR_UNAVAILABLE;
+	}
 	if (!retry_at_next_endpoint(call, status, http_status))
 		end_call(call, status, &result);
 }
@@ -322,6 +327,7 @@
 	const char *from = strcmp(first, prefix) > 0 ? first : prefix;
 
 	call->body = storejson_range(call, from, storejson_prefix_end(call, prefix), limit);
+	call->whole_range = limit == 0;
 	submit_call(call);
 }
 
--- a/src/store.h
+++ b/src/store.h
@@ -50,6 +50,7 @@
 	size_t count;
 	int64_t revision; /* revision of the store that the result reflects */
 	int64_t lease;	  /* ID of the lease that was granted or renewed */
+	bool more;	  /* of a range with a limit: there are keys after the last one */
 };
 
 /* @result is valid only during the callback; NULL when @status is not 0 or -ERR_CONFLICT. */
@@ -92,7 +93,11 @@
 /** store_get() - read one key; a missing key gives status 0 and count 0 */
 void store_get(struct store *store, const char *key, struct store_cb cb);
 
-/** store_range() - read all keys that start with @prefix, in key order, at most @limit (0: all) */
+/**
+ * store_range() - read all keys that start with @prefix, in key order, at most @limit (0: all)
+ *
+ * Without a limit, an answer with a part of the keys fails with -ERR_UNAVAILABLE.
+ */
 void store_range(struct store *store, const char *prefix, uint32_t limit, struct store_cb cb);
 
 /** store_range_from() - like store_range() but only keys at or after @first */
--- a/src/storejson.c
+++ b/src/storejson.c
@@ -235,6 +235,7 @@
 	result->revision = storejson_number(json_object_get(json, "header"), "revision");
 	if (kind == STOREJSON_RANGE) {
 		append_kvs(mem, json_object_get(json, "kvs"), result);
+		result->more = json_is_true(json_object_get(json, "more"));
 		return 0;
 	}
 	if (kind == STOREJSON_TXN)
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -25,6 +25,11 @@
 
 static const struct row rows[] = {
 	{{"jobs"}, 200, 0, "{\"jobs\":[" JOB("running") "]}", "w1"},
+	{{"jobs"},
+	 200,
+	 0,
+	 "{\"jobs\":[" JOB("running") "],\"total\":1001,\"truncated\":true}",
+	 "only the newest 1 of 1001 jobs"},
 	{{"jobs", "--output", "json"}, 200, 0, "{\"jobs\":[]}", "\"jobs\": []"},
 	{{"--output", "json", "jobs"}, 200, 0, "{\"jobs\":[]}", "\"jobs\": []"},
 	{{"status", "aa"}, 200, 0, JOB("waiting"), "waiting"},
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -1,3 +1,4 @@
+#include "httpd.h"
 #include "lib_fakestore.h"
 #include "store_internal.h"
 #include "storejson.h"
@@ -483,6 +484,40 @@
 	talloc_free(mem);
 }
 
+static void serve_cut_range(struct httpd_call *call, void *ctx)
+{
+	httpd_answer(call, 200, "application/json",
+		     "{\"header\":{\"revision\":\"3\"},\"more\":true,\"count\":\"2\","
+		     "\"kvs\":[{\"key\":\"YQ==\",\"value\":\"MQ==\",\"version\":\"1\"}]}",
+		     0);
+}
+
+/* Guards against a part of a range that is taken for all of it. */
+static void test_cut_range(void)
+{
+	struct httpd_handlers handlers = {serve_cut_range, NULL, NULL};
+	struct fixture fixture = {.mem = talloc_new(NULL)};
+	struct call_outcome outcome = {0};
+	struct store_options options = {.endpoint_count = 1};
+	struct httpd *server;
+	struct err err = {0};
+	const char *url;
+
+	fixture.ev = tevent_context_init(fixture.mem);
+	server = httpd_create(fixture.mem, fixture.ev, "127.0.0.1:0", 1000, &handlers, &err);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(server);
+	url = talloc_asprintf(fixture.mem, "http://%s", httpd_address(server));
+	options.endpoints = &url;
+	fixture.store = store_create(fixture.mem, fixture.ev, &options, NULL, &err);
+	store_range(fixture.store, "a", 0, (struct store_cb){on_done, &outcome});
+	CU_ASSERT_EQUAL(await_call(&fixture, &outcome), -ERR_UNAVAILABLE);
+	outcome = (struct call_outcome){0};
+	store_range(fixture.store, "a", 1, (struct store_cb){on_done, &outcome});
+	CU_ASSERT_EQUAL(await_call(&fixture, &outcome), 0);
+	CU_ASSERT_EQUAL(outcome.count, 1);
+	talloc_free(fixture.mem);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -503,6 +538,7 @@
 	CU_add_test(suite, "watch renewed", test_watch_renewed);
 	CU_add_test(suite, "older revision after outage", test_older_revision_after_outage);
 	CU_add_test(suite, "odd items", test_odd_items);
+	CU_add_test(suite, "cut range", test_cut_range);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
