planslow: judge progress by what a percent of the task takes

Cause: whole percents change more seldom than stall_ms for such a task, and speed samples without a change counted as slow. Each stop barred the worker.

Change: standing still is no new percent or checkpoint for ten percents as the task has shown them, or twenty of the estimate, and stall_ms at least. Samples last from one change of the percent to another. A task that stands still on each worker makes only the first suspect.

--- a/src/plan.h
+++ b/src/plan.h
@@ -93,7 +93,8 @@
 /**
  * struct plan_params - time limits that the decisions use
  * @stop_ms: a stop takes at most this long
- * @stall_ms: a task without progress for this long counts as stalled
+ * @stall_ms: a task without progress for this long counts as stalled, if ten of its percents take
+ *	no longer
  */
 struct plan_params {
 	uint32_t stop_ms;
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -36,9 +36,16 @@
 	char *checkpoint;
 	uint32_t saved_percent; /* progress when the checkpoint was taken */
 	uint32_t percent;
-	uint64_t progress_ms; /* when @percent last changed */
-	uint64_t sample_ms;   /* start of the current speed sample; 0: none */
+	uint64_t progress_ms; /* when @percent or the checkpoint last changed */
+	uint64_t percent_changed_ms;
+	uint64_t percent_ms; /* that the latest percent took, on any worker; 0: not known yet */
+	uint32_t
+		stalls; /* workers in a row on which it stood still at @stalled_percent or before */
+	const struct worker *stalled_on; /* the latest of them */
+	uint32_t stalled_percent;
+	uint64_t sample_ms; /* start of the current speed sample; 0: none */
 	uint32_t sample_percent;
+	bool sample_aligned; /* the sample began when @percent changed */
 	double speed; /* percent per millisecond over the last complete sample; below 0: none yet */
 	double best_speed;     /* of all samples so far, on any worker */
 	uint32_t slow_samples; /* number in a row */
@@ -204,7 +211,8 @@
 GPtrArray *plan_waiting_steps(struct plan *plan, uint64_t now_ms);
 
 /* planslow.c */
-void plan_sample_speed(struct task *task, uint64_t now_ms);
+/* Notes the progress of a running task that its worker has listed. */
+void plan_record_percent(struct task *task, uint32_t percent, uint64_t now_ms);
 void plan_move_stalled(struct plan *plan, uint64_t now_ms);
 void plan_move_slow(struct plan *plan, uint64_t now_ms);
 
--- a/src/planslow.c
+++ b/src/planslow.c
@@ -6,6 +6,16 @@
  */
 
 #define SAMPLE_MIN_MS 1200 /* shorter samples measure the granularity of progress reports */
+/*
+ * A task stands still if its percent has not changed for this many times as long as one takes. A
+ * slower worker that still works is found by SLOW_FACTOR.
+ */
+#define STALL_FACTOR 10.0
+/* Estimates of callers are wrong by a factor of up to ten; as much again covers the start. */
+#define ESTIMATE_FACTOR 20.0
+/* A task that has shown no progress gets four times as long on each further worker. */
+#define STALL_BACKOFF_BITS 2
+#define STALL_BACKOFF_MAX 8
 /*
  * A task is slow if its speed is below its own best speed by this factor. Estimates of callers
  * are wrong by a factor of up to ten and tasks of one step differ by as much, so neither is a
@@ -26,24 +36,99 @@
 	       !(spec->gang && task->percent >= PERCENT_DONE);
 }
 
-void plan_sample_speed(struct task *task, uint64_t now_ms)
+static void begin_sample(struct task *task, bool changed, uint64_t now_ms)
+{
+	task->sample_ms = now_ms;
+	task->sample_percent = task->percent;
+	task->sample_aligned = changed;
+}
+
+/*
+ * Ends a sample once it is long enough and either the percent has changed or even the next percent
+ * would make it slow. A task may need hours for a percent, so only samples from one change to
+ * another measure the speed that it can have.
+ */
+static void sample_speed(struct task *task, bool changed, uint64_t now_ms)
 {
 	uint64_t passed_ms = now_ms - task->sample_ms;
+	uint32_t done;
+	double speed;
 
 	/* Before the first percent a task starts or restores a checkpoint; that is not sampled. */
 	if (task->percent == 0 || !should_progress(task))
 		return;
-	if (task->sample_ms && passed_ms < SAMPLE_MIN_MS)
+	if (!task->sample_ms || task->percent < task->sample_percent) {
+		if (changed)
+			begin_sample(task, true, now_ms);
 		return;
-	if (task->sample_ms && task->percent >= task->sample_percent) {
-		task->speed = (double)(task->percent - task->sample_percent) / (double)passed_ms;
-		if (task->speed > task->best_speed)
-			task->best_speed = task->speed;
-		task->slow_samples =
-			task->speed * SLOW_FACTOR < task->best_speed ? task->slow_samples + 1 : 0;
 	}
-	task->sample_ms = now_ms;
-	task->sample_percent = task->percent;
+	if (passed_ms < SAMPLE_MIN_MS)
+		return;
+	done = task->percent - task->sample_percent;
+	speed = (double)(changed ? done : done + 1) / (double)passed_ms;
+	if (!changed && speed * SLOW_FACTOR >= task->best_speed)
+		return;
+	task->speed = speed;
+	if (changed && task->sample_aligned && speed > task->best_speed)
+		task->best_speed = speed;
+	task->slow_samples = speed * SLOW_FACTOR < task->best_speed ? task->slow_samples + 1 : 0;
+	begin_sample(task, changed, now_ms);
+}
+
+void plan_record_percent(struct task *task, uint32_t percent, uint64_t now_ms)
+{
+	bool changed = percent != task->percent;
+
+	/* A task that continues from a checkpoint begins within a percent. */
+	if (percent > task->percent && (task->percent == 0 || task->sample_ms))
+		task->percent_ms = (now_ms - task->percent_changed_ms) / (percent - task->percent);
+	if (changed) {
+		task->progress_ms = now_ms;
+		task->percent_changed_ms = now_ms;
+	}
+	if (percent > task->stalled_percent)
+		task->stalls = 0;
+	task->percent = percent;
+	sample_speed(task, changed, now_ms);
+}
+
+/* Other workers on which the task has stood still and not got further since. */
+static uint32_t stalls_elsewhere(const struct task *task)
+{
+	return task->stalls - (task->stalls > 0 && task->stalled_on == task->worker);
+}
+
+/* Time without a sign of progress after which the task stands still. */
+static uint64_t stall_limit_ms(const struct plan *plan, const struct task *task)
+{
+	double limit_ms = plan->params.stall_ms;
+	uint32_t backoff = 0;
+
+	if (task->best_speed > 0) {
+		limit_ms = MAX(limit_ms, STALL_FACTOR / task->best_speed);
+	} else if (task->percent_ms > 0) {
+		limit_ms = MAX(limit_ms, STALL_FACTOR * (double)task->percent_ms);
+	} else {
+		limit_ms = MAX(limit_ms, ESTIMATE_FACTOR / PERCENT_DONE *
+						 (double)task->step->spec->estimate_ms);
+		backoff = STALL_BACKOFF_BITS * MIN(stalls_elsewhere(task), STALL_BACKOFF_MAX);
+	}
+	return (uint64_t)limit_ms << backoff;
+}
+
+static void count_stall(struct task *task)
+{
+	struct step_run *step = task->step;
+
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		struct task *member = step->spec->gang ? &step->tasks[i] : task;
+
+		member->stalls = stalls_elsewhere(member) + 1;
+		member->stalled_on = member->worker;
+		member->stalled_percent = MAX(member->stalled_percent, member->percent);
+		if (!step->spec->gang)
+			break;
+	}
 }
 
 /*
@@ -69,11 +154,13 @@
 		for (struct task *task = worker->tasks; task; task = task->next_on_worker) {
 			/* Without a list of the worker since then, the progress is unknown. */
 			if (!should_progress(task) ||
-			    worker->last_list_ms <= task->progress_ms + plan->params.stall_ms)
+			    worker->last_list_ms <= task->progress_ms + stall_limit_ms(plan, task))
 				continue;
 			task->avoid = worker;
-			if (!gang_spans_workers(task->step))
+			/* A task that has stood still elsewhere says nothing of this worker. */
+			if (!gang_spans_workers(task->step) && stalls_elsewhere(task) == 0)
 				plan_suspect_worker(worker, now_ms);
+			count_stall(task);
 			plan_stop_gang(task, "it makes no progress");
 		}
 	}
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -202,6 +202,7 @@
 
 	if (!*run->checkpoint || (task->checkpoint && !strcmp(task->checkpoint, run->checkpoint)))
 		return;
+	task->progress_ms = now_ms; /* a task that stands still takes no checkpoints */
 	talloc_free(task->checkpoint);
 	task->checkpoint = talloc_strdup(step->occurrence, run->checkpoint);
 	task->saved_percent = run->percent;
@@ -295,11 +296,9 @@
 		task->state = TASK_RUNNING;
 		task->began_ms = now_ms;
 		task->progress_ms = now_ms;
+		task->percent_changed_ms = now_ms;
 	}
-	if (run->percent != task->percent)
-		task->progress_ms = now_ms;
-	task->percent = run->percent;
-	plan_sample_speed(task, now_ms);
+	plan_record_percent(task, run->percent, now_ms);
 }
 
 /*
