wire: messages of more than 1 MiB are sent in parts

Cause: all open orders of a worker are one message. Receivers refuse bodies of more than 1 MiB, the sender does not learn of it and repeats the message.

Change: the wire sends long messages in parts and joins them, up to 32 MiB, for all messages between processes; a longer one is refused to its sender and logged. Bodies of requests and answers keep their limit.

--- a/src/msg.c
+++ b/src/msg.c
@@ -319,6 +319,13 @@
 	FIELD_U64(struct msg_relay_probed, code),
 };
 
+static const struct field part_fields[] = {
+	FIELD_U64(struct msg_part, number),
+	FIELD_U64(struct msg_part, offset),
+	FIELD_U64(struct msg_part, total),
+	FIELD_BYTES(struct msg_part, data),
+};
+
 #define LAYOUT(type, member) [type] = {#member, member##_fields, ARRAY_LEN(member##_fields)}
 
 static const struct layout layouts[MSG_TYPE_COUNT] = {
@@ -361,6 +368,7 @@
 	LAYOUT(MSG_RELAYED, relayed),
 	LAYOUT(MSG_RELAY_PROBE, relay_probe),
 	LAYOUT(MSG_RELAY_PROBED, relay_probed),
+	LAYOUT(MSG_PART, part),
 };
 
 /* View of the adjacent members @rows and @row_count of struct msg_target_delta. */
@@ -485,7 +493,7 @@
 
 static int unpack_bytes(TALLOC_CTX *mem, const msgpack_object *object, struct msg_bytes *out)
 {
-	if (object->type != MSGPACK_OBJECT_BIN || object->via.bin.size > MSG_BODY_MAX)
+	if (object->type != MSGPACK_OBJECT_BIN)
 		return -ERR_INVALID;
 	out->data = talloc_memdup(mem, object->via.bin.ptr, object->via.bin.size);
 	out->len = object->via.bin.size;
@@ -557,10 +565,21 @@
 	return 0;
 }
 
+/* What users send and get has a limit of its own; others are bounded by what a peer may send. */
+static int check_body(const struct msg *msg)
+{
+	if (msg->type == MSG_REQUEST && msg->u.request.body.len > MSG_BODY_MAX)
+		return -ERR_INVALID;
+	if (msg->type == MSG_CHUNK && msg->u.chunk.data.len > MSG_BODY_MAX)
+		return -ERR_INVALID;
+	return 0;
+}
+
 static int unpack_message(TALLOC_CTX *mem, const msgpack_object *root, struct msg *msg)
 {
 	const msgpack_object_array *array = &root->via.array;
 	uint64_t type;
+	int ret;
 
 	if (root->type != MSGPACK_OBJECT_ARRAY || array->size < 2)
 		return -ERR_INVALID;
@@ -570,8 +589,9 @@
 	if (type == 0 || type >= MSG_TYPE_COUNT)
 		return -ERR_INVALID;
 	msg->type = (enum msg_type)type;
-	return unpack_fields(mem, array->ptr + 2, array->size - 2, layouts[type].fields,
-			     layouts[type].count, (char *)&msg->u);
+	ret = unpack_fields(mem, array->ptr + 2, array->size - 2, layouts[type].fields,
+			    layouts[type].count, (char *)&msg->u);
+	return ret ? ret : check_body(msg);
 }
 
 /* Sizes of the msgpack elements with a fixed length after the type byte, from 0xc0 on. */
--- a/src/msg.h
+++ b/src/msg.h
@@ -61,6 +61,7 @@
 	MSG_RELAYED,
 	MSG_RELAY_PROBE,
 	MSG_RELAY_PROBED,
+	MSG_PART,
 	MSG_TYPE_COUNT,
 };
 
@@ -419,6 +420,14 @@
 	uint64_t code; /* 0: the store answers; or enum err_code */
 };
 
+/* Part of an encoded message that is too long to be sent whole, see parts.h. */
+struct msg_part {
+	uint64_t number; /* of the message */
+	uint64_t offset; /* of the part in it */
+	uint64_t total;	 /* bytes of the message */
+	struct msg_bytes data;
+};
+
 /**
  * struct msg - one message of any type
  * @type: selects the member of the union
@@ -467,6 +476,7 @@
 		struct msg_relayed relayed;
 		struct msg_relay_probe relay_probe;
 		struct msg_relay_probed relay_probed;
+		struct msg_part part;
 	} u;
 };
 
--- a/src/wire.c
+++ b/src/wire.c
@@ -1,10 +1,12 @@
 #include "wire.h"
 #include "fields.h"
 #include "log.h"
+#include "parts.h"
 #include "util.h"
 
 #include <errno.h>
 #include <glib.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/eventfd.h>
@@ -59,6 +61,8 @@
 	int received[MSG_TYPE_COUNT];
 	int sent[MSG_TYPE_COUNT];
 	int malformed;
+	struct parts *parts;   /* of messages that are arriving */
+	uint64_t parts_number; /* of the latest message that was sent in parts */
 };
 
 /* Index of the byte counters: 0 for control messages, 1 for requests and answers of users. */
@@ -99,7 +103,31 @@
 			       "Messages from peers that could not be decoded");
 }
 
-static void deliver_message(struct wire *wire, const char *peer, const uint8_t *data, size_t len)
+static void deliver_message(struct wire *wire, const char *source, const char *peer,
+			    const uint8_t *data, size_t len);
+
+static void take_part(struct wire *wire, const char *source, const char *peer,
+		      const struct msg_part *part)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	uint8_t *data;
+	size_t len;
+	int ret = parts_add(wire->parts, source, part, mem, &data, &len);
+
+	if (ret) {
+		metrics_add(wire->metrics, wire->malformed, 1);
+		log_once("wire_part", peer,
+			 "a part of a message of %" PRIu64 " bytes is dropped: %s", part->total,
+			 err_name(ret));
+	} else if (data) {
+		deliver_message(wire, source, peer, data, len);
+	}
+	talloc_free(mem);
+}
+
+/* @source: names the connection and the peer */
+static void deliver_message(struct wire *wire, const char *source, const char *peer,
+			    const uint8_t *data, size_t len)
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
 	struct msg *msg;
@@ -111,7 +139,10 @@
 	} else {
 		metrics_add(wire->metrics, wire->received_bytes[traffic_class(msg->type)], len);
 		metrics_add(wire->metrics, wire->received[msg->type], 1);
-		wire->handlers.on_message(peer, msg, wire->handlers.ctx);
+		if (msg->type == MSG_PART)
+			take_part(wire, source, peer, &msg->u.part);
+		else
+			wire->handlers.on_message(peer, msg, wire->handlers.ctx);
 	}
 	talloc_free(mem);
 }
@@ -141,6 +172,7 @@
 static bool receive_message(struct link *link)
 {
 	char peer[PEER_NAME_MAX + 1] = "";
+	char source[PEER_NAME_MAX + 2];
 	zmq_msg_t frame;
 	bool more;
 
@@ -157,7 +189,8 @@
 		snprintf(peer, sizeof(peer), "%s", link->peer);
 	}
 	skip_frames(link->socket, more);
-	deliver_message(link->wire, peer, zmq_msg_data(&frame), zmq_msg_size(&frame));
+	snprintf(source, sizeof(source), "%c%s", link->peer ? '>' : '<', peer);
+	deliver_message(link->wire, source, peer, zmq_msg_data(&frame), zmq_msg_size(&frame));
 	zmq_msg_close(&frame);
 	return true;
 }
@@ -358,6 +391,7 @@
 	wire->unread_fde =
 		tevent_add_fd(ev, wire, wire->unread_fd, TEVENT_FD_READ, on_unread, wire);
 	g_queue_init(&wire->unread);
+	wire->parts = parts_create(wire);
 	wire->zmq = zmq_ctx_new();
 	talloc_set_destructor(wire, wire_destructor);
 	define_counters(wire);
@@ -436,6 +470,29 @@
 	return 0;
 }
 
+static int send_parts(struct wire *wire, struct link *link, const char *peer, const uint8_t *data,
+		      size_t len)
+{
+	uint64_t number = ++wire->parts_number;
+	int ret = 0;
+
+	if (len > PARTS_JOINED_MAX_BYTES) {
+		log_error("wire_too_large", peer, "a message of %zu bytes can't be sent", len);
+		return -ERR_TOO_LARGE;
+	}
+	for (size_t i = 0; i < parts_count(len) && !ret; i++) {
+		struct msg part = {.type = MSG_PART, .u.part = parts_cut(data, len, number, i)};
+		uint8_t *bytes;
+		size_t size;
+
+		ret = msg_encode(&part, wire, &bytes, &size);
+		if (!ret)
+			ret = send_frames(link, peer, bytes, size);
+		talloc_free(bytes);
+	}
+	return ret;
+}
+
 int wire_send(struct wire *wire, const char *peer, const struct msg *msg)
 {
 	struct link *link = find_link(wire, peer);
@@ -448,7 +505,10 @@
 	ret = msg_encode(msg, wire, &data, &len);
 	if (ret)
 		return ret;
-	ret = send_frames(link, peer, data, len);
+	if (len > PARTS_WHOLE_MAX_BYTES)
+		ret = send_parts(wire, link, peer, data, len);
+	else
+		ret = send_frames(link, peer, data, len);
 	talloc_free(data);
 	if (!ret) {
 		metrics_add(wire->metrics, wire->sent_bytes[traffic_class(msg->type)], len);
--- a/src/wire.h
+++ b/src/wire.h
@@ -69,8 +69,9 @@
  * @msg: message, borrowed
  *
  * Return: 0 when handed to the transport, -ERR_NO_TARGET when there is no connection to
- * the peer, -ERR_QUEUE_FULL when its send buffer is full. After a failure the message has
- * certainly not been delivered.
+ * the peer, -ERR_QUEUE_FULL when its send buffer is full, -ERR_TOO_LARGE when it is longer than
+ * PARTS_JOINED_MAX_BYTES. After a failure the message has certainly not been delivered. A message
+ * of more than PARTS_WHOLE_MAX_BYTES is sent in parts and arrives as one.
  */
 int wire_send(struct wire *wire, const char *peer, const struct msg *msg);
 
