plan: a lasting task starts again however it ended

Cause: "done" ended a task without a look at long_running, and failures of lasting tasks counted against their workers.

Change: a lasting task is never done. It starts again after 50 ms, and up to 3.2 s later if it keeps ending soon; its failures make no worker suspect.

Evidence: test_plan/lasting_task_ends_as_done and test_plan/lasting_tasks_fail failed before.

--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -52,6 +52,7 @@
 	uint64_t began_ms;     /* start of the latest run */
 	struct run_set failures;
 	uint64_t retry_after_ms; /* the task is not started before this time */
+	uint32_t short_runs;	 /* of a lasting task, in a row */
 	struct worker *avoid;	 /* where it last failed, stalled or was slow */
 	const char *stop_reason; /* in words */
 	uint64_t waited_ms;
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -8,6 +8,10 @@
 #define CHECKPOINT_RECORD_INTERVAL_MS 2000
 #define SUSPECT_BASE_MS 3000 /* doubles each time, so that a faulty worker uses up few attempts */
 #define SUSPECT_DOUBLINGS_MAX 4
+/* Waits before a lasting task that has ended starts again: 50 ms to 3.2 s. */
+#define LASTING_RETRY_MS ((uint64_t)50)
+#define LASTING_DOUBLINGS_MAX 6
+#define LASTING_SOUND_MS 10000 /* a run of this length ends the doubling */
 /* Failures of different jobs; a single failure may be the job's own fault. */
 #define SUSPECT_FAILURE_STREAK 2
 
@@ -396,25 +400,43 @@
 		plan_suspect_worker(worker, now_ms);
 }
 
+/*
+ * A lasting task starts again however it ended. One that ends again and again soon after its start
+ * waits longer each time, but not so long that it counts as left alone.
+ */
+static void delay_lasting_start(struct task *task, uint64_t now_ms)
+{
+	if (now_ms - task->began_ms >= LASTING_SOUND_MS)
+		task->short_runs = 0;
+	task->retry_after_ms = now_ms + (LASTING_RETRY_MS << task->short_runs);
+	if (task->short_runs < LASTING_DOUBLINGS_MAX)
+		task->short_runs++;
+}
+
 static void end_current_run(struct plan *plan, struct worker *worker, struct task *task,
 			    const struct plan_run *run, enum plan_end end, uint64_t now_ms)
 {
 	struct job *job = plan_task_job(task);
+	bool lasting = task->step->spec->long_running;
 
 	save_checkpoint(plan, task, run, now_ms);
 	task->ended_run = run->run;
-	if (end == PLAN_END_DONE) {
+	if (end == PLAN_END_DONE && !lasting) {
 		record_success(worker);
 		plan_task_done(plan, task, now_ms);
 		return;
 	}
 	stop_other_members(task, run->run);
 	return_to_waiting(task);
-	if (end != PLAN_END_FAILED)
-		return;
-	task->avoid = worker;
-	record_failure(worker, job, now_ms);
-	plan_task_failed(plan, task, run->run, now_ms);
+	if (end == PLAN_END_FAILED) {
+		task->avoid = worker;
+		/* A lasting task may fail any number of times, on any worker. */
+		if (!lasting)
+			record_failure(worker, job, now_ms);
+		plan_task_failed(plan, task, run->run, now_ms);
+	}
+	if (lasting && (end == PLAN_END_FAILED || end == PLAN_END_DONE))
+		delay_lasting_start(task, now_ms);
 }
 
 /* A run that is not the current one has done the work: the current run is not needed. */
@@ -440,7 +462,8 @@
 /*
  * Handles the end of a run that is not the current run of its task: it was started by a former
  * leader, or its worker was taken for lost. If no later run has begun, the end is the task's.
- * A run that is done, or a failure, which counts as an attempt, is taken in any case.
+ * A run that is done, or a failure, which counts as an attempt, is taken in any case. A lasting
+ * task is never done.
  */
 static void end_other_run(struct plan *plan, struct task *task, const struct plan_run *run,
 			  enum plan_end end, uint64_t now_ms)
@@ -460,7 +483,7 @@
 			job->next_run = run->run + 1;
 		save_checkpoint(plan, task, run, now_ms);
 	}
-	if (end == PLAN_END_DONE && (is_latest || !task->step->spec->long_running))
+	if (end == PLAN_END_DONE && !task->step->spec->long_running)
 		finish_by_other_run(plan, task, now_ms);
 }
 
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -1,6 +1,7 @@
 #include "lib_plansim.h"
 
 #include <CUnit/Basic.h>
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -226,6 +227,77 @@
 	check_and_free(sim);
 }
 
+#define LASTING "[{\"tasks\":2,\"cpu_milli\":1000,\"estimate_ms\":%d,\"long_running\":true}]"
+#define LASTING_GAP_MAX_MS 6000
+
+/* Longest time without a run of the job while @ms pass. */
+static uint64_t longest_gap_ms(struct plansim *sim, const char *prefix, uint32_t ms)
+{
+	uint64_t since_ms = sim->now_ms;
+	uint64_t longest_ms = 0;
+
+	for (uint32_t passed = 0; passed < ms; passed += 10) {
+		plansim_run(sim, 10);
+		if (plansim_count_runs(sim, prefix) > 0)
+			since_ms = sim->now_ms;
+		longest_ms = MAX(longest_ms, sim->now_ms - since_ms);
+	}
+	return longest_ms;
+}
+
+static void add_lasting_job(struct plansim *sim, const char *id, int run_ms)
+{
+	char steps[160];
+
+	snprintf(steps, sizeof(steps), LASTING, run_ms);
+	plansim_add_job(sim, id, "batch", "b", steps);
+}
+
+/* Guards against a lasting task that is not started again after a run that ended as done. */
+static void test_lasting_task_ends_as_done(void)
+{
+	struct plansim *sim = plansim_create(NULL, 2);
+
+	add_lasting_job(sim, "j1", 400);
+	add_lasting_job(sim, "j2", 20000);
+	CU_ASSERT(longest_gap_ms(sim, "j1.", 60000) < LASTING_GAP_MAX_MS);
+	CU_ASSERT(longest_gap_ms(sim, "j2.", 60000) < LASTING_GAP_MAX_MS);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "j1"), PLAN_JOB_RUNNING);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "j2"), PLAN_JOB_RUNNING);
+	CU_ASSERT(sim->starts < 150); /* a task that ends at once is not started without a pause */
+	plansim_restart_leader(sim, false);
+	plansim_run(sim, 100);
+	plan_recovery_done(sim->plan);
+	CU_ASSERT(longest_gap_ms(sim, "j1.", 20000) < LASTING_GAP_MAX_MS);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "j1"), PLAN_JOB_RUNNING);
+	talloc_free(sim);
+}
+
+/*
+ * Guards against workers that are barred because lasting tasks fail at once, and against a lasting
+ * task without a run for long after a failure.
+ */
+static void test_lasting_tasks_fail(void)
+{
+	struct plansim *sim = plansim_create(NULL, 2);
+
+	add_lasting_job(sim, "j1", 30000);
+	add_lasting_job(sim, "j2", 30000);
+	sim->workers[0].fails = true;
+	sim->workers[1].fails = true;
+	plansim_run(sim, 20000);
+	CU_ASSERT(sim->starts < 4 * 20);
+	sim->workers[0].fails = false;
+	sim->workers[1].fails = false;
+	plansim_add_job(sim, "k1", "batch", "b", FILL);
+	plansim_run(sim, 500);
+	CU_ASSERT(plansim_count_runs(sim, "k1.") > 0);
+	plansim_run(sim, LASTING_GAP_MAX_MS - 500);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "j1."), 2);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "j2."), 2);
+	talloc_free(sim);
+}
+
 /* Guards against tasks that stay on a slow worker while others are free. */
 static void test_slow_worker(void)
 {
@@ -835,6 +907,8 @@
 		{"attempts", test_attempts},
 		{"failing_worker", test_failing_worker},
 		{"stalled_worker", test_stalled_worker},
+		{"lasting_task_ends_as_done", test_lasting_task_ends_as_done},
+		{"lasting_tasks_fail", test_lasting_tasks_fail},
 		{"waiting_member_is_no_stall", test_waiting_member_is_no_stall},
 		{"silence_is_no_stall", test_silence_is_no_stall},
 		{"slow_worker", test_slow_worker},
