planslow: a list that is older than the one before wraps no time

Cause: lists arrive out of order, and the time since the last percent, taken at an older list, wrapped to a number beyond what the limit could hold.

Change: such a time is 0, and the limit is bounded.

--- a/src/planslow.c
+++ b/src/planslow.c
@@ -13,6 +13,7 @@
 #define STALL_FACTOR 10.0
 /* Estimates of callers are wrong by a factor of up to ten; as much again covers the start. */
 #define ESTIMATE_FACTOR 20.0
+#define STALL_LIMIT_MAX_MS 1e10
 /* A task that has shown no progress gets four times as long on each further worker. */
 #define STALL_BACKOFF_BITS 2
 #define STALL_BACKOFF_MAX 8
@@ -36,6 +37,12 @@
 	       !(spec->gang && task->percent >= PERCENT_DONE);
 }
 
+/* Lists that are delayed on their way are older than what is known already. */
+static uint64_t time_since_ms(uint64_t then_ms, uint64_t now_ms)
+{
+	return now_ms > then_ms ? now_ms - then_ms : 0;
+}
+
 static void begin_sample(struct task *task, bool changed, uint64_t now_ms)
 {
 	task->sample_ms = now_ms;
@@ -50,7 +57,7 @@
  */
 static void sample_speed(struct task *task, bool changed, uint64_t now_ms)
 {
-	uint64_t passed_ms = now_ms - task->sample_ms;
+	uint64_t passed_ms = time_since_ms(task->sample_ms, now_ms);
 	uint32_t done;
 	double speed;
 
@@ -81,7 +88,8 @@
 
 	/* A task that continues from a checkpoint begins within a percent. */
 	if (percent > task->percent && (task->percent == 0 || task->sample_ms))
-		task->percent_ms = (now_ms - task->percent_changed_ms) / (percent - task->percent);
+		task->percent_ms =
+			time_since_ms(task->percent_changed_ms, now_ms) / (percent - task->percent);
 	if (changed) {
 		task->progress_ms = now_ms;
 		task->percent_changed_ms = now_ms;
@@ -113,7 +121,7 @@
 						 (double)task->step->spec->estimate_ms);
 		backoff = STALL_BACKOFF_BITS * MIN(stalls_elsewhere(task), STALL_BACKOFF_MAX);
 	}
-	return (uint64_t)limit_ms << backoff;
+	return (uint64_t)MIN(limit_ms, STALL_LIMIT_MAX_MS) << backoff;
 }
 
 static void count_stall(struct task *task)
--- a/tests/test_planslow.c
+++ b/tests/test_planslow.c
@@ -112,6 +112,25 @@
 	}
 }
 
+/* Guards against a time that wraps because a list was older than the one before. */
+static void test_older_list(void)
+{
+	struct plansim *sim = plansim_create(NULL, 1);
+	struct plan_run run = {.checkpoint = ""};
+
+	add_job(sim, "j1", 20000);
+	plansim_run(sim, 900);
+	CU_ASSERT_EQUAL_FATAL(plansim_count_runs(sim, "j1."), 1);
+	run.task = sim->runs[0].task;
+	run.run = sim->runs[0].run;
+	run.percent = 1 + (uint32_t)(sim->runs[0].work_done_ms / 200); /* of 20 s */
+	plan_worker_running(sim->plan, sim->workers[0].node, &run, sim->now_ms - 500);
+	plan_worker_list_end(sim->plan, sim->workers[0].node, true, sim->now_ms - 500);
+	plansim_run(sim, 5000);
+	CU_ASSERT_EQUAL(sim->stops, 0);
+	talloc_free(sim);
+}
+
 /*
  * Guards against workers that are barred one after the other because of a task that stands still
  * on each of them.
@@ -144,6 +163,7 @@
 	CU_add_test(suite, "long_tasks", test_long_tasks);
 	CU_add_test(suite, "wrong_estimate", test_wrong_estimate);
 	CU_add_test(suite, "time_to_find", test_time_to_find);
+	CU_add_test(suite, "older_list", test_older_list);
 	CU_add_test(suite, "task_that_always_stands", test_task_that_always_stands);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
