--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -54,6 +54,8 @@
 			CU_ASSERT_EQUAL(parts_add(parts, "p", &part, mem, &joined, &joined_len), 0);
 		}
 		CU_ASSERT_PTR_NOT_NULL_FATAL(joined);
+		if (!joined)
+			return;
 		CU_ASSERT_EQUAL_FATAL(joined_len, len);
 		CU_ASSERT_EQUAL(memcmp(joined, sent, len), 0);
 		talloc_free(mem);
