runner, platform: log the evidence on which an agent changes what it believes about its worker

The agent's report carries the reason, so the leader's worker_down has it too. Two counters: announcements by result, and conclusions about the worker. No decision changes.

--- a/src/coord.c
+++ b/src/coord.c
@@ -610,7 +610,8 @@
 		apply_worker_report(coord, row, report, now_ms);
 	} else if (!report->alive && row->alive) {
 		row->alive = false;
-		log_warn("worker_down", row->node, "the agent reports that its worker is down");
+		log_warn("worker_down", row->node, "the agent reports that its worker is down: %s",
+			 report->why_down);
 		plan_worker_lost(coord->plan, row->node, now_ms);
 	}
 	if (row->key_stored && !needs_agent_key(report) &&
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -249,6 +249,11 @@
 	struct runner_announcement *self = node->platform.read_self(node, id, body, len, &err);
 	int status = self ? runner_announced(node->runner, self) : -ERR_INVALID;
 
+	metrics_count(node->metrics, "jaycourse_announcements_total",
+		      status == 0	       ? "result=\"taken\""
+		      : status == -ERR_INVALID ? "result=\"refused\""
+					       : "result=\"outdated\"",
+		      "Announcements that arrived at the address of the agent's worker");
 	if (status == -ERR_INVALID)
 		log_once("heartbeat_refused", id, "%s",
 			 err.code ? err.message : "the worker belongs to another service");
--- a/src/fleetmsg.c
+++ b/src/fleetmsg.c
@@ -62,7 +62,7 @@
 	return dump_json(mem,
 			 json_pack("{s:I, s:I, s:I, s:s, s:b, s:b, s:b, s:b, s:s, s:s, s:s, s:s, "
 				   "s:s, s:s, s:s, s:i, "
-				   "s:i, s:i, s:b, s:o, s:o, s:o, s:o}",
+				   "s:i, s:i, s:b, s:s, s:o, s:o, s:o, s:o}",
 				   "session", (json_int_t)report->session, "sent",
 				   (json_int_t)report->sent_ms, "list_age",
 				   (json_int_t)report->list_age_ms, "address", report->address,
@@ -73,9 +73,10 @@
 				   "rack", info->rack, "cpu", (int)info->room.cpu_milli, "memory",
 				   (int)info->room.memory_mb, "accelerators",
 				   (int)info->room.accelerators, "accepting", info->accepting,
-				   "running", write_runs(report->running, report->running_count),
-				   "pending", write_runs(report->pending, report->pending_count),
-				   "ends", write_ends(report), "refusals", write_refusals(report)));
+				   "why_down", report->why_down ? report->why_down : "", "running",
+				   write_runs(report->running, report->running_count), "pending",
+				   write_runs(report->pending, report->pending_count), "ends",
+				   write_ends(report), "refusals", write_refusals(report)));
 }
 
 /* Reads the first four fields of a row; the strings belong to @mem. */
@@ -191,6 +192,7 @@
 	report->list_age_ms = read_number(json, "list_age");
 	report->address = read_string(report, json, "address");
 	report->alive = json_is_true(json_object_get(json, "alive"));
+	report->why_down = read_string(report, json, "why_down");
 	report->settled = json_is_true(json_object_get(json, "settled"));
 	info->node = read_string(report, json, "node");
 	info->id = read_string(report, json, "worker");
--- a/src/fleetmsg.h
+++ b/src/fleetmsg.h
@@ -31,6 +31,7 @@
  * @sent_ms: time of sending on the agent's clock; the leader returns it in its orders
  * @address: where the agent receives messages
  * @alive: false only when it is certain that the worker runs nothing
+ * @why_down: the evidence for that, for the log; "" while @alive
  * @list_age_ms: time since the worker made the list of its runs
  * @settled: the agent has a complete list of runs, and no call that was sent under an earlier term
  *	can add to it any more; otherwise only @info is valid
@@ -45,6 +46,7 @@
 	const char *address;
 	uint64_t list_age_ms;
 	bool alive;
+	const char *why_down;
 	bool settled;
 	bool more_ends;
 	bool unreadable;
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -77,6 +77,15 @@
 	return -ERR_OUTCOME_UNKNOWN;
 }
 
+static int connect_errno(const struct httpc_call *call, CURLcode code)
+{
+	long error = 0;
+
+	if (code == CURLE_COULDNT_CONNECT)
+		curl_easy_getinfo(call->easy, CURLINFO_OS_ERRNO, &error);
+	return (int)error;
+}
+
 static void finish_call(struct httpc_call *call, CURLcode code)
 {
 	struct httpc_request request = call->request;
@@ -85,6 +94,9 @@
 	int http_status = httpc_status(call);
 	size_t len = call->len;
 
+	if (request.connect_errno)
+		*request.connect_errno = connect_errno(call, code);
+
 	free_call(call);
 	if (request.done)
 		request.done(status, http_status, body ? (const char *)body : "", len, request.ctx);
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -35,6 +35,9 @@
  * @done: called once, unless the call is cancelled. @status: 0 when a complete HTTP answer
  *	arrived (with any HTTP status); -ERR_UNAVAILABLE when the request was certainly not sent;
  *	-ERR_OUTCOME_UNKNOWN when it may have been; @body is NUL terminated, borrowed.
+ * @connect_errno: if not NULL, receives the error number of the attempt to connect before @done is
+ *	called; 0 if none failed or the system gave no number. ECONNREFUSED alone is an answer
+ *	of the other host; others, such as EMFILE or EADDRNOTAVAIL, may be failures of this one.
  * @ctx: passed to the callbacks
  */
 struct httpc_request {
@@ -51,6 +54,7 @@
 	bool send_once;
 	bool (*on_data)(struct httpc_call *call, const void *data, size_t len, void *ctx);
 	void (*done)(int status, int http_status, const char *body, size_t len, void *ctx);
+	int *connect_errno;
 	void *ctx;
 };
 
--- a/src/runner.c
+++ b/src/runner.c
@@ -171,6 +171,7 @@
 		.list_age_ms = util_clock_ms() - runner->list_received_ms,
 		.address = runner->address,
 		.alive = !runner->down,
+		.why_down = runner->down ? runner->why_down : "",
 		.settled = has_current_list(runner),
 		.more_ends = runner->more_ends,
 		.unreadable = runner->list_unreadable,
@@ -281,13 +282,26 @@
 				  (struct kv_cb){on_leader_record, runner});
 }
 
+/* Counts a change of what the agent believes about its worker. */
+static void count_conclusion(struct runner *runner, const char *conclusion)
+{
+	char *labels = talloc_asprintf(NULL, "conclusion=\"%s\"", conclusion);
+
+	metrics_count(runner->deps.metrics, "jaycourse_worker_conclusions_total", labels,
+		      "Changes of what the agent believes about its worker");
+	talloc_free(labels);
+}
+
 static void mark_worker_down(struct runner *runner, const char *why)
 {
 	if (!runner->alive)
 		return;
-	log_warn("worker_down", runner->worker, "%s", why);
+	log_warn("worker_down", runner->worker, "%s; %s, %u runs", why, runner->incarnation,
+		 g_hash_table_size(runner->runs));
+	count_conclusion(runner, "down");
 	runner->alive = false;
 	runner->down = true;
+	runner->why_down = why;
 	runner->down_ms = util_clock_ms();
 	runner_reset_incarnation(runner, false);
 	runner_schedule_report(runner);
@@ -308,7 +322,9 @@
 		return;
 	log_info("worker_absent", "",
 		 "no worker has announced itself, and nothing listens at its address");
+	count_conclusion(runner, "absent");
 	runner->down = true;
+	runner->why_down = "nothing has listened at its address since the agent began";
 	runner_schedule_report(runner);
 }
 
@@ -338,7 +354,10 @@
 {
 	char *id = talloc_strdup(NULL, runner->worker);
 
-	log_info("worker_restarted", id, "its list names another start time");
+	log_info("worker_restarted", id,
+		 "its list names %" PRIu64 " as its start; before: %s, %u runs", started_ms,
+		 runner->incarnation, g_hash_table_size(runner->runs));
+	count_conclusion(runner, "restarted");
 	set_incarnation(runner, id, started_ms);
 	runner->sequence = 0;
 	runner->accepting = false;
@@ -468,8 +487,14 @@
 
 static void begin_incarnation(struct runner *runner, const struct runner_announcement *announcement)
 {
-	log_info("worker_found", announcement->id, "room for %u accelerators, rack %s",
-		 announcement->room.accelerators, announcement->rack);
+	log_info("worker_found", announcement->id,
+		 "room for %u accelerators, rack %s; announcement %" PRIu64
+		 " from %s, start %" PRIu64 "; before: %s, %s, %u runs",
+		 announcement->room.accelerators, announcement->rack, announcement->sequence,
+		 announcement->address, announcement->started_ms,
+		 runner->incarnation ? runner->incarnation : "none",
+		 runner->alive ? "alive" : "not alive", g_hash_table_size(runner->runs));
+	count_conclusion(runner, "found");
 	set_incarnation(runner, announcement->id, announcement->started_ms);
 	runner->alive = true;
 	runner->answered_started_ms = 0;
--- a/src/runner.h
+++ b/src/runner.h
@@ -111,11 +111,13 @@
  * struct runner_announcement - announcement of a worker
  * @id: identifier of the worker, the same after a restart
  * @started_ms: start time; distinguishes the incarnations of one @id
+ * @address: where the worker says that it takes calls; the agent calls the one in its settings
  * @sequence: increases with each announcement of one incarnation
  * @accepting: false while the worker drains
  */
 struct runner_announcement {
 	const char *id;
+	const char *address;
 	const char *service;
 	const char *zone;
 	const char *kind;
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -97,8 +97,9 @@
 	bool down;    /* certainly nothing runs on the worker; false while its state is unknown */
 	bool settled; /* a complete list was read from this incarnation */
 	bool leaving; /* the worker shuts down for good */
-	uint64_t down_ms;   /* when @down became true */
-	bool down_received; /* the leader has received a report of that */
+	uint64_t down_ms;     /* when @down became true */
+	const char *why_down; /* constant */
+	bool down_received;   /* the leader has received a report of that */
 	bool renewing;
 	bool connected;
 	bool leader_query_pending;
--- a/tests/sim_worker.c
+++ b/tests/sim_worker.c
@@ -872,6 +872,7 @@
 
 	beat->worker = worker;
 	beat->announcement = (struct runner_announcement){.id = talloc_strdup(beat, worker->id),
+							  .address = "127.0.0.1:9",
 							  .service = "s",
 							  .zone = "z",
 							  .kind = "k",
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -237,6 +237,7 @@
 static int announce(struct fixture *f, uint64_t born_ms, uint64_t sequence)
 {
 	struct runner_announcement announcement = {.id = "w1",
+						   .address = "127.0.0.1:9",
 						   .service = "s",
 						   .zone = "z",
 						   .kind = "k",
