--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -1,263 +1,9 @@
-#include "fleetlimits.h"
-#include "lib_memkv.h"
-#include "runner.h"
+#include "lib_runnerworld.h"
 
 #include <CUnit/Basic.h>
 #include <glib.h>
 #include <string.h>
 
-/* The agent's controller with a simulated worker and a simulated leader. */
-
-#define LIST_MAX 16
-
-struct fixture {
-	struct tevent_context *ev;
-	struct memkv *store;
-	struct metrics *metrics;
-	struct wire *agent_wire;
-	struct wire *leader_wire;
-	struct runner *runner;
-	/* The worker. */
-	struct runner_calls calls;
-	bool worker_up;
-	bool draining;
-	bool list_answers_lost; /* renewals get no usable answer */
-	uint64_t born_ms;
-	uint64_t clock_ms;
-	enum runner_call_result start_result;
-	bool stop_answers_lost;	 /* stops are carried out */
-	uint32_t start_delay_ms; /* delay of the answers to start calls */
-	uint64_t term;
-	int starts;
-	int stops;
-	uint64_t lease_end_ms; /* latest end of the lease that the worker was sent */
-	int extensions;	       /* renewals of the lease */
-	uint64_t start_fence;  /* of the latest start */
-	uint64_t list_fence;   /* of the latest renewal */
-	char ticket[32];       /* of the latest start */
-	struct plan_run running[LIST_MAX];
-	size_t running_count;
-	struct fleet_run_end ends[LIST_MAX];
-	size_t end_count;
-	bool more_ends; /* than the list names */
-	bool unreadable;
-	uint64_t ends_known;
-	/* The leader. */
-	char agent_peer[64];
-	struct fleet_report *report; /* latest */
-	int reports;
-	bool answers;
-	uint64_t session;
-	bool unsure; /* the orders say that the store has not confirmed the leader */
-	bool echo_outdated;
-	uint32_t valid_ms; /* from the time of the report on */
-	struct plan_order orders[LIST_MAX];
-	size_t order_count;
-	uint64_t ends_stored;
-};
-
-struct delayed_answer {
-	struct fixture *f;
-	void (*order)(enum runner_call_result, uint64_t, void *);
-	void (*list)(int, const struct runner_list *, void *);
-	void *ctx;
-	enum runner_call_result result;
-};
-
-static void on_order_answer_due(struct tevent_context *ev, struct tevent_timer *te,
-				struct timeval now, void *ctx)
-{
-	struct delayed_answer *answer = ctx;
-
-	answer->order(answer->result, answer->f->clock_ms, answer->ctx);
-	talloc_free(answer);
-}
-
-static void on_list_answer_due(struct tevent_context *ev, struct tevent_timer *te,
-			       struct timeval now, void *ctx)
-{
-	struct delayed_answer *answer = ctx;
-	struct runner_list list = {.clock_ms = answer->f->clock_ms,
-				   .worker_started_ms = answer->f->born_ms,
-				   .running = answer->f->running,
-				   .running_count = answer->f->running_count,
-				   .ends = answer->f->ends,
-				   .end_count = answer->f->end_count,
-				   .more_ends = answer->f->more_ends,
-				   .unreadable = answer->f->unreadable};
-
-	if (answer->f->list_answers_lost)
-		answer->list(-ERR_OUTCOME_UNKNOWN, NULL, answer->ctx);
-	else
-		answer->list(answer->f->worker_up ? 0 : -ERR_UNAVAILABLE,
-			     answer->f->worker_up ? &list : NULL, answer->ctx);
-	talloc_free(answer);
-}
-
-static struct delayed_answer *schedule_answer(struct fixture *f, void *ctx, uint32_t ms,
-					      tevent_timer_handler_t handler)
-{
-	struct delayed_answer *answer = talloc_zero(f, struct delayed_answer);
-
-	answer->f = f;
-	answer->ctx = ctx;
-	tevent_add_timer(f->ev, answer, tevent_timeval_current_ofs(0, ms * 1000), handler, answer);
-	return answer;
-}
-
-static void fake_start(void *impl, const struct runner_start *start,
-		       void (*done)(enum runner_call_result, uint64_t, void *), void *ctx)
-{
-	struct fixture *f = impl;
-	struct delayed_answer *answer =
-		schedule_answer(f, ctx, f->start_delay_ms, on_order_answer_due);
-
-	answer->order = done;
-	answer->result = f->start_result;
-	f->starts++;
-	f->start_fence = start->fence;
-	g_strlcpy(f->ticket, start->ticket, sizeof(f->ticket));
-	if (start->lease_end_ms > f->lease_end_ms)
-		f->lease_end_ms = start->lease_end_ms;
-	if (f->start_result == RUNNER_STARTED)
-		f->running[f->running_count++] =
-			(struct plan_run){talloc_strdup(f, start->task), start->run, "", 1};
-}
-
-static void fake_stop(void *impl, const char *worker, const char *task, uint32_t run, uint64_t term,
-		      void (*done)(enum runner_call_result, uint64_t, void *), void *ctx)
-{
-	struct fixture *f = impl;
-	struct delayed_answer *answer = schedule_answer(f, ctx, 2, on_order_answer_due);
-
-	answer->order = done;
-	answer->result = f->stop_answers_lost ? RUNNER_NO_ANSWER : RUNNER_STARTED;
-	f->stops++;
-}
-
-/* Time that the worker takes to answer a renewal that does not wait for a run to end. */
-static uint32_t list_delay_ms = 2;
-
-static void fake_renew(void *impl, const struct runner_renewal *renewal,
-		       void (*done)(int, const struct runner_list *, void *), void *ctx)
-{
-	struct fixture *f = impl;
-	struct delayed_answer *answer =
-		schedule_answer(f, ctx, renewal->wait_ms ? 50 : list_delay_ms, on_list_answer_due);
-
-	answer->list = done;
-	f->ends_known = renewal->ends_known;
-	f->list_fence = renewal->fence;
-	f->extensions += renewal->extend;
-	if (renewal->extend && renewal->lease_end_ms > f->lease_end_ms)
-		f->lease_end_ms = renewal->lease_end_ms;
-}
-
-static void on_agent_message(const char *peer, struct msg *msg, void *ctx)
-{
-	struct fixture *f = ctx;
-
-	if (f->runner)
-		runner_message(f->runner, peer, msg);
-}
-
-static void send_orders(struct fixture *f)
-{
-	struct fleet_orders orders = {.session = f->session,
-				      .echo_ms = f->echo_outdated ? 1 : f->report->sent_ms,
-				      .incarnation = f->report->info.incarnation,
-				      .ends_stored = f->ends_stored,
-				      .valid_ms = f->valid_ms,
-				      .orders = f->orders,
-				      .order_count = f->order_count,
-				      .unsure = f->unsure,
-				      .report_ms = 100};
-	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = f->term};
-	char *text = fleet_orders_write(f, &orders);
-
-	msg.u.worker_orders.json.data = (uint8_t *)text;
-	msg.u.worker_orders.json.len = strlen(text);
-	wire_send(f->leader_wire, f->agent_peer, &msg);
-	talloc_free(text);
-}
-
-static void on_leader_message(const char *peer, struct msg *msg, void *ctx)
-{
-	struct fixture *f = ctx;
-
-	if (msg->type != MSG_WORKER_REPORT)
-		return;
-	g_strlcpy(f->agent_peer, peer, sizeof(f->agent_peer));
-	talloc_free(f->report);
-	f->report =
-		fleet_report_read(f, msg->u.worker_report.json.data, msg->u.worker_report.json.len);
-	f->reports++;
-	if (f->answers)
-		send_orders(f);
-}
-
-static struct fixture *set_up(void)
-{
-	struct fixture *f = talloc_zero(NULL, struct fixture);
-	struct wire_handlers agent = {on_agent_message, f};
-	struct wire_handlers leader = {on_leader_message, f};
-	struct err err = {0};
-	char *record;
-	struct runner_deps deps;
-
-	f->ev = tevent_context_init(f);
-	f->store = memkv_create(f, f->ev);
-	f->metrics = metrics_create(f);
-	f->agent_wire = wire_create(f, f->ev, "agent#1", "127.0.0.1:0", &agent, f->metrics, &err);
-	f->leader_wire =
-		wire_create(f, f->ev, "leader#1", "127.0.0.1:0", &leader, f->metrics, &err);
-	f->calls = (struct runner_calls){fake_start, fake_stop, fake_renew, f};
-	f->worker_up = true;
-	f->born_ms = 7;
-	f->clock_ms = 10000;
-	f->answers = true;
-	f->start_delay_ms = 2;
-	f->term = 3;
-	f->valid_ms = WORKER_RENEWAL_WINDOW_MS;
-	record = talloc_asprintf(f, "{\"node\":\"e\",\"address\":\"%s\",\"term\":3}",
-				 wire_address(f->leader_wire));
-	memkv_put(f->store, "leader", record);
-	deps = (struct runner_deps){.ev = f->ev,
-				    .kv = &memkv_client(f->store)->kv,
-				    .wire = f->agent_wire,
-				    .metrics = f->metrics,
-				    .calls = &f->calls,
-				    .node = "host1",
-				    .service = "s"};
-	f->runner = runner_create(f, &deps);
-	memkv_run(f->ev, 300);
-	return f;
-}
-
-static int announce(struct fixture *f, uint64_t born_ms, uint64_t sequence)
-{
-	struct runner_announcement announcement = {.id = "w1",
-						   .address = "127.0.0.1:9",
-						   .service = "s",
-						   .zone = "z",
-						   .kind = "k",
-						   .rack = "r",
-						   .room = {1000, 1000, 8},
-						   .accepting = !f->draining,
-						   .started_ms = born_ms,
-						   .sequence = sequence};
-
-	return runner_announced(f->runner, &announcement);
-}
-
-static void tear_down(struct fixture *f)
-{
-	TALLOC_FREE(f->runner);
-	wire_destroy(f->agent_wire, 0);
-	wire_destroy(f->leader_wire, 0);
-	talloc_free(f);
-}
-
 /*
  * Guards against agents that a leader cannot find, and against an agent that stores its own key
  * before it has reported: every later leader would wait for it. The leader stores the key when
@@ -265,7 +11,7 @@
  */
 static void test_reports_to_leader(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
 	CU_ASSERT_PTR_NULL(memkv_value(f->store, "agent/host1"));
 	CU_ASSERT(f->reports > 0);
@@ -273,7 +19,7 @@
 	if (!f->report)
 		return;
 	CU_ASSERT_STRING_EQUAL(f->report->address, wire_address(f->agent_wire));
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /*
@@ -282,14 +28,14 @@
  */
 static void test_unknown_worker_is_not_down(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
 	CU_ASSERT_PTR_NOT_NULL_FATAL(f->report);
 	if (!f->report)
 		return;
 	CU_ASSERT_TRUE(f->report->alive);
 	CU_ASSERT_FALSE(f->report->settled);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /*
@@ -299,7 +45,7 @@
  */
 static void test_absent_worker_is_down(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
 	f->worker_up = false;
 	memkv_run(f->ev, 1000);
@@ -308,11 +54,11 @@
 		return;
 	CU_ASSERT_FALSE(f->report->alive);
 	f->worker_up = true;
-	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 7, 1), 0);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(f->report->alive);
 	CU_ASSERT_TRUE(f->report->settled);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /*
@@ -322,9 +68,9 @@
  */
 static void test_reports_end_of_leaving_worker(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 7, 1), 0);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(runner_may_stop(f->runner));
 	runner_leaving(f->runner, "another");
@@ -341,17 +87,17 @@
 	CU_ASSERT_TRUE(runner_may_stop(f->runner));
 	f->worker_up = true;
 	f->born_ms = 9;
-	CU_ASSERT_EQUAL(announce(f, 9, 1), 0);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 9, 1), 0);
 	CU_ASSERT_TRUE(runner_may_stop(f->runner));
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against starts that are not carried out, not confirmed, or carried out twice. */
 static void test_start(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 7, 1), 0);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(f->report->settled);
 	f->orders[f->order_count++] = (struct plan_order){.start = true,
@@ -365,16 +111,16 @@
 	CU_ASSERT_EQUAL_FATAL(f->report->running_count, 1);
 	CU_ASSERT_STRING_EQUAL(f->report->running[0].task, "j.0.0.0");
 	CU_ASSERT(f->lease_end_ms > 1000);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against a ticket that does not reach the worker, and a refusal of it not reported. */
 static void test_ticket(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
 	f->start_result = RUNNER_REFUSED_NO_TICKET;
-	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 7, 1), 0);
 	memkv_run(f->ev, 300);
 	f->orders[f->order_count++] = (struct plan_order){.start = true,
 							  .task = "j.0.0.0",
@@ -387,7 +133,7 @@
 	CU_ASSERT_STRING_EQUAL(f->ticket, "ticket-1");
 	CU_ASSERT_EQUAL_FATAL(f->report->refusal_count, 1);
 	CU_ASSERT_EQUAL(f->report->refusals[0].why, PLAN_REFUSED_NO_TICKET);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 static struct plan_order start_order(void)
@@ -406,31 +152,31 @@
  */
 static void test_drain_after_unanswered_start(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
 	f->start_result = RUNNER_NO_ANSWER;
 	f->start_delay_ms = 300;
-	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 7, 1), 0);
 	memkv_run(f->ev, 300);
 	f->orders[f->order_count++] = start_order();
 	memkv_run(f->ev, 150);
 	CU_ASSERT_EQUAL(f->starts, 1);
 	f->draining = true;
-	CU_ASSERT_EQUAL(announce(f, 7, 2), 0);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 7, 2), 0);
 	memkv_run(f->ev, 250);
 	CU_ASSERT_EQUAL(f->starts, 1);
 	CU_ASSERT_EQUAL(f->stops, 1);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against a refusal of a run that a former process of the agent may have started. */
 static void test_refusal_after_restart(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 	struct plan_order order = start_order();
 
 	f->start_result = RUNNER_REFUSED_NO_ROOM;
-	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 7, 1), 0);
 	memkv_run(f->ev, 300);
 	order.maybe_begun = true;
 	f->orders[f->order_count++] = order;
@@ -439,7 +185,7 @@
 		CU_ASSERT(f->stops > 0 || f->report->refusal_count == 0);
 	}
 	CU_ASSERT_EQUAL(f->stops, 1);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /*
@@ -448,11 +194,11 @@
  */
 static void test_old_after_unanswered_start(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
 	f->start_result = RUNNER_NO_ANSWER;
 	f->start_delay_ms = 50;
-	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 7, 1), 0);
 	memkv_run(f->ev, 300);
 	f->list_answers_lost = true;
 	f->orders[f->order_count++] = start_order();
@@ -467,7 +213,7 @@
 	memkv_run(f->ev, 600);
 	CU_ASSERT_EQUAL(f->report->refusal_count, 0);
 	CU_ASSERT_EQUAL(f->report->end_count, 1);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /*
@@ -476,16 +222,16 @@
  */
 static void test_abandoned_start(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	CU_ASSERT_EQUAL(announce(f, 7, 1), 0);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 7, 1), 0);
 	memkv_run(f->ev, 300);
 	f->answers = false;
 	memkv_run(f->ev, WORKER_RENEWAL_WINDOW_MS + 300);
 	/* The order was sent before the agent stalled; its echo is too old to extend the lease. */
 	f->orders[f->order_count++] = start_order();
 	f->echo_outdated = true;
-	send_orders(f);
+	runnerworld_send_orders(f);
 	memkv_run(f->ev, 100);
 	CU_ASSERT_EQUAL(f->starts, 0);
 	f->order_count = 0;
@@ -493,15 +239,15 @@
 	f->answers = true;
 	memkv_run(f->ev, 1000);
 	CU_ASSERT_EQUAL(f->starts, 0);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against ends that the worker forgets before the leader has stored them. */
 static void test_ends(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	f->ends[f->end_count++] = (struct fleet_run_end){5, {"j.0.0.0", 1, "", 0}, PLAN_END_DONE};
 	memkv_run(f->ev, 500);
 	CU_ASSERT_EQUAL_FATAL(f->report->end_count, 1);
@@ -509,15 +255,15 @@
 	f->ends_stored = 5;
 	memkv_run(f->ev, 500);
 	CU_ASSERT_EQUAL(f->ends_known, 5);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against a start without an answer that is reported as refused but may begin later. */
 static void test_start_without_answer(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	f->start_result = RUNNER_NO_ANSWER;
 	memkv_run(f->ev, 200);
 	f->orders[f->order_count++] = (struct plan_order){.start = true,
@@ -530,33 +276,33 @@
 	CU_ASSERT_EQUAL(f->starts, 2);
 	CU_ASSERT(f->stops >= 1);
 	CU_ASSERT_EQUAL_FATAL(f->report->refusal_count, 1);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against a lease that is extended although no leader answers any more. */
 static void test_lease_needs_leader(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 	uint64_t last;
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 500);
 	f->answers = false;
 	memkv_run(f->ev, 3200);
 	last = f->lease_end_ms;
 	memkv_run(f->ev, 1000);
 	CU_ASSERT_EQUAL(f->lease_end_ms, last);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against starts and a lease on behalf of a leader that may have been replaced. */
 static void test_replaceable_leader(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 	int extensions;
 	int starts;
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 500);
 	f->valid_ms = 0;
 	memkv_run(f->ev, WORKER_RENEWAL_WINDOW_MS + 100);
@@ -575,7 +321,7 @@
 	memkv_run(f->ev, 500);
 	CU_ASSERT(f->extensions > extensions);
 	CU_ASSERT_EQUAL(f->starts, starts + 1);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /*
@@ -585,10 +331,10 @@
  */
 static void test_unsure_leader(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 	int last;
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 500);
 	f->unsure = true;
 	memkv_run(f->ev, 800);
@@ -597,7 +343,7 @@
 	last = f->extensions;
 	memkv_run(f->ev, 1500);
 	CU_ASSERT_EQUAL(f->extensions, last);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against an agent that follows no leader any more after an odd record of a leader. */
@@ -610,10 +356,10 @@
 		"{\"node\":\"x\",\"address\":\"some.host:1\",\"term\":9}",
 		"",
 	};
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 	char *record = talloc_strdup(f, memkv_value(f->store, "leader"));
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	for (size_t i = 0; i < G_N_ELEMENTS(records); i++) {
 		int last;
@@ -627,31 +373,31 @@
 		memkv_run(f->ev, 900);
 		CU_ASSERT(f->extensions > last);
 	}
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against work that ends because the store is unreachable and no leader was elected. */
 static void test_unsure_leader_is_kept(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 	int last;
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 500);
 	f->unsure = true;
 	memkv_run(f->ev, 3500);
 	last = f->extensions;
 	memkv_run(f->ev, 1500);
 	CU_ASSERT(f->extensions > last);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against a worker that has ended but is reported as alive, and mixed-up incarnations. */
 static void test_incarnations(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(f->report->alive);
 	f->worker_up = false;
@@ -659,55 +405,54 @@
 	CU_ASSERT_FALSE(f->report->alive);
 	f->worker_up = true;
 	f->born_ms = 9;
-	CU_ASSERT_EQUAL(announce(f, 9, 1), 0);
-	CU_ASSERT_EQUAL(announce(f, 7, 99), -ERR_STALE);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 9, 1), 0);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 7, 99), -ERR_STALE);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(f->report->alive);
 	CU_ASSERT_STRING_EQUAL(f->report->info.incarnation, "w1/9");
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against starts that are refused because the worker has not sent its first list yet. */
 /* The worker's start time comes from a clock that may be set back; it must be used nevertheless. */
 static void test_clock_set_back(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	f->worker_up = false;
 	memkv_run(f->ev, 900);
 	CU_ASSERT_FALSE(f->report->alive);
-	CU_ASSERT_EQUAL(announce(f, 5, 1), -ERR_STALE);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 5, 1), -ERR_STALE);
 	f->worker_up = true;
 	f->born_ms = 5;
 	memkv_run(f->ev, 500);
-	CU_ASSERT_EQUAL(announce(f, 6, 99), -ERR_STALE);
-	CU_ASSERT_EQUAL(announce(f, 5, 2), 0);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 6, 99), -ERR_STALE);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 5, 2), 0);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(f->report->alive);
 	CU_ASSERT_STRING_EQUAL(f->report->info.incarnation, "w1/5");
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 static void test_order_before_first_list(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	list_delay_ms = 400;
+	f->list_delay_ms = 400;
 	f->orders[f->order_count++] = (struct plan_order){.start = true,
 							  .task = "j.0.0.0",
 							  .run = 1,
 							  .payload = "p",
 							  .checkpoint = "",
 							  .ticket = ""};
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_EQUAL(f->report->refusal_count, 0);
 	memkv_run(f->ev, 500);
 	CU_ASSERT_EQUAL(f->starts, 1);
-	list_delay_ms = 2;
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /*
@@ -716,10 +461,10 @@
  */
 static void test_unanswered_start_is_reported_to_new_leader(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 	struct msg msg = {.type = MSG_LEAD, .u.lead = {4, "e2", wire_address(f->leader_wire)}};
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	f->start_result = RUNNER_NO_ANSWER;
 	f->start_delay_ms = 900;
@@ -739,15 +484,15 @@
 	CU_ASSERT_EQUAL(f->report->running_count, 0);
 	CU_ASSERT_EQUAL_FATAL(f->report->pending_count, 1);
 	CU_ASSERT_STRING_EQUAL(f->report->pending[0].task, "j.0.0.0");
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against a run that is reported as running before the worker has confirmed it. */
 static void test_stopping_start_is_not_running(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	f->start_result = RUNNER_NO_ANSWER;
 	f->stop_answers_lost = true;
@@ -757,33 +502,33 @@
 	CU_ASSERT(f->stops > 0);
 	CU_ASSERT_EQUAL(f->report->running_count, 0);
 	CU_ASSERT_EQUAL(f->report->pending_count, 1);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against orders of a former leader that are carried out. */
 static void test_former_leader(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = 2};
 	const char *text =
 		"{\"echo\":1,\"incarnation\":\"w1/7\",\"orders\":[[\"j.0.0.0\",1,\"\",\"p\"]]}";
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	msg.u.worker_orders.json.data = (uint8_t *)text;
 	msg.u.worker_orders.json.len = strlen(text);
 	wire_send(f->leader_wire, f->agent_peer, &msg);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_EQUAL(f->starts, 0);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against an ended run that is reported as running because its stop got no answer. */
 static void test_end_after_unanswered_stop(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	f->orders[f->order_count++] = start_order();
 	memkv_run(f->ev, 300);
@@ -804,16 +549,16 @@
 	memkv_run(f->ev, 500);
 	CU_ASSERT_EQUAL(f->report->end_count, 0);
 	CU_ASSERT_EQUAL(f->report->running_count, 0);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against a list that lacks a run because an earlier term's start was carried out late. */
 static void test_list_of_former_term(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 	char *record;
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(f->report->settled);
 	f->list_answers_lost = true;
@@ -828,15 +573,15 @@
 	f->list_answers_lost = false;
 	memkv_run(f->ev, 500);
 	CU_ASSERT_TRUE(f->report->settled);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against a worker that is reported as down while a new incarnation runs a start of ours. */
 static void test_start_on_restarted_worker(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(f->report->settled);
 	/* The worker restarts under its identifier, and its answer with the new start time is late.
@@ -852,14 +597,14 @@
 		memkv_run(f->ev, 10);
 		CU_ASSERT_TRUE(f->report->alive);
 	}
-	CU_ASSERT_EQUAL(announce(f, 9, 1), 0);
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 9, 1), 0);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_EQUAL(f->report->running_count, 1);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Gives the agent a start that gets no answer. */
-static void leave_start_unanswered(struct fixture *f)
+static void leave_start_unanswered(struct runnerworld *f)
 {
 	f->start_result = RUNNER_NO_ANSWER;
 	f->start_delay_ms = 5000;
@@ -873,24 +618,24 @@
 /* Guards against a late start that a restarted worker carries out under its identifier. */
 static void test_late_start_on_restarted_worker(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	leave_start_unanswered(f);
 	f->born_ms = 9;
-	announce(f, 9, 1);
+	runnerworld_announce(f, 9, 1);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(f->list_fence > f->start_fence);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against a late start on a worker that is down and restarts before it announces itself. */
 static void test_late_start_on_returning_worker(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	leave_start_unanswered(f);
 	f->worker_up = false;
@@ -900,30 +645,30 @@
 	f->list_fence = 0;
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(f->list_fence > f->start_fence);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against a late start on a worker whose connection broke because it restarted. */
 static void test_late_start_after_failed_renewal(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	leave_start_unanswered(f);
 	f->list_answers_lost = true;
 	memkv_run(f->ev, 600);
 	CU_ASSERT_TRUE(f->list_fence > f->start_fence);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against a restart that only the clock in the answer to a start shows. */
 static void test_clock_of_worker_goes_back(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 	uint64_t fence;
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	fence = f->list_fence;
 	f->clock_ms = 500;
@@ -931,15 +676,15 @@
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(f->list_fence > fence);
 	CU_ASSERT_FALSE(f->report->info.accepting);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against a late start on a worker that the leader has counted as lost meanwhile. */
 static void test_late_start_on_lost_worker(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	leave_start_unanswered(f);
 	f->answers = false;
@@ -948,16 +693,16 @@
 	f->answers = true;
 	memkv_run(f->ev, 1500);
 	CU_ASSERT_TRUE(f->list_fence > f->start_fence);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against a late start of a former process of the agent, and a list that may lack it. */
 static void test_list_of_former_session(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 	uint64_t fence;
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(f->report->settled);
 	fence = f->list_fence;
@@ -970,17 +715,17 @@
 	memkv_run(f->ev, 600);
 	CU_ASSERT_TRUE(f->report->settled);
 	CU_ASSERT_TRUE(f->list_fence > fence);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against ends of a restarted worker that are forgotten by the numbers of its former ones.
  */
 static void test_ends_known_after_failure(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
 	f->ends[f->end_count++] = (struct fleet_run_end){57, {"t.0.0.1", 3, "", 0}, PLAN_END_DONE};
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	f->ends_stored = 57;
 	memkv_run(f->ev, 600);
@@ -991,7 +736,7 @@
 	f->list_answers_lost = false;
 	memkv_run(f->ev, 600);
 	CU_ASSERT_EQUAL(f->ends_known, 57);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /*
@@ -1000,13 +745,13 @@
  */
 static void test_no_start_under_long_lease(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	f->born_ms = 9;
 	f->running[f->running_count++] = (struct plan_run){"t.0.0.1", 3, "", 1};
-	announce(f, 9, 1);
+	runnerworld_announce(f, 9, 1);
 	memkv_run(f->ev, 300);
 	CU_ASSERT_FALSE(f->report->info.accepting);
 	CU_ASSERT(f->stops > 0);
@@ -1019,16 +764,16 @@
 	CU_ASSERT_FALSE(f->report->info.accepting);
 	memkv_run(f->ev, 1300);
 	CU_ASSERT_TRUE(f->report->info.accepting);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* Guards against a start that is repeated under a term whose leader does not know of it yet. */
 static void test_start_of_former_term_is_not_repeated(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 	struct msg msg = {.type = MSG_LEAD, .u.lead = {4, "e2", wire_address(f->leader_wire)}};
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	f->start_result = RUNNER_NO_ANSWER;
 	f->start_delay_ms = 200;
@@ -1042,15 +787,15 @@
 	wire_send(f->leader_wire, f->agent_peer, &msg);
 	memkv_run(f->ev, 1000);
 	CU_ASSERT_EQUAL(f->starts, 1);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /* The list of the worker names neither the run nor its end; then it names the end. */
 static void check_missing_run(bool more_ends)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	f->orders[f->order_count++] = start_order();
 	memkv_run(f->ev, 300);
@@ -1079,7 +824,7 @@
 	CU_ASSERT_EQUAL(f->report->end_count, 2);
 	CU_ASSERT_EQUAL(f->report->pending_count, 0);
 	CU_ASSERT_EQUAL(f->report->refusal_count, 0);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 /*
@@ -1095,11 +840,11 @@
 /* Guards against starts that are withdrawn because a part of the orders can't be read. */
 static void test_unreadable_order(void)
 {
-	struct fixture *f = set_up();
+	struct runnerworld *f = runnerworld_create();
 	char *text;
 	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = 3};
 
-	announce(f, 7, 1);
+	runnerworld_announce(f, 7, 1);
 	memkv_run(f->ev, 300);
 	f->start_result = RUNNER_NO_ANSWER;
 	f->start_delay_ms = 900;
@@ -1117,7 +862,7 @@
 	memkv_run(f->ev, 1000); /* a withdrawn start is stopped when its call has ended */
 	CU_ASSERT_EQUAL(f->starts, 2);
 	CU_ASSERT_EQUAL(f->stops, 0);
-	tear_down(f);
+	runnerworld_destroy(f);
 }
 
 int main(void)
