coordstore: a write of an agent's key belongs to the event loop

The record of such a write had no owner, so it was lost when its call to the store did not end, as with a process that is killed in the simulation.

--- a/src/coordstore.c
+++ b/src/coordstore.c
@@ -515,7 +515,8 @@
 	if (row->key_storing)
 		return;
 	row->key_storing = true;
-	change = talloc_zero(NULL, struct agent_key_write);
+	/* Not owned by the link, which coord_end_call() may free before it. */
+	change = talloc_zero(coord->deps.ev, struct agent_key_write);
 	change->link = coord->link;
 	change->node = talloc_strdup(change, row->node);
 	change->present = present;
