runner: an announcement is a reason to ask the worker

Cause: an agent took each announcement with another identifier or start time for the one of its worker's next incarnation. One such message, from any writer, made it forget the runs of its live worker; its calls then named an identifier that nobody has, the refusal counted as the end of the worker, and the leader started everything elsewhere. An announcement without a start time passed the test for late ones at any time.

Change: runnerworker.c is the one place for what an agent concludes about its worker. An announcement that is not of the present incarnation makes the agent call its worker under the announced identifier; only the worker's list, with the announced start time, makes it believe the announcement. Until then the runs stand, and the leader hears nothing. The sender gets 400, 409 or 503 with the reason. The late announcement of a worker that has ended no longer makes it count as alive, and a deregistration is undone by the next announcement.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -5,6 +5,8 @@
 #include "util.h"
 
 #include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define BODY_MAX_BYTES (1024 * 1024) /* the configuration may set a lower limit */
@@ -13,6 +15,8 @@
 #define DRAIN_MIN_MS 2300   /* the load balancer needs two failed checks, 1 s apart */
 #define DRAIN_MARGIN_MS 700 /* time left to exit before the process would be killed */
 #define HEARTBEAT_ANSWER "{}"
+#define ANNOUNCEMENTS_METRIC "jaycourse_announcements_total"
+#define ANNOUNCEMENTS_HELP "Announcements that arrived at the address of the agent's worker"
 
 struct fleet_node {
 	struct tevent_context *ev;
@@ -241,25 +245,98 @@
 	return create_server(node, &node->callers, node->settings->callers_address, &callers, err);
 }
 
+/* A heartbeat that is answered once it is known whether it is taken. */
+struct heartbeat {
+	struct fleet_node *node;
+	struct httpd_call *call; /* NULL: the sender has closed the connection */
+	char *id;
+};
+
+static const struct {
+	int status;
+	int http_status;
+	const char *labels;
+	const char *message;
+	const char *remedy;
+} heartbeat_answers[] = {
+	{-ERR_INVALID, 400, "result=\"refused\"",
+	 "the worker belongs to another service, or the heartbeat lacks its start time",
+	 "Send heartbeats to the agent of the worker, with all fields."},
+	{-ERR_STALE, 409, "result=\"contradicted\"",
+	 "the worker at the agent's address answers as another incarnation",
+	 "Send heartbeats to the agent of the worker."},
+	{-ERR_QUEUE_FULL, 503, "result=\"unanswered\"", "too many heartbeats of unknown workers",
+	 "Send the heartbeat again."},
+	{0, 503, "result=\"unanswered\"", "the worker has not answered at the agent's address",
+	 "Send the heartbeat again."},
+};
+
+static void send_heartbeat_answer(struct heartbeat *heartbeat, int http_status, const char *text)
+{
+	if (heartbeat->call)
+		httpd_answer(heartbeat->call, http_status, "application/json", text, 0);
+	heartbeat->call = NULL;
+}
+
+static void refuse_heartbeat(struct heartbeat *heartbeat, int http_status, const char *labels,
+			     const char *message, const char *remedy)
+{
+	json_t *json = json_pack("{s:s, s:s}", "error", message, "remedy", remedy);
+	char *text = json_dumps(json, JSON_COMPACT);
+
+	metrics_count(heartbeat->node->metrics, ANNOUNCEMENTS_METRIC, labels, ANNOUNCEMENTS_HELP);
+	log_once("heartbeat_refused", heartbeat->id, "%s", message);
+	send_heartbeat_answer(heartbeat, http_status, text ? text : HEARTBEAT_ANSWER);
+	free(text);
+	json_decref(json);
+}
+
+static void on_announced(int status, void *ctx)
+{
+	struct heartbeat *heartbeat = ctx;
+	size_t i = 0;
+
+	if (status == 0) {
+		metrics_count(heartbeat->node->metrics, ANNOUNCEMENTS_METRIC, "result=\"taken\"",
+			      ANNOUNCEMENTS_HELP);
+		send_heartbeat_answer(heartbeat, 200, HEARTBEAT_ANSWER);
+	} else {
+		while (heartbeat_answers[i].status && heartbeat_answers[i].status != status)
+			i++;
+		refuse_heartbeat(heartbeat, heartbeat_answers[i].http_status,
+				 heartbeat_answers[i].labels, heartbeat_answers[i].message,
+				 heartbeat_answers[i].remedy);
+	}
+	talloc_free(heartbeat);
+}
+
+static void on_control_disconnect(struct httpd_call *call, void *ctx)
+{
+	struct heartbeat *heartbeat = httpd_context(call);
+
+	if (heartbeat)
+		heartbeat->call = NULL;
+}
+
 static void handle_heartbeat(struct fleet_node *node, struct httpd_call *call, const char *id)
 {
 	struct err err = {0};
 	size_t len;
 	const char *body = httpd_body(call, &len);
-	struct runner_announcement *self = node->platform.read_self(node, id, body, len, &err);
-	int status = self ? runner_announced(node->runner, self) : -ERR_INVALID;
-
-	metrics_count(node->metrics, "jaycourse_announcements_total",
-		      status == 0	       ? "result=\"taken\""
-		      : status == -ERR_INVALID ? "result=\"refused\""
-					       : "result=\"outdated\"",
-		      "Announcements that arrived at the address of the agent's worker");
-	if (status == -ERR_INVALID)
-		log_once("heartbeat_refused", id, "%s",
-			 err.code ? err.message : "the worker belongs to another service");
-	httpd_answer(call, status == -ERR_INVALID ? 400 : 200, "application/json", HEARTBEAT_ANSWER,
-		     0);
-	talloc_free(self);
+	struct heartbeat *heartbeat = talloc_zero(node, struct heartbeat);
+	struct runner_announcement *self;
+
+	heartbeat->node = node;
+	heartbeat->call = call;
+	heartbeat->id = talloc_strdup(heartbeat, id);
+	httpd_set_context(call, heartbeat);
+	self = node->platform.read_self(heartbeat, id, body, len, &err);
+	if (self) {
+		runner_announced(node->runner, self, on_announced, heartbeat);
+		return;
+	}
+	refuse_heartbeat(heartbeat, 400, "result=\"refused\"", err.message, err.remedy);
+	talloc_free(heartbeat);
 }
 
 static void serve_control(struct httpd_call *call, void *ctx)
@@ -292,7 +369,7 @@
 		.node = node->settings->node,
 		.service = node->settings->service,
 	};
-	struct httpd_handlers control = {serve_control, NULL, node};
+	struct httpd_handlers control = {serve_control, on_control_disconnect, node};
 
 	node->runner = runner_create(node, &deps);
 	return create_server(node, &node->control, node->settings->control_address, &control, err);
--- a/src/runner.c
+++ b/src/runner.c
@@ -15,9 +15,8 @@
 #define RENEW_RETRY_MS 200
 /* A worker that lists ends answers renewals without waiting, until it may forget the ends. */
 #define UNSTORED_ENDS_PAUSE_MS 150
-#define REPORT_DELAY_MS 4	   /* joins changes that occur together in one report */
-#define CONNECT_FAILURES_TO_DOWN 2 /* a single refused connection may be a reset */
-#define LEADER_SILENT_MS 1500	   /* without orders for this long, the store is asked who leads */
+#define REPORT_DELAY_MS 4     /* joins changes that occur together in one report */
+#define LEADER_SILENT_MS 1500 /* without orders for this long, the store is asked who leads */
 /*
  * An agent without a leader mostly finds the next one by this query, before the announcement. It
  * has to do so within WORKER_LOST_MS of the election, after which its worker counts as lost.
@@ -228,8 +227,6 @@
 	send_report(runner);
 }
 
-static void renew_lease_if_due(struct runner *runner, uint64_t now_ms);
-
 static void follow_leader(struct runner *runner, uint64_t term, const char *node,
 			  const char *address)
 {
@@ -252,7 +249,7 @@
 	talloc_free(runner->leader_address);
 	runner->leader_address = talloc_strdup(runner, address);
 	connect_leader(runner);
-	renew_lease_if_due(runner, util_clock_ms());
+	runner_renew_if_due(runner, util_clock_ms());
 }
 
 static void on_leader_record(int status, const struct kv_result *result, void *ctx)
@@ -282,88 +279,6 @@
 				  (struct kv_cb){on_leader_record, runner});
 }
 
-/* Counts a change of what the agent believes about its worker. */
-static void count_conclusion(struct runner *runner, const char *conclusion)
-{
-	char *labels = talloc_asprintf(NULL, "conclusion=\"%s\"", conclusion);
-
-	metrics_count(runner->deps.metrics, "jaycourse_worker_conclusions_total", labels,
-		      "Changes of what the agent believes about its worker");
-	talloc_free(labels);
-}
-
-static void mark_worker_down(struct runner *runner, const char *why)
-{
-	if (!runner->alive)
-		return;
-	log_warn("worker_down", runner->worker, "%s; %s, %u runs", why, runner->incarnation,
-		 g_hash_table_size(runner->runs));
-	count_conclusion(runner, "down");
-	runner->alive = false;
-	runner->down = true;
-	runner->why_down = why;
-	runner->down_ms = util_clock_ms();
-	runner_reset_incarnation(runner, false);
-	runner_schedule_report(runner);
-}
-
-/*
- * A new agent process does not know whether its worker runs anything. If nothing listens at the
- * worker's address, nothing runs, and the leader need not wait for leases that were extended
- * before this process began.
- */
-static void handle_probe_result(struct runner *runner, int status)
-{
-	if (status != -ERR_UNAVAILABLE) {
-		runner->connect_failures = 0;
-		return;
-	}
-	if (runner->down || ++runner->connect_failures < CONNECT_FAILURES_TO_DOWN)
-		return;
-	log_info("worker_absent", "",
-		 "no worker has announced itself, and nothing listens at its address");
-	count_conclusion(runner, "absent");
-	runner->down = true;
-	runner->why_down = "nothing has listened at its address since the agent began";
-	runner_schedule_report(runner);
-}
-
-static void replace_string(struct runner *runner, char **field, const char *value)
-{
-	if (*field && !strcmp(*field, value))
-		return;
-	talloc_free(*field);
-	*field = talloc_strdup(runner, value);
-}
-
-static void set_incarnation(struct runner *runner, const char *id, uint64_t started_ms)
-{
-	runner_reset_incarnation(runner, runner->worker && !strcmp(runner->worker, id));
-	replace_string(runner, &runner->worker, id);
-	talloc_free(runner->incarnation);
-	runner->incarnation = talloc_asprintf(runner, "%s/%" PRIu64, id, started_ms);
-	runner->worker_started_ms = started_ms;
-}
-
-/*
- * The worker was restarted under its identifier and has not announced itself yet. Calls that were
- * sent since then have reached the new incarnation, which gets nothing new before it has announced
- * what it offers.
- */
-static void find_restarted_worker(struct runner *runner, uint64_t started_ms)
-{
-	char *id = talloc_strdup(NULL, runner->worker);
-
-	log_info("worker_restarted", id,
-		 "its list names %" PRIu64 " as its start; before: %s, %u runs", started_ms,
-		 runner->incarnation, g_hash_table_size(runner->runs));
-	count_conclusion(runner, "restarted");
-	set_incarnation(runner, id, started_ms);
-	runner->sequence = 0;
-	runner->accepting = false;
-	talloc_free(id);
-}
-
 /* A call to renew the lease or to list the runs. */
 struct renewal_call {
 	struct runner *runner;
@@ -378,7 +293,6 @@
 {
 	bool new_fence = runner->list_fence != call->fence;
 
-	runner->connect_failures = 0;
 	runner->renewal_failed = false;
 	if (list->clock_ms)
 		runner_read_clock(runner, list->clock_ms);
@@ -409,55 +323,39 @@
 	runner->renew_due_ms = now_ms;
 	if (call.generation != runner->generation)
 		return;
-	if (!runner->worker) {
-		runner->renew_due_ms = now_ms + RENEW_RETRY_MS;
-		handle_probe_result(runner, status);
-		return;
-	}
 	if (!runner->alive) {
-		runner->renew_due_ms = now_ms + TICK_MS;
-		runner->answered_started_ms = status == 0 ? list->worker_started_ms : 0;
-		return;
-	}
-	if (status == 0 && list->worker_started_ms && runner->worker_started_ms &&
-	    list->worker_started_ms != runner->worker_started_ms) {
-		find_restarted_worker(runner, list->worker_started_ms);
-	}
-	if (status == 0) {
-		apply_renewal(runner, &call, list);
+		runner->renew_due_ms = now_ms + (runner->worker ? TICK_MS : RENEW_RETRY_MS);
+		runner_judge_answer(runner, status, list);
 		return;
 	}
-	runner->renew_due_ms = now_ms + RENEW_RETRY_MS;
-	/* A connection that breaks may be the first sign of a restart. */
-	if (!runner->renewal_failed && status != -ERR_DEADLINE) {
-		runner_begin_epoch(runner, "a renewal failed");
+	if (status) {
+		/* A connection that breaks may be the first sign of a restart. */
+		if (!runner->renewal_failed && status != -ERR_DEADLINE)
+			runner_begin_epoch(runner, "a renewal failed");
+		runner->renewal_failed = true;
 		runner->renew_due_ms = now_ms + RENEW_RETRY_MS;
 	}
-	runner->renewal_failed = true;
-	if (status == -ERR_STALE)
-		mark_worker_down(runner, "another incarnation answered");
-	else if (status == -ERR_UNAVAILABLE &&
-		 ++runner->connect_failures >= CONNECT_FAILURES_TO_DOWN)
-		mark_worker_down(runner, "nothing listens at the worker's address");
+	if (runner_judge_answer(runner, status, list))
+		apply_renewal(runner, &call, list);
 }
 
-static void renew_lease_if_due(struct runner *runner, uint64_t now_ms)
+void runner_renew_if_due(struct runner *runner, uint64_t now_ms)
 {
-	struct runner_renewal renewal = {.worker = runner->alive ? runner->worker : NULL,
+	struct runner_renewal renewal = {.worker = runner_named_worker(runner),
 					 .fence = runner_fence(runner)};
 	struct renewal_call *call;
 
 	if (runner->renewing || now_ms < runner->renew_due_ms)
 		return;
 	/*
-	 * Before the first announcement, and while the worker is down, the call only shows whether
-	 * a worker listens, and which one, and makes it ignore earlier calls. The first call to an
+	 * While it is not known who the worker is, the call only shows whether a worker listens,
+	 * and which one, and makes it ignore earlier calls. The first call to an
 	 * incarnation reads its clock, which the end of a lease needs.
 	 */
 	renewal.extend =
-		runner->alive && runner_may_extend_lease(runner) && runner->worker_clock_ms;
+		renewal.worker && runner_may_extend_lease(runner) && runner->worker_clock_ms;
 	/* To another incarnation the numbers of the ends mean other ends. */
-	if (runner->alive && !runner->renewal_failed)
+	if (renewal.worker && !runner->renewal_failed)
 		renewal.ends_known = runner->ends_stored;
 	renewal.lease_end_ms = runner_lease_end(runner);
 	renewal.wait_ms = renewal.extend && has_current_list(runner) ? RENEW_WAIT_MS : 0;
@@ -477,7 +375,7 @@
 	uint64_t now_ms = util_clock_ms();
 
 	query_leader_if_due(runner, now_ms);
-	renew_lease_if_due(runner, now_ms);
+	runner_renew_if_due(runner, now_ms);
 	runner_make_due_calls(runner, now_ms);
 	if (now_ms - runner->reported_ms >= runner->report_ms)
 		send_report(runner);
@@ -485,75 +383,6 @@
 					 on_tick, runner);
 }
 
-static void begin_incarnation(struct runner *runner, const struct runner_announcement *announcement)
-{
-	log_info("worker_found", announcement->id,
-		 "room for %u accelerators, rack %s; announcement %" PRIu64
-		 " from %s, start %" PRIu64 "; before: %s, %s, %u runs",
-		 announcement->room.accelerators, announcement->rack, announcement->sequence,
-		 announcement->address, announcement->started_ms,
-		 runner->incarnation ? runner->incarnation : "none",
-		 runner->alive ? "alive" : "not alive", g_hash_table_size(runner->runs));
-	count_conclusion(runner, "found");
-	set_incarnation(runner, announcement->id, announcement->started_ms);
-	runner->alive = true;
-	runner->answered_started_ms = 0;
-	runner->down = false;
-	runner->down_received = false;
-	runner->leaving = false;
-	runner->connect_failures = 0;
-	runner->renew_due_ms = 0;
-}
-
-int runner_announced(struct runner *runner, const struct runner_announcement *announcement)
-{
-	bool same = runner->worker && !strcmp(runner->worker, announcement->id) &&
-		    runner->worker_started_ms == announcement->started_ms;
-
-	if (strcmp(announcement->service, runner->deps.service) != 0)
-		return -ERR_INVALID;
-	/*
-	 * Announcements delayed by a partition may arrive after those of a later incarnation. After
-	 * a step of the clock by which start times are taken, the later one names an earlier time.
-	 */
-	if (!same && announcement->started_ms < runner->worker_started_ms &&
-	    announcement->started_ms != runner->answered_started_ms)
-		return -ERR_STALE;
-	if (same && announcement->sequence < runner->sequence)
-		return 0;
-	if (!same || !runner->alive)
-		begin_incarnation(runner, announcement);
-	runner->sequence = announcement->sequence;
-	replace_string(runner, &runner->zone, announcement->zone);
-	replace_string(runner, &runner->kind, announcement->kind);
-	replace_string(runner, &runner->rack, announcement->rack);
-	runner->room = announcement->room;
-	if (runner->accepting != announcement->accepting) {
-		if (!announcement->accepting)
-			log_info("worker_drains", announcement->id,
-				 "the worker accepts no new runs");
-		runner->accepting = announcement->accepting;
-		runner_schedule_report(runner);
-	}
-	renew_lease_if_due(runner, util_clock_ms());
-	return 0;
-}
-
-void runner_leaving(struct runner *runner, const char *id)
-{
-	if (!runner->worker || strcmp(runner->worker, id) != 0)
-		return;
-	log_info("worker_leaves", id, "the worker shuts down");
-	runner->accepting = false;
-	runner->leaving = true;
-	runner_schedule_report(runner);
-}
-
-bool runner_may_stop(const struct runner *runner)
-{
-	return !runner->leaving || runner->down_received;
-}
-
 static void apply_orders(struct runner *runner, const struct fleet_orders *orders)
 {
 	uint64_t authority_end_ms = orders->echo_ms + orders->valid_ms;
@@ -562,7 +391,7 @@
 		runner->session = orders->session;
 		runner->epoch = 0;
 		supersede_renewal(runner);
-		renew_lease_if_due(runner, util_clock_ms());
+		runner_renew_if_due(runner, util_clock_ms());
 		runner_schedule_report(runner);
 	}
 	if (runner->down && orders->echo_ms >= runner->down_ms)
@@ -591,7 +420,7 @@
 	for (size_t i = 0; i < orders->order_count; i++)
 		runner_apply_order(runner, &orders->orders[i]);
 	runner_make_due_calls(runner, util_clock_ms());
-	renew_lease_if_due(runner, util_clock_ms());
+	runner_renew_if_due(runner, util_clock_ms());
 }
 
 bool runner_message(struct runner *runner, const char *peer, const struct msg *msg)
--- a/src/runner.h
+++ b/src/runner.h
@@ -142,12 +142,19 @@
 struct runner *runner_create(TALLOC_CTX *mem, const struct runner_deps *deps);
 
 /**
- * runner_announced() - process an announcement of the worker
+ * runner_announced() - process an announcement that says to be of the worker
+ * @announcement: copied if needed
+ * @done: called once, at once or when the worker has been asked; may be NULL. @status: 0 if the
+ *	announcement is taken; -ERR_INVALID if it is of another service, or lacks the start time
+ *	that the worker gives in its lists; -ERR_STALE if the worker answers as another
+ *	incarnation; -ERR_UNAVAILABLE if it did not answer within 2 s; -ERR_QUEUE_FULL if too
+ *	many announcements wait for its answer
  *
- * Return: 0; -ERR_STALE if it is of an earlier incarnation; -ERR_INVALID if it is of another
- * service.
+ * Only an announcement of the present incarnation is taken without asking the worker. Nothing is
+ * given up before the worker has answered.
  */
-int runner_announced(struct runner *runner, const struct runner_announcement *announcement);
+void runner_announced(struct runner *runner, const struct runner_announcement *announcement,
+		      void (*done)(int status, void *ctx), void *ctx);
 
 /** runner_leaving() - the worker has announced that it shuts down */
 void runner_leaving(struct runner *runner, const char *id);
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -58,9 +58,8 @@
 	struct plan_resources room;
 	uint32_t generation; /* number of times that the state of the runs was reset, plus 1 */
 	uint64_t worker_started_ms;
-	/* Start time in the answer to the latest call while the worker was down; 0: none. */
-	uint64_t answered_started_ms;
 	uint64_t sequence;
+	uint32_t enquiries;	    /* announcements about which the worker is being asked */
 	uint64_t worker_clock_ms;   /* last reading of the worker's clock */
 	uint64_t clock_read_ms;	    /* util_running_ms() at that reading */
 	GHashTable *runs;	    /* key -> struct run_row */
@@ -130,6 +129,20 @@
 /* True while the worker may have a longer lease than the leader expects. */
 bool runner_lease_may_be_long(const struct runner *runner);
 
+/* Makes the call that renews the lease and lists the runs, if it is due and none is under way. */
+void runner_renew_if_due(struct runner *runner, uint64_t now_ms);
+
+/* runnerworker.c */
+/* Identifier that calls name, so that no other incarnation carries them out; NULL: none is known.
+ */
+const char *runner_named_worker(const struct runner *runner);
+/*
+ * Concludes what the answer to a call for a list says of the worker.
+ * @status: as in &runner_calls.renew
+ * Return: true if the list is one of the present incarnation.
+ */
+bool runner_judge_answer(struct runner *runner, int status, const struct runner_list *list);
+
 /* runnerruns.c */
 struct run_row *runner_find_row(const struct runner *runner, const char *task, uint32_t run);
 void runner_apply_order(struct runner *runner, const struct plan_order *order);
--- a/tests/test_runnerworker.c
+++ b/tests/test_runnerworker.c
@@ -153,6 +153,102 @@
 	runnerworld_destroy(f);
 }
 
+/* Guards against an agent that takes the first announcement it hears for its worker's. */
+static void test_first_announcement_of_other(void)
+{
+	struct runnerworld *f = runnerworld_create();
+	struct runner_announcement other = runnerworld_announcement(f, 9000, 1);
+
+	f->born_ms = BORN_MS;
+	other.id = "w9";
+	CU_ASSERT_EQUAL(runnerworld_take(f, &other), -ERR_STALE);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_STRING_EQUAL(f->report->info.id, "");
+	CU_ASSERT_EQUAL(runnerworld_announce(f, BORN_MS, 1), 0);
+	memkv_run(f->ev, 200);
+	CU_ASSERT_TRUE(f->report->settled);
+	CU_ASSERT_STRING_EQUAL(f->report->info.incarnation, "w1/7000");
+	runnerworld_destroy(f);
+}
+
+/* Guards against a worker that stays unused because a call was lost after its announcement. */
+static void test_enquiry_is_repeated(void)
+{
+	struct runnerworld *f = runnerworld_create();
+	struct runner_announcement announcement;
+
+	f->born_ms = BORN_MS;
+	f->list_answers_lost = true;
+	announcement = runnerworld_announcement(f, BORN_MS, 1);
+	runner_announced(f->runner, &announcement, NULL, NULL);
+	memkv_run(f->ev, 600);
+	CU_ASSERT_STRING_EQUAL(f->report->info.id, "");
+	f->list_answers_lost = false;
+	memkv_run(f->ev, 400);
+	CU_ASSERT_STRING_EQUAL(f->report->info.incarnation, "w1/7000");
+	CU_ASSERT_TRUE(f->report->settled);
+	runnerworld_destroy(f);
+}
+
+/* Guards against a worker flooded with calls, and a replacement unnoticed, behind wrong ones. */
+static void test_many_announcements_of_others(void)
+{
+	struct runnerworld *f = create_world();
+	struct runner_announcement other = runnerworld_announcement(f, BORN_MS + 1, 1);
+	struct runner_announcement next = runnerworld_announcement(f, BORN_MS + 900, 1);
+
+	start_run(f);
+	f->list_delay_ms = 20;
+	other.id = "w9";
+	for (int i = 0; i < 200; i++)
+		runner_announced(f->runner, &other, NULL, NULL);
+	CU_ASSERT_TRUE(is_kept(f, 300));
+	CU_ASSERT_TRUE(f->lists_open_max <= 10);
+	f->worker_id = "w2";
+	f->born_ms = BORN_MS + 900;
+	next.id = "w2";
+	CU_ASSERT_EQUAL(runnerworld_take(f, &next), 0);
+	memkv_run(f->ev, 200);
+	CU_ASSERT_STRING_EQUAL(f->report->info.incarnation, "w2/7900");
+	runnerworld_destroy(f);
+}
+
+/* Guards against a platform whose workers give no start time and are never used. */
+static void test_worker_without_start_time(void)
+{
+	struct runnerworld *f = runnerworld_create();
+
+	f->born_ms = 0;
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 0, 1), 0);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(f->report->settled);
+	CU_ASSERT_STRING_EQUAL(f->report->info.incarnation, "w1/0");
+	CU_ASSERT_EQUAL(runnerworld_announce(f, 0, 2), 0);
+	runnerworld_destroy(f);
+}
+
+/* Guards against a deregistration of another worker, or a wrong one, that bars a worker for good.
+ */
+static void test_leaving(void)
+{
+	struct runnerworld *f = create_world();
+
+	start_run(f);
+	runner_leaving(f->runner, "w9");
+	memkv_run(f->ev, 100);
+	CU_ASSERT_TRUE(f->report->info.accepting);
+	runner_leaving(f->runner, "w1");
+	CU_ASSERT_TRUE(is_kept(f, 300));
+	CU_ASSERT_FALSE(f->report->info.accepting);
+	CU_ASSERT_EQUAL(f->report->running_count, 1);
+	CU_ASSERT_FALSE(runner_may_stop(f->runner));
+	CU_ASSERT_EQUAL(runnerworld_announce(f, BORN_MS, 6), 0);
+	memkv_run(f->ev, 100);
+	CU_ASSERT_TRUE(f->report->info.accepting);
+	CU_ASSERT_TRUE(runner_may_stop(f->runner));
+	runnerworld_destroy(f);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -165,6 +261,11 @@
 	CU_add_test(suite, "announcement_of_replacement", test_announcement_of_replacement);
 	CU_add_test(suite, "late_announcement_of_ended_worker",
 		    test_late_announcement_of_ended_worker);
+	CU_add_test(suite, "first_announcement_of_other", test_first_announcement_of_other);
+	CU_add_test(suite, "enquiry_is_repeated", test_enquiry_is_repeated);
+	CU_add_test(suite, "many_announcements_of_others", test_many_announcements_of_others);
+	CU_add_test(suite, "worker_without_start_time", test_worker_without_start_time);
+	CU_add_test(suite, "leaving", test_leaving);
 	CU_basic_set_mode(CU_BRM_VERBOSE);
 	CU_basic_run_tests();
 	return CU_get_number_of_failures() ? 1 : 0;
