runner: one answer of another incarnation does not end a worker

A worker of which all runs were given up, and started elsewhere, after a single answer that the call was for another incarnation, whoever that was.

After such an answer the agent now calls whoever listens at the worker's address, without naming anyone, and compares the start time in the list. Only a list of another incarnation ends the worker; if it is that of the present one, the answer was wrong, which is logged, and the runs stand. The second call follows at once, so a worker that was replaced is found one round trip later than before. Refused connections count as in a row only if no other answer came in between.

--- a/src/runner.c
+++ b/src/runner.c
@@ -282,6 +282,7 @@
 /* A call to renew the lease or to list the runs. */
 struct renewal_call {
 	struct runner *runner;
+	bool named; /* only the incarnation that is believed to be there answers with a list */
 	uint32_t number;
 	uint32_t generation;
 	uint64_t fence;
@@ -325,7 +326,7 @@
 		return;
 	if (!runner->alive) {
 		runner->renew_due_ms = now_ms + (runner->worker ? TICK_MS : RENEW_RETRY_MS);
-		runner_judge_answer(runner, status, list);
+		runner_judge_answer(runner, call.named, status, list);
 		return;
 	}
 	if (status) {
@@ -335,8 +336,10 @@
 		runner->renewal_failed = true;
 		runner->renew_due_ms = now_ms + RENEW_RETRY_MS;
 	}
-	if (runner_judge_answer(runner, status, list))
+	if (runner_judge_answer(runner, call.named, status, list))
 		apply_renewal(runner, &call, list);
+	else if (runner->contradicted)
+		runner_renew_if_due(runner, now_ms);
 }
 
 void runner_renew_if_due(struct runner *runner, uint64_t now_ms)
@@ -363,7 +366,11 @@
 		runner->renew_due_ms = now_ms + RENEW_RETRY_MS;
 	runner->renewing = true;
 	call = talloc_zero(runner, struct renewal_call);
-	*call = (struct renewal_call){runner, ++runner->renewals, runner->generation, renewal.fence,
+	*call = (struct renewal_call){runner,
+				      renewal.worker != NULL,
+				      ++runner->renewals,
+				      runner->generation,
+				      renewal.fence,
 				      now_ms};
 	runner->calls.renew(runner->calls.impl, &renewal, on_renewed, call);
 }
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -92,10 +92,12 @@
 	uint64_t leader_queried_ms; /* last read of the leader's record in the store */
 	uint32_t report_ms;	    /* interval between reports */
 	bool accepting;
-	bool alive;   /* an incarnation has announced itself and is not known to have ended */
-	bool down;    /* certainly nothing runs on the worker; false while its state is unknown */
-	bool settled; /* a complete list was read from this incarnation */
-	bool leaving; /* the worker shuts down for good */
+	bool alive; /* an incarnation has announced itself and is not known to have ended */
+	bool down;  /* certainly nothing runs on the worker; false while its state is unknown */
+	/* Another incarnation has answered a call; until it is known which one, calls name none. */
+	bool contradicted;
+	bool settled;	      /* a complete list was read from this incarnation */
+	bool leaving;	      /* the worker shuts down for good */
 	uint64_t down_ms;     /* when @down became true */
 	const char *why_down; /* constant */
 	bool down_received;   /* the leader has received a report of that */
@@ -138,10 +140,12 @@
 const char *runner_named_worker(const struct runner *runner);
 /*
  * Concludes what the answer to a call for a list says of the worker.
+ * @named: the call named the present incarnation
  * @status: as in &runner_calls.renew
  * Return: true if the list is one of the present incarnation.
  */
-bool runner_judge_answer(struct runner *runner, int status, const struct runner_list *list);
+bool runner_judge_answer(struct runner *runner, bool named, int status,
+			 const struct runner_list *list);
 
 /* runnerruns.c */
 struct run_row *runner_find_row(const struct runner *runner, const char *task, uint32_t run);
--- a/src/runnerworker.c
+++ b/src/runnerworker.c
@@ -58,13 +58,14 @@
 	talloc_free(runner->incarnation);
 	runner->incarnation = talloc_asprintf(runner, "%s/%" PRIu64, id, started_ms);
 	runner->worker_started_ms = started_ms;
+	runner->contradicted = false;
 	runner->connect_failures = 0;
 	runner->sequence = 0;
 }
 
 const char *runner_named_worker(const struct runner *runner)
 {
-	return runner->alive ? runner->worker : NULL;
+	return runner->alive && !runner->contradicted ? runner->worker : NULL;
 }
 
 static void conclude_found(struct runner *runner, const struct runner_announcement *announcement)
@@ -94,6 +95,7 @@
 	runner->down = true;
 	runner->why_down = why;
 	runner->down_ms = util_clock_ms();
+	runner->contradicted = false;
 	runner_reset_incarnation(runner, false);
 	runner_schedule_report(runner);
 }
@@ -131,6 +133,30 @@
 	talloc_free(id);
 }
 
+/*
+ * The present incarnation was named in a call and another one has answered. That may be a wrong
+ * answer, so whoever listens is asked when it started before anything is given up.
+ */
+static void doubt_incarnation(struct runner *runner)
+{
+	log_info("worker_contradicted", runner->worker, "another incarnation answered a call to %s",
+		 runner->incarnation);
+	runner->contradicted = true;
+	runner->renew_due_ms = 0;
+}
+
+static void settle_doubt(struct runner *runner, const struct runner_list *list)
+{
+	runner->contradicted = false;
+	if (!list->worker_started_ms || list->worker_started_ms != runner->worker_started_ms) {
+		conclude_down(runner, "another incarnation answered");
+		return;
+	}
+	log_warn("worker_contradicted", runner->worker,
+		 "%s has listed its runs, so an answer of another incarnation was wrong",
+		 runner->incarnation);
+}
+
 static void count_refused_connection(struct runner *runner)
 {
 	if (runner->down || ++runner->connect_failures < CONNECT_FAILURES_TO_DOWN)
@@ -141,7 +167,8 @@
 		conclude_absent(runner);
 }
 
-bool runner_judge_answer(struct runner *runner, int status, const struct runner_list *list)
+bool runner_judge_answer(struct runner *runner, bool named, int status,
+			 const struct runner_list *list)
 {
 	if (status == -ERR_UNAVAILABLE) {
 		count_refused_connection(runner);
@@ -150,10 +177,14 @@
 	runner->connect_failures = 0;
 	if (!runner->alive)
 		return false;
-	if (status == -ERR_STALE)
-		conclude_down(runner, "another incarnation answered");
+	if (status == -ERR_STALE && named)
+		doubt_incarnation(runner);
 	if (status)
 		return false;
+	if (!named) {
+		settle_doubt(runner, list);
+		return false;
+	}
 	if (list->worker_started_ms && runner->worker_started_ms &&
 	    list->worker_started_ms != runner->worker_started_ms)
 		conclude_restarted(runner, list->worker_started_ms);
