platform: only a refused connection shows that nothing listens

A worker of which all runs were given up and started elsewhere although it was at work: its agent's host had no descriptors left for 0.2 s.

Cause: each connection that libcurl could not make counted as one that nothing listens for, and two in a row as the end of the worker. A lack of descriptors, of local ports or of a route fails at once too, and says nothing of the worker.

Change: the error number decides.

Evidence: test_platform/failure_of_own_host failed before: three calls without a free descriptor were all reported as if nothing listened.

--- a/src/runner.h
+++ b/src/runner.h
@@ -86,8 +86,9 @@
 
 /**
  * struct runner_calls - calls to the worker
- * @renew: its callback receives status 0 with a list; -ERR_UNAVAILABLE when nothing listens
- *	at the worker's address; -ERR_STALE when another incarnation answered; -ERR_DENIED
+ * @renew: its callback receives status 0 with a list; -ERR_UNAVAILABLE when the worker's host has
+ *	refused the connection, so that nothing listens at the address; -ERR_SYSTEM when the
+ *	connection failed otherwise; -ERR_STALE when another incarnation answered; -ERR_DENIED
  *	when the worker has accepted a higher fence; -ERR_DEADLINE when there was no answer in
  *	time; another error without a usable answer
  *
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -704,6 +705,46 @@
 	}
 }
 
+static int list_status_of(struct answers *answers, struct runner_calls *calls)
+{
+	struct runner_renewal renewal = {.fence = 1};
+	struct listed listed = {0};
+
+	calls->renew(calls->impl, &renewal, on_list, &listed);
+	while (listed.calls == 0)
+		tevent_loop_once(answers->ev);
+	return listed.status;
+}
+
+/* Guards against a worker that is called down because its agent's host has no descriptors left. */
+static void test_failure_of_own_host(void)
+{
+	struct answers answers = {.body = "{\"clock_ms\":5,\"running\":[],\"ended\":[]}"};
+	struct runner_calls *calls;
+	struct rlimit limit;
+	struct rlimit none;
+	int lowest;
+
+	start_answers(&answers);
+	calls = platform_worker_create(answers.mem, httpc_create(answers.mem, answers.ev),
+				       httpd_address(answers.server));
+	CU_ASSERT_EQUAL(getrlimit(RLIMIT_NOFILE, &limit), 0);
+	lowest = dup(STDERR_FILENO);
+	close(lowest);
+	none = limit;
+	none.rlim_cur = (rlim_t)lowest;
+	CU_ASSERT_EQUAL(setrlimit(RLIMIT_NOFILE, &none), 0);
+	for (int i = 0; i < 3; i++)
+		CU_ASSERT_EQUAL(list_status_of(&answers, calls), -ERR_SYSTEM);
+	CU_ASSERT_EQUAL(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	CU_ASSERT_EQUAL(list_status_of(&answers, calls), 0);
+	TALLOC_FREE(answers.server);
+	calls = platform_worker_create(answers.mem, httpc_create(answers.mem, answers.ev),
+				       "127.0.0.1:1");
+	CU_ASSERT_EQUAL(list_status_of(&answers, calls), -ERR_UNAVAILABLE);
+	talloc_free(answers.mem);
+}
+
 static void on_answer_ignored(int status, int http_status, const char *body, size_t len, void *ctx)
 {
 	(*(int *)ctx)++;
@@ -741,6 +782,7 @@
 	CU_add_test(suite, "odd_heartbeats", test_odd_heartbeats);
 	CU_add_test(suite, "odd_config", test_odd_config);
 	CU_add_test(suite, "odd_run_lists", test_odd_run_lists);
+	CU_add_test(suite, "failure_of_own_host", test_failure_of_own_host);
 	CU_add_test(suite, "long_run_lists", test_long_run_lists);
 	CU_add_test(suite, "odd_store_items", test_odd_store_items);
 	CU_add_test(suite, "encoded_nul", test_encoded_nul);
