platform: a heartbeat with a field of the wrong type is refused, used or not

A heartbeat whose slots, version, clock or remaining times are of another type was taken, since the scheduler does not use these fields. It comes from another writer, so its other fields are not the worker's either.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -193,6 +193,12 @@
 		{"\"ready\"", "\"READY\""},
 		{"[\"a\",\"r1-3\"]", "[[[\"a\"]],\"r1-3\"]"},
 		{"[\"a\",\"r1-3\"]", "{}"},
+		{"\"version\":\"v1\"", "\"version\":7"},
+		{"\"slots\":8", "\"slots\":\"8\""},
+		{"\"slots\":8", "\"slots\":-8"},
+		{"\"cold_remaining_ms\":0", "\"cold_remaining_ms\":[0]"},
+		{"\"clock_ms\":482113", "\"clock_ms\":null"},
+		{"\"clock_ms\":482113", "\"remaining_ms\":\"long\""},
 	};
 	static const char *const ids[] = {"", "i/1", "i 1", "i\r\nHost: x", "\xff\xfe"};
 	TALLOC_CTX *mem = talloc_new(NULL);
