--- a/tests/test_e2e_fleet.c
+++ b/tests/test_e2e_fleet.c
@@ -239,6 +239,27 @@
 	}
 }
 
+/* Runs of a job's tasks that the workers have started. */
+static int count_starts(int number)
+{
+	char id[20];
+	char line[256];
+	int starts = 0;
+
+	job_id(number, id, sizeof(id));
+	for (int w = 0; w < WORKERS; w++) {
+		FILE *file = fopen(agents[w].worker.log, "r");
+		char task[64];
+
+		while (file && fgets(line, sizeof(line), file))
+			starts += sscanf(line, "start %63s", task) == 1 &&
+				  !strncmp(task, id, strlen(id));
+		if (file)
+			fclose(file);
+	}
+	return starts;
+}
+
 static void check_done(int first, int last, int tasks)
 {
 	for (int job = first; job <= last; job++) {
@@ -370,6 +391,48 @@
 	start_worker(&agents[0], 0);
 }
 
+static int send_heartbeat(const struct host *agent, const char *id, const char *started)
+{
+	char url[128];
+	char body[512];
+	struct http_reply reply;
+
+	snprintf(url, sizeof(url), "http://%s/v1/instances/%s", agent->control, id);
+	snprintf(body, sizeof(body),
+		 "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\",\"state\":\"ready\","
+		 "\"capacity\":{\"cpu\":128000,\"mem_mb\":524288,\"gpu\":8},\"labels\":[\"a\","
+		 "\"r0\"],\"seq\":1000%s}",
+		 agent->app, started);
+	reply = http_call("PUT", url, NULL, body, 3000);
+	http_reply_free(&reply);
+	return reply.status;
+}
+
+/* Guards against tasks that run twice because another writer has sent a heartbeat. */
+static void test_heartbeats_of_others(void)
+{
+	int first = submit_jobs(2, "3000", 4, false);
+	char later[64];
+
+	CU_ASSERT_TRUE(wait_state(first, first + 1, "running", 10000));
+	usleep(300 * 1000);
+	snprintf(later, sizeof(later), ",\"born\":%llu", (unsigned long long)util_wall_ms());
+	for (int i = 0; i < WORKERS; i++) {
+		char own[16];
+
+		snprintf(own, sizeof(own), "i-%d", i);
+		CU_ASSERT_EQUAL(send_heartbeat(&agents[i], "i-other", later), 409);
+		CU_ASSERT_EQUAL(send_heartbeat(&agents[i], "i-other", ""), 409);
+		CU_ASSERT_EQUAL(send_heartbeat(&agents[i], own, later), 409);
+		CU_ASSERT_EQUAL(send_heartbeat(&agents[i], own, ""), 400);
+		CU_ASSERT_EQUAL(send_heartbeat(&agents[i], own, ",\"born\":\"\""), 400);
+	}
+	CU_ASSERT_TRUE(wait_state(first, first + 1, "completed", 15000));
+	check_done(first, first + 1, 4);
+	CU_ASSERT_EQUAL(count_starts(first), 4);
+	CU_ASSERT_EQUAL(count_starts(first + 1), 4);
+}
+
 /* Guards against jobs that are lost or run twice while the store refuses calls or loses answers. */
 static void test_troubled_store(void)
 {
@@ -413,6 +476,7 @@
 	CU_add_test(suite, "killed_entries", test_killed_entries);
 	CU_add_test(suite, "killed_agents", test_killed_agents);
 	CU_add_test(suite, "crashed_worker", test_crashed_worker);
+	CU_add_test(suite, "heartbeats_of_others", test_heartbeats_of_others);
 	CU_add_test(suite, "troubled_store", test_troubled_store);
 	CU_add_test(suite, "graceful_stop", test_graceful_stop);
 	CU_basic_run_tests();
