httpd: a server with open calls can be freed

A process that ended while a call waited for its answer was aborted by libmicrohttpd, which does not stop while connections are suspended. It was latent in entries, whose calls can be open at the end of the grace period.

A server that is freed now answers such calls 503 and calls nobody back.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -26,8 +26,10 @@
 	char *address;
 	size_t body_max;
 	size_t open_calls;
+	struct httpd_call *suspended; /* calls whose connections wait for their answers */
 	bool run_scheduled;
 	bool closing;
+	bool stopping;
 };
 
 struct httpd_call {
@@ -40,6 +42,8 @@
 	bool too_large;
 	bool delivered; /* the call has been passed to the handler or refused */
 	bool suspended;
+	struct httpd_call *next; /* in &httpd.suspended */
+	struct httpd_call *prev;
 	struct MHD_Response *response;
 	int status;
 	void *ctx;
@@ -118,6 +122,30 @@
 	return ret;
 }
 
+static void suspend_call(struct httpd_call *call)
+{
+	struct httpd *httpd = call->httpd;
+
+	call->suspended = true;
+	call->next = httpd->suspended;
+	if (call->next)
+		call->next->prev = call;
+	httpd->suspended = call;
+	MHD_suspend_connection(call->connection);
+}
+
+static void resume_call(struct httpd_call *call)
+{
+	if (call->prev)
+		call->prev->next = call->next;
+	else
+		call->httpd->suspended = call->next;
+	if (call->next)
+		call->next->prev = call->prev;
+	call->suspended = false;
+	MHD_resume_connection(call->connection);
+}
+
 static enum MHD_Result on_access(void *cls, struct MHD_Connection *connection, const char *url,
 				 const char *method, const char *version, const char *data,
 				 size_t *len, void **con_cls)
@@ -146,11 +174,13 @@
 		httpd_answer(call, MHD_HTTP_CONTENT_TOO_LARGE, NULL, NULL, 0);
 		return send_response(call);
 	}
-	httpd->handlers.on_call(call, httpd->handlers.ctx);
+	if (httpd->stopping)
+		httpd_answer(call, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
+	else
+		httpd->handlers.on_call(call, httpd->handlers.ctx);
 	if (call->response)
 		return send_response(call);
-	call->suspended = true;
-	MHD_suspend_connection(connection);
+	suspend_call(call);
 	return MHD_YES;
 }
 
@@ -229,8 +259,7 @@
 	httpd->open_calls--;
 	if (!call->suspended)
 		return;
-	call->suspended = false;
-	MHD_resume_connection(call->connection);
+	resume_call(call);
 	schedule_run(httpd);
 }
 
@@ -296,8 +325,15 @@
 
 static int httpd_destructor(struct httpd *httpd)
 {
-	if (httpd->daemon)
-		MHD_stop_daemon(httpd->daemon);
+	if (!httpd->daemon)
+		return 0;
+	/* libmicrohttpd does not stop while connections are suspended. */
+	httpd->closing = true;
+	httpd->stopping = true;
+	while (httpd->suspended)
+		httpd_answer(httpd->suspended, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
+	MHD_run(httpd->daemon);
+	MHD_stop_daemon(httpd->daemon);
 	return 0;
 }
 
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -38,6 +38,8 @@
  * @body_max: bytes; calls with a larger body are answered 413
  * @handlers: copied
  *
+ * When the server is freed, calls that have no answer yet get 503, and no callback runs any more.
+ *
  * Return: the server, or NULL with @err filled.
  */
 struct httpd *httpd_create(TALLOC_CTX *mem, struct tevent_context *ev, const char *address,
