runner: the clock in an answer of another incarnation is not the worker's

A start or stop that another incarnation refused set the worker's clock to that one's. With a clock that is ahead, the next start carried the end of a lease of up to 10 s, while the leader counts on 6.9 s: after a loss of the agent right then the worker's tasks would start elsewhere while they run. Found in review; no such case was seen.

--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -161,7 +161,8 @@
 
 	if (!finish_call(row))
 		return;
-	if (clock_ms)
+	/* The clock of another incarnation is another one. */
+	if (clock_ms && result != RUNNER_OTHER_INCARNATION)
 		runner_read_clock(runner, clock_ms);
 	/* A stop was ordered, or the start withdrawn, while the start call was pending. */
 	if (row->state != RUN_ORDERED) {
@@ -211,7 +212,8 @@
 
 	if (!finish_call(row))
 		return;
-	if (clock_ms)
+	/* The clock of another incarnation is another one. */
+	if (clock_ms && result != RUNNER_OTHER_INCARNATION)
 		runner_read_clock(runner, clock_ms);
 	if (result == RUNNER_STARTED) { /* the worker has carried out the stop */
 		log_info("run_stopped", row->task, "run %u", row->run);
