runner: one list of another start time does not end a worker's incarnation

Runs of a live worker were stopped after a single list that named another start time: the agent took it for a restart, after which listed runs count as started by a call to the former incarnation. And where lists give no start time, one answer of another incarnation still ended the worker, and one announcement with another start time was believed, since a missing time meant "another" in one place and "the same" in the other. Found in review.

A list with another start time is a reason to ask whoever listens, like an answer of another incarnation. A list without a start time settles nothing: then only a second answer to a call by name ends the worker, and an announcement that differs in its start time alone is not believed. A worker that contradicts itself is called five times a second, and that is logged once.

--- a/src/runner.h
+++ b/src/runner.h
@@ -148,7 +148,7 @@
  * @done: called once, at once or when the worker has been asked; may be NULL. @status: 0 if the
  *	announcement is taken; -ERR_INVALID if it is of another service, or lacks the start time
  *	that the worker gives in its lists; -ERR_STALE if the worker answers as another
- *	incarnation; -ERR_UNAVAILABLE if it did not answer within 2 s; -ERR_QUEUE_FULL if too
+ *	incarnation; -ERR_UNAVAILABLE if it did not answer within about 3 s; -ERR_QUEUE_FULL if too
  *	many announcements wait for its answer
  *
  * Only an announcement of the present incarnation is taken without asking the worker. Nothing is
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -96,11 +96,13 @@
 	bool down;  /* certainly nothing runs on the worker; false while its state is unknown */
 	/* Another incarnation has answered a call; until it is known which one, calls name none. */
 	bool contradicted;
-	bool settled;	      /* a complete list was read from this incarnation */
-	bool leaving;	      /* the worker shuts down for good */
-	uint64_t down_ms;     /* when @down became true */
-	const char *why_down; /* constant */
-	bool down_received;   /* the leader has received a report of that */
+	bool renamed; /* that answer was of another identifier, otherwise of another start time */
+	uint32_t contradictions; /* since the latest list of the present incarnation */
+	bool settled;		 /* a complete list was read from this incarnation */
+	bool leaving;		 /* the worker shuts down for good */
+	uint64_t down_ms;	 /* when @down became true */
+	const char *why_down;	 /* constant */
+	bool down_received;	 /* the leader has received a report of that */
 	bool renewing;
 	bool connected;
 	bool leader_query_pending;
--- a/src/runnerworker.c
+++ b/src/runnerworker.c
@@ -15,6 +15,8 @@
  */
 
 #define CONNECT_FAILURES_TO_DOWN 2 /* a single refused connection may be a reset */
+#define CONTRADICTIONS_TO_DOWN 2   /* of a worker that gives no start time */
+#define CONTRADICTED_RETRY_MS 200
 /*
  * An announcement waits this long for an answer of the worker that settles it, so that the worker
  * is asked until its next announcement arrives.
@@ -59,6 +61,7 @@
 	runner->incarnation = talloc_asprintf(runner, "%s/%" PRIu64, id, started_ms);
 	runner->worker_started_ms = started_ms;
 	runner->contradicted = false;
+	runner->contradictions = 0;
 	runner->connect_failures = 0;
 	runner->sequence = 0;
 }
@@ -134,27 +137,37 @@
 }
 
 /*
- * The present incarnation was named in a call and another one has answered. That may be a wrong
- * answer, so whoever listens is asked when it started before anything is given up.
+ * An answer to a call that names the present incarnation contradicts it. One answer may be wrong,
+ * so whoever listens is asked when it started before anything is given up.
  */
-static void doubt_incarnation(struct runner *runner)
+static void doubt_incarnation(struct runner *runner, bool renamed)
 {
-	log_info("worker_contradicted", runner->worker, "another incarnation answered a call to %s",
-		 runner->incarnation);
+	if (runner->contradictions++ == 0)
+		log_info("worker_contradicted", runner->worker, "%s, in answer to a call to %s",
+			 renamed ? "another incarnation" : "another start time",
+			 runner->incarnation);
 	runner->contradicted = true;
+	runner->renamed = renamed;
 	runner->renew_due_ms = 0;
 }
 
+/* @list: of whoever listens, in answer to a call that names nobody */
 static void settle_doubt(struct runner *runner, const struct runner_list *list)
 {
 	runner->contradicted = false;
-	if (!list->worker_started_ms || list->worker_started_ms != runner->worker_started_ms) {
+	if (!list->worker_started_ms || !runner->worker_started_ms) {
+		/* Only a second answer to a call by name can tell. */
+		if (runner->contradictions >= CONTRADICTIONS_TO_DOWN)
+			conclude_down(runner, "another incarnation answered");
+	} else if (list->worker_started_ms == runner->worker_started_ms) {
+		log_once("worker_contradicted", runner->worker,
+			 "%s has listed its runs, so the answer was wrong", runner->incarnation);
+		runner->renew_due_ms = util_clock_ms() + CONTRADICTED_RETRY_MS;
+	} else if (runner->renamed) {
 		conclude_down(runner, "another incarnation answered");
-		return;
+	} else {
+		conclude_restarted(runner, list->worker_started_ms);
 	}
-	log_warn("worker_contradicted", runner->worker,
-		 "%s has listed its runs, so an answer of another incarnation was wrong",
-		 runner->incarnation);
 }
 
 static void count_refused_connection(struct runner *runner)
@@ -178,7 +191,7 @@
 	if (!runner->alive)
 		return false;
 	if (status == -ERR_STALE && named)
-		doubt_incarnation(runner);
+		doubt_incarnation(runner, true);
 	if (status)
 		return false;
 	if (!named) {
@@ -186,17 +199,35 @@
 		return false;
 	}
 	if (list->worker_started_ms && runner->worker_started_ms &&
-	    list->worker_started_ms != runner->worker_started_ms)
-		conclude_restarted(runner, list->worker_started_ms);
+	    list->worker_started_ms != runner->worker_started_ms) {
+		doubt_incarnation(runner, false);
+		return false;
+	}
+	runner->contradictions = 0;
 	return true;
 }
 
+static bool is_present_id(const struct runner *runner, const char *id)
+{
+	return runner->alive && !strcmp(runner->worker, id);
+}
+
 static bool is_present(const struct runner *runner, const struct runner_announcement *announcement)
 {
-	return runner->alive && !strcmp(runner->worker, announcement->id) &&
+	return is_present_id(runner, announcement->id) &&
 	       runner->worker_started_ms == announcement->started_ms;
 }
 
+static void set_accepting(struct runner *runner, bool accepting)
+{
+	if (runner->accepting == accepting)
+		return;
+	if (!accepting)
+		log_info("worker_drains", runner->worker, "the worker accepts no new runs");
+	runner->accepting = accepting;
+	runner_schedule_report(runner);
+}
+
 /* Takes over what the present incarnation says of itself. */
 static void take_offer(struct runner *runner, const struct runner_announcement *announcement)
 {
@@ -209,28 +240,27 @@
 	replace_string(runner, &runner->kind, announcement->kind);
 	replace_string(runner, &runner->rack, announcement->rack);
 	runner->room = announcement->room;
-	if (runner->accepting != announcement->accepting) {
-		if (!announcement->accepting)
-			log_info("worker_drains", announcement->id,
-				 "the worker accepts no new runs");
-		runner->accepting = announcement->accepting;
-		runner_schedule_report(runner);
-	}
+	set_accepting(runner, announcement->accepting);
 	runner_renew_if_due(runner, util_clock_ms());
 }
 
 /*
  * Compares an announcement with the answer of the worker to a call that names the announced
- * identifier. A worker that gives its start time in its lists gives it in its announcements.
+ * identifier. A worker that gives its start time in its lists gives it in its announcements; a list
+ * without it can't tell two incarnations under one identifier apart.
  * Return: 0 if the worker is the announced incarnation, -ERR_STALE or -ERR_INVALID if it is not,
  * otherwise the failure of the call, which settles nothing.
  */
-static int compare_with_answer(const struct runner_announcement *announcement, int status,
+static int compare_with_answer(const struct runner *runner,
+			       const struct runner_announcement *announcement, int status,
 			       const struct runner_list *list)
 {
-	if (status || !list->worker_started_ms ||
-	    list->worker_started_ms == announcement->started_ms)
+	if (status)
 		return status;
+	if (!list->worker_started_ms)
+		return is_present_id(runner, announcement->id) ? -ERR_FAILED : 0;
+	if (list->worker_started_ms == announcement->started_ms)
+		return 0;
 	return announcement->started_ms ? -ERR_STALE : -ERR_INVALID;
 }
 
@@ -254,7 +284,7 @@
 {
 	struct enquiry *enquiry = ctx;
 	struct runner *runner = enquiry->runner;
-	int result = compare_with_answer(&enquiry->announcement, status, list);
+	int result = compare_with_answer(runner, &enquiry->announcement, status, list);
 
 	if (result == -ERR_STALE || result == -ERR_INVALID) {
 		end_enquiry(enquiry, result);
--- a/tests/lib_runnerworld.c
+++ b/tests/lib_runnerworld.c
@@ -36,6 +36,10 @@
 				   .unreadable = answer->f->unreadable};
 
 	answer->f->lists_open--;
+	if (*answer->named && answer->f->false_starts > 0) {
+		answer->f->false_starts--;
+		list.worker_started_ms++;
+	}
 	if (answer->f->list_answers_lost)
 		answer->list(-ERR_OUTCOME_UNKNOWN, NULL, answer->ctx);
 	else if (answer->f->worker_up &&
--- a/tests/lib_runnerworld.h
+++ b/tests/lib_runnerworld.h
@@ -20,9 +20,10 @@
 	struct runner_calls calls;
 	const char *worker_id;
 	bool worker_up;
-	int misdirected; /* so many calls for a list are answered as if by another incarnation */
-	int lists;	 /* calls for a list so far */
-	int lists_open;	 /* of these, not answered yet */
+	int misdirected;  /* so many calls for a list are answered as if by another incarnation */
+	int false_starts; /* so many lists name another start time */
+	int lists;	  /* calls for a list so far */
+	int lists_open;	  /* of these, not answered yet */
 	int lists_open_max;
 	bool draining;
 	bool list_answers_lost; /* renewals get no usable answer */
--- a/tests/test_runnerworker.c
+++ b/tests/test_runnerworker.c
@@ -10,16 +10,22 @@
 #define BORN_MS 7000
 #define STEP_MS 10
 
-static struct runnerworld *create_world(void)
+/* @listed_ms: start time in the worker's lists; 0: none */
+static struct runnerworld *create_listing_world(uint64_t announced_ms, uint64_t listed_ms)
 {
 	struct runnerworld *f = runnerworld_create();
 
-	f->born_ms = BORN_MS;
-	CU_ASSERT_EQUAL(runnerworld_announce(f, BORN_MS, 5), 0);
+	f->born_ms = listed_ms;
+	CU_ASSERT_EQUAL(runnerworld_announce(f, announced_ms, 5), 0);
 	memkv_run(f->ev, 300);
 	return f;
 }
 
+static struct runnerworld *create_world(void)
+{
+	return create_listing_world(BORN_MS, BORN_MS);
+}
+
 static void start_run(struct runnerworld *f)
 {
 	f->orders[f->order_count++] = (struct plan_order){.start = true,
@@ -33,18 +39,24 @@
 	CU_ASSERT_EQUAL(f->report->running_count, 1);
 }
 
-/* True if all reports in this time say that worker w1 is alive in its first incarnation. */
-static bool is_kept(struct runnerworld *f, uint32_t ms)
+/* True if all reports in this time say that the worker is alive in this incarnation. */
+static bool keeps_incarnation(struct runnerworld *f, const char *incarnation, uint32_t ms)
 {
 	bool kept = true;
 
 	for (uint32_t passed = 0; passed < ms; passed += STEP_MS) {
 		memkv_run(f->ev, STEP_MS);
-		kept = kept && f->report->alive && !strcmp(f->report->info.incarnation, "w1/7000");
+		kept = kept && f->report->alive &&
+		       !strcmp(f->report->info.incarnation, incarnation);
 	}
 	return kept;
 }
 
+static bool is_kept(struct runnerworld *f, uint32_t ms)
+{
+	return keeps_incarnation(f, "w1/7000", ms);
+}
+
 /* Guards against a live worker whose runs are given up because of one announcement of another. */
 static void test_announcements_of_others(void)
 {
@@ -97,6 +109,133 @@
 	runnerworld_destroy(f);
 }
 
+/* Guards against runs that are stopped because of one list with another start time. */
+static void test_one_list_of_other_start(void)
+{
+	struct runnerworld *f = create_world();
+
+	start_run(f);
+	f->false_starts = 1;
+	CU_ASSERT_TRUE(is_kept(f, 1500));
+	CU_ASSERT_EQUAL(f->false_starts, 0);
+	CU_ASSERT_EQUAL(f->report->running_count, 1);
+	CU_ASSERT_EQUAL(f->stops, 0);
+	runnerworld_destroy(f);
+}
+
+/* Guards against one wrong answer, or one announcement, that ends a worker without start times. */
+static void test_lists_without_start_time(void)
+{
+	struct runnerworld *f = create_listing_world(0, 0);
+	struct runner_announcement other;
+
+	start_run(f);
+	f->misdirected = 1;
+	CU_ASSERT_TRUE(keeps_incarnation(f, "w1/0", 1500));
+	CU_ASSERT_EQUAL(f->misdirected, 0);
+	CU_ASSERT_EQUAL(f->report->running_count, 1);
+	runnerworld_destroy(f);
+	f = create_listing_world(BORN_MS, 0);
+	start_run(f);
+	other = runnerworld_announcement(f, BORN_MS + 7, 6);
+	CU_ASSERT_NOT_EQUAL(runnerworld_take(f, &other), 0);
+	CU_ASSERT_TRUE(is_kept(f, 700));
+	CU_ASSERT_EQUAL(f->stops, 0);
+	runnerworld_destroy(f);
+}
+
+/* Guards against a replaced worker without start times that is taken for alive. */
+static void test_replaced_worker_without_start_time(void)
+{
+	struct runnerworld *f = create_listing_world(0, 0);
+
+	start_run(f);
+	f->worker_id = "w2";
+	f->running_count = 0;
+	for (int i = 0; i < 100 && f->report->alive; i++)
+		memkv_run(f->ev, STEP_MS);
+	CU_ASSERT_FALSE(f->report->alive);
+	runnerworld_destroy(f);
+}
+
+/* Guards against a lease by the clock of another incarnation, which outlasts what the leader knows.
+ */
+static void test_clock_of_other_incarnation(void)
+{
+	struct runnerworld *f = create_world();
+	uint64_t clock_ms = f->clock_ms;
+
+	start_run(f);
+	f->start_result = RUNNER_OTHER_INCARNATION;
+	f->orders[0].task = "j.0.0.1";
+	for (int i = 0; i < 300 && f->starts < 2; i++)
+		memkv_run(f->ev, 1);
+	f->clock_ms = clock_ms + 100000;
+	memkv_run(f->ev, 3);
+	f->clock_ms = clock_ms;
+	f->start_result = RUNNER_STARTED;
+	f->orders[0].task = "j.0.0.2";
+	runnerworld_send_orders(f);
+	memkv_run(f->ev, 1000);
+	CU_ASSERT_TRUE(f->starts >= 3);
+	CU_ASSERT_TRUE(f->lease_end_ms <= clock_ms + WORKER_LEASE_MAX_MS);
+	runnerworld_destroy(f);
+}
+
+/* Guards against an incarnation that comes back because answers overtake each other. */
+static void test_announcements_around_restart(void)
+{
+	struct runnerworld *f = create_world();
+	struct runner_announcement first = runnerworld_announcement(f, BORN_MS + 900, 1);
+	struct runner_announcement drains = runnerworld_announcement(f, BORN_MS + 900, 2);
+	struct runner_announcement late = runnerworld_announcement(f, BORN_MS, 9);
+
+	start_run(f);
+	f->list_delay_ms = 30;
+	drains.accepting = false;
+	runner_announced(f->runner, &drains, NULL, NULL);
+	runner_announced(f->runner, &first, NULL, NULL);
+	runner_announced(f->runner, &late, NULL, NULL);
+	f->born_ms = BORN_MS + 900;
+	f->running_count = 0;
+	memkv_run(f->ev, 600);
+	CU_ASSERT_STRING_EQUAL(f->report->info.incarnation, "w1/7900");
+	CU_ASSERT_FALSE(f->report->info.accepting);
+	CU_ASSERT_TRUE(f->report->settled);
+	CU_ASSERT_EQUAL(f->report->running_count, 0);
+	runnerworld_destroy(f);
+}
+
+/* Guards against a worker that is not used again after connections to it were refused. */
+static void test_found_again(void)
+{
+	struct runnerworld *f = create_world();
+
+	f->worker_up = false;
+	for (int i = 0; i < 100 && f->report->alive; i++)
+		memkv_run(f->ev, STEP_MS);
+	f->worker_up = true;
+	CU_ASSERT_EQUAL(runnerworld_announce(f, BORN_MS, 6), 0);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(f->report->alive);
+	CU_ASSERT_TRUE(f->report->settled);
+	runnerworld_destroy(f);
+}
+
+/* Guards against callbacks of announcements that wait when the agent ends. */
+static void test_destroyed_while_asking(void)
+{
+	struct runnerworld *f = create_world();
+	struct runner_announcement other = runnerworld_announcement(f, BORN_MS, 1);
+
+	other.id = "w9";
+	f->list_answers_lost = true;
+	for (int i = 0; i < 10; i++)
+		runner_announced(f->runner, &other, NULL, NULL);
+	memkv_run(f->ev, 50);
+	runnerworld_destroy(f);
+}
+
 /* Guards against a worker that was replaced at its address and is taken for alive. */
 static void test_replaced_worker(void)
 {
@@ -257,6 +396,14 @@
 	suite = CU_add_suite("runnerworker", NULL, NULL);
 	CU_add_test(suite, "announcements_of_others", test_announcements_of_others);
 	CU_add_test(suite, "one_misdirected_answer", test_one_misdirected_answer);
+	CU_add_test(suite, "one_list_of_other_start", test_one_list_of_other_start);
+	CU_add_test(suite, "lists_without_start_time", test_lists_without_start_time);
+	CU_add_test(suite, "replaced_worker_without_start_time",
+		    test_replaced_worker_without_start_time);
+	CU_add_test(suite, "clock_of_other_incarnation", test_clock_of_other_incarnation);
+	CU_add_test(suite, "announcements_around_restart", test_announcements_around_restart);
+	CU_add_test(suite, "found_again", test_found_again);
+	CU_add_test(suite, "destroyed_while_asking", test_destroyed_while_asking);
 	CU_add_test(suite, "replaced_worker", test_replaced_worker);
 	CU_add_test(suite, "announcement_of_replacement", test_announcement_of_replacement);
 	CU_add_test(suite, "late_announcement_of_ended_worker",
