runner: draining is believed whatever the number of the announcement

After an announcement with a false high number all later ones were ignored, and acknowledged: a worker that said that it drains got new runs. Found in review.

Draining only keeps new runs away, so it is taken from any announcement of the present incarnation.

Evidence: test_runnerworker/drain_after_false_number failed before.

--- a/src/runnerworker.c
+++ b/src/runnerworker.c
@@ -231,8 +231,12 @@
 /* Takes over what the present incarnation says of itself. */
 static void take_offer(struct runner *runner, const struct runner_announcement *announcement)
 {
-	if (announcement->sequence < runner->sequence)
+	if (announcement->sequence < runner->sequence) {
+		/* Draining is believed whatever the number, since its sender is told so. */
+		if (!announcement->accepting)
+			set_accepting(runner, false);
 		return;
+	}
 	runner->sequence = announcement->sequence;
 	if (announcement->accepting)
 		runner->leaving = false;
--- a/tests/test_runnerworker.c
+++ b/tests/test_runnerworker.c
@@ -158,6 +158,19 @@
 	runnerworld_destroy(f);
 }
 
+/* Guards against a drain that is missed, though acknowledged, after a false number. */
+static void test_drain_after_false_number(void)
+{
+	struct runnerworld *f = create_world();
+
+	CU_ASSERT_EQUAL(runnerworld_announce(f, BORN_MS, 4000000000), 0);
+	f->draining = true;
+	CU_ASSERT_EQUAL(runnerworld_announce(f, BORN_MS, 6), 0);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_FALSE(f->report->info.accepting);
+	runnerworld_destroy(f);
+}
+
 /* Guards against a lease by the clock of another incarnation, which outlasts what the leader knows.
  */
 static void test_clock_of_other_incarnation(void)
@@ -400,6 +413,7 @@
 	CU_add_test(suite, "lists_without_start_time", test_lists_without_start_time);
 	CU_add_test(suite, "replaced_worker_without_start_time",
 		    test_replaced_worker_without_start_time);
+	CU_add_test(suite, "drain_after_false_number", test_drain_after_false_number);
 	CU_add_test(suite, "clock_of_other_incarnation", test_clock_of_other_incarnation);
 	CU_add_test(suite, "announcements_around_restart", test_announcements_around_restart);
 	CU_add_test(suite, "found_again", test_found_again);
