plan: count failed runs exactly up to any max_attempts

What callers saw: a task that always fails was started without an end where its queue allows more than 16 attempts (126 runs at a limit of 20). A lasting task that had failed 16 times did not start again while ends were reported again.

Cause: the numbers of failed runs were kept in an array of 16, and the oldest one was dropped for each further one. The count stayed at 16, and a repeated report of a dropped run counted as a new failure.

Change: failed runs are kept as ranges of numbers with a count. Two failed runs are in one range if their numbers follow each other, or if this leader started one right after the other, so that the task has no run between them.

Stored form: up to 16 failed runs it is unchanged. With more, the numbers of the latest 16 stay where they were and the ranges follow in a new field. Records of earlier releases are read. An earlier release reads the new records without refusing them (a refused one would start the job from the beginning) and counts exactly up to max_attempts 16. Above that it never ended such a job, whatever the record said, and still gives further attempts while an entry of it leads; the next leader goes on from 16.

--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -17,20 +17,35 @@
 	TASK_DONE,
 };
 
-#define FAILED_RUNS_MAX 16 /* more than the attempts that any queue allows */
+/* Failed runs from @first to @last; no other run of the task with a number between them exists. */
+struct run_range {
+	uint32_t first;
+	uint32_t last;
+	uint32_t count;
+};
+
+#define LATEST_RUNS_MAX 16 /* numbers that a leader of an earlier release can read */
 
-/* Numbers of the runs whose failure was counted; a failure may be reported more than once. */
+/*
+ * The runs whose failure was counted; a failure may be reported more than once. Ranges keep the
+ * set small however many attempts a queue allows.
+ */
 struct run_set {
-	uint32_t runs[FAILED_RUNS_MAX];
-	uint32_t count;
+	struct run_range *ranges; /* in ascending order */
+	uint32_t range_count;
+	uint32_t count;			  /* of failed runs in all ranges */
+	uint32_t latest[LATEST_RUNS_MAX]; /* in the order in which they were counted */
+	uint32_t latest_count;
 };
 
 struct task {
 	struct step_run *step;
 	uint32_t index;
 	enum task_state state;
-	uint32_t run;	    /* number of the latest run */
-	uint32_t ended_run; /* this run and all earlier ones have ended */
+	uint32_t run;		   /* number of the latest run */
+	uint32_t ended_run;	   /* this run and all earlier ones have ended */
+	uint32_t own_run;	   /* number of the latest run that this plan started; 0: none */
+	uint32_t previous_own_run; /* the one before it; the task has no run between them */
 	struct worker *worker;
 	struct task *next_on_worker;
 	char *checkpoint;
@@ -177,12 +192,31 @@
 /* Ends the tasks that are done by an earlier run, once their current runs have ended. */
 void plan_end_tasks_done_before(struct plan *plan, uint64_t now_ms);
 void plan_task_failed(struct plan *plan, struct task *task, uint32_t run, uint64_t now_ms);
-bool plan_run_set_add(struct run_set *set, uint32_t run);
 void plan_job_end(struct plan *plan, struct job *job, enum plan_job_state state);
 bool plan_job_ended(const struct job *job);
 struct job *plan_task_job(const struct task *task);
 void plan_free_occurrence(struct occurrence *occurrence);
 
+/* planruns.c */
+/**
+ * plan_run_set_add() - count a failed run
+ * @mem: owner of the set
+ * @previous: the run of the task right before @run, or 0 if it is not known
+ *
+ * Return: false if the run was counted before.
+ */
+bool plan_run_set_add(TALLOC_CTX *mem, struct run_set *set, uint32_t run, uint32_t previous);
+/**
+ * plan_run_set_write() - make the stored form of a set
+ * @ranges: set to a new reference, or to NULL where the numbers that are returned say all
+ *
+ * Return: a new reference to the numbers of the latest failed runs.
+ */
+json_t *plan_run_set_write(const struct run_set *set, json_t **ranges);
+/** plan_run_set_read() - inverse of plan_run_set_write(); -ERR_INVALID for a malformed form */
+int plan_run_set_read(TALLOC_CTX *mem, struct run_set *set, const json_t *runs,
+		      const json_t *ranges);
+
 /* planworker.c */
 struct worker *plan_find_worker(const struct plan *plan, const char *node);
 void plan_assign_task(struct task *task, struct worker *worker, uint64_t now_ms);
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -108,6 +108,8 @@
 
 	plan_assign_task(task, worker, now_ms);
 	task->state = TASK_STARTING;
+	task->previous_own_run = task->own_run;
+	task->own_run = run;
 	task->run = run;
 	task->waited_ms = now_ms - task->step->ready_ms;
 	worker->changed = true;
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -406,29 +406,15 @@
 		plan_task_done(plan, task, now_ms);
 }
 
-bool plan_run_set_add(struct run_set *set, uint32_t run)
-{
-	for (uint32_t i = 0; i < set->count; i++) {
-		if (set->runs[i] == run)
-			return false;
-	}
-	if (set->count == FAILED_RUNS_MAX) {
-		/* Long-running tasks may fail any number of times; the oldest run is dropped. */
-		memmove(set->runs, set->runs + 1, sizeof(set->runs) - sizeof(set->runs[0]));
-		set->count--;
-	}
-	set->runs[set->count++] = run;
-	return true;
-}
-
 void plan_task_failed(struct plan *plan, struct task *task, uint32_t run, uint64_t now_ms)
 {
 	struct step_run *step = task->step;
 	struct job *job = plan_task_job(task);
 	/* Several members of a gang may fail in the same run; that counts as one failure. */
 	struct run_set *failures = step->spec->gang ? &step->gang_failures : &task->failures;
+	uint32_t previous = run == task->own_run ? task->previous_own_run : 0;
 
-	if (!plan_run_set_add(failures, run))
+	if (!plan_run_set_add(step->occurrence, failures, run, previous))
 		return;
 	task->retry_after_ms = now_ms + RETRY_AFTER_FAILURE_MS;
 	plan_mark_job_dirty(plan, job);
--- a/src/planrecord.c
+++ b/src/planrecord.c
@@ -31,33 +31,9 @@
 	return false;
 }
 
-static json_t *write_runs(const struct run_set *set)
-{
-	json_t *runs = json_array();
-
-	for (uint32_t i = 0; i < set->count; i++)
-		json_array_append_new(runs, json_integer(set->runs[i]));
-	return runs;
-}
-
-static int read_runs(struct run_set *set, const json_t *runs)
-{
-	const json_t *entry;
-	uint32_t run;
-	size_t i;
-
-	json_array_foreach(runs, i, entry)
-	{
-		if (!jsonread_u32(entry, PLAN_RUN_MAX, &run))
-			return -ERR_INVALID;
-		plan_run_set_add(set, run);
-	}
-	return 0;
-}
-
 /*
  * Writes [index, done, failed runs, ended run, checkpoint, percent] for each task that is done,
- * has failed or has a checkpoint.
+ * has failed or has a checkpoint; the ranges of the failed runs follow where they are needed.
  */
 static json_t *write_tasks(const struct step_run *step)
 {
@@ -66,14 +42,17 @@
 	for (uint32_t i = 0; i < step->spec->count; i++) {
 		const struct task *task = &step->tasks[i];
 		bool done = task->state == TASK_DONE || task->done_before;
+		json_t *ranges;
+		json_t *row;
 
 		if (!done && task->failures.count == 0 && !task->checkpoint)
 			continue;
-		json_array_append_new(rows,
-				      json_pack("[i, b, o, i, s, i]", (int)i, done,
-						write_runs(&task->failures), (int)task->ended_run,
-						task->checkpoint ? task->checkpoint : "",
-						(int)task->saved_percent));
+		row = json_pack("[i, b, o, i, s, i]", (int)i, done,
+				plan_run_set_write(&task->failures, &ranges), (int)task->ended_run,
+				task->checkpoint ? task->checkpoint : "", (int)task->saved_percent);
+		if (ranges)
+			json_array_append_new(row, ranges);
+		json_array_append_new(rows, row);
 	}
 	return rows;
 }
@@ -84,10 +63,14 @@
 
 	for (size_t i = 0; i < occurrence->job->spec->step_count; i++) {
 		const struct step_run *step = &occurrence->steps[i];
-
-		json_array_append_new(steps, json_pack("{s:o, s:o}", "gang_failures",
-						       write_runs(&step->gang_failures), "tasks",
-						       write_tasks(step)));
+		json_t *ranges;
+		json_t *json = json_pack("{s:o, s:o}", "gang_failures",
+					 plan_run_set_write(&step->gang_failures, &ranges), "tasks",
+					 write_tasks(step));
+
+		if (ranges)
+			json_object_set_new(json, "gang_failure_ranges", ranges);
+		json_array_append_new(steps, json);
 	}
 	return json_pack("{s:i, s:o}", "number", (int)occurrence->number, "steps", steps);
 }
@@ -125,7 +108,8 @@
 	    !jsonread_u32(json_array_get(row, 5), UINT32_MAX, &percent))
 		return -ERR_INVALID;
 	task = &step->tasks[index];
-	if (read_runs(&task->failures, json_array_get(row, 2)))
+	if (plan_run_set_read(step->occurrence, &task->failures, json_array_get(row, 2),
+			      json_array_get(row, 6)))
 		return -ERR_INVALID;
 	task->run = run;
 	task->ended_run = run;
@@ -146,7 +130,9 @@
 	const json_t *rows = json_object_get(json, "tasks");
 	size_t i;
 
-	if (read_runs(&step->gang_failures, json_object_get(json, "gang_failures")))
+	if (plan_run_set_read(step->occurrence, &step->gang_failures,
+			      json_object_get(json, "gang_failures"),
+			      json_object_get(json, "gang_failure_ranges")))
 		return -ERR_INVALID;
 	json_array_foreach(rows, i, row)
 	{
