plan: check the limit of attempts before each start too

Cause: the limit was compared only when a failure was counted.

Change: it is compared before each start as well, and the job then ends as failed. A run at work is not stopped for it.

Evidence: test_planbudget/queue_returns (a task and a gang), lowered_limit and record_at_limit failed before.

--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -192,6 +192,8 @@
 /* Ends the tasks that are done by an earlier run, once their current runs have ended. */
 void plan_end_tasks_done_before(struct plan *plan, uint64_t now_ms);
 void plan_task_failed(struct plan *plan, struct task *task, uint32_t run, uint64_t now_ms);
+/* True if no run of the task, or of its gang, may start any more. */
+bool plan_attempts_used_up(struct task *task);
 void plan_job_end(struct plan *plan, struct job *job, enum plan_job_state state);
 bool plan_job_ended(const struct job *job);
 struct job *plan_task_job(const struct task *task);
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -171,12 +171,25 @@
 	return false;
 }
 
+/*
+ * Ends the job of a task that is to start although its attempts are used up. When the last of them
+ * failed, the limit was higher, or the queue was not in the configuration.
+ */
+static bool end_if_used_up(struct plan *plan, struct task *task)
+{
+	if (!plan_attempts_used_up(task))
+		return false;
+	plan_job_end(plan, plan_task_job(task), PLAN_JOB_FAILED);
+	return true;
+}
+
 static bool place_gang(struct plan *plan, struct step_run *step, uint64_t now_ms)
 {
 	struct worker **workers;
 	bool found;
 
-	if (!retry_is_due(step, now_ms) || gang_has_orphan_run(plan, step))
+	if (!retry_is_due(step, now_ms) || gang_has_orphan_run(plan, step) ||
+	    end_if_used_up(plan, &step->tasks[0]))
 		return true;
 	workers = talloc_zero_array(NULL, struct worker *, step->spec->count);
 	found = plan_pick_gang_workers(plan, step, false, now_ms, workers);
@@ -200,6 +213,8 @@
 		if (task->state != TASK_WAITING || task->retry_after_ms > now_ms ||
 		    has_orphan_run(plan, task))
 			continue;
+		if (end_if_used_up(plan, task))
+			return true;
 		worker = plan_pick_worker(plan, task, now_ms);
 		if (!worker)
 			return false;
@@ -240,9 +255,12 @@
 		       uint32_t *reserved)
 {
 	struct step_run *step = ranked->step;
-	bool all_placed =
-		step->spec->gang ? place_gang(plan, step, now_ms) : place_tasks(plan, step, now_ms);
+	bool all_placed;
 
+	if (plan_job_ended(step->occurrence->job))
+		return;
+	all_placed =
+		step->spec->gang ? place_gang(plan, step, now_ms) : place_tasks(plan, step, now_ms);
 	if (all_placed)
 		return;
 	if (may_evict(ranked) && plan_evict_for_step(plan, step, now_ms))
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -406,21 +406,31 @@
 		plan_task_done(plan, task, now_ms);
 }
 
+/* Several members of a gang may fail in the same run; that counts as one failure. */
+static struct run_set *task_failures(struct task *task)
+{
+	return task->step->spec->gang ? &task->step->gang_failures : &task->failures;
+}
+
+bool plan_attempts_used_up(struct task *task)
+{
+	const struct fleetconf_queue *queue = plan_task_job(task)->queue;
+
+	return !task->step->spec->long_running && queue &&
+	       task_failures(task)->count >= queue->max_attempts;
+}
+
 void plan_task_failed(struct plan *plan, struct task *task, uint32_t run, uint64_t now_ms)
 {
-	struct step_run *step = task->step;
 	struct job *job = plan_task_job(task);
-	/* Several members of a gang may fail in the same run; that counts as one failure. */
-	struct run_set *failures = step->spec->gang ? &step->gang_failures : &task->failures;
 	uint32_t previous = run == task->own_run ? task->previous_own_run : 0;
 
-	if (!plan_run_set_add(step->occurrence, failures, run, previous))
+	if (!plan_run_set_add(task->step->occurrence, task_failures(task), run, previous))
 		return;
 	task->retry_after_ms = now_ms + RETRY_AFTER_FAILURE_MS;
 	plan_mark_job_dirty(plan, job);
-	if (step->spec->long_running || !job->queue || failures->count < job->queue->max_attempts)
-		return;
-	plan_job_end(plan, job, PLAN_JOB_FAILED);
+	if (plan_attempts_used_up(task))
+		plan_job_end(plan, job, PLAN_JOB_FAILED);
 }
 
 /* Stops a gang of which some members are at work and the others are not. */
--- a/tests/test_planbudget.c
+++ b/tests/test_planbudget.c
@@ -278,13 +278,94 @@
 	}
 }
 
-/* Returns the row of the first task, or the step if @gang. */
-static json_t *stored_row(const json_t *record, bool gang)
+/* Restores a record of the job with the given row of its first task. */
+static int restore(struct plansim *sim, const char *row)
+{
+	char *text = talloc_asprintf(sim,
+				     "{\"state\":\"running\",\"started\":true,\"created\":1,"
+				     "\"finished\":0,\"next_run\":50,\"occurrences\":[{"
+				     "\"number\":0,\"steps\":[{\"gang_failures\":[],\"tasks\":"
+				     "[%s]}]}]}",
+				     row);
+	json_t *record = json_loads(text, 0, NULL);
+	int status;
+
+	plansim_add_job(sim, "j1", "batch", "b", TASK);
+	status = plan_job_restore(sim->plan, "j1", record);
+	json_decref(record);
+	return status;
+}
+
+/* Replaces the configuration by one with this limit, and without queues if @queues is 0. */
+static void configure(struct plansim *sim, uint32_t limit, size_t queues)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(sim->queues); i++)
+		sim->queues[i].max_attempts = limit;
+	sim->conf.queue_count = queues;
+	plan_configure(sim->plan, &sim->conf);
+}
+
+static void check_queue_returns(const char *steps, uint32_t starts)
+{
+	struct plansim *sim = create_sim(1, 2);
+
+	sim->workers[0].fails = true;
+	plansim_add_job(sim, "j1", "batch", "b", steps);
+	while (sim->starts < starts)
+		plansim_run(sim, 10);
+	configure(sim, 2, 0);
+	plansim_run(sim, 1000);
+	configure(sim, 2, 3);
+	plansim_run(sim, 1000);
+	CU_ASSERT_EQUAL(sim->starts, starts);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "j1"), PLAN_JOB_FAILED);
+	check_and_free(sim);
+}
+
+/* Guards against a start after the limit, where the last failure came while no limit was known. */
+static void test_queue_returns(void)
+{
+	check_queue_returns(TASK, 2);
+	check_queue_returns(GANG, 6);
+}
+
+/* Guards against a start after a limit that has been lowered meanwhile. */
+static void test_lowered_limit(void)
+{
+	struct plansim *sim = create_sim(1, 20);
+
+	sim->workers[0].fails = true;
+	plansim_add_job(sim, "j1", "batch", "b", TASK);
+	while (sim->end_count < 5)
+		plansim_run(sim, 10);
+	plansim_run(sim, 10);
+	configure(sim, 5, 3);
+	plansim_run(sim, 1000);
+	CU_ASSERT_EQUAL(sim->starts, 5);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "j1"), PLAN_JOB_FAILED);
+	check_and_free(sim);
+}
+
+/* Guards against a new leader that starts a task whose record holds all failures it may have. */
+static void test_record_at_limit(void)
+{
+	struct plansim *sim = create_sim(1, 3);
+
+	sim->workers[0].fails = true;
+	CU_ASSERT_EQUAL(restore(sim, "[0,false,[3,5,7],7,\"\",0]"), 0);
+	plansim_run(sim, 1000);
+	CU_ASSERT_EQUAL(sim->starts, 0);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "j1"), PLAN_JOB_FAILED);
+	check_and_free(sim);
+}
+
+/* Returns the row of the first task. */
+static const json_t *stored_row(const json_t *record)
 {
 	const json_t *occurrence = json_array_get(json_object_get(record, "occurrences"), 0);
-	json_t *step = json_array_get(json_object_get(occurrence, "steps"), 0);
+	const json_t *step = json_array_get(json_object_get(occurrence, "steps"), 0);
 
-	return gang ? step : json_array_get(json_object_get(step, "tasks"), 0);
+	return json_array_get(json_object_get(step, "tasks"), 0);
 }
 
 /* Guards against a stored record that grows with the number of attempts. */
@@ -343,24 +424,6 @@
 	check_and_free(sim);
 }
 
-/* Restores a record of the job with the given row of its first task. */
-static int restore(struct plansim *sim, const char *row)
-{
-	char *text = talloc_asprintf(sim,
-				     "{\"state\":\"running\",\"started\":true,\"created\":1,"
-				     "\"finished\":0,\"next_run\":50,\"occurrences\":[{"
-				     "\"number\":0,\"steps\":[{\"gang_failures\":[],\"tasks\":"
-				     "[%s]}]}]}",
-				     row);
-	json_t *record = json_loads(text, 0, NULL);
-	int status;
-
-	plansim_add_job(sim, "j1", "batch", "b", TASK);
-	status = plan_job_restore(sim->plan, "j1", record);
-	json_decref(record);
-	return status;
-}
-
 /* Guards against a record of an earlier release that loses its failures during an upgrade. */
 static void test_earlier_record(void)
 {
@@ -396,7 +459,7 @@
 		for (uint32_t run = 1; run <= failed; run++)
 			report_failure(sim, 3 * run);
 		record = plan_job_record(sim->plan, "j1");
-		row = stored_row(record, false);
+		row = stored_row(record);
 		runs = json_array_get(row, 2);
 		CU_ASSERT_EQUAL(json_array_size(row), failed <= NAMED_RUNS_MAX ? 6 : 7);
 		CU_ASSERT_EQUAL(json_array_size(runs), named);
@@ -472,6 +535,9 @@
 		{"lasting", test_lasting},
 		{"any_order", test_any_order},
 		{"random_faults", test_random_faults},
+		{"queue_returns", test_queue_returns},
+		{"lowered_limit", test_lowered_limit},
+		{"record_at_limit", test_record_at_limit},
 		{"record_size", test_record_size},
 		{"record_bound", test_record_bound},
 		{"earlier_record", test_earlier_record},
