plan: a job keeps to its queue when that gets another name

Callers saw an accepted job stay "running" or "queued" for good after the operator had replaced a route by one of another name with the same host, prefix and service: no further step and no further run started, and the count at the prefix left the job out.

Cause: a job was tied to its queue by the name alone.

Change: if no queue has the name, the one at the host and prefix by which the job came, with the same service, is its queue. The stored job names the three, so that a later leader finds it too; in jobs that an earlier release has stored they are missing, and a leader knows them only if it has seen the queue. A queue of another service or at another prefix is another queue, for which the job does not run.

--- a/src/coordstore.c
+++ b/src/coordstore.c
@@ -111,8 +111,11 @@
 	struct err err = {0};
 	uint64_t age_ms;
 
-	if (json_unpack(record, "{s:s, s:s, s:I, s:o}", "queue", &info.queue, "organisation",
-			&info.organisation, "accepted_ms", &accepted_ms, "spec", &spec) ||
+	/* Records of earlier releases do not name the host, the prefix and the service. */
+	if (json_unpack(record, "{s:s, s?s, s?s, s?s, s:s, s:I, s:o}", "queue", &info.queue, "host",
+			&info.queue_host, "prefix", &info.queue_prefix, "service",
+			&info.queue_service, "organisation", &info.organisation, "accepted_ms",
+			&accepted_ms, "spec", &spec) ||
 	    !(info.spec = jobspec_read(coord, spec, &jobspec_record_names, &err))) {
 		log_once("job_unreadable", id, "the stored job is malformed: %s", err.message);
 		json_decref(record);
--- a/src/fleetconf.c
+++ b/src/fleetconf.c
@@ -36,6 +36,25 @@
 	return NULL;
 }
 
+static bool is_same_text(const char *a, const char *b)
+{
+	return !strcmp(a ? a : "", b ? b : "");
+}
+
+const struct fleetconf_queue *fleetconf_renamed_queue(const struct fleetconf *conf,
+						      const char *host, const char *prefix,
+						      const char *service)
+{
+	for (size_t i = 0; i < conf->queue_count; i++) {
+		const struct fleetconf_queue *queue = &conf->queues[i];
+
+		if (is_same_text(queue->host, host) && is_same_text(queue->prefix, prefix) &&
+		    is_same_text(queue->service, service))
+			return queue;
+	}
+	return NULL;
+}
+
 const struct fleetconf_organisation *fleetconf_organisation(const struct fleetconf *conf,
 							    const char *name)
 {
--- a/src/fleetconf.h
+++ b/src/fleetconf.h
@@ -79,6 +79,15 @@
 /** fleetconf_queue() - queue by name, or NULL */
 const struct fleetconf_queue *fleetconf_queue(const struct fleetconf *conf, const char *name);
 
+/**
+ * fleetconf_renamed_queue() - the queue that took the place of one whose name is gone
+ *
+ * Return: the queue at the same host and prefix with the same service, or NULL.
+ */
+const struct fleetconf_queue *fleetconf_renamed_queue(const struct fleetconf *conf,
+						      const char *host, const char *prefix,
+						      const char *service);
+
 /** fleetconf_organisation() - organisation by name, or NULL */
 const struct fleetconf_organisation *fleetconf_organisation(const struct fleetconf *conf,
 							    const char *name);
--- a/src/plan.h
+++ b/src/plan.h
@@ -123,6 +123,8 @@
 
 /**
  * struct plan_job_info - an accepted job
+ * @queue_host, @queue_prefix, @queue_service: of the queue when the job was accepted, by which a
+ *queue that has been renamed is found; NULL: not known
  * @spec: taken over with talloc_steal()
  * @accepted_ms: on the plan's clock
  * @wall_offset_ms: time since 1970 minus the plan's clock, to convert due times
@@ -133,6 +135,9 @@
 struct plan_job_info {
 	const char *id;
 	const char *queue;
+	const char *queue_host;
+	const char *queue_prefix;
+	const char *queue_service;
 	const char *organisation;
 	struct jobspec *spec;
 	uint64_t accepted_ms;
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -105,6 +105,11 @@
 struct job {
 	char *id;
 	char *queue_name;
+	/* Of its queue when that was last in the configuration; a queue without a service is none.
+	 */
+	char *queue_host;
+	char *queue_prefix;
+	char *queue_service; /* NULL: not known */
 	char *organisation;
 	struct jobspec *spec;
 	const struct fleetconf_queue *queue; /* NULL: not in the configuration */
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -23,9 +23,31 @@
 	return plan;
 }
 
+static void keep_text(struct job *job, char **field, const char *value)
+{
+	if (*field && value && !strcmp(*field, value))
+		return;
+	talloc_free(*field);
+	*field = value ? talloc_strdup(job, value) : NULL;
+}
+
+static void keep_queue_route(struct job *job, const char *host, const char *prefix,
+			     const char *service)
+{
+	keep_text(job, &job->queue_host, host);
+	keep_text(job, &job->queue_prefix, prefix);
+	keep_text(job, &job->queue_service, service);
+}
+
+/* A queue that callers reach as before and that has the same workers is the same one. */
 static void lookup_job_queue(const struct plan *plan, struct job *job)
 {
 	job->queue = plan->conf ? fleetconf_queue(plan->conf, job->queue_name) : NULL;
+	if (!job->queue && plan->conf && job->queue_service)
+		job->queue = fleetconf_renamed_queue(plan->conf, job->queue_host, job->queue_prefix,
+						     job->queue_service);
+	if (job->queue)
+		keep_queue_route(job, job->queue->host, job->queue->prefix, job->queue->service);
 }
 
 void plan_configure(struct plan *plan, const struct fleetconf *conf)
@@ -183,6 +205,7 @@
 	job = talloc_zero(plan, struct job);
 	job->id = talloc_strdup(job, info->id);
 	job->queue_name = talloc_strdup(job, info->queue);
+	keep_queue_route(job, info->queue_host, info->queue_prefix, info->queue_service);
 	job->organisation = talloc_strdup(job, info->organisation);
 	job->spec = talloc_steal(job, info->spec);
 	job->accepted_ms = info->accepted_ms;
@@ -222,9 +245,9 @@
 
 	for (guint i = 0; i < plan->active->len; i++) {
 		const struct job *job = plan->active->pdata[i];
+		const char *name = job->queue ? job->queue->name : job->queue_name;
 
-		if (job->state == PLAN_JOB_QUEUED && !job->started &&
-		    !strcmp(job->queue_name, queue))
+		if (job->state == PLAN_JOB_QUEUED && !job->started && !strcmp(name, queue))
 			count++;
 	}
 	return count;
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -1089,6 +1089,22 @@
 	CU_ASSERT_TRUE(coord_decision_pause_ms(40) >= 80);
 }
 
+/* Guards against a leader that does not find the queue of a stored job under its present name. */
+static void test_job_of_renamed_queue(void)
+{
+	struct fixture *f = set_up("");
+	uint32_t count = 0;
+
+	memkv_put(f->store, "job/00000000000000a1",
+		  "{\"queue\":\"former\",\"host\":\"h\",\"prefix\":\"/\",\"service\":\"s\","
+		  "\"organisation\":\"o\",\"accepted_ms\":1,\"spec\":{\"payload\":\"p\",\"steps\":"
+		  "[{\"tasks\":1,\"cpu_milli\":1000,\"estimate_ms\":1000}]}}");
+	elect_until_loaded(f);
+	CU_ASSERT_EQUAL(coord_count_pending(f->coord, "q", &count), 0);
+	CU_ASSERT_EQUAL(count, 1);
+	tear_down(f);
+}
+
 int main(void)
 {
 	static CU_TestInfo tests[] = {
@@ -1125,6 +1141,7 @@
 		{"announces_a_few_at_a_time", test_announces_a_few_at_a_time},
 		{"end_is_told_to_agents", test_end_is_told_to_agents},
 		{"pause_after_decision", test_pause_after_decision},
+		{"job_of_renamed_queue", test_job_of_renamed_queue},
 		CU_TEST_INFO_NULL,
 	};
 	CU_SuiteInfo suites[] = {
--- a/tests/test_planroute.c
+++ b/tests/test_planroute.c
@@ -2,6 +2,7 @@
 
 #include <CUnit/Basic.h>
 #include <stdio.h>
+#include <string.h>
 
 /* What becomes of accepted jobs when the operator replaces their queue. */
 
@@ -78,13 +79,50 @@
 	check_and_free(sim);
 }
 
+/* Guards against a later leader that does not know by which route a job came. */
+static void test_later_leader(void)
+{
+	struct plansim *sim = create_sim();
+	struct plan_job_info info = {.id = "j1",
+				     .queue = "batch",
+				     .queue_host = sim->queues[2].host,
+				     .queue_prefix = "/batch/",
+				     .queue_service = sim->queues[2].service,
+				     .organisation = "b",
+				     .accepted_ms = sim->now_ms};
+	struct err err = {0};
+	json_t *json = json_loads("{\"payload\":\"p\",\"steps\":" TWO_STEPS "}", 0, NULL);
+
+	rename_queue(sim);
+	info.spec = jobspec_read(sim, json, &jobspec_record_names, &err);
+	json_decref(json);
+	plan_job_add(sim->plan, &info);
+	CU_ASSERT_EQUAL(plan_count_pending(sim->plan, "bulk"), 1);
+	CU_ASSERT_PTR_NULL(strstr(plan_explain_job(sim->plan, sim, "j1"), "configuration"));
+	check_and_free(sim);
+}
+
+/* Guards against a job that goes on in a queue of another service, or at another prefix. */
+static void test_other_queue(void)
+{
+	struct plansim *sim = create_sim();
+
+	plansim_add_job(sim, "j1", "batch", "b", TWO_STEPS);
+	plansim_run(sim, 200);
+	sim->queues[2].prefix = "/other/";
+	rename_queue(sim);
+	plansim_run(sim, 3000);
+	CU_ASSERT_EQUAL(sim->starts, 1);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "j1"), PLAN_JOB_RUNNING);
+	check_and_free(sim);
+}
+
 int main(void)
 {
 	static CU_TestInfo tests[] = {
-		{"next_step", test_next_step},
-		{"lost_run", test_lost_run},
-		{"pending", test_pending},
-		CU_TEST_INFO_NULL,
+		{"next_step", test_next_step},	   {"lost_run", test_lost_run},
+		{"pending", test_pending},	   {"later_leader", test_later_leader},
+		{"other_queue", test_other_queue}, CU_TEST_INFO_NULL,
 	};
 	CU_SuiteInfo suites[] = {
 		{"planroute", NULL, NULL, NULL, NULL, tests},
