httpd: open calls get no made-up answer when their server is freed

Their connections are closed without an answer, as by the end of a process before; no such answer was seen.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -153,6 +153,9 @@
 	struct httpd *httpd = cls;
 	struct httpd_call *call = *con_cls;
 
+	/* Whether an open call has taken effect is not known here, so it gets no answer. */
+	if (httpd->stopping)
+		return MHD_NO;
 	if (!call) {
 		call = talloc_zero(httpd, struct httpd_call);
 		call->httpd = httpd;
@@ -174,10 +177,7 @@
 		httpd_answer(call, MHD_HTTP_CONTENT_TOO_LARGE, NULL, NULL, 0);
 		return send_response(call);
 	}
-	if (httpd->stopping)
-		httpd_answer(call, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
-	else
-		httpd->handlers.on_call(call, httpd->handlers.ctx);
+	httpd->handlers.on_call(call, httpd->handlers.ctx);
 	if (call->response)
 		return send_response(call);
 	suspend_call(call);
@@ -195,7 +195,7 @@
 	*con_cls = NULL;
 	if (call->delivered && call->status == 0) {
 		httpd->open_calls--;
-		if (httpd->handlers.on_disconnect)
+		if (httpd->handlers.on_disconnect && !httpd->stopping)
 			httpd->handlers.on_disconnect(call, httpd->handlers.ctx);
 	}
 	if (call->response)
@@ -328,10 +328,9 @@
 	if (!httpd->daemon)
 		return 0;
 	/* libmicrohttpd does not stop while connections are suspended. */
-	httpd->closing = true;
 	httpd->stopping = true;
 	while (httpd->suspended)
-		httpd_answer(httpd->suspended, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
+		resume_call(httpd->suspended);
 	MHD_run(httpd->daemon);
 	MHD_stop_daemon(httpd->daemon);
 	return 0;
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -38,7 +38,8 @@
  * @body_max: bytes; calls with a larger body are answered 413
  * @handlers: copied
  *
- * When the server is freed, calls that have no answer yet get 503, and no callback runs any more.
+ * When the server is freed, connections of calls that have no answer yet are closed, and no
+ * callback runs any more.
  *
  * Return: the server, or NULL with @err filled.
  */
