runner: a broken connection does not restart the count of refused ones

Since a call that ended without an answer also ended a row of refused connections. After a crash the open connections to the worker break one by one, each between two refusals, so the crash was found later, or not before the last of them was gone. Only an answer ends the row now.

Evidence: test_runnerworker/refusals_between_broken_connections failed before.

--- a/src/runnerworker.c
+++ b/src/runnerworker.c
@@ -180,6 +180,13 @@
 		conclude_absent(runner);
 }
 
+/* A call that ended without an answer does not show that the worker is there. */
+static bool is_answer(int status)
+{
+	return status == 0 || status == -ERR_STALE || status == -ERR_DENIED ||
+	       status == -ERR_FAILED;
+}
+
 bool runner_judge_answer(struct runner *runner, bool named, int status,
 			 const struct runner_list *list)
 {
@@ -187,7 +194,8 @@
 		count_refused_connection(runner);
 		return false;
 	}
-	runner->connect_failures = 0;
+	if (is_answer(status))
+		runner->connect_failures = 0;
 	if (!runner->alive)
 		return false;
 	if (status == -ERR_STALE && named)
--- a/tests/lib_runnerworld.c
+++ b/tests/lib_runnerworld.c
@@ -40,7 +40,8 @@
 		answer->f->false_starts--;
 		list.worker_started_ms++;
 	}
-	if (answer->f->list_answers_lost)
+	if (answer->f->list_answers_lost ||
+	    (answer->f->breaks_connections && !answer->f->worker_up && answer->f->lists % 2))
 		answer->list(-ERR_OUTCOME_UNKNOWN, NULL, answer->ctx);
 	else if (answer->f->worker_up &&
 		 (answer->misdirected ||
--- a/tests/lib_runnerworld.h
+++ b/tests/lib_runnerworld.h
@@ -22,8 +22,9 @@
 	bool worker_up;
 	int misdirected;  /* so many calls for a list are answered as if by another incarnation */
 	int false_starts; /* so many lists name another start time */
-	int lists;	  /* calls for a list so far */
-	int lists_open;	  /* of these, not answered yet */
+	bool breaks_connections; /* while down, each other call for a list finds an open one */
+	int lists;		 /* calls for a list so far */
+	int lists_open;		 /* of these, not answered yet */
 	int lists_open_max;
 	bool draining;
 	bool list_answers_lost; /* renewals get no usable answer */
--- a/tests/test_runnerworker.c
+++ b/tests/test_runnerworker.c
@@ -219,6 +219,18 @@
 	runnerworld_destroy(f);
 }
 
+/* Guards against a crash that is found late, or never, as open connections break one by one. */
+static void test_refusals_between_broken_connections(void)
+{
+	struct runnerworld *f = create_world();
+
+	f->breaks_connections = true;
+	f->worker_up = false;
+	memkv_run(f->ev, 1500);
+	CU_ASSERT_FALSE(f->report->alive);
+	runnerworld_destroy(f);
+}
+
 /* Guards against a worker that is not used again after connections to it were refused. */
 static void test_found_again(void)
 {
@@ -416,6 +428,8 @@
 	CU_add_test(suite, "drain_after_false_number", test_drain_after_false_number);
 	CU_add_test(suite, "clock_of_other_incarnation", test_clock_of_other_incarnation);
 	CU_add_test(suite, "announcements_around_restart", test_announcements_around_restart);
+	CU_add_test(suite, "refusals_between_broken_connections",
+		    test_refusals_between_broken_connections);
 	CU_add_test(suite, "found_again", test_found_again);
 	CU_add_test(suite, "destroyed_while_asking", test_destroyed_while_asking);
 	CU_add_test(suite, "replaced_worker", test_replaced_worker);
