fake_minion: announce the worker's clock, log the start time

The platform's heartbeat carries clock_ms; the stand-in left it out. The line "born" in its log lets a test send heartbeats with the true or a former start time.

--- a/tests/fake_minion.c
+++ b/tests/fake_minion.c
@@ -19,6 +19,7 @@
  * a process starts at about 0. What happens is written to standard error, where tests read it, with
  * times by util_clock_ms():
  *
+ *   born MS                       the start time that it announces
  *   start TASK RUN MS DEADLINE_MS   a run begins; DEADLINE_MS is the end of the lease in the order
  *   end TASK RUN HOW MS NUMBER
  *   seen NUMBER MS                  the agent has confirmed the ends up to NUMBER
@@ -491,12 +492,12 @@
 	static const char *const headers[] = {"Content-Type: application/json"};
 	char *url = g_strdup_printf("http://%s/v1/instances/%s", minion.control, minion.id);
 	json_t *json = json_pack(
-		"{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:{s:i, s:i, s:i}, s:[s, s], s:I, s:I}",
+		"{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:{s:i, s:i, s:i}, s:[s, s], s:I, s:I, s:I}",
 		"service", minion.service, "address", httpd_address(minion.httpd), "zone", "z",
 		"version", "v1", "slots", 8, "state", minion.draining ? "draining" : "ready",
 		"cold_remaining_ms", 0, "capacity", "cpu", 128000, "mem_mb", 524288, "gpu",
-		ACCELERATORS, "labels", "a", minion.rack, "seq", (json_int_t)++minion.sequence,
-		"born", (json_int_t)minion.born_ms);
+		ACCELERATORS, "labels", "a", minion.rack, "clock_ms", (json_int_t)worker_clock_ms(),
+		"seq", (json_int_t)++minion.sequence, "born", (json_int_t)minion.born_ms);
 	char *text = json_dumps(json, JSON_COMPACT);
 	struct httpc_request request = {.method = "PUT",
 					.url = url,
@@ -563,6 +564,7 @@
 	minion.rack = argv[3];
 	minion.control = argv[4];
 	minion.born_ms = util_wall_ms();
+	fprintf(stderr, "born %" PRIu64 "\n", minion.born_ms);
 	minion.began_ms = util_clock_ms();
 	minion.rand = g_rand_new_with_seed(argc > 7 ? (guint32)atoi(argv[7]) : 0);
 	minion.clock_start_ms = (uint64_t)g_rand_int_range(minion.rand, 1, CLOCK_START_MAX_MS);
