measure_fleet_faults: drawing 3, with calls of other writers

The experiment never sent bad input, so it could not show that one heartbeat of another writer makes an agent give up the runs of its live worker. Drawings 1 and 2 keep their sequences of draws.

--- a/bench/measure_fleet_faults.c
+++ b/bench/measure_fleet_faults.c
@@ -1,5 +1,6 @@
 /* Runs the fleet scheduler under load and faults generated from a seed and checks its promises. */
 #include "lib_fleethosts.h"
+#include "lib_fleetinput.h"
 #include "lib_fleetload.h"
 #include "lib_memkv.h"
 #include "util.h"
@@ -55,6 +56,7 @@
 	FOCUS_NONE,
 	FOCUS_WORKERS,
 	FOCUS_LEADERS,
+	FOCUS_INPUT, /* since drawing 3 */
 	FOCUS_COUNT,
 };
 
@@ -64,6 +66,7 @@
 	struct fleethosts *fleet;
 	struct fleetcheck *check;
 	struct fleetload *load;
+	struct fleetinput *input;
 	GRand *rand;
 	unsigned int faults;
 	uint64_t next_fault_ms;
@@ -437,6 +440,78 @@
 				 on_config_change, NULL);
 }
 
+/* Heartbeats of other writers reach the control address of an agent. */
+static void send_heartbeats_to(unsigned int index, unsigned int count, uint32_t within_ms)
+{
+	fleetinput_heartbeats(soak.input, index, g_rand_int(soak.rand), count, within_ms);
+}
+
+static void send_bad_heartbeats(void)
+{
+	unsigned int count = chance(50) ? 1 : random_ms(2, 9);
+	uint32_t within_ms = random_ms(0, 1000);
+
+	if (chance(70)) {
+		send_heartbeats_to(random_ms(0, soak.args.workers), count, within_ms);
+		return;
+	}
+	for (unsigned int i = 0; i < soak.args.workers; i++) {
+		if (chance(50))
+			send_heartbeats_to(i, count, within_ms);
+	}
+}
+
+static void send_bad_calls(void)
+{
+	static const unsigned int ports[] = {PORT_CALLERS, PORT_READY, PORT_CONTROL};
+	unsigned int port = ports[random_ms(0, G_N_ELEMENTS(ports))];
+	struct fleethost *host = pick_host(port == PORT_CONTROL ? ROLE_AGENT : ROLE_ENTRY);
+
+	fleetinput_calls(soak.input, host, port, g_rand_int(soak.rand), random_ms(1, 12),
+			 random_ms(0, 1000));
+}
+
+/* An agent that can't ask its worker about a heartbeat stops, freezes or is asked for more. */
+static void end_asking_agent(void)
+{
+	struct fleetcut cut = {.flow = random_flow()};
+	struct fleethost *agent = pick_host(ROLE_AGENT);
+	uint32_t end_at = random_ms(50, 1500);
+
+	add_to(cut.from, agent);
+	add_to(cut.to, fleethosts_at(soak.fleet, ROLE_WORKER, agent->index));
+	begin_random_cut(&cut, end_at + random_ms(0, 3000));
+	send_heartbeats_to(agent->index, random_ms(2, 20), 1000);
+	if (chance(70))
+		later(end_at, random_end(), agent, random_ms(100, 3000));
+	else
+		later(end_at, ACTION_FREEZE, agent, random_ms(500, 4000));
+}
+
+/* An agent has few descriptors or no local ports left while it needs new connections. */
+static void exhaust_agent(void)
+{
+	struct fleethost *agent = pick_host(ROLE_AGENT);
+	uint32_t ms = random_ms(300, chance(70) ? 3000 : 9000);
+
+	later(0, chance(60) ? ACTION_DESCRIPTORS : ACTION_PORTS, agent, ms);
+	for (uint32_t i = random_ms(1, 4); i > 0; i--)
+		later(random_ms(20, ms), ACTION_RESET, agent, 0);
+	if (chance(30))
+		send_heartbeats_to(agent->index, random_ms(1, 5), 1000);
+}
+
+/* The second process may have announced itself or not when the third takes its place. */
+static void replace_worker_twice(void)
+{
+	struct fleethost *worker = pick_host(ROLE_WORKER);
+
+	later(0, chance(50) ? ACTION_REPLACE : ACTION_KILL, worker, random_ms(0, 300));
+	later(random_ms(350, 950), ACTION_REPLACE, worker, random_ms(0, 300));
+	if (chance(40))
+		send_heartbeats_to(worker->index, random_ms(1, 8), 1500);
+}
+
 /* Faults that led to an incident are more frequent. */
 static const struct {
 	void (*begin)(void);
@@ -468,6 +543,11 @@
 	{freeze_agent_and_replace_leader, 4, 2, FOCUS_LEADERS},
 	{signal_series, 2, 2, FOCUS_NONE},
 	{change_config, 2, 2, FOCUS_NONE},
+	{send_bad_heartbeats, 16, 3, FOCUS_INPUT},
+	{send_bad_calls, 5, 3, FOCUS_NONE},
+	{end_asking_agent, 4, 3, FOCUS_INPUT},
+	{exhaust_agent, 6, 3, FOCUS_INPUT},
+	{replace_worker_twice, 4, 3, FOCUS_WORKERS},
 };
 
 static unsigned int weight_of(size_t kind)
@@ -576,13 +656,13 @@
 {
 	unsigned int violations = fleetcheck_count(soak.check, NULL);
 	json_t *json = json_pack(
-		"{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:f, s:o, s:i, s:o}", "seed",
+		"{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:f, s:o, s:o, s:i, s:o}", "seed",
 		(int)soak.args.seed, "drawing", (int)soak.args.drawing, "focus", (int)soak.focus,
 		"seconds", (int)soak.args.seconds, "processes", (int)soak.fleet->host_count,
 		"faults", (int)soak.faults, "jobs", (int)fleetcheck_jobs(soak.check)->len, "runs",
 		(int)fleetcheck_runs(soak.check), "recovery_s", (double)recovery_ms / 1000.0,
-		"answers", fleetload_answers(soak.load), "violations", (int)violations, "kinds",
-		fleetcheck_counts(soak.check));
+		"answers", fleetload_answers(soak.load), "input", fleetinput_counts(soak.input),
+		"violations", (int)violations, "kinds", fleetcheck_counts(soak.check));
 
 	json_dumpf(json, stdout,
 		   (soak.args.json_only ? JSON_COMPACT : JSON_INDENT(1)) | JSON_REAL_PRECISION(4));
@@ -633,7 +713,9 @@
 	{"workers", OPT_WORKERS, "N", 0, "Workers, each with an agent; default 6", 0},
 	{"entries", OPT_ENTRIES, "N", 0, "Entries; default 3", 0},
 	{"drawing", OPT_DRAWING, "N", 0,
-	 "1: without the faults that were added for the second incident; default 2", 0},
+	 "1: without the faults that were added for the second incident; 2: without calls of other "
+	 "writers and exhausted agents; default 3",
+	 0},
 	{"json", OPT_JSON, NULL, 0, "Print the result on one line", 0},
 	{"regressions", OPT_REGRESSIONS, NULL, 0,
 	 "Print seeds and drawings that have shown a fault", 0},
@@ -675,7 +757,7 @@
 	bool ok;
 
 	soak.args = (struct arguments){
-		.seed = 1, .seconds = 30, .workers = 6, .entries = 3, .drawing = 2};
+		.seed = 1, .seconds = 30, .workers = 6, .entries = 3, .drawing = 3};
 	argp_parse(&argp, argc, argv, 0, NULL, &soak.args);
 	signal(SIGPIPE, SIG_IGN);
 	soak.ev = tevent_context_init(NULL);
@@ -684,12 +766,13 @@
 	g_random_set_seed(soak.args.seed); /* of the proxies */
 	soak.gap_max_ms = random_ms(GAP_MAX_LEAST_MS, GAP_MAX_MOST_MS);
 	if (soak.args.drawing > 1)
-		soak.focus = random_ms(0, FOCUS_COUNT);
+		soak.focus = random_ms(0, soak.args.drawing > 2 ? FOCUS_COUNT : FOCUS_INPUT);
 	soak.next_fault_ms = UINT64_MAX;
 	soak.fleet = fleethosts_start(soak.ev, soak.check, soak.args.entries, soak.args.workers,
 				      soak.args.seed);
 	if (!soak.fleet)
 		return EXIT_FAILURE;
+	soak.input = fleetinput_create(soak.ev, soak.fleet, soak.check);
 	on_tick(soak.ev, NULL, tevent_timeval_zero(), NULL);
 	ok = run_soak();
 	fprintf(stderr, "logs in %s\n", proc_log_folder());
--- a/tests/lib_fleethosts.c
+++ b/tests/lib_fleethosts.c
@@ -3,12 +3,14 @@
 #include "util.h"
 
 #include <arpa/inet.h>
+#include <dirent.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -18,7 +20,8 @@
 #define RETRY_MS 100
 #define STOP_LIMIT_MS 9000 /* SIGTERM to the end of the process, which has 6 s of grace */
 #define SELF_RESTART_MS 1000
-#define YOUNG_MS 500 /* after its start a process may not handle signals yet */
+#define HEARTBEAT_SLOW_MS 330 /* the longest time between two heartbeats of a worker */
+#define YOUNG_MS 500	      /* after its start a process may not handle signals yet */
 
 /* Second bytes of the addresses of runs: one of these for each run on the machine. */
 #define NETWORK_FIRST 64
@@ -184,6 +187,12 @@
 	return written;
 }
 
+/* While it exists, redirect_connect.c lets no connection begin. */
+static char *ports_file(const struct fleethost *host)
+{
+	return g_strdup_printf("%s/%s.noports", proc_log_folder(), host->name);
+}
+
 static bool spawn(struct fleethosts *fleet, struct fleethost *host, const char *program,
 		  const char *const *arguments)
 {
@@ -192,7 +201,10 @@
 		g_strdup_printf("LD_PRELOAD=%s/redirect_connect.so", folder ? folder : "build/bin");
 	g_autofree char *redirect =
 		g_strdup_printf("JAYCOURSE_REDIRECT=%u %u", fleet->network, host->number);
-	const char *const environment[] = {redirect, preload, NULL};
+	g_autofree char *ports = ports_file(host);
+	g_autofree char *no_ports = g_strdup_printf("JAYCOURSE_NO_PORTS=%s", ports);
+	const char *const environment[] = {redirect, preload, no_ports, NULL};
+	struct fleetlife life = {.identifier = host->identifiers};
 	char label[32];
 
 	snprintf(label, sizeof(label), "%s-%u", host->name, ++host->processes);
@@ -205,20 +217,33 @@
 		host->log = fopen(host->proc.log, "a+");
 		host->record = fleetcheck_worker(fleet->check, label);
 		host->delayed_start = false;
+		life.began_ms = host->started_ms;
+		g_array_append_val(host->lives, life);
 	}
 	return true;
 }
 
+static void worker_id(const struct fleethost *worker, unsigned int identifier, char *out,
+		      size_t len)
+{
+	snprintf(out, len, "i-%u-%u", worker->index, identifier);
+}
+
+static unsigned int worker_rack(const struct fleethost *worker)
+{
+	return worker->index / 3;
+}
+
 static bool start_host(struct fleethosts *fleet, struct fleethost *host)
 {
 	const char *const node[] = {host->role == ROLE_ENTRY ? "entry" : "agent", "--config",
 				    host->settings, NULL};
 	g_autofree char *journal = g_strdup_printf("%s/store.journal", proc_log_folder());
-	g_autofree char *id = g_strdup_printf("i-%u-%u", host->index, host->identifiers);
+	char id[24];
 	g_autofree char *late_calls = g_strdup_printf("%s/%s.late", proc_log_folder(), host->name);
 	g_autofree char *seed = g_strdup_printf(
 		"%" PRIu64, fleet->seed * 10000 + host->index * 100 + host->processes);
-	g_autofree char *rack = g_strdup_printf("r%u", host->index / 3);
+	g_autofree char *rack = g_strdup_printf("r%u", worker_rack(host));
 	const char *const store[] = {fleethosts_address(fleet, NULL, host, PORT_STORE), journal,
 				     NULL};
 	const char *const worker[] = {
@@ -232,6 +257,7 @@
 		seed,
 		NULL};
 
+	worker_id(host, host->identifiers, id, sizeof(id));
 	fleethosts_log(fleet, "start %s", host->name);
 	if (host->role == ROLE_STORE)
 		return spawn(fleet, host, "fake_platform", store);
@@ -242,6 +268,8 @@
 
 static void read_worker_log(struct fleethosts *fleet, struct fleethost *host)
 {
+	struct fleetlife *life =
+		&g_array_index(host->lives, struct fleetlife, host->lives->len - 1);
 	char line[256];
 
 	clearerr(host->log);
@@ -249,18 +277,96 @@
 		fleetcheck_line(fleet->check, host->record, line);
 		if (!strcmp(line, "delay /v1/run-start\n"))
 			host->delayed_start = true;
+		sscanf(line, "born %" SCNu64, &life->born_ms);
 	}
 }
 
+bool fleethosts_describe(struct fleethosts *fleet, struct fleethost *worker, unsigned int back,
+			 struct badinput_worker *out)
+{
+	const struct fleetlife *life;
+	uint64_t lasted_ms;
+
+	if (is_up(worker))
+		read_worker_log(fleet, worker);
+	if (back >= worker->lives->len)
+		return false;
+	life = &g_array_index(worker->lives, struct fleetlife, worker->lives->len - 1 - back);
+	if (!life->born_ms)
+		return false;
+	lasted_ms = (life->ended_ms ? life->ended_ms : util_clock_ms()) - life->began_ms;
+	*out = (struct badinput_worker){.service = "s", .zone = "z", .kind = "a"};
+	worker_id(worker, life->identifier, out->id, sizeof(out->id));
+	snprintf(out->rack, sizeof(out->rack), "r%u", worker_rack(worker));
+	snprintf(out->address, sizeof(out->address), "127.%u.0.%u:%u", fleet->network,
+		 worker->number, PORT_WORKER);
+	out->born_ms = life->born_ms;
+	out->clock_ms = lasted_ms;
+	out->sequence = lasted_ms / HEARTBEAT_SLOW_MS;
+	return true;
+}
+
+static uint64_t count_descriptors(pid_t pid)
+{
+	g_autofree char *path = g_strdup_printf("/proc/%d/fd", (int)pid);
+	DIR *folder = opendir(path);
+	uint64_t count = 0;
+
+	while (folder && readdir(folder))
+		count++;
+	if (folder)
+		closedir(folder);
+	return count;
+}
+
+/*
+ * Nothing new can be opened until a descriptor below the limit is closed. The limit differs by the
+ * duration, so an agent sometimes keeps a few descriptors for new connections.
+ */
+static void limit_descriptors(struct fleethost *host, uint32_t ms)
+{
+	struct rlimit limit;
+
+	if (prlimit(host->proc.pid, RLIMIT_NOFILE, NULL, &limit))
+		return;
+	limit.rlim_cur = MIN(limit.rlim_max, ms % (count_descriptors(host->proc.pid) + 1));
+	prlimit(host->proc.pid, RLIMIT_NOFILE, &limit, NULL);
+	host->limit_end_ms = util_clock_ms() + ms;
+}
+
+static void take_ports(struct fleethost *host, uint32_t ms)
+{
+	g_autofree char *path = ports_file(host);
+
+	g_file_set_contents(path, "", 0, NULL);
+	host->limit_end_ms = util_clock_ms() + ms;
+}
+
+static void end_limits(struct fleethost *host)
+{
+	g_autofree char *path = ports_file(host);
+	struct rlimit limit;
+
+	host->limit_end_ms = 0;
+	unlink(path);
+	if (host->proc.pid <= 0 || getrlimit(RLIMIT_NOFILE, &limit))
+		return;
+	prlimit(host->proc.pid, RLIMIT_NOFILE, &limit, NULL);
+}
+
 /* Called when the process has ended; it is started again after @restart_ms. */
 static void host_ended(struct fleethosts *fleet, struct fleethost *host, uint32_t restart_ms)
 {
 	host->start_ms = util_clock_ms() + restart_ms;
 	host->thaw_ms = 0;
 	host->stop_limit_ms = 0;
+	if (host->limit_end_ms)
+		end_limits(host);
 	if (host->role != ROLE_WORKER)
 		return;
 	read_worker_log(fleet, host);
+	g_array_index(host->lives, struct fleetlife, host->lives->len - 1).ended_ms =
+		util_clock_ms();
 	fleetcheck_worker_gone(fleet->check, host->record, util_clock_ms());
 	fclose(host->log);
 }
@@ -303,9 +409,9 @@
 
 static void take_step(struct fleethosts *fleet, const struct fleetstep *step)
 {
-	static const char *const names[] = {"kill",	   "terminate", "replace",
-					    "crash",	   "freeze",	"reload",
-					    "late orders", "drain",	"store fault"};
+	static const char *const names[] = {"kill",   "terminate",   "replace", "crash",
+					    "freeze", "reload",	     "reset",	"descriptors",
+					    "ports",  "late orders", "drain",	"store fault"};
 	struct fleethost *host = step->host;
 
 	if (is_up(host) && host->thaw_ms && step->action >= ACTION_DRAIN)
@@ -345,6 +451,15 @@
 		proc_signal(&host->proc, SIGSTOP);
 		host->thaw_ms = util_clock_ms() + step->value;
 		break;
+	case ACTION_RESET:
+		fleethosts_reset(fleet, host);
+		break;
+	case ACTION_DESCRIPTORS:
+		limit_descriptors(host, step->value);
+		break;
+	case ACTION_PORTS:
+		take_ports(host, step->value);
+		break;
 	case ACTION_LATE_ORDERS:
 		put_number(fleet, host, PORT_WORKER, "/test/late/", step->value);
 		break;
@@ -409,6 +524,10 @@
 		proc_signal(&host->proc, SIGCONT);
 		host->thaw_ms = 0;
 	}
+	if (host->limit_end_ms && now_ms >= host->limit_end_ms) {
+		fleethosts_log(fleet, "%s has descriptors and ports", host->name);
+		end_limits(host);
+	}
 	if (host->start_ms && now_ms >= host->start_ms) {
 		if (!start_host(fleet, host))
 			fleetcheck_report(fleet->check, "process did not start", host->name);
@@ -496,6 +615,7 @@
 
 		host->thaw_ms = MIN(host->thaw_ms, now_ms);
 		host->start_ms = MIN(host->start_ms, now_ms);
+		host->limit_end_ms = MIN(host->limit_end_ms, now_ms);
 		if (host->role == ROLE_WORKER && is_up(host))
 			fleethosts_later(fleet, 0, ACTION_DRAIN, host, 0);
 		if (host->role == ROLE_STORE)
@@ -535,6 +655,7 @@
 			host->index = i;
 			host->number = numbers[role] + i;
 			host->start_ms = 1; /* at once */
+			host->lives = g_array_new(FALSE, FALSE, sizeof(struct fleetlife));
 			snprintf(host->name, sizeof(host->name), "%s%u", names[role], i);
 			fleet->host_count++;
 		}
--- a/tests/lib_fleethosts.h
+++ b/tests/lib_fleethosts.h
@@ -2,6 +2,7 @@
 #define JAYCOURSE_LIB_FLEETHOSTS_H
 
 #include "httpc.h"
+#include "lib_badinput.h"
 #include "lib_fleetcheck.h"
 #include "lib_netproxy.h"
 #include "lib_proc.h"
@@ -41,11 +42,22 @@
 	ACTION_CRASH,	    /* of a worker: ACTION_KILL once it has delayed a start */
 	ACTION_FREEZE,	    /* value: duration */
 	ACTION_RELOAD,	    /* SIGHUP, also while the process ends */
+	ACTION_RESET,	    /* of all its connections */
+	ACTION_DESCRIPTORS, /* value: how long no or few new descriptors can be opened */
+	ACTION_PORTS,	    /* value: how long no local port is free for a new connection */
 	ACTION_LATE_ORDERS, /* value: duration */
 	ACTION_DRAIN,	    /* value: on or off */
 	ACTION_STORE_FAULT, /* value: enum memkv_fault */
 };
 
+/* A process of a worker. */
+struct fleetlife {
+	unsigned int identifier;
+	uint64_t born_ms; /* as it announces; 0 while unknown */
+	uint64_t began_ms;
+	uint64_t ended_ms; /* 0: it runs */
+};
+
 struct fleethost {
 	enum fleetrole role;
 	unsigned int index; /* within the role */
@@ -63,6 +75,8 @@
 	FILE *log;		/* of a worker */
 	unsigned int record;	/* number of a worker in the check */
 	bool delayed_start;	/* this process of a worker has delayed a start */
+	GArray *lives;		/* struct fleetlife, of a worker; the present one is last */
+	uint64_t limit_end_ms; /* when its descriptors and ports are unlimited again; 0: they are */
 };
 
 /* Fault of the bytes from some hosts to others, by their index in &struct fleethosts. */
@@ -124,6 +138,15 @@
 void fleethosts_put(struct fleethosts *fleet, const struct fleethost *host, unsigned int port,
 		    const char *path, const char *body);
 
+/**
+ * fleethosts_describe() - what the heartbeats of a process of a worker say
+ * @back: 0 for the latest process, 1 for the one before, and so on
+ *
+ * Return: false if there is none or it has not announced itself yet.
+ */
+bool fleethosts_describe(struct fleethosts *fleet, struct fleethost *worker, unsigned int back,
+			 struct badinput_worker *out);
+
 /** fleethosts_later() - do something after a time, unless the process is down or frozen then */
 void fleethosts_later(struct fleethosts *fleet, uint32_t ms, enum fleetaction action,
 		      struct fleethost *host, uint32_t value);
