--- a/tests/lib_badinput.c
+++ b/tests/lib_badinput.c
@@ -62,7 +62,9 @@
 };
 
 struct heartbeat {
+	char *id;
 	char *fields[FIELDS]; /* JSON texts; NULL: left out */
+	bool refused;	      /* as in &struct badinput */
 };
 
 static uint64_t draw_between(GRand *rand, uint64_t from, uint64_t to)
@@ -91,8 +93,15 @@
 	set_field(heartbeat, field, g_strdup_printf("\"%s\"", value));
 }
 
+static void set_id(struct heartbeat *heartbeat, char *id)
+{
+	g_free(heartbeat->id);
+	heartbeat->id = id;
+}
+
 static void fill(struct heartbeat *heartbeat, const struct badinput_worker *worker)
 {
+	set_id(heartbeat, g_strdup(worker->id));
 	set_text(heartbeat, FIELD_SERVICE, worker->service);
 	set_text(heartbeat, FIELD_ADDRESS, worker->address);
 	set_text(heartbeat, FIELD_ZONE, worker->zone);
@@ -124,6 +133,7 @@
 
 static void clear(struct heartbeat *heartbeat)
 {
+	g_clear_pointer(&heartbeat->id, g_free);
 	for (enum field field = 0; field < FIELDS; field++)
 		g_clear_pointer(&heartbeat->fields[field], g_free);
 }
@@ -158,20 +168,13 @@
 	       field == FIELD_CAPACITY || field == FIELD_LABELS || field == FIELD_SEQUENCE;
 }
 
-static char *draw_id(GRand *rand)
-{
-	return g_strdup_printf("i-%08x", g_rand_int(rand));
-}
-
-static void make_foreign(GRand *rand, struct heartbeat *heartbeat, char **id,
+static void make_foreign(GRand *rand, struct heartbeat *heartbeat,
 			 const struct badinput_worker *other)
 {
 	unsigned int set = 1 + draw(rand, 7);
 
-	if (set & 1) {
-		g_free(*id);
-		*id = g_strdup(other->id);
-	}
+	if (set & 1)
+		set_id(heartbeat, g_strdup(other->id));
 	if (set & 2)
 		set_number(heartbeat, FIELD_BORN, other->born_ms);
 	if (set & 4)
@@ -181,13 +184,11 @@
 }
 
 /* The heartbeat that a partition delayed may be any earlier one. */
-static void make_former(GRand *rand, struct heartbeat *heartbeat, char **id,
+static void make_former(GRand *rand, struct heartbeat *heartbeat,
 			const struct badinput_worker *former)
 {
 	fill(heartbeat, former);
 	set_number(heartbeat, FIELD_SEQUENCE, 1 + draw(rand, former->sequence + 1));
-	g_free(*id);
-	*id = g_strdup(former->id);
 }
 
 static void make_late(GRand *rand, struct heartbeat *heartbeat, const struct badinput_worker *own)
@@ -197,13 +198,13 @@
 		set_text(heartbeat, FIELD_STATE, "draining");
 }
 
-static void make_ahead(GRand *rand, struct heartbeat *heartbeat, bool *refused)
+static void make_ahead(GRand *rand, struct heartbeat *heartbeat)
 {
 	static const uint64_t numbers[] = {SEQUENCE_MAX + 1ULL, INT64_MAX, UINT64_MAX};
 	unsigned int i = draw(rand, 2 * G_N_ELEMENTS(numbers));
 
-	*refused = i < G_N_ELEMENTS(numbers);
-	set_number(heartbeat, FIELD_SEQUENCE, *refused ? numbers[i] : SEQUENCE_MAX - i);
+	heartbeat->refused = i < G_N_ELEMENTS(numbers);
+	set_number(heartbeat, FIELD_SEQUENCE, heartbeat->refused ? numbers[i] : SEQUENCE_MAX - i);
 }
 
 static char *draw_text_that_is_not_json(GRand *rand, const char *json)
@@ -240,9 +241,9 @@
 	return g_string_append_len(request, body, (gssize)len);
 }
 
-static void spoil(GRand *rand, enum badinput_kind kind, struct heartbeat *heartbeat, char **id,
-		  bool *refused, const struct badinput_worker *own,
-		  const struct badinput_worker *other, const struct badinput_worker *former)
+static void spoil(GRand *rand, enum badinput_kind kind, struct heartbeat *heartbeat,
+		  const struct badinput_worker *own, const struct badinput_worker *other,
+		  const struct badinput_worker *former)
 {
 	static const char *const states[] = {"up", "READY", "ready ", "gone", "readydraining"};
 	static const char *const services[] = {"t", "S", "s ", "ss"};
@@ -251,23 +252,23 @@
 	switch (kind) {
 	case BADINPUT_GARBLED:
 		set_field(heartbeat, field, draw_wrong_value(rand));
-		*refused = is_required(field) || field == FIELD_BORN;
+		heartbeat->refused = is_required(field) || field == FIELD_BORN;
 		break;
 	case BADINPUT_MISSING:
 		set_field(heartbeat, field, NULL);
-		*refused = is_required(field);
+		heartbeat->refused = is_required(field);
 		break;
 	case BADINPUT_FOREIGN:
-		make_foreign(rand, heartbeat, id, other);
+		make_foreign(rand, heartbeat, other);
 		break;
 	case BADINPUT_FORMER:
-		make_former(rand, heartbeat, id, former);
+		make_former(rand, heartbeat, former);
 		break;
 	case BADINPUT_LATE:
 		make_late(rand, heartbeat, own);
 		break;
 	case BADINPUT_AHEAD:
-		make_ahead(rand, heartbeat, refused);
+		make_ahead(rand, heartbeat);
 		break;
 	case BADINPUT_BORN_EARLIER:
 		set_number(heartbeat, FIELD_BORN,
@@ -286,19 +287,18 @@
 		/* fall through */
 	case BADINPUT_OTHER_ID:
 	case BADINPUT_DEREGISTER:
-		g_free(*id);
-		*id = draw_id(rand);
+		set_id(heartbeat, g_strdup_printf("i-%08x", g_rand_int(rand)));
 		break;
 	case BADINPUT_STATE:
 		set_text(heartbeat, FIELD_STATE, states[draw(rand, G_N_ELEMENTS(states))]);
-		*refused = true;
+		heartbeat->refused = true;
 		break;
 	case BADINPUT_SERVICE:
 		set_text(heartbeat, FIELD_SERVICE, services[draw(rand, G_N_ELEMENTS(services))]);
-		*refused = true;
+		heartbeat->refused = true;
 		break;
 	default:
-		*refused = true;
+		heartbeat->refused = true;
 		break;
 	}
 }
@@ -308,14 +308,14 @@
 					   const struct badinput_worker *other,
 					   const struct badinput_worker *former)
 {
-	struct heartbeat heartbeat = {{NULL}};
+	struct heartbeat heartbeat = {NULL};
 	struct badinput input = {.name = kind_names[kind]};
-	g_autofree char *id = g_strdup(own->id);
 	g_autofree char *body = NULL;
 
 	fill(&heartbeat, own);
 	set_number(&heartbeat, FIELD_SEQUENCE, own->sequence + 1);
-	spoil(rand, kind, &heartbeat, &id, &input.refused, own, other, former);
+	spoil(rand, kind, &heartbeat, own, other, former);
+	input.refused = heartbeat.refused;
 	body = render(&heartbeat);
 	if (kind == BADINPUT_NOT_JSON || kind == BADINPUT_TOO_LARGE) {
 		char *whole = g_steal_pointer(&body);
@@ -330,9 +330,10 @@
 		g_free(whole);
 	}
 	if (kind == BADINPUT_DEREGISTER)
-		input.request = make_request("DELETE", draw(rand, 2) ? id : other->id, "", 0);
+		input.request =
+			make_request("DELETE", draw(rand, 2) ? heartbeat.id : other->id, "", 0);
 	else
-		input.request = make_request("PUT", id, body, strlen(body));
+		input.request = make_request("PUT", heartbeat.id, body, strlen(body));
 	clear(&heartbeat);
 	return input;
 }
--- a/tests/test_rawcall.c
+++ b/tests/test_rawcall.c
@@ -11,7 +11,7 @@
 #define LARGE_BODY_BYTES (3 * 1024 * 1024)
 #define TIMEOUT_MS 400
 #define WAIT_MS 5000
-#define PENDING -1
+#define PENDING (-1)
 
 static void on_call(struct httpd_call *call, void *ctx)
 {
