--- a/bench/measure_fleet_faults.c
+++ b/bench/measure_fleet_faults.c
@@ -40,6 +40,8 @@
 	{8, 1, "a write that libcurl had sent on a reused connection was taken for unsent"},
 	{606, 2, "a late call made a restarted worker forget ends that nobody had seen"},
 	{631, 2, "a restarted worker carried out a start that was sent to it before"},
+	{1, 3, "a heartbeat of another id ended a live worker; a stopping agent aborted"},
+	{3, 3, "a heartbeat of another id made an agent take its live worker for another"},
 };
 
 struct arguments {
