worker: a task is lost only when a complete list lacks it and its renewal is refused

Callers saw members reported as lost, and their gangs started elsewhere at once, while the worker went on renewing their leases: one list that lacked a task, or an item with a state that this release does not know, ended it. Its stop was not even sent, so it ran on until its lease ended.

Cause: the absence from one list, also from one with unreadable items, counted as the end of the task.

A task is now given up as unknown to the worker when the last complete list lacks it and the last answer to its renewal is a refusal. Both are asked for in each poll, so a real loss is noticed in the same poll as before. Items without an id or a known state are ignored and logged once.

--- a/src/worker.c
+++ b/src/worker.c
@@ -40,6 +40,8 @@
 	uint64_t lease_expiry_ms; /* the lease has expired by then, unless it is renewed again */
 	/* The worker that answers doesn't know this unanswered start; it may have restarted. */
 	bool start_unknown;
+	bool unlisted;	      /* the last complete list lacks the task */
+	bool renewal_refused; /* the last answer to a renewal */
 	bool renewals_failed; /* stopped because no renewal was answered in time */
 	void (*start_done)(int status, const char *reason, void *ctx);
 	void *start_ctx;
@@ -466,15 +468,38 @@
 	call_task(worker, id, &call);
 }
 
-/* A refused renewal is ignored: if the task has ended, the list of tasks tells how. */
+/*
+ * Either answer alone may be that of another process, or a list that is cut. Both are asked for in
+ * each poll, so that the end of a task is noticed as soon as by one.
+ */
+static void report_lost_tasks(struct worker *worker)
+{
+	struct task *task = worker->tasks;
+
+	while (task) {
+		if (task->phase == PHASE_RUNNING && task->unlisted && task->renewal_refused) {
+			report_task_ended(task, WORKER_TASK_UNKNOWN,
+					  "the worker does not know the task");
+			task = worker->tasks; /* the callback may have removed tasks */
+		} else {
+			task = task->next;
+		}
+	}
+}
+
+/* If the task has ended, the list of tasks tells how. */
 static void on_renewed(int status, int http_status, const char *body, size_t len, void *ctx)
 {
 	struct task *task = ctx;
 
 	task->renew_call = NULL;
-	if (!status && http_status == 200)
+	if (status)
+		return;
+	task->renewal_refused = http_status == 404 || http_status == 409 || http_status == 410;
+	if (http_status == 200)
 		task->renewed_ms = task->lease_expiry_ms - RENEW_TIMEOUT_MS - TASK_LEASE_MS -
 				   LEASE_EXPIRY_MARGIN_MS;
+	report_lost_tasks(task->worker);
 }
 
 static void renew_task(struct task *task)
@@ -520,8 +545,9 @@
 	struct task *task = find_listable_task(worker, id);
 	json_t *usage = json_object_get(item, "usage_percent");
 
-	if (!task)
+	if (!task || !state)
 		return;
+	task->unlisted = false;
 	if (state != WORKER_TASK_RUNNING)
 		report_task_ended(task, state, reason ? reason : "");
 	else if (json_is_integer(usage))
@@ -530,18 +556,11 @@
 					  worker->handlers.ctx);
 }
 
-static void report_unlisted_tasks(struct worker *worker, json_t *list)
+static void mark_unlisted_tasks(struct worker *worker, json_t *list)
 {
-	struct task *task = worker->tasks;
-
-	while (task) {
-		if (find_listable_task(worker, task->id) && !workerjson_contains(list, task->id)) {
-			report_task_ended(task, WORKER_TASK_UNKNOWN,
-					  "the worker does not know the task");
-			task = worker->tasks; /* the callback may have removed tasks */
-		} else {
-			task = task->next;
-		}
+	for (struct task *task = worker->tasks; task; task = task->next) {
+		if (find_listable_task(worker, task->id) && !workerjson_contains(list, task->id))
+			task->unlisted = true;
 	}
 }
 
@@ -559,9 +578,13 @@
 	root = json_loadb(body, len, 0, NULL);
 	list = json_object_get(root, "tasks");
 	json_array_foreach(list, i, item) handle_listed_task(worker, item);
-	if (json_is_array(list))
-		report_unlisted_tasks(worker, list);
+	if (workerjson_complete(list))
+		mark_unlisted_tasks(worker, list);
+	else
+		log_once("list_unreadable", worker->url,
+			 "a list of tasks has no or unreadable items; those are ignored");
 	json_decref(root);
+	report_lost_tasks(worker);
 }
 
 static void request_list(struct worker *worker)
--- a/src/workerjson.c
+++ b/src/workerjson.c
@@ -72,7 +72,21 @@
 		if (!strcmp(names[i], text))
 			return i;
 	}
-	return WORKER_TASK_UNKNOWN;
+	return 0;
+}
+
+bool workerjson_complete(json_t *list)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(list, i, item)
+	{
+		if (!json_is_string(json_object_get(item, "id")) ||
+		    !workerjson_state(json_string_value(json_object_get(item, "state"))))
+			return false;
+	}
+	return json_is_array(list);
 }
 
 bool workerjson_contains(json_t *list, const char *id)
--- a/src/workerjson.h
+++ b/src/workerjson.h
@@ -31,9 +31,12 @@
 /** workerjson_renew() - body of POST /tasks/ID/renew; the caller frees it */
 char *workerjson_renew(const struct workerjson_lease *lease);
 
-/** workerjson_state() - state for its name in the list of tasks */
+/** workerjson_state() - state for its name in the list of tasks; 0 if there is no such name */
 enum worker_task_state workerjson_state(const char *text);
 
+/** workerjson_complete() - true if @list is an array of which each item has an id and a state */
+bool workerjson_complete(json_t *list);
+
 /** workerjson_contains() - true if the list of tasks contains task @id */
 bool workerjson_contains(json_t *list, const char *id);
 
--- a/tests/fake_worker.c
+++ b/tests/fake_worker.c
@@ -54,6 +54,8 @@
 	bool late_renewals; /* renewals take effect, but their answers come too late */
 	bool fail_checkpoints;
 	bool late_starts; /* likewise starts */
+	bool empty_lists;
+	bool bare_lists; /* items have no ids and no states that are in use */
 };
 
 struct worker {
@@ -276,6 +278,20 @@
 			 (json_int_t)task->checkpoint_ms, "throttle_percent", (int)task->percent);
 }
 
+static void make_items_bare(json_t *items)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(items, i, item)
+	{
+		if (i % 2)
+			json_object_del(item, "id");
+		else
+			json_object_set_new(item, "state", json_string("unheard-of"));
+	}
+}
+
 static void list_tasks(struct worker *worker, bool history, struct fake_reply *reply)
 {
 	json_t *items = json_array();
@@ -285,6 +301,10 @@
 			json_array_append_new(items, history ? history_json(task)
 							     : task_json(worker, task));
 	}
+	if (!history && worker->faults.empty_lists)
+		json_array_clear(items);
+	if (!history && worker->faults.bare_lists)
+		make_items_bare(items);
 	fake_reply_json(reply, 200, json_pack("{s:o}", "tasks", items));
 }
 
@@ -298,6 +318,8 @@
 	faults->late_renewals = read_bool(root, "late_renewals", faults->late_renewals);
 	faults->fail_checkpoints = read_bool(root, "fail_checkpoints", faults->fail_checkpoints);
 	faults->late_starts = read_bool(root, "late_starts", faults->late_starts);
+	faults->empty_lists = read_bool(root, "empty_lists", faults->empty_lists);
+	faults->bare_lists = read_bool(root, "bare_lists", faults->bare_lists);
 	fake_reply_json(reply, 200, json_object());
 }
 
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -386,6 +386,35 @@
 	CU_ASSERT(run_stop("v.1.0", true).checkpoint_ms >= 50);
 }
 
+/*
+ * Guards against a task that is given up while the worker renews its lease, because a list lacks it
+ * or has items that can't be read.
+ */
+static void test_wrong_lists(void)
+{
+	static const char *const faults[] = {"empty_lists", "bare_lists"};
+	uint64_t until_ms;
+	char fault[64];
+	char state[32];
+
+	CU_ASSERT_EQUAL(run_start("w.1.0", 1, 1, "{}"), 0);
+	CU_ASSERT_EQUAL(run_start("x.1.0", 2, 1, "{}"), 0);
+	for (size_t i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+		memset(&seen, 0, sizeof(seen));
+		snprintf(fault, sizeof(fault), "{\"%s\":true}", faults[i]);
+		set_fault(fault);
+		until_ms = util_clock_ms() + 2500;
+		CU_ASSERT(run_until(time_passed, &until_ms));
+		CU_ASSERT_STRING_EQUAL(seen.id, "");
+		snprintf(fault, sizeof(fault), "{\"%s\":false}", faults[i]);
+		set_fault(fault);
+	}
+	task_state("w.1.0", state);
+	CU_ASSERT_STRING_EQUAL(state, "running");
+	CU_ASSERT_EQUAL(run_stop("w.1.0", false).status, 0);
+	CU_ASSERT_EQUAL(run_stop("x.1.0", false).status, 0);
+}
+
 static void restart_fake(struct tevent_context *context, struct tevent_timer *te,
 			 struct timeval now, void *data)
 {
@@ -463,6 +492,7 @@
 	CU_add_test(suite, "unanswered_start", test_unanswered_start);
 	CU_add_test(suite, "start_for_former_incarnation", test_start_for_former_incarnation);
 	CU_add_test(suite, "failed_checkpoint", test_failed_checkpoint);
+	CU_add_test(suite, "wrong_lists", test_wrong_lists);
 	CU_add_test(suite, "worker_restarts_after_start", test_worker_restarts_after_start);
 	CU_add_test(suite, "refused_late", test_refused_late);
 	CU_add_test(suite, "stop", test_stop);
