target: one announcement with a wrong clock changes no lease

Callers lost all tasks of a live worker: the agent computes the ends of leases from the clock in the last announcement, so one with a clock far behind, or one that was read late, made the next renewal name an end in the past, and the worker stopped its tasks. A clock far ahead would let tasks outlive a dead agent, while they are started elsewhere.

Cause: each announcement replaced the estimate of the worker's clock.

The clock of the present process must now agree with the announcements before to within 1 s: a lease that is shorter by that still outlasts the interval between renewals. A clock that was set counts once two announcements, 0.5 s or more apart, agree. Others are answered with 400 that names clock_ms, as is a clock that is missing once it was announced or that overflows differences.

--- a/src/announce.c
+++ b/src/announce.c
@@ -12,6 +12,7 @@
 #define IDLE_TIMEOUT_S 10U
 #define ACCELERATORS_MAX 64 /* bits of an accelerator mask */
 #define COUNT_MAX 1000000000
+#define CLOCK_MAX_MS (INT64_MAX / 4) /* differences of clocks and ends of leases fit */
 
 struct announce {
 	struct tevent_context *ev;
@@ -102,7 +103,8 @@
 {
 	json_t *value = json_object_get(root, "clock_ms");
 
-	if (value && (!json_is_integer(value) || json_integer_value(value) <= 0))
+	if (value && (!json_is_integer(value) || json_integer_value(value) <= 0 ||
+		      json_integer_value(value) > CLOCK_MAX_MS))
 		return bad_field(err, "clock_ms",
 				 "give the target's monotonic clock in milliseconds");
 	out->clock_ms = (uint64_t)json_integer_value(value);
--- a/src/target.c
+++ b/src/target.c
@@ -1,11 +1,19 @@
 #include "target.h"
 
+#include <stdlib.h>
 #include <string.h>
 
+#define CLOCK_AGREEMENT_MS 200	/* between two announcements of a clock that was set */
+#define CLOCK_REPEAT_MIN_MS 500 /* late announcements that are read at once are no repetition */
+
 struct target {
 	struct target_info *info; /* owned with its strings; NULL before the first announcement */
 	uint64_t last_announced_ms;
 	bool silent;
+	bool clock_known;
+	int64_t clock_offset_ms;     /* the target's clock minus this process's */
+	int64_t odd_clock_offset_ms; /* of the last announcement that was refused for it */
+	uint64_t odd_clock_ms;	     /* time of that announcement; 0: none */
 };
 
 struct target *target_create(TALLOC_CTX *mem)
@@ -71,10 +79,43 @@
 	return 0;
 }
 
+/* Leases end by this clock: one that is wrong ends all tasks, or lets them outlive their agent. */
+static int check_clock(struct target *target, const struct target_info *info, uint64_t now_ms,
+		       struct err *err)
+{
+	int64_t offset = (int64_t)info->clock_ms - (int64_t)now_ms;
+	bool repeated;
+
+	if (!info->clock_ms)
+		return err_set(err, ERR_INVALID, "announce the clock each time",
+			       "field \"clock_ms\" is missing, but was announced before");
+	if (llabs(offset - target->clock_offset_ms) <= TARGET_CLOCK_STEP_MAX_MS)
+		return 0;
+	repeated = target->odd_clock_ms && now_ms - target->odd_clock_ms >= CLOCK_REPEAT_MIN_MS &&
+		   llabs(offset - target->odd_clock_offset_ms) <= CLOCK_AGREEMENT_MS;
+	if (repeated)
+		return 0;
+	target->odd_clock_offset_ms = offset;
+	target->odd_clock_ms = now_ms;
+	return err_set(err, ERR_INVALID, "repeat the announcement if the clock was set",
+		       "field \"clock_ms\" differs by %lld ms from the announcements before",
+		       (long long)(offset - target->clock_offset_ms));
+}
+
+static int check_announcement(struct target *target, const struct target_info *info,
+			      uint64_t now_ms, struct err *err)
+{
+	int ret = check_sender(target, info, now_ms, err);
+
+	if (ret || !target->clock_known || !same_process(target->info, info))
+		return ret;
+	return check_clock(target, info, now_ms, err);
+}
+
 int target_announce(struct target *target, const struct target_info *info, uint64_t now_ms,
 		    unsigned int *changes, struct err *err)
 {
-	int ret = check_sender(target, info, now_ms, err);
+	int ret = check_announcement(target, info, now_ms, err);
 
 	*changes = 0;
 	if (ret)
@@ -90,6 +131,9 @@
 	}
 	target->last_announced_ms = now_ms;
 	target->silent = false;
+	target->clock_known = info->clock_ms > 0;
+	target->clock_offset_ms = (int64_t)info->clock_ms - (int64_t)now_ms;
+	target->odd_clock_ms = 0;
 	return 0;
 }
 
--- a/src/target.h
+++ b/src/target.h
@@ -18,6 +18,12 @@
 
 #define TARGET_SILENCE_MS 2000 /* without an announcement for this time, a target is unusable */
 
+/*
+ * Announcements are a little late at times. Leases that are shorter by this time still outlast the
+ * interval between two renewals.
+ */
+#define TARGET_CLOCK_STEP_MAX_MS 1000
+
 struct target;
 
 /**
@@ -45,11 +51,13 @@
 
 /**
  * target_announce() - records an announcement
- * @now_ms: util_clock_ms()
+ * @now_ms: util_clock_ms() when it was received
  * @changes: receives TARGET_CHANGED and TARGET_RESTARTED bits
  *
  * Return: 0; -ERR_CONFLICT while another target announces itself to this agent; -ERR_STALE for an
- * incarnation older than the current one.
+ * incarnation older than the current one; -ERR_INVALID for a clock of the present
+ * target that is missing or more than TARGET_CLOCK_STEP_MAX_MS off, unless the clock of the
+ * announcement before was off by the same time.
  */
 int target_announce(struct target *target, const struct target_info *info, uint64_t now_ms,
 		    unsigned int *changes, struct err *err);
--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -35,6 +35,8 @@
 		{"{" SERVICE_FIELDS "\"url\":\"http://10.0.0.1:99999\"}", "url"},
 		{"{" SERVICE_FIELDS URL_FIELD "\"incarnation\":0}", "incarnation"},
 		{"{" SERVICE_FIELDS URL_FIELD "\"incarnation\":1,\"state\":\"gone\"}", "state"},
+		{"{" SERVICE_FIELDS URL_FIELD "\"incarnation\":1,\"clock_ms\":9223372036854775807}",
+		 "clock_ms"},
 		{"{" SERVICE_FIELDS URL_FIELD STATE_FIELDS "\"connections\":64}", "slots"},
 		{"{" SERVICE_FIELDS URL_FIELD STATE_FIELDS "\"slots\":-1,\"connections\":64}",
 		 "slots"},
@@ -113,6 +115,55 @@
 	talloc_free(target);
 }
 
+struct clock_case {
+	uint64_t at_ms;
+	uint64_t clock_ms;
+	int status;
+};
+
+/*
+ * Guards against leases by a wrong clock: an announcement that was read late or is not the
+ * target's own would end all tasks, or let them run on after the agent has died.
+ */
+static void test_clock(void)
+{
+	static const struct clock_case cases[] = {
+		{0, 50000, 0},
+		{1000, 50000 + 1000 - 900, 0}, /* a little late */
+		{2000, 50000 + 2000, 0},
+		{2500, 1, -ERR_INVALID},
+		{2600, 50000 + 2600 + 3600000, -ERR_INVALID},
+		{2700, 0, -ERR_INVALID},
+		{3000, 50000 + 3000, 0},
+		{4000, 50000 + 4000 - 2500, -ERR_INVALID}, /* three late ones, read at once */
+		{4001, 50000 + 4000 - 1500, -ERR_INVALID},
+		{4002, 50000 + 4000 - 500, 0},
+		{5000, 20000 + 5000, -ERR_INVALID}, /* the clock was set */
+		{5700, 20000 + 5700, 0},
+		{6000, 20000 + 6000, 0},
+	};
+	struct target *target = target_create(NULL);
+	struct target_info info = {.kind = MSG_TARGET_WORKER, .name = "a", .service = ""};
+	unsigned int changes;
+
+	info.url = "u";
+	info.incarnation = 5;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct err err = {0};
+		int ret;
+
+		info.clock_ms = cases[i].clock_ms;
+		ret = target_announce(target, &info, START_MS + cases[i].at_ms, &changes, &err);
+		CU_ASSERT_EQUAL(ret, cases[i].status);
+		CU_ASSERT(!ret || strstr(err.message, "clock_ms"));
+	}
+	/* Another incarnation has another clock. */
+	info.incarnation = 6;
+	info.clock_ms = 7;
+	CU_ASSERT_EQUAL(target_announce(target, &info, START_MS + 7000, &changes, NULL), 0);
+	talloc_free(target);
+}
+
 /*
  * Guards against using more slots than configured, and against forgetting idempotency keys before
  * the entries' claims on them end.
@@ -145,6 +196,7 @@
 	suite = CU_add_suite("target", NULL, NULL);
 	CU_add_test(suite, "parse", test_parse);
 	CU_add_test(suite, "states", test_states);
+	CU_add_test(suite, "clock", test_clock);
 	CU_add_test(suite, "slice", test_slice);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
