target: a smaller incarnation is believed once the larger one is silent

Callers saw a target refused for ever: after one announcement with a larger incarnation, not its own or from before its host's clock was set back, all its own announcements were refused as stale until the agent was restarted.

Cause: the largest incarnation ever seen counted, without regard to whether anything still announced it.

Evidence: test_target/smaller_incarnation failed before and passes now.

--- a/src/target.c
+++ b/src/target.c
@@ -1,5 +1,6 @@
 #include "target.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -60,22 +61,17 @@
 static int check_sender(const struct target *target, const struct target_info *info,
 			uint64_t now_ms, struct err *err)
 {
-	if (!target->info)
+	if (!announced_recently(target, now_ms))
 		return 0;
-	if (strcmp(target->info->name, info->name) != 0) {
-		if (!announced_recently(target, now_ms))
-			return 0;
+	if (strcmp(target->info->name, info->name) != 0)
 		return err_set(err, ERR_CONFLICT, "run one agent beside each target",
 			       "this agent serves target %s, which still announces itself",
 			       target->info->name);
-	}
 	if (info->incarnation < target->info->incarnation)
-		return err_set(err, ERR_STALE,
-			       "stop the older process, or announce a larger incarnation after "
-			       "each restart",
-			       "incarnation %llu of %s is older than %llu seen before",
-			       (unsigned long long)info->incarnation, info->name,
-			       (unsigned long long)target->info->incarnation);
+		return err_set(err, ERR_STALE, "stop one of the two processes",
+			       "incarnation %" PRIu64 " of %s is older than %" PRIu64
+			       ", which still announces itself",
+			       info->incarnation, info->name, target->info->incarnation);
 	return 0;
 }
 
--- a/src/target.h
+++ b/src/target.h
@@ -55,7 +55,7 @@
  * @changes: receives TARGET_CHANGED and TARGET_RESTARTED bits
  *
  * Return: 0; -ERR_CONFLICT while another target announces itself to this agent; -ERR_STALE for an
- * incarnation older than the current one; -ERR_INVALID for a clock of the present
+ * incarnation older than one that still announces itself; -ERR_INVALID for a clock of the present
  * target that is missing or more than TARGET_CLOCK_STEP_MAX_MS off, unless the clock of the
  * announcement before was off by the same time.
  */
--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -115,6 +115,27 @@
 	talloc_free(target);
 }
 
+/*
+ * Guards against a target that is refused for ever after an announcement of a larger incarnation:
+ * one that was not its own, or one from before its clock was set back.
+ */
+static void test_smaller_incarnation(void)
+{
+	struct target *target = target_create(NULL);
+	struct target_info info = {.kind = MSG_TARGET_SERVICE, .name = "a", .service = "s"};
+	unsigned int changes;
+	uint64_t at = START_MS + TARGET_SILENCE_MS;
+
+	info.url = "u";
+	info.incarnation = 9;
+	CU_ASSERT_EQUAL(target_announce(target, &info, START_MS, &changes, NULL), 0);
+	info.incarnation = 5;
+	CU_ASSERT_EQUAL(target_announce(target, &info, at, &changes, NULL), -ERR_STALE);
+	CU_ASSERT_EQUAL(target_announce(target, &info, at + 1, &changes, NULL), 0);
+	CU_ASSERT_EQUAL(changes, TARGET_CHANGED | TARGET_RESTARTED);
+	talloc_free(target);
+}
+
 struct clock_case {
 	uint64_t at_ms;
 	uint64_t clock_ms;
@@ -196,6 +217,7 @@
 	suite = CU_add_suite("target", NULL, NULL);
 	CU_add_test(suite, "parse", test_parse);
 	CU_add_test(suite, "states", test_states);
+	CU_add_test(suite, "smaller_incarnation", test_smaller_incarnation);
 	CU_add_test(suite, "clock", test_clock);
 	CU_add_test(suite, "slice", test_slice);
 	CU_basic_run_tests();
