agent: the time in which the agent did not run is no silence of its worker

Callers saw all members of a worker reported as lost after its agent had been stopped for 1.6 s, although their leases were still valid: the tick that runs first found that nothing had been announced for 2 s, dropped the worker and let the leases end. The announcement waited unread.

Cause: the silence was measured on the agent's clock without regard to whether the agent could hear anything.

The gap between two ticks, from 0.5 s on, no longer counts for the silence that drops the worker. It still counts for the admission of new work, which is refused until the next announcement.

--- a/src/agent.c
+++ b/src/agent.c
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #define TICK_MS 200
+#define PAUSE_MIN_MS 500   /* a gap this long between two ticks is no jitter of the timer */
 #define FROZEN_MIN_MS 2000 /* a gap this long between two ticks means the process was frozen */
 #define WIRE_LINGER_MS 500
 #define STORE_READS_PER_S 2
@@ -104,9 +105,9 @@
 	struct slots_capacity allowed = allowed_capacity(agent);
 
 	slots_set_capacity(agent->slots, &allowed);
-	if (restarted || info->kind != MSG_TARGET_WORKER || usable == -ERR_NO_TARGET)
+	if (restarted || info->kind != MSG_TARGET_WORKER || target_silent(agent->target))
 		drop_worker(agent);
-	if (info->kind == MSG_TARGET_WORKER && usable != -ERR_NO_TARGET)
+	if (info->kind == MSG_TARGET_WORKER && !target_silent(agent->target))
 		set_worker(agent, info);
 	gangagent_set_accepting(agent->gang, usable == 0 && !agent->leaving_since_ms);
 	entrylinks_announce(agent->entrylinks);
@@ -266,6 +267,18 @@
 
 static void schedule_tick(struct agent *agent);
 
+/* Announcements that arrived while this process did not run are read after the tick. */
+static void allow_for_pause(struct agent *agent, uint64_t now)
+{
+	uint64_t gap = now - agent->tick_ms;
+
+	if (gap < PAUSE_MIN_MS || !target_info(agent->target))
+		return;
+	target_add_unheard(agent->target, gap - TICK_MS);
+	if (target_usable(agent->target, now))
+		apply_target(agent, false);
+}
+
 static void on_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval at,
 		    void *data)
 {
@@ -273,6 +286,7 @@
 	uint64_t now = util_clock_ms();
 
 	schedule_tick(agent);
+	allow_for_pause(agent, now);
 	check_frozen(agent, now);
 	if (target_check_silence(agent->target, now)) {
 		log_warn("target_silent", "", "target %s has not announced itself for %d ms",
--- a/src/target.c
+++ b/src/target.c
@@ -10,6 +10,7 @@
 struct target {
 	struct target_info *info; /* owned with its strings; NULL before the first announcement */
 	uint64_t last_announced_ms;
+	uint64_t unheard_ms; /* time since then in which this process could not hear the target */
 	bool silent;
 	bool clock_known;
 	int64_t clock_offset_ms;     /* the target's clock minus this process's */
@@ -27,6 +28,11 @@
 	return target->info && now_ms - target->last_announced_ms <= TARGET_SILENCE_MS;
 }
 
+static bool is_silent(const struct target *target, uint64_t now_ms)
+{
+	return now_ms - target->last_announced_ms > TARGET_SILENCE_MS + target->unheard_ms;
+}
+
 static struct target_info *copy_info(TALLOC_CTX *mem, const struct target_info *info)
 {
 	struct target_info *copy = talloc(mem, struct target_info);
@@ -61,7 +67,7 @@
 static int check_sender(const struct target *target, const struct target_info *info,
 			uint64_t now_ms, struct err *err)
 {
-	if (!announced_recently(target, now_ms))
+	if (!target->info || is_silent(target, now_ms))
 		return 0;
 	if (strcmp(target->info->name, info->name) != 0)
 		return err_set(err, ERR_CONFLICT, "run one agent beside each target",
@@ -126,6 +132,7 @@
 		target->info = copy_info(target, info);
 	}
 	target->last_announced_ms = now_ms;
+	target->unheard_ms = 0;
 	target->silent = false;
 	target->clock_known = info->clock_ms > 0;
 	target->clock_offset_ms = (int64_t)info->clock_ms - (int64_t)now_ms;
@@ -135,12 +142,22 @@
 
 unsigned int target_check_silence(struct target *target, uint64_t now_ms)
 {
-	if (!target->info || target->silent || announced_recently(target, now_ms))
+	if (!target->info || target->silent || !is_silent(target, now_ms))
 		return 0;
 	target->silent = true;
 	return TARGET_CHANGED;
 }
 
+void target_add_unheard(struct target *target, uint64_t ms)
+{
+	target->unheard_ms += ms;
+}
+
+bool target_silent(const struct target *target)
+{
+	return target->silent;
+}
+
 int target_usable(const struct target *target, uint64_t now_ms)
 {
 	if (!announced_recently(target, now_ms))
--- a/src/target.h
+++ b/src/target.h
@@ -66,6 +66,16 @@
  */
 unsigned int target_check_silence(struct target *target, uint64_t now_ms);
 
+/**
+ * target_add_unheard() - this process did not run for @ms, so the target was not silent then
+ *
+ * It counts for target_check_silence() only: nothing is known of the target's state either.
+ */
+void target_add_unheard(struct target *target, uint64_t ms);
+
+/** target_silent() - true after target_check_silence() has found a silence, until it ends */
+bool target_silent(const struct target *target);
+
 /** target_usable() - 0 when new work may start, -ERR_NO_TARGET or -ERR_LEAVING when not */
 int target_usable(const struct target *target, uint64_t now_ms);
 
--- a/tests/test_agent_gang.c
+++ b/tests/test_agent_gang.c
@@ -1,5 +1,6 @@
 #include "lib_agent.h"
 #include "util.h"
+#include "worker.h"
 
 #include <CUnit/Basic.h>
 #include <jansson.h>
@@ -261,6 +262,43 @@
 	rig_set_fault(&rig, "{\"silent\":false}");
 }
 
+static void run_for(uint64_t ms)
+{
+	uint64_t until_ms = util_clock_ms() + ms;
+
+	CU_ASSERT(rig_run_until(&rig, time_passed, &until_ms, WAIT_MS));
+}
+
+/* Checks that a member still runs after the time in which its loss would have been reported. */
+static void check_still_runs(const char *job, const char *task)
+{
+	struct wanted lost = {MSG_MEMBER_STATUS, job, 0, MSG_MEMBER_LOST};
+	char state[32];
+
+	run_for(TASK_LEASE_EXPIRY_MS + 1000);
+	CU_ASSERT_PTR_NULL(find_in_inbox(&lost));
+	task_state(task, state);
+	CU_ASSERT_STRING_EQUAL(state, "running");
+}
+
+/*
+ * Guards against a worker that counts as silent because its agent did not run: each freeze is
+ * shorter than what is left of a lease.
+ */
+static void test_short_freezes(void)
+{
+	run_gang("25", 1, 1, "{}");
+	for (int i = 0; i < 4; i++) {
+		proc_signal(&rig.agent, SIGSTOP);
+		run_for(1600);
+		proc_signal(&rig.agent, SIGCONT);
+		run_for(1250);
+	}
+	check_still_runs("25", "25.1.0");
+	rig_send(&rig, &(struct msg){.type = MSG_STOP, .u.stop = {1, "25", 1, 0, 0}});
+	wait_for(MSG_MEMBER_STATUS, "25", 0, MSG_MEMBER_STOPPED);
+}
+
 static bool target_leaving(struct agent_rig *r, void *ctx)
 {
 	return r->entries[0].target_state == MSG_TARGET_LEAVING;
@@ -298,6 +336,7 @@
 	CU_add_test(suite, "stop_task", test_stop_task);
 	CU_add_test(suite, "unanswered_start", test_unanswered_start);
 	CU_add_test(suite, "refused", test_refused);
+	CU_add_test(suite, "short_freezes", test_short_freezes);
 	CU_add_test(suite, "frozen_agent", test_frozen_agent);
 	CU_add_test(suite, "silent_worker", test_silent_worker);
 	CU_add_test(suite, "leaving", test_leaving);
--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -185,6 +185,28 @@
 	talloc_free(target);
 }
 
+/* Guards against a target that counts as silent because the agent did not run. */
+static void test_unheard(void)
+{
+	struct target *target = target_create(NULL);
+	struct target_info info = {.kind = MSG_TARGET_WORKER, .name = "a", .service = ""};
+	uint64_t end = START_MS + TARGET_SILENCE_MS + 1500;
+	unsigned int changes;
+
+	info.url = "u";
+	info.incarnation = 5;
+	CU_ASSERT_EQUAL(target_announce(target, &info, START_MS, &changes, NULL), 0);
+	target_add_unheard(target, 1500);
+	CU_ASSERT_EQUAL(target_check_silence(target, end), 0);
+	CU_ASSERT_EQUAL(target_usable(target, end), -ERR_NO_TARGET);
+	CU_ASSERT_EQUAL(target_check_silence(target, end + 1), TARGET_CHANGED);
+	CU_ASSERT(target_silent(target));
+	CU_ASSERT_EQUAL(target_announce(target, &info, end + 2, &changes, NULL), 0);
+	CU_ASSERT(!target_silent(target));
+	CU_ASSERT_EQUAL(target_check_silence(target, end + TARGET_SILENCE_MS + 3), TARGET_CHANGED);
+	talloc_free(target);
+}
+
 /*
  * Guards against using more slots than configured, and against forgetting idempotency keys before
  * the entries' claims on them end.
@@ -219,6 +241,7 @@
 	CU_add_test(suite, "states", test_states);
 	CU_add_test(suite, "smaller_incarnation", test_smaller_incarnation);
 	CU_add_test(suite, "clock", test_clock);
+	CU_add_test(suite, "unheard", test_unheard);
 	CU_add_test(suite, "slice", test_slice);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
