announce: refuse names with control characters and ports that are no number

An announcement with a line break in its name or a blank before its port was believed and became part of log records and of addresses that can't be called. Both now get a 400 that names the field.

Evidence: two rows of test_target/parse failed before and pass now.

--- a/src/announce.c
+++ b/src/announce.c
@@ -36,13 +36,23 @@
 	return err_set(err, ERR_INVALID, remedy, "field \"%s\" is missing or wrong", field);
 }
 
+static bool has_control_character(const char *text)
+{
+	for (; *text; text++) {
+		if ((unsigned char)*text < ' ' || *text == 0x7f)
+			return true;
+	}
+	return false;
+}
+
 static int read_name(json_t *root, const char *field, const char **out, TALLOC_CTX *mem,
 		     struct err *err)
 {
 	const char *text = json_string_value(json_object_get(root, field));
 
-	if (!text || !text[0] || strlen(text) > 255)
-		return bad_field(err, field, "give a text of 1 to 255 characters");
+	if (!text || !text[0] || strlen(text) > 255 || has_control_character(text))
+		return bad_field(err, field,
+				 "give a text of 1 to 255 bytes without control characters");
 	*out = talloc_strdup(mem, text);
 	return 0;
 }
@@ -128,7 +138,8 @@
 		return bad_field(err, "url", remedy);
 	memcpy(host, url + 7, (size_t)(colon - url - 7));
 	port = strtol(colon + 1, &end, 10);
-	if (inet_pton(AF_INET, host, ip) != 1 || *end || port < 1 || port > 65535)
+	if (inet_pton(AF_INET, host, ip) != 1 || colon[1] < '0' || colon[1] > '9' || *end ||
+	    port < 1 || port > 65535)
 		return bad_field(err, "url", remedy);
 	out->url = talloc_strdup(mem, url);
 	return 0;
--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -33,6 +33,8 @@
 		{"{" SERVICE_FIELDS "\"url\":\"http://name:80\"}", "url"},
 		{"{" SERVICE_FIELDS "\"url\":\"http://10.0.0.1:80/x\"}", "url"},
 		{"{" SERVICE_FIELDS "\"url\":\"http://10.0.0.1:99999\"}", "url"},
+		{"{" SERVICE_FIELDS "\"url\":\"http://10.0.0.1: 80\"}", "url"},
+		{"{\"kind\":\"worker\",\"target\":\"t\\n\"}", "target"},
 		{"{" SERVICE_FIELDS URL_FIELD "\"incarnation\":0}", "incarnation"},
 		{"{" SERVICE_FIELDS URL_FIELD "\"incarnation\":1,\"state\":\"gone\"}", "state"},
 		{"{" SERVICE_FIELDS URL_FIELD "\"incarnation\":1,\"clock_ms\":9223372036854775807}",
