agent: an announcement of another process is a reason to ask the worker that has tasks

Callers lost all members of a live worker: one announcement with its name and another incarnation, address or kind made its agent drop it at once, let the leases of all tasks end and report the members as lost, and the leader started their gangs elsewhere. The agent then called the announced address.

Cause: target_announce() took any difference for a restart, on the word of the sender alone.

While the worker has tasks, such an announcement is now a claim (targetclaim.c). The agent asks the present worker for its list at the address where its tasks are called. The claim is believed when nothing listens there (ECONNREFUSED only) or a complete list has none of the tasks that ran before; it is refused when the list has one; without an answer the tasks stand until the present worker is silent for 2 s. The claimant gets a 409, jaycourse_target_claims_total{result} counts the answers. A worker without tasks is believed at once as before, since its task API does not tell which incarnation it is.

--- a/src/agent.c
+++ b/src/agent.c
@@ -6,6 +6,7 @@
 #include "httpc.h"
 #include "log.h"
 #include "proxy.h"
+#include "targetclaim.h"
 #include "util.h"
 
 #include <inttypes.h>
@@ -30,6 +31,7 @@
 	struct store *store; /* NULL when no endpoints are set */
 	struct announce *announce;
 	struct target *target;
+	struct targetclaim *claim;
 	struct slots *slots;
 	struct streams *streams;
 	struct outcomes *outcomes;
@@ -67,6 +69,7 @@
 {
 	if (!agent->worker)
 		return;
+	targetclaim_drop(agent->claim);
 	gangagent_set_worker(agent->gang, NULL);
 	TALLOC_FREE(agent->worker);
 }
@@ -120,25 +123,47 @@
 	return usable == -ERR_LEAVING ? "leaving" : "silent";
 }
 
-static int on_announce(const struct target_info *info, struct err *err, void *ctx)
+static int accept_announcement(struct agent *agent, const struct target_info *info,
+			       uint64_t received_ms, struct err *err)
 {
-	struct agent *agent = ctx;
-	uint64_t now = util_clock_ms();
 	unsigned int changes;
-	int ret = target_announce(agent->target, info, now, &changes, err);
+	int ret = target_announce(agent->target, info, received_ms, &changes, err);
 
-	if (!ret && !changes && agent->worker)
-		worker_announced(agent->worker, info->clock_ms, now);
-	if (ret || !changes)
+	if (ret)
 		return ret;
-	log_info("target_changed", "", "target %s incarnation %" PRIu64 " is %s", info->name,
-		 info->incarnation, target_state_name(target_usable(agent->target, now)));
-	apply_target(agent, changes & TARGET_RESTARTED);
+	if (changes) {
+		log_info("target_changed", "",
+			 "target %s incarnation %" PRIu64 " at %s is %s, as announced", info->name,
+			 info->incarnation, info->url,
+			 target_state_name(target_usable(agent->target, util_clock_ms())));
+		apply_target(agent, changes & TARGET_RESTARTED);
+	}
 	if (agent->worker)
-		worker_announced(agent->worker, info->clock_ms, now);
+		worker_announced(agent->worker, info->clock_ms, received_ms);
 	return 0;
 }
 
+static void on_claim_confirmed(const struct target_info *info, uint64_t received_ms, void *ctx)
+{
+	struct err err = {0};
+
+	if (accept_announcement(ctx, info, received_ms, &err))
+		log_warn("announce_refused", "", "%s; %s", err.message, err.remedy);
+}
+
+static int on_announce(const struct target_info *info, struct err *err, void *ctx)
+{
+	struct agent *agent = ctx;
+	uint64_t now = util_clock_ms();
+	int ret = target_check(agent->target, info, now, err);
+
+	if (ret)
+		return ret;
+	if (agent->worker && worker_busy(agent->worker) && target_is_other(agent->target, info))
+		return targetclaim_add(agent->claim, agent->worker, info, now, err);
+	return accept_announcement(agent, info, now, err);
+}
+
 static bool is_ready(const char **why, void *ctx)
 {
 	struct agent *agent = ctx;
@@ -431,6 +456,7 @@
 	agent->self = talloc_asprintf(agent, "%s#%" PRIu64, settings->node, agent->incarnation);
 	agent->http = httpc_create(agent, ev);
 	agent->target = target_create(agent);
+	agent->claim = targetclaim_create(agent, ev, agent->metrics, on_claim_confirmed, agent);
 	agent->slots = slots_create(agent);
 	agent->tick_ms = util_clock_ms();
 	define_gauges(agent);
--- a/src/target.c
+++ b/src/target.c
@@ -33,7 +33,7 @@
 	return now_ms - target->last_announced_ms > TARGET_SILENCE_MS + target->unheard_ms;
 }
 
-static struct target_info *copy_info(TALLOC_CTX *mem, const struct target_info *info)
+struct target_info *target_info_copy(TALLOC_CTX *mem, const struct target_info *info)
 {
 	struct target_info *copy = talloc(mem, struct target_info);
 
@@ -104,12 +104,17 @@
 		       (long long)(offset - target->clock_offset_ms));
 }
 
-static int check_announcement(struct target *target, const struct target_info *info,
-			      uint64_t now_ms, struct err *err)
+bool target_is_other(const struct target *target, const struct target_info *info)
+{
+	return target->info && !same_process(target->info, info);
+}
+
+int target_check(struct target *target, const struct target_info *info, uint64_t now_ms,
+		 struct err *err)
 {
 	int ret = check_sender(target, info, now_ms, err);
 
-	if (ret || !target->clock_known || !same_process(target->info, info))
+	if (ret || !target->clock_known || target_is_other(target, info))
 		return ret;
 	return check_clock(target, info, now_ms, err);
 }
@@ -117,7 +122,7 @@
 int target_announce(struct target *target, const struct target_info *info, uint64_t now_ms,
 		    unsigned int *changes, struct err *err)
 {
-	int ret = check_announcement(target, info, now_ms, err);
+	int ret = target_check(target, info, now_ms, err);
 
 	*changes = 0;
 	if (ret)
@@ -129,7 +134,7 @@
 		*changes |= TARGET_CHANGED;
 	if (*changes) {
 		talloc_free(target->info);
-		target->info = copy_info(target, info);
+		target->info = target_info_copy(target, info);
 	}
 	target->last_announced_ms = now_ms;
 	target->unheard_ms = 0;
--- a/src/target.h
+++ b/src/target.h
@@ -47,18 +47,33 @@
 #define TARGET_CHANGED 1U   /* a field sent to the entries changed, or a silence began or ended */
 #define TARGET_RESTARTED 2U /* the kind, name, address or incarnation has changed */
 
+/** target_info_copy() - copy of @info that owns its strings */
+struct target_info *target_info_copy(TALLOC_CTX *mem, const struct target_info *info);
+
 struct target *target_create(TALLOC_CTX *mem);
 
 /**
- * target_announce() - records an announcement
- * @now_ms: util_clock_ms() when it was received
- * @changes: receives TARGET_CHANGED and TARGET_RESTARTED bits
+ * target_check() - check an announcement against the present target, without recording it
+ * @now_ms: util_clock_ms()
  *
  * Return: 0; -ERR_CONFLICT while another target announces itself to this agent; -ERR_STALE for an
  * incarnation older than one that still announces itself; -ERR_INVALID for a clock of the present
  * target that is missing or more than TARGET_CLOCK_STEP_MAX_MS off, unless the clock of the
  * announcement before was off by the same time.
  */
+int target_check(struct target *target, const struct target_info *info, uint64_t now_ms,
+		 struct err *err);
+
+/** target_is_other() - true if @info names another process than the present target */
+bool target_is_other(const struct target *target, const struct target_info *info);
+
+/**
+ * target_announce() - records an announcement that target_check() has accepted
+ * @now_ms: util_clock_ms() when it was received
+ * @changes: receives TARGET_CHANGED and TARGET_RESTARTED bits
+ *
+ * Return: 0, or an error of target_check().
+ */
 int target_announce(struct target *target, const struct target_info *info, uint64_t now_ms,
 		    unsigned int *changes, struct err *err);
 
--- a/src/worker.c
+++ b/src/worker.c
@@ -4,6 +4,7 @@
 #include "util.h"
 #include "workerjson.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <jansson.h>
@@ -63,6 +64,11 @@
 	struct task *tasks;
 	struct httpc_call *list_call;
 	uint64_t list_requested_ms; /* time of the last request for the list */
+	struct httpc_call *identify_call;
+	uint64_t identify_requested_ms;
+	int identify_errno; /* of the attempt to connect */
+	void (*identify_done)(enum worker_identity identity, void *ctx);
+	void *identify_ctx;
 	bool clock_known;
 	int64_t clock_offset_ms; /* to add to util_clock_ms(); never ahead of the worker's clock */
 };
@@ -607,6 +613,68 @@
 	talloc_free(url);
 }
 
+bool worker_busy(const struct worker *worker)
+{
+	return worker->tasks != NULL;
+}
+
+static enum worker_identity identify_by_list(const struct worker *worker, json_t *list)
+{
+	bool expected = false;
+
+	for (const struct task *task = worker->tasks; task; task = task->next) {
+		if (workerjson_contains(list, task->id))
+			return WORKER_SAME;
+		expected = expected ||
+			   (task->started_ms && task->started_ms < worker->identify_requested_ms);
+	}
+	return expected && workerjson_complete(list) ? WORKER_GONE : WORKER_UNDECIDED;
+}
+
+static void on_identified(int status, int http_status, const char *body, size_t len, void *ctx)
+{
+	struct worker *worker = ctx;
+	enum worker_identity identity = WORKER_UNDECIDED;
+	json_t *root = NULL;
+
+	worker->identify_call = NULL;
+	if (!status && http_status == 200)
+		root = json_loadb(body, len, 0, NULL);
+	if (root)
+		identity = identify_by_list(worker, json_object_get(root, "tasks"));
+	else if (status == -ERR_UNAVAILABLE && worker->identify_errno == ECONNREFUSED)
+		identity = WORKER_GONE;
+	json_decref(root);
+	/* The callback may free the worker. */
+	worker->identify_done(identity, worker->identify_ctx);
+}
+
+int worker_identify(struct worker *worker, void (*done)(enum worker_identity identity, void *ctx),
+		    void *ctx)
+{
+	char *url;
+	struct httpc_request request = {
+		.method = "GET",
+		.timeout_ms = RENEW_TIMEOUT_MS,
+		.answer_max = LIST_MAX_BYTES,
+		.fresh_connection = true,
+		.connect_errno = &worker->identify_errno,
+		.done = on_identified,
+		.ctx = worker,
+	};
+
+	if (worker->identify_call)
+		return -ERR_EXISTS;
+	url = talloc_asprintf(worker, "%s/tasks", worker->url);
+	request.url = url;
+	worker->identify_requested_ms = util_clock_ms();
+	worker->identify_done = done;
+	worker->identify_ctx = ctx;
+	worker->identify_call = httpc_start(worker->http, &request);
+	talloc_free(url);
+	return worker->identify_call ? 0 : -ERR_UNAVAILABLE;
+}
+
 /*
  * Stops tasks whose renewals have not been answered for so long that the worker has stopped them,
  * unless only the answers were lost: then the lease is still valid. The end is reported when the
--- a/src/worker.h
+++ b/src/worker.h
@@ -76,6 +76,27 @@
  */
 void worker_announced(struct worker *worker, uint64_t clock_ms, uint64_t now_ms);
 
+/* What the worker says of its tasks when it is asked at its address. */
+enum worker_identity {
+	WORKER_SAME = 1,  /* it lists a task of this client */
+	WORKER_GONE,	  /* nothing listens there, or it lists none of the running tasks */
+	WORKER_UNDECIDED, /* no answer, an unreadable one, or no task had been running */
+};
+
+/** worker_busy() - true if the worker has tasks of this client, or may have */
+bool worker_busy(const struct worker *worker);
+
+/**
+ * worker_identify() - ask the worker whether it still is the one that has this client's tasks
+ * @done: called once, unless the client is freed before
+ *
+ * The task API does not tell the incarnation of a worker, but a restarted worker has no tasks.
+ *
+ * Return: 0; -ERR_EXISTS while an answer is awaited; -ERR_UNAVAILABLE when out of memory.
+ */
+int worker_identify(struct worker *worker, void (*done)(enum worker_identity identity, void *ctx),
+		    void *ctx);
+
 /**
  * worker_start_task() - start a task
  * @done: status 0: the task runs; -ERR_OUTCOME_UNKNOWN: the worker did not answer, and the task
--- a/tests/lib_agent.c
+++ b/tests/lib_agent.c
@@ -79,6 +79,12 @@
 	rig->inbox[rig->inbox_count++] = talloc_steal(rig->mem, msg);
 }
 
+static void handle_announce(struct rig_entry *entry, const struct msg *msg)
+{
+	entry->target_state = msg->u.announce.state;
+	entry->target_incarnation = msg->u.announce.target_incarnation;
+}
+
 static void on_message(const char *peer, struct msg *msg, void *ctx)
 {
 	struct rig_entry *entry = ctx;
@@ -88,7 +94,7 @@
 	else if (msg->type == MSG_HEARTBEAT)
 		handle_heartbeat(entry, peer, msg);
 	else if (msg->type == MSG_ANNOUNCE)
-		entry->target_state = msg->u.announce.state;
+		handle_announce(entry, msg);
 	else
 		append_to_inbox(entry->rig, msg);
 }
@@ -216,18 +222,29 @@
 	CU_ASSERT_FATAL(rig_run_until(rig, target_announced, NULL, WAIT_MS));
 }
 
-void rig_start_worker(struct agent_rig *rig)
+static void start_worker(struct agent_rig *rig, const char *listen)
 {
 	char agent[128];
 	const char *const arguments[] = {"--agent",	   agent,      "--target",
-					 "worker-1",	   "--listen", "127.0.0.1:0",
+					 "worker-1",	   "--listen", listen,
 					 "--usage-lag-ms", "100",      NULL};
 
 	snprintf(agent, sizeof(agent), "http://%s", rig->agent.address[0]);
 	CU_ASSERT_FATAL(proc_start(&rig->target, "fake_worker", "worker", arguments));
+}
+
+void rig_start_worker(struct agent_rig *rig)
+{
+	start_worker(rig, "127.0.0.1:0");
 	CU_ASSERT_FATAL(rig_run_until(rig, target_announced, NULL, WAIT_MS));
 }
 
+void rig_restart_worker(struct agent_rig *rig, const char *listen)
+{
+	proc_kill(&rig->target);
+	start_worker(rig, listen);
+}
+
 void rig_stop(struct agent_rig *rig)
 {
 	if (rig->agent.pid > 0)
--- a/tests/lib_agent.h
+++ b/tests/lib_agent.h
@@ -24,8 +24,9 @@
 	bool silent; /* does not acknowledge heartbeats */
 	unsigned int heartbeats;
 	unsigned int hellos;
-	uint64_t target_state; /* of the last ANNOUNCE; 0 before */
-	uint64_t in_flight;    /* of the last HEARTBEAT */
+	uint64_t target_state;	     /* of the last ANNOUNCE; 0 before */
+	uint64_t target_incarnation; /* likewise */
+	uint64_t in_flight;	     /* of the last HEARTBEAT */
 };
 
 struct agent_rig {
@@ -65,6 +66,9 @@
 /** rig_start_worker() - starts fake_worker as the target; waits until it is announced */
 void rig_start_worker(struct agent_rig *rig);
 
+/** rig_restart_worker() - kills the worker and starts another incarnation at @listen, "ip:port" */
+void rig_restart_worker(struct agent_rig *rig, const char *listen);
+
 /** rig_stop() - stops all processes and checks that agent and target exit with 0 */
 void rig_stop(struct agent_rig *rig);
 
--- a/tests/test_agent_gang.c
+++ b/tests/test_agent_gang.c
@@ -1,4 +1,5 @@
 #include "lib_agent.h"
+#include "target.h"
 #include "util.h"
 #include "worker.h"
 
@@ -6,11 +7,13 @@
 #include <jansson.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define WAIT_MS 20000
 #define HOLD_TTL_MS 5000
-#define RING_BREAK_MAX_MS 4000 /* a gang with a dead member has stopped within this time */
+#define ANNOUNCE_PERIOD_MS 1000 /* of fake_worker */
+#define RING_BREAK_MAX_MS 4000	/* a gang with a dead member has stopped within this time */
 
 static struct agent_rig rig;
 
@@ -262,6 +265,36 @@
 	rig_set_fault(&rig, "{\"silent\":false}");
 }
 
+static void post_announcement(json_t *root, int status, const char *text)
+{
+	char *body = json_dumps(root, JSON_COMPACT);
+	struct http_reply reply;
+	char url[128];
+
+	snprintf(url, sizeof(url), "http://%s/v1/announce", rig.agent.address[0]);
+	reply = http_call("POST", url, NULL, body, WAIT_MS);
+	if (reply.status != status || !strstr(reply.body, text))
+		fprintf(stderr, "%s: answer %d %s\n", body, reply.status, reply.body);
+	CU_ASSERT_EQUAL(reply.status, status);
+	CU_ASSERT_PTR_NOT_NULL(strstr(reply.body, text));
+	http_reply_free(&reply);
+	free(body);
+	json_decref(root);
+}
+
+/* The announcement that the worker itself would send now. */
+static json_t *true_announcement(void)
+{
+	char url[128];
+
+	snprintf(url, sizeof(url), "http://%s", rig.target.address[0]);
+	return json_pack("{s:s, s:s, s:s, s:I, s:I, s:s, s:i, s:i, s:i}", "kind", "worker",
+			 "target", "worker-1", "url", url, "incarnation",
+			 (json_int_t)rig.entries[0].target_incarnation, "clock_ms",
+			 (json_int_t)util_clock_ms(), "state", "alive", "accelerators", 8, "cores",
+			 128, "memory_mb", 524288);
+}
+
 static void run_for(uint64_t ms)
 {
 	uint64_t until_ms = util_clock_ms() + ms;
@@ -281,6 +314,121 @@
 	CU_ASSERT_STRING_EQUAL(state, "running");
 }
 
+struct wrong_field {
+	const char *field;
+	json_t *value; /* NULL: the field is missing */
+	int status;
+	const char *text; /* part of the answer */
+};
+
+/*
+ * Guards against work of a live worker that is given up because of one announcement that is not
+ * the worker's own, garbled or late.
+ */
+static void test_wrong_announcement(void)
+{
+	uint64_t own = rig.entries[0].target_incarnation;
+	struct wrong_field cases[] = {
+		{"incarnation", json_integer((json_int_t)own + 100000), 409, "asked"},
+		{"incarnation", json_integer(INT64_MAX), 409, "asked"},
+		{"incarnation", json_integer((json_int_t)own - 100000), 409, "older"},
+		{"incarnation", NULL, 400, "incarnation"},
+		{"incarnation", json_string("1"), 400, "incarnation"},
+		{"url", json_string("http://127.0.0.1:1"), 409, "asked"},
+		{"url", json_string("http://127.0.0.1:+1"), 400, "url"},
+		{"target", json_string("worker-2"), 409, "worker-1"},
+		{"target", json_string("worker-1\n"), 400, "target"},
+		{"kind", json_string("service"), 400, "service"},
+		{"clock_ms", json_integer(1), 400, "clock_ms"},
+		{"clock_ms", json_integer((json_int_t)util_clock_ms() + 3600000), 400, "clock_ms"},
+		{"clock_ms", NULL, 400, "clock_ms"},
+	};
+	json_t *service;
+
+	run_gang("20", 1, 1, "{}");
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		json_t *root = true_announcement();
+
+		if (cases[i].value)
+			json_object_set_new(root, cases[i].field, cases[i].value);
+		else
+			json_object_del(root, cases[i].field);
+		post_announcement(root, cases[i].status, cases[i].text);
+		/* The answer of the worker to one claim is not shared by the next one. */
+		run_for(300);
+	}
+	service = true_announcement();
+	json_object_set_new(service, "kind", json_string("service"));
+	json_object_set_new(service, "service", json_string("svc"));
+	json_object_set_new(service, "slots", json_integer(8));
+	json_object_set_new(service, "connections", json_integer(8));
+	post_announcement(service, 409, "asked");
+	check_still_runs("20", "20.1.0");
+	run_gang("21", 2, 1, "{\"run_ms\":300}");
+	wait_for(MSG_MEMBER_STATUS, "21", 0, MSG_MEMBER_DONE);
+	rig_send(&rig, &(struct msg){.type = MSG_STOP, .u.stop = {1, "20", 1, 0, 0}});
+	wait_for(MSG_MEMBER_STATUS, "20", 0, MSG_MEMBER_STOPPED);
+}
+
+static bool has_own_incarnation(struct agent_rig *r, void *ctx)
+{
+	return r->entries[0].target_state == MSG_TARGET_ALIVE &&
+	       r->entries[0].target_incarnation == *(const uint64_t *)ctx;
+}
+
+static bool has_other_incarnation(struct agent_rig *r, void *ctx)
+{
+	return r->entries[0].target_incarnation != *(const uint64_t *)ctx;
+}
+
+/* Guards against a worker that is refused for ever after one announcement of a larger number. */
+static void test_large_incarnation(void)
+{
+	uint64_t own = rig.entries[0].target_incarnation;
+	json_t *root = true_announcement();
+
+	json_object_set_new(root, "incarnation", json_integer(INT64_MAX));
+	post_announcement(root, 200, "");
+	CU_ASSERT(rig_run_until(&rig, has_other_incarnation, &own, WAIT_MS));
+	CU_ASSERT(rig_run_until(&rig, has_own_incarnation, &own, WAIT_MS));
+	run_gang("22", 1, 1, "{\"run_ms\":300}");
+	wait_for(MSG_MEMBER_STATUS, "22", 0, MSG_MEMBER_DONE);
+}
+
+/*
+ * Guards against a restart of the worker that is noticed late because the present worker is asked
+ * first: its members end within the time of a silent worker.
+ */
+static void check_restart(const char *job, const char *listen)
+{
+	uint64_t own = rig.entries[0].target_incarnation;
+	uint64_t killed_ms;
+	uint64_t seen_ms;
+	uint64_t lost_ms;
+
+	run_gang(job, 1, 1, "{}");
+	killed_ms = util_clock_ms();
+	rig_restart_worker(&rig, listen);
+	CU_ASSERT(rig_run_until(&rig, has_other_incarnation, &own, WAIT_MS));
+	seen_ms = util_clock_ms() - killed_ms;
+	wait_for(MSG_MEMBER_STATUS, job, 0, MSG_MEMBER_LOST);
+	lost_ms = util_clock_ms() - killed_ms;
+	printf("restart at %s: seen after %llu ms, member lost after %llu ms\n", listen,
+	       (unsigned long long)seen_ms, (unsigned long long)lost_ms);
+	CU_ASSERT(seen_ms <= TARGET_SILENCE_MS + ANNOUNCE_PERIOD_MS);
+	CU_ASSERT(lost_ms <= TARGET_SILENCE_MS + ANNOUNCE_PERIOD_MS + TASK_LEASE_EXPIRY_MS);
+	CU_ASSERT(rig_run_until(&rig, target_alive, NULL, WAIT_MS));
+}
+
+static void test_restart(void)
+{
+	char address[64];
+
+	snprintf(address, sizeof(address), "%s", rig.target.address[0]);
+	check_restart("23", address);
+	check_restart("24", "127.0.0.1:0");
+}
+
 /*
  * Guards against a worker that counts as silent because its agent did not run: each freeze is
  * shorter than what is left of a lease.
@@ -336,6 +484,9 @@
 	CU_add_test(suite, "stop_task", test_stop_task);
 	CU_add_test(suite, "unanswered_start", test_unanswered_start);
 	CU_add_test(suite, "refused", test_refused);
+	CU_add_test(suite, "wrong_announcement", test_wrong_announcement);
+	CU_add_test(suite, "large_incarnation", test_large_incarnation);
+	CU_add_test(suite, "restart", test_restart);
 	CU_add_test(suite, "short_freezes", test_short_freezes);
 	CU_add_test(suite, "frozen_agent", test_frozen_agent);
 	CU_add_test(suite, "silent_worker", test_silent_worker);
