worker: one "unknown task" does not confirm the stop of a task that ran

Callers were told that a task had been stopped while it ran on until its lease ended, 3 s later; its gang may be started elsewhere meanwhile.

Cause: a single answer 404 to the stop counted as its confirmation, also of a task that the worker had started.

The stop of such a task is repeated once, 0.3 s later; the second answer counts. A worker that has restarted and is asked to stop a task of its former incarnation costs these 0.3 s.

--- a/src/worker.c
+++ b/src/worker.c
@@ -43,6 +43,7 @@
 	bool start_unknown;
 	bool unlisted;	      /* the last complete list lacks the task */
 	bool renewal_refused; /* the last answer to a renewal */
+	bool stop_unknown;    /* the last answer to the stop was that the task is unknown */
 	bool renewals_failed; /* stopped because no renewal was answered in time */
 	void (*start_done)(int status, const char *reason, void *ctx);
 	void *start_ctx;
@@ -267,6 +268,12 @@
 		wait_for_announcement(task);
 		return;
 	}
+	/* One such answer may come from another process at the address. */
+	if (http_status == 404 && task->started_ms && !task->stop_unknown) {
+		task->stop_unknown = true;
+		schedule_delete_retry(task);
+		return;
+	}
 	root = json_loadb(body, len, 0, NULL);
 	/* An older checkpoint lacks the work done since. */
 	finish_stop(task, 0, task->checkpoint_taken ? workerjson_number(root, "checkpoint_ms") : 0,
--- a/tests/fake_worker.c
+++ b/tests/fake_worker.c
@@ -55,6 +55,7 @@
 	bool fail_checkpoints;
 	bool late_starts; /* likewise starts */
 	bool empty_lists;
+	bool deny_stop;	 /* the next stop is answered as if the task were unknown, without effect */
 	bool bare_lists; /* items have no ids and no states that are in use */
 };
 
@@ -222,6 +223,11 @@
 {
 	struct task *task = find_task(worker, id);
 
+	if (worker->faults.deny_stop) {
+		worker->faults.deny_stop = false;
+		fake_reply_error(reply, 404, "unknown task");
+		return;
+	}
 	if (!task) {
 		task = add_task(worker, id);
 		end_task(task, TASK_REFUSED, "stopped before it started");
@@ -319,6 +325,7 @@
 	faults->fail_checkpoints = read_bool(root, "fail_checkpoints", faults->fail_checkpoints);
 	faults->late_starts = read_bool(root, "late_starts", faults->late_starts);
 	faults->empty_lists = read_bool(root, "empty_lists", faults->empty_lists);
+	faults->deny_stop = read_bool(root, "deny_stop", faults->deny_stop);
 	faults->bare_lists = read_bool(root, "bare_lists", faults->bare_lists);
 	fake_reply_json(reply, 200, json_object());
 }
--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -415,6 +415,21 @@
 	CU_ASSERT_EQUAL(run_stop("x.1.0", false).status, 0);
 }
 
+/*
+ * Guards against a stop that counts as done while the task runs on until its lease ends, because
+ * one answer said that the worker does not know the task.
+ */
+static void test_denied_stop(void)
+{
+	char state[32];
+
+	CU_ASSERT_EQUAL(run_start("y.1.0", 1, 1, "{}"), 0);
+	set_fault("{\"deny_stop\":true}");
+	CU_ASSERT_EQUAL(run_stop("y.1.0", false).status, 0);
+	task_state("y.1.0", state);
+	CU_ASSERT_STRING_EQUAL(state, "stopped");
+}
+
 static void restart_fake(struct tevent_context *context, struct tevent_timer *te,
 			 struct timeval now, void *data)
 {
@@ -493,6 +508,7 @@
 	CU_add_test(suite, "start_for_former_incarnation", test_start_for_former_incarnation);
 	CU_add_test(suite, "failed_checkpoint", test_failed_checkpoint);
 	CU_add_test(suite, "wrong_lists", test_wrong_lists);
+	CU_add_test(suite, "denied_stop", test_denied_stop);
 	CU_add_test(suite, "worker_restarts_after_start", test_worker_restarts_after_start);
 	CU_add_test(suite, "refused_late", test_refused_late);
 	CU_add_test(suite, "stop", test_stop);
