--- a/tests/test_worker.c
+++ b/tests/test_worker.c
@@ -430,6 +430,49 @@
 	CU_ASSERT_STRING_EQUAL(state, "stopped");
 }
 
+static void on_identified(enum worker_identity identity, void *ctx)
+{
+	((struct result *)ctx)->status = (int)identity;
+}
+
+static int run_identify(struct worker *client)
+{
+	struct result result = {.status = PENDING};
+
+	CU_ASSERT_EQUAL(worker_identify(client, on_identified, &result), 0);
+	CU_ASSERT_EQUAL(worker_identify(client, on_identified, &result), -ERR_EXISTS);
+	CU_ASSERT(run_until(is_done, &result));
+	return result.status;
+}
+
+/* Guards against a worker that counts as gone because it does not answer, or as there when it is
+ * gone. */
+static void test_identify(void)
+{
+	struct worker_handlers handlers = {.on_task = on_task, .on_usage = on_usage};
+	struct worker *nobody =
+		worker_create(mem, ev, "http://127.0.0.1:1", 1, &handlers, metrics_create(mem));
+	uint64_t until_ms;
+
+	CU_ASSERT_EQUAL(run_identify(nobody), WORKER_GONE);
+	talloc_free(nobody);
+	CU_ASSERT(!worker_busy(worker));
+	CU_ASSERT_EQUAL(run_identify(worker), WORKER_UNDECIDED);
+	CU_ASSERT_EQUAL(run_start("z.1.0", 1, 1, "{}"), 0);
+	CU_ASSERT(worker_busy(worker));
+	until_ms = util_clock_ms() + 5;
+	CU_ASSERT(run_until(time_passed, &until_ms));
+	CU_ASSERT_EQUAL(run_identify(worker), WORKER_SAME);
+	set_fault("{\"empty_lists\":true}");
+	CU_ASSERT_EQUAL(run_identify(worker), WORKER_GONE);
+	set_fault("{\"empty_lists\":false}");
+	proc_signal(&fake, SIGSTOP);
+	CU_ASSERT_EQUAL(run_identify(worker), WORKER_UNDECIDED);
+	proc_signal(&fake, SIGCONT);
+	CU_ASSERT_EQUAL(run_identify(worker), WORKER_SAME);
+	CU_ASSERT_EQUAL(run_stop("z.1.0", false).status, 0);
+}
+
 static void restart_fake(struct tevent_context *context, struct tevent_timer *te,
 			 struct timeval now, void *data)
 {
@@ -509,6 +552,7 @@
 	CU_add_test(suite, "failed_checkpoint", test_failed_checkpoint);
 	CU_add_test(suite, "wrong_lists", test_wrong_lists);
 	CU_add_test(suite, "denied_stop", test_denied_stop);
+	CU_add_test(suite, "identify", test_identify);
 	CU_add_test(suite, "worker_restarts_after_start", test_worker_restarts_after_start);
 	CU_add_test(suite, "refused_late", test_refused_late);
 	CU_add_test(suite, "stop", test_stop);
