--- a/src/worker.c
+++ b/src/worker.c
@@ -1,81 +1,14 @@
-#include "worker.h"
-#include "httpc.h"
 #include "log.h"
 #include "util.h"
-#include "workerjson.h"
+#include "worker_int.h"
 
-#include <errno.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define POLL_INTERVAL_MS 1000
-#define RENEW_TIMEOUT_MS 900
-#define START_TIMEOUT_MS 2000
-#define STOP_TIMEOUT_MS 1000
-#define STOP_RETRY_DELAY_MS 300
-#define LEASE_EXPIRY_MARGIN_MS                                             \
-	500 /* for scheduling delays when the worker stops an expired task \
-	     */
-#define LIST_MAX_BYTES (4 * 1024 * 1024)
-
-enum task_phase {
-	PHASE_STARTING, /* PUT in progress */
-	PHASE_RUNNING,
-	PHASE_CHECKPOINT, /* POST /checkpoint in progress before a stop; lease still renewed */
-	PHASE_STOPPING,	  /* DELETE in progress or retried; lease no longer renewed */
-};
-
-struct task {
-	struct task *next;
-	struct worker *worker;
-	char *id;
-	enum task_phase phase;
-	struct httpc_call *phase_call; /* the call of the phase, or NULL */
-	struct httpc_call *renew_call; /* renewal of the lease in progress, or NULL */
-	struct tevent_timer *retry_timer;
-	uint64_t started_ms;	  /* time of the successful start */
-	uint64_t renewed_ms;	  /* time when the last successful renewal was sent */
-	uint64_t lease_expiry_ms; /* the lease has expired by then, unless it is renewed again */
-	/* The worker that answers doesn't know this unanswered start; it may have restarted. */
-	bool start_unknown;
-	bool unlisted;	      /* the last complete list lacks the task */
-	bool renewal_refused; /* the last answer to a renewal */
-	bool stop_unknown;    /* the last answer to the stop was that the task is unknown */
-	bool renewals_failed; /* stopped because no renewal was answered in time */
-	void (*start_done)(int status, const char *reason, void *ctx);
-	void *start_ctx;
-	bool stop_requested;
-	bool stop_checkpoint;
-	bool checkpoint_taken; /* for this stop */
-	uint32_t stop_grace_ms;
-	void (*stop_done)(int status, uint64_t checkpoint_ms, void *ctx);
-	void *stop_ctx;
-};
-
-struct worker {
-	struct tevent_context *ev;
-	struct httpc *http;
-	char *url;
-	uint64_t incarnation; /* 0: unknown */
-	struct worker_handlers handlers;
-	struct metrics *metrics;
-	struct task *tasks;
-	struct httpc_call *list_call;
-	uint64_t list_requested_ms; /* time of the last request for the list */
-	struct httpc_call *identify_call;
-	uint64_t identify_requested_ms;
-	int identify_errno; /* of the attempt to connect */
-	void (*identify_done)(enum worker_identity identity, void *ctx);
-	void *identify_ctx;
-	bool clock_known;
-	int64_t clock_offset_ms; /* to add to util_clock_ms(); never ahead of the worker's clock */
-};
-
-/* A lease that begins now. */
-static struct workerjson_lease new_lease(const struct worker *worker)
+struct workerjson_lease worker_new_lease(const struct worker *worker)
 {
 	struct workerjson_lease lease = {.incarnation = worker->incarnation};
 
@@ -107,7 +40,7 @@
 	return 0;
 }
 
-static struct task *find_task(const struct worker *worker, const char *id)
+struct task *worker_find_task(const struct worker *worker, const char *id)
 {
 	for (struct task *task = worker->tasks; task; task = task->next) {
 		if (!strcmp(task->id, id))
@@ -139,26 +72,18 @@
 	talloc_free(task);
 }
 
-static void set_lease_expiry(struct task *task, uint32_t call_timeout_ms)
+void worker_set_lease_expiry(struct task *task, uint32_t call_timeout_ms)
 {
 	task->lease_expiry_ms =
 		util_clock_ms() + call_timeout_ms + TASK_LEASE_MS + LEASE_EXPIRY_MARGIN_MS;
 }
 
-struct call {
-	const char *method;
-	const char *path; /* suffix after the task's id, "" for the task itself */
-	const char *body; /* JSON text or NULL */
-	uint32_t timeout_ms;
-	void (*done)(int status, int http_status, const char *body, size_t len, void *ctx);
-	void *ctx;
-};
-
 /*
  * Only a start must not be sent twice and therefore needs a fresh connection, see httpc.h. Other
  * requests may be repeated.
  */
-static struct httpc_call *call_task(struct worker *worker, const char *id, const struct call *call)
+struct httpc_call *worker_call_task(struct worker *worker, const char *id,
+				    const struct worker_call *call)
 {
 	char *escaped = g_uri_escape_string(id, NULL, FALSE);
 	char *url = talloc_asprintf(worker, "%s/tasks/%s%s", worker->url, escaped, call->path);
@@ -182,7 +107,7 @@
 	return started;
 }
 
-static void report_task_ended(struct task *task, enum worker_task_state state, const char *reason)
+void worker_report_task_ended(struct task *task, enum worker_task_state state, const char *reason)
 {
 	struct worker *worker = task->worker;
 	char *id = talloc_steal(worker, task->id);
@@ -204,7 +129,7 @@
 	void *stop_ctx = task->stop_ctx;
 
 	if (task->renewals_failed && !stop_done) {
-		report_task_ended(task, WORKER_TASK_UNKNOWN, "the task's lease has expired");
+		worker_report_task_ended(task, WORKER_TASK_UNKNOWN, "the task's lease has expired");
 		return;
 	}
 	remove_task(task);
@@ -283,7 +208,7 @@
 
 static void send_delete(struct task *task)
 {
-	struct call call = {
+	struct worker_call call = {
 		.method = "DELETE",
 		.path = "",
 		.timeout_ms = STOP_TIMEOUT_MS,
@@ -297,12 +222,12 @@
 		finish_stop(task, -ERR_UNAVAILABLE, 0, -ERR_OUTCOME_UNKNOWN);
 		return;
 	}
-	task->phase_call = call_task(task->worker, task->id, &call);
+	task->phase_call = worker_call_task(task->worker, task->id, &call);
 	if (!task->phase_call)
 		schedule_delete_retry(task);
 }
 
-static void begin_delete(struct task *task)
+void worker_begin_delete(struct task *task)
 {
 	task->phase = PHASE_STOPPING;
 	if (task->renew_call)
@@ -320,12 +245,12 @@
 	if (!task->checkpoint_taken)
 		log_warn("checkpoint_failed", task->id,
 			 "no new checkpoint; stopping the task without it");
-	begin_delete(task);
+	worker_begin_delete(task);
 }
 
 static void begin_stop(struct task *task)
 {
-	struct call call = {
+	struct worker_call call = {
 		.method = "POST",
 		.path = "/checkpoint",
 		.body = "{}",
@@ -336,9 +261,9 @@
 
 	task->phase = PHASE_CHECKPOINT;
 	if (task->stop_checkpoint)
-		task->phase_call = call_task(task->worker, task->id, &call);
+		task->phase_call = worker_call_task(task->worker, task->id, &call);
 	if (!task->phase_call)
-		begin_delete(task);
+		worker_begin_delete(task);
 }
 
 static void report_started(struct task *task, int status, const char *reason)
@@ -359,7 +284,7 @@
 	task->renewed_ms = task->started_ms;
 	report_started(task, 0, "");
 	/* The callback may have stopped the task already. */
-	task = find_task(worker, id);
+	task = worker_find_task(worker, id);
 	if (task && task->phase == PHASE_RUNNING && task->stop_requested)
 		begin_stop(task);
 	talloc_free(id);
@@ -392,7 +317,7 @@
 		 * The task may run or start later. DELETE stops it; the worker also remembers the
 		 * id and refuses a later start.
 		 */
-		begin_delete(task);
+		worker_begin_delete(task);
 	} else if (http_status == 200 || http_status == 201) {
 		handle_start_success(task);
 	} else {
@@ -429,9 +354,9 @@
 		       void (*done)(int status, const char *reason, void *ctx), void *ctx)
 {
 	struct task *task = add_task(worker, spec->id, PHASE_STARTING);
-	struct workerjson_lease lease = new_lease(worker);
+	struct workerjson_lease lease = worker_new_lease(worker);
 	char *body = workerjson_start(spec, &lease);
-	struct call call = {
+	struct worker_call call = {
 		.method = "PUT",
 		.path = "",
 		.body = body,
@@ -442,8 +367,8 @@
 
 	task->start_done = done;
 	task->start_ctx = ctx;
-	set_lease_expiry(task, START_TIMEOUT_MS);
-	task->phase_call = call_task(worker, spec->id, &call);
+	worker_set_lease_expiry(task, START_TIMEOUT_MS);
+	task->phase_call = worker_call_task(worker, spec->id, &call);
 	free(body);
 	if (!task->phase_call)
 		schedule_delete_retry(task);
@@ -452,11 +377,11 @@
 void worker_stop_task(struct worker *worker, const char *id, bool checkpoint, uint32_t grace_ms,
 		      void (*done)(int status, uint64_t checkpoint_ms, void *ctx), void *ctx)
 {
-	struct task *task = find_task(worker, id);
+	struct task *task = worker_find_task(worker, id);
 
 	if (!task) {
 		task = add_task(worker, id, PHASE_RUNNING);
-		set_lease_expiry(task, RENEW_TIMEOUT_MS);
+		worker_set_lease_expiry(task, RENEW_TIMEOUT_MS);
 	}
 	task->stop_done = done;
 	task->stop_ctx = ctx;
@@ -470,7 +395,7 @@
 void worker_throttle_task(struct worker *worker, const char *id, uint32_t percent)
 {
 	char body[64];
-	struct call call = {
+	struct worker_call call = {
 		.method = "POST",
 		.path = "/throttle",
 		.body = body,
@@ -478,255 +403,7 @@
 	};
 
 	snprintf(body, sizeof(body), "{\"percent\":%u}", percent);
-	call_task(worker, id, &call);
-}
-
-/*
- * Either answer alone may be that of another process, or a list that is cut. Both are asked for in
- * each poll, so that the end of a task is noticed as soon as by one.
- */
-static void report_lost_tasks(struct worker *worker)
-{
-	struct task *task = worker->tasks;
-
-	while (task) {
-		if (task->phase == PHASE_RUNNING && task->unlisted && task->renewal_refused) {
-			report_task_ended(task, WORKER_TASK_UNKNOWN,
-					  "the worker does not know the task");
-			task = worker->tasks; /* the callback may have removed tasks */
-		} else {
-			task = task->next;
-		}
-	}
-}
-
-/* If the task has ended, the list of tasks tells how. */
-static void on_renewed(int status, int http_status, const char *body, size_t len, void *ctx)
-{
-	struct task *task = ctx;
-
-	task->renew_call = NULL;
-	if (status)
-		return;
-	task->renewal_refused = http_status == 404 || http_status == 409 || http_status == 410;
-	if (http_status == 200)
-		task->renewed_ms = task->lease_expiry_ms - RENEW_TIMEOUT_MS - TASK_LEASE_MS -
-				   LEASE_EXPIRY_MARGIN_MS;
-	report_lost_tasks(task->worker);
-}
-
-static void renew_task(struct task *task)
-{
-	struct workerjson_lease lease = new_lease(task->worker);
-	char *body;
-	struct call call = {
-		.method = "POST",
-		.path = "/renew",
-		.timeout_ms = RENEW_TIMEOUT_MS,
-		.done = on_renewed,
-		.ctx = task,
-	};
-
-	if (task->renew_call || (task->phase != PHASE_RUNNING && task->phase != PHASE_CHECKPOINT))
-		return;
-	body = workerjson_renew(&lease);
-	call.body = body;
-	set_lease_expiry(task, RENEW_TIMEOUT_MS);
-	task->renew_call = call_task(task->worker, task->id, &call);
-	free(body);
-}
-
-/*
- * Finds a task whose state the requested list can tell: one that was running before the request.
- * Returns NULL for other tasks.
- */
-static struct task *find_listable_task(const struct worker *worker, const char *id)
-{
-	struct task *task = id ? find_task(worker, id) : NULL;
-
-	if (!task || task->phase != PHASE_RUNNING || task->started_ms >= worker->list_requested_ms)
-		return NULL;
-	return task;
-}
-
-static void handle_listed_task(struct worker *worker, json_t *item)
-{
-	const char *id = json_string_value(json_object_get(item, "id"));
-	const char *reason = json_string_value(json_object_get(item, "reason"));
-	enum worker_task_state state =
-		workerjson_state(json_string_value(json_object_get(item, "state")));
-	struct task *task = find_listable_task(worker, id);
-	json_t *usage = json_object_get(item, "usage_percent");
-
-	if (!task || !state)
-		return;
-	task->unlisted = false;
-	if (state != WORKER_TASK_RUNNING)
-		report_task_ended(task, state, reason ? reason : "");
-	else if (json_is_integer(usage))
-		worker->handlers.on_usage(id, (uint32_t)workerjson_number(item, "usage_percent"),
-					  workerjson_number(item, "checkpoint_ms"),
-					  worker->handlers.ctx);
-}
-
-static void mark_unlisted_tasks(struct worker *worker, json_t *list)
-{
-	for (struct task *task = worker->tasks; task; task = task->next) {
-		if (find_listable_task(worker, task->id) && !workerjson_contains(list, task->id))
-			task->unlisted = true;
-	}
-}
-
-static void on_list(int status, int http_status, const char *body, size_t len, void *ctx)
-{
-	struct worker *worker = ctx;
-	json_t *root;
-	json_t *list;
-	json_t *item;
-	size_t i;
-
-	worker->list_call = NULL;
-	if (status || http_status != 200)
-		return;
-	root = json_loadb(body, len, 0, NULL);
-	list = json_object_get(root, "tasks");
-	json_array_foreach(list, i, item) handle_listed_task(worker, item);
-	if (workerjson_complete(list))
-		mark_unlisted_tasks(worker, list);
-	else
-		log_once("list_unreadable", worker->url,
-			 "a list of tasks has no or unreadable items; those are ignored");
-	json_decref(root);
-	report_lost_tasks(worker);
-}
-
-static void request_list(struct worker *worker)
-{
-	char *url;
-	struct httpc_request request = {
-		.method = "GET",
-		.timeout_ms = RENEW_TIMEOUT_MS,
-		.answer_max = LIST_MAX_BYTES,
-		.done = on_list,
-		.ctx = worker,
-	};
-
-	if (worker->list_call || !worker->tasks)
-		return;
-	url = talloc_asprintf(worker, "%s/tasks", worker->url);
-	request.url = url;
-	worker->list_requested_ms = util_clock_ms();
-	worker->list_call = httpc_start(worker->http, &request);
-	talloc_free(url);
-}
-
-bool worker_busy(const struct worker *worker)
-{
-	return worker->tasks != NULL;
-}
-
-static enum worker_identity identify_by_list(const struct worker *worker, json_t *list)
-{
-	bool expected = false;
-
-	for (const struct task *task = worker->tasks; task; task = task->next) {
-		if (workerjson_contains(list, task->id))
-			return WORKER_SAME;
-		expected = expected ||
-			   (task->started_ms && task->started_ms < worker->identify_requested_ms);
-	}
-	return expected && workerjson_complete(list) ? WORKER_GONE : WORKER_UNDECIDED;
-}
-
-static void on_identified(int status, int http_status, const char *body, size_t len, void *ctx)
-{
-	struct worker *worker = ctx;
-	enum worker_identity identity = WORKER_UNDECIDED;
-	json_t *root = NULL;
-
-	worker->identify_call = NULL;
-	if (!status && http_status == 200)
-		root = json_loadb(body, len, 0, NULL);
-	if (root)
-		identity = identify_by_list(worker, json_object_get(root, "tasks"));
-	else if (status == -ERR_UNAVAILABLE && worker->identify_errno == ECONNREFUSED)
-		identity = WORKER_GONE;
-	json_decref(root);
-	/* The callback may free the worker. */
-	worker->identify_done(identity, worker->identify_ctx);
-}
-
-int worker_identify(struct worker *worker, void (*done)(enum worker_identity identity, void *ctx),
-		    void *ctx)
-{
-	char *url;
-	struct httpc_request request = {
-		.method = "GET",
-		.timeout_ms = RENEW_TIMEOUT_MS,
-		.answer_max = LIST_MAX_BYTES,
-		.fresh_connection = true,
-		.connect_errno = &worker->identify_errno,
-		.done = on_identified,
-		.ctx = worker,
-	};
-
-	if (worker->identify_call)
-		return -ERR_EXISTS;
-	url = talloc_asprintf(worker, "%s/tasks", worker->url);
-	request.url = url;
-	worker->identify_requested_ms = util_clock_ms();
-	worker->identify_done = done;
-	worker->identify_ctx = ctx;
-	worker->identify_call = httpc_start(worker->http, &request);
-	talloc_free(url);
-	return worker->identify_call ? 0 : -ERR_UNAVAILABLE;
-}
-
-/*
- * Stops tasks whose renewals have not been answered for so long that the worker has stopped them,
- * unless only the answers were lost: then the lease is still valid. The end is reported when the
- * worker confirms the stop, or the lease of the last renewal must have expired.
- */
-static void stop_unconfirmed_tasks(struct worker *worker, uint64_t now)
-{
-	struct task *task = worker->tasks;
-
-	while (task) {
-		if (task->phase == PHASE_RUNNING &&
-		    now - task->renewed_ms >
-			    TASK_LEASE_MS + RENEW_TIMEOUT_MS + LEASE_EXPIRY_MARGIN_MS) {
-			log_warn("task_unconfirmed", task->id,
-				 "the worker has not answered a renewal for %" PRIu64 " ms",
-				 now - task->renewed_ms);
-			task->renewals_failed = true;
-			begin_delete(task);
-			task = worker->tasks; /* the callback may have removed tasks */
-		} else {
-			task = task->next;
-		}
-	}
-}
-
-static void schedule_poll(struct worker *worker);
-
-static void poll_event(struct tevent_context *ev, struct tevent_timer *te, struct timeval at,
-		       void *data)
-{
-	struct worker *worker = data;
-
-	schedule_poll(worker);
-	stop_unconfirmed_tasks(worker, util_clock_ms());
-	for (struct task *task = worker->tasks; task; task = task->next)
-		renew_task(task);
-	request_list(worker);
-}
-
-static void schedule_poll(struct worker *worker)
-{
-	struct timeval at =
-		tevent_timeval_current_ofs(POLL_INTERVAL_MS / 1000, POLL_INTERVAL_MS % 1000 * 1000);
-
-	tevent_add_timer(worker->ev, worker, at, poll_event, worker);
+	worker_call_task(worker, id, &call);
 }
 
 struct worker *worker_create(TALLOC_CTX *mem, struct tevent_context *ev, const char *url,
@@ -742,6 +419,6 @@
 	worker->handlers = *handlers;
 	worker->metrics = metrics;
 	talloc_set_destructor(worker, worker_destructor);
-	schedule_poll(worker);
+	worker_schedule_poll(worker);
 	return worker;
 }
