--- a/src/agent.c
+++ b/src/agent.c
@@ -148,7 +148,7 @@
 	struct err err = {0};
 
 	if (accept_announcement(ctx, info, received_ms, &err))
-		log_warn("announce_refused", "", "%s; %s", err.message, err.remedy);
+		log_once("announce_refused", "", "%s; %s", err.message, err.remedy);
 }
 
 static int on_announce(const struct target_info *info, struct err *err, void *ctx)
--- a/src/announce.c
+++ b/src/announce.c
@@ -271,7 +271,7 @@
 	if (ret)
 		metrics_count_refusal(server->metrics, "announcement");
 	if (ret)
-		log_warn("announce_refused", "", "%s; %s", err.message, err.remedy);
+		log_once("announce_refused", "", "%s; %s", err.message, err.remedy);
 	result = ret ? answer_error(connection, &err)
 		     : answer_text(connection, MHD_HTTP_OK, "application/json", "{}");
 	talloc_free(mem);
