--- a/tests/lib_agent.c
+++ b/tests/lib_agent.c
@@ -239,6 +239,11 @@
 	CU_ASSERT_FATAL(rig_run_until(rig, target_announced, NULL, WAIT_MS));
 }
 
+void rig_start_other_worker(struct agent_rig *rig)
+{
+	start_worker(rig, "127.0.0.1:0");
+}
+
 void rig_restart_worker(struct agent_rig *rig, const char *listen)
 {
 	proc_kill(&rig->target);
--- a/tests/lib_agent.h
+++ b/tests/lib_agent.h
@@ -69,6 +69,9 @@
 /** rig_restart_worker() - kills the worker and starts another incarnation at @listen, "ip:port" */
 void rig_restart_worker(struct agent_rig *rig, const char *listen);
 
+/** rig_start_other_worker() - likewise beside the present one, which stays with the caller */
+void rig_start_other_worker(struct agent_rig *rig);
+
 /** rig_stop() - stops all processes and checks that agent and target exit with 0 */
 void rig_stop(struct agent_rig *rig);
 
--- a/tests/test_agent_gang.c
+++ b/tests/test_agent_gang.c
@@ -13,7 +13,9 @@
 #define WAIT_MS 20000
 #define HOLD_TTL_MS 5000
 #define ANNOUNCE_PERIOD_MS 1000 /* of fake_worker */
-#define RING_BREAK_MAX_MS 4000	/* a gang with a dead member has stopped within this time */
+#define AGENT_TICK_MS 200
+#define CALL_MARGIN_MS 100     /* start of a process, one call */
+#define RING_BREAK_MAX_MS 4000 /* a gang with a dead member has stopped within this time */
 
 static struct agent_rig rig;
 
@@ -116,7 +118,7 @@
 }
 
 /* Copies the state of a task from the worker's history; "" if it never started there. */
-static void task_state(const char *id, char state[32])
+static void task_state_at(const char *address, const char *id, char state[32])
 {
 	char url[128];
 	struct http_reply reply;
@@ -124,7 +126,7 @@
 	json_t *item;
 	size_t i;
 
-	snprintf(url, sizeof(url), "http://%s/history", rig.target.address[0]);
+	snprintf(url, sizeof(url), "http://%s/history", address);
 	reply = http_call("GET", url, NULL, NULL, WAIT_MS);
 	root = json_loads(reply.body, 0, NULL);
 	state[0] = '\0';
@@ -138,6 +140,11 @@
 	http_reply_free(&reply);
 }
 
+static void task_state(const char *id, char state[32])
+{
+	task_state_at(rig.target.address[0], id, state);
+}
+
 static bool task_stopped(struct agent_rig *r, void *ctx)
 {
 	char state[32];
@@ -429,6 +436,33 @@
 	check_restart("24", "127.0.0.1:0");
 }
 
+/*
+ * Guards against a worker that has no answer to whether it has ended, and is waited for for longer
+ * than a silent one; and against one that still has its tasks when their end is reported.
+ */
+static void test_frozen_worker_replaced(void)
+{
+	uint64_t own = rig.entries[0].target_incarnation;
+	struct proc old = rig.target;
+	uint64_t frozen_ms;
+	char state[32];
+
+	run_gang("26", 1, 1, "{}");
+	frozen_ms = util_clock_ms();
+	proc_signal(&old, SIGSTOP);
+	rig_start_other_worker(&rig);
+	CU_ASSERT(rig_run_until(&rig, has_other_incarnation, &own, WAIT_MS));
+	CU_ASSERT(util_clock_ms() - frozen_ms <=
+		  TARGET_SILENCE_MS + AGENT_TICK_MS + ANNOUNCE_PERIOD_MS + CALL_MARGIN_MS);
+	wait_for(MSG_MEMBER_STATUS, "26", 0, MSG_MEMBER_LOST);
+	proc_signal(&old, SIGCONT);
+	run_for(100);
+	task_state_at(old.address[0], "26.1.0", state);
+	CU_ASSERT_STRING_EQUAL(state, "stopped");
+	proc_kill(&old);
+	CU_ASSERT(rig_run_until(&rig, target_alive, NULL, WAIT_MS));
+}
+
 /*
  * Guards against a worker that counts as silent because its agent did not run: each freeze is
  * shorter than what is left of a lease.
@@ -487,6 +521,7 @@
 	CU_add_test(suite, "wrong_announcement", test_wrong_announcement);
 	CU_add_test(suite, "large_incarnation", test_large_incarnation);
 	CU_add_test(suite, "restart", test_restart);
+	CU_add_test(suite, "frozen_worker_replaced", test_frozen_worker_replaced);
 	CU_add_test(suite, "short_freezes", test_short_freezes);
 	CU_add_test(suite, "frozen_agent", test_frozen_agent);
 	CU_add_test(suite, "silent_worker", test_silent_worker);
