--- a/src/agent.c
+++ b/src/agent.c
@@ -6,6 +6,7 @@
 #include "httpc.h"
 #include "log.h"
 #include "proxy.h"
+#include "targetclaim.h"
 #include "util.h"
 
 #include <inttypes.h>
@@ -13,6 +14,7 @@
 #include <string.h>
 
 #define TICK_MS 200
+#define PAUSE_MIN_MS 500   /* a gap this long between two ticks is no jitter of the timer */
 #define FROZEN_MIN_MS 2000 /* a gap this long between two ticks means the process was frozen */
 #define WIRE_LINGER_MS 500
 #define STORE_READS_PER_S 2
@@ -29,6 +31,7 @@
 	struct store *store; /* NULL when no endpoints are set */
 	struct announce *announce;
 	struct target *target;
+	struct targetclaim *claim;
 	struct slots *slots;
 	struct streams *streams;
 	struct outcomes *outcomes;
@@ -66,6 +69,7 @@
 {
 	if (!agent->worker)
 		return;
+	targetclaim_drop(agent->claim);
 	gangagent_set_worker(agent->gang, NULL);
 	TALLOC_FREE(agent->worker);
 }
@@ -104,9 +108,9 @@
 	struct slots_capacity allowed = allowed_capacity(agent);
 
 	slots_set_capacity(agent->slots, &allowed);
-	if (restarted || info->kind != MSG_TARGET_WORKER || usable == -ERR_NO_TARGET)
+	if (restarted || info->kind != MSG_TARGET_WORKER || target_silent(agent->target))
 		drop_worker(agent);
-	if (info->kind == MSG_TARGET_WORKER && usable != -ERR_NO_TARGET)
+	if (info->kind == MSG_TARGET_WORKER && !target_silent(agent->target))
 		set_worker(agent, info);
 	gangagent_set_accepting(agent->gang, usable == 0 && !agent->leaving_since_ms);
 	entrylinks_announce(agent->entrylinks);
@@ -119,25 +123,47 @@
 	return usable == -ERR_LEAVING ? "leaving" : "silent";
 }
 
-static int on_announce(const struct target_info *info, struct err *err, void *ctx)
+static int accept_announcement(struct agent *agent, const struct target_info *info,
+			       uint64_t received_ms, struct err *err)
 {
-	struct agent *agent = ctx;
-	uint64_t now = util_clock_ms();
 	unsigned int changes;
-	int ret = target_announce(agent->target, info, now, &changes, err);
+	int ret = target_announce(agent->target, info, received_ms, &changes, err);
 
-	if (!ret && !changes && agent->worker)
-		worker_announced(agent->worker, info->clock_ms, now);
-	if (ret || !changes)
+	if (ret)
 		return ret;
-	log_info("target_changed", "", "target %s incarnation %" PRIu64 " is %s", info->name,
-		 info->incarnation, target_state_name(target_usable(agent->target, now)));
-	apply_target(agent, changes & TARGET_RESTARTED);
+	if (changes) {
+		log_info("target_changed", "",
+			 "target %s incarnation %" PRIu64 " at %s is %s, as announced", info->name,
+			 info->incarnation, info->url,
+			 target_state_name(target_usable(agent->target, util_clock_ms())));
+		apply_target(agent, changes & TARGET_RESTARTED);
+	}
 	if (agent->worker)
-		worker_announced(agent->worker, info->clock_ms, now);
+		worker_announced(agent->worker, info->clock_ms, received_ms);
 	return 0;
 }
 
+static void on_claim_confirmed(const struct target_info *info, uint64_t received_ms, void *ctx)
+{
+	struct err err = {0};
+
+	if (accept_announcement(ctx, info, received_ms, &err))
+		log_once("announce_refused", "", "%s; %s", err.message, err.remedy);
+}
+
+static int on_announce(const struct target_info *info, struct err *err, void *ctx)
+{
+	struct agent *agent = ctx;
+	uint64_t now = util_clock_ms();
+	int ret = target_check(agent->target, info, now, err);
+
+	if (ret)
+		return ret;
+	if (agent->worker && worker_busy(agent->worker) && target_is_other(agent->target, info))
+		return targetclaim_add(agent->claim, agent->worker, info, now, err);
+	return accept_announcement(agent, info, now, err);
+}
+
 static bool is_ready(const char **why, void *ctx)
 {
 	struct agent *agent = ctx;
@@ -266,6 +292,18 @@
 
 static void schedule_tick(struct agent *agent);
 
+/* Announcements that arrived while this process did not run are read after the tick. */
+static void allow_for_pause(struct agent *agent, uint64_t now)
+{
+	uint64_t gap = now - agent->tick_ms;
+
+	if (gap < PAUSE_MIN_MS || !target_info(agent->target))
+		return;
+	target_add_unheard(agent->target, gap - TICK_MS);
+	if (target_usable(agent->target, now))
+		apply_target(agent, false);
+}
+
 static void on_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval at,
 		    void *data)
 {
@@ -273,6 +311,7 @@
 	uint64_t now = util_clock_ms();
 
 	schedule_tick(agent);
+	allow_for_pause(agent, now);
 	check_frozen(agent, now);
 	if (target_check_silence(agent->target, now)) {
 		log_warn("target_silent", "", "target %s has not announced itself for %d ms",
@@ -417,6 +456,7 @@
 	agent->self = talloc_asprintf(agent, "%s#%" PRIu64, settings->node, agent->incarnation);
 	agent->http = httpc_create(agent, ev);
 	agent->target = target_create(agent);
+	agent->claim = targetclaim_create(agent, ev, agent->metrics, on_claim_confirmed, agent);
 	agent->slots = slots_create(agent);
 	agent->tick_ms = util_clock_ms();
 	define_gauges(agent);
--- a/src/announce.c
+++ b/src/announce.c
@@ -12,6 +12,7 @@
 #define IDLE_TIMEOUT_S 10U
 #define ACCELERATORS_MAX 64 /* bits of an accelerator mask */
 #define COUNT_MAX 1000000000
+#define CLOCK_MAX_MS (INT64_MAX / 4) /* differences of clocks and ends of leases fit */
 
 struct announce {
 	struct tevent_context *ev;
@@ -35,13 +36,23 @@
 	return err_set(err, ERR_INVALID, remedy, "field \"%s\" is missing or wrong", field);
 }
 
+static bool has_control_character(const char *text)
+{
+	for (; *text; text++) {
+		if ((unsigned char)*text < ' ' || *text == 0x7f)
+			return true;
+	}
+	return false;
+}
+
 static int read_name(json_t *root, const char *field, const char **out, TALLOC_CTX *mem,
 		     struct err *err)
 {
 	const char *text = json_string_value(json_object_get(root, field));
 
-	if (!text || !text[0] || strlen(text) > 255)
-		return bad_field(err, field, "give a text of 1 to 255 characters");
+	if (!text || !text[0] || strlen(text) > 255 || has_control_character(text))
+		return bad_field(err, field,
+				 "give a text of 1 to 255 bytes without control characters");
 	*out = talloc_strdup(mem, text);
 	return 0;
 }
@@ -102,7 +113,8 @@
 {
 	json_t *value = json_object_get(root, "clock_ms");
 
-	if (value && (!json_is_integer(value) || json_integer_value(value) <= 0))
+	if (value && (!json_is_integer(value) || json_integer_value(value) <= 0 ||
+		      json_integer_value(value) > CLOCK_MAX_MS))
 		return bad_field(err, "clock_ms",
 				 "give the target's monotonic clock in milliseconds");
 	out->clock_ms = (uint64_t)json_integer_value(value);
@@ -126,7 +138,8 @@
 		return bad_field(err, "url", remedy);
 	memcpy(host, url + 7, (size_t)(colon - url - 7));
 	port = strtol(colon + 1, &end, 10);
-	if (inet_pton(AF_INET, host, ip) != 1 || *end || port < 1 || port > 65535)
+	if (inet_pton(AF_INET, host, ip) != 1 || colon[1] < '0' || colon[1] > '9' || *end ||
+	    port < 1 || port > 65535)
 		return bad_field(err, "url", remedy);
 	out->url = talloc_strdup(mem, url);
 	return 0;
@@ -258,7 +271,7 @@
 	if (ret)
 		metrics_count_refusal(server->metrics, "announcement");
 	if (ret)
-		log_warn("announce_refused", "", "%s; %s", err.message, err.remedy);
+		log_once("announce_refused", "", "%s; %s", err.message, err.remedy);
 	result = ret ? answer_error(connection, &err)
 		     : answer_text(connection, MHD_HTTP_OK, "application/json", "{}");
 	talloc_free(mem);
--- a/src/target.h
+++ b/src/target.h
@@ -18,6 +18,12 @@
 
 #define TARGET_SILENCE_MS 2000 /* without an announcement for this time, a target is unusable */
 
+/*
+ * Announcements are a little late at times. Leases that are shorter by this time still outlast the
+ * interval between two renewals.
+ */
+#define TARGET_CLOCK_STEP_MAX_MS 1000
+
 struct target;
 
 /**
@@ -41,15 +47,32 @@
 #define TARGET_CHANGED 1U   /* a field sent to the entries changed, or a silence began or ended */
 #define TARGET_RESTARTED 2U /* the kind, name, address or incarnation has changed */
 
+/** target_info_copy() - copy of @info that owns its strings */
+struct target_info *target_info_copy(TALLOC_CTX *mem, const struct target_info *info);
+
 struct target *target_create(TALLOC_CTX *mem);
 
 /**
- * target_announce() - records an announcement
+ * target_check() - check an announcement against the present target, without recording it
  * @now_ms: util_clock_ms()
- * @changes: receives TARGET_CHANGED and TARGET_RESTARTED bits
  *
  * Return: 0; -ERR_CONFLICT while another target announces itself to this agent; -ERR_STALE for an
- * incarnation older than the current one.
+ * incarnation older than one that still announces itself; -ERR_INVALID for a clock of the present
+ * target that is missing or more than TARGET_CLOCK_STEP_MAX_MS off, unless the clock of the
+ * announcement before was off by the same time.
+ */
+int target_check(struct target *target, const struct target_info *info, uint64_t now_ms,
+		 struct err *err);
+
+/** target_is_other() - true if @info names another process than the present target */
+bool target_is_other(const struct target *target, const struct target_info *info);
+
+/**
+ * target_announce() - records an announcement that target_check() has accepted
+ * @now_ms: util_clock_ms() when it was received
+ * @changes: receives TARGET_CHANGED and TARGET_RESTARTED bits
+ *
+ * Return: 0, or an error of target_check().
  */
 int target_announce(struct target *target, const struct target_info *info, uint64_t now_ms,
 		    unsigned int *changes, struct err *err);
@@ -58,6 +81,16 @@
  */
 unsigned int target_check_silence(struct target *target, uint64_t now_ms);
 
+/**
+ * target_add_unheard() - this process did not run for @ms, so the target was not silent then
+ *
+ * It counts for target_check_silence() only: nothing is known of the target's state either.
+ */
+void target_add_unheard(struct target *target, uint64_t ms);
+
+/** target_silent() - true after target_check_silence() has found a silence, until it ends */
+bool target_silent(const struct target *target);
+
 /** target_usable() - 0 when new work may start, -ERR_NO_TARGET or -ERR_LEAVING when not */
 int target_usable(const struct target *target, uint64_t now_ms);
 
--- a/src/worker.c
+++ b/src/worker.c
@@ -1,8 +1,6 @@
-#include "worker.h"
-#include "httpc.h"
 #include "log.h"
 #include "util.h"
-#include "workerjson.h"
+#include "worker_int.h"
 
 #include <glib.h>
 #include <inttypes.h>
@@ -10,63 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define POLL_INTERVAL_MS 1000
-#define RENEW_TIMEOUT_MS 900
-#define START_TIMEOUT_MS 2000
-#define STOP_TIMEOUT_MS 1000
-#define STOP_RETRY_DELAY_MS 300
-#define LEASE_EXPIRY_MARGIN_MS                                             \
-	500 /* for scheduling delays when the worker stops an expired task \
-	     */
-#define LIST_MAX_BYTES (4 * 1024 * 1024)
-
-enum task_phase {
-	PHASE_STARTING, /* PUT in progress */
-	PHASE_RUNNING,
-	PHASE_CHECKPOINT, /* POST /checkpoint in progress before a stop; lease still renewed */
-	PHASE_STOPPING,	  /* DELETE in progress or retried; lease no longer renewed */
-};
-
-struct task {
-	struct task *next;
-	struct worker *worker;
-	char *id;
-	enum task_phase phase;
-	struct httpc_call *phase_call; /* the call of the phase, or NULL */
-	struct httpc_call *renew_call; /* renewal of the lease in progress, or NULL */
-	struct tevent_timer *retry_timer;
-	uint64_t started_ms;	  /* time of the successful start */
-	uint64_t renewed_ms;	  /* time when the last successful renewal was sent */
-	uint64_t lease_expiry_ms; /* the lease has expired by then, unless it is renewed again */
-	/* The worker that answers doesn't know this unanswered start; it may have restarted. */
-	bool start_unknown;
-	bool renewals_failed; /* stopped because no renewal was answered in time */
-	void (*start_done)(int status, const char *reason, void *ctx);
-	void *start_ctx;
-	bool stop_requested;
-	bool stop_checkpoint;
-	bool checkpoint_taken; /* for this stop */
-	uint32_t stop_grace_ms;
-	void (*stop_done)(int status, uint64_t checkpoint_ms, void *ctx);
-	void *stop_ctx;
-};
-
-struct worker {
-	struct tevent_context *ev;
-	struct httpc *http;
-	char *url;
-	uint64_t incarnation; /* 0: unknown */
-	struct worker_handlers handlers;
-	struct metrics *metrics;
-	struct task *tasks;
-	struct httpc_call *list_call;
-	uint64_t list_requested_ms; /* time of the last request for the list */
-	bool clock_known;
-	int64_t clock_offset_ms; /* to add to util_clock_ms(); never ahead of the worker's clock */
-};
-
-/* A lease that begins now. */
-static struct workerjson_lease new_lease(const struct worker *worker)
+struct workerjson_lease worker_new_lease(const struct worker *worker)
 {
 	struct workerjson_lease lease = {.incarnation = worker->incarnation};
 
@@ -98,7 +40,7 @@
 	return 0;
 }
 
-static struct task *find_task(const struct worker *worker, const char *id)
+struct task *worker_find_task(const struct worker *worker, const char *id)
 {
 	for (struct task *task = worker->tasks; task; task = task->next) {
 		if (!strcmp(task->id, id))
@@ -130,26 +72,18 @@
 	talloc_free(task);
 }
 
-static void set_lease_expiry(struct task *task, uint32_t call_timeout_ms)
+void worker_set_lease_expiry(struct task *task, uint32_t call_timeout_ms)
 {
 	task->lease_expiry_ms =
 		util_clock_ms() + call_timeout_ms + TASK_LEASE_MS + LEASE_EXPIRY_MARGIN_MS;
 }
 
-struct call {
-	const char *method;
-	const char *path; /* suffix after the task's id, "" for the task itself */
-	const char *body; /* JSON text or NULL */
-	uint32_t timeout_ms;
-	void (*done)(int status, int http_status, const char *body, size_t len, void *ctx);
-	void *ctx;
-};
-
 /*
  * Only a start must not be sent twice and therefore needs a fresh connection, see httpc.h. Other
  * requests may be repeated.
  */
-static struct httpc_call *call_task(struct worker *worker, const char *id, const struct call *call)
+struct httpc_call *worker_call_task(struct worker *worker, const char *id,
+				    const struct worker_call *call)
 {
 	char *escaped = g_uri_escape_string(id, NULL, FALSE);
 	char *url = talloc_asprintf(worker, "%s/tasks/%s%s", worker->url, escaped, call->path);
@@ -173,7 +107,7 @@
 	return started;
 }
 
-static void report_task_ended(struct task *task, enum worker_task_state state, const char *reason)
+void worker_report_task_ended(struct task *task, enum worker_task_state state, const char *reason)
 {
 	struct worker *worker = task->worker;
 	char *id = talloc_steal(worker, task->id);
@@ -195,7 +129,7 @@
 	void *stop_ctx = task->stop_ctx;
 
 	if (task->renewals_failed && !stop_done) {
-		report_task_ended(task, WORKER_TASK_UNKNOWN, "the task's lease has expired");
+		worker_report_task_ended(task, WORKER_TASK_UNKNOWN, "the task's lease has expired");
 		return;
 	}
 	remove_task(task);
@@ -259,6 +193,12 @@
 		wait_for_announcement(task);
 		return;
 	}
+	/* One such answer may come from another process at the address. */
+	if (http_status == 404 && task->started_ms && !task->stop_unknown) {
+		task->stop_unknown = true;
+		schedule_delete_retry(task);
+		return;
+	}
 	root = json_loadb(body, len, 0, NULL);
 	/* An older checkpoint lacks the work done since. */
 	finish_stop(task, 0, task->checkpoint_taken ? workerjson_number(root, "checkpoint_ms") : 0,
@@ -268,7 +208,7 @@
 
 static void send_delete(struct task *task)
 {
-	struct call call = {
+	struct worker_call call = {
 		.method = "DELETE",
 		.path = "",
 		.timeout_ms = STOP_TIMEOUT_MS,
@@ -282,12 +222,12 @@
 		finish_stop(task, -ERR_UNAVAILABLE, 0, -ERR_OUTCOME_UNKNOWN);
 		return;
 	}
-	task->phase_call = call_task(task->worker, task->id, &call);
+	task->phase_call = worker_call_task(task->worker, task->id, &call);
 	if (!task->phase_call)
 		schedule_delete_retry(task);
 }
 
-static void begin_delete(struct task *task)
+void worker_begin_delete(struct task *task)
 {
 	task->phase = PHASE_STOPPING;
 	if (task->renew_call)
@@ -305,12 +245,12 @@
 	if (!task->checkpoint_taken)
 		log_warn("checkpoint_failed", task->id,
 			 "no new checkpoint; stopping the task without it");
-	begin_delete(task);
+	worker_begin_delete(task);
 }
 
 static void begin_stop(struct task *task)
 {
-	struct call call = {
+	struct worker_call call = {
 		.method = "POST",
 		.path = "/checkpoint",
 		.body = "{}",
@@ -321,9 +261,9 @@
 
 	task->phase = PHASE_CHECKPOINT;
 	if (task->stop_checkpoint)
-		task->phase_call = call_task(task->worker, task->id, &call);
+		task->phase_call = worker_call_task(task->worker, task->id, &call);
 	if (!task->phase_call)
-		begin_delete(task);
+		worker_begin_delete(task);
 }
 
 static void report_started(struct task *task, int status, const char *reason)
@@ -344,7 +284,7 @@
 	task->renewed_ms = task->started_ms;
 	report_started(task, 0, "");
 	/* The callback may have stopped the task already. */
-	task = find_task(worker, id);
+	task = worker_find_task(worker, id);
 	if (task && task->phase == PHASE_RUNNING && task->stop_requested)
 		begin_stop(task);
 	talloc_free(id);
@@ -377,7 +317,7 @@
 		 * The task may run or start later. DELETE stops it; the worker also remembers the
 		 * id and refuses a later start.
 		 */
-		begin_delete(task);
+		worker_begin_delete(task);
 	} else if (http_status == 200 || http_status == 201) {
 		handle_start_success(task);
 	} else {
@@ -414,9 +354,9 @@
 		       void (*done)(int status, const char *reason, void *ctx), void *ctx)
 {
 	struct task *task = add_task(worker, spec->id, PHASE_STARTING);
-	struct workerjson_lease lease = new_lease(worker);
+	struct workerjson_lease lease = worker_new_lease(worker);
 	char *body = workerjson_start(spec, &lease);
-	struct call call = {
+	struct worker_call call = {
 		.method = "PUT",
 		.path = "",
 		.body = body,
@@ -427,8 +367,8 @@
 
 	task->start_done = done;
 	task->start_ctx = ctx;
-	set_lease_expiry(task, START_TIMEOUT_MS);
-	task->phase_call = call_task(worker, spec->id, &call);
+	worker_set_lease_expiry(task, START_TIMEOUT_MS);
+	task->phase_call = worker_call_task(worker, spec->id, &call);
 	free(body);
 	if (!task->phase_call)
 		schedule_delete_retry(task);
@@ -437,11 +377,11 @@
 void worker_stop_task(struct worker *worker, const char *id, bool checkpoint, uint32_t grace_ms,
 		      void (*done)(int status, uint64_t checkpoint_ms, void *ctx), void *ctx)
 {
-	struct task *task = find_task(worker, id);
+	struct task *task = worker_find_task(worker, id);
 
 	if (!task) {
 		task = add_task(worker, id, PHASE_RUNNING);
-		set_lease_expiry(task, RENEW_TIMEOUT_MS);
+		worker_set_lease_expiry(task, RENEW_TIMEOUT_MS);
 	}
 	task->stop_done = done;
 	task->stop_ctx = ctx;
@@ -455,7 +395,7 @@
 void worker_throttle_task(struct worker *worker, const char *id, uint32_t percent)
 {
 	char body[64];
-	struct call call = {
+	struct worker_call call = {
 		.method = "POST",
 		.path = "/throttle",
 		.body = body,
@@ -463,172 +403,7 @@
 	};
 
 	snprintf(body, sizeof(body), "{\"percent\":%u}", percent);
-	call_task(worker, id, &call);
-}
-
-/* A refused renewal is ignored: if the task has ended, the list of tasks tells how. */
-static void on_renewed(int status, int http_status, const char *body, size_t len, void *ctx)
-{
-	struct task *task = ctx;
-
-	task->renew_call = NULL;
-	if (!status && http_status == 200)
-		task->renewed_ms = task->lease_expiry_ms - RENEW_TIMEOUT_MS - TASK_LEASE_MS -
-				   LEASE_EXPIRY_MARGIN_MS;
-}
-
-static void renew_task(struct task *task)
-{
-	struct workerjson_lease lease = new_lease(task->worker);
-	char *body;
-	struct call call = {
-		.method = "POST",
-		.path = "/renew",
-		.timeout_ms = RENEW_TIMEOUT_MS,
-		.done = on_renewed,
-		.ctx = task,
-	};
-
-	if (task->renew_call || (task->phase != PHASE_RUNNING && task->phase != PHASE_CHECKPOINT))
-		return;
-	body = workerjson_renew(&lease);
-	call.body = body;
-	set_lease_expiry(task, RENEW_TIMEOUT_MS);
-	task->renew_call = call_task(task->worker, task->id, &call);
-	free(body);
-}
-
-/*
- * Finds a task whose state the requested list can tell: one that was running before the request.
- * Returns NULL for other tasks.
- */
-static struct task *find_listable_task(const struct worker *worker, const char *id)
-{
-	struct task *task = id ? find_task(worker, id) : NULL;
-
-	if (!task || task->phase != PHASE_RUNNING || task->started_ms >= worker->list_requested_ms)
-		return NULL;
-	return task;
-}
-
-static void handle_listed_task(struct worker *worker, json_t *item)
-{
-	const char *id = json_string_value(json_object_get(item, "id"));
-	const char *reason = json_string_value(json_object_get(item, "reason"));
-	enum worker_task_state state =
-		workerjson_state(json_string_value(json_object_get(item, "state")));
-	struct task *task = find_listable_task(worker, id);
-	json_t *usage = json_object_get(item, "usage_percent");
-
-	if (!task)
-		return;
-	if (state != WORKER_TASK_RUNNING)
-		report_task_ended(task, state, reason ? reason : "");
-	else if (json_is_integer(usage))
-		worker->handlers.on_usage(id, (uint32_t)workerjson_number(item, "usage_percent"),
-					  workerjson_number(item, "checkpoint_ms"),
-					  worker->handlers.ctx);
-}
-
-static void report_unlisted_tasks(struct worker *worker, json_t *list)
-{
-	struct task *task = worker->tasks;
-
-	while (task) {
-		if (find_listable_task(worker, task->id) && !workerjson_contains(list, task->id)) {
-			report_task_ended(task, WORKER_TASK_UNKNOWN,
-					  "the worker does not know the task");
-			task = worker->tasks; /* the callback may have removed tasks */
-		} else {
-			task = task->next;
-		}
-	}
-}
-
-static void on_list(int status, int http_status, const char *body, size_t len, void *ctx)
-{
-	struct worker *worker = ctx;
-	json_t *root;
-	json_t *list;
-	json_t *item;
-	size_t i;
-
-	worker->list_call = NULL;
-	if (status || http_status != 200)
-		return;
-	root = json_loadb(body, len, 0, NULL);
-	list = json_object_get(root, "tasks");
-	json_array_foreach(list, i, item) handle_listed_task(worker, item);
-	if (json_is_array(list))
-		report_unlisted_tasks(worker, list);
-	json_decref(root);
-}
-
-static void request_list(struct worker *worker)
-{
-	char *url;
-	struct httpc_request request = {
-		.method = "GET",
-		.timeout_ms = RENEW_TIMEOUT_MS,
-		.answer_max = LIST_MAX_BYTES,
-		.done = on_list,
-		.ctx = worker,
-	};
-
-	if (worker->list_call || !worker->tasks)
-		return;
-	url = talloc_asprintf(worker, "%s/tasks", worker->url);
-	request.url = url;
-	worker->list_requested_ms = util_clock_ms();
-	worker->list_call = httpc_start(worker->http, &request);
-	talloc_free(url);
-}
-
-/*
- * Stops tasks whose renewals have not been answered for so long that the worker has stopped them,
- * unless only the answers were lost: then the lease is still valid. The end is reported when the
- * worker confirms the stop, or the lease of the last renewal must have expired.
- */
-static void stop_unconfirmed_tasks(struct worker *worker, uint64_t now)
-{
-	struct task *task = worker->tasks;
-
-	while (task) {
-		if (task->phase == PHASE_RUNNING &&
-		    now - task->renewed_ms >
-			    TASK_LEASE_MS + RENEW_TIMEOUT_MS + LEASE_EXPIRY_MARGIN_MS) {
-			log_warn("task_unconfirmed", task->id,
-				 "the worker has not answered a renewal for %" PRIu64 " ms",
-				 now - task->renewed_ms);
-			task->renewals_failed = true;
-			begin_delete(task);
-			task = worker->tasks; /* the callback may have removed tasks */
-		} else {
-			task = task->next;
-		}
-	}
-}
-
-static void schedule_poll(struct worker *worker);
-
-static void poll_event(struct tevent_context *ev, struct tevent_timer *te, struct timeval at,
-		       void *data)
-{
-	struct worker *worker = data;
-
-	schedule_poll(worker);
-	stop_unconfirmed_tasks(worker, util_clock_ms());
-	for (struct task *task = worker->tasks; task; task = task->next)
-		renew_task(task);
-	request_list(worker);
-}
-
-static void schedule_poll(struct worker *worker)
-{
-	struct timeval at =
-		tevent_timeval_current_ofs(POLL_INTERVAL_MS / 1000, POLL_INTERVAL_MS % 1000 * 1000);
-
-	tevent_add_timer(worker->ev, worker, at, poll_event, worker);
+	worker_call_task(worker, id, &call);
 }
 
 struct worker *worker_create(TALLOC_CTX *mem, struct tevent_context *ev, const char *url,
@@ -644,6 +419,6 @@
 	worker->handlers = *handlers;
 	worker->metrics = metrics;
 	talloc_set_destructor(worker, worker_destructor);
-	schedule_poll(worker);
+	worker_schedule_poll(worker);
 	return worker;
 }
