httpd: a server that is freed reads nothing more

A request that a client sent on an open connection right before the end of a process was read, and the connection closed without an answer: since the server ran once more while it was freed. Before that change it was not read, so its sender knew that nothing had begun.

test_httpd/freed_with_open_calls still passes: libmicrohttpd resumes the connections itself when it stops.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -331,7 +331,6 @@
 	httpd->stopping = true;
 	while (httpd->suspended)
 		resume_call(httpd->suspended);
-	MHD_run(httpd->daemon);
 	MHD_stop_daemon(httpd->daemon);
 	return 0;
 }
