--- a/tests/sim_core.c
+++ b/tests/sim_core.c
@@ -264,6 +264,15 @@
 	va_start(args, format);
 	print_record(event, id, format, args);
 	va_end(args);
+	if (sim_now->on_record) {
+		char *text;
+
+		va_start(args, format);
+		text = talloc_vasprintf(NULL, format, args);
+		va_end(args);
+		sim_now->on_record(event, id, text);
+		talloc_free(text);
+	}
 }
 
 void __wrap_log_once(const char *event, const char *key, const char *format, ...)
--- a/tests/sim_core.h
+++ b/tests/sim_core.h
@@ -31,6 +31,8 @@
 	uint32_t lag_ms[SIM_HOSTS_MAX];		/* added to the latency of messages of the host */
 	int64_t wall_offset_ms[SIM_HOSTS_MAX];	/* error of the wall clock of the host */
 	struct sim_process *current;		/* whose event is handled; NULL: none's */
+	/* Called with each log record of a process; may be NULL. */
+	void (*on_record)(const char *event, const char *id, const char *text);
 };
 
 extern struct sim *sim_now;
--- a/tests/sim_faults.c
+++ b/tests/sim_faults.c
@@ -489,6 +489,8 @@
 		plan_partitions();
 		return;
 	}
+	if (mix.announcements == SIM_ANNOUNCEMENTS_MOSTLY)
+		clusters = sim_below(3);
 	for (uint32_t i = 0; i < clusters; i++) {
 		uint32_t at_ms = sim_between(SIM_FAULTS_FROM_MS, SIM_FAULTS_UNTIL_MS);
 		uint32_t spread_ms = sim_chance(0.3) ? 300 : sim_between(500, 4000);
--- a/tests/sim_faults.h
+++ b/tests/sim_faults.h
@@ -5,6 +5,13 @@
 
 /** DOC: Random faults of the simulated fleet */
 
+/* Announcements of other writers and what goes with them, see sim_announcements.h. */
+enum sim_announcements {
+	SIM_ANNOUNCEMENTS_NONE,
+	SIM_ANNOUNCEMENTS_SHARE,  /* some, beside all other faults of the day */
+	SIM_ANNOUNCEMENTS_MOSTLY, /* mostly these */
+};
+
 /** struct sim_fault_mix - which faults may happen */
 struct sim_fault_mix {
 	bool new_ids_only;    /* workers never restart under their identifier */
@@ -12,6 +19,7 @@
 	const char *only;     /* comma-separated names of the kinds; NULL: all */
 	bool partitions; /* only these: the leader cut off with some agents, after another one */
 	uint32_t listed_ends; /* most ends that a list of a worker names; 0: as usual */
+	enum sim_announcements announcements;
 };
 
 #define SIM_FAULTS_FROM_MS 4000
--- a/tests/sim_worker.c
+++ b/tests/sim_worker.c
@@ -1,6 +1,7 @@
 #include "sim_worker.h"
 
 #include <glib.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -12,6 +13,7 @@
 #define BEAT_MS 1500
 #define GANG_WAIT_MS 3000
 #define ENDS_MAX 512
+#define FORMER_MAX 8
 
 /* What is known of a task across all workers. */
 struct task_history {
@@ -54,6 +56,13 @@
 	bool noted;
 };
 
+/* A former incarnation of a worker. */
+struct former {
+	char *id;
+	uint64_t born;
+	uint64_t sequence; /* of its last announcement */
+};
+
 struct sim_worker {
 	int host;
 	char *node;
@@ -79,6 +88,10 @@
 	uint64_t last_end;
 	uint64_t ends_known; /* ends up to this number are forgotten */
 	struct sim_worker_faults faults;
+	bool misdirected; /* the latest call for a list was */
+	bool refused;	  /* the latest call was */
+	struct former former[FORMER_MAX];
+	size_t former_count;
 	struct sim_process *agent;
 	struct runner *runner;
 	GPtrArray *waiting; /* renewals that wait for the end of a run */
@@ -91,6 +104,7 @@
 static GHashTable *ended_jobs;
 static uint32_t attempts_max;
 static uint32_t listed_ends_max; /* in one list */
+static void (*on_crashed_run)(const char *task, uint32_t run, bool same_id, bool dark);
 static int violations;
 static char first_violation[160];
 
@@ -138,6 +152,11 @@
 	first_violation[0] = '\0';
 }
 
+void sim_workers_watch_crashes(void (*fn)(const char *task, uint32_t run, bool same_id, bool dark))
+{
+	on_crashed_run = fn;
+}
+
 void sim_workers_limit_ends(uint32_t max)
 {
 	listed_ends_max = max;
@@ -663,6 +682,18 @@
 	return copy;
 }
 
+/* Without a share nothing is drawn, so that days without these faults stay what they are. */
+static bool is_hit(double share, bool *latest)
+{
+	*latest = share > 0 && !*latest && sim_chance(share);
+	return *latest;
+}
+
+static bool names_worker(const struct call *call)
+{
+	return call->kind == CALL_RENEW && call->id && !strcmp(call->id, call->worker->id);
+}
+
 static void on_arrival(void *ctx)
 {
 	struct call *call = ctx;
@@ -684,6 +715,16 @@
 		fail_call(call, CALL_TIMEOUT_MS, RUNNER_NO_ANSWER, -ERR_DEADLINE);
 		return;
 	}
+	if (is_hit(worker->faults.refused, &worker->refused)) {
+		sim_print("%s: a call is refused", worker->node);
+		fail_call(call, 1, RUNNER_NOT_SENT, -ERR_UNAVAILABLE);
+		return;
+	}
+	if (names_worker(call) && is_hit(worker->faults.misdirected, &worker->misdirected)) {
+		sim_print("%s: a call is answered as another incarnation", worker->node);
+		fail_call(call, sim_between(1, 3), RUNNER_OTHER_INCARNATION, -ERR_STALE);
+		return;
+	}
 	if (sim_chance(worker->faults.late)) {
 		struct call *late = copy_call(call);
 
@@ -843,14 +884,25 @@
 struct beat {
 	struct sim_worker *worker;
 	struct runner_announcement announcement;
+	bool foreign; /* not of the present incarnation of the worker when it was sent */
 };
 
+/* No agent can tell a false announcement with the true identifier and start from a true one. */
+static bool is_indistinguishable(const struct beat *beat)
+{
+	const struct sim_worker *worker = beat->worker;
+
+	return beat->foreign && beat->announcement.started_ms == worker->born &&
+	       !strcmp(beat->announcement.id, worker->id);
+}
+
 static void deliver_beat(void *ctx)
 {
 	struct beat *beat = ctx;
 	struct sim_worker *worker = beat->worker;
 
-	if (worker->agent && sim_process_alive(worker->agent) && worker->runner)
+	if (worker->agent && sim_process_alive(worker->agent) && worker->runner &&
+	    !is_indistinguishable(beat))
 		runner_announced(worker->runner, &beat->announcement);
 	talloc_free(beat);
 }
@@ -866,21 +918,73 @@
 		talloc_free(beat);
 }
 
-static void send_beat(struct sim_worker *worker)
+static struct runner_announcement announce(const char *id, uint64_t born, uint64_t sequence)
+{
+	return (struct runner_announcement){.id = id,
+					    .address = "127.0.0.1:9",
+					    .service = "s",
+					    .zone = "z",
+					    .kind = "k",
+					    .rack = "r",
+					    .room = {SIM_WORKER_CPU_MILLI, 8000, 8},
+					    .accepting = true,
+					    .started_ms = born,
+					    .sequence = sequence};
+}
+
+struct runner_announcement sim_worker_announce(struct sim_worker *worker)
+{
+	struct runner_announcement announcement;
+
+	if (!worker->up) {
+		struct former *former = &worker->former[(worker->former_count - 1) % FORMER_MAX];
+
+		return announce(former->id, former->born, ++former->sequence);
+	}
+	announcement = announce(worker->id, worker->born, ++worker->sequence);
+	announcement.accepting = worker->accepting;
+	return announcement;
+}
+
+bool sim_worker_former(const struct sim_worker *worker, struct runner_announcement *out)
+{
+	const struct former *former;
+
+	if (worker->former_count == 0)
+		return false;
+	former = &worker->former[sim_below((uint32_t)MIN(worker->former_count, FORMER_MAX))];
+	*out = announce(former->id, former->born, former->sequence);
+	return true;
+}
+
+static struct beat *create_beat(struct sim_worker *worker,
+				const struct runner_announcement *announcement)
 {
 	struct beat *beat = talloc_zero(sim_now, struct beat);
 
 	beat->worker = worker;
-	beat->announcement = (struct runner_announcement){.id = talloc_strdup(beat, worker->id),
-							  .address = "127.0.0.1:9",
-							  .service = "s",
-							  .zone = "z",
-							  .kind = "k",
-							  .rack = "r",
-							  .room = {SIM_WORKER_CPU_MILLI, 8000, 8},
-							  .accepting = worker->accepting,
-							  .started_ms = worker->born,
-							  .sequence = ++worker->sequence};
+	beat->announcement = *announcement;
+	beat->announcement.id = talloc_strdup(beat, announcement->id);
+	return beat;
+}
+
+void sim_worker_deliver(struct sim_worker *worker, const struct runner_announcement *announcement,
+			uint32_t ms)
+{
+	struct beat *beat = create_beat(worker, announcement);
+
+	beat->foreign = strcmp(announcement->id, worker->id) != 0 ||
+			announcement->started_ms != worker->born;
+	sim_print("%s: announcement %" PRIu64 " of %s/%" PRIu64 " arrives in %u ms", worker->node,
+		  announcement->sequence, announcement->id, announcement->started_ms, ms);
+	sim_at(NULL, beat, ms, carry_beat, beat);
+}
+
+static void send_beat(struct sim_worker *worker)
+{
+	struct runner_announcement announcement = sim_worker_announce(worker);
+	struct beat *beat = create_beat(worker, &announcement);
+
 	sim_at(NULL, beat, sim_chance(worker->faults.late_beats) ? sim_between(500, 6000) : 1,
 	       carry_beat, beat);
 }
@@ -940,6 +1044,11 @@
 	return worker;
 }
 
+bool sim_worker_is_busy(const struct sim_worker *worker)
+{
+	return worker->runs != NULL;
+}
+
 bool sim_worker_is_served(struct sim_worker *worker)
 {
 	check_lease(worker);
@@ -957,6 +1066,12 @@
 	worker->runner = runner;
 }
 
+static void keep_former(struct sim_worker *worker)
+{
+	worker->former[worker->former_count++ % FORMER_MAX] =
+		(struct former){worker->id, worker->born, MAX(worker->sequence, 1)};
+}
+
 void sim_worker_crash(struct sim_worker *worker, uint32_t down_ms, bool same_id, bool dark)
 {
 	if (!worker->up)
@@ -967,8 +1082,11 @@
 		fail_call(worker->waiting->pdata[i], dark ? CALL_TIMEOUT_MS : 1, RUNNER_NO_ANSWER,
 			  -ERR_FAILED);
 	g_ptr_array_set_size(worker->waiting, 0);
+	keep_former(worker);
 	for (struct run *run = worker->runs; run; run = run->next) {
 		history(run->task)->active--;
+		if (on_crashed_run)
+			on_crashed_run(run->task, run->number, same_id, dark);
 		if (run->gang) {
 			run->gang->present--;
 			run->gang->broken = true;
@@ -989,11 +1107,33 @@
 	struct beat *beat = ctx;
 	struct sim_worker *worker = beat->worker;
 
-	if (worker->agent && sim_process_alive(worker->agent) && worker->runner)
+	if (worker->agent && sim_process_alive(worker->agent) && worker->runner &&
+	    !(beat->foreign && !strcmp(beat->announcement.id, worker->id)))
 		runner_leaving(worker->runner, beat->announcement.id);
 	talloc_free(beat);
 }
 
+static void carry_leaving(void *ctx)
+{
+	struct beat *beat = ctx;
+
+	if (!beat->worker->faults.cut && beat->worker->agent &&
+	    sim_process_alive(beat->worker->agent))
+		sim_at(beat->worker->agent, beat, 0, deliver_leaving, beat);
+	else
+		talloc_free(beat);
+}
+
+void sim_worker_deliver_leaving(struct sim_worker *worker, const char *id, uint32_t ms)
+{
+	const struct runner_announcement announcement = {.id = id};
+	struct beat *beat = create_beat(worker, &announcement);
+
+	beat->foreign = true;
+	sim_print("%s: word that %s leaves arrives in %u ms", worker->node, id, ms);
+	sim_at(NULL, beat, ms, carry_leaving, beat);
+}
+
 struct drain {
 	struct sim_worker *worker;
 	uint32_t down_ms;
--- a/tests/sim_worker.h
+++ b/tests/sim_worker.h
@@ -21,6 +21,10 @@
 	bool cut;	   /* nothing passes between agent and worker; some calls pass later */
 	double unhealthy;  /* share of starts that an unhealthy worker refuses */
 	double late_beats; /* share of announcements that arrive later */
+	/* Share of calls for a list that are answered as another incarnation; never two in a row.
+	 */
+	double misdirected;
+	double refused; /* share of connections that are refused; never two in a row */
 };
 
 #define SIM_STEPS_MAX 4
@@ -47,6 +51,8 @@
  * @max_attempts: failed runs after which a task must not start again
  */
 void sim_runs_create(uint32_t max_attempts);
+/** sim_workers_watch_crashes() - call @fn for each run that ends with its worker; NULL: none */
+void sim_workers_watch_crashes(void (*fn)(const char *task, uint32_t run, bool same_id, bool dark));
 /** sim_workers_limit_ends() - lists name at most @max ends, those with the lowest numbers */
 void sim_workers_limit_ends(uint32_t max);
 int sim_runs_violations(void);
@@ -71,6 +77,21 @@
 struct runner_calls *sim_worker_calls(struct sim_worker *worker, struct sim_process *agent);
 struct sim_worker_faults *sim_worker_faults(struct sim_worker *worker);
 
+/** sim_worker_is_busy() - true if it runs a task */
+bool sim_worker_is_busy(const struct sim_worker *worker);
+/** sim_worker_announce() - the next announcement of the present or last incarnation, not sent */
+struct runner_announcement sim_worker_announce(struct sim_worker *worker);
+/** sim_worker_former() - the last announcement of a random former incarnation; false if none */
+bool sim_worker_former(const struct sim_worker *worker, struct runner_announcement *out);
+/**
+ * sim_worker_deliver() - an announcement, of whichever writer, arrives at the worker's agent
+ * @ms: until it arrives
+ */
+void sim_worker_deliver(struct sim_worker *worker, const struct runner_announcement *announcement,
+			uint32_t ms);
+/** sim_worker_deliver_leaving() - the agent is told that another worker, @id, leaves */
+void sim_worker_deliver_leaving(struct sim_worker *worker, const char *id, uint32_t ms);
+
 /** sim_worker_attach() - the agent that hears the announcements; NULL: none */
 void sim_worker_attach(struct sim_worker *worker, struct sim_process *agent, struct runner *runner);
 
--- a/tests/test_fleet_sim.c
+++ b/tests/test_fleet_sim.c
@@ -1,3 +1,4 @@
+#include "sim_announcements.h"
 #include "sim_faults.h"
 
 #include <CUnit/Basic.h>
@@ -13,7 +14,11 @@
  * starts without room, runs of cancelled jobs and jobs that never end.
  *
  * test_fleet_sim FIRST COUNT [-v] [--new-ids] [--no-crashes] [--faults KIND,KIND...] [--ends MAX]
- * [--partitions] plays other seeds by hand; with --ends, lists of workers name at most MAX ends.
+ * [--partitions] [--announcements] [--some-announcements] [--detection] plays other seeds by hand.
+ * With --ends, lists of workers name at most MAX ends. Without --announcements, which draws mostly
+ * announcements of other writers, or --some-announcements, which adds some to the faults of the
+ * day, there are none. --detection prints how long after the end of a worker the leader gives up
+ * its runs.
  */
 
 #define JOBS_MAX 128
@@ -214,6 +219,95 @@
 	}
 }
 
+/* A run that has ended with its worker and that the leader has not given up yet. */
+struct crashed_run {
+	char *task;
+	uint32_t run;
+	uint32_t kind;
+	uint64_t at_ms;
+};
+
+/* Times from the end of a worker until the leader gives up one of its runs. */
+struct detection {
+	uint32_t count;
+	uint32_t unknown; /* the run was given up otherwise, such as by a later leader */
+	uint64_t sum_ms;
+	uint64_t max_ms;
+	uint64_t max_seed;
+};
+
+#define CRASH_SAME_ID 1u
+#define CRASH_DARK 2u
+
+static bool measures_detection;
+static GPtrArray *crashed_runs; /* of the day */
+static struct detection detections[4];
+static uint64_t day_seed;
+
+static void on_crashed_run(const char *task, uint32_t run, bool same_id, bool dark)
+{
+	struct crashed_run *crashed = talloc_zero(NULL, struct crashed_run);
+
+	*crashed = (struct crashed_run){talloc_strdup(crashed, task), run,
+					(same_id ? CRASH_SAME_ID : 0) | (dark ? CRASH_DARK : 0),
+					sim_now_ms()};
+	if (!crashed_runs)
+		crashed_runs = g_ptr_array_new();
+	g_ptr_array_add(crashed_runs, crashed);
+}
+
+static void on_record(const char *event, const char *id, const char *text)
+{
+	uint32_t run;
+
+	if (!crashed_runs || strcmp(event, "run_lost") != 0 || sscanf(text, "run %u", &run) != 1)
+		return;
+	for (guint i = 0; i < crashed_runs->len; i++) {
+		struct crashed_run *crashed = crashed_runs->pdata[i];
+		struct detection *detection = &detections[crashed->kind];
+		uint64_t passed_ms = sim_now_ms() - crashed->at_ms;
+
+		if (crashed->run != run || strcmp(crashed->task, id) != 0)
+			continue;
+		detection->count++;
+		detection->sum_ms += passed_ms;
+		if (passed_ms >= detection->max_ms) {
+			detection->max_ms = passed_ms;
+			detection->max_seed = day_seed;
+		}
+		talloc_free(crashed);
+		g_ptr_array_remove_index_fast(crashed_runs, i);
+		return;
+	}
+}
+
+static void end_crashes(void)
+{
+	for (guint i = 0; crashed_runs && i < crashed_runs->len; i++) {
+		struct crashed_run *crashed = crashed_runs->pdata[i];
+
+		detections[crashed->kind].unknown++;
+		talloc_free(crashed);
+	}
+	if (crashed_runs)
+		g_ptr_array_set_size(crashed_runs, 0);
+}
+
+static void print_detection(void)
+{
+	for (uint32_t i = 0; i < G_N_ELEMENTS(detections); i++) {
+		const struct detection *detection = &detections[i];
+
+		printf("runs of ended workers, %s id, %s: %u given up after %.0f ms on average, "
+		       "%" PRIu64 " ms at most (seed %" PRIu64 "); %u otherwise\n",
+		       i & CRASH_SAME_ID ? "same" : "new",
+		       i & CRASH_DARK ? "address does not answer" : "connections refused",
+		       detection->count,
+		       (double)detection->sum_ms / (double)MAX(detection->count, 1),
+		       detection->max_ms, detection->max_seed, detection->unknown);
+	}
+}
+
 /* Returns the number of violations. */
 static int play_day(uint64_t seed, const struct sim_fault_mix *mix, bool verbose,
 		    uint32_t *unfinished)
@@ -221,13 +315,19 @@
 	struct sim *sim = sim_create(seed);
 	int violations;
 
+	day_seed = seed;
 	sim->verbose = verbose;
+	if (measures_detection) {
+		sim->on_record = on_record;
+		sim_workers_watch_crashes(on_crashed_run);
+	}
 	sim_runs_create(SIM_MAX_ATTEMPTS);
 	if (mix->listed_ends)
 		sim_workers_limit_ends(mix->listed_ends);
 	sim_fleet_create(sim_chance(0.1) ? (int)sim_between(8, 12) : 4, sim_chance(0.5));
 	plan_jobs();
 	sim_faults_plan(mix);
+	sim_announcements_plan(seed, mix);
 	sim_run_until(SIM_FAULTS_END_MS + CANCEL_LIMIT_MS);
 	check_workers();
 	end_cancelled_jobs();
@@ -238,6 +338,8 @@
 	else
 		check_states();
 	violations = sim_runs_violations();
+	if (measures_detection)
+		end_crashes();
 	sim_fleet_destroy();
 	sim_destroy(sim);
 	return violations;
@@ -318,6 +420,11 @@
 		if (!strcmp(argv[i], "--faults") && i + 1 < argc)
 			mix.only = argv[i + 1];
 		mix.partitions = mix.partitions || !strcmp(argv[i], "--partitions");
+		if (!strcmp(argv[i], "--announcements"))
+			mix.announcements = SIM_ANNOUNCEMENTS_MOSTLY;
+		if (!strcmp(argv[i], "--some-announcements"))
+			mix.announcements = SIM_ANNOUNCEMENTS_SHARE;
+		measures_detection = measures_detection || !strcmp(argv[i], "--detection");
 		if (!strcmp(argv[i], "--ends") && i + 1 < argc)
 			mix.listed_ends = (uint32_t)atoi(argv[i + 1]);
 	}
@@ -334,6 +441,8 @@
 	}
 	printf("%" PRIu64 " days: %d with violations, %d with unfinished jobs\n", count, broken,
 	       stuck);
+	if (measures_detection)
+		print_detection();
 	return broken > 0 || stuck > 0;
 }
 
