--- a/tests/sim_worker.c
+++ b/tests/sim_worker.c
@@ -903,7 +903,7 @@
 
 	if (worker->agent && sim_process_alive(worker->agent) && worker->runner &&
 	    !is_indistinguishable(beat))
-		runner_announced(worker->runner, &beat->announcement);
+		runner_announced(worker->runner, &beat->announcement, NULL, NULL);
 	talloc_free(beat);
 }
 
