test_fleet_sim: two refused calls have an answer between them

A refusal is a single event for the agent only if it gets an answer before the next one. Refusals were counted at the worker, so an answer that was still on its way could lie between two that the agent sees in a row.

--- a/tests/sim_worker.c
+++ b/tests/sim_worker.c
@@ -89,7 +89,8 @@
 	uint64_t ends_known; /* ends up to this number are forgotten */
 	struct sim_worker_faults faults;
 	bool misdirected; /* the latest call for a list was */
-	bool refused;	  /* the latest call was */
+	bool refusing;	  /* a call was refused, and the agent does not know it yet */
+	bool refused;	  /* the latest that the agent knows is that a call was refused */
 	struct former former[FORMER_MAX];
 	size_t former_count;
 	struct sim_process *agent;
@@ -516,10 +517,21 @@
 	struct runner_list list;
 };
 
+/* The agent learns that a call was refused, or that it was answered. */
+static void note_delivery(struct sim_worker *worker, bool refused, bool answered)
+{
+	if (refused)
+		worker->refusing = false;
+	if (refused || answered)
+		worker->refused = refused;
+}
+
 static void answer_order(void *ctx)
 {
 	struct call *call = ctx;
 
+	note_delivery(call->worker, call->result == RUNNER_NOT_SENT,
+		      call->result != RUNNER_NO_ANSWER);
 	call->order_done(call->result, call->list.clock_ms, call->ctx);
 	talloc_free(call);
 }
@@ -528,6 +540,8 @@
 {
 	struct call *call = ctx;
 
+	note_delivery(call->worker, call->status == -ERR_UNAVAILABLE,
+		      !call->status || call->status == -ERR_STALE || call->status == -ERR_DENIED);
 	call->list_done(call->status, call->status ? NULL : &call->list, call->ctx);
 	talloc_free(call);
 }
@@ -683,10 +697,22 @@
 }
 
 /* Without a share nothing is drawn, so that days without these faults stay what they are. */
-static bool is_hit(double share, bool *latest)
+static bool is_misdirected(struct sim_worker *worker)
+{
+	double share = worker->faults.misdirected;
+
+	worker->misdirected = share > 0 && !worker->misdirected && sim_chance(share);
+	return worker->misdirected;
+}
+
+static bool is_refused(struct sim_worker *worker)
 {
-	*latest = share > 0 && !*latest && sim_chance(share);
-	return *latest;
+	double share = worker->faults.refused;
+
+	if (share <= 0 || worker->refusing || worker->refused || !sim_chance(share))
+		return false;
+	worker->refusing = true;
+	return true;
 }
 
 static bool names_worker(const struct call *call)
@@ -715,12 +741,12 @@
 		fail_call(call, CALL_TIMEOUT_MS, RUNNER_NO_ANSWER, -ERR_DEADLINE);
 		return;
 	}
-	if (is_hit(worker->faults.refused, &worker->refused)) {
+	if (is_refused(worker)) {
 		sim_print("%s: a call is refused", worker->node);
 		fail_call(call, 1, RUNNER_NOT_SENT, -ERR_UNAVAILABLE);
 		return;
 	}
-	if (names_worker(call) && is_hit(worker->faults.misdirected, &worker->misdirected)) {
+	if (names_worker(call) && is_misdirected(worker)) {
 		sim_print("%s: a call is answered as another incarnation", worker->node);
 		fail_call(call, sim_between(1, 3), RUNNER_OTHER_INCARNATION, -ERR_STALE);
 		return;
@@ -1064,6 +1090,8 @@
 {
 	worker->agent = agent;
 	worker->runner = runner;
+	worker->refusing = false;
+	worker->refused = false;
 }
 
 static void keep_former(struct sim_worker *worker)
--- a/tests/sim_worker.h
+++ b/tests/sim_worker.h
@@ -21,10 +21,10 @@
 	bool cut;	   /* nothing passes between agent and worker; some calls pass later */
 	double unhealthy;  /* share of starts that an unhealthy worker refuses */
 	double late_beats; /* share of announcements that arrive later */
-	/* Share of calls for a list that are answered as another incarnation; never two in a row.
-	 */
+	/* Share of calls for a list that another incarnation answers; never two in a row. */
 	double misdirected;
-	double refused; /* share of connections that are refused; never two in a row */
+	/* Share of calls that are refused; the agent gets an answer between two of them. */
+	double refused;
 };
 
 #define SIM_STEPS_MAX 4
