--- a/src/runner.h
+++ b/src/runner.h
@@ -86,8 +86,9 @@
 
 /**
  * struct runner_calls - calls to the worker
- * @renew: its callback receives status 0 with a list; -ERR_UNAVAILABLE when nothing listens
- *	at the worker's address; -ERR_STALE when another incarnation answered; -ERR_DENIED
+ * @renew: its callback receives status 0 with a list; -ERR_UNAVAILABLE when the worker's host has
+ *	refused the connection, so that nothing listens at the address; -ERR_SYSTEM when the
+ *	connection failed otherwise; -ERR_STALE when another incarnation answered; -ERR_DENIED
  *	when the worker has accepted a higher fence; -ERR_DEADLINE when there was no answer in
  *	time; another error without a usable answer
  *
@@ -147,7 +148,7 @@
  * @done: called once, at once or when the worker has been asked; may be NULL. @status: 0 if the
  *	announcement is taken; -ERR_INVALID if it is of another service, or lacks the start time
  *	that the worker gives in its lists; -ERR_STALE if the worker answers as another
- *	incarnation; -ERR_UNAVAILABLE if it did not answer within 2 s; -ERR_QUEUE_FULL if too
+ *	incarnation; -ERR_UNAVAILABLE if it did not answer within about 3 s; -ERR_QUEUE_FULL if too
  *	many announcements wait for its answer
  *
  * Only an announcement of the present incarnation is taken without asking the worker. Nothing is
