--- a/tests/test_fleet_sim.c
+++ b/tests/test_fleet_sim.c
@@ -404,6 +404,21 @@
 		check_mixed_day(seed, &mix);
 }
 
+/*
+ * Guards against a live worker whose runs are given up because of an announcement of another writer
+ * or one answer of another incarnation. Refused calls are left to days by hand.
+ */
+static void test_announcements_of_others(void)
+{
+	const struct sim_fault_mix mix = {.announcements = SIM_ANNOUNCEMENTS_MOSTLY,
+					  .only = "announce,leave,replace,replay,misdirect,cut,"
+						  "freeze,kill,crash,worker,store,stop,drain,"
+						  "outage,compaction,clock,lag"};
+
+	for (uint64_t seed = 1; seed <= SEEDS_OF_KIND; seed++)
+		check_mixed_day(seed, &mix);
+}
+
 static int play_by_hand(int argc, char **argv)
 {
 	uint64_t first = strtoull(argv[1], NULL, 10);
@@ -459,6 +474,7 @@
 	CU_add_test(suite, "late_calls", test_late_calls);
 	CU_add_test(suite, "lists_cut_short", test_lists_cut_short);
 	CU_add_test(suite, "partitions", test_partitions);
+	CU_add_test(suite, "announcements_of_others", test_announcements_of_others);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
