runner: any answer of the worker ends a row of refused connections

Answers to starts, stops and enquiries end the row too. The fields of struct runner are in an order that the linter accepts.

--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -57,9 +57,9 @@
 	char *rack;
 	struct plan_resources room;
 	uint32_t generation; /* number of times that the state of the runs was reset, plus 1 */
+	uint32_t enquiries;  /* announcements about which the worker is being asked */
 	uint64_t worker_started_ms;
 	uint64_t sequence;
-	uint32_t enquiries;	    /* announcements about which the worker is being asked */
 	uint64_t worker_clock_ms;   /* last reading of the worker's clock */
 	uint64_t clock_read_ms;	    /* util_running_ms() at that reading */
 	GHashTable *runs;	    /* key -> struct run_row */
@@ -67,14 +67,15 @@
 	size_t end_count;
 	TALLOC_CTX *ends_mem;
 	uint64_t ends_stored;
-	bool more_ends; /* see &struct runner_list; of the latest list */
-	bool list_unreadable;
 	uint64_t list_received_ms; /* time of the latest list */
 	uint64_t renew_due_ms;
-	uint32_t renewals;	   /* number sent so far; only the answer to the latest counts */
 	uint64_t list_fence;	   /* of the call that returned the latest list */
+	uint32_t renewals;	   /* number sent so far; only the answer to the latest counts */
 	uint32_t connect_failures; /* calls in a row that found nothing listening */
-	bool renewal_failed;	   /* the latest one */
+	uint32_t contradictions;   /* since the latest list of the present incarnation */
+	bool more_ends;		   /* see &struct runner_list; of the latest list */
+	bool list_unreadable;
+	bool renewal_failed; /* the latest one */
 	/*
 	 * A call with the end of a lease by the clock of the former incarnation may reach this one,
 	 * whose clock started anew; the worker then shortens the lease to WORKER_LEASE_MAX_MS.
@@ -86,23 +87,22 @@
 	char *leader_address;
 	uint64_t session;	    /* given by the leader to this process; 0: none yet */
 	uint32_t epoch;		    /* see runner_fence() */
+	uint32_t report_ms;	    /* interval between reports */
 	uint64_t authority_end_ms;  /* until then the orders allow starts and renewals */
 	uint64_t leader_contact_ms; /* last orders, or last attempt to connect */
 	uint64_t reported_ms;
 	uint64_t leader_queried_ms; /* last read of the leader's record in the store */
-	uint32_t report_ms;	    /* interval between reports */
+	uint64_t down_ms;	    /* when @down became true */
+	const char *why_down;	    /* constant */
 	bool accepting;
 	bool alive; /* an incarnation has announced itself and is not known to have ended */
 	bool down;  /* certainly nothing runs on the worker; false while its state is unknown */
 	/* Another incarnation has answered a call; until it is known which one, calls name none. */
 	bool contradicted;
 	bool renamed; /* that answer was of another identifier, otherwise of another start time */
-	uint32_t contradictions; /* since the latest list of the present incarnation */
-	bool settled;		 /* a complete list was read from this incarnation */
-	bool leaving;		 /* the worker shuts down for good */
-	uint64_t down_ms;	 /* when @down became true */
-	const char *why_down;	 /* constant */
-	bool down_received;	 /* the leader has received a report of that */
+	bool settled; /* a complete list was read from this incarnation */
+	bool leaving; /* the worker shuts down for good */
+	bool down_received; /* the leader has received a report of that */
 	bool renewing;
 	bool connected;
 	bool leader_query_pending;
@@ -140,6 +140,8 @@
 /* Identifier that calls name, so that no other incarnation carries them out; NULL: none is known.
  */
 const char *runner_named_worker(const struct runner *runner);
+/* Whoever listens has answered a call, so connections that were refused before prove nothing. */
+void runner_answered(struct runner *runner);
 /*
  * Concludes what the answer to a call for a list says of the worker.
  * @named: the call named the present incarnation
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -154,6 +154,15 @@
 	row->runner->renew_due_ms = 0;
 }
 
+/* The clock of another incarnation is another one. */
+static void read_answer(struct runner *runner, enum runner_call_result result, uint64_t clock_ms)
+{
+	if (result != RUNNER_NOT_SENT && result != RUNNER_NO_ANSWER)
+		runner_answered(runner);
+	if (clock_ms && result != RUNNER_OTHER_INCARNATION)
+		runner_read_clock(runner, clock_ms);
+}
+
 static void on_started(enum runner_call_result result, uint64_t clock_ms, void *ctx)
 {
 	struct run_row *row = ctx;
@@ -161,9 +170,7 @@
 
 	if (!finish_call(row))
 		return;
-	/* The clock of another incarnation is another one. */
-	if (clock_ms && result != RUNNER_OTHER_INCARNATION)
-		runner_read_clock(runner, clock_ms);
+	read_answer(runner, result, clock_ms);
 	/* A stop was ordered, or the start withdrawn, while the start call was pending. */
 	if (row->state != RUN_ORDERED) {
 		runner_make_due_calls(runner, util_clock_ms());
@@ -212,9 +219,7 @@
 
 	if (!finish_call(row))
 		return;
-	/* The clock of another incarnation is another one. */
-	if (clock_ms && result != RUNNER_OTHER_INCARNATION)
-		runner_read_clock(runner, clock_ms);
+	read_answer(runner, result, clock_ms);
 	if (result == RUNNER_STARTED) { /* the worker has carried out the stop */
 		log_info("run_stopped", row->task, "run %u", row->run);
 		close_run(row);
--- a/src/runnerworker.c
+++ b/src/runnerworker.c
@@ -180,6 +180,11 @@
 		conclude_absent(runner);
 }
 
+void runner_answered(struct runner *runner)
+{
+	runner->connect_failures = 0;
+}
+
 /* A call that ended without an answer does not show that the worker is there. */
 static bool is_answer(int status)
 {
@@ -195,7 +200,7 @@
 		return false;
 	}
 	if (is_answer(status))
-		runner->connect_failures = 0;
+		runner_answered(runner);
 	if (!runner->alive)
 		return false;
 	if (status == -ERR_STALE && named)
@@ -298,6 +303,8 @@
 	struct runner *runner = enquiry->runner;
 	int result = compare_with_answer(runner, &enquiry->announcement, status, list);
 
+	if (is_answer(status))
+		runner_answered(runner);
 	if (result == -ERR_STALE || result == -ERR_INVALID) {
 		end_enquiry(enquiry, result);
 	} else if (result == 0 && enquiry->generation == runner->generation) {
