--- a/src/runnerworker.c
+++ b/src/runnerworker.c
@@ -151,8 +151,11 @@
 	runner->renew_due_ms = 0;
 }
 
-/* @list: of whoever listens, in answer to a call that names nobody */
-static void settle_doubt(struct runner *runner, const struct runner_list *list)
+/*
+ * @list: of whoever listens, in answer to a call that names nobody
+ * Return: true if it is the list of the worker after a restart.
+ */
+static bool settle_doubt(struct runner *runner, const struct runner_list *list)
 {
 	runner->contradicted = false;
 	if (!list->worker_started_ms || !runner->worker_started_ms) {
@@ -167,7 +170,9 @@
 		conclude_down(runner, "another incarnation answered");
 	} else {
 		conclude_restarted(runner, list->worker_started_ms);
+		return true;
 	}
+	return false;
 }
 
 static void count_refused_connection(struct runner *runner)
@@ -207,10 +212,8 @@
 		doubt_incarnation(runner, true);
 	if (status)
 		return false;
-	if (!named) {
-		settle_doubt(runner, list);
-		return false;
-	}
+	if (!named)
+		return settle_doubt(runner, list);
 	if (list->worker_started_ms && runner->worker_started_ms &&
 	    list->worker_started_ms != runner->worker_started_ms) {
 		doubt_incarnation(runner, false);
