runner: a wrong answer after a restart does not end the worker

A worker that had restarted under its identifier, and had begun runs since, counted as down when one call by name was answered as another incarnation: the list without a name then showed another start time, which two causes have.

The agent calls by name once more: a second such answer ends the worker, a list under the name shows the restart. A replaced worker is found one more round trip later.

Evidence: test_runnerworker/wrong_answer_after_restart failed before.

--- a/src/runner.c
+++ b/src/runner.c
@@ -338,7 +338,7 @@
 	}
 	if (runner_judge_answer(runner, call.named, status, list))
 		apply_renewal(runner, &call, list);
-	else if (runner->contradicted)
+	else if (runner->contradictions > 0)
 		runner_renew_if_due(runner, now_ms);
 }
 
--- a/src/runnerworker.c
+++ b/src/runnerworker.c
@@ -15,7 +15,7 @@
  */
 
 #define CONNECT_FAILURES_TO_DOWN 2 /* a single refused connection may be a reset */
-#define CONTRADICTIONS_TO_DOWN 2   /* of a worker that gives no start time */
+#define CONTRADICTIONS_TO_DOWN 2   /* answers of another incarnation, with doubts between */
 #define CONTRADICTED_RETRY_MS 200
 /*
  * An announcement waits this long for an answer of the worker that settles it, so that the worker
@@ -167,7 +167,9 @@
 			 "%s has listed its runs, so the answer was wrong", runner->incarnation);
 		runner->renew_due_ms = util_clock_ms() + CONTRADICTED_RETRY_MS;
 	} else if (runner->renamed) {
-		conclude_down(runner, "another incarnation answered");
+		/* One wrong answer may have come from the worker after a restart. */
+		if (runner->contradictions >= CONTRADICTIONS_TO_DOWN)
+			conclude_down(runner, "another incarnation answered");
 	} else {
 		conclude_restarted(runner, list->worker_started_ms);
 		return true;
--- a/tests/sim_announcements.h
+++ b/tests/sim_announcements.h
@@ -10,6 +10,6 @@
  * @seed: of the day. They are drawn from a stream of their own, so that all other faults of the day
  *	are the same without them
  */
-void sim_announcements_plan(uint64_t seed, const struct sim_fault_mix *mix);
+void sim_announcements_plan(uint64_t seed, const struct sim_fault_mix *faults);
 
 #endif
--- a/tests/test_runnerworker.c
+++ b/tests/test_runnerworker.c
@@ -123,6 +123,25 @@
 	runnerworld_destroy(f);
 }
 
+/* Guards against a run on a restarted worker that is given up because of one wrong answer. */
+static void test_wrong_answer_after_restart(void)
+{
+	struct runnerworld *f = create_world();
+
+	start_run(f);
+	f->misdirected = 1;
+	for (int i = 0; i < 100 && f->misdirected; i++)
+		memkv_run(f->ev, 1);
+	f->born_ms = BORN_MS + 900;
+	for (int i = 0; i < 100; i++) {
+		memkv_run(f->ev, STEP_MS);
+		CU_ASSERT_TRUE(f->report->alive);
+	}
+	CU_ASSERT_EQUAL(f->misdirected, 0);
+	CU_ASSERT_STRING_EQUAL(f->report->info.incarnation, "w1/7900");
+	runnerworld_destroy(f);
+}
+
 /* Guards against one wrong answer, or one announcement, that ends a worker without start times. */
 static void test_lists_without_start_time(void)
 {
@@ -422,6 +441,7 @@
 	CU_add_test(suite, "announcements_of_others", test_announcements_of_others);
 	CU_add_test(suite, "one_misdirected_answer", test_one_misdirected_answer);
 	CU_add_test(suite, "one_list_of_other_start", test_one_list_of_other_start);
+	CU_add_test(suite, "wrong_answer_after_restart", test_wrong_answer_after_restart);
 	CU_add_test(suite, "lists_without_start_time", test_lists_without_start_time);
 	CU_add_test(suite, "replaced_worker_without_start_time",
 		    test_replaced_worker_without_start_time);
