--- a/src/runnerworker.c
+++ b/src/runnerworker.c
@@ -157,22 +157,19 @@
  */
 static bool settle_doubt(struct runner *runner, const struct runner_list *list)
 {
+	bool unknown = !list->worker_started_ms || !runner->worker_started_ms;
+
 	runner->contradicted = false;
-	if (!list->worker_started_ms || !runner->worker_started_ms) {
-		/* Only a second answer to a call by name can tell. */
-		if (runner->contradictions >= CONTRADICTIONS_TO_DOWN)
-			conclude_down(runner, "another incarnation answered");
-	} else if (list->worker_started_ms == runner->worker_started_ms) {
+	if (!unknown && list->worker_started_ms == runner->worker_started_ms) {
 		log_once("worker_contradicted", runner->worker,
 			 "%s has listed its runs, so the answer was wrong", runner->incarnation);
 		runner->renew_due_ms = util_clock_ms() + CONTRADICTED_RETRY_MS;
-	} else if (runner->renamed) {
-		/* One wrong answer may have come from the worker after a restart. */
-		if (runner->contradictions >= CONTRADICTIONS_TO_DOWN)
-			conclude_down(runner, "another incarnation answered");
-	} else {
+	} else if (!unknown && !runner->renamed) {
 		conclude_restarted(runner, list->worker_started_ms);
 		return true;
+	} else if (runner->contradictions >= CONTRADICTIONS_TO_DOWN) {
+		/* One wrong answer may have come from the worker itself, or after a restart. */
+		conclude_down(runner, "another incarnation answered");
 	}
 	return false;
 }
