--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -6,6 +6,8 @@
 record=$folder/record.txt
 net=127.$((RANDOM % 100 + 100)).$((RANDOM % 250 + 1))
 declare -A pids
+workers=3
+advice=
 : >"$record"
 
 finish() {
@@ -48,8 +50,8 @@
 	note "$1 $2$3 ${4:0:150} -> $answer"
 }
 
-route() { # NAME PREFIX PRIORITY
-	printf '{"name":"%s","host":"q.example","prefix":"%s","kind":"non_idempotent","timeout_ms":3000,"slo_ms":1000,"priority":%d,"service":"svc","max_attempts":3,"stretch":3.0,"public":false}' "$@"
+route() { # NAME PREFIX PRIORITY [FIELDS]
+	printf '{"name":"%s","host":"q.example","prefix":"%s","kind":"non_idempotent","timeout_ms":3000,"slo_ms":1000,"priority":%d,"service":"svc","max_attempts":3,"stretch":3.0,"public":false%s}' "$1" "$2" "$3" "${4:+,$4}"
 }
 
 # configure VERSION ROUTES: writes the configuration as the operator does.
@@ -59,7 +61,7 @@
 }
 
 start_entry() { # NUMBER
-	echo "{\"node\":\"edge-$1\",\"message_address\":\"$net.1$1:4301\",\"metrics_address\":\"$net.1$1:4302\",\"store_address\":\"$store\",\"callers_address\":\"$net.1$1:4303\",\"ready_address\":\"$net.1$1:4304\",\"grace_s\":6,\"keep_ended_s\":120,\"stop_ms\":200,\"away_factor\":3,\"unavailable_after_ms\":4500,\"processor_share\":0.25,\"processors\":1}" >"$work/edge-$1.json"
+	echo "{\"node\":\"edge-$1\",\"message_address\":\"$net.1$1:4301\",\"metrics_address\":\"$net.1$1:4302\",\"store_address\":\"$store\",\"callers_address\":\"$net.1$1:4303\",\"ready_address\":\"$net.1$1:4304\",\"grace_s\":6,\"keep_ended_s\":120,\"stop_ms\":200,\"away_factor\":3,\"unavailable_after_ms\":4500,\"processor_share\":0.25,\"processors\":1${advice:+,\"advice_address\":\"$advice\"}}" >"$work/edge-$1.json"
 	run "edge-$1" target/bin/jaycourse-fleet entry --config "$work/edge-$1.json"
 	front[$1]=$net.1$1:4303
 }
@@ -67,10 +69,11 @@
 start_worker() { # NUMBER
 	echo "{\"node\":\"side-$1\",\"message_address\":\"$net.2$1:4301\",\"metrics_address\":\"$net.2$1:4302\",\"store_address\":\"$store\",\"control_address\":\"$net.2$1:4305\",\"worker_address\":\"$net.2$1:4306\",\"service\":\"svc\",\"grace_s\":6}" >"$work/side-$1.json"
 	run "side-$1" target/bin/jaycourse-fleet agent --config "$work/side-$1.json"
-	run "worker-$1" target/review-2/minion "i-$1" svc "r$1" "$net.2$1:4305" "$net.2$1:4306"
+	run "worker-$1" target/review-2/minion "i-$1" svc "r$(($1 / 3))" "$net.2$1:4305" "$net.2$1:4306"
 }
 
-# deploy ROUTES: starts everything and waits until both entries are ready.
+# deploy ROUTES: starts everything and waits until both entries are ready. With $advice set, the entries
+# use the advice service there.
 deploy() {
 	local i tries
 	[ -x target/bin/jaycourse-fleet ] && [ -x target/review-2/minion ] || give_up "build first"
@@ -79,7 +82,7 @@
 	sleep 0.5
 	configure 1 "$1"
 	for i in 0 1; do start_entry $i; done
-	for i in 0 1 2; do start_worker $i; done
+	for ((i = 0; i < workers; i++)); do start_worker $i; done
 	for ((tries = 0; tries < 50; tries++)); do
 		sleep 0.2
 		[ "$(call GET "$net.10:4304" /v1/ready)$(call GET "$net.11:4304" /v1/ready)" = "200 200 " ] &&
