--- a/review/advice-2.c
+++ b/review/advice-2.c
@@ -2,7 +2,8 @@
  * Stand-in of the advice service. It approves every worker, after DECISION_MS and PER_WORKER_MS for
  * each one named, one call after the other.
  *
- * Usage: advice ADDRESS DECISION_MS PER_WORKER_MS VALID_MS. Each answer is written to standard output.
+ * Usage: advice ADDRESS DECISION_MS PER_WORKER_MS VALID_MS. Each answer is written to standard
+ * output.
  */
 #include "httpd.h"
 #include "util.h"
@@ -76,10 +77,11 @@
 		busy_until_ms = now_ms;
 	busy_until_ms += decision_ms + per_worker_ms * json_array_size(workers);
 	httpd_set_context(call, waiting);
-	tevent_add_timer(ev, ev,
-			 tevent_timeval_current_ofs((uint32_t)((busy_until_ms - now_ms) / 1000),
-						    (uint32_t)((busy_until_ms - now_ms) % 1000 * 1000)),
-			 on_decided, waiting);
+	tevent_add_timer(
+		ev, ev,
+		tevent_timeval_current_ofs((uint32_t)((busy_until_ms - now_ms) / 1000),
+					   (uint32_t)((busy_until_ms - now_ms) % 1000 * 1000)),
+		on_decided, waiting);
 	json_decref(body);
 }
 
--- a/review/burst-2.c
+++ b/review/burst-2.c
@@ -1,8 +1,8 @@
 /*
  * Hands in many jobs, all at once or one after the other, and prints each answer's status.
  *
- * Usage: burst FILE COUNT PREFIX AT_ONCE FRONT...: the body is in FILE, the id of job N is PREFIX and
- * N in four hexadecimal digits.
+ * Usage: burst FILE COUNT PREFIX AT_ONCE FRONT...: the body is in FILE, the id of job N is PREFIX
+ * and N in four hexadecimal digits.
  */
 #include "httpc.h"
 #include "util.h"
