--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,14 +1,12 @@
-#!/bin/bash
-# Builds the stand-ins of review/6 to review/10 into target/review-2, after the deploy build.
-set -euo pipefail
+#!/bin/sh
+# Builds the cases of review/6 to review/10 with their stand-ins into target/review-2, after the
+# build of the deploy file.
+set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-flags="-std=gnu11 -O2 -D_GNU_SOURCE -Isrc -Itests"
-libs="target/libjaycourse.a $(pkg-config --cflags --libs talloc tevent libmicrohttpd libcurl glib-2.0 jansson) -lpthread -lm"
-build() {
-	gcc $flags "$2" "${@:3}" -o "target/review-2/$1" $libs
-}
-build platform review/platform-2.c tests/lib_memkv.c
-build minion tests/fake_minion.c
-build advice review/advice-2.c
-build burst review/burst-2.c
+for i in 6 7 8 9 10; do
+	gcc -std=gnu11 -O2 -Wall -Wextra -Wno-unused-parameter -D_GNU_SOURCE -Isrc -Ireview \
+		"review/$i/case.c" review/fleet-2.c target/libjaycourse.a -o "target/review-2/case-$i" \
+		$(pkg-config --cflags --libs talloc tevent libmicrohttpd libcurl glib-2.0 jansson) \
+		-lpthread -lm
+done
--- a/review/fleet-2.c
+++ b/review/fleet-2.c
@@ -274,12 +274,9 @@
 	struct event *event = g_new0(struct event, 1);
 	struct event *first;
 
-	*event = (struct event){g_strdup(key),
-				item ? g_strdup(item->value) : NULL,
-				world.revision,
-				item ? item->created : 0,
-				item ? item->lease : 0,
-				util_clock_ms()};
+	*event = (struct event){g_strdup(key),		item ? g_strdup(item->value) : NULL,
+				world.revision,		item ? item->created : 0,
+				item ? item->lease : 0, util_clock_ms()};
 	g_ptr_array_add(world.events, event);
 	while ((first = world.events->pdata[0])->at_ms + HISTORY_MS < util_clock_ms()) {
 		world.compacted = first->revision;
@@ -406,7 +403,7 @@
 		/* Of base64 text, of which up to two bytes are padding. */
 		if (strlen(text_of(row, "value")) / 4 * 3 > VALUE_MAX + 2) {
 			fleet_note("store: %s refused, its value is over value_bytes",
-			     text_of(row, "key"));
+				   text_of(row, "key"));
 			return 400;
 		}
 		if (lease && !g_hash_table_contains(world.leases, &lease))
@@ -541,7 +538,8 @@
 	} else if (g_str_has_prefix(path, "/v1/kv-lease-end/")) {
 		end_lease(atoll(strrchr(path, '/') + 1));
 		answer(call, 200, json_object());
-	} else if (g_str_has_prefix(path, "/v1/kv-lease") || g_str_has_prefix(path, "/v1/kv-keep")) {
+	} else if (g_str_has_prefix(path, "/v1/kv-lease") ||
+		   g_str_has_prefix(path, "/v1/kv-keep")) {
 		serve_lease(call, path, body);
 	} else {
 		answer(call, 404, json_object());
@@ -606,20 +604,20 @@
 	for (guint i = 0; i < minion->runs->len; i++) {
 		const struct run *run = minion->runs->pdata[i];
 
-		json_array_append_new(running, json_pack("[s, i, s, i, i]", run->task,
-							 (int)run->number, "",
-							 (int)run_percent(run), 0));
+		json_array_append_new(running,
+				      json_pack("[s, i, s, i, i]", run->task, (int)run->number, "",
+						(int)run_percent(run), 0));
 	}
 	for (guint i = 0; i < minion->ends->len && json_array_size(ended) < PAGE_MAX; i++) {
 		const struct end *end = minion->ends->pdata[i];
 
 		if (end->number > minion->known)
-			json_array_append_new(ended, json_pack("[I, s, i, s, s]",
-							       (json_int_t)end->number, end->task,
-							       (int)end->run, end->how, ""));
+			json_array_append_new(ended,
+					      json_pack("[I, s, i, s, s]", (json_int_t)end->number,
+							end->task, (int)end->run, end->how, ""));
 	}
-	return json_pack("{s:I, s:o, s:o}", "born", (json_int_t)minion->born_ms, "running",
-			 running, "ended", ended);
+	return json_pack("{s:I, s:o, s:o}", "born", (json_int_t)minion->born_ms, "running", running,
+			 "ended", ended);
 }
 
 static void close_run(struct minion *minion, const char *task, uint32_t run)
@@ -694,7 +692,7 @@
 	g_ptr_array_add(minion->runs, run);
 	g_ptr_array_add(world.started, g_strdup(task));
 	fleet_note("%s: task %s run %u starts (%.20s)", minion->id, task, number,
-	     text_of(body, "task_spec"));
+		   text_of(body, "task_spec"));
 	return NULL;
 }
 
@@ -720,7 +718,8 @@
 	extend(minion, (uint64_t)number_of(body, "deadline_ms"));
 	if (seen > minion->known) {
 		minion->known = MIN(seen, minion->ended);
-		fleet_note("%s: ends up to %" PRIu64 " are taken note of", minion->id, minion->known);
+		fleet_note("%s: ends up to %" PRIu64 " are taken note of", minion->id,
+			   minion->known);
 	}
 	*hold = (struct hold){call, util_clock_ms() + (uint64_t)number_of(body, "wait_ms"),
 			      minion->ended};
@@ -742,8 +741,8 @@
 	} else if (fence < minion->fence) {
 		minion_answer(minion, call, 409, json_pack("{s:s}", "reason", "fence"));
 	} else if (!strcmp(path, "/v1/run-start") && minion->unhealthy) {
-		fleet_note("%s: start of %s run %d is answered 503", minion->id, text_of(body, "task"),
-		     (int)number_of(body, "run"));
+		fleet_note("%s: start of %s run %d is answered 503", minion->id,
+			   text_of(body, "task"), (int)number_of(body, "run"));
 		minion_answer(minion, call, 503, json_object());
 	} else {
 		minion->fence = fence;
@@ -784,14 +783,15 @@
 static void send_heartbeat(struct minion *minion)
 {
 	static const char *const headers[] = {"Content-Type: application/json"};
-	char *url = g_strdup_printf("http://%s:7004/v1/instances/%s", minion->agent->ip, minion->id);
+	char *url =
+		g_strdup_printf("http://%s:7004/v1/instances/%s", minion->agent->ip, minion->id);
 	json_t *json = json_pack(
 		"{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:{s:i, s:i, s:i}, s:[s, s], s:I, s:I, s:I}",
 		"service", SERVICE, "address", minion->address, "zone", "z", "version", "v1",
 		"slots", 8, "state", "ready", "cold_remaining_ms", 0, "capacity", "cpu", 128000,
-		"mem_mb", 524288, "gpu", FLEET_GPUS, "labels", minion->kind, minion->rack, "clock_ms",
-		(json_int_t)minion_clock(minion), "seq", (json_int_t)++minion->sequence, "born",
-		(json_int_t)minion->born_ms);
+		"mem_mb", 524288, "gpu", FLEET_GPUS, "labels", minion->kind, minion->rack,
+		"clock_ms", (json_int_t)minion_clock(minion), "seq", (json_int_t)++minion->sequence,
+		"born", (json_int_t)minion->born_ms);
 	char *text = json_dumps(json, JSON_COMPACT);
 	struct httpc_request request = {.method = "PUT",
 					.url = url,
@@ -852,8 +852,7 @@
 static struct httpd *serve(const char *address, struct httpd_handlers handlers)
 {
 	struct err err = {0};
-	struct httpd *httpd =
-		httpd_create(world.mem, world.ev, address, BODY_MAX, &handlers, &err);
+	struct httpd *httpd = httpd_create(world.mem, world.ev, address, BODY_MAX, &handlers, &err);
 
 	if (!httpd)
 		give_up(err.message);
@@ -878,9 +877,9 @@
 	snprintf(minion->id, sizeof(minion->id), "i-%u", index);
 	snprintf(minion->address, sizeof(minion->address), "127.%u.3.%u:7005", world.network,
 		 index + 1);
-	minion->httpd = serve(minion->address, (struct httpd_handlers){on_minion_call,
-								       on_minion_disconnect,
-								       minion});
+	minion->httpd =
+		serve(minion->address,
+		      (struct httpd_handlers){on_minion_call, on_minion_disconnect, minion});
 }
 
 void fleet_set_unhealthy(unsigned int minion, bool unhealthy)
@@ -889,12 +888,13 @@
 	fleet_note("%s is %s", world.minions[minion].id, unhealthy ? "unhealthy" : "healthy");
 }
 
-/* The processes of the fleet, with settings as deploy/entry.json and deploy/agent.json make them. */
+/* The processes of the fleet, with settings as deploy/entry.json and deploy/agent.json make them.
+ */
 
 static void write_settings(struct node *node, unsigned int index)
 {
-	json_t *json = json_pack("{s:s, s:s, s:s, s:i}", "node", node->name, "message_address",
-				 "", "store_address", "", "grace_s", 6);
+	json_t *json = json_pack("{s:s, s:s, s:s, s:i}", "node", node->name, "message_address", "",
+				 "store_address", "", "grace_s", 6);
 	char text[64];
 
 	snprintf(text, sizeof(text), "%s:7001", node->ip);
@@ -902,7 +902,8 @@
 	snprintf(text, sizeof(text), "127.%u.%u.%u:7000", world.network, node->entry ? 4 : 5,
 		 index + 1);
 	json_object_set_new(json, "store_address", json_string(text));
-	node->store = serve(text, (struct httpd_handlers){on_store_call, on_store_disconnect, node});
+	node->store =
+		serve(text, (struct httpd_handlers){on_store_call, on_store_disconnect, node});
 	if (node->entry) {
 		snprintf(text, sizeof(text), "%s:7002", node->ip);
 		json_object_set_new(json, "callers_address", json_string(text));
@@ -1034,8 +1035,8 @@
 
 json_t *fleet_step(int count, int gpu, int estimate_ms)
 {
-	json_t *json = json_pack("{s:i, s:i, s:i, s:i}", "count", count, "cpu", 1000, "mem_mb",
-				 100, "estimate_ms", estimate_ms);
+	json_t *json = json_pack("{s:i, s:i, s:i, s:i}", "count", count, "cpu", 1000, "mem_mb", 100,
+				 "estimate_ms", estimate_ms);
 
 	if (gpu)
 		json_object_set_new(json, "gpu", json_integer(gpu));
@@ -1084,8 +1085,8 @@
 
 static json_t *tenant(const char *name, const char *key, int gpu)
 {
-	return json_pack("{s:s, s:[s], s:i, s:{s:i}}", "name", name, "api_keys", key, "priority",
-			 1, "guaranteed", "gpu", gpu);
+	return json_pack("{s:s, s:[s], s:i, s:{s:i}}", "name", name, "api_keys", key, "priority", 1,
+			 "guaranteed", "gpu", gpu);
 }
 
 static void write_config(void)
@@ -1093,9 +1094,9 @@
 	json_t *service = json_pack("{s:s, s:s, s:i, s:s, s:b, s:b, s:b}", "name", SERVICE,
 				    "health_path", "/healthz", "max_connections", 64, "protocol",
 				    "h1", "tls", 0, "rejects_overload", 1, "standby", 0);
-	json_t *limits = json_pack("{s:i, s:i, s:i, s:i}", "max_header_bytes", 16384,
-				   "max_body_bytes", 262144, "header_timeout_ms", 3000,
-				   "idle_timeout_ms", 15000);
+	json_t *limits =
+		json_pack("{s:i, s:i, s:i, s:i}", "max_header_bytes", 16384, "max_body_bytes",
+			  262144, "header_timeout_ms", 3000, "idle_timeout_ms", 15000);
 
 	operator_writes("op/config",
 			json_pack("{s:i, s:[o, o, o], s:[o], s:o, s:[o, o]}", "version", 1,
@@ -1233,8 +1234,7 @@
 		if (!all_ready())
 			continue;
 		fleet_run(SETTLE_MS);
-		fleet_note("the deployment is ready; %s leads",
-			   world.entries[fleet_leader()].name);
+		fleet_note("the deployment is ready; %s leads", world.entries[fleet_leader()].name);
 		return;
 	}
 	give_up("the deployment did not become ready");
--- a/review/fleet-2.h
+++ b/review/fleet-2.h
@@ -80,7 +80,8 @@
 int fleet_submit(unsigned int entry, const char *prefix, const char *id, const char *key,
 		 unsigned int work_ms, json_t *step, json_t *fields);
 
-/** fleet_submit_spec() - the same with a task_spec of the caller, "work MS GPU" and any more text */
+/** fleet_submit_spec() - the same with a task_spec of the caller, "work MS GPU" and any more text
+ */
 int fleet_submit_spec(unsigned int entry, const char *prefix, const char *id, const char *key,
 		      const char *spec, json_t *step, json_t *fields);
 
