--- a/review/fleet-2.c
+++ b/review/fleet-2.c
@@ -105,8 +105,7 @@
 
 struct hold {
 	struct httpd_call *call;
-	uint64_t until_ms;
-	uint64_t seen;
+	uint64_t until_ms; /* it is answered before if there is an end to list */
 };
 
 struct minion {
@@ -721,8 +720,7 @@
 		fleet_note("%s: ends up to %" PRIu64 " are taken note of", minion->id,
 			   minion->known);
 	}
-	*hold = (struct hold){call, util_clock_ms() + (uint64_t)number_of(body, "wait_ms"),
-			      minion->ended};
+	*hold = (struct hold){call, util_clock_ms() + (uint64_t)number_of(body, "wait_ms")};
 	g_ptr_array_add(minion->holds, hold);
 }
 
@@ -826,7 +824,7 @@
 	for (guint i = minion->holds->len; i-- > 0;) {
 		struct hold *hold = minion->holds->pdata[i];
 
-		if (util_clock_ms() < hold->until_ms && minion->ended == hold->seen)
+		if (util_clock_ms() < hold->until_ms && minion->ended == minion->known)
 			continue;
 		minion_answer(minion, hold->call, 200, lists_json(minion));
 		g_ptr_array_remove_index(minion->holds, i);
