fleet: Follow the operators' evacuations of zones

Callers saw work start in a zone that its operators had emptied: nothing read the keys under op/evacuate/. The entries now mirror all operators' keys in one range where the settings name evacuate_ms, and the plan counts workers of an evacuated zone as not accepting. Starts there that no worker has confirmed are withdrawn, and orders tell the agents of such workers to start nothing. A leader whose reads of these keys are overdue while its lease is still confirmed starts nothing anywhere. GET /zones on the metrics address and "jaycourse zones" list the zones.

--- a/src/cli_fleet.c
+++ b/src/cli_fleet.c
@@ -205,6 +205,25 @@
 	return CLI_OK;
 }
 
+static const struct argp zones_parser = {
+	.parser = reject_arguments,
+	.doc = "List the availability zones of a jaycourse-fleet deployment, as an entry's metrics "
+	       "address tells them: whether a zone is evacuated, for how long, and the tasks that "
+	       "still run there. The leader knows all zones, other entries only the evacuated "
+	       "ones.\vExample: jaycourse zones --entry http://10.1.0.18:9464",
+};
+
+static int run_zones(struct cli *cli, int argc, char **argv)
+{
+	static const struct cli_column columns[] = {
+		{"ZONE", "zone"},	{"STATE", "state"}, {"FOR MS", "for_ms"},
+		{"WORKERS", "workers"}, {"TASKS", "tasks"},
+	};
+
+	cli_parse(cli, &zones_parser, argc, argv, NULL);
+	return print_list(cli, "/zones", "zones", columns, COUNT_OF(columns));
+}
+
 struct drain_arguments {
 	const char *kind;
 	const char *name;
@@ -265,6 +284,7 @@
 	{"targets", "list targets", run_targets},
 	{"organisations", "list organisations", run_organisations},
 	{"fragmentation", "show the fragmentation of the fleet", run_fragmentation},
+	{"zones", "list the zones of a fleet, and which are evacuated", run_zones},
 	{"drain", "send no new work to a target, a rack or a zone", run_drain},
 	{0},
 };
--- a/src/coord.c
+++ b/src/coord.c
@@ -124,6 +124,7 @@
 		.ends_stored = row->ends_stored,
 		.report_ms = report_interval_ms(g_hash_table_size(coord->agents)),
 		.unsure = coord->ending || leader_renewal_overdue(coord->deps.leader),
+		.closed = coord->zones_unknown || plan_worker_closed(coord->plan, row->node),
 	};
 
 	/* Acknowledges only refusals passed to the plan; the agent repeats the others. */
@@ -206,6 +207,41 @@
 	return !suspended;
 }
 
+/*
+ * True while a zone may have been evacuated without the leader's knowledge: the store answers the
+ * renewals of its lease, but not the reads of the operators' keys. Without any answer of the store
+ * the leader's authority ends by itself.
+ */
+static bool zones_are_unknown(struct coord *coord)
+{
+	uint64_t age_ms = coord->deps.zones ? coord->deps.zones_age_ms(coord->deps.zones_ctx) : 0;
+	bool unknown = age_ms == UINT64_MAX ||
+		       (coord->deps.zones && age_ms > coord->deps.zones_age_max_ms &&
+			leader_confirmed(coord->deps.leader));
+
+	if (unknown != coord->zones_unknown && age_ms == UINT64_MAX)
+		log_warn("zones_unknown", "", "the operators' keys have not been read yet");
+	else if (unknown != coord->zones_unknown)
+		log_warn(unknown ? "zones_unknown" : "zones_known", "",
+			 "the store answered for the operators' keys %" PRIu64 " ms ago", age_ms);
+	coord->zones_unknown = unknown;
+	return unknown;
+}
+
+static void count_evacuated(struct coord *coord)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	struct plan_zone *zones;
+	size_t count = plan_zones(coord->plan, mem, &zones);
+	uint32_t tasks = 0;
+
+	for (size_t i = 0; i < count; i++)
+		tasks += zones[i].closed ? zones[i].tasks : 0;
+	metrics_set(coord->deps.metrics, coord->evacuated_zones, zones_count(coord->deps.zones));
+	metrics_set(coord->deps.metrics, coord->evacuated_tasks, tasks);
+	talloc_free(mem);
+}
+
 static void set_wait_metrics(struct coord *coord, const uint32_t *counts)
 {
 	for (int i = PLAN_WAIT_NONE + 1; i < PLAN_WAIT_COUNT; i++)
@@ -221,6 +257,8 @@
 	coord->waits_counted_ms = now_ms;
 	plan_count_waits(coord->plan, counts);
 	set_wait_metrics(coord, counts);
+	if (coord->deps.zones)
+		count_evacuated(coord);
 }
 
 static void run_decision(struct tevent_context *ev, struct tevent_immediate *im, void *ctx)
@@ -236,7 +274,7 @@
 		return;
 	if (leader_confirmed(coord->deps.leader))
 		plan_release_held(coord->plan);
-	if (may_decide(coord)) {
+	if (may_decide(coord) && !zones_are_unknown(coord)) {
 		wait_ms = plan_decide(coord->plan, began_ms, on_orders_changed, coord);
 		coord_ask_advice(coord, util_clock_ms());
 		count_waits(coord, began_ms);
@@ -511,6 +549,14 @@
 	coord->agent_restarts =
 		metrics_define(metrics, METRICS_COUNTER, "jaycourse_agent_processes_total", "",
 			       "Reports that came from another process of an agent than before");
+	if (coord->deps.zones) {
+		coord->evacuated_zones =
+			metrics_define(metrics, METRICS_GAUGE, "jaycourse_evacuated_zones", "",
+				       "Zones in which operators let nothing start");
+		coord->evacuated_tasks =
+			metrics_define(metrics, METRICS_GAUGE, "jaycourse_evacuated_tasks", "",
+				       "Tasks that still run in evacuated zones");
+	}
 	define_wait_metrics(coord);
 }
 
@@ -786,6 +832,56 @@
 	coord_schedule_decision(coord);
 }
 
+/* Number of tasks in a zone; *@known tells whether it has any worker. */
+static uint32_t count_zone_tasks(const struct coord *coord, const char *zone, bool *known)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	struct plan_zone *zones;
+	size_t count = plan_zones(coord->plan, mem, &zones);
+	uint32_t tasks = 0;
+
+	*known = false;
+	for (size_t i = 0; i < count; i++) {
+		if (strcmp(zones[i].name, zone) != 0)
+			continue;
+		*known = true;
+		tasks = zones[i].tasks;
+	}
+	talloc_free(mem);
+	return tasks;
+}
+
+void coord_zone_changed(struct coord *coord, const char *zone, bool closed)
+{
+	bool known;
+	uint32_t tasks = count_zone_tasks(coord, zone, &known);
+
+	plan_set_zone_closed(coord->plan, zone, closed);
+	/* It stays in force: the workers of the zone may all be away for a while. */
+	if (!known)
+		log_warn("zone_unknown", zone, "no worker of this zone has reported");
+	else
+		log_info(closed ? "zone_closed" : "zone_opened", zone, "%u tasks are at work there",
+			 tasks);
+	coord_schedule_decision(coord);
+}
+
+json_t *coord_zones(const struct coord *coord)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	json_t *rows = json_array();
+	struct plan_zone *zones;
+	size_t count = plan_zones(coord->plan, mem, &zones);
+
+	for (size_t i = 0; i < count; i++)
+		json_array_append_new(
+			rows, json_pack("{s:s, s:s, s:i, s:i}", "zone", zones[i].name, "state",
+					zones[i].closed ? "evacuated" : "in service", "workers",
+					(int)zones[i].workers, "tasks", (int)zones[i].tasks));
+	talloc_free(mem);
+	return rows;
+}
+
 static int coord_destructor(struct coord *coord)
 {
 	const uint32_t none[PLAN_WAIT_COUNT] = {0};
@@ -813,6 +909,8 @@
 	coord->plan = plan_create(coord, deps->params);
 	coord->conf = conf;
 	plan_configure(coord->plan, conf);
+	for (size_t i = 0; deps->zones && i < zones_count(deps->zones); i++)
+		plan_set_zone_closed(coord->plan, zones_row(deps->zones, i)->name, true);
 	coord->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	coord->progress = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	coord->agents = g_hash_table_new(g_str_hash, g_str_equal);
--- a/src/coord.h
+++ b/src/coord.h
@@ -8,6 +8,7 @@
 #include "metrics.h"
 #include "plan.h"
 #include "wire.h"
+#include "zones.h"
 
 /**
  * DOC: Controller of the job scheduler, run by the leader
@@ -32,7 +33,12 @@
 	const struct advice_calls *advice; /* NULL: no advice service is configured */
 	const char *node;
 	const struct plan_params *params;
-	uint32_t keep_ended_ms; /* ended jobs can be queried for this long */
+	uint32_t keep_ended_ms;	   /* ended jobs can be queried for this long */
+	const struct zones *zones; /* evacuated ones; NULL: operators evacuate none */
+	/* Time since the store last answered for @zones; UINT64_MAX before their first read. */
+	uint64_t (*zones_age_ms)(void *ctx);
+	void *zones_ctx;
+	uint32_t zones_age_max_ms; /* with older knowledge of @zones nothing is started */
 };
 
 /**
@@ -48,6 +54,12 @@
 /** coord_configure() - use a new configuration; borrowed until the next call */
 void coord_configure(struct coord *coord, const struct fleetconf *conf);
 
+/** coord_zone_changed() - a zone was evacuated or has returned, as &coord_deps.zones shows */
+void coord_zone_changed(struct coord *coord, const char *zone, bool closed);
+
+/** coord_zones() - zones with workers, as a new JSON array for operators */
+json_t *coord_zones(const struct coord *coord);
+
 /**
  * coord_message() - handle a message from another process
  *
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -67,6 +67,7 @@
 	bool agents_loaded;
 	bool loaded;		 /* all jobs are in the plan */
 	bool suspended;		 /* no decisions, as another process may have become leader */
+	bool zones_unknown;	 /* no starts, as a zone may have been evacuated meanwhile */
 	bool inherited_released; /* plan_recovery_done() was called: inherited jobs may start */
 	GQueue *cycle;		 /* ids of jobs still to be stored in the present cycle */
 	char **batch;		 /* ids of jobs in the present transaction */
@@ -83,6 +84,8 @@
 	uint32_t advice_calls;		     /* in progress */
 	int losses[PLAN_LOSS_COUNT];	     /* metric handles */
 	int agent_restarts;		     /* metric handle */
+	int evacuated_zones;		     /* metric handle */
+	int evacuated_tasks;		     /* metric handle */
 	int waiting_steps[PLAN_WAIT_COUNT];  /* metric handles; that of PLAN_WAIT_NONE is unused */
 	uint64_t waits_counted_ms;
 	struct tevent_immediate *decide_immediate;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -1,9 +1,12 @@
 #include "fleet.h"
 
 #include "coord.h"
+#include "fleetlimits.h"
 #include "log.h"
 #include "util.h"
+#include "zones.h"
 
+#include <glib.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdlib.h>
@@ -14,6 +17,11 @@
 #define DRAIN_TICK_MS 50
 #define DRAIN_MIN_MS 2300   /* the load balancer needs two failed checks, 1 s apart */
 #define DRAIN_MARGIN_MS 700 /* time left to exit before the process would be killed */
+/* Orders given before the leader hears of an evacuation are acted on for 2.5 s; the rest is
+ * reserve.
+ */
+#define EVACUATION_FOLLOW_MS (WORKER_RENEWAL_WINDOW_MS + 500)
+#define ZONES_AGE_MIN_MS 1000 /* the mirror waits up to 0.8 s for a change */
 #define HEARTBEAT_ANSWER "{}"
 #define ANNOUNCEMENTS_METRIC "jaycourse_announcements_total"
 #define ANNOUNCEMENTS_HELP "Announcements that arrived at the address of the agent's worker"
@@ -28,7 +36,9 @@
 	/* Only in an entry. */
 	struct httpd *callers;
 	struct httpd *ready;
-	struct kv_mirror *config_mirror;
+	struct kv_mirror *config_mirror; /* of the operators' keys */
+	struct zones *zones;		 /* evacuated ones; NULL: operators evacuate none */
+	bool zones_loaded;
 	struct fleetconf *conf;
 	struct leader *leader;
 	struct coord *coord;
@@ -68,6 +78,38 @@
 	return node->wire ? 0 : -ERR_SYSTEM;
 }
 
+/* The leader lists all zones with workers, another entry only the evacuated ones. */
+static void serve_zones(struct fleet_node *node, struct httpd_call *call)
+{
+	json_t *rows = node->coord ? coord_zones(node->coord) : json_array();
+	json_t *json = json_pack("{s:b, s:o}", "leader", node->coord != NULL, "zones", rows);
+	char *text;
+
+	for (size_t i = 0; !node->coord && i < zones_count(node->zones); i++) {
+		const struct zones_row *row = zones_row(node->zones, i);
+
+		json_array_append_new(
+			rows, json_pack("{s:s, s:s}", "zone", row->name, "state", "evacuated"));
+	}
+	for (size_t i = 0; i < json_array_size(rows); i++) {
+		json_t *object = json_array_get(rows, i);
+		const char *name = json_string_value(json_object_get(object, "zone"));
+
+		for (size_t k = 0; k < zones_count(node->zones); k++) {
+			const struct zones_row *row = zones_row(node->zones, k);
+
+			if (!strcmp(row->name, name))
+				json_object_set_new(object, "for_ms",
+						    json_integer((json_int_t)(util_clock_ms() -
+									      row->heard_ms)));
+		}
+	}
+	text = json_dumps(json, JSON_COMPACT);
+	httpd_answer(call, 200, "application/json", text ? text : "{}", 0);
+	free(text);
+	json_decref(json);
+}
+
 static void serve_metrics(struct httpd_call *call, void *ctx)
 {
 	struct fleet_node *node = ctx;
@@ -75,6 +117,8 @@
 
 	if (!strcmp(httpd_path(call), "/metrics"))
 		httpd_answer(call, 200, "text/plain", text, 0);
+	else if (!strcmp(httpd_path(call), "/zones") && node->zones)
+		serve_zones(node, call);
 	else
 		httpd_answer(call, 404, NULL, NULL, 0);
 	talloc_free(text);
@@ -87,14 +131,28 @@
 	return *server ? 0 : -ERR_SYSTEM;
 }
 
-static void on_config_item(const struct kv_item *item, void *ctx)
+static void on_evacuation(struct fleet_node *node, const struct kv_item *item, const char *zone)
+{
+	bool evacuated = item->revision != 0;
+	bool changed = evacuated
+			       ? zones_evacuate(node->zones, zone, item->revision, util_clock_ms())
+			       : zones_return(node->zones, zone);
+
+	if (!changed)
+		return;
+	if (evacuated)
+		log_info("zone_evacuated", zone, "by revision %" PRId64, item->revision);
+	else
+		log_info("zone_returned", zone, "the request for its evacuation was removed");
+	if (node->coord)
+		coord_zone_changed(node->coord, zone, evacuated);
+}
+
+static void on_config(struct fleet_node *node, const struct kv_item *item)
 {
-	struct fleet_node *node = ctx;
 	struct fleetconf *conf;
 	struct err err = {0};
 
-	if (strcmp(item->key, node->platform.config_key) != 0 || item->revision == 0)
-		return;
 	conf = node->platform.read_config(node, item->value, item->value_len, &err);
 	if (!conf) {
 		log_once("config_malformed", item->key, "revision %" PRId64 ": %s", item->revision,
@@ -117,6 +175,36 @@
 	node->conf = conf;
 }
 
+static void on_operator_item(const struct kv_item *item, void *ctx)
+{
+	struct fleet_node *node = ctx;
+	const char *zone;
+	int status;
+
+	if (!strcmp(item->key, node->platform.config_key)) {
+		if (item->revision != 0)
+			on_config(node, item);
+		return;
+	}
+	status = node->zones ? node->platform.evacuated_zone(item->key, &zone) : -ERR_NOT_FOUND;
+	if (status == 0)
+		on_evacuation(node, item, zone);
+	else if (status == -ERR_INVALID)
+		log_once("zone_unreadable", item->key, "the key names no zone and is ignored");
+}
+
+static void on_operator_keys_loaded(void *ctx)
+{
+	((struct fleet_node *)ctx)->zones_loaded = true;
+}
+
+static uint64_t zones_age_ms(void *ctx)
+{
+	const struct fleet_node *node = ctx;
+
+	return node->zones_loaded ? kv_mirror_age_ms(node->config_mirror) : UINT64_MAX;
+}
+
 static void on_gained(uint64_t term, void *ctx)
 {
 	struct fleet_node *node = ctx;
@@ -137,6 +225,12 @@
 		.node = settings->node,
 		.params = &params,
 		.keep_ended_ms = (uint32_t)(settings->keep_ended_s * 1000),
+		.zones = node->zones,
+		.zones_age_ms = zones_age_ms,
+		.zones_ctx = node,
+		.zones_age_max_ms =
+			MAX(settings->evacuate_ms, EVACUATION_FOLLOW_MS + ZONES_AGE_MIN_MS) -
+			EVACUATION_FOLLOW_MS,
 	};
 
 	node->coord = coord_create(node, &deps, node->conf);
@@ -215,7 +309,7 @@
 	};
 	struct leader_handlers on_leader = {on_gained, on_lost, on_leader_changed, on_refused,
 					    node};
-	struct kv_mirror_handlers on_config = {on_config_item, NULL, node};
+	struct kv_mirror_handlers on_operator = {on_operator_item, on_operator_keys_loaded, node};
 	struct intake_deps deps = {
 		.ev = node->ev,
 		.kv = node->platform.kv,
@@ -239,8 +333,12 @@
 	deps.leader = node->leader;
 	deps.relay = node->relay;
 	node->intake = intake_create(node, &deps);
+	if (node->settings->evacuate_ms)
+		node->zones = zones_create(node);
 	node->config_mirror = kv_mirror_create(node, node->ev, node->platform.kv,
-					       node->platform.config_key, &on_config);
+					       node->zones ? node->platform.operator_prefix
+							   : node->platform.config_key,
+					       &on_operator);
 	callers.ctx = node->intake;
 	if (create_server(node, &node->ready, node->settings->ready_address, &ready, err))
 		return -ERR_SYSTEM;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -23,6 +23,8 @@
 /**
  * struct fleet_platform - a platform's formats and calls
  * @config_key: key of the operators' configuration in the store
+ * @operator_prefix: start of all keys that operators write
+ * @evacuated_zone: zone whose evacuation a key asks for; see platform_evacuated_zone()
  */
 struct fleet_platform {
 	struct kv *kv;
@@ -30,6 +32,8 @@
 	const struct runner_calls *worker; /* agent only */
 	const struct advice_calls *advice; /* entry only; NULL where there is none */
 	const char *config_key;
+	const char *operator_prefix;
+	int (*evacuated_zone)(const char *key, const char **zone);
 	struct fleetconf *(*read_config)(TALLOC_CTX *mem, const char *data, size_t len,
 					 struct err *err);
 	struct runner_announcement *(*read_self)(TALLOC_CTX *mem, const char *id, const char *data,
--- a/src/fleetmsg.c
+++ b/src/fleetmsg.c
@@ -246,14 +246,17 @@
 
 char *fleet_orders_write(TALLOC_CTX *mem, const struct fleet_orders *orders)
 {
-	return dump_json(mem, json_pack("{s:I, s:I, s:i, s:s, s:I, s:i, s:b, s:o, s:o}", "session",
-					(json_int_t)orders->session, "echo",
-					(json_int_t)orders->echo_ms, "valid_ms",
-					(int)orders->valid_ms, "incarnation", orders->incarnation,
-					"ends_stored", (json_int_t)orders->ends_stored, "report_ms",
-					(int)orders->report_ms, "unsure", orders->unsure, "handled",
-					write_runs(orders->handled, orders->handled_count),
-					"orders", write_order_rows(orders)));
+	json_t *json = json_pack(
+		"{s:I, s:I, s:i, s:s, s:I, s:i, s:b, s:o, s:o}", "session",
+		(json_int_t)orders->session, "echo", (json_int_t)orders->echo_ms, "valid_ms",
+		(int)orders->valid_ms, "incarnation", orders->incarnation, "ends_stored",
+		(json_int_t)orders->ends_stored, "report_ms", (int)orders->report_ms, "unsure",
+		orders->unsure, "handled", write_runs(orders->handled, orders->handled_count),
+		"orders", write_order_rows(orders));
+
+	if (orders->closed)
+		json_object_set_new(json, "closed", json_true());
+	return dump_json(mem, json);
 }
 
 static void read_order_rows(struct fleet_orders *orders, const json_t *rows)
@@ -299,6 +302,7 @@
 	orders->ends_stored = read_number(json, "ends_stored");
 	orders->report_ms = read_small_number(json, "report_ms");
 	orders->unsure = json_is_true(json_object_get(json, "unsure"));
+	orders->closed = json_is_true(json_object_get(json, "closed"));
 	orders->handled =
 		read_runs(orders, json_object_get(json, "handled"), &orders->handled_count);
 	read_order_rows(orders, json_object_get(json, "orders"));
--- a/src/fleetmsg.h
+++ b/src/fleetmsg.h
@@ -78,6 +78,8 @@
  * @report_ms: interval of reports while the agent's state does not change
  * @unsure: the renewal of the leader's own lease is overdue, so another process may have become
  *	the leader
+ * @closed: nothing may be started on the worker now: its zone is evacuated, or the leader may not
+ *	know whether it is
  * @unreadable: parts of @orders could not be read
  */
 struct fleet_orders {
@@ -92,6 +94,7 @@
 	size_t order_count;
 	uint32_t report_ms;
 	bool unsure;
+	bool closed;
 	bool unreadable;
 };
 
--- a/src/fleetnode.c
+++ b/src/fleetnode.c
@@ -13,6 +13,7 @@
 #define AWAY_FACTOR_DEFAULT 3
 #define AWAY_FACTOR_MAX 1000
 #define UNAVAILABLE_AFTER_DEFAULT_MS 0 /* without the bound, each task counts at once */
+#define EVACUATE_MIN_MS 1000
 #define DURATION_MAX_S 86400
 #define PROCESSORS_MAX 4096
 #define DURATION_MAX_MS (DURATION_MAX_S * 1000)
@@ -41,6 +42,7 @@
 	{"away_factor", FIELD_DOUBLE, FIELD_OFFSET(away_factor), 0, AWAY_FACTOR_MAX, 0},
 	{"unavailable_after_ms", FIELD_DOUBLE, FIELD_OFFSET(unavailable_after_ms), 0,
 	 DURATION_MAX_MS, 0},
+	{"evacuate_ms", FIELD_U32, FIELD_OFFSET(evacuate_ms), EVACUATE_MIN_MS, DURATION_MAX_MS, 0},
 	{"verbose", FIELD_BOOL, FIELD_OFFSET(verbose), 0, 0, 0},
 };
 
--- a/src/fleetnode.h
+++ b/src/fleetnode.h
@@ -32,6 +32,8 @@
  *	where they ask for one
  * @unavailable_after_ms: a long-running task that ended by itself counts against its step's
  *	max_unavailable from this time on
+ * @evacuate_ms: entry: from this time after an operator has asked for the evacuation of a zone, no
+ *	task is started there; 0: operators evacuate no zones
  * @keep_ended_s: the states of ended jobs can be queried for this long
  */
 struct fleetnode_settings {
@@ -54,6 +56,7 @@
 	double stop_ms;
 	double away_factor;
 	double unavailable_after_ms;
+	uint32_t evacuate_ms;
 	bool verbose;
 };
 
--- a/src/kv.h
+++ b/src/kv.h
@@ -149,4 +149,12 @@
  */
 uint64_t kv_mirror_failing_ms(const struct kv_mirror *mirror);
 
+/**
+ * kv_mirror_age_ms() - time since the store last answered the mirror
+ *
+ * Changes since then are unknown. Unlike kv_mirror_failing_ms() it also grows while a call is
+ * unanswered and has not failed yet.
+ */
+uint64_t kv_mirror_age_ms(const struct kv_mirror *mirror);
+
 #endif
--- a/src/kvmirror.c
+++ b/src/kvmirror.c
@@ -29,6 +29,7 @@
 	bool loaded;
 	uint32_t failures;
 	uint64_t failing_since_ms;
+	uint64_t answered_ms; /* latest answer, or when the mirror was created */
 };
 
 /* Context of store calls. Outlives the mirror until its last call has returned. */
@@ -106,6 +107,7 @@
 			 "the store answers again for keys under %s after %u failures",
 			 mirror->prefix, mirror->failures);
 	mirror->failures = 0;
+	mirror->answered_ms = util_clock_ms();
 }
 
 static void report_item(struct kv_mirror *mirror, const struct kv_item *item)
@@ -243,6 +245,11 @@
 	return mirror->failing_since_ms ? util_clock_ms() - mirror->failing_since_ms : 0;
 }
 
+uint64_t kv_mirror_age_ms(const struct kv_mirror *mirror)
+{
+	return util_clock_ms() - mirror->answered_ms;
+}
+
 struct kv_mirror *kv_mirror_create(TALLOC_CTX *mem, struct tevent_context *ev, struct kv *kv,
 				   const char *prefix, const struct kv_mirror_handlers *handlers)
 {
@@ -252,6 +259,7 @@
 	mirror->kv = kv;
 	mirror->prefix = talloc_strdup(mirror, prefix);
 	mirror->handlers = *handlers;
+	mirror->answered_ms = util_clock_ms();
 	mirror->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	/* Owned by the event loop, which outlives every call. */
 	mirror->call = talloc_zero(ev, struct mirror_call_ctx);
--- a/src/main_fleet.c
+++ b/src/main_fleet.c
@@ -148,6 +148,8 @@
 		.kv = platform_kv_create(mem, http, settings->store_address, metrics),
 		.codec = &platform_intake_codec,
 		.config_key = PLATFORM_CONFIG_KEY,
+		.operator_prefix = PLATFORM_OPERATOR_PREFIX,
+		.evacuated_zone = platform_evacuated_zone,
 		.read_config = platform_config_read,
 		.read_self = platform_self_read,
 		.control_call = platform_control_call,
--- a/src/plan.h
+++ b/src/plan.h
@@ -140,6 +140,7 @@
 	PLAN_WAIT_RESERVED,	 /* room, but reserved for a more urgent step */
 	PLAN_WAIT_HEADROOM,	 /* room, but kept free for urgent jobs */
 	PLAN_WAIT_PAUSE,	 /* room, but on workers that are suspect or slow */
+	PLAN_WAIT_EVACUATED,	 /* room, but in zones that operators have evacuated */
 	PLAN_WAIT_COUNT,
 };
 
@@ -163,6 +164,31 @@
 /** plan_configure() - replace the configuration; @conf is borrowed until the next call */
 void plan_configure(struct plan *plan, const struct fleetconf *conf);
 
+/**
+ * plan_set_zone_closed() - start nothing in a zone any more, or again
+ *
+ * What runs there goes on. Starts there that no worker has confirmed are withdrawn by the next
+ * plan_decide().
+ */
+void plan_set_zone_closed(struct plan *plan, const char *zone, bool closed);
+
+/** plan_worker_closed() - true while the zone of a worker is closed */
+bool plan_worker_closed(const struct plan *plan, const char *node);
+
+/**
+ * struct plan_zone - a zone with workers
+ * @tasks: that are assigned to its workers
+ */
+struct plan_zone {
+	const char *name;
+	bool closed;
+	uint32_t workers;
+	uint32_t tasks;
+};
+
+/** plan_zones() - zones of the workers that are present; the array is owned by @mem */
+size_t plan_zones(const struct plan *plan, TALLOC_CTX *mem, struct plan_zone **out);
+
 /**
  * struct plan_job_info - an accepted job
  * @queue_host, @queue_prefix, @queue_service: of the queue when the job was accepted, by which a
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -175,7 +175,8 @@
 	struct plan_resources room;
 	struct plan_resources used;
 	bool present;
-	bool accepting;
+	bool offers_room; /* by its own report */
+	bool accepting;	  /* offers_room, and its zone is not closed */
 	struct task *tasks;
 	struct orphan_run *orphans;
 	uint64_t backoff_until_ms; /* no new tasks before, after a refused start */
@@ -197,8 +198,9 @@
 struct plan {
 	struct plan_params params;
 	const struct fleetconf *conf;
-	GHashTable *jobs;  /* id -> struct job, in no order */
-	GPtrArray *active; /* struct job: all that are not removed */
+	GHashTable *closed_zones; /* names; NULL: none was ever closed */
+	GHashTable *jobs;	  /* id -> struct job, in no order */
+	GPtrArray *active;	  /* struct job: all that are not removed */
 	GPtrArray *workers;
 	GQueue dirty;		  /* struct job */
 	bool has_held;		  /* a job may be held */
@@ -268,6 +270,15 @@
 void plan_stop_gang(struct task *task, const char *reason);
 void plan_suspect_worker(struct worker *worker, uint64_t now_ms);
 
+/* planzone.c */
+bool plan_zone_closed(const struct plan *plan, const char *zone);
+/* Sets worker.accepting by what the worker offers and by its zone. */
+void plan_update_accepting(const struct plan *plan, struct worker *worker);
+/* Stops the starts in closed zones that are not confirmed. */
+void plan_withdraw_starts(struct plan *plan);
+/* True if a worker would have room for a task of the step, were its zone not closed. */
+bool plan_closed_zone_has_room(const struct plan *plan, const struct step_run *step);
+
 /* planheadroom.c */
 /* Chooses the workers that this plan_decide() keeps free for urgent jobs. */
 void plan_keep_headroom(struct plan *plan, uint64_t now_ms);
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -11,6 +11,12 @@
 #define TASKS_AHEAD_MAX 100000
 #define RETRY_AFTER_FAILURE_MS 50 /* so that further failures on the worker are reported first */
 
+static int plan_destructor(struct plan *plan)
+{
+	g_clear_pointer(&plan->closed_zones, g_hash_table_destroy);
+	return 0;
+}
+
 struct plan *plan_create(TALLOC_CTX *mem, const struct plan_params *params)
 {
 	struct plan *plan = talloc_zero(mem, struct plan);
@@ -20,6 +26,7 @@
 	plan->active = g_ptr_array_new();
 	plan->workers = g_ptr_array_new();
 	g_queue_init(&plan->dirty);
+	talloc_set_destructor(plan, plan_destructor);
 	return plan;
 }
 
--- a/src/planwait.c
+++ b/src/planwait.c
@@ -24,7 +24,7 @@
 		[PLAN_WAIT_ADVICE] = "advice",	   [PLAN_WAIT_ROOM] = "room",
 		[PLAN_WAIT_RACK] = "rack",	   [PLAN_WAIT_DATA_RACK] = "data_rack",
 		[PLAN_WAIT_RESERVED] = "reserved", [PLAN_WAIT_HEADROOM] = "headroom",
-		[PLAN_WAIT_PAUSE] = "pause",
+		[PLAN_WAIT_PAUSE] = "pause",	   [PLAN_WAIT_EVACUATED] = "evacuated",
 	};
 
 	return names[reason];
@@ -121,6 +121,8 @@
 		return PLAN_WAIT_WORKERS;
 	step->wait.room = plan_count_room(plan, step, PLAN_WAIVE_ALL | PLAN_WAIVE_FAILURE,
 					  step->waiting, now_ms);
+	if (step->wait.room < needed && plan_closed_zone_has_room(plan, step))
+		return PLAN_WAIT_EVACUATED;
 	if (step->wait.room < needed)
 		return lacks_ticket(plan, step, now_ms) ? PLAN_WAIT_ADVICE : PLAN_WAIT_ROOM;
 	step->wait.room_kept = plan_count_room(plan, step, 0, step->waiting, now_ms);
@@ -205,6 +207,10 @@
 		return talloc_asprintf(
 			mem, "there is room for %u tasks, but on workers that are suspect or slow",
 			wait->room);
+	case PLAN_WAIT_EVACUATED:
+		return talloc_asprintf(
+			mem, "there is room for %u of %u tasks outside the evacuated zones",
+			wait->room, tasks);
 	default:
 		return talloc_strdup(mem, "it may start");
 	}
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -195,7 +195,8 @@
 	worker->room = info->room;
 	worker->present = true;
 	worker->last_report_ms = now_ms;
-	worker->accepting = info->accepting;
+	worker->offers_room = info->accepting;
+	plan_update_accepting(plan, worker);
 }
 
 void plan_worker_lost(struct plan *plan, const char *node, uint64_t now_ms)
@@ -206,6 +207,7 @@
 		return;
 	drop_all_runs(plan, worker, PLAN_LOSS_WORKER);
 	worker->present = false;
+	worker->offers_room = false;
 	worker->accepting = false;
 }
 
--- a/src/runner.c
+++ b/src/runner.c
@@ -425,6 +425,7 @@
 		runner->authority_end_ms = authority_end_ms;
 	}
 	runner->leader_unconfirmed = orders->unsure;
+	runner->closed = orders->closed;
 	if (orders->report_ms)
 		runner->report_ms = orders->report_ms;
 	for (size_t i = 0; i < orders->handled_count; i++)
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -106,6 +106,7 @@
 	bool renewing;
 	bool connected;
 	bool leader_query_pending;
+	bool closed;		 /* by its orders, nothing may be started on the worker now */
 	bool leader_unconfirmed; /* by its orders, the store has not confirmed it for a while */
 };
 
--- a/src/runnerruns.c
+++ b/src/runnerruns.c
@@ -274,8 +274,9 @@
 			call_stop(row);
 		else if (row->state == RUN_ORDERED && !runner_accepts(runner))
 			give_up_start(row, PLAN_REFUSED_OTHER);
-		else if (row->state == RUN_ORDERED && row->term == runner->term &&
-			 runner_may_extend_lease(runner) && runner->settled)
+		else if (row->state == RUN_ORDERED && !runner->closed &&
+			 row->term == runner->term && runner_may_extend_lease(runner) &&
+			 runner->settled)
 			call_start(row);
 	}
 	g_list_free(rows);
