httpd: Bound what clients take of a process

Clients that sent large bodies and stopped just short of their end took an entry from 15 to over 200 MB, and as many descriptors as they liked; on a host of 160 MB the process ended. Bodies now get their memory from a budget that all servers of a process share (a quarter of memory_mb); where it is short, the unfinished body that has held most for longest without progress is dropped. A connection beyond the limit takes the place of the one that does least, bodies without progress are cut off after body_idle_ms, and bodies announced or sent at several times the limit are not read on.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -13,7 +13,17 @@
 #include <string.h>
 
 #define BODY_MAX_BYTES (1024 * 1024) /* the configuration may set a lower limit */
-#define STORE_SILENCE_MAX_MS 1500    /* after this, another entry should get new connections */
+/*
+ * A process takes some 15 MB itself. A quarter of a host of 128 MB or more holds the bodies of over
+ * a hundred callers that send the largest configured body at the same moment.
+ */
+#define BODIES_MEMORY_PART 4
+#define BODIES_DEFAULT_BYTES ((size_t)64 << 20)
+#define BODIES_MIN_BYTES ((size_t)4 << 20) /* several bodies of the largest size */
+#define SMALL_BODY_BYTES (16 * 1024)
+#define SMALL_BODIES_PART 8	  /* of the budget only small bodies get this part */
+#define CHECK_CONNECTIONS_MAX 16  /* for readiness checks and metrics */
+#define STORE_SILENCE_MAX_MS 1500 /* after this, another entry should get new connections */
 #define DRAIN_TICK_MS 50
 #define DRAIN_MIN_MS 2300   /* the load balancer needs two failed checks, 1 s apart */
 #define DRAIN_MARGIN_MS 700 /* time left to exit before the process would be killed */
@@ -32,6 +42,7 @@
 	struct fleet_platform platform;
 	struct metrics *metrics;
 	struct wire *wire;
+	struct bodybudget *bodies; /* of all servers */
 	struct httpd *metrics_server;
 	/* Only in an entry. */
 	struct httpd *callers;
@@ -124,10 +135,46 @@
 	talloc_free(text);
 }
 
+static struct bodybudget *create_body_budget(struct fleet_node *node)
+{
+	const struct fleetnode_settings *settings = node->settings;
+	size_t total = BODIES_DEFAULT_BYTES;
+	struct bodybudget_limits limits = {.small_max = SMALL_BODY_BYTES};
+
+	if (settings->bodies_max_mb)
+		total = (size_t)settings->bodies_max_mb << 20;
+	else if (settings->memory_mb)
+		total = ((size_t)settings->memory_mb << 20) / BODIES_MEMORY_PART;
+	limits.total = MAX(total, BODIES_MIN_BYTES);
+	limits.small_share = limits.total / SMALL_BODIES_PART;
+	return bodybudget_create(node, &limits, httpd_drop_body);
+}
+
+/* The other half of the descriptors is for the store, other processes, checks and files. */
+static uint32_t connections_max(const struct fleetnode_settings *settings)
+{
+	uint32_t max = HTTPD_CONNECTIONS_MAX;
+
+	if (settings->connections_max)
+		max = settings->connections_max;
+	if (settings->max_descriptors)
+		max = MIN(max, settings->max_descriptors / 2);
+	return max;
+}
+
+/* @open: callers or workers send their calls there; otherwise checks and metrics are served */
 static int create_server(struct fleet_node *node, struct httpd **server, const char *address,
-			 const struct httpd_handlers *handlers, struct err *err)
+			 bool open, const struct httpd_handlers *handlers, struct err *err)
 {
-	*server = httpd_create(node, node->ev, address, BODY_MAX_BYTES, handlers, err);
+	struct httpd_limits limits = {
+		.body_max = open ? BODY_MAX_BYTES : SMALL_BODY_BYTES,
+		.connections_max = open ? connections_max(node->settings) : CHECK_CONNECTIONS_MAX,
+		.body_idle_ms = node->settings->body_idle_ms,
+		.bodies = node->bodies,
+		.metrics = node->metrics,
+	};
+
+	*server = httpd_create_limited(node, node->ev, address, &limits, handlers, err);
 	return *server ? 0 : -ERR_SYSTEM;
 }
 
@@ -340,9 +387,10 @@
 							   : node->platform.config_key,
 					       &on_operator);
 	callers.ctx = node->intake;
-	if (create_server(node, &node->ready, node->settings->ready_address, &ready, err))
+	if (create_server(node, &node->ready, node->settings->ready_address, false, &ready, err))
 		return -ERR_SYSTEM;
-	return create_server(node, &node->callers, node->settings->callers_address, &callers, err);
+	return create_server(node, &node->callers, node->settings->callers_address, true, &callers,
+			     err);
 }
 
 /* A heartbeat that is answered once it is known whether it is taken. */
@@ -472,7 +520,8 @@
 	struct httpd_handlers control = {serve_control, on_control_disconnect, node};
 
 	node->runner = runner_create(node, &deps);
-	return create_server(node, &node->control, node->settings->control_address, &control, err);
+	return create_server(node, &node->control, node->settings->control_address, true, &control,
+			     err);
 }
 
 struct fleet_node *fleet_create(TALLOC_CTX *mem, struct tevent_context *ev,
@@ -487,9 +536,11 @@
 	node->settings = settings;
 	node->platform = *platform;
 	node->metrics = metrics;
+	node->bodies = create_body_budget(node);
 	/* The process also starts if it cannot serve metrics. */
 	if (settings->metrics_address &&
-	    create_server(node, &node->metrics_server, settings->metrics_address, &on_metrics, err))
+	    create_server(node, &node->metrics_server, settings->metrics_address, false,
+			  &on_metrics, err))
 		log_warn("metrics_unavailable", "", "%s. %s", err->message, err->remedy);
 	if (!create_wire(node, err) &&
 	    !(role == FLEETNODE_ENTRY ? create_entry(node, err) : create_agent(node, err)))
--- a/src/fleetnode.c
+++ b/src/fleetnode.c
@@ -1,6 +1,7 @@
 #include "fleetnode.h"
 
 #include "fields.h"
+#include "httpd.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -14,6 +15,8 @@
 #define AWAY_FACTOR_MAX 1000
 #define UNAVAILABLE_AFTER_DEFAULT_MS 0 /* without the bound, each task counts at once */
 #define EVACUATE_MIN_MS 1000
+#define MEMORY_MAX_MB (1024 * 1024)
+#define DESCRIPTORS_MAX (1024 * 1024)
 #define DURATION_MAX_S 86400
 #define PROCESSORS_MAX 4096
 #define DURATION_MAX_MS (DURATION_MAX_S * 1000)
@@ -43,6 +46,11 @@
 	{"unavailable_after_ms", FIELD_DOUBLE, FIELD_OFFSET(unavailable_after_ms), 0,
 	 DURATION_MAX_MS, 0},
 	{"evacuate_ms", FIELD_U32, FIELD_OFFSET(evacuate_ms), EVACUATE_MIN_MS, DURATION_MAX_MS, 0},
+	{"memory_mb", FIELD_U32, FIELD_OFFSET(memory_mb), 16, MEMORY_MAX_MB, 0},
+	{"max_descriptors", FIELD_U32, FIELD_OFFSET(max_descriptors), 128, DESCRIPTORS_MAX, 0},
+	{"bodies_max_mb", FIELD_U32, FIELD_OFFSET(bodies_max_mb), 4, MEMORY_MAX_MB, 0},
+	{"connections_max", FIELD_U32, FIELD_OFFSET(connections_max), 8, DESCRIPTORS_MAX, 0},
+	{"body_idle_ms", FIELD_U32, FIELD_OFFSET(body_idle_ms), 100, DURATION_MAX_MS, 0},
 	{"verbose", FIELD_BOOL, FIELD_OFFSET(verbose), 0, 0, 0},
 };
 
@@ -110,6 +118,7 @@
 	settings->leader_ttl_ms = LEADER_TTL_DEFAULT_MS;
 	settings->stall_ms = STALL_DEFAULT_MS;
 	settings->keep_ended_s = KEEP_ENDED_DEFAULT_S;
+	settings->body_idle_ms = HTTPD_BODY_IDLE_MS;
 	settings->stop_ms = STOP_DEFAULT_MS;
 	settings->away_factor = AWAY_FACTOR_DEFAULT;
 	settings->unavailable_after_ms = UNAVAILABLE_AFTER_DEFAULT_MS;
--- a/src/fleetnode.h
+++ b/src/fleetnode.h
@@ -34,6 +34,13 @@
  *	max_unavailable from this time on
  * @evacuate_ms: entry: from this time after an operator has asked for the evacuation of a zone, no
  *	task is started there; 0: operators evacuate no zones
+ * @memory_mb: of the host, for this process; 0: unknown
+ * @max_descriptors: that this process may open; 0: unknown
+ * @bodies_max_mb: memory of all request bodies that are held at once; 0: a quarter of @memory_mb,
+ *	or 64 if that is unknown
+ * @connections_max: of clients, for each address that takes work; 0: as @max_descriptors allows, at
+ *	most 2,048
+ * @body_idle_ms: the connection of an unfinished body without progress for this long is closed
  * @keep_ended_s: the states of ended jobs can be queried for this long
  */
 struct fleetnode_settings {
@@ -57,6 +64,11 @@
 	double away_factor;
 	double unavailable_after_ms;
 	uint32_t evacuate_ms;
+	uint32_t memory_mb;
+	uint32_t max_descriptors;
+	uint32_t bodies_max_mb;
+	uint32_t connections_max;
+	uint32_t body_idle_ms;
 	bool verbose;
 };
 
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -1,7 +1,9 @@
 #ifndef JAYCOURSE_HTTPD_H
 #define JAYCOURSE_HTTPD_H
 
+#include "bodybudget.h"
 #include "err.h"
+#include "metrics.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -33,9 +35,32 @@
 };
 
 /**
- * httpd_create() - listen on an address and start the server
+ * struct httpd_limits - what clients may take of the process
+ * @body_max: bytes; calls with a larger body are answered 413, or cut off where the body is larger
+ *	several times over
+ * @connections_max: a further connection takes the place of the one that does least
+ * @body_idle_ms: the connection of an unfinished body without progress for this long is closed
+ * @bodies: shared by the servers of a process; borrowed, NULL: unlimited
+ * @metrics: borrowed; NULL: nothing is counted
+ */
+struct httpd_limits {
+	size_t body_max;
+	uint32_t connections_max;
+	uint32_t body_idle_ms;
+	struct bodybudget *bodies;
+	struct metrics *metrics;
+};
+
+#define HTTPD_CONNECTIONS_MAX 2048 /* default */
+#define HTTPD_BODY_IDLE_MS 15000   /* default; callers' connections may idle as long */
+
+/** httpd_drop_body() - &bodybudget_create.drop of budgets that servers share */
+void httpd_drop_body(void *owner);
+
+/**
+ * httpd_create_limited() - listen on an address and start the server
  * @address: "ip:port"; port 0 picks a free one
- * @body_max: bytes; calls with a larger body are answered 413
+ * @limits: copied
  * @handlers: copied
  *
  * When the server is freed, connections of calls that have no answer yet are closed, and no
@@ -43,6 +68,19 @@
  *
  * Return: the server, or NULL with @err filled.
  */
+struct httpd *httpd_create_limited(TALLOC_CTX *mem, struct tevent_context *ev, const char *address,
+				   const struct httpd_limits *limits,
+				   const struct httpd_handlers *handlers, struct err *err);
+
+/**
+ * httpd_create() - the same with default limits
+ * @body_max: bytes; see &httpd_limits.body_max
+ *
+ * When the server is freed, connections of calls that have no answer yet are closed, and no
+ * callback runs any more.
+ *
+ * Return: the server, or NULL with @err filled.
+ */
 struct httpd *httpd_create(TALLOC_CTX *mem, struct tevent_context *ev, const char *address,
 			   size_t body_max, const struct httpd_handlers *handlers, struct err *err);
 
