fleet: Faults in evacuations and in the bounds on clients

A leader whose reads of the operators' keys were overdue started work again once the store fell silent altogether, because only a confirmed lease held it back. Its keys now stay unknown unless they were current when the store last answered. Orders were composed with the state of the latest decision, so they could still allow starts after the keys had become overdue. Pages of a full read that could not be read counted as knowledge of the keys. A former leader went on showing its gauges of evacuated zones, and GET /zones of the leader left out evacuated zones without workers.

A call whose last byte had arrived before its connection was closed in favour of another one was still carried out, though its answer could not be sent. A client that sent one byte each 199 ms held a large body against all others; 4 KiB are now the least that counts as progress while the budget is short.

No test shows the gauges and the list of zones.

--- a/src/bodybudget.c
+++ b/src/bodybudget.c
@@ -2,10 +2,16 @@
 
 /* A body that has made progress within this time is not dropped for another one. */
 #define STALLED_MS 200
+/*
+ * Fewer bytes are no progress: a client that sends one byte now and then would hold a large body
+ * for hours. With STALLED_MS this asks for 20 KB/s while the budget is short.
+ */
+#define PROGRESS_MIN_BYTES 4096
 
 struct body {
 	void *owner; /* NULL: the handle is free */
 	size_t bytes;
+	size_t progress_bytes; /* that had arrived at @progress_ms */
 	uint64_t progress_ms;
 	bool complete;
 };
@@ -119,9 +125,15 @@
 	return true;
 }
 
-void bodybudget_progress(struct bodybudget *budget, uint32_t handle, uint64_t now_ms)
+void bodybudget_progress(struct bodybudget *budget, uint32_t handle, size_t received,
+			 uint64_t now_ms)
 {
-	budget->bodies[handle].progress_ms = now_ms;
+	struct body *body = &budget->bodies[handle];
+
+	if (received - body->progress_bytes < PROGRESS_MIN_BYTES)
+		return;
+	body->progress_bytes = received;
+	body->progress_ms = now_ms;
 }
 
 void bodybudget_complete(struct bodybudget *budget, uint32_t handle)
--- a/src/bodybudget.h
+++ b/src/bodybudget.h
@@ -54,8 +54,13 @@
  */
 bool bodybudget_reserve(struct bodybudget *budget, uint32_t handle, size_t bytes, uint64_t now_ms);
 
-/** bodybudget_progress() - more of a body has arrived */
-void bodybudget_progress(struct bodybudget *budget, uint32_t handle, uint64_t now_ms);
+/**
+ * bodybudget_progress() - more of a body has arrived, @received bytes in all
+ *
+ * Less than 4 KiB more than at the latest progress are none.
+ */
+void bodybudget_progress(struct bodybudget *budget, uint32_t handle, size_t received,
+			 uint64_t now_ms);
 
 /** bodybudget_complete() - a body has arrived as a whole; it is not dropped any more */
 void bodybudget_complete(struct bodybudget *budget, uint32_t handle);
--- a/src/coord.c
+++ b/src/coord.c
@@ -112,6 +112,30 @@
 	send_orders_text(coord, peer, row->node, &orders);
 }
 
+/*
+ * True while a zone may have been evacuated without the leader's knowledge: the store answers the
+ * renewals of its lease, but not the reads of the operators' keys. Without any answer of the store
+ * the leader's authority ends by itself; keys that were overdue when it last answered stay unknown.
+ */
+static bool zones_are_unknown(struct coord *coord)
+{
+	uint64_t age_ms = coord->deps.zones ? coord->deps.zones_age_ms(coord->deps.zones_ctx) : 0;
+	uint64_t limit_ms = coord->deps.zones_age_max_ms;
+	bool unknown;
+
+	if (!leader_confirmed(coord->deps.leader))
+		limit_ms += leader_unconfirmed_ms(coord->deps.leader);
+	unknown = coord->deps.zones && age_ms > limit_ms;
+	if (unknown != coord->zones_unknown && age_ms == UINT64_MAX)
+		log_warn("zones_unknown", "", "the operators' keys have not been read yet");
+	else if (unknown != coord->zones_unknown)
+		log_warn(unknown ? "zones_unknown" : "zones_known", "",
+			 "all changes of the operators' keys were known %" PRIu64 " ms ago",
+			 age_ms);
+	coord->zones_unknown = unknown;
+	return unknown;
+}
+
 static void send_orders(struct coord *coord, struct agent_row *row,
 			const struct fleet_report *report)
 {
@@ -124,7 +148,7 @@
 		.ends_stored = row->ends_stored,
 		.report_ms = report_interval_ms(g_hash_table_size(coord->agents)),
 		.unsure = coord->ending || leader_renewal_overdue(coord->deps.leader),
-		.closed = coord->zones_unknown || plan_worker_closed(coord->plan, row->node),
+		.closed = zones_are_unknown(coord) || plan_worker_closed(coord->plan, row->node),
 	};
 
 	/* Acknowledges only refusals passed to the plan; the agent repeats the others. */
@@ -207,25 +231,12 @@
 	return !suspended;
 }
 
-/*
- * True while a zone may have been evacuated without the leader's knowledge: the store answers the
- * renewals of its lease, but not the reads of the operators' keys. Without any answer of the store
- * the leader's authority ends by itself.
- */
-static bool zones_are_unknown(struct coord *coord)
+static void set_zone_metrics(struct coord *coord, size_t zones, uint32_t tasks)
 {
-	uint64_t age_ms = coord->deps.zones ? coord->deps.zones_age_ms(coord->deps.zones_ctx) : 0;
-	bool unknown = age_ms == UINT64_MAX ||
-		       (coord->deps.zones && age_ms > coord->deps.zones_age_max_ms &&
-			leader_confirmed(coord->deps.leader));
-
-	if (unknown != coord->zones_unknown && age_ms == UINT64_MAX)
-		log_warn("zones_unknown", "", "the operators' keys have not been read yet");
-	else if (unknown != coord->zones_unknown)
-		log_warn(unknown ? "zones_unknown" : "zones_known", "",
-			 "the store answered for the operators' keys %" PRIu64 " ms ago", age_ms);
-	coord->zones_unknown = unknown;
-	return unknown;
+	if (!coord->deps.zones)
+		return;
+	metrics_set(coord->deps.metrics, coord->evacuated_zones, zones);
+	metrics_set(coord->deps.metrics, coord->evacuated_tasks, tasks);
 }
 
 static void count_evacuated(struct coord *coord)
@@ -237,8 +248,7 @@
 
 	for (size_t i = 0; i < count; i++)
 		tasks += zones[i].closed ? zones[i].tasks : 0;
-	metrics_set(coord->deps.metrics, coord->evacuated_zones, zones_count(coord->deps.zones));
-	metrics_set(coord->deps.metrics, coord->evacuated_tasks, tasks);
+	set_zone_metrics(coord, zones_count(coord->deps.zones), tasks);
 	talloc_free(mem);
 }
 
@@ -851,7 +861,7 @@
 	return tasks;
 }
 
-void coord_zone_changed(struct coord *coord, const char *zone, bool closed)
+uint32_t coord_zone_changed(struct coord *coord, const char *zone, bool closed)
 {
 	bool known;
 	uint32_t tasks = count_zone_tasks(coord, zone, &known);
@@ -859,11 +869,9 @@
 	plan_set_zone_closed(coord->plan, zone, closed);
 	/* It stays in force: the workers of the zone may all be away for a while. */
 	if (!known)
-		log_warn("zone_unknown", zone, "no worker of this zone has reported");
-	else
-		log_info(closed ? "zone_closed" : "zone_opened", zone, "%u tasks are at work there",
-			 tasks);
+		log_once("zone_unknown", zone, "no worker of this zone has reported");
 	coord_schedule_decision(coord);
+	return tasks;
 }
 
 json_t *coord_zones(const struct coord *coord)
@@ -887,6 +895,7 @@
 	const uint32_t none[PLAN_WAIT_COUNT] = {0};
 
 	set_wait_metrics(coord, none);
+	set_zone_metrics(coord, 0, 0);
 	coord->link->coord = NULL;
 	if (coord->link->calls == 0)
 		talloc_free(coord->link);
--- a/src/coord.h
+++ b/src/coord.h
@@ -54,8 +54,12 @@
 /** coord_configure() - use a new configuration; borrowed until the next call */
 void coord_configure(struct coord *coord, const struct fleetconf *conf);
 
-/** coord_zone_changed() - a zone was evacuated or has returned, as &coord_deps.zones shows */
-void coord_zone_changed(struct coord *coord, const char *zone, bool closed);
+/**
+ * coord_zone_changed() - a zone was evacuated or has returned, as &coord_deps.zones shows
+ *
+ * Return: number of tasks at work in the zone.
+ */
+uint32_t coord_zone_changed(struct coord *coord, const char *zone, bool closed);
 
 /** coord_zones() - zones with workers, as a new JSON array for operators */
 json_t *coord_zones(const struct coord *coord);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -89,31 +89,34 @@
 	return node->wire ? 0 : -ERR_SYSTEM;
 }
 
-/* The leader lists all zones with workers, another entry only the evacuated ones. */
+/* The row of a zone in a list of them, added if it has none. */
+static json_t *find_zone_row(json_t *rows, const char *zone)
+{
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(rows, i, row)
+	{
+		if (!strcmp(json_string_value(json_object_get(row, "zone")), zone))
+			return row;
+	}
+	json_array_append_new(rows, json_pack("{s:s, s:s}", "zone", zone, "state", "evacuated"));
+	return json_array_get(rows, json_array_size(rows) - 1);
+}
+
+/* The leader lists all zones with workers and the evacuated ones, another entry only these. */
 static void serve_zones(struct fleet_node *node, struct httpd_call *call)
 {
 	json_t *rows = node->coord ? coord_zones(node->coord) : json_array();
 	json_t *json = json_pack("{s:b, s:o}", "leader", node->coord != NULL, "zones", rows);
 	char *text;
 
-	for (size_t i = 0; !node->coord && i < zones_count(node->zones); i++) {
-		const struct zones_row *row = zones_row(node->zones, i);
+	for (size_t i = 0; i < zones_count(node->zones); i++) {
+		const struct zones_row *evacuated = zones_row(node->zones, i);
+		json_t *row = find_zone_row(rows, evacuated->name);
+		uint64_t for_ms = util_clock_ms() - evacuated->heard_ms;
 
-		json_array_append_new(
-			rows, json_pack("{s:s, s:s}", "zone", row->name, "state", "evacuated"));
-	}
-	for (size_t i = 0; i < json_array_size(rows); i++) {
-		json_t *object = json_array_get(rows, i);
-		const char *name = json_string_value(json_object_get(object, "zone"));
-
-		for (size_t k = 0; k < zones_count(node->zones); k++) {
-			const struct zones_row *row = zones_row(node->zones, k);
-
-			if (!strcmp(row->name, name))
-				json_object_set_new(object, "for_ms",
-						    json_integer((json_int_t)(util_clock_ms() -
-									      row->heard_ms)));
-		}
+		json_object_set_new(row, "for_ms", json_integer((json_int_t)for_ms));
 	}
 	text = json_dumps(json, JSON_COMPACT);
 	httpd_answer(call, 200, "application/json", text ? text : "{}", 0);
@@ -184,6 +187,7 @@
 	bool changed = evacuated
 			       ? zones_evacuate(node->zones, zone, item->revision, util_clock_ms())
 			       : zones_return(node->zones, zone);
+	uint32_t tasks;
 
 	if (!changed)
 		return;
@@ -191,8 +195,11 @@
 		log_info("zone_evacuated", zone, "by revision %" PRId64, item->revision);
 	else
 		log_info("zone_returned", zone, "the request for its evacuation was removed");
-	if (node->coord)
-		coord_zone_changed(node->coord, zone, evacuated);
+	if (!node->coord)
+		return;
+	tasks = coord_zone_changed(node->coord, zone, evacuated);
+	log_info(evacuated ? "zone_closed" : "zone_opened", zone, "%u tasks are at work there",
+		 tasks);
 }
 
 static void on_config(struct fleet_node *node, const struct kv_item *item)
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -235,7 +235,8 @@
 		call->body_len += *len;
 		call->body[call->body_len] = '\0';
 		if (call->budget != BODYBUDGET_NONE)
-			bodybudget_progress(httpd->limits.bodies, call->budget, util_clock_ms());
+			bodybudget_progress(httpd->limits.bodies, call->budget, call->body_len,
+					    util_clock_ms());
 	}
 	*len = 0;
 	return MHD_YES;
@@ -300,11 +301,24 @@
 	return send_response(call);
 }
 
-static struct httpd_call *new_call(struct httpd *httpd, struct MHD_Connection *connection,
-				   const char *method, const char *url)
+static struct connection *find_peer(struct MHD_Connection *connection)
 {
 	const union MHD_ConnectionInfo *info =
 		MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return info ? info->socket_context : NULL;
+}
+
+static bool is_closing(struct MHD_Connection *connection)
+{
+	const struct connection *peer = find_peer(connection);
+
+	return peer && peer->closing;
+}
+
+static struct httpd_call *new_call(struct httpd *httpd, struct MHD_Connection *connection,
+				   const char *method, const char *url)
+{
 	struct httpd_call *call = talloc_zero(httpd, struct httpd_call);
 
 	call->httpd = httpd;
@@ -312,7 +326,7 @@
 	call->method = talloc_strdup(call, method);
 	call->path = talloc_strdup(call, url);
 	call->budget = BODYBUDGET_NONE;
-	call->peer = info ? info->socket_context : NULL;
+	call->peer = find_peer(connection);
 	if (call->peer) {
 		call->peer->call = call;
 		call->peer->progress_ms = util_clock_ms();
@@ -330,6 +344,9 @@
 	/* Whether an open call has taken effect is not known here, so it gets no answer. */
 	if (httpd->stopping)
 		return MHD_NO;
+	/* What had arrived before is still read; its answer could not be sent. */
+	if (is_closing(connection))
+		return MHD_NO;
 	if (!call) {
 		call = new_call(httpd, connection, method, url);
 		*con_cls = call;
--- a/src/kv.h
+++ b/src/kv.h
@@ -150,10 +150,10 @@
 uint64_t kv_mirror_failing_ms(const struct kv_mirror *mirror);
 
 /**
- * kv_mirror_age_ms() - time since the store last answered the mirror
+ * kv_mirror_age_ms() - time since the mirror last knew all changes
  *
- * Changes since then are unknown. Unlike kv_mirror_failing_ms() it also grows while a call is
- * unanswered and has not failed yet.
+ * It starts anew with each answered poll and at the end of a full read, not with its pages. Unlike
+ * kv_mirror_failing_ms() it also grows while a call is unanswered and has not failed yet.
  */
 uint64_t kv_mirror_age_ms(const struct kv_mirror *mirror);
 
--- a/src/kvmirror.c
+++ b/src/kvmirror.c
@@ -29,7 +29,7 @@
 	bool loaded;
 	uint32_t failures;
 	uint64_t failing_since_ms;
-	uint64_t answered_ms; /* latest answer, or when the mirror was created */
+	uint64_t current_ms; /* when all changes were known last, or the mirror was created */
 };
 
 /* Context of store calls. Outlives the mirror until its last call has returned. */
@@ -107,7 +107,6 @@
 			 "the store answers again for keys under %s after %u failures",
 			 mirror->prefix, mirror->failures);
 	mirror->failures = 0;
-	mirror->answered_ms = util_clock_ms();
 }
 
 static void report_item(struct kv_mirror *mirror, const struct kv_item *item)
@@ -185,6 +184,7 @@
 	mirror->revision = mirror->first_revision;
 	mirror->loaded = true;
 	mirror->failing_since_ms = 0;
+	mirror->current_ms = util_clock_ms();
 	if (mirror->handlers.on_loaded)
 		mirror->handlers.on_loaded(mirror->handlers.ctx);
 	poll_changes(mirror);
@@ -223,6 +223,7 @@
 	}
 	record_answer(mirror);
 	mirror->failing_since_ms = 0;
+	mirror->current_ms = util_clock_ms();
 	for (size_t i = 0; i < result->count; i++) {
 		if (result->items[i].revision != 0)
 			report_item(mirror, &result->items[i]);
@@ -247,7 +248,7 @@
 
 uint64_t kv_mirror_age_ms(const struct kv_mirror *mirror)
 {
-	return util_clock_ms() - mirror->answered_ms;
+	return util_clock_ms() - mirror->current_ms;
 }
 
 struct kv_mirror *kv_mirror_create(TALLOC_CTX *mem, struct tevent_context *ev, struct kv *kv,
@@ -259,7 +260,7 @@
 	mirror->kv = kv;
 	mirror->prefix = talloc_strdup(mirror, prefix);
 	mirror->handlers = *handlers;
-	mirror->answered_ms = util_clock_ms();
+	mirror->current_ms = util_clock_ms();
 	mirror->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	/* Owned by the event loop, which outlives every call. */
 	mirror->call = talloc_zero(ev, struct mirror_call_ctx);
--- a/tests/lib_plansim.c
+++ b/tests/lib_plansim.c
@@ -352,7 +352,7 @@
 		.id = reporter->node,
 		.incarnation = incarnation,
 		.service = "s",
-		.zone = "z",
+		.zone = reporter->zone ? reporter->zone : "z",
 		.kind = reporter->kind,
 		.rack = reporter->rack,
 		.room = {SIM_WORKER_CPU_MILLI, SIM_WORKER_MEMORY_MB, SIM_WORKER_ACCELERATORS},
--- a/tests/lib_plansim.h
+++ b/tests/lib_plansim.h
@@ -39,6 +39,7 @@
 	char node[16];
 	char rack[16];
 	char kind[16];
+	const char *zone; /* NULL: "z" */
 	uint32_t incarnation;
 	bool up;
 	bool reachable; /* its reports and its orders arrive */
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -55,8 +55,17 @@
 	struct agent agents[AGENTS];
 	uint32_t keep_ended_ms;
 	int lost;
+	struct zones *zones; /* evacuated ones; NULL: none can be */
+	uint64_t zones_age_ms;
 };
 
+#define ZONES_AGE_MAX_MS 500
+
+static uint64_t zones_age_ms(void *ctx)
+{
+	return ((struct fixture *)ctx)->zones_age_ms;
+}
+
 static void on_leader_message(const char *peer, struct msg *msg, void *ctx)
 {
 	struct fixture *f = ctx;
@@ -126,7 +135,11 @@
 				  .advice = &fake_advice,
 				  .node = "e1",
 				  .params = &params,
-				  .keep_ended_ms = f->keep_ended_ms};
+				  .keep_ended_ms = f->keep_ended_ms,
+				  .zones = f->zones,
+				  .zones_age_ms = zones_age_ms,
+				  .zones_ctx = f,
+				  .zones_age_max_ms = ZONES_AGE_MAX_MS};
 
 	f->coord = coord_create(f, &deps, &f->conf);
 }
@@ -1346,6 +1359,94 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against starts in an evacuated zone by a leader that has not read the operators' keys yet,
+ * and against jobs that then wait for ever.
+ */
+static void test_starts_nothing_before_zones_are_known(void)
+{
+	struct fixture *f = set_up("");
+
+	f->zones = zones_create(f);
+	f->zones_age_ms = UINT64_MAX;
+	put_job(f, "0123456789abcdef", 1);
+	elect_leader(f);
+	for (int i = 0; i < AGENTS; i++)
+		send_report(f, i, true, NULL, NULL);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_EQUAL(count_starts(f), 0);
+	CU_ASSERT_TRUE(f->agents[0].orders->closed);
+	f->zones_age_ms = 0;
+	await_starts(f, 1);
+	CU_ASSERT_EQUAL(count_starts(f), 1);
+	send_report(f, 0, true, NULL, NULL);
+	CU_ASSERT_FALSE(f->agents[0].orders->closed);
+	tear_down(f);
+}
+
+/* Guards against orders that let an agent start in an evacuated zone, and against none later. */
+static void test_evacuated_zone(void)
+{
+	struct fixture *f = set_up("");
+	json_t *rows;
+
+	f->zones = zones_create(f);
+	zones_evacuate(f->zones, "z", 3, 0);
+	put_job(f, "0123456789abcdef", 1);
+	elect_leader(f);
+	for (int i = 0; i < AGENTS; i++)
+		send_report(f, i, true, NULL, NULL);
+	memkv_run(f->ev, 200);
+	CU_ASSERT_EQUAL(count_starts(f), 0);
+	CU_ASSERT_TRUE(f->agents[0].orders->closed);
+	rows = coord_zones(f->coord);
+	CU_ASSERT_EQUAL(json_array_size(rows), 1);
+	CU_ASSERT_STRING_EQUAL(json_string_value(json_object_get(json_array_get(rows, 0), "state")),
+			       "evacuated");
+	json_decref(rows);
+	zones_return(f->zones, "z");
+	CU_ASSERT_EQUAL(coord_zone_changed(f->coord, "z", false), 0);
+	await_starts(f, 1);
+	CU_ASSERT_EQUAL(count_starts(f), 1);
+	CU_ASSERT_EQUAL(coord_zone_changed(f->coord, "z", true), 1);
+	tear_down(f);
+}
+
+/*
+ * Guards against orders that were composed before the operators' keys became overdue, and against
+ * starts by a leader whose keys were overdue when the store last answered it.
+ */
+static void test_overdue_zones(void)
+{
+	struct fixture *f = set_up("");
+
+	f->zones = zones_create(f);
+	elect_leader(f);
+	for (int i = 0; i < AGENTS; i++)
+		send_report(f, i, true, NULL, NULL);
+	CU_ASSERT_FALSE(f->agents[0].orders->closed);
+	f->zones_age_ms = 2 * ZONES_AGE_MAX_MS + TTL_MS;
+	deliver_report(&f->agents[0], compose_report(f, 0, true, NULL, NULL));
+	RUN_UNTIL(f, is_answered(&f->agents[0]));
+	CU_ASSERT_TRUE(f->agents[0].orders->closed);
+	put_job(f, "0123456789abcdef", 1);
+	memkv_run(f->ev, 50);
+	f->client->fault = MEMKV_REJECT_CALLS;
+	memkv_pause_leases(f->store, true);
+	RUN_UNTIL(f, !leader_confirmed(f->leader));
+	/* Not even the store's silence makes those keys known. */
+	for (int i = 0; i < AGENTS; i++)
+		send_report(f, i, true, NULL, NULL);
+	CU_ASSERT(leader_unconfirmed_ms(f->leader) < ZONES_AGE_MAX_MS + TTL_MS);
+	CU_ASSERT_EQUAL(count_starts(f), 0);
+	CU_ASSERT_TRUE(f->agents[0].orders->closed);
+	/* Keys that were current when the store fell silent are good enough. */
+	f->zones_age_ms = TTL_MS;
+	await_starts(f, 1);
+	CU_ASSERT_EQUAL(count_starts(f), 1);
+	tear_down(f);
+}
+
 int main(void)
 {
 	static CU_TestInfo tests[] = {
@@ -1385,6 +1486,10 @@
 		{"page_without_readable_key", test_page_without_readable_key},
 		{"announces_a_few_at_a_time", test_announces_a_few_at_a_time},
 		{"end_is_told_to_agents", test_end_is_told_to_agents},
+		{"starts_nothing_before_zones_are_known",
+		 test_starts_nothing_before_zones_are_known},
+		{"evacuated_zone", test_evacuated_zone},
+		{"overdue_zones", test_overdue_zones},
 		{"pause_after_decision", test_pause_after_decision},
 		{"job_of_renamed_queue", test_job_of_renamed_queue},
 		CU_TEST_INFO_NULL,
--- a/tests/test_kvmirror.c
+++ b/tests/test_kvmirror.c
@@ -99,6 +99,55 @@
 	talloc_free(fixture);
 }
 
+struct odd_store {
+	struct tevent_context *ev;
+	struct kv_cb poll; /* the call that waits for a change */
+	bool unreadable;   /* pages name no key, but say that there are more */
+	int reads;
+};
+
+static void read_odd_page(void *impl, const char *prefix, const char *after, struct kv_cb cb)
+{
+	struct odd_store *store = impl;
+	struct kv_result page = {.revision = 1, .more = store->unreadable};
+
+	store->reads++;
+	cb.done(0, &page, cb.ctx);
+}
+
+static void hold_poll(void *impl, const char *prefix, int64_t after, uint32_t wait_ms,
+		      struct kv_cb cb)
+{
+	((struct odd_store *)impl)->poll = cb;
+}
+
+/*
+ * Guards against keys that count as known because the store answers: after its history is lost, no
+ * page of a full read can be read.
+ */
+static void test_age_without_readable_pages(void)
+{
+	static const struct kv_ops ops = {.range = read_odd_page, .poll = hold_poll};
+	struct fixture *fixture = talloc_zero(NULL, struct fixture);
+	struct odd_store store = {0};
+	struct kv kv = {&ops, &store};
+	struct kv_mirror_handlers handlers = {on_item, on_loaded, &fixture->seen};
+	struct kv_result none = {.revision = 1};
+
+	fixture->ev = tevent_context_init(fixture);
+	fixture->mirror = kv_mirror_create(fixture, fixture->ev, &kv, "a/", &handlers);
+	memkv_run(fixture->ev, 100);
+	CU_ASSERT(kv_mirror_age_ms(fixture->mirror) >= 100);
+	store.poll.done(0, &none, store.poll.ctx);
+	CU_ASSERT(kv_mirror_age_ms(fixture->mirror) < 50);
+	store.unreadable = true;
+	store.poll.done(-ERR_STALE, NULL, store.poll.ctx);
+	memkv_run(fixture->ev, 1200);
+	CU_ASSERT(store.reads > 2);
+	CU_ASSERT(kv_mirror_age_ms(fixture->mirror) >= 1200);
+	talloc_free(fixture);
+}
+
 /* Guards against a callback into a mirror that was freed while a call was in progress. */
 static void test_freed(void)
 {
@@ -121,6 +170,7 @@
 	CU_add_test(suite, "follow", test_follow);
 	CU_add_test(suite, "compacted", test_compacted);
 	CU_add_test(suite, "silenced_poll", test_silenced_poll);
+	CU_add_test(suite, "age_without_readable_pages", test_age_without_readable_pages);
 	CU_add_test(suite, "freed", test_freed);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
