planorder: Rank waiting steps by the cost of their delay

Cause: within a priority, a job that can't be on time any more took room before jobs that could be; a late job of a higher priority did so across priorities. Steps that were worthless waited without a bound.

planorder.c replaces step_rank()/compare_rank() and eviction_cost(). Jobs that can be on time come first, then late ones with the least remaining work for their value, then worthless ones. A step that has waited for five objectives, at least 60 s, ranks as on time. Only jobs that are guaranteed, or urgent and still able to be on time, evict; a step keeps its rank while stops make room for it. plan.share_excess is the key reserved for fair shares.

Result: test_planorder/on_time_before_late fails on the parent and passes; 13 of 13 plan tests pass.

--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -117,6 +117,7 @@
 	uint64_t ready_ms;	  /* when the steps it depends on had ended; 0: not yet */
 	uint64_t measured_run_ms; /* of its latest task that was done in one run; 0: none yet */
 	struct step_wait wait;
+	uint64_t room_made_until_ms; /* the room that stops make for it is expected by then */
 };
 
 struct occurrence {
@@ -219,6 +220,9 @@
 	uint64_t waits_checked_ms; /* latest plan_update_waits() that looked at the steps */
 	void (*on_wait)(const char *step, enum plan_wait reason, const char *text, void *ctx);
 	void *on_wait_ctx;
+	/* By how much an organisation is above its fair share, 0: not at all; or NULL. */
+	double (*share_excess)(const struct plan *plan, const char *organisation, void *ctx);
+	void *share_excess_ctx;
 };
 
 /* planjob.c */
@@ -294,6 +298,42 @@
 const char *plan_start_ticket(const struct worker *worker, const struct step_run *step);
 void plan_drop_ticket(const struct worker *worker, struct step_run *step);
 
+/* planorder.c */
+/* In the order in which waiting steps get room. */
+enum plan_rank_class {
+	PLAN_RANK_GUARANTEED,
+	PLAN_RANK_LASTING,
+	PLAN_RANK_FILLER,
+	PLAN_RANK_ON_TIME, /* can be on time, or has waited for plan_wait_bound_ms() */
+	PLAN_RANK_LATE,	   /* late, but its result is still worth something */
+	PLAN_RANK_WORTHLESS,
+};
+
+struct step_rank {
+	struct step_run *step;
+	enum plan_rank_class class;
+	uint32_t priority;
+	bool urgent;	       /* of priority 0, and can be on time */
+	double share_excess;   /* see plan.share_excess */
+	double work_per_value; /* core-seconds that are left, for PLAN_RANK_LATE only */
+	double deadline_ms;
+};
+
+void plan_rank_step(const struct plan *plan, struct step_run *step, uint64_t now_ms,
+		    struct step_rank *rank);
+/* Below 0 if @left gets room first; 0 for the same step only. */
+int plan_compare_ranks(const struct step_rank *left, const struct step_rank *right);
+/* True if tasks may be stopped for the step. Nothing that it may stop ranks before it. */
+bool plan_may_evict(const struct step_rank *rank);
+/* The longest that a step waits before it ranks as on time. */
+double plan_wait_bound_ms(const struct job *job);
+/* Size of a task in processors. */
+double plan_resource_weight(const struct jobspec_step *spec);
+/* Core-seconds of one task by the estimate in its job. */
+double plan_estimated_task_work(const struct jobspec_step *spec);
+/* Core-seconds lost if a task is stopped, weighted by their worth; a gang is stopped as a whole. */
+double plan_eviction_cost(const struct task *task, uint64_t now_ms);
+
 /* plandecide.c */
 /* The steps that could start, most urgent first; the array is owned by the caller. */
 GPtrArray *plan_waiting_steps(struct plan *plan, uint64_t now_ms);
@@ -427,7 +467,7 @@
 struct plan_resources plan_use_after_stops(const struct worker *worker);
 bool plan_evict_for_step(struct plan *plan, struct step_run *step, uint64_t now_ms);
 /* Stops fillers on workers that could hold tasks of a step with a latency target without them. */
-bool plan_evict_fillers(struct plan *plan, const struct step_run *step, uint64_t now_ms);
+bool plan_evict_fillers(struct plan *plan, struct step_run *step, uint64_t now_ms);
 void plan_mark_guaranteed(struct plan *plan);
 
 #endif
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -4,59 +4,19 @@
 #include <string.h>
 
 /*
- * The order in which waiting steps get room, made for bursts of urgent gangs on a fleet that
- * longer work keeps 60 to 100% busy. Steps of guaranteed jobs and long-running steps come first,
- * then jobs by priority, and within a priority the job with the earliest deadline. Jobs that are
- * late even by WORTHLESS_AFTER_FACTOR wait behind all others: if they came first, the next jobs
- * would be late too.
+ * One decision: steps get room in the order of planorder.c; urgent ones make some by stops, and
+ * blocked gangs reserve workers. Made for bursts of urgent gangs on a fleet that longer work keeps
+ * 60 to 100% busy.
  */
 
-#define WORTHLESS_AFTER_FACTOR 3.0 /* results are worthless after this multiple */
-#define IDLE_RECHECK_MS 1000	   /* longest time between two checks for stalls */
-#define BLOCKED_RECHECK_MS 50	   /* a back-off or due time may pass soon */
-#define RESERVE_AFTER_MS 500	   /* a gang that has waited this long reserves workers */
-#define RESERVE_SHARE 0.5	   /* largest share of workers reserved for blocked gangs */
-#define RANK_WORTHLESS 100
-
-struct ranked_step {
-	struct step_run *step;
-	uint32_t rank;
-	double deadline_ms;
-};
-
-static double objective_deadline_ms(const struct job *job, const struct occurrence *occurrence,
-				    double objective_factor)
-{
-	double objective = job->queue->stretch * (double)jobspec_critical_path_ms(job->spec) +
-			   job->queue->allowance_ms;
-
-	return (double)occurrence->due_ms + objective_factor * objective;
-}
-
-static uint32_t step_rank(const struct step_run *step, uint64_t now_ms)
-{
-	const struct job *job = step->occurrence->job;
-
-	/* A long-running task must not take the room that it was stopped to make. */
-	if (job->guaranteed)
-		return 0;
-	if (step->spec->long_running)
-		return step->spec->filler ? 2 : 1;
-	if ((double)now_ms > objective_deadline_ms(job, step->occurrence, WORTHLESS_AFTER_FACTOR))
-		return RANK_WORTHLESS + job->queue->priority;
-	return 3 + job->queue->priority;
-}
+#define IDLE_RECHECK_MS 1000  /* longest time between two checks for stalls */
+#define BLOCKED_RECHECK_MS 50 /* a back-off or due time may pass soon */
+#define RESERVE_AFTER_MS 500  /* a gang that has waited this long reserves workers */
+#define RESERVE_SHARE 0.5     /* largest share of workers reserved for blocked gangs */
 
-static int compare_rank(gconstpointer a, gconstpointer b)
+static int compare_rank(gconstpointer left, gconstpointer right)
 {
-	const struct ranked_step *left = a;
-	const struct ranked_step *right = b;
-
-	if (left->rank != right->rank)
-		return left->rank < right->rank ? -1 : 1;
-	if (left->deadline_ms != right->deadline_ms)
-		return left->deadline_ms < right->deadline_ms ? -1 : 1;
-	return strcmp(left->step->tasks[0].name, right->step->tasks[0].name);
+	return plan_compare_ranks(left, right);
 }
 
 /* A gang starts only as a whole, so it waits until all members of its last run have ended. */
@@ -69,7 +29,7 @@
 
 static GArray *rank_waiting_steps(struct plan *plan, uint64_t now_ms)
 {
-	GArray *ranked_steps = g_array_new(FALSE, FALSE, sizeof(struct ranked_step));
+	GArray *ranked_steps = g_array_new(FALSE, FALSE, sizeof(struct step_rank));
 
 	for (guint i = 0; i < plan->active->len; i++) {
 		const struct job *job = plan->active->pdata[i];
@@ -79,13 +39,13 @@
 		for (struct occurrence *occurrence = job->occurrences; occurrence;
 		     occurrence = occurrence->next) {
 			for (size_t s = 0; s < job->spec->step_count; s++) {
-				struct ranked_step ranked = {.step = &occurrence->steps[s]};
+				struct step_run *step = &occurrence->steps[s];
+				struct step_rank rank;
 
-				if (!can_start(ranked.step))
+				if (!can_start(step))
 					continue;
-				ranked.rank = step_rank(ranked.step, now_ms);
-				ranked.deadline_ms = objective_deadline_ms(job, occurrence, 1);
-				g_array_append_val(ranked_steps, ranked);
+				plan_rank_step(plan, step, now_ms, &rank);
+				g_array_append_val(ranked_steps, rank);
 			}
 		}
 	}
@@ -99,7 +59,7 @@
 	GPtrArray *steps = g_ptr_array_sized_new(ranked_steps->len);
 
 	for (guint i = 0; i < ranked_steps->len; i++)
-		g_ptr_array_add(steps, g_array_index(ranked_steps, struct ranked_step, i).step);
+		g_ptr_array_add(steps, g_array_index(ranked_steps, struct step_rank, i).step);
 	g_array_free(ranked_steps, TRUE);
 	return steps;
 }
@@ -258,13 +218,6 @@
 	talloc_free(workers);
 }
 
-static bool may_evict(const struct ranked_step *ranked)
-{
-	const struct job *job = ranked->step->occurrence->job;
-
-	return job->guaranteed || (job->queue->priority == 0 && ranked->rank < RANK_WORTHLESS);
-}
-
 /* False if tasks are left over that could start. */
 static bool place_all(struct plan *plan, struct step_run *step, unsigned int waived,
 		      uint64_t now_ms)
@@ -291,7 +244,7 @@
 	return false;
 }
 
-static void place_step(struct plan *plan, const struct ranked_step *ranked, uint64_t now_ms,
+static void place_step(struct plan *plan, const struct step_rank *ranked, uint64_t now_ms,
 		       uint32_t *reserved)
 {
 	struct step_run *step = ranked->step;
@@ -299,13 +252,13 @@
 	if (plan_job_ended(step->occurrence->job) || place_all(plan, step, 0, now_ms))
 		return;
 	/* Room for a gang is made in one rack if possible: a stop takes less than a slower run. */
-	if (step->spec->gang && may_evict(ranked) && plan_evict_for_step(plan, step, now_ms))
+	if (step->spec->gang && plan_may_evict(ranked) && plan_evict_for_step(plan, step, now_ms))
 		return;
 	if (place_elsewhere(plan, step, now_ms) || plan_evict_fillers(plan, step, now_ms))
 		return;
-	if (!step->spec->gang && may_evict(ranked) && plan_evict_for_step(plan, step, now_ms))
+	if (!step->spec->gang && plan_may_evict(ranked) && plan_evict_for_step(plan, step, now_ms))
 		return;
-	if (step->spec->gang && ranked->rank < RANK_WORTHLESS)
+	if (step->spec->gang && ranked->class != PLAN_RANK_WORTHLESS)
 		reserve_workers(plan, step, now_ms, reserved);
 }
 
@@ -355,7 +308,7 @@
 	ranked_steps = rank_waiting_steps(plan, now_ms);
 	blocked = ranked_steps->len > 0 || plan->has_held;
 	for (guint i = 0; i < ranked_steps->len; i++)
-		place_step(plan, &g_array_index(ranked_steps, struct ranked_step, i), now_ms,
+		place_step(plan, &g_array_index(ranked_steps, struct step_rank, i), now_ms,
 			   &reserved);
 	g_array_free(ranked_steps, TRUE);
 	plan_update_waits(plan, now_ms);
--- a/src/planevict.c
+++ b/src/planevict.c
@@ -21,15 +21,8 @@
  * equal size.
  */
 #define URGENT_WASTE_FACTOR 1.0
-/* Worth of a task of priority 0, as a multiple of a lower-priority task of equal size. */
-#define URGENT_VALUE 5.0
-/*
- * Cost of stopping a long-running task, above that of any others; of a step that allows no task to
- * be unavailable it is above that of any number of those that do.
- */
-#define LASTING_COST 1e9
-#define DISALLOWED_COST 1e13
-#define ACCELERATOR_WEIGHT 8.0 /* one accelerator counts as this many processors */
+/* For the order to stop on its way to the worker and the report of the end on its way back. */
+#define ROOM_MADE_MARGIN_MS 500
 
 static uint64_t peak_accelerators(const struct jobspec *spec)
 {
@@ -112,46 +105,6 @@
 	return job->queue && job->queue->priority > beneficiary->queue->priority;
 }
 
-static double resource_weight(const struct jobspec_step *spec)
-{
-	return spec->cpu_milli / 1000.0 + ACCELERATOR_WEIGHT * spec->accelerators;
-}
-
-/* Core-seconds of work lost when a task is stopped, weighted by their worth. */
-static double eviction_cost(const struct task *task, uint64_t now_ms)
-{
-	const struct jobspec_step *spec = task->step->spec;
-
-	const struct fleetconf_queue *queue = plan_task_job(task)->queue;
-	double value = queue && queue->priority == 0 ? URGENT_VALUE : 1;
-
-	if (task->state == TASK_STOPPING)
-		return 0;
-	/* The one that was displaced longest ago is the cheapest. */
-	if (spec->long_running)
-		return (spec->max_unavailable ? LASTING_COST : DISALLOWED_COST) +
-		       (double)task->displaced_ms / 1000.0;
-	/* A stop saves a checkpoint, so only the cost of the restart counts. */
-	if (spec->checkpoints)
-		return value * resource_weight(spec);
-	return value * resource_weight(spec) * (1.0 + (double)(now_ms - task->began_ms) / 1000.0);
-}
-
-/* Cost of stopping a task; a gang is stopped as a whole. */
-static double eviction_cost_with_gang(const struct task *task, uint64_t now_ms)
-{
-	const struct step_run *step = task->step;
-	double sum = 0;
-
-	if (!step->spec->gang)
-		return eviction_cost(task, now_ms);
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		if (step->tasks[i].worker)
-			sum += eviction_cost(&step->tasks[i], now_ms);
-	}
-	return sum;
-}
-
 /* Room in use after the stops that are under way. */
 struct plan_resources plan_use_after_stops(const struct worker *worker)
 {
@@ -219,7 +172,7 @@
 		g_ptr_array_remove_index(victims->tasks, i);
 		used = use_beside_victims(worker, victims);
 		if (plan_fits(&worker->room, &used, need))
-			victims->cost -= eviction_cost_with_gang(task, now_ms);
+			victims->cost -= plan_eviction_cost(task, now_ms);
 		else
 			g_ptr_array_insert(victims->tasks, (gint)i, task);
 	}
@@ -241,7 +194,7 @@
 		if (plan_task_job(task)->guaranteed ||
 		    !plan_may_stop_lasting(plan, task, victims->tasks, now_ms))
 			return false;
-		victims->cost += eviction_cost_with_gang(task, now_ms);
+		victims->cost += plan_eviction_cost(task, now_ms);
 		g_ptr_array_add(victims->tasks, task);
 	}
 	return true;
@@ -264,14 +217,14 @@
 			    !plan_evictable(task, job) ||
 			    !plan_may_stop_lasting(plan, task, victims->tasks, now_ms))
 				continue;
-			if (!cheapest || eviction_cost_with_gang(task, now_ms) <
-						 eviction_cost_with_gang(cheapest, now_ms))
+			if (!cheapest ||
+			    plan_eviction_cost(task, now_ms) < plan_eviction_cost(cheapest, now_ms))
 				cheapest = task;
 		}
 		if (!cheapest)
 			return false;
 		taken = plan_step_need(cheapest->step->spec);
-		victims->cost += eviction_cost_with_gang(cheapest, now_ms);
+		victims->cost += plan_eviction_cost(cheapest, now_ms);
 		g_ptr_array_add(victims->tasks, cheapest);
 		used.cpu_milli -= taken.cpu_milli;
 		used.memory_mb -= taken.memory_mb;
@@ -312,12 +265,6 @@
 	return true;
 }
 
-/* Core-seconds of one task by the estimate in its job. */
-static double estimated_task_work(const struct jobspec_step *spec)
-{
-	return resource_weight(spec) * spec->estimate_ms / 1000.0;
-}
-
 /*
  * Chooses workers for a gang, and victims on them, among the evictable tasks. A choice that takes
  * more tasks of a step than it allows is repeated without the surplus ones.
@@ -367,6 +314,13 @@
 			       : "evicted for an urgent job";
 }
 
+/* Notes that stops make room for the step; later ones do not extend the time. */
+static void note_room_made(const struct plan *plan, struct step_run *step, uint64_t now_ms)
+{
+	if (step->room_made_until_ms <= now_ms)
+		step->room_made_until_ms = now_ms + plan->params.stop_ms + ROOM_MADE_MARGIN_MS;
+}
+
 /* @firm: stops make room for the step, so it starts within the time that they take. */
 static void reserve(struct worker *worker, const struct step_run *step, bool firm)
 {
@@ -385,13 +339,16 @@
 	struct worker **workers = talloc_zero_array(NULL, struct worker *, step->spec->count);
 	struct victims victims = {.tasks = g_ptr_array_new()};
 	bool firm = false;
-	bool found = reclaim_gang_room(plan, step, now_ms, workers, &victims) &&
-		     (job->guaranteed || victims.cost <= URGENT_WASTE_FACTOR * step->spec->count *
-								 estimated_task_work(step->spec));
+	bool found =
+		reclaim_gang_room(plan, step, now_ms, workers, &victims) &&
+		(job->guaranteed || victims.cost <= URGENT_WASTE_FACTOR * step->spec->count *
+							    plan_estimated_task_work(step->spec));
 
 	for (guint i = 0; found && i < victims.tasks->len; i++)
 		plan_displace_task(plan, victims.tasks->pdata[i],
 				   eviction_reason(job, EVICT_URGENT), now_ms);
+	if (found && victims.tasks->len > 0)
+		note_room_made(plan, step, now_ms);
 	for (uint32_t i = 0; found && i < step->spec->count; i++)
 		firm = firm || (workers[i] && !has_room_now(workers[i], step));
 	for (uint32_t i = 0; found && i < step->spec->count; i++) {
@@ -480,20 +437,23 @@
 }
 
 /* Makes room for one more task; false if no eviction is possible or worth its cost. */
-static bool evict_for_task(struct plan *plan, const struct step_run *step, enum eviction_kind kind,
+static bool evict_for_task(struct plan *plan, struct step_run *step, enum eviction_kind kind,
 			   struct planned_use *placed, uint64_t now_ms)
 {
 	const struct job *job = step->occurrence->job;
 	struct plan_resources need = plan_step_need(step->spec);
 	struct eviction best = cheapest_eviction(plan, step, kind, placed, now_ms);
-	bool is_worth_cost = kind == EVICT_FILLERS || job->guaranteed ||
-			     best.cost <= URGENT_WASTE_FACTOR * estimated_task_work(step->spec);
+	bool is_worth_cost =
+		kind == EVICT_FILLERS || job->guaranteed ||
+		best.cost <= URGENT_WASTE_FACTOR * plan_estimated_task_work(step->spec);
 	struct worker *worker;
 
 	if (!best.tasks)
 		return false;
 	for (guint i = 0; is_worth_cost && i < best.tasks->len; i++)
 		plan_displace_task(plan, best.tasks->pdata[i], eviction_reason(job, kind), now_ms);
+	if (is_worth_cost && best.tasks->len > 0)
+		note_room_made(plan, step, now_ms);
 	g_ptr_array_free(best.tasks, TRUE);
 	if (!is_worth_cost)
 		return false;
@@ -508,7 +468,7 @@
  * Makes room for independent tasks one by one, so that those that fit need not wait for room
  * for all.
  */
-static bool evict_for_tasks(struct plan *plan, const struct step_run *step, enum eviction_kind kind,
+static bool evict_for_tasks(struct plan *plan, struct step_run *step, enum eviction_kind kind,
 			    uint32_t count, uint64_t now_ms)
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
@@ -552,7 +512,7 @@
 	return count;
 }
 
-bool plan_evict_fillers(struct plan *plan, const struct step_run *step, uint64_t now_ms)
+bool plan_evict_fillers(struct plan *plan, struct step_run *step, uint64_t now_ms)
 {
 	if (!is_serving(step) || step->spec->gang)
 		return false;
