plan: Choose victims by what their stops cost, and spare those evicted twice

Cause: plan_pick_gang_workers() chose the workers of an urgent gang by how full they are, so it stopped old work beside work that had just begun; a task could be stopped any number of times; small tasks were stopped although the large one beside them had to go anyway.

The cost of the stops now goes before how well the members fit. A task's former evictions and the work that it lost by them raise its cost. After two evictions it is stopped only for a guarantee that nothing else but long-running tasks could keep. Victims that turn out not to be needed stay. plan_on_evict() reports each run: log event task_evicted, counter jaycourse_evictions_total, histogram jaycourse_eviction_age_ms; explain shows a job's evictions.

--- a/src/coord.c
+++ b/src/coord.c
@@ -510,11 +510,39 @@
 	log_warn("run_lost", task, "run %u on %s: %s", run, node, loss_names[loss]);
 }
 
+static void on_evict(const struct plan_eviction *eviction, void *ctx)
+{
+	struct coord *coord = ctx;
+
+	metrics_add(coord->deps.metrics, coord->evictions[eviction->reason], 1);
+	metrics_observe(&coord->eviction_ages_ms, eviction->age_ms);
+	log_info("task_evicted", eviction->task,
+		 "run %u on %s, %" PRIu64 " ms old, evicted %u times before, for step %s (%s), %s",
+		 eviction->run, eviction->node, eviction->age_ms, eviction->before, eviction->step,
+		 plan_evict_reason_name(eviction->reason),
+		 eviction->known ? "known when the run began" : "accepted later");
+}
+
 static void on_wait(const char *step, enum plan_wait reason, const char *text, void *ctx)
 {
 	log_info("step_waits", step, "%s: %s", plan_wait_name(reason), text);
 }
 
+static void define_eviction_metrics(struct coord *coord)
+{
+	for (int i = 0; i < PLAN_EVICT_COUNT; i++) {
+		char *label = talloc_asprintf(coord, "reason=\"%s\"", plan_evict_reason_name(i));
+
+		coord->evictions[i] = metrics_define(coord->deps.metrics, METRICS_COUNTER,
+						     "jaycourse_evictions_total", label,
+						     "Runs stopped to make room");
+		talloc_free(label);
+	}
+	metrics_histogram_define(coord->deps.metrics, &coord->eviction_ages_ms,
+				 "jaycourse_eviction_age_ms", "",
+				 "Age of a run when it was stopped to make room");
+}
+
 static void define_wait_metrics(struct coord *coord)
 {
 	for (int i = PLAN_WAIT_NONE + 1; i < PLAN_WAIT_COUNT; i++) {
@@ -558,6 +586,7 @@
 				       "Tasks that still run in evacuated zones");
 	}
 	define_wait_metrics(coord);
+	define_eviction_metrics(coord);
 }
 
 static void apply_ends(struct coord *coord, struct agent_row *row,
@@ -917,6 +946,7 @@
 	define_metrics(coord);
 	plan_on_loss(coord->plan, on_run_lost, coord);
 	plan_on_wait(coord->plan, on_wait, coord);
+	plan_on_evict(coord->plan, on_evict, coord);
 	coord->cycle = g_queue_new();
 	coord->ended_jobs = g_queue_new();
 	coord->decide_immediate = tevent_create_immediate(coord);
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -83,10 +83,12 @@
 	struct tevent_timer *announce_timer; /* set while agents have not reported */
 	uint32_t advice_calls;		     /* in progress */
 	int losses[PLAN_LOSS_COUNT];	     /* metric handles */
-	int agent_restarts;		     /* metric handle */
-	int evacuated_zones;		     /* metric handle */
-	int evacuated_tasks;		     /* metric handle */
-	int waiting_steps[PLAN_WAIT_COUNT];  /* metric handles; that of PLAN_WAIT_NONE is unused */
+	int evictions[PLAN_EVICT_COUNT];     /* metric handles */
+	struct metrics_histogram eviction_ages_ms;
+	int agent_restarts;		    /* metric handle */
+	int evacuated_zones;		    /* metric handle */
+	int evacuated_tasks;		    /* metric handle */
+	int waiting_steps[PLAN_WAIT_COUNT]; /* metric handles; that of PLAN_WAIT_NONE is unused */
 	uint64_t waits_counted_ms;
 	struct tevent_immediate *decide_immediate;
 	bool decide_scheduled;
--- a/src/plan.h
+++ b/src/plan.h
@@ -161,6 +161,39 @@
 /** plan_count_waits() - number of waiting steps by reason; @counts has PLAN_WAIT_COUNT entries */
 void plan_count_waits(const struct plan *plan, uint32_t *counts);
 
+/* Why a run was stopped to make room. */
+enum plan_evict_reason {
+	PLAN_EVICT_GUARANTEE, /* for a job within the guarantee of its organisation */
+	PLAN_EVICT_URGENT,    /* for another job of priority 0 */
+	PLAN_EVICT_LATENCY,   /* a filler, for a task with a latency target */
+	PLAN_EVICT_COUNT,
+};
+
+/** plan_evict_reason_name() - text of a reason in metrics */
+const char *plan_evict_reason_name(enum plan_evict_reason reason);
+
+/**
+ * struct plan_eviction - a run that is stopped to make room
+ * @step: for which room is made; the job's id, the occurrence and the number of the step
+ * @age_ms: since its start was decided
+ * @before: former evictions of the task that this leader knows of
+ * @known: the job that room is made for had been accepted when the run began
+ */
+struct plan_eviction {
+	const char *task;
+	uint32_t run;
+	const char *node;
+	const char *step;
+	enum plan_evict_reason reason;
+	uint64_t age_ms;
+	uint32_t before;
+	bool known;
+};
+
+/** plan_on_evict() - call @evicted for each run that is evicted, each member of a gang alone */
+void plan_on_evict(struct plan *plan,
+		   void (*evicted)(const struct plan_eviction *eviction, void *ctx), void *ctx);
+
 /** plan_configure() - replace the configuration; @conf is borrowed until the next call */
 void plan_configure(struct plan *plan, const struct fleetconf *conf);
 
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -66,6 +66,7 @@
 	double speed; /* percent per millisecond over the last complete sample; below 0: none yet */
 	double best_speed;     /* of all samples so far, on any worker */
 	uint32_t slow_samples; /* number in a row */
+	uint32_t evictions;    /* of its runs, that this leader has decided */
 	uint64_t began_ms;     /* start of the latest run */
 	struct run_set failures;
 	uint64_t retry_after_ms; /* the task is not started before this time */
@@ -76,6 +77,8 @@
 	uint64_t adopted_ms;	 /* when its current run was taken over from a former leader */
 	uint64_t displaced_ms;	 /* when a lasting task was last stopped for another; 0: never */
 	bool reclaimable;	 /* see plan_mark_reclaimable() */
+	uint64_t assigned_ms;	 /* when its present run was decided or taken over */
+	double evicted_work;	 /* core-seconds that it lost by them */
 	struct worker *avoid;	 /* where it last failed, stalled or was slow */
 	const char *stop_reason; /* in words */
 	uint64_t waited_ms;
@@ -153,7 +156,8 @@
 	uint32_t next_run;
 	uint64_t checkpoint_ms;		/* when a checkpoint last made the record change */
 	struct occurrence *occurrences; /* unfinished ones */
-	bool guaranteed;		/* within the accelerators promised to its organisation */
+	bool evicts_protected; /* see plan_is_protected(); only while room is made for it */
+	bool guaranteed;       /* within the accelerators promised to its organisation */
 };
 
 /* A run that a worker reports but that no task is assigned to; it has to be stopped. */
@@ -216,7 +220,10 @@
 	/* Service whose use was measured last, and its share in use; NULL: measure it again. */
 	const char *use_service;
 	double use_share;
-	uint64_t displaced_ms;	   /* latest of all tasks */
+	uint64_t displaced_ms; /* latest of all tasks */
+	bool has_protected;    /* some task was evicted PLAN_EVICTIONS_MAX times */
+	void (*on_evict)(const struct plan_eviction *eviction, void *ctx);
+	void *on_evict_ctx;
 	uint64_t waits_checked_ms; /* latest plan_update_waits() that looked at the steps */
 	void (*on_wait)(const char *step, enum plan_wait reason, const char *text, void *ctx);
 	void *on_wait_ctx;
@@ -461,6 +468,16 @@
 /** plan_displace_task() - stop a task, and the other members of its gang, to make room */
 void plan_displace_task(struct plan *plan, struct task *task, const char *reason, uint64_t now_ms);
 
+/* planvictim.c */
+/* A task that was evicted this often makes room only for a guarantee that nothing else keeps. */
+#define PLAN_EVICTIONS_MAX 2
+bool plan_is_protected(const struct task *task);
+/* Stops a task, and the other members of its gang, to make room for a step. */
+void plan_evict_task(struct plan *plan, struct task *task, const struct step_run *step,
+		     enum plan_evict_reason reason, uint64_t now_ms);
+/* Part of an explanation; "" if no task of the job was evicted. Owned by @mem. */
+char *plan_explain_evictions(const struct job *job, TALLOC_CTX *mem);
+
 /* planevict.c */
 bool plan_evictable(const struct task *task, const struct job *beneficiary);
 /* Room in use after the stops that are under way. */
--- a/src/planevict.c
+++ b/src/planevict.c
@@ -100,6 +100,8 @@
 		return false;
 	if (task->step->spec->long_running)
 		return task->reclaimable;
+	if (plan_is_protected(task) && !beneficiary->evicts_protected)
+		return false;
 	if (beneficiary->guaranteed)
 		return true;
 	return job->queue && job->queue->priority > beneficiary->queue->priority;
@@ -151,12 +153,7 @@
 	return used;
 }
 
-static bool is_lasting(const struct task *task)
-{
-	return task->step->spec->long_running;
-}
-
-/* Leaves out the long-running tasks of a worker that are not needed, the dearest first. */
+/* Leaves out the tasks of a worker that need not be stopped, the dearest first. */
 static void spare_needless_victims(const struct worker *worker, const struct plan_resources *need,
 				   guint first, uint64_t now_ms, struct victims *victims)
 {
@@ -167,8 +164,6 @@
 		struct task *task = victims->tasks->pdata[i];
 		struct plan_resources used;
 
-		if (!is_lasting(task))
-			continue;
 		g_ptr_array_remove_index(victims->tasks, i);
 		used = use_beside_victims(worker, victims);
 		if (plan_fits(&worker->room, &used, need))
@@ -191,7 +186,7 @@
 		if (!task->step->spec->filler || task->state == TASK_STOPPING ||
 		    is_victim(victims, task))
 			continue;
-		if (plan_task_job(task)->guaranteed ||
+		if (plan_task_job(task)->guaranteed || plan_is_protected(task) ||
 		    !plan_may_stop_lasting(plan, task, victims->tasks, now_ms))
 			return false;
 		victims->cost += plan_eviction_cost(task, now_ms);
@@ -287,9 +282,14 @@
 static bool reclaim_gang_room(struct plan *plan, struct step_run *step, uint64_t now_ms,
 			      struct worker **workers, struct victims *victims)
 {
-	const struct job *job = step->occurrence->job;
+	struct job *job = step->occurrence->job;
 	bool found = choose_gang_room(plan, step, now_ms, workers, victims);
 
+	/* Tasks evicted too often come next, and only then those that last. */
+	if (!found && job->guaranteed && plan->has_protected) {
+		job->evicts_protected = true;
+		found = choose_gang_room(plan, step, now_ms, workers, victims);
+	}
 	for (int reclaim = PLAN_RECLAIM_ALLOWED_IN_TURN;
 	     job->guaranteed && !found && reclaim <= PLAN_RECLAIM_ALL; reclaim++) {
 		if (plan_mark_reclaimable(plan, reclaim))
@@ -297,6 +297,7 @@
 	}
 	if (job->guaranteed)
 		plan_mark_reclaimable(plan, PLAN_RECLAIM_NONE);
+	job->evicts_protected = false;
 	return found;
 }
 
@@ -306,12 +307,11 @@
 	EVICT_FILLERS, /* only fillers, for a step with a latency target */
 };
 
-static const char *eviction_reason(const struct job *job, enum eviction_kind kind)
+static enum plan_evict_reason eviction_reason(const struct job *job, enum eviction_kind kind)
 {
 	if (kind == EVICT_FILLERS)
-		return "gives way to a task with a latency target";
-	return job->guaranteed ? "evicted for a job within its guarantee"
-			       : "evicted for an urgent job";
+		return PLAN_EVICT_LATENCY;
+	return job->guaranteed ? PLAN_EVICT_GUARANTEE : PLAN_EVICT_URGENT;
 }
 
 /* Notes that stops make room for the step; later ones do not extend the time. */
@@ -345,8 +345,8 @@
 							    plan_estimated_task_work(step->spec));
 
 	for (guint i = 0; found && i < victims.tasks->len; i++)
-		plan_displace_task(plan, victims.tasks->pdata[i],
-				   eviction_reason(job, EVICT_URGENT), now_ms);
+		plan_evict_task(plan, victims.tasks->pdata[i], step,
+				eviction_reason(job, EVICT_URGENT), now_ms);
 	if (found && victims.tasks->len > 0)
 		note_room_made(plan, step, now_ms);
 	for (uint32_t i = 0; found && i < step->spec->count; i++)
@@ -451,7 +451,8 @@
 	if (!best.tasks)
 		return false;
 	for (guint i = 0; is_worth_cost && i < best.tasks->len; i++)
-		plan_displace_task(plan, best.tasks->pdata[i], eviction_reason(job, kind), now_ms);
+		plan_evict_task(plan, best.tasks->pdata[i], step, eviction_reason(job, kind),
+				now_ms);
 	if (is_worth_cost && best.tasks->len > 0)
 		note_room_made(plan, step, now_ms);
 	g_ptr_array_free(best.tasks, TRUE);
@@ -464,6 +465,17 @@
 	return true;
 }
 
+/* Number of tasks, up to @count, for which room was made. */
+static uint32_t evict_up_to(struct plan *plan, struct step_run *step, enum eviction_kind kind,
+			    uint32_t count, struct planned_use *placed, uint64_t now_ms)
+{
+	uint32_t found = 0;
+
+	while (found < count && evict_for_task(plan, step, kind, placed, now_ms))
+		found++;
+	return found;
+}
+
 /*
  * Makes room for independent tasks one by one, so that those that fit need not wait for room
  * for all.
@@ -476,16 +488,20 @@
 		.used = talloc_zero_array(mem, struct plan_resources, plan->workers->len),
 		.count = talloc_zero_array(mem, uint32_t, plan->workers->len),
 	};
-	bool reclaims = kind == EVICT_URGENT && step->occurrence->job->guaranteed;
+	struct job *job = step->occurrence->job;
+	bool reclaims = kind == EVICT_URGENT && job->guaranteed;
 	uint32_t found = 0;
 
-	/* Their cost makes long-running tasks the last choice. */
-	if (reclaims)
-		plan_mark_reclaimable(plan, PLAN_RECLAIM_ALL);
-	while (found < count && evict_for_task(plan, step, kind, &placed, now_ms))
-		found++;
-	if (reclaims)
+	found += evict_up_to(plan, step, kind, count, &placed, now_ms);
+	if (reclaims && plan->has_protected) {
+		job->evicts_protected = true;
+		found += evict_up_to(plan, step, kind, count - found, &placed, now_ms);
+	}
+	if (reclaims && found < count && plan_mark_reclaimable(plan, PLAN_RECLAIM_ALL)) {
+		found += evict_up_to(plan, step, kind, count - found, &placed, now_ms);
 		plan_mark_reclaimable(plan, PLAN_RECLAIM_NONE);
+	}
+	job->evicts_protected = false;
 	talloc_free(mem);
 	return found > 0;
 }
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -547,7 +547,7 @@
 	return talloc_asprintf(
 		mem,
 		"%s: tasks: %u waiting, %u starting, %u running, %u stopping, %u done; failed "
-		"runs: %u%s%s%s%s%s",
+		"runs: %u%s%s%s%s%s%s",
 		plan_job_state_name(job->state), counts[TASK_WAITING], counts[TASK_STARTING],
 		counts[TASK_RUNNING], counts[TASK_STOPPING], counts[TASK_DONE], failures,
 		job->inherited ? ", waiting for reports of workers that the former leader used"
@@ -555,5 +555,5 @@
 		job->held ? ", waiting for the store to confirm the leader" : "",
 		advice_pending ? ", waiting for advice on workers" : "",
 		job->queue ? "" : ", its queue is not in the configuration",
-		explain_waits(plan, job, mem));
+		plan_explain_evictions(job, mem), explain_waits(plan, job, mem));
 }
--- a/src/planorder.c
+++ b/src/planorder.c
@@ -28,6 +28,8 @@
  */
 #define LASTING_COST 1e9
 #define DISALLOWED_COST 1e13
+/* Cost of stopping a protected task, above that of others that do not last. */
+#define PROTECTED_COST 1e6
 
 static double objective_ms(const struct job *job)
 {
@@ -214,7 +216,8 @@
 		       (double)task->displaced_ms / 1000.0;
 	/* A stop saves a checkpoint, so only the cost of the restart counts. */
 	lost = 1.0 + (spec->checkpoints ? 0 : (double)(now_ms - task->began_ms) / 1000.0);
-	return value * plan_resource_weight(spec) * lost;
+	lost *= value * plan_resource_weight(spec) * (1 + task->evictions);
+	return lost + value * task->evicted_work + (plan_is_protected(task) ? PROTECTED_COST : 0);
 }
 
 double plan_eviction_cost(const struct task *task, uint64_t now_ms)
--- a/src/planplace.c
+++ b/src/planplace.c
@@ -257,15 +257,68 @@
 	struct plan_resources *used;		 /* room that is not available to the gang */
 	struct plan_resources *used_after_stops; /* room in use unless more tasks are stopped */
 	uint32_t *member_count;
+	double *stops_so_far; /* cost of the tasks that are stopped there for the members */
+	double *stop_cost;    /* the same, in addition for one more member; below 0: not known */
+	const struct job *evicts_for; /* NULL: nothing is stopped */
+	uint64_t now_ms;
 	size_t count;
 };
 
+struct stoppable {
+	double cost;
+	const struct jobspec_step *spec;
+};
+
+static int compare_stoppable(gconstpointer first, gconstpointer second)
+{
+	const struct stoppable *left = first;
+	const struct stoppable *right = second;
+
+	return left->cost < right->cost ? -1 : left->cost > right->cost;
+}
+
+/* Cost of the cheapest tasks of a worker whose stops make @need fit; whether enough is not said. */
+static double cost_of_stops(const struct gang_candidates *candidates, size_t i,
+			    const struct plan_resources *need)
+{
+	const struct worker *worker = candidates->workers[i];
+	struct plan_resources used = candidates->used_after_stops[i];
+	GArray *tasks;
+	double cost = 0;
+
+	if (plan_fits(&worker->room, &used, need))
+		return 0;
+	tasks = g_array_new(FALSE, FALSE, sizeof(struct stoppable));
+	for (const struct task *task = worker->tasks; task; task = task->next_on_worker) {
+		struct stoppable stoppable = {0, task->step->spec};
+
+		if (task->state == TASK_STOPPING || !plan_evictable(task, candidates->evicts_for))
+			continue;
+		stoppable.cost = plan_eviction_cost(task, candidates->now_ms);
+		g_array_append_val(tasks, stoppable);
+	}
+	g_array_sort(tasks, compare_stoppable);
+	for (guint k = 0; k < tasks->len && !plan_fits(&worker->room, &used, need); k++) {
+		const struct stoppable *stopped = &g_array_index(tasks, struct stoppable, k);
+		struct plan_resources freed = plan_step_need(stopped->spec);
+
+		used.cpu_milli -= freed.cpu_milli;
+		used.memory_mb -= freed.memory_mb;
+		used.accelerators -= freed.accelerators;
+		cost += stopped->cost;
+	}
+	g_array_free(tasks, TRUE);
+	return cost;
+}
+
 static void collect_candidates(struct plan *plan, struct step_run *step, bool evict,
 			       unsigned int waived, uint64_t now_ms,
 			       struct gang_candidates *candidates)
 {
 	const struct job *job = step->occurrence->job;
 
+	candidates->evicts_for = evict ? job : NULL;
+	candidates->now_ms = now_ms;
 	for (guint i = 0; i < plan->workers->len; i++) {
 		struct worker *worker = plan->workers->pdata[i];
 
@@ -294,23 +347,29 @@
 	return plan_fits(&worker->room, &candidates->used[i], &need);
 }
 
-static double excess_share(uint32_t used, uint32_t need, uint32_t room)
+/* Cost of the stops for one more member on a worker. */
+static double cost_of_next(struct gang_candidates *candidates, size_t i,
+			   const struct plan_resources *need)
 {
-	return used + need > room ? (double)(used + need - room) / room : 0;
+	if (!candidates->evicts_for)
+		return 0;
+	if (candidates->stop_cost[i] < 0)
+		candidates->stop_cost[i] =
+			MAX(0, cost_of_stops(candidates, i, need) - candidates->stops_so_far[i]);
+	return candidates->stop_cost[i];
 }
 
-/* Penalty for the share of a worker whose tasks would have to be stopped; 0 if none. */
-static double displacement_penalty(const struct gang_candidates *candidates, size_t i,
-				   const struct plan_resources *need)
+/* Scores of a place; the cost of stops there goes before how well the tasks fit. */
+struct place_score {
+	double stop_cost;
+	double unused;
+};
+
+static bool is_better(const struct place_score *score, const struct place_score *best)
 {
-	const struct plan_resources *room = &candidates->workers[i]->room;
-	const struct plan_resources *used = &candidates->used_after_stops[i];
-	double most = excess_share(used->cpu_milli, need->cpu_milli, room->cpu_milli);
-	double other = excess_share(used->memory_mb, need->memory_mb, room->memory_mb);
-
-	most = other > most ? other : most;
-	other = excess_share(used->accelerators, need->accelerators, room->accelerators);
-	return 4.0 * (other > most ? other : most);
+	if (score->stop_cost != best->stop_cost)
+		return score->stop_cost < best->stop_cost;
+	return score->unused < best->unused;
 }
 
 /*
@@ -318,7 +377,7 @@
  * still runs is placed as if all its members waited.
  */
 static bool fit_on_racks(const struct gang_candidates *initial, const struct step_run *step,
-			 const char *rack, struct worker **out, double *total_score)
+			 const char *rack, struct worker **out, struct place_score *total)
 {
 	struct plan_resources need = plan_step_need(step->spec);
 	TALLOC_CTX *mem = talloc_new(NULL);
@@ -332,23 +391,31 @@
 			      initial->count * sizeof(*initial->used_after_stops));
 	candidates.member_count = talloc_memdup(mem, initial->member_count,
 						initial->count * sizeof(*initial->member_count));
-	*total_score = 0;
+	if (initial->evicts_for) {
+		candidates.stops_so_far = talloc_zero_array(mem, double, initial->count);
+		candidates.stop_cost = talloc_array(mem, double, initial->count);
+		for (size_t i = 0; i < initial->count; i++)
+			candidates.stop_cost[i] = -1;
+	}
+	*total = (struct place_score){0};
 	for (uint32_t t = 0; t < step->spec->count && complete; t++) {
 		size_t best = candidates.count;
-		double best_score = 0;
+		struct place_score best_score = {0};
 
 		out[t] = NULL;
 		if (!step->spec->gang && step->tasks[t].state != TASK_WAITING)
 			continue;
 		for (size_t i = 0; i < candidates.count; i++) {
-			double score;
+			struct place_score score = {0};
 
 			if (!member_fits(&candidates, i, step, rack))
 				continue;
-			score = unused_share(candidates.workers[i], &candidates.used[i], &need);
-			score += plan_data_on_other_rack(candidates.workers[i], step->spec) ? 5 : 0;
-			score += displacement_penalty(&candidates, i, &need);
-			if (best < candidates.count && score >= best_score)
+			score.stop_cost = cost_of_next(&candidates, i, &need);
+			score.unused =
+				unused_share(candidates.workers[i], &candidates.used[i], &need);
+			score.unused +=
+				plan_data_on_other_rack(candidates.workers[i], step->spec) ? 5 : 0;
+			if (best < candidates.count && !is_better(&score, &best_score))
 				continue;
 			best = i;
 			best_score = score;
@@ -357,10 +424,15 @@
 		if (!complete)
 			break;
 		out[t] = candidates.workers[best];
-		*total_score += best_score;
+		total->stop_cost += best_score.stop_cost;
+		total->unused += best_score.unused;
 		candidates.member_count[best]++;
 		plan_add_resources(&candidates.used[best], &need);
 		plan_add_resources(&candidates.used_after_stops[best], &need);
+		if (candidates.evicts_for) {
+			candidates.stops_so_far[best] += best_score.stop_cost;
+			candidates.stop_cost[best] = -1;
+		}
 	}
 	talloc_free(mem);
 	return complete;
@@ -422,17 +494,17 @@
 	const char *racks[RACKS_MAX];
 	size_t count = list_racks(candidates, racks);
 	struct worker **attempt = talloc_zero_array(NULL, struct worker *, step->spec->count);
-	double best_score = 0;
+	struct place_score best_score = {0};
 	bool found = false;
 
 	for (size_t r = 0; r < count; r++) {
-		double total_score;
+		struct place_score total;
 
-		if (!fit_on_racks(candidates, step, racks[r], attempt, &total_score) ||
-		    (found && total_score >= best_score))
+		if (!fit_on_racks(candidates, step, racks[r], attempt, &total) ||
+		    (found && !is_better(&total, &best_score)))
 			continue;
 		found = true;
-		best_score = total_score;
+		best_score = total;
 		memcpy(out, attempt, step->spec->count * sizeof(*out));
 	}
 	talloc_free(attempt);
@@ -451,13 +523,13 @@
 		.member_count = talloc_zero_array(mem, uint32_t, plan->workers->len + 1),
 	};
 	bool found;
-	double total_score;
+	struct place_score total;
 
 	collect_candidates(plan, step, evict, waived, now_ms, &candidates);
 	found = step->spec->one_rack && fit_on_best_rack(&candidates, step, out);
 	if (!found && (!step->spec->one_rack || (waived & PLAN_WAIVE_RACK) ||
 		       !some_rack_could_hold(plan, step)))
-		found = fit_on_racks(&candidates, step, NULL, out, &total_score);
+		found = fit_on_racks(&candidates, step, NULL, out, &total);
 	talloc_free(mem);
 	return found;
 }
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -44,6 +44,7 @@
 	task->worker = worker;
 	task->next_on_worker = worker->tasks;
 	task->began_ms = now_ms;
+	task->assigned_ms = now_ms;
 	task->adopted_ms = 0;
 	task->progress_ms = now_ms;
 	task->percent = task->checkpoint ? task->saved_percent : 0;
--- /dev/null
+++ b/tests/test_planevict.c
@@ -0,0 +1,168 @@
+#include "lib_plansim.h"
+
+#include "util.h"
+
+#include <CUnit/Basic.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+/*
+ * Which running work is stopped for urgent jobs, and how often. Organisation "a" is promised 16
+ * accelerators unless a test says otherwise; workers have 8 accelerators, three to a rack.
+ */
+
+#define SEEDS 12
+#define EVICTIONS_MAX 2
+#define TASKS_MAX 400
+
+struct stops {
+	char task[64];
+	uint32_t count;
+	uint32_t run;
+};
+
+/* Stops of each task, as its worker sees them. */
+struct stop_counts {
+	struct stops tasks[TASKS_MAX];
+	uint32_t count;
+};
+
+static void count_stops(struct plansim *sim, void *ctx)
+{
+	struct stop_counts *counts = ctx;
+
+	for (uint32_t i = 0; i < sim->run_count; i++) {
+		const struct sim_run *run = &sim->runs[i];
+		uint32_t k = 0;
+
+		if (!run->present || !run->stopping)
+			continue;
+		while (k < counts->count && strcmp(counts->tasks[k].task, run->task) != 0)
+			k++;
+		if (k == TASKS_MAX)
+			continue;
+		if (k == counts->count)
+			g_strlcpy(counts->tasks[counts->count++].task, run->task, 64);
+		if (counts->tasks[k].run == run->run)
+			continue;
+		counts->tasks[k].run = run->run;
+		counts->tasks[k].count++;
+	}
+}
+
+static void check_and_free(struct plansim *sim)
+{
+	if (sim->violation)
+		printf("\n%s: %s\n", sim->violation_task, sim->violation);
+	CU_ASSERT_PTR_NULL(sim->violation);
+	talloc_free(sim);
+}
+
+/*
+ * Guards against stops of work that is old beside work that has just begun: both workers are
+ * equally full, and the gang needs one of them.
+ */
+static void test_cheapest_worker(void)
+{
+	struct plansim *sim = plansim_create(NULL, 2);
+
+	plansim_add_job(sim, "old", "batch", "b",
+			"[{\"tasks\":8,\"cpu_milli\":1000,\"accelerators\":1,"
+			"\"estimate_ms\":60000}]");
+	plansim_run(sim, 9000);
+	plansim_add_job(sim, "new", "batch", "b",
+			"[{\"tasks\":8,\"cpu_milli\":1000,\"accelerators\":1,"
+			"\"estimate_ms\":60000}]");
+	plansim_run(sim, 1000);
+	plansim_add_job(sim, "u1", "urgent", "a",
+			"[{\"tasks\":4,\"cpu_milli\":1000,\"accelerators\":2,\"gang\":true,"
+			"\"estimate_ms\":3000}]");
+	plansim_run(sim, 1000);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "u1."), 4);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "old."), 8);
+	check_and_free(sim);
+}
+
+/* Guards against stops of small tasks that do not help: the large one has to go in any case. */
+static void test_needless_victims(void)
+{
+	struct plansim *sim = plansim_create(NULL, 1);
+
+	plansim_add_job(sim, "big", "batch", "b",
+			"[{\"tasks\":1,\"cpu_milli\":1000,\"accelerators\":6,"
+			"\"estimate_ms\":60000}]");
+	plansim_run(sim, 4000);
+	plansim_add_job(sim, "tiny", "batch", "b",
+			"[{\"tasks\":2,\"cpu_milli\":1000,\"accelerators\":1,"
+			"\"estimate_ms\":60000}]");
+	plansim_run(sim, 1000);
+	plansim_add_job(sim, "u1", "urgent", "a",
+			"[{\"tasks\":1,\"cpu_milli\":1000,\"accelerators\":5,"
+			"\"estimate_ms\":3000}]");
+	plansim_run(sim, 1000);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "u1."), 1);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "tiny."), 2);
+	check_and_free(sim);
+}
+
+static void add_random_job(struct plansim *sim, struct util_rng *rng, const char *queue,
+			   const char *organisation, int number)
+{
+	bool gang = strcmp(queue, "batch") != 0;
+	char id[16];
+	char *steps = talloc_asprintf(
+		sim,
+		"[{\"tasks\":%u,\"cpu_milli\":%u,\"accelerators\":%u,\"estimate_ms\":%u,"
+		"\"gang\":%s}]",
+		(unsigned int)(1 + util_rng_below(rng, gang ? 4 : 10)),
+		(unsigned int)(1000 + util_rng_below(rng, 9000)),
+		(unsigned int)(1 + util_rng_below(rng, gang ? 8 : 2)),
+		(unsigned int)(1000 + util_rng_below(rng, 6000)), gang ? "true" : "false");
+
+	snprintf(id, sizeof(id), "%c%d", *queue, number);
+	plansim_add_job(sim, id, queue, organisation, steps);
+}
+
+/*
+ * Guards against tasks that urgent jobs beyond any guarantee stop again and again. Nothing but
+ * evictions stops tasks here.
+ */
+static void test_evicted_twice_at_most(void)
+{
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		struct plansim *sim = plansim_create(NULL, 4);
+		struct stop_counts *counts = talloc_zero(sim, struct stop_counts);
+		struct util_rng rng = {seed};
+		uint32_t most = 0;
+
+		sim->after_tick = count_stops;
+		sim->hook_ctx = counts;
+		for (int i = 0; i < 60; i++) {
+			add_random_job(sim, &rng, i % 3 ? "urgent" : "large", "b", i);
+			if (i % 4 == 0)
+				add_random_job(sim, &rng, "batch", "b", i);
+			plansim_run(sim, (uint32_t)(300 + util_rng_below(&rng, 1200)));
+		}
+		for (uint32_t k = 0; k < counts->count; k++)
+			most = MAX(most, counts->tasks[k].count);
+		if (most > EVICTIONS_MAX)
+			printf("\nseed %u: a task was evicted %u times\n", seed, most);
+		CU_ASSERT_TRUE(most <= EVICTIONS_MAX);
+		check_and_free(sim);
+	}
+}
+
+int main(void)
+{
+	CU_pSuite suite;
+
+	if (CU_initialize_registry() != CUE_SUCCESS)
+		return CU_get_error();
+	suite = CU_add_suite("planevict", NULL, NULL);
+	CU_add_test(suite, "cheapest_worker", test_cheapest_worker);
+	CU_add_test(suite, "needless_victims", test_needless_victims);
+	CU_add_test(suite, "evicted_twice_at_most", test_evicted_twice_at_most);
+	CU_basic_run_tests();
+	return CU_get_number_of_failures() > 0;
+}
