--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -66,6 +66,7 @@
 	double speed; /* percent per millisecond over the last complete sample; below 0: none yet */
 	double best_speed;     /* of all samples so far, on any worker */
 	uint32_t slow_samples; /* number in a row */
+	uint32_t evictions;    /* of its runs, that this leader has decided */
 	uint64_t began_ms;     /* start of the latest run */
 	struct run_set failures;
 	uint64_t retry_after_ms; /* the task is not started before this time */
@@ -76,6 +77,8 @@
 	uint64_t adopted_ms;	 /* when its current run was taken over from a former leader */
 	uint64_t displaced_ms;	 /* when a lasting task was last stopped for another; 0: never */
 	bool reclaimable;	 /* see plan_mark_reclaimable() */
+	uint64_t assigned_ms;	 /* when its present run was decided or taken over */
+	double evicted_work;	 /* core-seconds that it lost by them */
 	struct worker *avoid;	 /* where it last failed, stalled or was slow */
 	const char *stop_reason; /* in words */
 	uint64_t waited_ms;
@@ -117,6 +120,7 @@
 	uint64_t ready_ms;	  /* when the steps it depends on had ended; 0: not yet */
 	uint64_t measured_run_ms; /* of its latest task that was done in one run; 0: none yet */
 	struct step_wait wait;
+	uint64_t room_made_until_ms; /* the room that stops make for it is expected by then */
 };
 
 struct occurrence {
@@ -152,7 +156,8 @@
 	uint32_t next_run;
 	uint64_t checkpoint_ms;		/* when a checkpoint last made the record change */
 	struct occurrence *occurrences; /* unfinished ones */
-	bool guaranteed;		/* within the accelerators promised to its organisation */
+	bool evicts_protected; /* see plan_is_protected(); only while room is made for it */
+	bool guaranteed;       /* within the accelerators promised to its organisation */
 };
 
 /* A run that a worker reports but that no task is assigned to; it has to be stopped. */
@@ -215,10 +220,16 @@
 	/* Service whose use was measured last, and its share in use; NULL: measure it again. */
 	const char *use_service;
 	double use_share;
-	uint64_t displaced_ms;	   /* latest of all tasks */
+	uint64_t displaced_ms; /* latest of all tasks */
+	bool has_protected;    /* some task was evicted PLAN_EVICTIONS_MAX times */
+	void (*on_evict)(const struct plan_eviction *eviction, void *ctx);
+	void *on_evict_ctx;
 	uint64_t waits_checked_ms; /* latest plan_update_waits() that looked at the steps */
 	void (*on_wait)(const char *step, enum plan_wait reason, const char *text, void *ctx);
 	void *on_wait_ctx;
+	/* By how much an organisation is above its fair share, 0: not at all; or NULL. */
+	double (*share_excess)(const struct plan *plan, const char *organisation, void *ctx);
+	void *share_excess_ctx;
 };
 
 /* planjob.c */
@@ -294,6 +305,42 @@
 const char *plan_start_ticket(const struct worker *worker, const struct step_run *step);
 void plan_drop_ticket(const struct worker *worker, struct step_run *step);
 
+/* planorder.c */
+/* In the order in which waiting steps get room. */
+enum plan_rank_class {
+	PLAN_RANK_GUARANTEED,
+	PLAN_RANK_LASTING,
+	PLAN_RANK_FILLER,
+	PLAN_RANK_ON_TIME, /* can be on time, or has waited for plan_wait_bound_ms() */
+	PLAN_RANK_LATE,	   /* late, but its result is still worth something */
+	PLAN_RANK_WORTHLESS,
+};
+
+struct step_rank {
+	struct step_run *step;
+	enum plan_rank_class class;
+	uint32_t priority;
+	bool urgent;	       /* of priority 0, and can be on time */
+	double share_excess;   /* see plan.share_excess */
+	double work_per_value; /* core-seconds that are left, for PLAN_RANK_LATE only */
+	double deadline_ms;
+};
+
+void plan_rank_step(const struct plan *plan, struct step_run *step, uint64_t now_ms,
+		    struct step_rank *rank);
+/* Below 0 if @left gets room first; 0 for the same step only. */
+int plan_compare_ranks(const struct step_rank *left, const struct step_rank *right);
+/* True if tasks may be stopped for the step. Nothing that it may stop ranks before it. */
+bool plan_may_evict(const struct step_rank *rank);
+/* The longest that a step waits before it ranks as on time. */
+double plan_wait_bound_ms(const struct job *job);
+/* Size of a task in processors. */
+double plan_resource_weight(const struct jobspec_step *spec);
+/* Core-seconds of one task by the estimate in its job. */
+double plan_estimated_task_work(const struct jobspec_step *spec);
+/* Core-seconds lost if a task is stopped, weighted by their worth; a gang is stopped as a whole. */
+double plan_eviction_cost(const struct task *task, uint64_t now_ms);
+
 /* plandecide.c */
 /* The steps that could start, most urgent first; the array is owned by the caller. */
 GPtrArray *plan_waiting_steps(struct plan *plan, uint64_t now_ms);
@@ -421,13 +468,23 @@
 /** plan_displace_task() - stop a task, and the other members of its gang, to make room */
 void plan_displace_task(struct plan *plan, struct task *task, const char *reason, uint64_t now_ms);
 
+/* planvictim.c */
+/* A task that was evicted this often makes room only for a guarantee that nothing else keeps. */
+#define PLAN_EVICTIONS_MAX 2
+bool plan_is_protected(const struct task *task);
+/* Stops a task, and the other members of its gang, to make room for a step. */
+void plan_evict_task(struct plan *plan, struct task *task, const struct step_run *step,
+		     enum plan_evict_reason reason, uint64_t now_ms);
+/* Part of an explanation; "" if no task of the job was evicted. Owned by @mem. */
+char *plan_explain_evictions(const struct job *job, TALLOC_CTX *mem);
+
 /* planevict.c */
 bool plan_evictable(const struct task *task, const struct job *beneficiary);
 /* Room in use after the stops that are under way. */
 struct plan_resources plan_use_after_stops(const struct worker *worker);
 bool plan_evict_for_step(struct plan *plan, struct step_run *step, uint64_t now_ms);
 /* Stops fillers on workers that could hold tasks of a step with a latency target without them. */
-bool plan_evict_fillers(struct plan *plan, const struct step_run *step, uint64_t now_ms);
+bool plan_evict_fillers(struct plan *plan, struct step_run *step, uint64_t now_ms);
 void plan_mark_guaranteed(struct plan *plan);
 
 #endif
