plan: Move work from workers that leave at short notice

Cause: a worker that drains says how much time is left (remaining_ms), but nobody read it, so everything that still ran there was lost when it left.

Change: the agent reads the field and reports what is left; the pure module plandrain.c leaves alone what ends in time, stops what saves at the last moment, and moves the rest where there is room, gangs first. task_moved and jaycourse_tasks_moved_total name what was moved; explain counts the tasks on such workers. A drain without the field is handled as before.

--- a/src/coord.c
+++ b/src/coord.c
@@ -510,6 +510,23 @@
 	log_warn("run_lost", task, "run %u on %s: %s", run, node, loss_names[loss]);
 }
 
+static void on_move(const struct plan_move *move, void *ctx)
+{
+	struct coord *coord = ctx;
+
+	metrics_add(coord->deps.metrics, coord->moves[move->why], 1);
+	if (move->left_ms == UINT64_MAX)
+		log_info("task_moved", move->task,
+			 "run %u from %s: %s; it had no end, %" PRIu64 " ms of work are lost",
+			 move->run, move->node, plan_move_name(move->why), move->lost_ms);
+	else
+		log_info("task_moved", move->task,
+			 "run %u from %s: %s; %" PRIu64 " ms were left, %" PRIu64
+			 " ms of work are lost",
+			 move->run, move->node, plan_move_name(move->why), move->left_ms,
+			 move->lost_ms);
+}
+
 static void on_wait(const char *step, enum plan_wait reason, const char *text, void *ctx)
 {
 	log_info("step_waits", step, "%s: %s", plan_wait_name(reason), text);
@@ -527,6 +544,19 @@
 	}
 }
 
+static void define_move_metrics(struct coord *coord)
+{
+	for (int i = 0; i < PLAN_MOVE_COUNT; i++) {
+		char *label = talloc_asprintf(coord, "reason=\"%s\"",
+					      plan_move_name((enum plan_move_reason)i));
+
+		coord->moves[i] = metrics_define(coord->deps.metrics, METRICS_COUNTER,
+						 "jaycourse_tasks_moved_total", label,
+						 "Runs stopped so that their tasks run elsewhere");
+		talloc_free(label);
+	}
+}
+
 static void define_metrics(struct coord *coord)
 {
 	static const char *const labels[PLAN_LOSS_COUNT] = {
@@ -558,6 +588,7 @@
 				       "Tasks that still run in evacuated zones");
 	}
 	define_wait_metrics(coord);
+	define_move_metrics(coord);
 }
 
 static void apply_ends(struct coord *coord, struct agent_row *row,
@@ -917,6 +948,7 @@
 	define_metrics(coord);
 	plan_on_loss(coord->plan, on_run_lost, coord);
 	plan_on_wait(coord->plan, on_wait, coord);
+	plan_on_move(coord->plan, on_move, coord);
 	coord->cycle = g_queue_new();
 	coord->ended_jobs = g_queue_new();
 	coord->decide_immediate = tevent_create_immediate(coord);
--- a/src/fleetmsg.c
+++ b/src/fleetmsg.c
@@ -77,6 +77,9 @@
 	if (report->long_lease_ms)
 		json_object_set_new(json, "long_lease",
 				    json_integer((json_int_t)report->long_lease_ms));
+	if (info->leaves)
+		json_object_set_new(json, "remaining_ms",
+				    json_integer((json_int_t)info->remaining_ms));
 	return dump_json(mem, json);
 }
 
@@ -206,6 +209,8 @@
 	info->room.memory_mb = read_small_number(json, "memory");
 	info->room.accelerators = read_small_number(json, "accelerators");
 	info->accepting = json_is_true(json_object_get(json, "accepting"));
+	info->leaves = jsonread_u32(json_object_get(json, "remaining_ms"), PLAN_REMAINING_MAX_MS,
+				    &info->remaining_ms);
 	report->running =
 		read_runs(report, json_object_get(json, "running"), &report->running_count);
 	report->pending =
--- a/src/plan.h
+++ b/src/plan.h
@@ -64,6 +64,9 @@
  * @incarnation: changes with each restart of the worker; after a restart nothing runs on it
  * @kind: kind of machine; a label that tasks may require
  * @accepting: false while the worker drains
+ * @leaves: the worker drains and has said how much time is left, at least, until it ends with
+ *	everything that runs on it
+ * @remaining_ms: that time; only with @leaves
  */
 struct plan_worker_info {
 	const char *node;
@@ -75,8 +78,13 @@
 	const char *rack;
 	struct plan_resources room;
 	bool accepting;
+	bool leaves;
+	uint32_t remaining_ms;
 };
 
+/** PLAN_REMAINING_MAX_MS - a longer time until a worker leaves counts as no notice */
+#define PLAN_REMAINING_MAX_MS (1 << 30)
+
 /** PLAN_RUN_MAX - no run has a higher number; the next ones still fit into 31 bits */
 #define PLAN_RUN_MAX (1 << 30)
 
@@ -123,6 +131,35 @@
 			       enum plan_loss loss, void *ctx),
 		  void *ctx);
 
+/* Why a run is stopped so that its task runs elsewhere. */
+enum plan_move_reason {
+	PLAN_MOVE_LEAVES,  /* its worker leaves */
+	PLAN_MOVE_STALLED, /* it makes no progress */
+	PLAN_MOVE_SLOW,	   /* its worker is slow */
+	PLAN_MOVE_COUNT,
+};
+
+/** plan_move_name() - text of a reason in metrics */
+const char *plan_move_name(enum plan_move_reason why);
+
+/**
+ * struct plan_move - a run that is stopped, with the other members of its gang, to be moved
+ * @left_ms: expected time until it would have ended; UINT64_MAX for a long-running task
+ * @lost_ms: time that it has run since it began, if its work is not saved by the stop
+ */
+struct plan_move {
+	const char *task;
+	uint32_t run;
+	const char *node;
+	enum plan_move_reason why;
+	uint64_t left_ms;
+	uint64_t lost_ms;
+};
+
+/** plan_on_move() - call @moved for each run that is moved, once for a gang */
+void plan_on_move(struct plan *plan, void (*moved)(const struct plan_move *move, void *ctx),
+		  void *ctx);
+
 /* Why a step that could start waits. */
 enum plan_wait {
 	PLAN_WAIT_NONE,		 /* it doesn't wait, or its reason has not been looked for yet */
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -175,8 +175,10 @@
 	struct plan_resources room;
 	struct plan_resources used;
 	bool present;
-	bool offers_room; /* by its own report */
-	bool accepting;	  /* offers_room, and its zone is not closed */
+	bool offers_room;   /* by its own report */
+	bool accepting;	    /* offers_room, and its zone is not closed */
+	uint64_t leaves_ms; /* it drains and ends with all its runs at this time or later; 0: no
+			       notice */
 	struct task *tasks;
 	struct orphan_run *orphans;
 	uint64_t backoff_until_ms; /* no new tasks before, after a refused start */
@@ -212,6 +214,8 @@
 	void (*on_loss)(const char *task, uint32_t run, const char *node, enum plan_loss loss,
 			void *ctx);
 	void *on_loss_ctx;
+	void (*on_move)(const struct plan_move *move, void *ctx);
+	void *on_move_ctx;
 	/* Service whose use was measured last, and its share in use; NULL: measure it again. */
 	const char *use_service;
 	double use_share;
@@ -268,6 +272,9 @@
 /** plan_stop_task() - @reason: in words; must live as long as the plan */
 void plan_stop_task(struct task *task, const char *reason);
 void plan_stop_gang(struct task *task, const char *reason);
+/* Stops a task, and the other members of its gang, so that it runs elsewhere. */
+void plan_move_task(struct plan *plan, struct task *task, enum plan_move_reason why,
+		    uint64_t now_ms);
 void plan_suspect_worker(struct worker *worker, uint64_t now_ms);
 
 /* planzone.c */
@@ -279,6 +286,16 @@
 /* True if a worker would have room for a task of the step, were its zone not closed. */
 bool plan_closed_zone_has_room(const struct plan *plan, const struct step_run *step);
 
+/* plandrain.c */
+/**
+ * plan_move_from_leaving() - move what would be lost with workers that leave soon
+ *
+ * Return: true while work is left on such workers, so that the next decision is due soon.
+ */
+bool plan_move_from_leaving(struct plan *plan, uint64_t now_ms);
+/* Tasks of a job that run on workers which leave soon. */
+uint32_t plan_count_leaving(const struct job *job);
+
 /* planheadroom.c */
 /* Chooses the workers that this plan_decide() keeps free for urgent jobs. */
 void plan_keep_headroom(struct plan *plan, uint64_t now_ms);
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -335,6 +335,7 @@
 {
 	uint32_t reserved = 0;
 	GArray *ranked_steps;
+	bool leaving;
 	bool blocked;
 
 	for (guint i = 0; i < plan->workers->len; i++) {
@@ -358,6 +359,8 @@
 		place_step(plan, &g_array_index(ranked_steps, struct ranked_step, i), now_ms,
 			   &reserved);
 	g_array_free(ranked_steps, TRUE);
+	/* After the placement, so that the room of tasks that were moved before is taken. */
+	leaving = plan_move_from_leaving(plan, now_ms);
 	plan_update_waits(plan, now_ms);
 	g_clear_pointer(&plan->orphan_tasks, g_hash_table_destroy);
 	for (guint i = 0; i < plan->workers->len; i++) {
@@ -367,5 +370,5 @@
 			changed(worker->node, ctx);
 		worker->changed = false;
 	}
-	return blocked ? BLOCKED_RECHECK_MS : IDLE_RECHECK_MS;
+	return blocked || leaving ? BLOCKED_RECHECK_MS : IDLE_RECHECK_MS;
 }
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -529,6 +529,7 @@
 	const struct job *job = plan_find_job(plan, id);
 	uint32_t counts[TASK_DONE + 1] = {0};
 	uint32_t failures = 0;
+	uint32_t leaving;
 	bool advice_pending = false;
 
 	if (!job)
@@ -544,10 +545,11 @@
 			advice_pending = advice_pending || occurrence->steps[s].advice_pending;
 		}
 	}
+	leaving = plan_count_leaving(job);
 	return talloc_asprintf(
 		mem,
 		"%s: tasks: %u waiting, %u starting, %u running, %u stopping, %u done; failed "
-		"runs: %u%s%s%s%s%s",
+		"runs: %u%s%s%s%s%s%s",
 		plan_job_state_name(job->state), counts[TASK_WAITING], counts[TASK_STARTING],
 		counts[TASK_RUNNING], counts[TASK_STOPPING], counts[TASK_DONE], failures,
 		job->inherited ? ", waiting for reports of workers that the former leader used"
@@ -555,5 +557,7 @@
 		job->held ? ", waiting for the store to confirm the leader" : "",
 		advice_pending ? ", waiting for advice on workers" : "",
 		job->queue ? "" : ", its queue is not in the configuration",
+		leaving ? talloc_asprintf(mem, ", tasks on workers that leave soon: %u", leaving)
+			: "",
 		explain_waits(plan, job, mem));
 }
--- a/src/planslow.c
+++ b/src/planslow.c
@@ -171,7 +171,7 @@
 			if (!gang_spans_workers(task->step) && stalls_elsewhere(task) == 0)
 				plan_suspect_worker(worker, now_ms);
 			count_stall(task);
-			plan_stop_gang(task, "it makes no progress");
+			plan_move_task(plan, task, PLAN_MOVE_STALLED, now_ms);
 		}
 	}
 }
@@ -226,7 +226,7 @@
 			if (!worth_moving(plan, task) || !fits_elsewhere(plan, task, now_ms))
 				continue;
 			task->avoid = worker;
-			plan_stop_gang(task, "its worker is slow");
+			plan_move_task(plan, task, PLAN_MOVE_SLOW, now_ms);
 		}
 	}
 }
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -90,6 +90,40 @@
 		plan_stop_task(&step->tasks[i], reason);
 }
 
+void plan_on_move(struct plan *plan, void (*moved)(const struct plan_move *move, void *ctx),
+		  void *ctx)
+{
+	plan->on_move = moved;
+	plan->on_move_ctx = ctx;
+}
+
+const char *plan_move_name(enum plan_move_reason why)
+{
+	static const char *const names[PLAN_MOVE_COUNT] = {"leaves", "stalled", "slow"};
+
+	return names[why];
+}
+
+void plan_move_task(struct plan *plan, struct task *task, enum plan_move_reason why,
+		    uint64_t now_ms)
+{
+	static const char *const reasons[PLAN_MOVE_COUNT] = {
+		"its worker leaves", "it makes no progress", "its worker is slow"};
+	uint64_t end_ms = plan_expected_end_ms(plan, task, now_ms);
+	struct plan_move move = {
+		.task = task->name,
+		.run = task->run,
+		.node = task->worker->node,
+		.why = why,
+		.left_ms = end_ms == UINT64_MAX ? end_ms : end_ms - MIN(end_ms, now_ms),
+		.lost_ms = task->step->spec->checkpoints ? 0 : now_ms - task->began_ms,
+	};
+
+	if (plan->on_move)
+		plan->on_move(&move, plan->on_move_ctx);
+	plan_stop_gang(task, reasons[why]);
+}
+
 /* Ends the current run of a task; the task waits for its next run. */
 static void return_to_waiting(struct task *task)
 {
@@ -196,6 +230,7 @@
 	worker->present = true;
 	worker->last_report_ms = now_ms;
 	worker->offers_room = info->accepting;
+	worker->leaves_ms = info->leaves && !info->accepting ? now_ms + info->remaining_ms : 0;
 	plan_update_accepting(plan, worker);
 }
 
--- a/src/runner.c
+++ b/src/runner.c
@@ -173,6 +173,14 @@
 	}
 }
 
+/* Time until the worker leaves, by its latest announcement. */
+static uint32_t remaining_ms(const struct runner *runner)
+{
+	uint64_t now_ms = util_clock_ms();
+
+	return runner->leaves_ms > now_ms ? (uint32_t)(runner->leaves_ms - now_ms) : 0;
+}
+
 static void send_report(struct runner *runner)
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
@@ -195,7 +203,9 @@
 			 .kind = runner->kind ? runner->kind : "",
 			 .rack = runner->rack ? runner->rack : "",
 			 .room = runner->room,
-			 .accepting = runner_accepts(runner)},
+			 .accepting = runner_accepts(runner),
+			 .leaves = runner->leaves_ms > 0,
+			 .remaining_ms = remaining_ms(runner)},
 		.ends = runner->ends,
 		.end_count = runner->end_count,
 	};
--- a/src/runner.h
+++ b/src/runner.h
@@ -116,6 +116,8 @@
  * @address: where the worker says that it takes calls; the agent calls the one in its settings
  * @sequence: increases with each announcement of one incarnation
  * @accepting: false while the worker drains
+ * @leaves: it drains and says how much time is left, at least, until it ends
+ * @remaining_ms: that time; only with @leaves
  */
 struct runner_announcement {
 	const char *id;
@@ -126,6 +128,8 @@
 	const char *rack;
 	struct plan_resources room;
 	bool accepting;
+	bool leaves;
+	uint32_t remaining_ms;
 	uint64_t started_ms;
 	uint64_t sequence;
 };
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -95,8 +95,9 @@
 	uint64_t down_ms;	    /* when @down became true */
 	const char *why_down;	    /* constant */
 	bool accepting;
-	bool alive; /* an incarnation has announced itself and is not known to have ended */
-	bool down;  /* certainly nothing runs on the worker; false while its state is unknown */
+	uint64_t leaves_ms; /* the worker drains and ends then or later; 0: it has not said so */
+	bool alive;	    /* an incarnation has announced itself and is not known to have ended */
+	bool down; /* certainly nothing runs on the worker; false while its state is unknown */
 	/* Another incarnation has answered a call; until it is known which one, calls name none. */
 	bool contradicted;
 	bool renamed; /* that answer was of another identifier, otherwise of another start time */
--- a/src/runnerworker.c
+++ b/src/runnerworker.c
@@ -133,6 +133,7 @@
 	count_conclusion(runner, "restarted");
 	set_incarnation(runner, id, started_ms);
 	runner->accepting = false;
+	runner->leaves_ms = 0;
 	talloc_free(id);
 }
 
@@ -243,13 +244,39 @@
 	runner_schedule_report(runner);
 }
 
+/* When the worker ends by its announcement, at the earliest; 0: it gives no notice. */
+static uint64_t announced_end_ms(const struct runner_announcement *announcement)
+{
+	return announcement->leaves && !announcement->accepting
+		       ? util_clock_ms() + announcement->remaining_ms
+		       : 0;
+}
+
+/* The leader is told at once, because the time that is left is short. */
+static void set_leaves(struct runner *runner, uint64_t leaves_ms)
+{
+	bool had_notice = runner->leaves_ms > 0;
+
+	runner->leaves_ms = leaves_ms;
+	if (had_notice == (runner->leaves_ms > 0))
+		return;
+	log_info("worker_notice", runner->worker, "%s",
+		 had_notice ? "the worker no longer says when it leaves"
+			    : "the worker leaves soon");
+	runner_schedule_report(runner);
+}
+
 /* Takes over what the present incarnation says of itself. */
 static void take_offer(struct runner *runner, const struct runner_announcement *announcement)
 {
 	if (announcement->sequence < runner->sequence) {
+		uint64_t end_ms = announced_end_ms(announcement);
+
 		/* Draining is believed whatever the number, since its sender is told so. */
 		if (!announcement->accepting)
 			set_accepting(runner, false);
+		if (end_ms && (!runner->leaves_ms || end_ms < runner->leaves_ms))
+			set_leaves(runner, end_ms);
 		return;
 	}
 	runner->sequence = announcement->sequence;
@@ -260,6 +287,7 @@
 	replace_string(runner, &runner->rack, announcement->rack);
 	runner->room = announcement->room;
 	set_accepting(runner, announcement->accepting);
+	set_leaves(runner, announced_end_ms(announcement));
 	runner_renew_if_due(runner, util_clock_ms());
 }
 
--- a/tests/lib_plansim.c
+++ b/tests/lib_plansim.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define TICK_MS 10
@@ -263,6 +264,18 @@
 	stopped->stops++;
 }
 
+/* Spreads the runs that stand still evenly over all starts on the worker. */
+static bool is_stalled_start(struct plansim *sim, uint32_t worker)
+{
+	struct sim_worker *host = &sim->workers[worker];
+
+	host->stall_sum += host->stall_percent;
+	if (host->stall_sum < 100)
+		return false;
+	host->stall_sum -= 100;
+	return true;
+}
+
 static void start_run(struct plansim *sim, const struct plan_order *order, uint32_t worker)
 {
 	const struct sim_job *job = plansim_task_job(sim, order->task);
@@ -292,6 +305,11 @@
 				    .step = step,
 				    .present = true};
 	g_strlcpy(new_run->task, order->task, sizeof(new_run->task));
+	/* A checkpoint names the share of the work that it holds. */
+	if (sim->saves)
+		new_run->work_done_ms =
+			atof(order->checkpoint) / 100 * (double)new_run->duration_ms;
+	new_run->stalled = is_stalled_start(sim, worker);
 	if (new_run->lasting)
 		note_lasting_start(sim, new_run);
 	sim->starts++;
@@ -305,7 +323,14 @@
 				.worker = ended->worker,
 				.incarnation = sim->workers[ended->worker].incarnation};
 	g_strlcpy(end->task, ended->task, sizeof(end->task));
-	end->run = (struct plan_run){end->task, ended->run, "", 0};
+	end->run = (struct plan_run){end->task, ended->run, end->checkpoint, 0};
+	if (how != PLAN_END_DONE && sim->saves && ended->step->checkpoints) {
+		end->run.percent =
+			(uint32_t)(ended->work_done_ms * 100 / (double)ended->duration_ms);
+		snprintf(end->checkpoint, sizeof(end->checkpoint), "%u", end->run.percent);
+	} else if (how != PLAN_END_DONE) {
+		sim->lost_work_ms += ended->work_done_ms;
+	}
 	ended->present = false;
 }
 
@@ -343,6 +368,11 @@
 	talloc_free(mem);
 }
 
+static uint32_t remaining_ms(const struct plansim *sim, const struct sim_worker *worker)
+{
+	return worker->leaves_ms > sim->now_ms ? (uint32_t)(worker->leaves_ms - sim->now_ms) : 0;
+}
+
 static void report_worker(struct plansim *sim, uint32_t worker)
 {
 	const struct sim_worker *reporter = &sim->workers[worker];
@@ -356,7 +386,9 @@
 		.kind = reporter->kind,
 		.rack = reporter->rack,
 		.room = {SIM_WORKER_CPU_MILLI, SIM_WORKER_MEMORY_MB, SIM_WORKER_ACCELERATORS},
-		.accepting = !reporter->draining};
+		.accepting = !reporter->draining,
+		.leaves = reporter->leaves_ms > 0,
+		.remaining_ms = remaining_ms(sim, reporter)};
 
 	snprintf(incarnation, sizeof(incarnation), "%s/%u", reporter->node, reporter->incarnation);
 	plan_worker_update(sim->plan, &info, sim->now_ms);
@@ -476,6 +508,18 @@
 	return factor;
 }
 
+/* A gang stands still with any of its members. */
+static bool is_stalled(const struct plansim *sim, const struct sim_run *run)
+{
+	if (!run->gang || run->stopping)
+		return run->stalled;
+	for (uint32_t i = 0; i < sim->run_count; i++) {
+		if (sim->runs[i].stalled && same_gang(run, &sim->runs[i]))
+			return true;
+	}
+	return false;
+}
+
 static void advance_run(struct plansim *sim, struct sim_run *run)
 {
 	const struct sim_worker *worker = &sim->workers[run->worker];
@@ -484,7 +528,7 @@
 	uint64_t passed_ms = sim->now_ms - since_ms;
 	struct sim_run copy = *run;
 
-	if (can_work && !worker->stalls && !worker->halted)
+	if (can_work && !worker->stalls && !worker->halted && !is_stalled(sim, run))
 		run->work_done_ms += sim->tick_ms / slowdown(sim, run);
 
 	if (run->lasting && run->work_done_ms >= (double)run->duration_ms)
@@ -557,6 +601,11 @@
 {
 	for (uint32_t passed = 0; passed < ms; passed += sim->tick_ms) {
 		sim->now_ms += sim->tick_ms;
+		for (uint32_t i = 0; i < sim->worker_count; i++) {
+			if (sim->workers[i].leaves_ms && sim->workers[i].up &&
+			    sim->workers[i].leaves_ms <= sim->now_ms)
+				plansim_remove_worker(sim, i);
+		}
 		advance_runs(sim);
 		for (uint32_t i = 0; sim->leases && i < sim->worker_count; i++)
 			advance_leases(sim, i);
@@ -629,8 +678,10 @@
 {
 	sim->workers[worker].disturbed_ms = sim->now_ms;
 	for (uint32_t i = 0; i < sim->run_count; i++) {
-		if (sim->runs[i].worker == worker)
-			sim->runs[i].present = false;
+		if (sim->runs[i].worker != worker)
+			continue;
+		sim->lost_work_ms += sim->runs[i].present ? sim->runs[i].work_done_ms : 0;
+		sim->runs[i].present = false;
 	}
 }
 
@@ -647,6 +698,12 @@
 	plan_worker_lost(sim->plan, sim->workers[worker].node, sim->now_ms);
 }
 
+void plansim_give_notice(struct plansim *sim, uint32_t worker, uint32_t remaining_ms)
+{
+	sim->workers[worker].draining = true;
+	sim->workers[worker].leaves_ms = sim->now_ms + remaining_ms;
+}
+
 void plansim_add_worker(struct plansim *sim, uint32_t worker)
 {
 	struct sim_worker *added = &sim->workers[worker];
@@ -655,5 +712,6 @@
 	added->up = true;
 	added->reachable = true;
 	added->draining = false;
+	added->leaves_ms = 0;
 	added->disturbed_ms = sim->now_ms;
 }
--- a/tests/lib_plansim.h
+++ b/tests/lib_plansim.h
@@ -33,6 +33,7 @@
 	const struct jobspec_step *step;
 	bool present;
 	bool stopping;
+	bool stalled; /* it makes no progress */
 };
 
 struct sim_worker {
@@ -49,7 +50,10 @@
 	bool halted;	   /* no run on it makes progress from now on */
 	uint32_t slowdown; /* factor on the duration of its runs; 0 and 1: none */
 	uint64_t next_end;
-	uint32_t cut_ms;       /* for this long its reports and orders have not arrived */
+	uint64_t leaves_ms; /* it drains, says so, and ends then with all its runs; 0: never */
+	uint32_t stall_sum;
+	uint32_t stall_percent; /* share of the runs that stand still from their start on */
+	uint32_t cut_ms;	/* for this long its reports and orders have not arrived */
 	uint64_t disturbed_ms; /* when it last failed tasks, was lost, cut off or restarted, or came
 				  back */
 };
@@ -58,6 +62,7 @@
 struct sim_end {
 	struct plan_run run;
 	char task[64];
+	char checkpoint[16];
 	enum plan_end how;
 	uint32_t worker;
 	uint32_t incarnation;
@@ -117,9 +122,12 @@
 	uint32_t lasting_count;
 	uint32_t starts;
 	uint32_t stops;
-	uint32_t done_count;   /* entries in @done_tasks */
-	bool hold_jobs;	       /* jobs are added as held */
-	bool leases;	       /* a worker that is cut off loses its runs, and is then lost */
+	uint32_t done_count; /* entries in @done_tasks */
+	bool hold_jobs;	     /* jobs are added as held */
+	bool saves;	     /* stops save the work of tasks that take checkpoints */
+	double lost_work_ms; /* work of runs that ended with their worker, or in a stop that did not
+				save it */
+	bool leases;	     /* a worker that is cut off loses its runs, and is then lost */
 	const char *violation; /* first violated invariant, or NULL */
 	char violation_task[64];
 	char done_tasks[SIM_RUNS_MAX][64]; /* tasks that were reported to the plan as done */
@@ -172,6 +180,9 @@
 /** plansim_remove_worker() - end a worker for good, as reported by its agent; its runs are lost */
 void plansim_remove_worker(struct plansim *sim, uint32_t worker);
 
+/** plansim_give_notice() - drain a worker, which says that it ends after @remaining_ms, and does */
+void plansim_give_notice(struct plansim *sim, uint32_t worker, uint32_t remaining_ms);
+
 /** plansim_add_worker() - start a new worker in the place of one that was removed */
 void plansim_add_worker(struct plansim *sim, uint32_t worker);
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -155,6 +155,44 @@
 		CU_ASSERT_PTR_NULL(platform_self_read(NULL, "i-1", bad[i], strlen(bad[i]), &err));
 }
 
+/* Guards against a notice that is overlooked, or taken from a value that is none. */
+static void test_notice(void)
+{
+	static const struct {
+		const char *state;
+		const char *remaining;
+		bool leaves;
+		uint32_t remaining_ms;
+	} cases[] = {
+		{"draining", "\"remaining_ms\":1900", true, 1900},
+		{"draining", "\"remaining_ms\":0", true, 0},
+		{"ready", "\"remaining_ms\":1900", false, 0},
+		{"draining", "\"other\":1", false, 0},
+		{"draining", "\"remaining_ms\":1.5", false, 0},
+		{"draining", "\"remaining_ms\":1e18", false, 0},
+		{"draining", "\"remaining_ms\":9007199254740992", false, 0},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct err err = {0};
+		char *text = talloc_asprintf(
+			NULL,
+			"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"state\":\"%s\",%s,"
+			"\"capacity\":{\"cpu\":1,\"mem_mb\":1,\"gpu\":1},\"labels\":[],\"seq\":4}",
+			cases[i].state, cases[i].remaining);
+		struct runner_announcement *self =
+			platform_self_read(text, "i-1", text, strlen(text), &err);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(self);
+		if (!self)
+			return;
+		CU_ASSERT_EQUAL(self->leaves, cases[i].leaves);
+		if (self->leaves)
+			CU_ASSERT_EQUAL(self->remaining_ms, cases[i].remaining_ms);
+		talloc_free(text);
+	}
+}
+
 /* Returns the text with the first @from replaced by @to. */
 static char *replace(TALLOC_CTX *mem, const char *text, const char *from, const char *to)
 {
@@ -824,6 +862,7 @@
 	CU_add_test(suite, "bad_jobs", test_bad_jobs);
 	CU_add_test(suite, "config", test_config);
 	CU_add_test(suite, "heartbeat", test_heartbeat);
+	CU_add_test(suite, "notice", test_notice);
 	CU_add_test(suite, "odd_heartbeats", test_odd_heartbeats);
 	CU_add_test(suite, "odd_config", test_odd_config);
 	CU_add_test(suite, "odd_run_lists", test_odd_run_lists);
--- a/tests/test_runnerworker.c
+++ b/tests/test_runnerworker.c
@@ -214,6 +214,37 @@
 	runnerworld_destroy(f);
 }
 
+/*
+ * Guards against a notice that the leader does not hear of, hears of late, or goes on to believe
+ * when the worker takes work again.
+ */
+static void test_notice(void)
+{
+	struct runnerworld *f = create_world();
+	struct runner_announcement leaves;
+
+	CU_ASSERT_FALSE(f->report->info.leaves);
+	f->draining = true;
+	leaves = runnerworld_announcement(f, BORN_MS, 30);
+	leaves.leaves = true;
+	leaves.remaining_ms = 2000;
+	CU_ASSERT_EQUAL(runnerworld_take(f, &leaves), 0);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_TRUE(f->report->info.leaves);
+	CU_ASSERT(f->report->info.remaining_ms > 1000 && f->report->info.remaining_ms <= 2000);
+	/* An announcement that was overtaken may only bring the time forward. */
+	leaves.sequence = 20;
+	leaves.remaining_ms = 9000;
+	runnerworld_take(f, &leaves);
+	memkv_run(f->ev, 1200);
+	CU_ASSERT(f->report->info.remaining_ms < 1500);
+	f->draining = false;
+	CU_ASSERT_EQUAL(runnerworld_announce(f, BORN_MS, 40), 0);
+	memkv_run(f->ev, 300);
+	CU_ASSERT_FALSE(f->report->info.leaves);
+	runnerworld_destroy(f);
+}
+
 /* Guards against an incarnation that comes back because answers overtake each other. */
 static void test_announcements_around_restart(void)
 {
@@ -515,6 +546,7 @@
 		    test_replaced_worker_without_start_time);
 	CU_add_test(suite, "drain_after_false_number", test_drain_after_false_number);
 	CU_add_test(suite, "clock_of_other_incarnation", test_clock_of_other_incarnation);
+	CU_add_test(suite, "notice", test_notice);
 	CU_add_test(suite, "announcements_around_restart", test_announcements_around_restart);
 	CU_add_test(suite, "refusals_between_broken_connections",
 		    test_refusals_between_broken_connections);
