plan: Find stalls of urgent tasks from successive lists

Cause: a task without progress counted as stalled after stall_ms (2 s) at the earliest, as long as an urgent gang works. Gangs of priority 0 with 2.5 s of work took 5 to 8 s where workers let tasks stand still.

Change: the setting urgent_stall_ms takes the place of stall_ms for tasks of priority 0 that three different lists show without progress. The time of a gang counts from the list that shows its last member. A run from a checkpoint keeps stall_ms until its first percent.

Sound gangs of 0.3 to 20 s with estimates wrong by ten times either way are not stopped, nor ones whose lists or members are late by 2 s.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -259,6 +259,7 @@
 	struct plan_params params = {
 		.stop_ms = (uint32_t)settings->stop_ms,
 		.stall_ms = settings->stall_ms,
+		.urgent_stall_ms = settings->urgent_stall_ms,
 		.away_factor = settings->away_factor,
 		.unavailable_after_ms = (uint32_t)settings->unavailable_after_ms,
 	};
--- a/src/fleetnode.c
+++ b/src/fleetnode.c
@@ -40,6 +40,7 @@
 	{"processor_share", FIELD_DOUBLE, FIELD_OFFSET(processor_share), 0, 1, 0},
 	{"processors", FIELD_U32, FIELD_OFFSET(processors), 1, PROCESSORS_MAX, 0},
 	{"stall_ms", FIELD_U32, FIELD_OFFSET(stall_ms), 100, DURATION_MAX_MS, 0},
+	{"urgent_stall_ms", FIELD_U32, FIELD_OFFSET(urgent_stall_ms), 0, DURATION_MAX_MS, 0},
 	{"keep_ended_s", FIELD_DOUBLE, FIELD_OFFSET(keep_ended_s), 0, DURATION_MAX_S, 0},
 	{"stop_ms", FIELD_DOUBLE, FIELD_OFFSET(stop_ms), 0, DURATION_MAX_MS, 0},
 	{"away_factor", FIELD_DOUBLE, FIELD_OFFSET(away_factor), 0, AWAY_FACTOR_MAX, 0},
--- a/src/fleetnode.h
+++ b/src/fleetnode.h
@@ -28,6 +28,8 @@
  * @processor_share: share of each processor that this process may use; 0: unknown
  * @processors: number of processors that this process may use at once
  * @stall_ms: a task without progress for this long counts as stuck
+ * @urgent_stall_ms: the same for a task of priority 0, by several lists of its worker; 0: as
+ *	@stall_ms
  * @away_factor: entry: tasks take this many times as long away from their data, or on several racks
  *	where they ask for one
  * @unavailable_after_ms: a long-running task that ended by itself counts against its step's
@@ -59,6 +61,7 @@
 	double processor_share;
 	uint32_t processors;
 	uint32_t stall_ms;
+	uint32_t urgent_stall_ms;
 	double keep_ended_s;
 	double stop_ms;
 	double away_factor;
--- a/src/plan.h
+++ b/src/plan.h
@@ -103,6 +103,8 @@
  * @stop_ms: a stop takes at most this long
  * @stall_ms: a task without progress for this long counts as stalled, if ten of its percents take
  *	no longer
+ * @urgent_stall_ms: takes the place of @stall_ms for a task of priority 0 that its worker's lists
+ *	show without progress several times in a row; 0: @stall_ms counts for it too
  * @away_factor: tasks take this many times as long on several racks, or away from their data
  * @unavailable_after_ms: a long-running task that ended by itself counts as unavailable once it has
  *	not been at work for this long; one that was stopped counts at once
@@ -110,6 +112,7 @@
 struct plan_params {
 	uint32_t stop_ms;
 	uint32_t stall_ms;
+	uint32_t urgent_stall_ms;
 	double away_factor;
 	uint32_t unavailable_after_ms;
 };
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -53,6 +53,8 @@
 	uint32_t percent;
 	uint64_t progress_ms; /* when @percent or the checkpoint last changed */
 	uint64_t percent_changed_ms;
+	uint64_t still_list_ms; /* latest list that was counted for @still_lists */
+	uint32_t still_lists;  /* lists in a row that showed no progress, its gang being complete */
 	uint32_t base_percent; /* when the present run was first listed, or its checkpoint was taken
 				*/
 	uint64_t percent_ms;   /* that the latest percent took, on any worker; 0: not known yet */
--- a/src/planslow.c
+++ b/src/planslow.c
@@ -2,7 +2,9 @@
 
 /*
  * Moves stalled tasks, and tasks of slow workers. It is made for workers that for some seconds
- * run several times slower than usual, or not at all, and still accept tasks.
+ * run several times slower than usual, or not at all, and still accept tasks, also for those that
+ * let only a part of their tasks stand still. Urgent gangs of 2 to 3 s lose their objective if a
+ * stall is found only after 2 s, so for them several lists without progress suffice.
  */
 
 #define SAMPLE_MIN_MS 1200 /* shorter samples measure the granularity of progress reports */
@@ -27,6 +29,11 @@
 #define SLOW_WORKER_PAUSE_MS 3000 /* a slow worker gets no new tasks for this time */
 #define MOVE_GAIN_MIN_MS 1000	  /* a move has to save at least this much */
 #define PERCENT_DONE 100.0
+#define STILL_LISTS_MIN 2   /* after the one with the latest progress; a single one may be late */
+#define LIST_GAP_MIN_MS 100 /* a list that is reported again differs by less than this */
+/* The same as STALL_BACKOFF_BITS, for tasks of priority 0: the next worker may have the same fault.
+ */
+#define URGENT_BACKOFF_BITS 1
 
 /* False also for a gang member at 100%: it waits for slower members. */
 static bool should_progress(const struct task *task)
@@ -43,6 +50,39 @@
 	return now_ms > then_ms ? now_ms - then_ms : 0;
 }
 
+static bool is_urgent(const struct task *task)
+{
+	const struct job *job = plan_task_job(task);
+
+	return job->queue && job->queue->priority == 0;
+}
+
+/* When the last member of a gang was listed; a gang does nothing before. UINT64_MAX: not yet. */
+static uint64_t complete_since_ms(const struct task *task)
+{
+	const struct step_run *step = task->step;
+	uint64_t since_ms = task->began_ms;
+
+	for (uint32_t i = 0; step->spec->gang && i < step->spec->count; i++) {
+		if (step->tasks[i].state != TASK_RUNNING)
+			return UINT64_MAX;
+		since_ms = MAX(since_ms, step->tasks[i].began_ms);
+	}
+	return since_ms;
+}
+
+/* Counts the lists that show no progress; one that is reported again is not counted. */
+static void count_still_list(struct task *task, bool changed, uint64_t list_ms)
+{
+	if (changed || complete_since_ms(task) == UINT64_MAX) {
+		task->still_lists = 0;
+		task->still_list_ms = list_ms;
+	} else if (list_ms >= task->still_list_ms + LIST_GAP_MIN_MS) {
+		task->still_lists++;
+		task->still_list_ms = list_ms;
+	}
+}
+
 static void begin_sample(struct task *task, bool changed, uint64_t now_ms)
 {
 	task->sample_ms = now_ms;
@@ -86,6 +126,7 @@
 {
 	bool changed = percent != task->percent;
 
+	count_still_list(task, changed, now_ms);
 	/* A task that continues from a checkpoint begins within a percent. */
 	if (percent > task->percent && (task->percent == 0 || task->sample_ms))
 		task->percent_ms =
@@ -108,10 +149,20 @@
 	return task->stalls - (task->stalls > 0 && task->stalled_on == task->worker);
 }
 
+/* A run that continues from a checkpoint restores it first, for as long as a stall may last. */
+static bool uses_urgent_limit(const struct plan *plan, const struct task *task)
+{
+	bool may_restore = task->checkpoint && task->percent <= task->base_percent;
+
+	return plan->params.urgent_stall_ms > 0 && is_urgent(task) && !may_restore;
+}
+
 /* Time without a sign of progress after which the task stands still. */
 static uint64_t stall_limit_ms(const struct plan *plan, const struct task *task)
 {
-	double limit_ms = plan->params.stall_ms;
+	bool urgent = uses_urgent_limit(plan, task);
+	double limit_ms = urgent ? plan->params.urgent_stall_ms : plan->params.stall_ms;
+	uint32_t backoff_bits = urgent ? URGENT_BACKOFF_BITS : STALL_BACKOFF_BITS;
 	uint32_t backoff = 0;
 
 	if (task->best_speed > 0) {
@@ -121,7 +172,7 @@
 	} else {
 		limit_ms = MAX(limit_ms, ESTIMATE_FACTOR / PERCENT_DONE *
 						 (double)task->step->spec->estimate_ms);
-		backoff = STALL_BACKOFF_BITS * MIN(stalls_elsewhere(task), STALL_BACKOFF_MAX);
+		backoff = backoff_bits * MIN(stalls_elsewhere(task), STALL_BACKOFF_MAX);
 	}
 	return (uint64_t)MIN(limit_ms, STALL_LIMIT_MAX_MS) << backoff;
 }
@@ -156,15 +207,26 @@
 	return false;
 }
 
+/* Without a list of the worker since then, the progress is unknown. */
+static bool stands_still(const struct plan *plan, const struct task *task)
+{
+	uint64_t since_ms = complete_since_ms(task);
+
+	if (!should_progress(task) || since_ms == UINT64_MAX)
+		return false;
+	if (uses_urgent_limit(plan, task) && task->still_lists < STILL_LISTS_MIN)
+		return false;
+	since_ms = MAX(since_ms, task->progress_ms);
+	return task->worker->last_list_ms > since_ms + stall_limit_ms(plan, task);
+}
+
 void plan_move_stalled(struct plan *plan, uint64_t now_ms)
 {
 	for (guint i = 0; i < plan->workers->len; i++) {
 		struct worker *worker = plan->workers->pdata[i];
 
 		for (struct task *task = worker->tasks; task; task = task->next_on_worker) {
-			/* Without a list of the worker since then, the progress is unknown. */
-			if (!should_progress(task) ||
-			    worker->last_list_ms <= task->progress_ms + stall_limit_ms(plan, task))
+			if (!stands_still(plan, task))
 				continue;
 			task->avoid = worker;
 			/* A task that has stood still elsewhere says nothing of this worker. */
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -255,6 +255,7 @@
 	if (!*run->checkpoint || (task->checkpoint && !strcmp(task->checkpoint, run->checkpoint)))
 		return;
 	task->progress_ms = now_ms; /* a task that stands still takes no checkpoints */
+	task->still_lists = 0;
 	talloc_free(task->checkpoint);
 	task->checkpoint = talloc_strdup(step->occurrence, run->checkpoint);
 	task->saved_percent = run->percent;
@@ -351,6 +352,8 @@
 		task->began_ms = now_ms;
 		task->progress_ms = now_ms;
 		task->percent_changed_ms = now_ms;
+		task->still_list_ms = now_ms;
+		task->still_lists = 0;
 	}
 	plan_record_percent(task, run->percent, now_ms);
 }
--- a/tests/lib_plansim.c
+++ b/tests/lib_plansim.c
@@ -10,6 +10,7 @@
 #define TICK_MS 10
 #define STOP_MS 200
 #define STALL_MS 2500
+#define URGENT_STALL_MS 900
 #define GANG_WAIT_MS 3000
 #define AWAY_FACTOR 3
 #define UNAVAILABLE_AFTER_MS 4500
@@ -35,6 +36,7 @@
 
 	sim->params = (struct plan_params){.stop_ms = stop_ms,
 					   .stall_ms = STALL_MS,
+					   .urgent_stall_ms = URGENT_STALL_MS,
 					   .away_factor = AWAY_FACTOR,
 					   .unavailable_after_ms = UNAVAILABLE_AFTER_MS};
 	for (uint32_t i = 0; i < 3; i++)
--- a/tests/test_planslow.c
+++ b/tests/test_planslow.c
@@ -10,6 +10,7 @@
 #define HOUR_MS (60 * MINUTE_MS)
 #define STALL_MS 2500	      /* of the simulated plan */
 #define REPORT_MS 200	      /* steps of the simulation and of this test */
+#define LIST_MS 500	      /* between two lists while nothing ends */
 #define SUSPECT_FIRST_MS 3000 /* a suspect worker gets no new tasks for this time */
 
 static void add_job(struct plansim *sim, const char *id, double estimate_ms)
@@ -153,6 +154,103 @@
 	talloc_free(sim);
 }
 
+/* An urgent gang of two on two workers. */
+static void add_urgent_gang(struct plansim *sim, const char *id, uint32_t estimate_ms)
+{
+	char *steps = g_strdup_printf("[{\"tasks\":2,\"cpu_milli\":8000,\"accelerators\":8,"
+				      "\"gang\":true,\"estimate_ms\":%u}]",
+				      estimate_ms);
+
+	plansim_add_job(sim, id, "urgent", "a", steps);
+	g_free(steps);
+}
+
+/* Guards against urgent gangs that are late because their stall is found after 2 s and more. */
+static void test_urgent_gang_stalls(void)
+{
+	for (uint32_t begun = 0; begun <= 1000; begun += 500) {
+		struct plansim *sim = plansim_create(NULL, 2);
+		uint64_t halted_ms;
+
+		sim->tick_ms = LIST_MS;
+		add_urgent_gang(sim, "j1", 2500);
+		plansim_run(sim, LIST_MS + begun);
+		sim->workers[1].halted = true;
+		sim->workers[0].halted = true;
+		halted_ms = sim->now_ms;
+		while (sim->stops == 0 && sim->now_ms < halted_ms + 5000)
+			plansim_run(sim, LIST_MS);
+		/* A list shows the progress, and two more that there is none. */
+		CU_ASSERT(sim->now_ms - halted_ms <= 3 * LIST_MS);
+		talloc_free(sim);
+	}
+}
+
+/* Guards against sound urgent work that is stopped, also with estimates wrong by ten times. */
+static void test_sound_urgent_work(void)
+{
+	static const uint32_t estimates_ms[] = {300, 1000, 2500, 6000, 20000};
+	static const double errors[] = {0.1, 0.5, 1, 3, 10};
+	static const uint32_t ticks_ms[] = {20, 100, LIST_MS};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(estimates_ms) * G_N_ELEMENTS(errors); i++) {
+		double error = errors[i / G_N_ELEMENTS(estimates_ms)];
+		uint32_t estimate_ms = estimates_ms[i % G_N_ELEMENTS(estimates_ms)];
+
+		for (size_t k = 0; k < G_N_ELEMENTS(ticks_ms); k++) {
+			struct plansim *sim = plansim_create(NULL, 2);
+
+			sim->tick_ms = ticks_ms[k];
+			sim->duration_factor = error;
+			add_urgent_gang(sim, "j1", estimate_ms);
+			plansim_run(sim, (uint32_t)(error * estimate_ms) + 2000);
+			CU_ASSERT_EQUAL(sim->stops, 0);
+			CU_ASSERT_EQUAL(plansim_job_state(sim, "j1"), PLAN_JOB_COMPLETED);
+			talloc_free(sim);
+		}
+	}
+}
+
+/* Guards against a stall that is concluded from lists that are late, or from a member that is. */
+static void test_late_lists(void)
+{
+	struct plansim *sim = plansim_create(NULL, 2);
+
+	sim->tick_ms = 100;
+	add_urgent_gang(sim, "j1", 6000);
+	plansim_run(sim, 100);
+	sim->workers[1].reachable = false; /* its start is not carried out */
+	plansim_run(sim, 2000);
+	CU_ASSERT_EQUAL(sim->stops, 0);
+	sim->workers[1].reachable = true;
+	plansim_run(sim, 2000);
+	for (uint32_t i = 0; i < 2; i++) {
+		sim->workers[i].reachable = false;
+		plansim_run(sim, 1800);
+		sim->workers[i].reachable = true;
+		plansim_run(sim, 200);
+	}
+	plansim_run(sim, 4000);
+	CU_ASSERT_EQUAL(sim->stops, 0);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "j1"), PLAN_JOB_COMPLETED);
+	talloc_free(sim);
+}
+
+/* Guards against a slow worker's urgent task that is stopped as if it stood still. */
+static void test_slow_is_not_still(void)
+{
+	struct plansim *sim = plansim_create(NULL, 2);
+
+	sim->tick_ms = 100;
+	sim->workers[0].slowdown = 6;
+	sim->workers[1].slowdown = 6;
+	add_urgent_gang(sim, "j1", 2500);
+	plansim_run(sim, 16000);
+	CU_ASSERT_EQUAL(sim->stops, 0);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "j1"), PLAN_JOB_COMPLETED);
+	talloc_free(sim);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -165,6 +263,10 @@
 	CU_add_test(suite, "time_to_find", test_time_to_find);
 	CU_add_test(suite, "older_list", test_older_list);
 	CU_add_test(suite, "task_that_always_stands", test_task_that_always_stands);
+	CU_add_test(suite, "urgent_gang_stalls", test_urgent_gang_stalls);
+	CU_add_test(suite, "sound_urgent_work", test_sound_urgent_work);
+	CU_add_test(suite, "late_lists", test_late_lists);
+	CU_add_test(suite, "slow_is_not_still", test_slow_is_not_still);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
