plan: Weigh evidence about workers when urgent work is placed

Cause: no worker of a gang on several workers was suspected when the gang stood still, so its next run often had a member on the same faulty worker.

Change: planevidence.c keeps a weight for each worker that halves every 4 s: stalls and slow runs (shared in a gang, most to the worker that already has most), failures, refusals; runs done since then take some off. It is a term of the scores of planplace.c, large for urgent work, gangs and long tasks, and bars nothing. worker_suspected, worker_cleared, jaycourse_suspected_workers and explain show it.

Measured: test_planevidence, simulated: a stalled gang restarts on other workers (without the term in the scores the same test fails); the worker that two stalled gangs share is suspected and the other four are not; a recovered worker without any proof is cleared after 6.7 s.

--- a/src/coord.c
+++ b/src/coord.c
@@ -527,6 +527,17 @@
 			 move->lost_ms);
 }
 
+static void on_evidence(const char *node, bool suspected, enum plan_evidence latest, double weight,
+			void *ctx)
+{
+	struct coord *coord = ctx;
+
+	metrics_set(coord->deps.metrics, coord->suspected_workers,
+		    plan_count_suspected(coord->plan));
+	log_info(suspected ? "worker_suspected" : "worker_cleared", node,
+		 "weight %.2f; the latest evidence was a %s", weight, plan_evidence_name(latest));
+}
+
 static void on_wait(const char *step, enum plan_wait reason, const char *text, void *ctx)
 {
 	log_info("step_waits", step, "%s: %s", plan_wait_name(reason), text);
@@ -589,6 +600,9 @@
 	}
 	define_wait_metrics(coord);
 	define_move_metrics(coord);
+	coord->suspected_workers =
+		metrics_define(metrics, METRICS_GAUGE, "jaycourse_suspected_workers", "",
+			       "Workers that urgent work avoids by the evidence about them");
 }
 
 static void apply_ends(struct coord *coord, struct agent_row *row,
@@ -918,6 +932,7 @@
 	const uint32_t none[PLAN_WAIT_COUNT] = {0};
 
 	set_wait_metrics(coord, none);
+	metrics_set(coord->deps.metrics, coord->suspected_workers, 0);
 	coord->link->coord = NULL;
 	if (coord->link->calls == 0)
 		talloc_free(coord->link);
@@ -949,6 +964,7 @@
 	plan_on_loss(coord->plan, on_run_lost, coord);
 	plan_on_wait(coord->plan, on_wait, coord);
 	plan_on_move(coord->plan, on_move, coord);
+	plan_on_evidence(coord->plan, on_evidence, coord);
 	coord->cycle = g_queue_new();
 	coord->ended_jobs = g_queue_new();
 	coord->decide_immediate = tevent_create_immediate(coord);
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -83,6 +83,7 @@
 	struct tevent_timer *announce_timer; /* set while agents have not reported */
 	uint32_t advice_calls;		     /* in progress */
 	int losses[PLAN_LOSS_COUNT];	     /* metric handles */
+	int suspected_workers;		     /* metric handle */
 	int moves[PLAN_MOVE_COUNT];	     /* metric handles */
 	int agent_restarts;		     /* metric handle */
 	int evacuated_zones;		     /* metric handle */
--- a/src/plan.h
+++ b/src/plan.h
@@ -163,6 +163,31 @@
 void plan_on_move(struct plan *plan, void (*moved)(const struct plan_move *move, void *ctx),
 		  void *ctx);
 
+/* What speaks against a worker. */
+enum plan_evidence {
+	PLAN_EVIDENCE_STALL,
+	PLAN_EVIDENCE_SLOW,
+	PLAN_EVIDENCE_FAILURE,
+	PLAN_EVIDENCE_REFUSAL,
+	PLAN_EVIDENCE_COUNT,
+};
+
+/** plan_evidence_name() - text of a kind in logs */
+const char *plan_evidence_name(enum plan_evidence kind);
+
+/**
+ * plan_on_evidence() - call @judged when a worker becomes suspected and when it no longer is
+ *
+ * @latest is the kind of the latest evidence, @weight the sum of all that has not decayed.
+ */
+void plan_on_evidence(struct plan *plan,
+		      void (*judged)(const char *node, bool suspected, enum plan_evidence latest,
+				     double weight, void *ctx),
+		      void *ctx);
+
+/** plan_count_suspected() - number of workers that are suspected now */
+uint32_t plan_count_suspected(const struct plan *plan);
+
 /* Why a step that could start waits. */
 enum plan_wait {
 	PLAN_WAIT_NONE,		 /* it doesn't wait, or its reason has not been looked for yet */
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -191,7 +191,12 @@
 	uint64_t slow_until_ms;	   /* no new tasks before, after slow samples */
 	uint64_t last_failure_ms;  /* when a task last failed or stood still on it; 0: never */
 	uint32_t suspicions;	   /* times it became suspect since the last success */
-	uint32_t failure_streak;   /* failures since the last success; once per job in a row */
+	double evidence;	   /* weight at @evidence_ms of what speaks against it */
+	uint64_t evidence_ms;
+	uint64_t bad_evidence_ms; /* when something last spoke against it; 0: never */
+	enum plan_evidence latest_evidence;
+	bool suspected;		 /* by the weight of its evidence */
+	uint32_t failure_streak; /* failures since the last success; once per job in a row */
 	const struct job *last_failed_job;
 	const struct step_run *reserved_for; /* set during plan_decide() */
 	bool reserved_firm;		     /* room is being made there for that step */
@@ -216,6 +221,9 @@
 	void (*on_loss)(const char *task, uint32_t run, const char *node, enum plan_loss loss,
 			void *ctx);
 	void *on_loss_ctx;
+	void (*on_evidence)(const char *node, bool suspected, enum plan_evidence latest,
+			    double weight, void *ctx);
+	void *on_evidence_ctx;
 	void (*on_move)(const struct plan_move *move, void *ctx);
 	void *on_move_ctx;
 	/* Service whose use was measured last, and its share in use; NULL: measure it again. */
@@ -288,6 +296,23 @@
 /* True if a worker would have room for a task of the step, were its zone not closed. */
 bool plan_closed_zone_has_room(const struct plan *plan, const struct step_run *step);
 
+/* planevidence.c */
+/* Weight of what speaks against a worker now; 0: nothing does. */
+double plan_evidence(const struct worker *worker, uint64_t now_ms);
+void plan_add_evidence(struct plan *plan, struct worker *worker, enum plan_evidence kind,
+		       uint64_t now_ms);
+/* Shares the weight between the workers of the task's gang, most to the one with most already. */
+void plan_add_shared_evidence(struct plan *plan, const struct task *task, enum plan_evidence kind,
+			      uint64_t now_ms);
+/* A run is done that began at @began_ms; one from before the latest evidence proves nothing. */
+void plan_add_proof(struct plan *plan, struct worker *worker, uint64_t began_ms, uint64_t now_ms);
+void plan_forget_evidence(struct plan *plan, struct worker *worker, uint64_t now_ms);
+/* Clears workers whose evidence has decayed. */
+void plan_review_evidence(struct plan *plan, uint64_t now_ms);
+/* To be added to the score of a worker for a step; smaller scores are better. */
+double plan_evidence_score(const struct worker *worker, const struct step_run *step,
+			   uint64_t now_ms);
+
 /* plandrain.c */
 /**
  * plan_move_from_leaving() - move what would be lost with workers that leave soon
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -346,6 +346,7 @@
 	}
 	plan->use_service = NULL;
 	inspect_workers(plan, now_ms);
+	plan_review_evidence(plan, now_ms);
 	plan_withdraw_starts(plan);
 	plan_end_tasks_done_before(plan, now_ms);
 	plan_make_due_occurrences(plan, now_ms);
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -524,12 +524,29 @@
 	return text;
 }
 
+static uint32_t count_on_suspected(const struct job *job)
+{
+	uint32_t count = 0;
+
+	for (const struct occurrence *occurrence = job->occurrences; occurrence;
+	     occurrence = occurrence->next) {
+		for (size_t s = 0; s < job->spec->step_count; s++) {
+			const struct step_run *step = &occurrence->steps[s];
+
+			for (uint32_t i = 0; i < step->spec->count; i++)
+				count += step->tasks[i].worker && step->tasks[i].worker->suspected;
+		}
+	}
+	return count;
+}
+
 char *plan_explain_job(const struct plan *plan, TALLOC_CTX *mem, const char *id)
 {
 	const struct job *job = plan_find_job(plan, id);
 	uint32_t counts[TASK_DONE + 1] = {0};
 	uint32_t failures = 0;
 	uint32_t leaving;
+	uint32_t suspected;
 	bool advice_pending = false;
 
 	if (!job)
@@ -546,10 +563,11 @@
 		}
 	}
 	leaving = plan_count_leaving(job);
+	suspected = count_on_suspected(job);
 	return talloc_asprintf(
 		mem,
 		"%s: tasks: %u waiting, %u starting, %u running, %u stopping, %u done; failed "
-		"runs: %u%s%s%s%s%s%s",
+		"runs: %u%s%s%s%s%s%s%s",
 		plan_job_state_name(job->state), counts[TASK_WAITING], counts[TASK_STARTING],
 		counts[TASK_RUNNING], counts[TASK_STOPPING], counts[TASK_DONE], failures,
 		job->inherited ? ", waiting for reports of workers that the former leader used"
@@ -559,5 +577,7 @@
 		job->queue ? "" : ", its queue is not in the configuration",
 		leaving ? talloc_asprintf(mem, ", tasks on workers that leave soon: %u", leaving)
 			: "",
+		suspected ? talloc_asprintf(mem, ", tasks on suspected workers: %u", suspected)
+			  : "",
 		explain_waits(plan, job, mem));
 }
--- a/src/planplace.c
+++ b/src/planplace.c
@@ -229,6 +229,7 @@
 			score += 10; /* above any unused share: chosen only if no other fits */
 		if (plan_data_on_other_rack(worker, step->spec))
 			score += 5;
+		score += plan_evidence_score(worker, step, now_ms);
 		if (best && score >= best_score)
 			continue;
 		best = worker;
@@ -257,6 +258,7 @@
 	struct plan_resources *used;		 /* room that is not available to the gang */
 	struct plan_resources *used_after_stops; /* room in use unless more tasks are stopped */
 	uint32_t *member_count;
+	double *evidence_score;
 	size_t count;
 };
 
@@ -276,6 +278,8 @@
 			evict ? used_by_unevictable(worker, job) : worker->used;
 		candidates->used_after_stops[candidates->count] =
 			evict ? plan_use_after_stops(worker) : worker->used;
+		candidates->evidence_score[candidates->count] =
+			plan_evidence_score(worker, step, now_ms);
 		candidates->member_count[candidates->count] = plan_count_siblings(worker, step);
 		candidates->count++;
 	}
@@ -348,6 +352,7 @@
 			score = unused_share(candidates.workers[i], &candidates.used[i], &need);
 			score += plan_data_on_other_rack(candidates.workers[i], step->spec) ? 5 : 0;
 			score += displacement_penalty(&candidates, i, &need);
+			score += candidates.evidence_score[i];
 			if (best < candidates.count && score >= best_score)
 				continue;
 			best = i;
@@ -449,6 +454,7 @@
 		.used_after_stops =
 			talloc_zero_array(mem, struct plan_resources, plan->workers->len + 1),
 		.member_count = talloc_zero_array(mem, uint32_t, plan->workers->len + 1),
+		.evidence_score = talloc_zero_array(mem, double, plan->workers->len + 1),
 	};
 	bool found;
 	double total_score;
--- a/src/planslow.c
+++ b/src/planslow.c
@@ -30,6 +30,7 @@
 #define MOVE_GAIN_MIN_MS 1000	  /* a move has to save at least this much */
 #define PERCENT_DONE 100.0
 #define STILL_LISTS_MIN 2   /* after the one with the latest progress; a single one may be late */
+#define SHARED_STALLS_MAX 2 /* a task that stands still on more workers speaks against none */
 #define LIST_GAP_MIN_MS 100 /* a list that is reported again differs by less than this */
 /* The same as STALL_BACKOFF_BITS, for tasks of priority 0: the next worker may have the same fault.
  */
@@ -194,7 +195,8 @@
 
 /*
  * A gang on several workers advances at the speed of its slowest member, so none of the workers
- * can be found to be the slow one: the gang is moved, but no worker is marked slow or suspect.
+ * can be found to be the slow one: the gang is moved, but no worker is marked slow or suspect. The
+ * evidence is shared between them, see planevidence.c.
  */
 static bool gang_spans_workers(const struct step_run *step)
 {
@@ -232,6 +234,8 @@
 			/* A task that has stood still elsewhere says nothing of this worker. */
 			if (!gang_spans_workers(task->step) && stalls_elsewhere(task) == 0)
 				plan_suspect_worker(worker, now_ms);
+			if (stalls_elsewhere(task) < SHARED_STALLS_MAX)
+				plan_add_shared_evidence(plan, task, PLAN_EVIDENCE_STALL, now_ms);
 			count_stall(task);
 			plan_move_task(plan, task, PLAN_MOVE_STALLED, now_ms);
 		}
@@ -288,6 +292,7 @@
 			if (!worth_moving(plan, task) || !fits_elsewhere(plan, task, now_ms))
 				continue;
 			task->avoid = worker;
+			plan_add_shared_evidence(plan, task, PLAN_EVIDENCE_SLOW, now_ms);
 			plan_move_task(plan, task, PLAN_MOVE_SLOW, now_ms);
 		}
 	}
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -12,6 +12,7 @@
 #define LASTING_RETRY_MS ((uint64_t)50)
 #define LASTING_DOUBLINGS_MAX 6
 #define LASTING_SOUND_MS 10000 /* a run of this length ends the doubling */
+#define SLOW_END_FACTOR 5      /* tasks of a step differ by less, see SLOW_FACTOR in planslow.c */
 /* Failures of different jobs; a single failure may be the job's own fault. */
 #define SUSPECT_FAILURE_STREAK 2
 
@@ -219,6 +220,7 @@
 		worker->suspicions = 0;
 		worker->failure_streak = 0;
 		worker->backoff_until_ms = 0;
+		plan_forget_evidence(plan, worker, now_ms);
 	}
 	set_worker_text(worker, &worker->incarnation, info->incarnation);
 	set_worker_text(worker, &worker->id, info->id);
@@ -443,12 +445,14 @@
 	worker->last_failed_job = NULL;
 }
 
-static void record_failure(struct worker *worker, const struct job *job, uint64_t now_ms)
+static void record_failure(struct plan *plan, struct worker *worker, const struct job *job,
+			   uint64_t now_ms)
 {
 	worker->last_failure_ms = now_ms;
 	if (worker->last_failed_job == job)
 		return;
 	worker->last_failed_job = job;
+	plan_add_evidence(plan, worker, PLAN_EVIDENCE_FAILURE, now_ms);
 	worker->failure_streak++;
 	if (worker->failure_streak >= SUSPECT_FAILURE_STREAK)
 		plan_suspect_worker(worker, now_ms);
@@ -467,6 +471,22 @@
 		task->short_runs++;
 }
 
+/*
+ * A run that is done speaks for its worker, unless it took much longer than another one of its
+ * step. Members of a gang take as long as the slowest, so their times are not compared.
+ */
+static void record_end_speed(struct plan *plan, const struct task *task, uint64_t now_ms)
+{
+	const struct step_run *step = task->step;
+	uint64_t took_ms = now_ms - task->began_ms;
+
+	if (!step->spec->gang && !task->checkpoint && step->measured_run_ms > 0 &&
+	    took_ms > SLOW_END_FACTOR * step->measured_run_ms)
+		plan_add_evidence(plan, task->worker, PLAN_EVIDENCE_SLOW, now_ms);
+	else
+		plan_add_proof(plan, task->worker, task->began_ms, now_ms);
+}
+
 static void end_current_run(struct plan *plan, struct worker *worker, struct task *task,
 			    const struct plan_run *run, enum plan_end end, uint64_t now_ms)
 {
@@ -477,6 +497,7 @@
 	save_checkpoint(plan, task, run, now_ms);
 	task->ended_run = run->run;
 	if (end == PLAN_END_DONE && !lasting) {
+		record_end_speed(plan, task, now_ms);
 		if (!task->checkpoint)
 			task->step->measured_run_ms = MAX(now_ms - task->began_ms, 1);
 		record_success(worker);
@@ -489,7 +510,7 @@
 		task->avoid = worker;
 		/* A lasting task may fail any number of times, on any worker. */
 		if (!lasting)
-			record_failure(worker, job, now_ms);
+			record_failure(plan, worker, job, now_ms);
 		plan_task_failed(plan, task, run->run, now_ms);
 	}
 	if (lasting && (end == PLAN_END_FAILED || end == PLAN_END_DONE)) {
@@ -586,6 +607,8 @@
 		plan_drop_ticket(worker, task->step);
 	else if (refusal != PLAN_REFUSED_STALE)
 		worker->backoff_until_ms = now_ms + UNHEALTHY_BACKOFF_MS;
+	if (refusal == PLAN_REFUSED_UNHEALTHY && worker->offers_room)
+		plan_add_evidence(plan, worker, PLAN_EVIDENCE_REFUSAL, now_ms);
 }
 
 void plan_worker_list_end(struct plan *plan, const char *node, bool complete, uint64_t list_ms)
