--- a/src/coord.c
+++ b/src/coord.c
@@ -533,6 +533,34 @@
 		 eviction->known ? "known when the run began" : "accepted later");
 }
 
+static void on_move(const struct plan_move *move, void *ctx)
+{
+	struct coord *coord = ctx;
+
+	metrics_add(coord->deps.metrics, coord->moves[move->why], 1);
+	if (move->left_ms == UINT64_MAX)
+		log_info("task_moved", move->task,
+			 "run %u from %s: %s; it had no end, %" PRIu64 " ms of work are lost",
+			 move->run, move->node, plan_move_name(move->why), move->lost_ms);
+	else
+		log_info("task_moved", move->task,
+			 "run %u from %s: %s; %" PRIu64 " ms were left, %" PRIu64
+			 " ms of work are lost",
+			 move->run, move->node, plan_move_name(move->why), move->left_ms,
+			 move->lost_ms);
+}
+
+static void on_evidence(const char *node, bool suspected, enum plan_evidence latest, double weight,
+			void *ctx)
+{
+	struct coord *coord = ctx;
+
+	metrics_set(coord->deps.metrics, coord->suspected_workers,
+		    plan_count_suspected(coord->plan));
+	log_info(suspected ? "worker_suspected" : "worker_cleared", node,
+		 "weight %.2f; the latest evidence was a %s", weight, plan_evidence_name(latest));
+}
+
 static void on_wait(const char *step, enum plan_wait reason, const char *text, void *ctx)
 {
 	log_info("step_waits", step, "%s: %s", plan_wait_name(reason), text);
@@ -565,6 +593,19 @@
 	}
 }
 
+static void define_move_metrics(struct coord *coord)
+{
+	for (int i = 0; i < PLAN_MOVE_COUNT; i++) {
+		char *label = talloc_asprintf(coord, "reason=\"%s\"",
+					      plan_move_name((enum plan_move_reason)i));
+
+		coord->moves[i] = metrics_define(coord->deps.metrics, METRICS_COUNTER,
+						 "jaycourse_tasks_moved_total", label,
+						 "Runs stopped so that their tasks run elsewhere");
+		talloc_free(label);
+	}
+}
+
 static void define_metrics(struct coord *coord)
 {
 	static const char *const labels[PLAN_LOSS_COUNT] = {
@@ -597,6 +638,10 @@
 	}
 	define_wait_metrics(coord);
 	define_eviction_metrics(coord);
+	define_move_metrics(coord);
+	coord->suspected_workers =
+		metrics_define(metrics, METRICS_GAUGE, "jaycourse_suspected_workers", "",
+			       "Workers that urgent work avoids by the evidence about them");
 }
 
 static void apply_ends(struct coord *coord, struct agent_row *row,
@@ -925,6 +970,7 @@
 
 	set_wait_metrics(coord, none);
 	set_zone_metrics(coord, 0, 0);
+	metrics_set(coord->deps.metrics, coord->suspected_workers, 0);
 	coord->link->coord = NULL;
 	if (coord->link->calls == 0)
 		talloc_free(coord->link);
@@ -956,6 +1002,8 @@
 	plan_on_loss(coord->plan, on_run_lost, coord);
 	plan_on_wait(coord->plan, on_wait, coord);
 	plan_on_evict(coord->plan, on_evict, coord);
+	plan_on_move(coord->plan, on_move, coord);
+	plan_on_evidence(coord->plan, on_evidence, coord);
 	coord->cycle = g_queue_new();
 	coord->ended_jobs = g_queue_new();
 	coord->decide_immediate = tevent_create_immediate(coord);
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -85,6 +85,8 @@
 	int losses[PLAN_LOSS_COUNT];	     /* metric handles */
 	int evictions[PLAN_EVICT_COUNT];     /* metric handles */
 	struct metrics_histogram eviction_ages_ms;
+	int suspected_workers;		    /* metric handle */
+	int moves[PLAN_MOVE_COUNT];	    /* metric handles */
 	int agent_restarts;		    /* metric handle */
 	int evacuated_zones;		    /* metric handle */
 	int evacuated_tasks;		    /* metric handle */
--- a/src/plan.h
+++ b/src/plan.h
@@ -64,6 +64,9 @@
  * @incarnation: changes with each restart of the worker; after a restart nothing runs on it
  * @kind: kind of machine; a label that tasks may require
  * @accepting: false while the worker drains
+ * @leaves: the worker drains and has said how much time is left, at least, until it ends with
+ *	everything that runs on it
+ * @remaining_ms: that time; only with @leaves
  */
 struct plan_worker_info {
 	const char *node;
@@ -75,8 +78,13 @@
 	const char *rack;
 	struct plan_resources room;
 	bool accepting;
+	bool leaves;
+	uint32_t remaining_ms;
 };
 
+/** PLAN_REMAINING_MAX_MS - a longer time until a worker leaves counts as no notice */
+#define PLAN_REMAINING_MAX_MS (1 << 30)
+
 /** PLAN_RUN_MAX - no run has a higher number; the next ones still fit into 31 bits */
 #define PLAN_RUN_MAX (1 << 30)
 
@@ -95,6 +103,8 @@
  * @stop_ms: a stop takes at most this long
  * @stall_ms: a task without progress for this long counts as stalled, if ten of its percents take
  *	no longer
+ * @urgent_stall_ms: takes the place of @stall_ms for a task of priority 0 that its worker's lists
+ *	show without progress several times in a row; 0: @stall_ms counts for it too
  * @away_factor: tasks take this many times as long on several racks, or away from their data
  * @unavailable_after_ms: a long-running task that ended by itself counts as unavailable once it has
  *	not been at work for this long; one that was stopped counts at once
@@ -102,6 +112,7 @@
 struct plan_params {
 	uint32_t stop_ms;
 	uint32_t stall_ms;
+	uint32_t urgent_stall_ms;
 	double away_factor;
 	uint32_t unavailable_after_ms;
 };
@@ -123,6 +134,60 @@
 			       enum plan_loss loss, void *ctx),
 		  void *ctx);
 
+/* Why a run is stopped so that its task runs elsewhere. */
+enum plan_move_reason {
+	PLAN_MOVE_LEAVES,  /* its worker leaves */
+	PLAN_MOVE_STALLED, /* it makes no progress */
+	PLAN_MOVE_SLOW,	   /* its worker is slow */
+	PLAN_MOVE_COUNT,
+};
+
+/** plan_move_name() - text of a reason in metrics */
+const char *plan_move_name(enum plan_move_reason why);
+
+/**
+ * struct plan_move - a run that is stopped, with the other members of its gang, to be moved
+ * @left_ms: expected time until it would have ended; UINT64_MAX for a long-running task
+ * @lost_ms: time that it has run since it began, if its work is not saved by the stop
+ */
+struct plan_move {
+	const char *task;
+	uint32_t run;
+	const char *node;
+	enum plan_move_reason why;
+	uint64_t left_ms;
+	uint64_t lost_ms;
+};
+
+/** plan_on_move() - call @moved for each run that is moved, once for a gang */
+void plan_on_move(struct plan *plan, void (*moved)(const struct plan_move *move, void *ctx),
+		  void *ctx);
+
+/* What speaks against a worker. */
+enum plan_evidence {
+	PLAN_EVIDENCE_STALL,
+	PLAN_EVIDENCE_SLOW,
+	PLAN_EVIDENCE_FAILURE,
+	PLAN_EVIDENCE_REFUSAL,
+	PLAN_EVIDENCE_COUNT,
+};
+
+/** plan_evidence_name() - text of a kind in logs */
+const char *plan_evidence_name(enum plan_evidence kind);
+
+/**
+ * plan_on_evidence() - call @judged when a worker becomes suspected and when it no longer is
+ *
+ * @latest is the kind of the latest evidence, @weight the sum of all that has not decayed.
+ */
+void plan_on_evidence(struct plan *plan,
+		      void (*judged)(const char *node, bool suspected, enum plan_evidence latest,
+				     double weight, void *ctx),
+		      void *ctx);
+
+/** plan_count_suspected() - number of workers that are suspected now */
+uint32_t plan_count_suspected(const struct plan *plan);
+
 /* Why a step that could start waits. */
 enum plan_wait {
 	PLAN_WAIT_NONE,		 /* it doesn't wait, or its reason has not been looked for yet */
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -53,6 +53,8 @@
 	uint32_t percent;
 	uint64_t progress_ms; /* when @percent or the checkpoint last changed */
 	uint64_t percent_changed_ms;
+	uint64_t still_list_ms; /* latest list that was counted for @still_lists */
+	uint32_t still_lists;  /* lists in a row that showed no progress, its gang being complete */
 	uint32_t base_percent; /* when the present run was first listed, or its checkpoint was taken
 				*/
 	uint64_t percent_ms;   /* that the latest percent took, on any worker; 0: not known yet */
@@ -180,8 +182,10 @@
 	struct plan_resources room;
 	struct plan_resources used;
 	bool present;
-	bool offers_room; /* by its own report */
-	bool accepting;	  /* offers_room, and its zone is not closed */
+	bool offers_room;   /* by its own report */
+	bool accepting;	    /* offers_room, and its zone is not closed */
+	uint64_t leaves_ms; /* it drains and ends with all its runs at this time or later; 0: no
+			       notice */
 	struct task *tasks;
 	struct orphan_run *orphans;
 	uint64_t backoff_until_ms; /* no new tasks before, after a refused start */
@@ -192,7 +196,12 @@
 	uint64_t slow_until_ms;	   /* no new tasks before, after slow samples */
 	uint64_t last_failure_ms;  /* when a task last failed or stood still on it; 0: never */
 	uint32_t suspicions;	   /* times it became suspect since the last success */
-	uint32_t failure_streak;   /* failures since the last success; once per job in a row */
+	double evidence;	   /* weight at @evidence_ms of what speaks against it */
+	uint64_t evidence_ms;
+	uint64_t bad_evidence_ms; /* when something last spoke against it; 0: never */
+	enum plan_evidence latest_evidence;
+	bool suspected;		 /* by the weight of its evidence */
+	uint32_t failure_streak; /* failures since the last success; once per job in a row */
 	const struct job *last_failed_job;
 	const struct step_run *reserved_for; /* set during plan_decide() */
 	bool reserved_firm;		     /* room is being made there for that step */
@@ -217,6 +226,11 @@
 	void (*on_loss)(const char *task, uint32_t run, const char *node, enum plan_loss loss,
 			void *ctx);
 	void *on_loss_ctx;
+	void (*on_evidence)(const char *node, bool suspected, enum plan_evidence latest,
+			    double weight, void *ctx);
+	void *on_evidence_ctx;
+	void (*on_move)(const struct plan_move *move, void *ctx);
+	void *on_move_ctx;
 	/* Service whose use was measured last, and its share in use; NULL: measure it again. */
 	const char *use_service;
 	double use_share;
@@ -279,6 +293,9 @@
 /** plan_stop_task() - @reason: in words; must live as long as the plan */
 void plan_stop_task(struct task *task, const char *reason);
 void plan_stop_gang(struct task *task, const char *reason);
+/* Stops a task, and the other members of its gang, so that it runs elsewhere. */
+void plan_move_task(struct plan *plan, struct task *task, enum plan_move_reason why,
+		    uint64_t now_ms);
 void plan_suspect_worker(struct worker *worker, uint64_t now_ms);
 
 /* planzone.c */
@@ -290,6 +307,33 @@
 /* True if a worker would have room for a task of the step, were its zone not closed. */
 bool plan_closed_zone_has_room(const struct plan *plan, const struct step_run *step);
 
+/* planevidence.c */
+/* Weight of what speaks against a worker now; 0: nothing does. */
+double plan_evidence(const struct worker *worker, uint64_t now_ms);
+void plan_add_evidence(struct plan *plan, struct worker *worker, enum plan_evidence kind,
+		       uint64_t now_ms);
+/* Shares the weight between the workers of the task's gang, most to the one with most already. */
+void plan_add_shared_evidence(struct plan *plan, const struct task *task, enum plan_evidence kind,
+			      uint64_t now_ms);
+/* A run is done that began at @began_ms; one from before the latest evidence proves nothing. */
+void plan_add_proof(struct plan *plan, struct worker *worker, uint64_t began_ms, uint64_t now_ms);
+void plan_forget_evidence(struct plan *plan, struct worker *worker, uint64_t now_ms);
+/* Clears workers whose evidence has decayed. */
+void plan_review_evidence(struct plan *plan, uint64_t now_ms);
+/* To be added to the score of a worker for a step; smaller scores are better. */
+double plan_evidence_score(const struct worker *worker, const struct step_run *step,
+			   uint64_t now_ms);
+
+/* plandrain.c */
+/**
+ * plan_move_from_leaving() - move what would be lost with workers that leave soon
+ *
+ * Return: true while work is left on such workers, so that the next decision is due soon.
+ */
+bool plan_move_from_leaving(struct plan *plan, uint64_t now_ms);
+/* Tasks of a job that run on workers which leave soon. */
+uint32_t plan_count_leaving(const struct job *job);
+
 /* planheadroom.c */
 /* Chooses the workers that this plan_decide() keeps free for urgent jobs. */
 void plan_keep_headroom(struct plan *plan, uint64_t now_ms);
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -288,6 +288,7 @@
 {
 	uint32_t reserved = 0;
 	GArray *ranked_steps;
+	bool leaving;
 	bool blocked;
 
 	for (guint i = 0; i < plan->workers->len; i++) {
@@ -298,6 +299,7 @@
 	}
 	plan->use_service = NULL;
 	inspect_workers(plan, now_ms);
+	plan_review_evidence(plan, now_ms);
 	plan_withdraw_starts(plan);
 	plan_end_tasks_done_before(plan, now_ms);
 	plan_make_due_occurrences(plan, now_ms);
@@ -311,6 +313,8 @@
 		place_step(plan, &g_array_index(ranked_steps, struct step_rank, i), now_ms,
 			   &reserved);
 	g_array_free(ranked_steps, TRUE);
+	/* After the placement, so that the room of tasks that were moved before is taken. */
+	leaving = plan_move_from_leaving(plan, now_ms);
 	plan_update_waits(plan, now_ms);
 	g_clear_pointer(&plan->orphan_tasks, g_hash_table_destroy);
 	for (guint i = 0; i < plan->workers->len; i++) {
@@ -320,5 +324,5 @@
 			changed(worker->node, ctx);
 		worker->changed = false;
 	}
-	return blocked ? BLOCKED_RECHECK_MS : IDLE_RECHECK_MS;
+	return blocked || leaving ? BLOCKED_RECHECK_MS : IDLE_RECHECK_MS;
 }
--- a/src/planplace.c
+++ b/src/planplace.c
@@ -229,6 +229,7 @@
 			score += 10; /* above any unused share: chosen only if no other fits */
 		if (plan_data_on_other_rack(worker, step->spec))
 			score += 5;
+		score += plan_evidence_score(worker, step, now_ms);
 		if (best && score >= best_score)
 			continue;
 		best = worker;
@@ -261,6 +262,7 @@
 	double *stop_cost;    /* the same, in addition for one more member; below 0: not known */
 	const struct job *evicts_for; /* NULL: nothing is stopped */
 	uint64_t now_ms;
+	double *evidence_score;
 	size_t count;
 };
 
@@ -329,6 +331,8 @@
 			evict ? used_by_unevictable(worker, job) : worker->used;
 		candidates->used_after_stops[candidates->count] =
 			evict ? plan_use_after_stops(worker) : worker->used;
+		candidates->evidence_score[candidates->count] =
+			plan_evidence_score(worker, step, now_ms);
 		candidates->member_count[candidates->count] = plan_count_siblings(worker, step);
 		candidates->count++;
 	}
@@ -415,6 +419,7 @@
 				unused_share(candidates.workers[i], &candidates.used[i], &need);
 			score.unused +=
 				plan_data_on_other_rack(candidates.workers[i], step->spec) ? 5 : 0;
+			score.unused += candidates.evidence_score[i];
 			if (best < candidates.count && !is_better(&score, &best_score))
 				continue;
 			best = i;
@@ -521,6 +526,7 @@
 		.used_after_stops =
 			talloc_zero_array(mem, struct plan_resources, plan->workers->len + 1),
 		.member_count = talloc_zero_array(mem, uint32_t, plan->workers->len + 1),
+		.evidence_score = talloc_zero_array(mem, double, plan->workers->len + 1),
 	};
 	bool found;
 	struct place_score total;
