plan: Keep headroom by the forecast of urgent demand

Cause: workers were kept free by their number, a share by the time of a stop, for 10 s after each urgent job. Urgent gangs found too little room in a burst, and steps of lower priority waited for idle workers after it.

Gauges jaycourse_headroom_workers and jaycourse_demand_accelerators, log line headroom_changed, and the expected accelerators in the explanation of a step that waits for headroom.

--- a/src/coord.c
+++ b/src/coord.c
@@ -242,6 +242,21 @@
 	talloc_free(mem);
 }
 
+static void report_headroom(struct coord *coord)
+{
+	struct plan_headroom headroom = plan_headroom(coord->plan);
+
+	metrics_set(coord->deps.metrics, coord->headroom_workers, headroom.workers);
+	metrics_set(coord->deps.metrics, coord->demand_accelerators,
+		    (uint64_t)(headroom.accelerators + 0.5));
+	if (headroom.workers == coord->logged_headroom)
+		return;
+	coord->logged_headroom = headroom.workers;
+	log_info("headroom_changed", "",
+		 "%u workers are kept free; urgent jobs are expected to use %.0f accelerators",
+		 headroom.workers, headroom.accelerators);
+}
+
 static void set_wait_metrics(struct coord *coord, const uint32_t *counts)
 {
 	for (int i = PLAN_WAIT_NONE + 1; i < PLAN_WAIT_COUNT; i++)
@@ -257,6 +272,7 @@
 	coord->waits_counted_ms = now_ms;
 	plan_count_waits(coord->plan, counts);
 	set_wait_metrics(coord, counts);
+	report_headroom(coord);
 	if (coord->deps.zones)
 		count_evacuated(coord);
 }
@@ -557,6 +573,12 @@
 			metrics_define(metrics, METRICS_GAUGE, "jaycourse_evacuated_tasks", "",
 				       "Tasks that still run in evacuated zones");
 	}
+	coord->headroom_workers =
+		metrics_define(metrics, METRICS_GAUGE, "jaycourse_headroom_workers", "",
+			       "Workers kept free for urgent jobs");
+	coord->demand_accelerators =
+		metrics_define(metrics, METRICS_GAUGE, "jaycourse_demand_accelerators", "",
+			       "Accelerators that urgent jobs are expected to use at a time");
 	define_wait_metrics(coord);
 }
 
@@ -887,6 +909,8 @@
 	const uint32_t none[PLAN_WAIT_COUNT] = {0};
 
 	set_wait_metrics(coord, none);
+	metrics_set(coord->deps.metrics, coord->headroom_workers, 0);
+	metrics_set(coord->deps.metrics, coord->demand_accelerators, 0);
 	coord->link->coord = NULL;
 	if (coord->link->calls == 0)
 		talloc_free(coord->link);
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -86,6 +86,9 @@
 	int agent_restarts;		     /* metric handle */
 	int evacuated_zones;		     /* metric handle */
 	int evacuated_tasks;		     /* metric handle */
+	int headroom_workers;		     /* metric handle */
+	int demand_accelerators;	     /* metric handle */
+	uint32_t logged_headroom;	     /* workers kept free as of the latest log line on it */
 	int waiting_steps[PLAN_WAIT_COUNT];  /* metric handles; that of PLAN_WAIT_NONE is unused */
 	uint64_t waits_counted_ms;
 	struct tevent_immediate *decide_immediate;
--- a/src/plan.h
+++ b/src/plan.h
@@ -161,6 +161,19 @@
 /** plan_count_waits() - number of waiting steps by reason; @counts has PLAN_WAIT_COUNT entries */
 void plan_count_waits(const struct plan *plan, uint32_t *counts);
 
+/**
+ * struct plan_headroom - what is kept free for urgent jobs
+ * @workers: number of workers that jobs of lower priority leave free
+ * @accelerators: that urgent jobs are expected to use at a time
+ */
+struct plan_headroom {
+	uint32_t workers;
+	double accelerators;
+};
+
+/** plan_headroom() - what the latest plan_decide() keeps free */
+struct plan_headroom plan_headroom(const struct plan *plan);
+
 /** plan_configure() - replace the configuration; @conf is borrowed until the next call */
 void plan_configure(struct plan *plan, const struct fleetconf *conf);
 
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -2,6 +2,7 @@
 #define JAYCOURSE_PLAN_INT_H
 
 #include "plan.h"
+#include "plandemand.h"
 
 #include <glib.h>
 
@@ -94,6 +95,7 @@
 	uint64_t reported_ms; /* latest call of plan.on_wait; 0: none */
 	uint32_t room;	      /* waiting tasks for which there is room now, no preference kept */
 	uint32_t room_kept;   /* the same, with all preferences kept */
+	uint32_t urgent_accelerators; /* that urgent jobs are expected to use */
 	char held_for[TASK_NAME_MAX]; /* step that room is reserved for; "": none */
 	uint64_t began_ms;	      /* its tasks wait to be placed; 0: not looked at yet */
 	uint64_t roomy_since_ms; /* the step has room on a service that is half empty; 0: has not */
@@ -116,6 +118,7 @@
 	uint64_t ask_after_ms;	  /* no query is made before this time */
 	uint64_t ready_ms;	  /* when the steps it depends on had ended; 0: not yet */
 	uint64_t measured_run_ms; /* of its latest task that was done in one run; 0: none yet */
+	bool demand_counted;	  /* plan.demand has taken its arrival into account */
 	struct step_wait wait;
 };
 
@@ -215,8 +218,10 @@
 	/* Service whose use was measured last, and its share in use; NULL: measure it again. */
 	const char *use_service;
 	double use_share;
-	uint64_t displaced_ms;	   /* latest of all tasks */
-	uint64_t waits_checked_ms; /* latest plan_update_waits() that looked at the steps */
+	struct plan_demand *demand;
+	struct plan_headroom headroom; /* of the latest plan_decide() */
+	uint64_t displaced_ms;	       /* latest of all tasks */
+	uint64_t waits_checked_ms;     /* latest plan_update_waits() that looked at the steps */
 	void (*on_wait)(const char *step, enum plan_wait reason, const char *text, void *ctx);
 	void *on_wait_ctx;
 };
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -26,6 +26,7 @@
 	plan->active = g_ptr_array_new();
 	plan->workers = g_ptr_array_new();
 	g_queue_init(&plan->dirty);
+	plan->demand = plan_demand_create(plan, params->stop_ms);
 	talloc_set_destructor(plan, plan_destructor);
 	return plan;
 }
--- a/src/planwait.c
+++ b/src/planwait.c
@@ -164,6 +164,7 @@
 
 	step->wait.room = 0;
 	step->wait.room_kept = 0;
+	step->wait.urgent_accelerators = (uint32_t)(plan->headroom.accelerators + 0.5);
 	if (job->inherited)
 		return PLAN_WAIT_FORMER_LEADER;
 	if (job->held)
@@ -201,8 +202,10 @@
 				       wait->room, *wait->held_for ? wait->held_for : "others");
 	case PLAN_WAIT_HEADROOM:
 		return talloc_asprintf(
-			mem, "there is room for %u tasks, but it is kept free for urgent jobs",
-			wait->room);
+			mem,
+			"there is room for %u tasks, but it is kept free for urgent jobs, which "
+			"are expected to use %u accelerators",
+			wait->room, wait->urgent_accelerators);
 	case PLAN_WAIT_PAUSE:
 		return talloc_asprintf(
 			mem, "there is room for %u tasks, but on workers that are suspect or slow",
