plan: Order jobs of one priority by fair shares of organisations

Cause: within a priority the earliest deadline came first, so a small organisation waited behind all jobs that a large one had submitted.

Change: planshare.c divides what guaranteed jobs leave of a service by weighted max-min fairness between the organisations with waiting jobs. compare_rank() looks at the step's claim on its organisation's share behind the rank and before the deadline. With one organisation, or while all get what they ask for, the order is as before. Gauge jaycourse_share_excess, log lines share_exceeded and shares_kept, and the excess in the explanation of a job.

The key is that of the step, not of the organisation: steps earlier in the order count as started. With the organisation's present use alone, one decision that found the fleet free gave all of it to the earliest deadlines.

--- a/src/coord.c
+++ b/src/coord.c
@@ -257,6 +257,23 @@
 		 headroom.workers, headroom.accelerators);
 }
 
+static void report_shares(struct coord *coord)
+{
+	struct plan_share_peak peak = plan_share_peak(coord->plan);
+	double percent = 100 * peak.excess;
+
+	metrics_set(coord->deps.metrics, coord->share_excess, (uint64_t)(MIN(percent, 1e6) + 0.5));
+	if (!strcmp(peak.organisation, coord->logged_share ? coord->logged_share : ""))
+		return;
+	talloc_free(coord->logged_share);
+	coord->logged_share = talloc_strdup(coord, peak.organisation);
+	if (*peak.organisation)
+		log_info("share_exceeded", peak.organisation,
+			 "uses %.0f%% more than its fair share; others come first", percent);
+	else
+		log_info("shares_kept", "", "no organisation is above its fair share");
+}
+
 static void set_wait_metrics(struct coord *coord, const uint32_t *counts)
 {
 	for (int i = PLAN_WAIT_NONE + 1; i < PLAN_WAIT_COUNT; i++)
@@ -273,6 +290,7 @@
 	plan_count_waits(coord->plan, counts);
 	set_wait_metrics(coord, counts);
 	report_headroom(coord);
+	report_shares(coord);
 	if (coord->deps.zones)
 		count_evacuated(coord);
 }
@@ -579,6 +597,9 @@
 	coord->demand_accelerators =
 		metrics_define(metrics, METRICS_GAUGE, "jaycourse_demand_accelerators", "",
 			       "Accelerators that urgent jobs are expected to use at a time");
+	coord->share_excess =
+		metrics_define(metrics, METRICS_GAUGE, "jaycourse_share_excess", "",
+			       "Most that an organisation uses above its fair share, in percent");
 	define_wait_metrics(coord);
 }
 
@@ -911,6 +932,7 @@
 	set_wait_metrics(coord, none);
 	metrics_set(coord->deps.metrics, coord->headroom_workers, 0);
 	metrics_set(coord->deps.metrics, coord->demand_accelerators, 0);
+	metrics_set(coord->deps.metrics, coord->share_excess, 0);
 	coord->link->coord = NULL;
 	if (coord->link->calls == 0)
 		talloc_free(coord->link);
--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -88,8 +88,10 @@
 	int evacuated_tasks;		     /* metric handle */
 	int headroom_workers;		     /* metric handle */
 	int demand_accelerators;	     /* metric handle */
-	uint32_t logged_headroom;	     /* workers kept free as of the latest log line on it */
-	int waiting_steps[PLAN_WAIT_COUNT];  /* metric handles; that of PLAN_WAIT_NONE is unused */
+	int share_excess;		     /* metric handle */
+	char *logged_share;	  /* organisation of the latest log line on shares, or NULL */
+	uint32_t logged_headroom; /* workers kept free as of the latest log line on it */
+	int waiting_steps[PLAN_WAIT_COUNT]; /* metric handles; that of PLAN_WAIT_NONE is unused */
 	uint64_t waits_counted_ms;
 	struct tevent_immediate *decide_immediate;
 	bool decide_scheduled;
--- a/src/plan.h
+++ b/src/plan.h
@@ -174,6 +174,25 @@
 /** plan_headroom() - what the latest plan_decide() keeps free */
 struct plan_headroom plan_headroom(const struct plan *plan);
 
+/**
+ * plan_share_excess() - what an organisation uses above its fair share, as a part of the share
+ *
+ * Of the service where it is most above. 0: at or below its share, or no other organisation waits.
+ */
+double plan_share_excess(const struct plan *plan, const char *organisation);
+
+/**
+ * struct plan_share_peak - the organisation that is most above its share
+ * @organisation: "" if none is above
+ */
+struct plan_share_peak {
+	const char *organisation;
+	double excess;
+};
+
+/** plan_share_peak() - as of the latest plan_decide() */
+struct plan_share_peak plan_share_peak(const struct plan *plan);
+
 /** plan_configure() - replace the configuration; @conf is borrowed until the next call */
 void plan_configure(struct plan *plan, const struct fleetconf *conf);
 
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -156,6 +156,7 @@
 	uint64_t checkpoint_ms;		/* when a checkpoint last made the record change */
 	struct occurrence *occurrences; /* unfinished ones */
 	bool guaranteed;		/* within the accelerators promised to its organisation */
+	struct share_row *share_row;	/* of planshare.c; set by plan_share_update() */
 };
 
 /* A run that a worker reports but that no task is assigned to; it has to be stopped. */
@@ -219,6 +220,7 @@
 	const char *use_service;
 	double use_share;
 	struct plan_demand *demand;
+	struct plan_shares *shares;
 	struct plan_headroom headroom; /* of the latest plan_decide() */
 	uint64_t displaced_ms;	       /* latest of all tasks */
 	uint64_t waits_checked_ms;     /* latest plan_update_waits() that looked at the steps */
@@ -289,6 +291,21 @@
 void plan_keep_headroom(struct plan *plan, uint64_t now_ms);
 bool plan_may_use_headroom(const struct step_run *step, uint64_t now_ms);
 
+/* planshare.c */
+struct plan_shares *plan_shares_create(TALLOC_CTX *mem);
+/* Works out what each organisation uses, asks for and may use; before steps are ordered. */
+void plan_share_update(struct plan *plan);
+/**
+ * plan_share_claim() - key by which steps of one priority are ordered before their deadlines
+ *
+ * To be called after plan_share_update() for each step in the order in which they would start. The
+ * steps of its organisation that were claimed before count as if they had started.
+ *
+ * Return: 0 if the step keeps its organisation within the share, otherwise by how much it takes it
+ * above, as a part of the share.
+ */
+double plan_share_claim(struct plan *plan, const struct step_run *step);
+
 /* planadvice.c */
 /* False if the advice service has answered that the worker may not run the step. */
 bool plan_advice_allows(const struct worker *worker, const struct step_run *step);
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -6,7 +6,8 @@
 /*
  * The order in which waiting steps get room, made for bursts of urgent gangs on a fleet that
  * longer work keeps 60 to 100% busy. Steps of guaranteed jobs and long-running steps come first,
- * then jobs by priority, and within a priority the job with the earliest deadline. Jobs that are
+ * then jobs by priority, and within a priority those of organisations that are not above their fair
+ * share, and of these the job with the earliest deadline. Jobs that are
  * late even by WORTHLESS_AFTER_FACTOR wait behind all others: if they came first, the next jobs
  * would be late too.
  */
@@ -21,6 +22,7 @@
 struct ranked_step {
 	struct step_run *step;
 	uint32_t rank;
+	double share_excess; /* see plan_share_claim() */
 	double deadline_ms;
 };
 
@@ -54,6 +56,8 @@
 
 	if (left->rank != right->rank)
 		return left->rank < right->rank ? -1 : 1;
+	if (left->share_excess != right->share_excess)
+		return left->share_excess < right->share_excess ? -1 : 1;
 	if (left->deadline_ms != right->deadline_ms)
 		return left->deadline_ms < right->deadline_ms ? -1 : 1;
 	return strcmp(left->step->tasks[0].name, right->step->tasks[0].name);
@@ -67,6 +71,19 @@
 	return !step->spec->gang || step->waiting == step->spec->count;
 }
 
+/* Orders steps by rank and deadline, and then by rank, share and deadline. */
+static void sort_by_share(struct plan *plan, GArray *ranked_steps)
+{
+	plan_share_update(plan);
+	g_array_sort(ranked_steps, compare_rank);
+	for (guint i = 0; i < ranked_steps->len; i++) {
+		struct ranked_step *ranked = &g_array_index(ranked_steps, struct ranked_step, i);
+
+		ranked->share_excess = plan_share_claim(plan, ranked->step);
+	}
+	g_array_sort(ranked_steps, compare_rank);
+}
+
 static GArray *rank_waiting_steps(struct plan *plan, uint64_t now_ms)
 {
 	GArray *ranked_steps = g_array_new(FALSE, FALSE, sizeof(struct ranked_step));
@@ -89,7 +106,7 @@
 			}
 		}
 	}
-	g_array_sort(ranked_steps, compare_rank);
+	sort_by_share(plan, ranked_steps);
 	return ranked_steps;
 }
 
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -27,6 +27,7 @@
 	plan->workers = g_ptr_array_new();
 	g_queue_init(&plan->dirty);
 	plan->demand = plan_demand_create(plan, params->stop_ms);
+	plan->shares = plan_shares_create(plan);
 	talloc_set_destructor(plan, plan_destructor);
 	return plan;
 }
@@ -525,6 +526,19 @@
 	return text;
 }
 
+/* Why others come first; "" if they don't. */
+static char *explain_share(const struct plan *plan, const struct job *job, TALLOC_CTX *mem)
+{
+	double excess = plan_share_excess(plan, job->organisation);
+
+	if (plan_job_ended(job) || job->guaranteed || excess == 0)
+		return talloc_strdup(mem, "");
+	return talloc_asprintf(mem,
+			       ", its organisation uses %.0f%% more than its fair share, so others "
+			       "of the same priority come first",
+			       100 * excess);
+}
+
 char *plan_explain_job(const struct plan *plan, TALLOC_CTX *mem, const char *id)
 {
 	const struct job *job = plan_find_job(plan, id);
@@ -548,7 +562,7 @@
 	return talloc_asprintf(
 		mem,
 		"%s: tasks: %u waiting, %u starting, %u running, %u stopping, %u done; failed "
-		"runs: %u%s%s%s%s%s",
+		"runs: %u%s%s%s%s%s%s",
 		plan_job_state_name(job->state), counts[TASK_WAITING], counts[TASK_STARTING],
 		counts[TASK_RUNNING], counts[TASK_STOPPING], counts[TASK_DONE], failures,
 		job->inherited ? ", waiting for reports of workers that the former leader used"
@@ -556,5 +570,5 @@
 		job->held ? ", waiting for the store to confirm the leader" : "",
 		advice_pending ? ", waiting for advice on workers" : "",
 		job->queue ? "" : ", its queue is not in the configuration",
-		explain_waits(plan, job, mem));
+		explain_share(plan, job, mem), explain_waits(plan, job, mem));
 }
