--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -85,11 +85,16 @@
 	int losses[PLAN_LOSS_COUNT];	     /* metric handles */
 	int evictions[PLAN_EVICT_COUNT];     /* metric handles */
 	struct metrics_histogram eviction_ages_ms;
-	int suspected_workers;		    /* metric handle */
-	int moves[PLAN_MOVE_COUNT];	    /* metric handles */
-	int agent_restarts;		    /* metric handle */
-	int evacuated_zones;		    /* metric handle */
-	int evacuated_tasks;		    /* metric handle */
+	int suspected_workers;	    /* metric handle */
+	int moves[PLAN_MOVE_COUNT]; /* metric handles */
+	int agent_restarts;	    /* metric handle */
+	int evacuated_zones;	    /* metric handle */
+	int evacuated_tasks;	    /* metric handle */
+	int headroom_workers;	    /* metric handle */
+	int demand_accelerators;    /* metric handle */
+	int share_excess;	    /* metric handle */
+	char *logged_share;	    /* organisation of the latest log line on shares, or NULL */
+	uint32_t logged_headroom;   /* workers kept free as of the latest log line on it */
 	int waiting_steps[PLAN_WAIT_COUNT]; /* metric handles; that of PLAN_WAIT_NONE is unused */
 	uint64_t waits_counted_ms;
 	struct tevent_immediate *decide_immediate;
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -2,6 +2,7 @@
 #define JAYCOURSE_PLAN_INT_H
 
 #include "plan.h"
+#include "plandemand.h"
 
 #include <glib.h>
 
@@ -99,6 +100,7 @@
 	uint64_t reported_ms; /* latest call of plan.on_wait; 0: none */
 	uint32_t room;	      /* waiting tasks for which there is room now, no preference kept */
 	uint32_t room_kept;   /* the same, with all preferences kept */
+	uint32_t urgent_accelerators; /* that urgent jobs are expected to use */
 	char held_for[TASK_NAME_MAX]; /* step that room is reserved for; "": none */
 	uint64_t began_ms;	      /* its tasks wait to be placed; 0: not looked at yet */
 	uint64_t roomy_since_ms; /* the step has room on a service that is half empty; 0: has not */
@@ -121,6 +123,7 @@
 	uint64_t ask_after_ms;	  /* no query is made before this time */
 	uint64_t ready_ms;	  /* when the steps it depends on had ended; 0: not yet */
 	uint64_t measured_run_ms; /* of its latest task that was done in one run; 0: none yet */
+	bool demand_counted;	  /* plan.demand has taken its arrival into account */
 	struct step_wait wait;
 	uint64_t room_made_until_ms; /* the room that stops make for it is expected by then */
 };
@@ -158,8 +161,9 @@
 	uint32_t next_run;
 	uint64_t checkpoint_ms;		/* when a checkpoint last made the record change */
 	struct occurrence *occurrences; /* unfinished ones */
-	bool evicts_protected; /* see plan_is_protected(); only while room is made for it */
-	bool guaranteed;       /* within the accelerators promised to its organisation */
+	bool evicts_protected;	     /* see plan_is_protected(); only while room is made for it */
+	bool guaranteed;	     /* within the accelerators promised to its organisation */
+	struct share_row *share_row; /* of planshare.c; set by plan_share_update() */
 };
 
 /* A run that a worker reports but that no task is assigned to; it has to be stopped. */
@@ -239,11 +243,11 @@
 	void (*on_evict)(const struct plan_eviction *eviction, void *ctx);
 	void *on_evict_ctx;
 	uint64_t waits_checked_ms; /* latest plan_update_waits() that looked at the steps */
+	struct plan_demand *demand;
+	struct plan_shares *shares;
+	struct plan_headroom headroom; /* of the latest plan_decide() */
 	void (*on_wait)(const char *step, enum plan_wait reason, const char *text, void *ctx);
 	void *on_wait_ctx;
-	/* By how much an organisation is above its fair share, 0: not at all; or NULL. */
-	double (*share_excess)(const struct plan *plan, const char *organisation, void *ctx);
-	void *share_excess_ctx;
 };
 
 /* planjob.c */
@@ -339,6 +343,21 @@
 void plan_keep_headroom(struct plan *plan, uint64_t now_ms);
 bool plan_may_use_headroom(const struct step_run *step, uint64_t now_ms);
 
+/* planshare.c */
+struct plan_shares *plan_shares_create(TALLOC_CTX *mem);
+/* Works out what each organisation uses, asks for and may use; before steps are ordered. */
+void plan_share_update(struct plan *plan);
+/**
+ * plan_share_claim() - key by which steps of one priority are ordered before their deadlines
+ *
+ * To be called after plan_share_update() for each step in the order in which they would start. The
+ * steps of its organisation that were claimed before count as if they had started.
+ *
+ * Return: 0 if the step keeps its organisation within the share, otherwise by how much it takes it
+ * above, as a part of the share.
+ */
+double plan_share_claim(struct plan *plan, const struct step_run *step);
+
 /* planadvice.c */
 /* False if the advice service has answered that the worker may not run the step. */
 bool plan_advice_allows(const struct worker *worker, const struct step_run *step);
@@ -365,7 +384,7 @@
 	enum plan_rank_class class;
 	uint32_t priority;
 	bool urgent;	       /* of priority 0, and can be on time */
-	double share_excess;   /* see plan.share_excess */
+	double share_excess;   /* see plan_share_claim() */
 	double work_per_value; /* core-seconds that are left, for PLAN_RANK_LATE only */
 	double deadline_ms;
 };
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -27,6 +27,19 @@
 	return !step->spec->gang || step->waiting == step->spec->count;
 }
 
+/* Orders steps by rank and deadline, and then by rank, share and deadline. */
+static void sort_by_share(struct plan *plan, GArray *ranked_steps)
+{
+	plan_share_update(plan);
+	g_array_sort(ranked_steps, compare_rank);
+	for (guint i = 0; i < ranked_steps->len; i++) {
+		struct step_rank *ranked = &g_array_index(ranked_steps, struct step_rank, i);
+
+		ranked->share_excess = plan_share_claim(plan, ranked->step);
+	}
+	g_array_sort(ranked_steps, compare_rank);
+}
+
 static GArray *rank_waiting_steps(struct plan *plan, uint64_t now_ms)
 {
 	GArray *ranked_steps = g_array_new(FALSE, FALSE, sizeof(struct step_rank));
@@ -49,7 +62,7 @@
 			}
 		}
 	}
-	g_array_sort(ranked_steps, compare_rank);
+	sort_by_share(plan, ranked_steps);
 	return ranked_steps;
 }
 
--- a/src/planorder.c
+++ b/src/planorder.c
@@ -121,13 +121,6 @@
 	return MAX(WAIT_BOUND_MIN_MS, WAIT_BOUND_FACTOR * objective_ms(job));
 }
 
-static double share_excess(const struct plan *plan, const struct job *job)
-{
-	return plan->share_excess
-		       ? plan->share_excess(plan, job->organisation, plan->share_excess_ctx)
-		       : 0;
-}
-
 static enum plan_rank_class late_class(const struct step_run *step, uint64_t now_ms,
 				       struct step_rank *rank)
 {
@@ -162,7 +155,6 @@
 		.step = step,
 		.priority = job->queue->priority,
 		.deadline_ms = (double)step->occurrence->due_ms + objective_ms(job),
-		.share_excess = share_excess(plan, job),
 	};
 	/* A long-running task must not take the room that it was stopped to make. */
 	if (job->guaranteed)
