cli: Check the configuration of a fleet offline

Cause: platform_config_read() leaves out each entry with a wrong field and logs it, so an operator learns of a typing error after the queue or organisation is gone.

--- a/src/cli.h
+++ b/src/cli.h
@@ -1,6 +1,7 @@
 #ifndef JAYCOURSE_CLI_H
 #define JAYCOURSE_CLI_H
 
+#include "confcheck.h"
 #include "err.h"
 
 #include <argp.h>
@@ -30,8 +31,9 @@
 	TALLOC_CTX *mem;
 	const char *entries[CLI_ENTRIES_MAX]; /* URLs, borrowed */
 	size_t entry_count;
-	const char *token; /* "" for none */
-	bool json;	   /* output as JSON instead of tables */
+	const char *token;			   /* "" for none */
+	bool json;				   /* output as JSON instead of tables */
+	const struct confcheck_codec *fleet_codec; /* of the configuration of a fleet */
 };
 
 struct cli_command {
@@ -45,6 +47,16 @@
 extern const struct cli_command cli_config_commands[];
 extern const struct cli_command cli_trace_commands[];
 
+/* What "config check --fleet" was given. */
+struct cli_fleet_files {
+	const char *file;
+	const char *in_force;  /* NULL: not given */
+	uint64_t accelerators; /* 0: not given */
+};
+
+/** cli_check_fleet() - check the configuration of a fleet and print its problems */
+int cli_check_fleet(struct cli *cli, const struct cli_fleet_files *files);
+
 /** cli_common_argp - parser of the options that all commands accept, whose input is struct cli */
 extern const struct argp cli_common_argp;
 
--- a/src/cli_config.c
+++ b/src/cli_config.c
@@ -95,21 +95,67 @@
 	return CLI_OK;
 }
 
+struct check_arguments {
+	struct folder_arguments folder;
+	struct cli_fleet_files fleet;
+};
+
+static error_t parse_check(int key, char *arg, struct argp_state *state)
+{
+	struct check_arguments *arguments = state->input;
+	struct cli_fleet_files *fleet = &arguments->fleet;
+	char *end;
+
+	switch (key) {
+	case 'f':
+		fleet->file = arg;
+		return 0;
+	case 'i':
+		fleet->in_force = arg;
+		return 0;
+	case 'a':
+		errno = 0;
+		fleet->accelerators = strtoull(arg, &end, 10);
+		if (*arg < '1' || *arg > '9' || *end || errno)
+			argp_error(state, "--accelerators takes a number above 0");
+		return 0;
+	case ARGP_KEY_END:
+		if (!fleet->file && (fleet->in_force || fleet->accelerators))
+			argp_error(state, "--in-force and --accelerators go with --fleet");
+		if (fleet->file && arguments->folder.folder)
+			argp_error(state, "name a folder or --fleet, not both");
+		return fleet->file ? 0 : parse_folder(key, arg, state);
+	default:
+		/* The folder is the first member, so the input is that of parse_folder() too. */
+		return parse_folder(key, arg, state);
+	}
+}
+
+static const struct argp_option check_options[] = {
+	{"fleet", 'f', "FILE", 0, "Check the configuration of a fleet instead of a folder", 0},
+	{"in-force", 'i', "FILE", 0, "Configuration of the fleet that would be replaced", 0},
+	{"accelerators", 'a', "N", 0, "Accelerators of the fleet, for the guarantees", 0},
+	{0},
+};
+
 static const struct argp check_parser = {
-	.parser = parse_folder,
-	.args_doc = "DIR",
-	.doc = "Check a configuration folder offline and print all problems at once.\v"
+	.options = check_options,
+	.parser = parse_check,
+	.args_doc = "DIR\n--fleet FILE",
+	.doc = "Check a configuration offline and print all problems at once.\v"
 	       "Example: jaycourse config check examples/nefeli",
 };
 
 static int run_check(struct cli *cli, int argc, char **argv)
 {
-	struct folder_arguments arguments = {0};
+	struct check_arguments arguments = {0};
 	json_t *files;
 	int code;
 
 	cli_parse(cli, &check_parser, argc, argv, &arguments);
-	code = read_folder(arguments.folder, &files);
+	if (arguments.fleet.file)
+		return cli_check_fleet(cli, &arguments.fleet);
+	code = read_folder(arguments.folder.folder, &files);
 	if (!code)
 		code = check_files(cli, files, false);
 	json_decref(files);
--- a/src/main_cli.c
+++ b/src/main_cli.c
@@ -1,4 +1,5 @@
 #include "cli.h"
+#include "platform.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -212,7 +213,7 @@
 
 int main(int argc, char **argv)
 {
-	struct cli cli = {.mem = talloc_new(NULL)};
+	struct cli cli = {.mem = talloc_new(NULL), .fleet_codec = &platform_config_check};
 	int code;
 
 	signal(SIGPIPE, SIG_IGN);
