plan: Test that headroom follows the zone of the demand

Cause: the zones of the forecast were tested without workers only.

Change: test_plandemand starts batch work in two zones, beside urgent data in one of them and with that zone evacuated. Comments are reworded.

--- a/src/coord_int.h
+++ b/src/coord_int.h
@@ -89,9 +89,9 @@
 	int headroom_workers;		     /* metric handle */
 	int demand_accelerators;	     /* metric handle */
 	int share_excess;		     /* metric handle */
+	int waiting_steps[PLAN_WAIT_COUNT];  /* metric handles; that of PLAN_WAIT_NONE is unused */
 	char *logged_share;	  /* organisation of the latest log line on shares, or NULL */
 	uint32_t logged_headroom; /* workers kept free as of the latest log line on it */
-	int waiting_steps[PLAN_WAIT_COUNT]; /* metric handles; that of PLAN_WAIT_NONE is unused */
 	uint64_t waits_counted_ms;
 	struct tevent_immediate *decide_immediate;
 	bool decide_scheduled;
--- a/src/plan.h
+++ b/src/plan.h
@@ -190,7 +190,7 @@
 	double excess;
 };
 
-/** plan_share_peak() - as of the latest plan_decide() */
+/** plan_share_peak() - as of the latest time that waiting steps were ordered */
 struct plan_share_peak plan_share_peak(const struct plan *plan);
 
 /** plan_configure() - replace the configuration; @conf is borrowed until the next call */
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -7,9 +7,9 @@
  * The order in which waiting steps get room, made for bursts of urgent gangs on a fleet that
  * longer work keeps 60 to 100% busy. Steps of guaranteed jobs and long-running steps come first,
  * then jobs by priority, and within a priority those of organisations that are not above their fair
- * share, and of these the job with the earliest deadline. Jobs that are
- * late even by WORTHLESS_AFTER_FACTOR wait behind all others: if they came first, the next jobs
- * would be late too.
+ * share, and of these the job with the earliest deadline. Jobs that are late even by
+ * WORTHLESS_AFTER_FACTOR wait behind all others: if they came first, the next jobs would be late
+ * too.
  */
 
 #define WORTHLESS_AFTER_FACTOR 3.0 /* results are worthless after this multiple */
--- a/src/planheadroom.c
+++ b/src/planheadroom.c
@@ -68,8 +68,7 @@
 	return plan->headroom;
 }
 
-/* Zone of the rack that the step asks for; "" if it asks for none, or no worker there is free to
- * use.
+/* Zone of the rack that the step asks for; "" if it asks for none, or no worker there takes tasks.
  */
 static const char *preferred_zone(const struct plan *plan, const struct jobspec_step *spec)
 {
--- a/tests/test_plandemand.c
+++ b/tests/test_plandemand.c
@@ -205,6 +205,70 @@
 	talloc_free(sim);
 }
 
+static void report_zones(struct plan *plan, uint64_t now_ms)
+{
+	for (int i = 0; i < WORKERS; i++) {
+		bool first = i < WORKERS / 2;
+		char node[16];
+		const struct plan_worker_info info = {.node = node,
+						      .id = node,
+						      .incarnation = node,
+						      .service = "s",
+						      .zone = first ? "z1" : "z2",
+						      .kind = "k",
+						      .rack = first ? "r1" : "r2",
+						      .room = {128000, 524288, ACCELERATORS},
+						      .accepting = true};
+
+		snprintf(node, sizeof(node), "w%d", i);
+		plan_worker_update(plan, &info, now_ms);
+	}
+}
+
+/* Number of batch tasks that are started in the first or the second zone. */
+static uint32_t count_batch(struct plan *plan, bool first)
+{
+	uint32_t count = 0;
+
+	for (int i = first ? 0 : WORKERS / 2; i < (first ? WORKERS / 2 : WORKERS); i++) {
+		struct plan_order *orders;
+		char node[16];
+		size_t order_count;
+
+		snprintf(node, sizeof(node), "w%d", i);
+		order_count = plan_orders(plan, plan, node, &orders);
+		for (size_t k = 0; k < order_count; k++)
+			count += orders[k].start && orders[k].task[0] == 'f';
+	}
+	return count;
+}
+
+/* Guards against room kept where urgent data is not, or in a zone that is evacuated. */
+static void test_room_is_kept_in_the_zone(void)
+{
+	for (int closed = 0; closed < 2; closed++) {
+		struct plansim *sim = plansim_create_with_stops(NULL, 0, STOP_MS);
+		uint32_t zone_room = WORKERS / 2 * ACCELERATORS;
+
+		report_zones(sim->plan, sim->now_ms);
+		add_urgent(sim, 0, 3, 8, ",\"data_rack\":\"r2\",\"gang\":true");
+		plan_decide(sim->plan, sim->now_ms, NULL, NULL);
+		plan_set_zone_closed(sim->plan, "z2", closed);
+		add_batch(sim, "f1", WORKERS * ACCELERATORS, 60000);
+		plan_decide(sim->plan, sim->now_ms + 50, NULL, NULL);
+		CU_ASSERT_TRUE(plan_headroom(sim->plan).workers >= 3);
+		if (closed) {
+			CU_ASSERT_TRUE(count_batch(sim->plan, true) <=
+				       zone_room - 3 * ACCELERATORS);
+		} else {
+			CU_ASSERT_EQUAL(count_batch(sim->plan, true), zone_room);
+		}
+		CU_ASSERT_TRUE(count_batch(sim->plan, false) <=
+			       (closed ? 0 : zone_room - 6 * ACCELERATORS));
+		talloc_free(sim);
+	}
+}
+
 /* Bounds in one random world; the oracle knows the gangs that were submitted, not the forecast. */
 static void check_random_world(uint32_t seed)
 {
@@ -265,6 +329,7 @@
 		{"burst_finds_room", test_burst_finds_room},
 		{"gang_finds_one_rack", test_gang_finds_one_rack},
 		{"room_is_released", test_room_is_released},
+		{"room_is_kept_in_the_zone", test_room_is_kept_in_the_zone},
 		{"bounds_in_random_worlds", test_bounds_in_random_worlds},
 	};
 	CU_pSuite suite;
