--- a/tests/lib_runnerworld.c
+++ b/tests/lib_runnerworld.c
@@ -165,6 +165,7 @@
 				      .orders = f->orders,
 				      .order_count = f->order_count,
 				      .unsure = f->unsure,
+				      .closed = f->closed,
 				      .report_ms = 100};
 	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = f->term};
 	char *text = fleet_orders_write(f, &orders);
--- a/tests/lib_runnerworld.h
+++ b/tests/lib_runnerworld.h
@@ -59,6 +59,7 @@
 	bool answers;
 	uint64_t session;
 	bool unsure; /* the orders say that the store has not confirmed the leader */
+	bool closed; /* the orders say that the zone of the worker is evacuated */
 	bool echo_outdated;
 	uint32_t valid_ms; /* from the time of the report on */
 	struct plan_order orders[RUNNERWORLD_LIST_MAX];
--- a/tests/test_fleetnode.c
+++ b/tests/test_fleetnode.c
@@ -58,6 +58,14 @@
 		const char *named; /* field that the report must name */
 	} cases[] = {
 		{FLEETNODE_ENTRY, "{}", "callers_address"},
+		{FLEETNODE_ENTRY, "{\"evacuate_ms\":999}", "evacuate_ms"},
+		{FLEETNODE_ENTRY, "{\"evacuate_ms\":-1}", "evacuate_ms"},
+		{FLEETNODE_ENTRY, "{\"evacuate_ms\":\"5000\"}", "evacuate_ms"},
+		{FLEETNODE_AGENT, "{\"memory_mb\":15}", "memory_mb"},
+		{FLEETNODE_AGENT, "{\"max_descriptors\":127}", "max_descriptors"},
+		{FLEETNODE_ENTRY, "{\"bodies_max_mb\":3}", "bodies_max_mb"},
+		{FLEETNODE_ENTRY, "{\"connections_max\":7}", "connections_max"},
+		{FLEETNODE_ENTRY, "{\"body_idle_ms\":99}", "body_idle_ms"},
 		{FLEETNODE_ENTRY, "{}", "store_address"},
 		{FLEETNODE_AGENT, entry_text, "worker_address"},
 		{FLEETNODE_ENTRY, "{\"node\":7}", "node"},
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -25,6 +25,33 @@
 	"\"gpu\":2,\"estimate_ms\":7000,\"after\":[0],\"checkpointing\":true,\"gang\":true,"
 	"\"same_rack\":true,\"constraints\":\"b\",\"anti_affinity\":3,\"unheard_of\":1}]}";
 
+/* Guards against keys of operators that are taken for evacuations, and names that are none. */
+static void test_evacuation_keys(void)
+{
+	static const struct {
+		const char *key;
+		int status;
+		const char *zone;
+	} cases[] = {
+		{"op/evacuate/z1", 0, "z1"},
+		{"op/evacuate/eu-west-1b", 0, "eu-west-1b"},
+		{"op/evacuate/", -ERR_INVALID, ""},
+		{"op/evacuate/\001", -ERR_INVALID, "\001"},
+		{"op/config", -ERR_NOT_FOUND, NULL},
+		{"op/evacuate", -ERR_NOT_FOUND, NULL},
+		{"op/evacuated/z1", -ERR_NOT_FOUND, NULL},
+		{"job/op/evacuate/z1", -ERR_NOT_FOUND, NULL},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const char *zone = NULL;
+
+		CU_ASSERT_EQUAL(platform_evacuated_zone(cases[i].key, &zone), cases[i].status);
+		CU_ASSERT(zone == cases[i].zone ||
+			  (zone && cases[i].zone && !strcmp(zone, cases[i].zone)));
+	}
+}
+
 /* Guards against fields that are lost or read into another field. */
 static void test_job(void)
 {
@@ -826,6 +853,7 @@
 	CU_add_test(suite, "heartbeat", test_heartbeat);
 	CU_add_test(suite, "odd_heartbeats", test_odd_heartbeats);
 	CU_add_test(suite, "odd_config", test_odd_config);
+	CU_add_test(suite, "evacuation_keys", test_evacuation_keys);
 	CU_add_test(suite, "odd_run_lists", test_odd_run_lists);
 	CU_add_test(suite, "failure_of_own_host", test_failure_of_own_host);
 	CU_add_test(suite, "long_run_lists", test_long_run_lists);
--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -325,6 +325,47 @@
 	runnerworld_destroy(f);
 }
 
+/*
+ * Guards against starts in an evacuated zone, new ones and repetitions, and against orders that are
+ * lost by the wait.
+ */
+static void test_closed_zone(void)
+{
+	struct runnerworld *f = runnerworld_create();
+	struct plan_order order = {.start = true,
+				   .task = "j.0.0.0",
+				   .run = 1,
+				   .payload = "p",
+				   .checkpoint = "",
+				   .ticket = ""};
+	int starts;
+
+	runnerworld_announce(f, 7, 1);
+	memkv_run(f->ev, 300);
+	f->closed = true;
+	f->orders[f->order_count++] = order;
+	memkv_run(f->ev, 500);
+	CU_ASSERT_EQUAL(f->starts, 0);
+	CU_ASSERT_EQUAL(f->report->refusal_count, 0);
+	/* The zone returns; the start gets no answer, so that it would be repeated. */
+	f->start_result = RUNNER_NO_ANSWER;
+	f->closed = false;
+	for (int i = 0; i < 100 && f->starts == 0; i++)
+		memkv_run(f->ev, 10);
+	CU_ASSERT(f->starts > 0);
+	f->closed = true;
+	runnerworld_send_orders(f);
+	memkv_run(f->ev, 100);
+	starts = f->starts;
+	memkv_run(f->ev, 500);
+	CU_ASSERT_EQUAL(f->starts, starts);
+	/* The leader withdraws it, and the worker carries out the stop. */
+	f->order_count = 0;
+	memkv_run(f->ev, 500);
+	CU_ASSERT(f->stops > 0);
+	runnerworld_destroy(f);
+}
+
 /*
  * Guards against a lease that is extended on behalf of a leader without the store, while a later
  * leader, which can't reach this agent, declares the worker lost. The lease has to end within
@@ -917,6 +958,7 @@
 	CU_add_test(suite, "start_without_answer", test_start_without_answer);
 	CU_add_test(suite, "lease_needs_leader", test_lease_needs_leader);
 	CU_add_test(suite, "replaceable_leader", test_replaceable_leader);
+	CU_add_test(suite, "closed_zone", test_closed_zone);
 	CU_add_test(suite, "unsure_leader", test_unsure_leader);
 	CU_add_test(suite, "odd_leader_record", test_odd_leader_record);
 	CU_add_test(suite, "unsure_leader_is_kept", test_unsure_leader_is_kept);
