parts: Limit the number of incomplete messages

Only the bytes of parts were limited, to 32 MiB; each incomplete message also takes some 300 bytes beside them, so a crowd of peers with a byte each could take far more. A receiver now holds 1,024 incomplete messages and drops those that have waited longest.

test_parts/crowd (20,000 sources with a byte each) exceeds 1 MiB on the code before and stays below it now.

--- a/src/parts.c
+++ b/src/parts.c
@@ -59,12 +59,13 @@
 }
 
 /*
- * Drops the messages that have waited longest for their next part, until @len bytes more fit. Their
- * senders may be gone; one that is not sends its state again.
+ * Drops the messages that have waited longest for their next part, until @len bytes more fit and
+ * there are not too many. Their senders may be gone; one that is not sends its state again.
  */
 static void make_room(struct parts *parts, const struct joining *keep, size_t len)
 {
-	while (parts->bytes + len > PARTS_JOINED_MAX_BYTES) {
+	while (parts->bytes + len > PARTS_JOINED_MAX_BYTES ||
+	       g_hash_table_size(parts->joining) > PARTS_JOINING_MAX) {
 		struct joining *oldest = NULL;
 		GHashTableIter iter;
 		gpointer value;
--- a/src/parts.h
+++ b/src/parts.h
@@ -17,6 +17,12 @@
 /* Longest message that a receiver joins, and limit of all parts that it holds at a time. */
 #define PARTS_JOINED_MAX_BYTES (32 * 1024 * 1024)
 
+/*
+ * Number of incomplete messages that a receiver holds. Each takes some 300 bytes beside its parts,
+ * so that a crowd of peers with a byte each would take far more than PARTS_JOINED_MAX_BYTES.
+ */
+#define PARTS_JOINING_MAX 1024
+
 struct parts;
 
 /** parts_create() - an empty table of messages of which some parts have arrived */
@@ -43,7 +49,8 @@
  *
  * Return: 0, with @data NULL until the message is complete; -ERR_INVALID if the part does not
  * continue a message; -ERR_TOO_LARGE if the message is longer than PARTS_JOINED_MAX_BYTES. When all
- * messages together exceed that, those are dropped that have waited longest.
+ * messages together exceed that, or are more than PARTS_JOINING_MAX, those are dropped that have
+ * waited longest.
  */
 int parts_add(struct parts *parts, const char *source, const struct msg_part *part, TALLOC_CTX *mem,
 	      uint8_t **data, size_t *len);
--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -124,6 +124,31 @@
 	talloc_free(mem);
 }
 
+/* Guards against memory that a crowd of peers takes by messages of which a byte has arrived. */
+static void test_crowd(void)
+{
+	struct parts *parts = parts_create(NULL);
+	TALLOC_CTX *mem = talloc_new(NULL);
+	uint8_t byte = 0;
+	struct msg_part part = {1, 0, 2, {&byte, 1}};
+	char source[32];
+	uint8_t *joined;
+	size_t len;
+
+	for (int i = 0; i < 20000; i++) {
+		snprintf(source, sizeof(source), "p%d", i);
+		CU_ASSERT_EQUAL(parts_add(parts, source, &part, mem, &joined, &len), 0);
+	}
+	CU_ASSERT(talloc_total_size(parts) < 1024 * 1024);
+	/* The latest ones are still joined. */
+	part.offset = 1;
+	CU_ASSERT_EQUAL(parts_add(parts, "p0", &part, mem, &joined, &len), -ERR_INVALID);
+	CU_ASSERT_EQUAL(parts_add(parts, source, &part, mem, &joined, &len), 0);
+	CU_ASSERT_PTR_NOT_NULL(joined);
+	talloc_free(parts);
+	talloc_free(mem);
+}
+
 struct end {
 	struct wire *wire;
 	size_t lens[8];
@@ -194,6 +219,7 @@
 	CU_add_test(suite, "sizes", test_sizes);
 	CU_add_test(suite, "lost_parts", test_lost_parts);
 	CU_add_test(suite, "limits", test_limits);
+	CU_add_test(suite, "crowd", test_crowd);
 	CU_add_test(suite, "wire", test_wire);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
