tests: A zone evacuated and returned with real processes

Evacuations were tested without a network only. test_e2e_fleet/evacuated_zone evacuates the zone of all workers through the store stand-in, kills the leader meanwhile, checks that running work ends there without a stop and that nothing starts from 5 s on, and takes the zone back. fake_platform removes keys with DELETE /operator/KEY for it, and entries get evacuate_ms and a metrics address.

--- a/tests/fake_platform.c
+++ b/tests/fake_platform.c
@@ -15,7 +15,7 @@
  * Usage: fake_platform [ADDRESS [JOURNAL]]. Prints "listening ip:port". With a journal file the
  * contents outlive the process. PUT /trouble/N[/MS] sets the fault N of enum memkv_fault for all
  * clients, MS is the delay of late writes; PUT /operator/KEY writes a key without a client, as the
- * operator does.
+ * operator does, and DELETE removes it.
  */
 
 #define BODY_BYTES_MAX (2 * 1024 * 1024)
@@ -179,7 +179,9 @@
 		platform->client->fault = (enum memkv_fault)fault;
 	if (count == 2)
 		platform->client->late_write_ms = late_ms;
-	if (count < 1)
+	if (count < 1 && !strcmp(httpd_method(call), "DELETE"))
+		memkv_remove(platform->store, path + strlen("/operator/"));
+	else if (count < 1)
 		memkv_put(platform->store, path + strlen("/operator/"), body);
 	httpd_answer(call, HTTP_OK, NULL, NULL, 0);
 }
--- a/tests/test_e2e_fleet.c
+++ b/tests/test_e2e_fleet.c
@@ -35,6 +35,7 @@
 	char callers[32];
 	char control[32];
 	char app[32];
+	char metrics[32];
 	bool entry;
 };
 
@@ -68,15 +69,17 @@
 	free_address(host->callers, sizeof(host->callers));
 	free_address(host->control, sizeof(host->control));
 	free_address(host->app, sizeof(host->app));
+	free_address(host->metrics, sizeof(host->metrics));
 	snprintf(host->settings, sizeof(host->settings), "%s/%s.json", proc_log_folder(),
 		 host->label);
 	file = fopen(host->settings, "w");
 	fprintf(file,
 		"{\"node\":\"%s\",\"message_address\":\"%s\",\"store_address\":\"%s\","
 		"\"callers_address\":\"%s\",\"ready_address\":\"%s\",\"control_address\":\"%s\","
-		"\"worker_address\":\"%s\",\"service\":\"s\",\"grace_s\":6,\"stop_ms\":200}",
+		"\"worker_address\":\"%s\",\"service\":\"s\",\"grace_s\":6,\"stop_ms\":200,"
+		"\"metrics_address\":\"%s\"%s}",
 		host->label, message, platform.address[0], host->callers, ready, host->control,
-		host->app);
+		host->app, host->metrics, host->entry ? ",\"evacuate_ms\":5000" : "");
 	fclose(file);
 }
 
@@ -101,17 +104,22 @@
 	CU_ASSERT_TRUE_FATAL(proc_start(&host->worker, "fake_minion", label, arguments));
 }
 
-static int operator_put(const char *path, const char *body)
+static int operator_call(const char *method, const char *path, const char *body)
 {
 	char url[128];
 	struct http_reply reply;
 
 	snprintf(url, sizeof(url), "http://%s%s", platform.address[0], path);
-	reply = http_call("PUT", url, NULL, body, 2000);
+	reply = http_call(method, url, NULL, body, 2000);
 	http_reply_free(&reply);
 	return reply.status;
 }
 
+static int operator_put(const char *path, const char *body)
+{
+	return operator_call("PUT", path, body);
+}
+
 static void set_trouble(int trouble)
 {
 	char path[32];
@@ -451,6 +459,66 @@
 	check_done(first, first + 5, 2);
 }
 
+/* True if the list of zones of an entry has this text. */
+static bool zones_show(int entry, const char *text)
+{
+	char url[64];
+	struct http_reply reply;
+	bool found;
+
+	snprintf(url, sizeof(url), "http://%s/zones", entries[entry].metrics);
+	reply = http_call("GET", url, NULL, NULL, 2000);
+	found = reply.status == 200 && reply.body && strstr(reply.body, text);
+	http_reply_free(&reply);
+	return found;
+}
+
+static bool some_entry_leads(void *ctx)
+{
+	int *leader = ctx;
+
+	for (*leader = 0; *leader < ENTRIES; ++*leader) {
+		if (zones_show(*leader, "\"leader\":true"))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Guards against starts in an evacuated zone, also by a leader that was elected meanwhile, stops of
+ * what runs there, and a zone that does not come back. All workers are in zone "z".
+ */
+static void test_evacuated_zone(void)
+{
+	int running = submit_jobs(1, "9000", 3, false);
+	int waiting;
+	int before;
+	int leader = 0;
+
+	for (int i = 0; i < 100 && count_starts(running) < 3; i++)
+		usleep(100 * 1000);
+	before = count_starts(running);
+	CU_ASSERT_EQUAL(operator_put("/operator/op/evacuate/z", "{}"), 200);
+	CU_ASSERT_EQUAL(operator_put("/operator/op/evacuate/elsewhere", "{}"), 200);
+	usleep(5000 * 1000);
+	waiting = submit_jobs(2, "100", 3, false);
+	CU_ASSERT_TRUE_FATAL(wait_until(some_entry_leads, &leader, 10000));
+	CU_ASSERT_TRUE(zones_show(leader, "\"zone\":\"elsewhere\",\"state\":\"evacuated\""));
+	proc_kill(&entries[leader].proc);
+	CU_ASSERT_TRUE(wait_until(some_entry_leads, &leader, 10000));
+	CU_ASSERT_TRUE(zones_show(leader, "\"zone\":\"z\",\"state\":\"evacuated\""));
+	start_host(&entries[1 - leader]);
+	CU_ASSERT_TRUE(wait_state(running, running, "completed", 20000));
+	CU_ASSERT_EQUAL(count_starts(running), before);
+	check_done(running, running, 3);
+	CU_ASSERT_EQUAL(count_starts(waiting) + count_starts(waiting + 1), 0);
+	CU_ASSERT_EQUAL(operator_call("DELETE", "/operator/op/evacuate/z", NULL), 200);
+	CU_ASSERT_TRUE(wait_state(waiting, waiting + 1, "completed", 15000));
+	check_done(waiting, waiting + 1, 3);
+	CU_ASSERT_EQUAL(operator_call("DELETE", "/operator/op/evacuate/elsewhere", NULL), 200);
+	CU_ASSERT_TRUE(wait_until(entries_serve, NULL, 10000));
+}
+
 /* Guards against a shutdown that interrupts open calls or does not end. */
 static void test_graceful_stop(void)
 {
@@ -479,6 +547,7 @@
 	CU_add_test(suite, "crashed_worker", test_crashed_worker);
 	CU_add_test(suite, "heartbeats_of_others", test_heartbeats_of_others);
 	CU_add_test(suite, "troubled_store", test_troubled_store);
+	CU_add_test(suite, "evacuated_zone", test_evacuated_zone);
 	CU_add_test(suite, "graceful_stop", test_graceful_stop);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
