bench: Crowds of unfinished bodies in the fleet soak

The soak had no clients that do not finish their bodies. Drawing 5 adds 8 to 200 of them at an entry or an agent, whole or in chunks, for up to 6 s. The default stays drawing 4, and drawings up to 4 play as before, because the new fault has no weight there.

--- a/bench/measure_fleet_faults.c
+++ b/bench/measure_fleet_faults.c
@@ -1,4 +1,5 @@
 /* Runs the fleet scheduler under load and faults generated from a seed and checks its promises. */
+#include "lib_crowd.h"
 #include "lib_fleethosts.h"
 #include "lib_fleetinput.h"
 #include "lib_fleetload.h"
@@ -474,6 +475,41 @@
 			 random_ms(0, 1000));
 }
 
+static void on_crowd_end(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+			 void *ctx)
+{
+	crowd_end(ctx);
+}
+
+/* Clients that send bodies to an entry or an agent, whole or in chunks, and finish few or none. */
+static void send_unfinished_bodies(void)
+{
+	bool chunked = chance(50);
+	bool to_agent = chance(30);
+	struct fleethost *host = pick_host(to_agent ? ROLE_AGENT : ROLE_ENTRY);
+	struct crowd_options crowd = {
+		.method = to_agent ? "PUT" : "POST",
+		.path = to_agent ? "/v1/instances/i-none" : FLEETLOAD_PREFIX "00000000000000ff",
+		.host = FLEETLOAD_HOST,
+		.authorization = "Bearer " FLEETLOAD_KEY,
+		.clients = random_ms(8, 200),
+		.body_bytes = random_ms(1024, 256 * 1024),
+		.chunk_bytes = random_ms(64, 32 * 1024),
+		.finish_every = random_ms(0, 5),
+	};
+	uint32_t stay_ms = random_ms(200, 6000);
+
+	if (!chunked)
+		crowd.announced_bytes = crowd.body_bytes;
+	fleethosts_log(soak.fleet, "crowd of %u at %s", crowd.clients, host->name);
+	tevent_add_timer(soak.ev, soak.ev,
+			 tevent_timeval_current_ofs(stay_ms / 1000, stay_ms % 1000 * 1000),
+			 on_crowd_end,
+			 crowd_start(fleethosts_address(soak.fleet, NULL, host,
+							to_agent ? PORT_CONTROL : PORT_CALLERS),
+				     &crowd));
+}
+
 /* An agent that can't ask its worker about a heartbeat stops, freezes or is asked for more. */
 static void end_asking_agent(void)
 {
@@ -586,6 +622,7 @@
 	{replace_worker_twice, 4, 3, FOCUS_WORKERS},
 	{replay_heartbeats_of_replaced, 8, 4, FOCUS_INPUT},
 	{drain_after_false_number, 6, 4, FOCUS_INPUT},
+	{send_unfinished_bodies, 8, 5, FOCUS_INPUT},
 };
 
 static unsigned int weight_of(size_t kind)
@@ -753,7 +790,7 @@
 	{"drawing", OPT_DRAWING, "N", 0,
 	 "1: without the faults that were added for the second incident; 2: without calls of other "
 	 "writers and exhausted agents; 3: without late heartbeats of replaced workers and without "
-	 "false numbers before a drain; default 4",
+	 "false numbers before a drain; default 4. 5 adds crowds of unfinished bodies",
 	 0},
 	{"json", OPT_JSON, NULL, 0, "Print the result on one line", 0},
 	{"regressions", OPT_REGRESSIONS, NULL, 0,
