planslow: Let done members of a gang not hide a stall

Cause: the time of a gang began only once all its members were running, so one whose end had been reported kept the stall of the others from being found.

Change: done members are left out.

Measured: test_planslow, test_plan and test_planevidence pass; no test covers the case.

--- a/src/planslow.c
+++ b/src/planslow.c
@@ -65,6 +65,8 @@
 	uint64_t since_ms = task->began_ms;
 
 	for (uint32_t i = 0; step->spec->gang && i < step->spec->count; i++) {
+		if (step->tasks[i].state == TASK_DONE)
+			continue;
 		if (step->tasks[i].state != TASK_RUNNING)
 			return UINT64_MAX;
 		since_ms = MAX(since_ms, step->tasks[i].began_ms);
