runner: Ask workers for their health, as weak evidence

Cause: services may have health_path, at which a worker says whether it is healthy, but nobody asked.

Change: the path goes from the configuration into the orders; the agent asks its own worker once a second and reports the consecutive good and bad answers. Answers are wrong in both directions, so the plan weighs bad ones from the second in a row on, up to a mere suspicion that runs which are done refute, and good ones very little. Without a path, or with agents of earlier releases, nothing changes. A withdrawn start no longer counts as lost work in task_moved. sim_worker.c names the new member of runner_calls as unused.

Measured: test_runnerworker/health (asked once a second, reported, reset), test_platform/health_path, test_planevidence/health.

--- a/src/coord.c
+++ b/src/coord.c
@@ -125,6 +125,7 @@
 		.report_ms = report_interval_ms(g_hash_table_size(coord->agents)),
 		.unsure = coord->ending || leader_renewal_overdue(coord->deps.leader),
 		.closed = coord->zones_unknown || plan_worker_closed(coord->plan, row->node),
+		.health_path = plan_health_path(coord->plan, row->node),
 	};
 
 	/* Acknowledges only refusals passed to the plan; the agent repeats the others. */
--- a/src/fleetconf.c
+++ b/src/fleetconf.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <strings.h>
 
+#define HEALTH_PATH_MAX 255
+
 static bool host_matches(const char *pattern, const char *host)
 {
 	size_t len = strcspn(host, ":");
@@ -78,3 +80,14 @@
 	}
 	return NULL;
 }
+
+bool fleetconf_is_health_path(const char *path)
+{
+	if (*path != '/' || strlen(path) > HEALTH_PATH_MAX)
+		return false;
+	for (const char *at = path; *at; at++) {
+		if (*at <= ' ' || *at >= 0x7f)
+			return false;
+	}
+	return true;
+}
--- a/src/fleetconf.h
+++ b/src/fleetconf.h
@@ -41,14 +41,19 @@
 
 /**
  * struct fleetconf_service - pool of workers
- * @guards: workers refuse tasks that exceed their free resources
+ * @rejects_overload: workers refuse tasks that exceed their free resources
+ * @health_path: path at which a worker says whether it is healthy; "": none
  */
 struct fleetconf_service {
 	const char *name;
 	bool rejects_overload;
 	bool standby;
+	const char *health_path;
 };
 
+/** fleetconf_is_health_path() - true for a path that a call can be made to */
+bool fleetconf_is_health_path(const char *path);
+
 struct fleetconf_organisation {
 	const char *name;
 	const char **keys;
--- a/src/fleetmsg.c
+++ b/src/fleetmsg.c
@@ -80,9 +80,23 @@
 	if (info->leaves)
 		json_object_set_new(json, "remaining_ms",
 				    json_integer((json_int_t)info->remaining_ms));
+	if (info->health_good > 0 || info->health_bad > 0)
+		json_object_set_new(
+			json, "health",
+			json_pack("[i, i]", (int)info->health_good, (int)info->health_bad));
 	return dump_json(mem, json);
 }
 
+/* Malformed counts are no evidence. */
+static void read_health(const json_t *value, struct plan_worker_info *info)
+{
+	if (jsonread_u32(json_array_get(value, 0), PLAN_HEALTH_MAX, &info->health_good) &&
+	    jsonread_u32(json_array_get(value, 1), PLAN_HEALTH_MAX, &info->health_bad))
+		return;
+	info->health_good = 0;
+	info->health_bad = 0;
+}
+
 /* Reads the first four fields of a row; the strings belong to @mem. */
 static bool read_run(TALLOC_CTX *mem, const json_t *row, struct plan_run *run)
 {
@@ -211,6 +225,7 @@
 	info->accepting = json_is_true(json_object_get(json, "accepting"));
 	info->leaves = jsonread_u32(json_object_get(json, "remaining_ms"), PLAN_REMAINING_MAX_MS,
 				    &info->remaining_ms);
+	read_health(json_object_get(json, "health"), info);
 	report->running =
 		read_runs(report, json_object_get(json, "running"), &report->running_count);
 	report->pending =
@@ -261,6 +276,8 @@
 
 	if (orders->closed)
 		json_object_set_new(json, "closed", json_true());
+	if (orders->health_path && *orders->health_path)
+		json_object_set_new(json, "health_path", json_string(orders->health_path));
 	return dump_json(mem, json);
 }
 
@@ -308,6 +325,9 @@
 	orders->report_ms = read_small_number(json, "report_ms");
 	orders->unsure = json_is_true(json_object_get(json, "unsure"));
 	orders->closed = json_is_true(json_object_get(json, "closed"));
+	orders->health_path = read_string(orders, json, "health_path");
+	if (!fleetconf_is_health_path(orders->health_path))
+		orders->health_path = "";
 	orders->handled =
 		read_runs(orders, json_object_get(json, "handled"), &orders->handled_count);
 	read_order_rows(orders, json_object_get(json, "orders"));
--- a/src/fleetmsg.h
+++ b/src/fleetmsg.h
@@ -80,6 +80,7 @@
  *	the leader
  * @closed: nothing may be started on the worker now: its zone is evacuated, or the leader may not
  *	know whether it is
+ * @health_path: at which the agent asks its worker whether it is healthy; "" or NULL: it does not
  * @unreadable: parts of @orders could not be read
  */
 struct fleet_orders {
@@ -95,6 +96,7 @@
 	uint32_t report_ms;
 	bool unsure;
 	bool closed;
+	const char *health_path;
 	bool unreadable;
 };
 
--- a/src/plan.h
+++ b/src/plan.h
@@ -67,6 +67,9 @@
  * @leaves: the worker drains and has said how much time is left, at least, until it ends with
  *	everything that runs on it
  * @remaining_ms: that time; only with @leaves
+ * @health_good: answers in a row that say that the worker is healthy; 0: the latest did not, or
+ *	there is none
+ * @health_bad: the same for those that say that it is not
  */
 struct plan_worker_info {
 	const char *node;
@@ -80,8 +83,13 @@
 	bool accepting;
 	bool leaves;
 	uint32_t remaining_ms;
+	uint32_t health_good;
+	uint32_t health_bad;
 };
 
+/** PLAN_HEALTH_MAX - consecutive health answers are counted up to this number */
+#define PLAN_HEALTH_MAX 1000
+
 /** PLAN_REMAINING_MAX_MS - a longer time until a worker leaves counts as no notice */
 #define PLAN_REMAINING_MAX_MS (1 << 30)
 
@@ -169,6 +177,7 @@
 	PLAN_EVIDENCE_SLOW,
 	PLAN_EVIDENCE_FAILURE,
 	PLAN_EVIDENCE_REFUSAL,
+	PLAN_EVIDENCE_HEALTH, /* several bad health answers in a row */
 	PLAN_EVIDENCE_COUNT,
 };
 
@@ -237,6 +246,9 @@
  */
 void plan_set_zone_closed(struct plan *plan, const char *zone, bool closed);
 
+/** plan_health_path() - path of the health answers of a worker's service; "" if it has none */
+const char *plan_health_path(const struct plan *plan, const char *node);
+
 /** plan_worker_closed() - true while the zone of a worker is closed */
 bool plan_worker_closed(const struct plan *plan, const char *node);
 
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -195,6 +195,8 @@
 	uint64_t evidence_ms;
 	uint64_t bad_evidence_ms; /* when something last spoke against it; 0: never */
 	enum plan_evidence latest_evidence;
+	uint32_t health_good; /* consecutive answers as last reported */
+	uint32_t health_bad;
 	bool suspected;		 /* by the weight of its evidence */
 	uint32_t failure_streak; /* failures since the last success; once per job in a row */
 	const struct job *last_failed_job;
@@ -306,6 +308,9 @@
 			      uint64_t now_ms);
 /* A run is done that began at @began_ms; one from before the latest evidence proves nothing. */
 void plan_add_proof(struct plan *plan, struct worker *worker, uint64_t began_ms, uint64_t now_ms);
+/* Weighs health answers that are new since the last report. */
+void plan_add_health(struct plan *plan, struct worker *worker, uint32_t good, uint32_t bad,
+		     uint64_t now_ms);
 void plan_forget_evidence(struct plan *plan, struct worker *worker, uint64_t now_ms);
 /* Clears workers whose evidence has decayed. */
 void plan_review_evidence(struct plan *plan, uint64_t now_ms);
--- a/src/planevidence.c
+++ b/src/planevidence.c
@@ -1,6 +1,7 @@
 #include "plan_int.h"
 
 #include <math.h>
+#include <string.h>
 
 /*
  * Evidence about each worker: a weight that grows with stalls, failures, refusals and slow runs,
@@ -30,17 +31,23 @@
 #define SCORE_FACTOR_SHORT 1.0
 #define SHORT_RUN_MS 10000 /* of a single task that a suspected worker is tried with */
 
+/*
+ * Health answers are wrong in both directions, so a single bad one counts nothing, and no number of
+ * them makes more than a suspicion that a few runs refute.
+ */
+#define HEALTH_WEIGHT_MAX 0.7
+#define HEALTH_GOOD_WEIGHT 0.05
+#define HEALTH_BAD_MIN 2 /* in a row */
+
 static const double weights[PLAN_EVIDENCE_COUNT] = {
-	[PLAN_EVIDENCE_STALL] = 1.0,
-	[PLAN_EVIDENCE_SLOW] = 1.0,
-	[PLAN_EVIDENCE_FAILURE] = 0.5,
-	[PLAN_EVIDENCE_REFUSAL] = 0.3,
+	[PLAN_EVIDENCE_STALL] = 1.0,   [PLAN_EVIDENCE_SLOW] = 1.0,   [PLAN_EVIDENCE_FAILURE] = 0.5,
+	[PLAN_EVIDENCE_REFUSAL] = 0.3, [PLAN_EVIDENCE_HEALTH] = 0.2,
 };
 
 const char *plan_evidence_name(enum plan_evidence kind)
 {
 	static const char *const names[PLAN_EVIDENCE_COUNT] = {"stall", "slow", "failure",
-							       "refusal"};
+							       "refusal", "bad health answer"};
 
 	return names[kind];
 }
@@ -133,9 +140,31 @@
 	set_weight(plan, worker, plan_evidence(worker, now_ms) - DONE_WEIGHT, now_ms);
 }
 
+void plan_add_health(struct plan *plan, struct worker *worker, uint32_t good, uint32_t bad,
+		     uint64_t now_ms)
+{
+	uint32_t new_good = good - (good >= worker->health_good ? worker->health_good : 0);
+	uint32_t known_bad = bad >= worker->health_bad ? worker->health_bad : 0;
+	double weight = plan_evidence(worker, now_ms);
+
+	/* The first bad answers in a row are not weighed. */
+	known_bad = MAX(known_bad, HEALTH_BAD_MIN - 1);
+	worker->health_good = good;
+	worker->health_bad = bad;
+	if (worker->offers_room && bad > known_bad && weight < HEALTH_WEIGHT_MAX) {
+		worker->latest_evidence = PLAN_EVIDENCE_HEALTH;
+		weight += weights[PLAN_EVIDENCE_HEALTH] * (bad - known_bad);
+		set_weight(plan, worker, MIN(weight, HEALTH_WEIGHT_MAX), now_ms);
+	} else if (new_good > 0 && weight > 0) {
+		set_weight(plan, worker, weight - HEALTH_GOOD_WEIGHT * new_good, now_ms);
+	}
+}
+
 void plan_forget_evidence(struct plan *plan, struct worker *worker, uint64_t now_ms)
 {
 	worker->bad_evidence_ms = 0;
+	worker->health_good = 0;
+	worker->health_bad = 0;
 	set_weight(plan, worker, 0, now_ms);
 }
 
@@ -145,6 +174,19 @@
 		judge(plan, plan->workers->pdata[i], now_ms);
 }
 
+const char *plan_health_path(const struct plan *plan, const char *node)
+{
+	const struct worker *worker = plan_find_worker(plan, node);
+	const struct fleetconf *conf = plan->conf;
+
+	for (size_t i = 0; worker && conf && i < conf->service_count; i++) {
+		if (!strcmp(conf->services[i].name, worker->service) &&
+		    conf->services[i].health_path)
+			return conf->services[i].health_path;
+	}
+	return "";
+}
+
 double plan_evidence_score(const struct worker *worker, const struct step_run *step,
 			   uint64_t now_ms)
 {
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -111,13 +111,14 @@
 	static const char *const reasons[PLAN_MOVE_COUNT] = {
 		"its worker leaves", "it makes no progress", "its worker is slow"};
 	uint64_t end_ms = plan_expected_end_ms(plan, task, now_ms);
+	bool loses = task->state == TASK_RUNNING && !task->step->spec->checkpoints;
 	struct plan_move move = {
 		.task = task->name,
 		.run = task->run,
 		.node = task->worker->node,
 		.why = why,
 		.left_ms = end_ms == UINT64_MAX ? end_ms : end_ms - MIN(end_ms, now_ms),
-		.lost_ms = task->step->spec->checkpoints ? 0 : now_ms - task->began_ms,
+		.lost_ms = loses ? now_ms - task->began_ms : 0,
 	};
 
 	if (plan->on_move)
@@ -234,6 +235,7 @@
 	worker->offers_room = info->accepting;
 	worker->leaves_ms = info->leaves && !info->accepting ? now_ms + info->remaining_ms : 0;
 	plan_update_accepting(plan, worker);
+	plan_add_health(plan, worker, info->health_good, info->health_bad, now_ms);
 }
 
 void plan_worker_lost(struct plan *plan, const char *node, uint64_t now_ms)
--- a/src/runner.c
+++ b/src/runner.c
@@ -15,6 +15,7 @@
 #define RENEW_RETRY_MS 200
 /* A worker that lists ends answers renewals without waiting, until it may forget the ends. */
 #define UNSTORED_ENDS_PAUSE_MS 150
+#define HEALTH_INTERVAL_MS 1000
 #define REPORT_DELAY_MS 4     /* joins changes that occur together in one report */
 #define LEADER_SILENT_MS 1500 /* without orders for this long, the store is asked who leads */
 /*
@@ -181,6 +182,13 @@
 	return runner->leaves_ms > now_ms ? (uint32_t)(runner->leaves_ms - now_ms) : 0;
 }
 
+/* False for answers of an earlier incarnation, and once the worker is not asked any more. */
+static bool has_health(const struct runner *runner)
+{
+	return runner->health_generation == runner->generation && runner->health_path &&
+	       *runner->health_path;
+}
+
 static void send_report(struct runner *runner)
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
@@ -205,7 +213,9 @@
 			 .room = runner->room,
 			 .accepting = runner_accepts(runner),
 			 .leaves = runner->leaves_ms > 0,
-			 .remaining_ms = remaining_ms(runner)},
+			 .remaining_ms = remaining_ms(runner),
+			 .health_good = has_health(runner) ? runner->health_good : 0,
+			 .health_bad = has_health(runner) ? runner->health_bad : 0},
 		.ends = runner->ends,
 		.end_count = runner->end_count,
 	};
@@ -399,6 +409,49 @@
 	runner->calls.renew(runner->calls.impl, &renewal, on_renewed, call);
 }
 
+struct health_call {
+	struct runner *runner;
+	uint32_t generation;
+};
+
+static void on_health(enum runner_health health, void *ctx)
+{
+	struct health_call call = *(struct health_call *)ctx;
+	struct runner *runner = call.runner;
+
+	talloc_free(ctx);
+	runner->health_pending = false;
+	if (call.generation != runner->generation || health == RUNNER_HEALTH_UNKNOWN)
+		return;
+	if (runner->health_generation != runner->generation) {
+		runner->health_generation = runner->generation;
+		runner->health_good = 0;
+		runner->health_bad = 0;
+	}
+	if (health == RUNNER_HEALTH_GOOD) {
+		runner->health_good = MIN(runner->health_good + 1, PLAN_HEALTH_MAX);
+		runner->health_bad = 0;
+	} else {
+		runner->health_bad = MIN(runner->health_bad + 1, PLAN_HEALTH_MAX);
+		runner->health_good = 0;
+	}
+}
+
+static void ask_health_if_due(struct runner *runner, uint64_t now_ms)
+{
+	struct health_call *call;
+
+	if (!runner->alive || !runner->calls.ask_health || runner->health_pending ||
+	    !runner->health_path || !*runner->health_path || now_ms < runner->health_due_ms)
+		return;
+	runner->health_pending = true;
+	runner->health_due_ms = now_ms + HEALTH_INTERVAL_MS;
+	call = talloc_zero(runner, struct health_call);
+	*call = (struct health_call){runner, runner->generation};
+	runner->calls.ask_health(runner->calls.impl, runner->worker, runner->health_path, on_health,
+				 call);
+}
+
 static void on_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
 		    void *ctx)
 {
@@ -408,6 +461,7 @@
 	query_leader_if_due(runner, now_ms);
 	runner_renew_if_due(runner, now_ms);
 	runner_make_due_calls(runner, now_ms);
+	ask_health_if_due(runner, now_ms);
 	if (now_ms - runner->reported_ms >= runner->report_ms)
 		send_report(runner);
 	runner->timer = tevent_add_timer(ev, runner, tevent_timeval_current_ofs(0, TICK_MS * 1000),
@@ -436,6 +490,10 @@
 	}
 	runner->leader_unconfirmed = orders->unsure;
 	runner->closed = orders->closed;
+	if (!runner->health_path || strcmp(runner->health_path, orders->health_path) != 0) {
+		talloc_free(runner->health_path);
+		runner->health_path = talloc_strdup(runner, orders->health_path);
+	}
 	if (orders->report_ms)
 		runner->report_ms = orders->report_ms;
 	for (size_t i = 0; i < orders->handled_count; i++)
--- a/src/runner.h
+++ b/src/runner.h
@@ -85,6 +85,13 @@
 	bool unreadable;
 };
 
+/* What a worker says of its health. */
+enum runner_health {
+	RUNNER_HEALTH_UNKNOWN, /* no usable answer */
+	RUNNER_HEALTH_GOOD,
+	RUNNER_HEALTH_BAD,
+};
+
 /**
  * struct runner_calls - calls to the worker
  * @renew: its callback receives status 0 with a list; -ERR_UNAVAILABLE when the worker's host has
@@ -92,6 +99,7 @@
  *	connection failed otherwise; -ERR_STALE when another incarnation answered; -ERR_DENIED
  *	when the worker has accepted a higher fence; -ERR_DEADLINE when there was no answer in
  *	time; another error without a usable answer
+ * @ask_health: asks the worker at @path whether it is healthy; NULL where that can't be asked
  *
  * Each callback runs once, from the event loop. Its clock_ms is 0 if the answer lacks the
  * worker's clock.
@@ -107,6 +115,8 @@
 		      void (*done)(int status, const struct runner_list *list, void *ctx),
 		      void *ctx);
 	void *impl;
+	void (*ask_health)(void *impl, const char *worker, const char *path,
+			   void (*done)(enum runner_health health, void *ctx), void *ctx);
 };
 
 /**
--- a/src/runner_int.h
+++ b/src/runner_int.h
@@ -95,6 +95,12 @@
 	uint64_t down_ms;	    /* when @down became true */
 	const char *why_down;	    /* constant */
 	bool accepting;
+	char *health_path;	/* by its orders; "" or NULL: the worker is not asked */
+	uint64_t health_due_ms; /* no call for its health before */
+	bool health_pending;
+	uint32_t health_good; /* answers in a row, see struct plan_worker_info */
+	uint32_t health_bad;
+	uint32_t health_generation; /* value of @generation that they belong to */
 	uint64_t leaves_ms; /* the worker drains and ends then or later; 0: it has not said so */
 	bool alive;	    /* an incarnation has announced itself and is not known to have ended */
 	bool down; /* certainly nothing runs on the worker; false while its state is unknown */
--- a/tests/lib_plansim.c
+++ b/tests/lib_plansim.c
@@ -390,7 +390,9 @@
 		.room = {SIM_WORKER_CPU_MILLI, SIM_WORKER_MEMORY_MB, SIM_WORKER_ACCELERATORS},
 		.accepting = !reporter->draining,
 		.leaves = reporter->leaves_ms > 0,
-		.remaining_ms = remaining_ms(sim, reporter)};
+		.remaining_ms = remaining_ms(sim, reporter),
+		.health_good = reporter->health_good,
+		.health_bad = reporter->health_bad};
 
 	snprintf(incarnation, sizeof(incarnation), "%s/%u", reporter->node, reporter->incarnation);
 	plan_worker_update(sim->plan, &info, sim->now_ms);
--- a/tests/lib_plansim.h
+++ b/tests/lib_plansim.h
@@ -50,7 +50,9 @@
 	bool halted;	   /* no run on it makes progress from now on */
 	uint32_t slowdown; /* factor on the duration of its runs; 0 and 1: none */
 	uint64_t next_end;
-	uint64_t leaves_ms; /* it drains, says so, and ends then with all its runs; 0: never */
+	uint64_t leaves_ms;   /* it drains, says so, and ends then with all its runs; 0: never */
+	uint32_t health_good; /* consecutive answers that it reports */
+	uint32_t health_bad;
 	uint32_t stall_sum;
 	uint32_t stall_percent; /* share of the runs that stand still from their start on */
 	uint32_t cut_ms;	/* for this long its reports and orders have not arrived */
--- a/tests/lib_runnerworld.c
+++ b/tests/lib_runnerworld.c
@@ -117,6 +117,15 @@
 	f->stops++;
 }
 
+static void fake_ask_health(void *impl, const char *worker, const char *path,
+			    void (*done)(enum runner_health, void *), void *ctx)
+{
+	struct runnerworld *f = impl;
+
+	f->health_calls++;
+	done(f->health, ctx);
+}
+
 static void fake_renew(void *impl, const struct runner_renewal *renewal,
 		       void (*done)(int, const struct runner_list *, void *), void *ctx)
 {
@@ -165,6 +174,7 @@
 				      .orders = f->orders,
 				      .order_count = f->order_count,
 				      .unsure = f->unsure,
+				      .health_path = f->health_path,
 				      .report_ms = 100};
 	struct msg msg = {.type = MSG_WORKER_ORDERS, .u.worker_orders.term = f->term};
 	char *text = fleet_orders_write(f, &orders);
@@ -205,7 +215,7 @@
 	f->agent_wire = wire_create(f, f->ev, "agent#1", "127.0.0.1:0", &agent, f->metrics, &err);
 	f->leader_wire =
 		wire_create(f, f->ev, "leader#1", "127.0.0.1:0", &leader, f->metrics, &err);
-	f->calls = (struct runner_calls){fake_start, fake_stop, fake_renew, f};
+	f->calls = (struct runner_calls){fake_start, fake_stop, fake_renew, f, fake_ask_health};
 	f->worker_id = "w1";
 	f->worker_up = true;
 	f->born_ms = 7;
--- a/tests/lib_runnerworld.h
+++ b/tests/lib_runnerworld.h
@@ -27,6 +27,9 @@
 	int lists_open;		 /* of these, not answered yet */
 	int lists_open_max;
 	bool draining;
+	const char *health_path; /* in the orders; NULL: none */
+	enum runner_health health;
+	int health_calls;
 	bool list_answers_lost; /* renewals get no usable answer */
 	struct delayed_answer *held_start;
 	uint64_t born_ms;
--- a/tests/sim_worker.c
+++ b/tests/sim_worker.c
@@ -938,7 +938,7 @@
 {
 	struct calls *calls = talloc_zero(sim_now, struct calls);
 
-	calls->calls = (struct runner_calls){call_start, call_stop, call_renew, calls};
+	calls->calls = (struct runner_calls){call_start, call_stop, call_renew, calls, NULL};
 	calls->worker = worker;
 	calls->agent = agent;
 	return &calls->calls;
--- a/tests/test_planevidence.c
+++ b/tests/test_planevidence.c
@@ -170,6 +170,33 @@
 	talloc_free(sim);
 }
 
+/* Guards against a worker that one bad health answer, or wrong ones beside good runs, exclude. */
+static void test_health(void)
+{
+	struct judgement judgement;
+	struct plansim *sim = create_sim(2, &judgement);
+
+	sim->workers[0].health_bad = 1;
+	plansim_run(sim, 1000);
+	CU_ASSERT_FALSE(judgement.is_suspected[0]);
+	for (uint32_t second = 0; second < 8; second++) {
+		sim->workers[0].health_bad++;
+		sim->workers[1].health_good++;
+		plansim_run(sim, 1000);
+	}
+	CU_ASSERT_TRUE(judgement.is_suspected[0]);
+	CU_ASSERT_FALSE(judgement.is_suspected[1]);
+	add_job(sim, "urgent", 1, false, 4);
+	plansim_run(sim, 500);
+	CU_ASSERT_EQUAL(count_runs_on(sim, 0), 0);
+	add_job(sim, "urgent", 2, true, 8); /* there is no other worker */
+	plansim_run(sim, 5000);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "j1"), PLAN_JOB_COMPLETED);
+	CU_ASSERT_FALSE(judgement.is_suspected[0]); /* the run was proof, though answers are bad */
+	CU_ASSERT_EQUAL(sim->stops, 0);
+	talloc_free(sim);
+}
+
 /* Notes a stop of a sound run whose gang is sound too. */
 static void note_unsound_stops(struct plansim *sim, void *ctx)
 {
@@ -250,6 +277,7 @@
 	CU_add_test(suite, "suspected_is_used", test_suspected_is_used);
 	CU_add_test(suite, "recovery", test_recovery);
 	CU_add_test(suite, "failing_job", test_failing_job);
+	CU_add_test(suite, "health", test_health);
 	CU_add_test(suite, "random_worlds", test_random_worlds);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -128,6 +128,31 @@
 	"\"mem_mb\":32768,\"gpu\":4},\"labels\":[\"a\",\"r1-3\"],\"clock_ms\":482113,\"seq\":4,"
 	"\"born\":123}";
 
+/* Guards against calls to a path that is none, and a service that is lost with its path. */
+static void test_health_path(void)
+{
+	static const char *const cases[][2] = {
+		{"\"/healthy\"", "/healthy"}, {"\"healthy\"", ""}, {"7", ""}, {"\"/a b\"", ""},
+		{"\"/a\\r\\nb\"", ""},	      {"\"\"", ""},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct err err = {0};
+		char *text = talloc_asprintf(NULL,
+					     "{\"version\":1,\"routes\":[],\"services\":[{\"name\":"
+					     "\"s\",\"health_path\":%s}]}",
+					     cases[i][0]);
+		struct fleetconf *conf = platform_config_read(text, text, strlen(text), &err);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(conf);
+		if (!conf)
+			return;
+		CU_ASSERT_EQUAL(conf->service_count, 1);
+		CU_ASSERT_STRING_EQUAL(conf->services[0].health_path, cases[i][1]);
+		talloc_free(text);
+	}
+}
+
 /* Guards against accepting malformed bodies, or those of other programs, as a worker's heartbeat.
  */
 static void test_heartbeat(void)
@@ -863,6 +888,7 @@
 	CU_add_test(suite, "config", test_config);
 	CU_add_test(suite, "heartbeat", test_heartbeat);
 	CU_add_test(suite, "notice", test_notice);
+	CU_add_test(suite, "health_path", test_health_path);
 	CU_add_test(suite, "odd_heartbeats", test_odd_heartbeats);
 	CU_add_test(suite, "odd_config", test_odd_config);
 	CU_add_test(suite, "odd_run_lists", test_odd_run_lists);
--- a/tests/test_runnerworker.c
+++ b/tests/test_runnerworker.c
@@ -245,6 +245,32 @@
 	runnerworld_destroy(f);
 }
 
+/* Guards against health answers that are not asked for, not reported, or made up. */
+static void test_health(void)
+{
+	struct runnerworld *f = create_world();
+
+	memkv_run(f->ev, 300);
+	CU_ASSERT_EQUAL(f->health_calls, 0); /* an earlier leader sends no path */
+	f->health_path = "/healthy";
+	f->health = RUNNER_HEALTH_BAD;
+	memkv_run(f->ev, 2600);
+	CU_ASSERT(f->health_calls >= 2 && f->health_calls <= 3);
+	CU_ASSERT_EQUAL(f->report->info.health_bad, (uint32_t)f->health_calls);
+	CU_ASSERT_EQUAL(f->report->info.health_good, 0);
+	f->health = RUNNER_HEALTH_UNKNOWN;
+	memkv_run(f->ev, 1200);
+	CU_ASSERT(f->report->info.health_bad >= 2 && f->report->info.health_good == 0);
+	f->health = RUNNER_HEALTH_GOOD;
+	memkv_run(f->ev, 1500);
+	CU_ASSERT_EQUAL(f->report->info.health_bad, 0);
+	CU_ASSERT(f->report->info.health_good >= 1);
+	f->health_path = NULL;
+	memkv_run(f->ev, 500);
+	CU_ASSERT_EQUAL(f->report->info.health_good, 0);
+	runnerworld_destroy(f);
+}
+
 /* Guards against an incarnation that comes back because answers overtake each other. */
 static void test_announcements_around_restart(void)
 {
@@ -547,6 +573,7 @@
 	CU_add_test(suite, "drain_after_false_number", test_drain_after_false_number);
 	CU_add_test(suite, "clock_of_other_incarnation", test_clock_of_other_incarnation);
 	CU_add_test(suite, "notice", test_notice);
+	CU_add_test(suite, "health", test_health);
 	CU_add_test(suite, "announcements_around_restart", test_announcements_around_restart);
 	CU_add_test(suite, "refusals_between_broken_connections",
 		    test_refusals_between_broken_connections);
