--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -603,6 +603,41 @@
 	CU_ASSERT_PTR_NOT_NULL_FATAL(answers->server);
 }
 
+static void on_health(enum runner_health health, void *ctx)
+{
+	*(int *)ctx = (int)health;
+}
+
+/* Guards against an answer of no meaning that counts as a health answer. */
+static void test_health_answers(void)
+{
+	static const struct {
+		int status;
+		enum runner_health health;
+	} cases[] = {
+		{200, RUNNER_HEALTH_GOOD},    {503, RUNNER_HEALTH_BAD},
+		{404, RUNNER_HEALTH_UNKNOWN}, {421, RUNNER_HEALTH_UNKNOWN},
+		{500, RUNNER_HEALTH_UNKNOWN},
+	};
+	struct answers answers = {.body = "{}"};
+	struct runner_calls *calls;
+
+	start_answers(&answers);
+	calls = platform_worker_create(answers.mem, httpc_create(answers.mem, answers.ev),
+				       httpd_address(answers.server));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int health = -1;
+
+		answers.status = cases[i].status;
+		calls->ask_health(calls->impl, "w", "/healthy", on_health, &health);
+		while (health < 0)
+			tevent_loop_once(answers.ev);
+		CU_ASSERT_EQUAL(health, (int)cases[i].health);
+		CU_ASSERT_STRING_EQUAL(answers.path, "/healthy");
+	}
+	talloc_free(answers.mem);
+}
+
 /*
  * Guards against a worker that answers with a status of no meaning and counts as one that does not
  * answer: connections that were refused before would count towards its end.
@@ -891,6 +926,7 @@
 	CU_add_test(suite, "health_path", test_health_path);
 	CU_add_test(suite, "odd_heartbeats", test_odd_heartbeats);
 	CU_add_test(suite, "odd_config", test_odd_config);
+	CU_add_test(suite, "health_answers", test_health_answers);
 	CU_add_test(suite, "odd_run_lists", test_odd_run_lists);
 	CU_add_test(suite, "failure_of_own_host", test_failure_of_own_host);
 	CU_add_test(suite, "long_run_lists", test_long_run_lists);
