--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -155,6 +155,31 @@
 	"\"mem_mb\":32768,\"gpu\":4},\"labels\":[\"a\",\"r1-3\"],\"clock_ms\":482113,\"seq\":4,"
 	"\"born\":123}";
 
+/* Guards against calls to a path that is none, and a service that is lost with its path. */
+static void test_health_path(void)
+{
+	static const char *const cases[][2] = {
+		{"\"/healthy\"", "/healthy"}, {"\"healthy\"", ""}, {"7", ""}, {"\"/a b\"", ""},
+		{"\"/a\\r\\nb\"", ""},	      {"\"\"", ""},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct err err = {0};
+		char *text = talloc_asprintf(NULL,
+					     "{\"version\":1,\"routes\":[],\"services\":[{\"name\":"
+					     "\"s\",\"health_path\":%s}]}",
+					     cases[i][0]);
+		struct fleetconf *conf = platform_config_read(text, text, strlen(text), &err);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(conf);
+		if (!conf)
+			return;
+		CU_ASSERT_EQUAL(conf->service_count, 1);
+		CU_ASSERT_STRING_EQUAL(conf->services[0].health_path, cases[i][1]);
+		talloc_free(text);
+	}
+}
+
 /* Guards against accepting malformed bodies, or those of other programs, as a worker's heartbeat.
  */
 static void test_heartbeat(void)
@@ -605,6 +630,41 @@
 	CU_ASSERT_PTR_NOT_NULL_FATAL(answers->server);
 }
 
+static void on_health(enum runner_health health, void *ctx)
+{
+	*(int *)ctx = (int)health;
+}
+
+/* Guards against an answer of no meaning that counts as a health answer. */
+static void test_health_answers(void)
+{
+	static const struct {
+		int status;
+		enum runner_health health;
+	} cases[] = {
+		{200, RUNNER_HEALTH_GOOD},    {503, RUNNER_HEALTH_BAD},
+		{404, RUNNER_HEALTH_UNKNOWN}, {421, RUNNER_HEALTH_UNKNOWN},
+		{500, RUNNER_HEALTH_UNKNOWN},
+	};
+	struct answers answers = {.body = "{}"};
+	struct runner_calls *calls;
+
+	start_answers(&answers);
+	calls = platform_worker_create(answers.mem, httpc_create(answers.mem, answers.ev),
+				       httpd_address(answers.server));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int health = -1;
+
+		answers.status = cases[i].status;
+		calls->ask_health(calls->impl, "w", "/healthy", on_health, &health);
+		while (health < 0)
+			tevent_loop_once(answers.ev);
+		CU_ASSERT_EQUAL(health, (int)cases[i].health);
+		CU_ASSERT_STRING_EQUAL(answers.path, "/healthy");
+	}
+	talloc_free(answers.mem);
+}
+
 /*
  * Guards against a worker that answers with a status of no meaning and counts as one that does not
  * answer: connections that were refused before would count towards its end.
@@ -890,9 +950,11 @@
 	CU_add_test(suite, "config", test_config);
 	CU_add_test(suite, "heartbeat", test_heartbeat);
 	CU_add_test(suite, "notice", test_notice);
+	CU_add_test(suite, "health_path", test_health_path);
 	CU_add_test(suite, "odd_heartbeats", test_odd_heartbeats);
 	CU_add_test(suite, "odd_config", test_odd_config);
 	CU_add_test(suite, "evacuation_keys", test_evacuation_keys);
+	CU_add_test(suite, "health_answers", test_health_answers);
 	CU_add_test(suite, "odd_run_lists", test_odd_run_lists);
 	CU_add_test(suite, "failure_of_own_host", test_failure_of_own_host);
 	CU_add_test(suite, "long_run_lists", test_long_run_lists);
