plan: Hold room for gangs that start again, lend reserved workers to short work

Cause: a gang whose last run was being stopped was not among the waiting steps, so others started on its room and were evicted for it; urgent gangs reserved workers only after 500 ms. Workers reserved for a blocked gang stayed idle however late it could begin. A gang victim with two members on a worker was counted once, so a guarantee found too little room and was not kept.

A gang that may evict reserves its workers at once, also while its last run ends or a retry is due within a second. Other reservations carry the time before which the gang can't begin (plandue.c); a task that ends before that, by 1.5 times the measured or ten times the estimated time, may start there. choose_victims() counts all members of a victim.

--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -195,6 +195,7 @@
 	uint32_t failure_streak;   /* failures since the last success; once per job in a row */
 	const struct job *last_failed_job;
 	const struct step_run *reserved_for; /* set during plan_decide() */
+	uint64_t reserved_until_ms;	     /* that step can't begin before; 0: not known */
 	bool reserved_firm;		     /* room is being made there for that step */
 	bool kept_free;			     /* for urgent jobs; set by each plan_decide() */
 	bool changed; /* its orders have changed since the last plan_decide() */
@@ -363,6 +364,19 @@
  */
 uint64_t plan_rack_due_ms(const struct plan *plan, const struct step_run *step, uint64_t now_ms);
 
+/**
+ * plan_earliest_begin_ms() - time before which a blocked gang can't begin
+ *
+ * Runs that have shown less than five percents may end at any time, others take at least half of
+ * the time that is expected to be left. Nothing is stopped for the gang.
+ *
+ * Return: a time, or 0 when the gang can't begin by the ends of runs alone.
+ */
+uint64_t plan_earliest_begin_ms(const struct plan *plan, const struct step_run *step,
+				uint64_t now_ms);
+/* True if a task of the step that starts now ends before a time, estimates' errors included. */
+bool plan_ends_before(const struct step_run *step, uint64_t at_ms, uint64_t now_ms);
+
 /* planprefer.c */
 /**
  * plan_waived_preferences() - preferences that a step which could not be placed no longer keeps
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -12,6 +12,7 @@
 #define IDLE_RECHECK_MS 1000  /* longest time between two checks for stalls */
 #define BLOCKED_RECHECK_MS 50 /* a back-off or due time may pass soon */
 #define RESERVE_AFTER_MS 500  /* a gang that has waited this long reserves workers */
+#define HOLD_HORIZON_MS 1000  /* room is held for a gang that is to start again by then */
 #define RESERVE_SHARE 0.5     /* largest share of workers reserved for blocked gangs */
 
 static int compare_rank(gconstpointer left, gconstpointer right)
@@ -19,6 +20,13 @@
 	return plan_compare_ranks(left, right);
 }
 
+/* Members of a gang's last run are still being stopped; it starts again when they have ended. */
+static bool starts_again_soon(const struct step_run *step)
+{
+	return step->spec->gang && step->ready_ms && step->waiting > 0 &&
+	       step->waiting < step->spec->count;
+}
+
 /* A gang starts only as a whole, so it waits until all members of its last run have ended. */
 static bool can_start(const struct step_run *step)
 {
@@ -27,7 +35,8 @@
 	return !step->spec->gang || step->waiting == step->spec->count;
 }
 
-static GArray *rank_waiting_steps(struct plan *plan, uint64_t now_ms)
+/* @again: also the gangs that wait for the last members of their former runs to end */
+static GArray *rank_waiting_steps(struct plan *plan, bool again, uint64_t now_ms)
 {
 	GArray *ranked_steps = g_array_new(FALSE, FALSE, sizeof(struct step_rank));
 
@@ -42,7 +51,7 @@
 				struct step_run *step = &occurrence->steps[s];
 				struct step_rank rank;
 
-				if (!can_start(step))
+				if (!can_start(step) && !(again && starts_again_soon(step)))
 					continue;
 				plan_rank_step(plan, step, now_ms, &rank);
 				g_array_append_val(ranked_steps, rank);
@@ -55,7 +64,7 @@
 
 GPtrArray *plan_waiting_steps(struct plan *plan, uint64_t now_ms)
 {
-	GArray *ranked_steps = rank_waiting_steps(plan, now_ms);
+	GArray *ranked_steps = rank_waiting_steps(plan, false, now_ms);
 	GPtrArray *steps = g_ptr_array_sized_new(ranked_steps->len);
 
 	for (guint i = 0; i < ranked_steps->len; i++)
@@ -197,21 +206,31 @@
 	return true;
 }
 
-/* Reserves the workers on which a blocked gang could fit soonest against less urgent steps. */
-static void reserve_workers(struct plan *plan, struct step_run *step, uint64_t now_ms,
+/*
+ * Reserves the workers on which a blocked gang could fit soonest against less urgent steps. One
+ * that may evict reserves them at once, since it would stop what starts there.
+ */
+static void reserve_workers(struct plan *plan, const struct step_rank *ranked, uint64_t now_ms,
 			    uint32_t *reserved)
 {
+	struct step_run *step = ranked->step;
 	struct worker **workers;
-	uint32_t limit = (uint32_t)(plan->workers->len * RESERVE_SHARE);
+	bool evicts = plan_may_evict(ranked);
+	uint32_t limit = evicts ? UINT32_MAX : (uint32_t)(plan->workers->len * RESERVE_SHARE);
+	uint64_t until_ms = 0;
 
-	if (now_ms - step->ready_ms < RESERVE_AFTER_MS || *reserved >= limit)
+	if ((now_ms - step->ready_ms < RESERVE_AFTER_MS && !evicts) || *reserved >= limit)
 		return;
 	workers = talloc_zero_array(NULL, struct worker *, step->spec->count);
 	if (plan_pick_gang_workers(plan, step, true, 0, now_ms, workers)) {
+		/* What starts there would be stopped by a step that may evict. */
+		if (!evicts)
+			until_ms = plan_earliest_begin_ms(plan, step, now_ms);
 		for (uint32_t i = 0; i < step->spec->count && *reserved < limit; i++) {
 			if (!workers[i] || workers[i]->reserved_for)
 				continue;
 			workers[i]->reserved_for = step;
+			workers[i]->reserved_until_ms = until_ms;
 			(*reserved)++;
 		}
 	}
@@ -244,12 +263,25 @@
 	return false;
 }
 
+/* True for a gang that can't start yet, but is to start again soon. */
+static bool is_held_up(const struct step_run *step, uint64_t now_ms)
+{
+	return starts_again_soon(step) || (step->spec->gang && !retry_is_due(step, now_ms) &&
+					   retry_is_due(step, now_ms + HOLD_HORIZON_MS));
+}
+
 static void place_step(struct plan *plan, const struct step_rank *ranked, uint64_t now_ms,
 		       uint32_t *reserved)
 {
 	struct step_run *step = ranked->step;
 
-	if (plan_job_ended(step->occurrence->job) || place_all(plan, step, 0, now_ms))
+	if (plan_job_ended(step->occurrence->job))
+		return;
+	if (plan_may_evict(ranked) && is_held_up(step, now_ms)) {
+		reserve_workers(plan, ranked, now_ms, reserved);
+		return;
+	}
+	if (!can_start(step) || place_all(plan, step, 0, now_ms))
 		return;
 	/* Room for a gang is made in one rack if possible: a stop takes less than a slower run. */
 	if (step->spec->gang && plan_may_evict(ranked) && plan_evict_for_step(plan, step, now_ms))
@@ -259,7 +291,7 @@
 	if (!step->spec->gang && plan_may_evict(ranked) && plan_evict_for_step(plan, step, now_ms))
 		return;
 	if (step->spec->gang && ranked->class != PLAN_RANK_WORTHLESS)
-		reserve_workers(plan, step, now_ms, reserved);
+		reserve_workers(plan, ranked, now_ms, reserved);
 }
 
 static void note_orphans(struct plan *plan, const struct worker *worker)
@@ -295,6 +327,7 @@
 
 		worker->reserved_for = NULL;
 		worker->reserved_firm = false;
+		worker->reserved_until_ms = 0;
 	}
 	plan->use_service = NULL;
 	inspect_workers(plan, now_ms);
@@ -305,7 +338,7 @@
 	plan_keep_headroom(plan, now_ms);
 	plan_move_stalled(plan, now_ms);
 	plan_move_slow(plan, now_ms);
-	ranked_steps = rank_waiting_steps(plan, now_ms);
+	ranked_steps = rank_waiting_steps(plan, true, now_ms);
 	blocked = ranked_steps->len > 0 || plan->has_held;
 	for (guint i = 0; i < ranked_steps->len; i++)
 		place_step(plan, &g_array_index(ranked_steps, struct step_rank, i), now_ms,
--- a/src/plandue.c
+++ b/src/plandue.c
@@ -12,6 +12,13 @@
 #define NEVER_MS UINT64_MAX
 /* A run that takes longer than expected is expected to take this share of its time again. */
 #define OVERDUE_SHARE 0.5
+/* Runs that have shown progress take at least this share of the time that they are expected to. */
+#define EARLIEST_SHARE 0.5
+#define EARLIEST_PERCENTS 5 /* the time of fewer percents says too little of the others */
+/* Bounds of a run's time: by former runs of its step, or by an estimate that may be wrong. */
+#define MEASURED_MARGIN 1.5
+#define ESTIMATE_MARGIN 10.0
+#define BACKFILL_MARGIN_MS 500 /* for the orders and reports of the start and of the end */
 
 uint64_t plan_expected_run_ms(const struct step_run *step)
 {
@@ -51,6 +58,29 @@
 	return task->began_ms + run_ms;
 }
 
+static uint64_t earliest_end_ms(const struct plan *plan, const struct task *task, uint64_t now_ms)
+{
+	uint64_t end_ms = plan_expected_end_ms(plan, task, now_ms);
+
+	if (end_ms == NEVER_MS)
+		return NEVER_MS;
+	if (task->state == TASK_STOPPING ||
+	    (task->percent < task->base_percent + EARLIEST_PERCENTS &&
+	     task->step->measured_run_ms == 0))
+		return now_ms;
+	return now_ms + (uint64_t)(EARLIEST_SHARE * (double)(end_ms - MIN(end_ms, now_ms)));
+}
+
+bool plan_ends_before(const struct step_run *step, uint64_t at_ms, uint64_t now_ms)
+{
+	double margin = step->measured_run_ms > 0 ? MEASURED_MARGIN : ESTIMATE_MARGIN;
+
+	if (at_ms <= now_ms || step->spec->long_running)
+		return false;
+	return margin * (double)plan_expected_run_ms(step) + BACKFILL_MARGIN_MS <=
+	       (double)(at_ms - now_ms);
+}
+
 /* Room for one task of a step on a worker, from a time on. */
 struct slot {
 	uint64_t at_ms;
@@ -78,12 +108,15 @@
 	return left->at_ms < right->at_ms ? -1 : left->at_ms > right->at_ms;
 }
 
-static void list_releases(const struct plan *plan, const struct worker *worker, uint64_t now_ms,
-			  GArray *releases)
+/* When a run is taken to end. */
+typedef uint64_t end_time(const struct plan *plan, const struct task *task, uint64_t now_ms);
+
+static void list_releases(const struct plan *plan, const struct worker *worker, end_time *end_ms,
+			  uint64_t now_ms, GArray *releases)
 {
 	g_array_set_size(releases, 0);
 	for (const struct task *task = worker->tasks; task; task = task->next_on_worker) {
-		struct release release = {plan_expected_end_ms(plan, task, now_ms), task};
+		struct release release = {end_ms(plan, task, now_ms), task};
 
 		if (release.at_ms != NEVER_MS)
 			g_array_append_val(releases, release);
@@ -91,21 +124,26 @@
 	g_array_sort(releases, compare_releases);
 }
 
+static uint64_t available_from_ms(const struct worker *worker, uint64_t now_ms)
+{
+	return MAX(MAX(now_ms, worker->backoff_until_ms),
+		   MAX(worker->suspect_until_ms, worker->slow_until_ms));
+}
+
 /* Adds the times from which on a worker has room for one, two and more tasks of the step. */
 static void add_slots(const struct plan *plan, const struct step_run *step, guint index,
-		      uint32_t limit, uint64_t now_ms, GArray *releases, GArray *slots)
+		      uint32_t limit, uint64_t from_ms, end_time *end_ms, uint64_t now_ms,
+		      GArray *releases, GArray *slots)
 {
 	const struct worker *worker = plan->workers->pdata[index];
 	struct plan_resources need = plan_step_need(step->spec);
 	struct plan_resources used = worker->used;
-	struct slot slot = {MAX(MAX(now_ms, worker->backoff_until_ms),
-				MAX(worker->suspect_until_ms, worker->slow_until_ms)),
-			    worker};
+	struct slot slot = {from_ms, worker};
 	guint released = 0;
 
 	if (step->spec->spread_limit)
 		limit = MIN(limit, step->spec->spread_limit);
-	list_releases(plan, worker, now_ms, releases);
+	list_releases(plan, worker, end_ms, now_ms, releases);
 	for (uint32_t i = 0; i < limit; i++) {
 		while (!plan_fits(&worker->room, &used, &need)) {
 			const struct release *next;
@@ -156,7 +194,8 @@
 		/* What else bars a worker, such as a missing report, is expected to pass soon. */
 		if (worker->accepting && plan_worker_could_hold(worker, step) &&
 		    (step->spec->gang || !plan_data_on_other_rack(worker, step->spec)))
-			add_slots(plan, step, i, wanted, now_ms, releases, slots);
+			add_slots(plan, step, i, wanted, available_from_ms(worker, now_ms),
+				  plan_expected_end_ms, now_ms, releases, slots);
 	}
 	g_array_sort(slots, compare_slots);
 	due_ms = find_rack_time(slots, wanted);
@@ -164,3 +203,27 @@
 	g_array_free(releases, TRUE);
 	return due_ms;
 }
+
+uint64_t plan_earliest_begin_ms(const struct plan *plan, const struct step_run *step,
+				uint64_t now_ms)
+{
+	GArray *slots = g_array_new(FALSE, FALSE, sizeof(struct slot));
+	GArray *releases = g_array_new(FALSE, FALSE, sizeof(struct release));
+	uint32_t wanted = step->spec->count;
+	uint64_t begin_ms = 0;
+
+	for (guint i = 0; i < plan->workers->len; i++) {
+		const struct worker *worker = plan->workers->pdata[i];
+
+		/* Draining workers may come back, and pauses may be waived. */
+		if (plan_worker_could_hold(worker, step))
+			add_slots(plan, step, i, wanted, now_ms, earliest_end_ms, now_ms, releases,
+				  slots);
+	}
+	g_array_sort(slots, compare_slots);
+	if (slots->len >= wanted)
+		begin_ms = g_array_index(slots, struct slot, wanted - 1).at_ms;
+	g_array_free(slots, TRUE);
+	g_array_free(releases, TRUE);
+	return begin_ms;
+}
--- a/src/planevict.c
+++ b/src/planevict.c
@@ -91,11 +91,11 @@
 {
 	const struct job *job = plan_task_job(task);
 
-	if (job == beneficiary)
-		return false;
 	/* The room of a task that is being stopped becomes free in any case. */
 	if (task->state == TASK_STOPPING)
 		return true;
+	if (job == beneficiary)
+		return false;
 	if (job->guaranteed)
 		return false;
 	if (task->step->spec->long_running)
@@ -205,7 +205,6 @@
 
 	while (!plan_fits(&worker->room, &used, need)) {
 		struct task *cheapest = NULL;
-		struct plan_resources taken;
 
 		for (struct task *task = worker->tasks; task; task = task->next_on_worker) {
 			if (task->state == TASK_STOPPING || is_victim(victims, task) ||
@@ -218,12 +217,10 @@
 		}
 		if (!cheapest)
 			return false;
-		taken = plan_step_need(cheapest->step->spec);
 		victims->cost += plan_eviction_cost(cheapest, now_ms);
 		g_ptr_array_add(victims->tasks, cheapest);
-		used.cpu_milli -= taken.cpu_milli;
-		used.memory_mb -= taken.memory_mb;
-		used.accelerators -= taken.accelerators;
+		/* Several members of a gang may be on the worker. */
+		used = use_beside_victims(worker, victims);
 	}
 	spare_needless_victims(worker, need, first, now_ms, victims);
 	return true;
--- a/src/planplace.c
+++ b/src/planplace.c
@@ -113,6 +113,7 @@
 	return accepts_tasks(worker, now_ms) &&
 	       (!is_paused(worker, now_ms) || may_use_paused(worker, waived, now_ms)) &&
 	       (!worker->reserved_for || worker->reserved_for == step ||
+		plan_ends_before(step, worker->reserved_until_ms, now_ms) ||
 		((waived & PLAN_WAIVE_RESERVED) && !worker->reserved_firm)) &&
 	       plan_worker_could_hold(worker, step) &&
 	       ((waived & PLAN_WAIVE_HEADROOM) || !worker->kept_free ||
--- a/tests/test_planevict.c
+++ b/tests/test_planevict.c
@@ -103,6 +103,32 @@
 	plansim_run(sim, 1000);
 	CU_ASSERT_EQUAL(plansim_count_runs(sim, "u1."), 1);
 	CU_ASSERT_EQUAL(plansim_count_runs(sim, "tiny."), 2);
+	CU_ASSERT_EQUAL(sim->stops, 1);
+	check_and_free(sim);
+}
+
+/*
+ * Guards against starts on the room of a gang that is about to start again: a member has failed and
+ * the others are being stopped. The gang would evict what started there.
+ */
+static void test_broken_gang_keeps_room(void)
+{
+	struct plansim *sim = plansim_create_with_stops(NULL, 1, 900);
+
+	plansim_add_job(sim, "u1", "urgent", "a",
+			"[{\"tasks\":4,\"cpu_milli\":1000,\"accelerators\":2,\"gang\":true,"
+			"\"estimate_ms\":6000}]");
+	plansim_run(sim, 500);
+	plansim_add_job(sim, "wait", "batch", "b",
+			"[{\"tasks\":8,\"cpu_milli\":1000,\"accelerators\":1,"
+			"\"estimate_ms\":6000}]");
+	plansim_run(sim, 500);
+	/* One run is lost; the others take their time to stop. */
+	sim->runs[0].present = false;
+	plansim_run(sim, 2500);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "u1."), 4);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "wait."), 0);
+	CU_ASSERT_EQUAL(sim->starts, 8);
 	check_and_free(sim);
 }
 
@@ -162,6 +188,7 @@
 	suite = CU_add_suite("planevict", NULL, NULL);
 	CU_add_test(suite, "cheapest_worker", test_cheapest_worker);
 	CU_add_test(suite, "needless_victims", test_needless_victims);
+	CU_add_test(suite, "broken_gang_keeps_room", test_broken_gang_keeps_room);
 	CU_add_test(suite, "evicted_twice_at_most", test_evicted_twice_at_most);
 	CU_basic_run_tests();
 	return CU_get_number_of_failures() > 0;
