plan: Start evicting gangs elsewhere when stops are late

A gang that may evict waited for the room that stops make in one rack for as long as they took, also with ample room on other racks: with orders that are carried out 12 s late it waited for 12 s on a service that was one third in use. Once ample room has been there for PREFERENCE_WAIT_MAX_MS and the time of the stops is over, it starts elsewhere.

--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -276,6 +276,16 @@
 	return false;
 }
 
+/*
+ * True if stops for a gang, or those that it waits for, are carried out late and it has had ample
+ * room elsewhere for as long as any preference may hold it back.
+ */
+static bool waits_beside_ample_room(struct plan *plan, struct step_run *step, uint64_t now_ms)
+{
+	return plan_waived_preferences(plan, step, now_ms) == PLAN_WAIVE_ALL &&
+	       now_ms >= step->room_made_until_ms;
+}
+
 /* True for a gang that can't start yet, but is to start again soon. */
 static bool is_held_up(const struct step_run *step, uint64_t now_ms)
 {
@@ -297,8 +307,11 @@
 	if (!can_start(step) || place_all(plan, step, 0, now_ms))
 		return;
 	/* Room for a gang is made in one rack if possible: a stop takes less than a slower run. */
-	if (step->spec->gang && plan_may_evict(ranked) && plan_evict_for_step(plan, step, now_ms))
+	if (step->spec->gang && plan_may_evict(ranked) && plan_evict_for_step(plan, step, now_ms)) {
+		if (waits_beside_ample_room(plan, step, now_ms))
+			place_elsewhere(plan, step, now_ms);
 		return;
+	}
 	if (place_elsewhere(plan, step, now_ms) || plan_evict_fillers(plan, step, now_ms))
 		return;
 	if (!step->spec->gang && plan_may_evict(ranked) && plan_evict_for_step(plan, step, now_ms))
--- a/tests/test_planevict.c
+++ b/tests/test_planevict.c
@@ -15,6 +15,7 @@
 #define SEEDS 12
 #define EVICTIONS_MAX 2
 #define TASKS_MAX 400
+#define LATE_STOP_MS 12000
 
 struct stops {
 	char task[64];
@@ -132,6 +133,51 @@
 	check_and_free(sim);
 }
 
+/* Makes stops take longer than the plan knows, as orders do that are carried out late. */
+static struct plansim *create_with_late_stops(uint32_t workers)
+{
+	struct plansim *sim = plansim_create(NULL, workers);
+
+	sim->params.stop_ms = LATE_STOP_MS;
+	return sim;
+}
+
+/* One full worker in each rack, so that no rack has room for three. */
+static void fill_one_in_each_rack(struct plansim *sim, uint32_t racks)
+{
+	for (uint32_t i = 0; i < racks; i++) {
+		char id[16];
+		char *steps = talloc_asprintf(sim,
+					      "[{\"tasks\":1,\"cpu_milli\":1000,\"accelerators\":8,"
+					      "\"estimate_ms\":60000,\"label\":\"r%u\"}]",
+					      i);
+
+		snprintf(id, sizeof(id), "f%u", i);
+		plansim_add_job(sim, id, "batch", "b", steps);
+	}
+	plansim_run(sim, 500);
+}
+
+/*
+ * Guards against a gang that waits for a late stop in one rack, while two thirds of its service
+ * are free.
+ */
+static void test_late_stop_beside_room(void)
+{
+	struct plansim *sim = create_with_late_stops(12);
+
+	fill_one_in_each_rack(sim, 4);
+	plansim_add_job(sim, "u1", "urgent", "b",
+			"[{\"tasks\":3,\"cpu_milli\":1000,\"accelerators\":8,\"gang\":true,"
+			"\"one_rack\":true,\"estimate_ms\":5000}]");
+	plansim_run(sim, 1000);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "f"), 3);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "u1."), 0);
+	plansim_run(sim, 2000);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "u1."), 3);
+	check_and_free(sim);
+}
+
 static void add_random_job(struct plansim *sim, struct util_rng *rng, const char *queue,
 			   const char *organisation, int number)
 {
@@ -189,6 +235,7 @@
 	CU_add_test(suite, "cheapest_worker", test_cheapest_worker);
 	CU_add_test(suite, "needless_victims", test_needless_victims);
 	CU_add_test(suite, "broken_gang_keeps_room", test_broken_gang_keeps_room);
+	CU_add_test(suite, "late_stop_beside_room", test_late_stop_beside_room);
 	CU_add_test(suite, "evicted_twice_at_most", test_evicted_twice_at_most);
 	CU_basic_run_tests();
 	return CU_get_number_of_failures() > 0;
