plan: Let protected fillers give way to a guarantee

A filler that does not last and was evicted twice kept a job within its guarantee from its worker, although tasks evicted twice make room for a guarantee that nothing else keeps.

--- a/src/planevict.c
+++ b/src/planevict.c
@@ -179,14 +179,15 @@
 }
 
 /* Adds all fillers of a worker; false if one of them has to stay. */
-static bool choose_fillers(const struct plan *plan, const struct worker *worker, uint64_t now_ms,
-			   struct victims *victims)
+static bool choose_fillers(const struct plan *plan, const struct worker *worker,
+			   const struct job *job, uint64_t now_ms, struct victims *victims)
 {
 	for (struct task *task = worker->tasks; task; task = task->next_on_worker) {
 		if (!task->step->spec->filler || task->state == TASK_STOPPING ||
 		    is_victim(victims, task))
 			continue;
-		if (plan_task_job(task)->guaranteed || plan_is_protected(task) ||
+		if (plan_task_job(task)->guaranteed ||
+		    (plan_is_protected(task) && !job->evicts_protected) ||
 		    !plan_may_stop_lasting(plan, task, victims->tasks, now_ms))
 			return false;
 		victims->cost += plan_eviction_cost(task, now_ms);
@@ -362,12 +363,13 @@
 			     const struct plan_resources *need, const struct step_run *step,
 			     enum eviction_kind kind, uint64_t now_ms, struct victims *victims)
 {
+	const struct job *job = step->occurrence->job;
 	struct plan_resources used;
 
-	if (is_serving(step) && !choose_fillers(plan, worker, now_ms, victims))
+	if (is_serving(step) && !choose_fillers(plan, worker, job, now_ms, victims))
 		return false;
 	if (kind == EVICT_URGENT)
-		return choose_victims(plan, worker, need, step->occurrence->job, now_ms, victims);
+		return choose_victims(plan, worker, need, job, now_ms, victims);
 	used = use_beside_victims(worker, victims);
 	return plan_fits(&worker->room, &used, need);
 }
--- a/tests/test_planevict.c
+++ b/tests/test_planevict.c
@@ -178,6 +178,30 @@
 	check_and_free(sim);
 }
 
+/* Guards against a guarantee that is not kept because a filler was evicted twice before. */
+static void test_protected_filler_gives_way(void)
+{
+	struct plansim *sim = plansim_create(NULL, 1);
+
+	plansim_add_job(sim, "fill", "batch", "b",
+			"[{\"tasks\":1,\"cpu_milli\":1000,\"accelerators\":1,\"filler\":true,"
+			"\"estimate_ms\":60000}]");
+	plansim_run(sim, 500);
+	for (int i = 0; i < EVICTIONS_MAX + 1; i++) {
+		char id[16];
+
+		CU_ASSERT_EQUAL(plansim_count_runs(sim, "fill."), 1);
+		snprintf(id, sizeof(id), "u%d", i);
+		plansim_add_job(sim, id, "urgent", "a",
+				"[{\"tasks\":1,\"cpu_milli\":1000,\"accelerators\":1,"
+				"\"latency_target_ms\":10,\"estimate_ms\":2000}]");
+		plansim_run(sim, 1000);
+		CU_ASSERT_EQUAL(plansim_count_runs(sim, "u"), 1);
+		plansim_run(sim, 3000);
+	}
+	check_and_free(sim);
+}
+
 static void add_random_job(struct plansim *sim, struct util_rng *rng, const char *queue,
 			   const char *organisation, int number)
 {
@@ -236,6 +260,7 @@
 	CU_add_test(suite, "needless_victims", test_needless_victims);
 	CU_add_test(suite, "broken_gang_keeps_room", test_broken_gang_keeps_room);
 	CU_add_test(suite, "late_stop_beside_room", test_late_stop_beside_room);
+	CU_add_test(suite, "protected_filler_gives_way", test_protected_filler_gives_way);
 	CU_add_test(suite, "evicted_twice_at_most", test_evicted_twice_at_most);
 	CU_basic_run_tests();
 	return CU_get_number_of_failures() > 0;
