plan: Do not lend room that an urgent step makes

A step that evicts on a worker that a gang of lower rank had reserved took over the reservation with its time, so that short tasks started on the room and were stopped by the next decision.

--- a/src/planevict.c
+++ b/src/planevict.c
@@ -319,11 +319,15 @@
 		step->room_made_until_ms = now_ms + plan->params.stop_ms + ROOM_MADE_MARGIN_MS;
 }
 
-/* @firm: stops make room for the step, so it starts within the time that they take. */
+/*
+ * @firm: stops make room for the step, so it starts within the time that they take. The room is
+ * not lent, even where a step that does not evict had reserved the worker and would lend it.
+ */
 static void reserve(struct worker *worker, const struct step_run *step, bool firm)
 {
 	worker->reserved_for = step;
 	worker->reserved_firm = firm;
+	worker->reserved_until_ms = 0;
 }
 
 static bool has_room_now(const struct worker *worker, const struct step_run *step)
--- a/tests/test_planbackfill.c
+++ b/tests/test_planbackfill.c
@@ -56,6 +56,38 @@
 	check_and_free(sim);
 }
 
+/*
+ * Guards against room that an urgent step has made and that is lent, because a gang which does not
+ * evict had reserved the worker before: the short tasks that start there are stopped at once.
+ */
+static void test_room_made_is_not_lent(void)
+{
+	struct plansim *sim = plansim_create(NULL, 4);
+
+	plansim_add_job(sim, "full", "large", "b", FULL_WORKERS(2));
+	plansim_run(sim, 500);
+	plansim_add_job(sim, "b1", "batch", "b",
+			"[{\"tasks\":12,\"cpu_milli\":1000,\"accelerators\":1,"
+			"\"checkpoints\":true,\"spread_limit\":6,\"estimate_ms\":200000}]");
+	plansim_run(sim, FULL_RUN_MS);
+	plansim_add_job(sim, "g1", "large", "b",
+			"[{\"tasks\":2,\"cpu_milli\":1000,\"accelerators\":8,\"gang\":true,"
+			"\"long_running\":true,\"estimate_ms\":1000}]");
+	plansim_run(sim, 1000);
+	plansim_add_job(sim, "u1", "urgent", "b",
+			"[{\"tasks\":1,\"cpu_milli\":1000,\"accelerators\":3,"
+			"\"estimate_ms\":2000}]");
+	plansim_add_job(sim, "short", "batch", "b",
+			"[{\"tasks\":4,\"cpu_milli\":1000,\"accelerators\":1,"
+			"\"estimate_ms\":300}]");
+	plansim_run(sim, 200);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "b1."), 11);
+	plansim_run(sim, 800);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "u1."), 1);
+	CU_ASSERT_EQUAL(sim->stops, 1);
+	check_and_free(sim);
+}
+
 static void add_job(struct plansim *sim, struct util_rng *rng, const char *id, const char *queue,
 		    uint32_t estimate_ms)
 {
@@ -137,6 +169,7 @@
 		return CU_get_error();
 	suite = CU_add_suite("planbackfill", NULL, NULL);
 	CU_add_test(suite, "short_work_starts", test_short_work_starts);
+	CU_add_test(suite, "room_made_is_not_lent", test_room_made_is_not_lent);
 	CU_add_test(suite, "gang_is_not_delayed", test_gang_is_not_delayed);
 	CU_basic_run_tests();
 	return CU_get_number_of_failures() > 0;
