plan: Reclaim a guarantee on several racks where none can be emptied

A gang within its guarantee that asks for one rack stopped tasks in one rack only.

Also corrects two comments in plan_int.h.

--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -81,7 +81,7 @@
 	uint64_t displaced_ms;	 /* when a lasting task was last stopped for another; 0: never */
 	bool reclaimable;	 /* see plan_mark_reclaimable() */
 	uint64_t assigned_ms;	 /* when its present run was decided or taken over */
-	double evicted_work;	 /* core-seconds that it lost by them */
+	double evicted_work;	 /* core-seconds lost by its evictions */
 	struct worker *avoid;	 /* where it last failed, stalled or was slow */
 	const char *stop_reason; /* in words */
 	uint64_t waited_ms;
@@ -210,7 +210,7 @@
 	uint32_t failure_streak; /* failures since the last success; once per job in a row */
 	const struct job *last_failed_job;
 	const struct step_run *reserved_for; /* set during plan_decide() */
-	uint64_t reserved_until_ms;	     /* that step can't begin before; 0: not known */
+	uint64_t reserved_until_ms;	     /* that step can't begin before; 0: not lent */
 	bool reserved_firm;		     /* room is being made there for that step */
 	bool kept_free;			     /* for urgent jobs; set by each plan_decide() */
 	bool changed; /* its orders have changed since the last plan_decide() */
@@ -564,7 +564,9 @@
 bool plan_evictable(const struct task *task, const struct job *beneficiary);
 /* Room in use after the stops that are under way. */
 struct plan_resources plan_use_after_stops(const struct worker *worker);
-bool plan_evict_for_step(struct plan *plan, struct step_run *step, uint64_t now_ms);
+/* Stops tasks to make room for a step. @waived: preferences that a gang leaves aside */
+bool plan_evict_for_step(struct plan *plan, struct step_run *step, unsigned int waived,
+			 uint64_t now_ms);
 /* Stops fillers on workers that could hold tasks of a step with a latency target without them. */
 bool plan_evict_fillers(struct plan *plan, struct step_run *step, uint64_t now_ms);
 void plan_mark_guaranteed(struct plan *plan);
--- a/src/plandecide.c
+++ b/src/plandecide.c
@@ -293,6 +293,14 @@
 					   retry_is_due(step, now_ms + HOLD_HORIZON_MS));
 }
 
+/* Makes room on several racks for a gang within its guarantee, once it waits for none any more. */
+static bool reclaim_across_racks(struct plan *plan, struct step_run *step, uint64_t now_ms)
+{
+	return step->spec->gang && step->spec->one_rack && step->occurrence->job->guaranteed &&
+	       (plan_waived_preferences(plan, step, now_ms) & PLAN_WAIVE_RACK) &&
+	       plan_evict_for_step(plan, step, PLAN_WAIVE_RACK, now_ms);
+}
+
 static void place_step(struct plan *plan, const struct step_rank *ranked, uint64_t now_ms,
 		       uint32_t *reserved)
 {
@@ -307,14 +315,18 @@
 	if (!can_start(step) || place_all(plan, step, 0, now_ms))
 		return;
 	/* Room for a gang is made in one rack if possible: a stop takes less than a slower run. */
-	if (step->spec->gang && plan_may_evict(ranked) && plan_evict_for_step(plan, step, now_ms)) {
+	if (step->spec->gang && plan_may_evict(ranked) &&
+	    plan_evict_for_step(plan, step, 0, now_ms)) {
 		if (waits_beside_ample_room(plan, step, now_ms))
 			place_elsewhere(plan, step, now_ms);
 		return;
 	}
 	if (place_elsewhere(plan, step, now_ms) || plan_evict_fillers(plan, step, now_ms))
 		return;
-	if (!step->spec->gang && plan_may_evict(ranked) && plan_evict_for_step(plan, step, now_ms))
+	if (!step->spec->gang && plan_may_evict(ranked) &&
+	    plan_evict_for_step(plan, step, 0, now_ms))
+		return;
+	if (reclaim_across_racks(plan, step, now_ms))
 		return;
 	if (step->spec->gang && ranked->class != PLAN_RANK_WORTHLESS)
 		reserve_workers(plan, ranked, now_ms, reserved);
--- a/src/planevict.c
+++ b/src/planevict.c
@@ -262,13 +262,13 @@
  * Chooses workers for a gang, and victims on them, among the evictable tasks. A choice that takes
  * more tasks of a step than it allows is repeated without the surplus ones.
  */
-static bool choose_gang_room(struct plan *plan, struct step_run *step, uint64_t now_ms,
-			     struct worker **workers, struct victims *victims)
+static bool choose_gang_room(struct plan *plan, struct step_run *step, unsigned int waived,
+			     uint64_t now_ms, struct worker **workers, struct victims *victims)
 {
 	do {
 		g_ptr_array_set_size(victims->tasks, 0);
 		victims->cost = 0;
-		if (!plan_pick_gang_workers(plan, step, true, 0, now_ms, workers))
+		if (!plan_pick_gang_workers(plan, step, true, waived, now_ms, workers))
 			return false;
 		if (choose_gang_victims(plan, step, workers, now_ms, victims))
 			return true;
@@ -277,21 +277,21 @@
 }
 
 /* The same; long-running tasks are evictable only for the guaranteed, and as few as will do. */
-static bool reclaim_gang_room(struct plan *plan, struct step_run *step, uint64_t now_ms,
-			      struct worker **workers, struct victims *victims)
+static bool reclaim_gang_room(struct plan *plan, struct step_run *step, unsigned int waived,
+			      uint64_t now_ms, struct worker **workers, struct victims *victims)
 {
 	struct job *job = step->occurrence->job;
-	bool found = choose_gang_room(plan, step, now_ms, workers, victims);
+	bool found = choose_gang_room(plan, step, waived, now_ms, workers, victims);
 
 	/* Tasks evicted too often come next, and only then those that last. */
 	if (!found && job->guaranteed && plan->has_protected) {
 		job->evicts_protected = true;
-		found = choose_gang_room(plan, step, now_ms, workers, victims);
+		found = choose_gang_room(plan, step, waived, now_ms, workers, victims);
 	}
 	for (int reclaim = PLAN_RECLAIM_ALLOWED_IN_TURN;
 	     job->guaranteed && !found && reclaim <= PLAN_RECLAIM_ALL; reclaim++) {
 		if (plan_mark_reclaimable(plan, reclaim))
-			found = choose_gang_room(plan, step, now_ms, workers, victims);
+			found = choose_gang_room(plan, step, waived, now_ms, workers, victims);
 	}
 	if (job->guaranteed)
 		plan_mark_reclaimable(plan, PLAN_RECLAIM_NONE);
@@ -335,14 +335,15 @@
 	return plan_count_room_on_worker(worker, step, 1) > 0;
 }
 
-static bool evict_for_gang(struct plan *plan, struct step_run *step, uint64_t now_ms)
+static bool evict_for_gang(struct plan *plan, struct step_run *step, unsigned int waived,
+			   uint64_t now_ms)
 {
 	const struct job *job = step->occurrence->job;
 	struct worker **workers = talloc_zero_array(NULL, struct worker *, step->spec->count);
 	struct victims victims = {.tasks = g_ptr_array_new()};
 	bool firm = false;
 	bool found =
-		reclaim_gang_room(plan, step, now_ms, workers, &victims) &&
+		reclaim_gang_room(plan, step, waived, now_ms, workers, &victims) &&
 		(job->guaranteed || victims.cost <= URGENT_WASTE_FACTOR * step->spec->count *
 							    plan_estimated_task_work(step->spec));
 
@@ -509,10 +510,11 @@
 	return found > 0;
 }
 
-bool plan_evict_for_step(struct plan *plan, struct step_run *step, uint64_t now_ms)
+bool plan_evict_for_step(struct plan *plan, struct step_run *step, unsigned int waived,
+			 uint64_t now_ms)
 {
 	if (step->spec->gang)
-		return evict_for_gang(plan, step, now_ms);
+		return evict_for_gang(plan, step, waived, now_ms);
 	return evict_for_tasks(plan, step, EVICT_URGENT, step->waiting, now_ms);
 }
 
--- a/src/planprefer.c
+++ b/src/planprefer.c
@@ -8,7 +8,10 @@
  * never for long while there is ample room. This file alone decides that.
  */
 
-/* No preference holds work back for longer while there is ample room for it. */
+/*
+ * No preference holds work back for longer while there is ample room for it, and no rack a gang
+ * within its guarantee: with a stop of 900 ms it still starts within the bound of 2,900 ms.
+ */
 #define PREFERENCE_WAIT_MAX_MS 1000
 #define AMPLE_FACTOR 2U /* room for the step this many times over */
 /* Share of the service in use; a half, and a margin for runs whose ends are not reported yet. */
@@ -103,9 +106,16 @@
 	return wait->rack_too_late;
 }
 
+static bool waited_for_guarantee(const struct step_run *step, uint64_t now_ms)
+{
+	return step->spec->gang && step->occurrence->job->guaranteed &&
+	       now_ms - step->wait.began_ms >= PREFERENCE_WAIT_MAX_MS;
+}
+
 unsigned int plan_waived_preferences(struct plan *plan, struct step_run *step, uint64_t now_ms)
 {
 	struct step_wait *wait = &step->wait;
+
 	if (!wait->began_ms)
 		wait->began_ms = now_ms;
 	if (plan_has_ample_room(plan, step, now_ms)) {
@@ -117,5 +127,9 @@
 	}
 	if (wait->roomy_since_ms && now_ms - wait->roomy_since_ms >= PREFERENCE_WAIT_MAX_MS)
 		return PLAN_WAIVE_ALL;
-	return prefers_rack(step->spec) && rack_too_late(plan, step, now_ms) ? PLAN_WAIVE_RACK : 0;
+	if (!prefers_rack(step->spec))
+		return 0;
+	return waited_for_guarantee(step, now_ms) || rack_too_late(plan, step, now_ms)
+		       ? PLAN_WAIVE_RACK
+		       : 0;
 }
--- a/tests/test_planreclaim.c
+++ b/tests/test_planreclaim.c
@@ -368,6 +368,42 @@
 		play_random_seed(seed);
 }
 
+/*
+ * Guards against a gang that waits for room in one rack for longer than its guarantee allows: other
+ * guaranteed tasks leave one worker of each rack that can be emptied.
+ */
+static void test_reclaimed_across_racks(void)
+{
+	struct plansim *sim = plansim_create(NULL, 6);
+
+	sim->organisations[1] =
+		(struct fleetconf_organisation){.name = "b", .guaranteed_accelerators = 32};
+	for (int i = 0; i < 4; i++) {
+		char *steps = talloc_asprintf(sim,
+					      "[{\"tasks\":1,\"cpu_milli\":1000,\"accelerators\":8,"
+					      "\"estimate_ms\":20000,\"label\":\"r%d\"}]",
+					      i / 2);
+		char *id = talloc_asprintf(sim, "b%d", i);
+
+		plansim_add_job(sim, id, "urgent", "b", steps);
+	}
+	/* Until the rack of these tasks is expected to be free soon. */
+	plansim_run(sim, 12000);
+	plansim_add_job(sim, "f1", "batch", "b",
+			"[{\"tasks\":2,\"cpu_milli\":1000,\"accelerators\":8,"
+			"\"estimate_ms\":60000}]");
+	plansim_run(sim, 1000);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "f1."), 2);
+	plansim_add_job(sim, "u1", "urgent", "a",
+			"[{\"tasks\":2,\"cpu_milli\":1000,\"accelerators\":8,\"gang\":true,"
+			"\"one_rack\":true,\"estimate_ms\":5000}]");
+	plansim_run(sim, RECLAIM_MS);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "u1."), 2);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "b"), 4);
+	CU_ASSERT_PTR_NULL(sim->violation);
+	talloc_free(sim);
+}
+
 int main(void)
 {
 	static const struct {
@@ -384,6 +420,7 @@
 		{"starts_elsewhere", test_starts_elsewhere},
 		{"displaced_in_turn", test_displaced_in_turn},
 		{"stops_of_former_leader", test_stops_of_former_leader},
+		{"reclaimed_across_racks", test_reclaimed_across_racks},
 		{"random", test_random},
 	};
 	CU_pSuite suite;
