--- a/src/planprefer.c
+++ b/src/planprefer.c
@@ -9,7 +9,7 @@
  */
 
 /*
- * No preference holds work back for longer while there is ample room for it, and no rack a gang
+ * No preference holds work back for longer while there is ample room for it, and no rack a job
  * within its guarantee: with a stop of 900 ms it still starts within the bound of 2,900 ms.
  */
 #define PREFERENCE_WAIT_MAX_MS 1000
@@ -106,9 +106,10 @@
 	return wait->rack_too_late;
 }
 
+/* Stops make room for a guarantee on any rack, and it is to be used in time. */
 static bool waited_for_guarantee(const struct step_run *step, uint64_t now_ms)
 {
-	return step->spec->gang && step->occurrence->job->guaranteed &&
+	return step->occurrence->job->guaranteed &&
 	       now_ms - step->wait.began_ms >= PREFERENCE_WAIT_MAX_MS;
 }
 
--- a/tests/test_planreclaim.c
+++ b/tests/test_planreclaim.c
@@ -404,6 +404,29 @@
 	talloc_free(sim);
 }
 
+/*
+ * Guards against a task that waits for the rack of its data for longer than its guarantee allows,
+ * beside the room that a stop has made for it elsewhere.
+ */
+static void test_starts_away_from_data(void)
+{
+	struct plansim *sim = plansim_create(NULL, 6);
+
+	plansim_add_job(sim, "f1", "batch", "b",
+			"[{\"tasks\":6,\"cpu_milli\":1000,\"accelerators\":8,"
+			"\"estimate_ms\":20000}]");
+	/* Until the rack is expected to be free soon. */
+	plansim_run(sim, 12000);
+	plansim_add_job(sim, "u1", "urgent", "a",
+			"[{\"tasks\":1,\"cpu_milli\":1000,\"accelerators\":8,"
+			"\"data_rack\":\"r1\",\"estimate_ms\":2000}]");
+	plansim_run(sim, RECLAIM_MS);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "u1."), 1);
+	CU_ASSERT_EQUAL(sim->stops, 1);
+	CU_ASSERT_PTR_NULL(sim->violation);
+	talloc_free(sim);
+}
+
 int main(void)
 {
 	static const struct {
@@ -421,6 +444,7 @@
 		{"displaced_in_turn", test_displaced_in_turn},
 		{"stops_of_former_leader", test_stops_of_former_leader},
 		{"reclaimed_across_racks", test_reclaimed_across_racks},
+		{"starts_away_from_data", test_starts_away_from_data},
 		{"random", test_random},
 	};
 	CU_pSuite suite;
