plan: Measure no run that was taken over

Cause: the time of a step's runs was measured from began_ms, which for a run that a new leader takes over is the time of its first list. A run that ended 200 ms after the change of leader made the next sound runs of the step, of 2 s, count as more than five times as slow: their workers were suspected, and the expected ends of these runs were too early.

Result: new_leader of test_planevidence fails on the parent and passes now.

--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -77,7 +77,9 @@
 	/* When a lasting task that was at work ended by itself; 0: it is at work, has not been yet,
 	 * or an order has ended it since. */
 	uint64_t own_end_ms;
-	uint64_t adopted_ms;	 /* when its current run was taken over from a former leader */
+	/* When its current run was taken over, from a former leader or after it counted as lost; 0:
+	 * it was started by this leader. */
+	uint64_t adopted_ms;
 	uint64_t displaced_ms;	 /* when a lasting task was last stopped for another; 0: never */
 	bool reclaimable;	 /* see plan_mark_reclaimable() */
 	uint64_t assigned_ms;	 /* when its present run was decided or taken over */
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -501,7 +501,8 @@
 	task->ended_run = run->run;
 	if (end == PLAN_END_DONE && !lasting) {
 		record_end_speed(plan, task, now_ms);
-		if (!task->checkpoint)
+		/* Of a run that was taken over, the time before is not known. */
+		if (!task->checkpoint && !task->adopted_ms)
 			task->step->measured_run_ms = MAX(now_ms - task->began_ms, 1);
 		record_success(worker);
 		plan_task_done(plan, task, now_ms);
--- a/tests/test_planevidence.c
+++ b/tests/test_planevidence.c
@@ -170,6 +170,28 @@
 	talloc_free(sim);
 }
 
+/*
+ * Guards against sound workers that are suspected after a change of leader: the new leader sees
+ * only the last part of a run that it has taken over, and the next runs of the step take longer.
+ */
+static void test_new_leader(void)
+{
+	struct judgement judgement;
+	struct plansim *sim = create_sim(2, &judgement);
+
+	add_job(sim, "batch", 4, false, 8);
+	plansim_run(sim, GANG_MS - 2 * LIST_MS);
+	plansim_restart_leader(sim, false);
+	plan_on_evidence(sim->plan, on_evidence, &judgement);
+	plansim_run(sim, LIST_MS);
+	plan_recovery_done(sim->plan);
+	plansim_run(sim, 2 * GANG_MS);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "j0"), PLAN_JOB_COMPLETED);
+	CU_ASSERT_EQUAL(judgement.suspected[0], 0);
+	CU_ASSERT_EQUAL(judgement.suspected[1], 0);
+	talloc_free(sim);
+}
+
 /* Guards against a worker that one bad health answer, or wrong ones beside good runs, exclude. */
 static void test_health(void)
 {
@@ -277,6 +299,7 @@
 	CU_add_test(suite, "suspected_is_used", test_suspected_is_used);
 	CU_add_test(suite, "recovery", test_recovery);
 	CU_add_test(suite, "failing_job", test_failing_job);
+	CU_add_test(suite, "new_leader", test_new_leader);
 	CU_add_test(suite, "health", test_health);
 	CU_add_test(suite, "random_worlds", test_random_worlds);
 	CU_basic_run_tests();
