runner: Let a repeated notice not extend the time that is left

Cause: a heartbeat with the sequence number of the latest one was taken as a new one. If its sender repeats it, its remaining_ms is older than it says, so the time at which the worker leaves moved back by the delay, and stops that save work came too late. The time also belonged to no incarnation and outlived a worker that was found again.

--- a/src/runnerworker.c
+++ b/src/runnerworker.c
@@ -64,6 +64,7 @@
 	runner->contradictions = 0;
 	runner->connect_failures = 0;
 	runner->sequence = 0;
+	runner->leaves_ms = 0;
 }
 
 const char *runner_named_worker(const struct runner *runner)
@@ -133,7 +134,6 @@
 	count_conclusion(runner, "restarted");
 	set_incarnation(runner, id, started_ms);
 	runner->accepting = false;
-	runner->leaves_ms = 0;
 	talloc_free(id);
 }
 
@@ -269,9 +269,9 @@
 /* Takes over what the present incarnation says of itself. */
 static void take_offer(struct runner *runner, const struct runner_announcement *announcement)
 {
-	if (announcement->sequence < runner->sequence) {
-		uint64_t end_ms = announced_end_ms(announcement);
+	uint64_t end_ms = announced_end_ms(announcement);
 
+	if (announcement->sequence < runner->sequence) {
 		/* Draining is believed whatever the number, since its sender is told so. */
 		if (!announcement->accepting)
 			set_accepting(runner, false);
@@ -279,6 +279,9 @@
 			set_leaves(runner, end_ms);
 		return;
 	}
+	/* One that is sent again was written when more time was left. */
+	if (announcement->sequence == runner->sequence && runner->leaves_ms && end_ms)
+		end_ms = MIN(end_ms, runner->leaves_ms);
 	runner->sequence = announcement->sequence;
 	if (announcement->accepting)
 		runner->leaving = false;
@@ -287,7 +290,7 @@
 	replace_string(runner, &runner->rack, announcement->rack);
 	runner->room = announcement->room;
 	set_accepting(runner, announcement->accepting);
-	set_leaves(runner, announced_end_ms(announcement));
+	set_leaves(runner, end_ms);
 	runner_renew_if_due(runner, util_clock_ms());
 }
 
--- a/tests/test_runnerworker.c
+++ b/tests/test_runnerworker.c
@@ -232,6 +232,11 @@
 	memkv_run(f->ev, 300);
 	CU_ASSERT_TRUE(f->report->info.leaves);
 	CU_ASSERT(f->report->info.remaining_ms > 1000 && f->report->info.remaining_ms <= 2000);
+	/* One that is sent again was written when more time was left. */
+	memkv_run(f->ev, 700);
+	runnerworld_take(f, &leaves);
+	memkv_run(f->ev, 300);
+	CU_ASSERT(f->report->info.remaining_ms < 1100);
 	/* An announcement that was overtaken may only bring the time forward. */
 	leaves.sequence = 20;
 	leaves.remaining_ms = 9000;
