plandue: Count the time of a gang from the start of its last member

Cause: plan_expected_end_ms() counted from the start of each member. A gang whose last member began 2 s late and that had done half of its work of 3 s seemed to need another 3.5 s, so it was moved from a worker that left in 2 s although it would have ended before.

Result: late_member_ends_in_time of test_plandrain fails on the parent and passes now.

--- a/src/plandue.c
+++ b/src/plandue.c
@@ -31,17 +31,32 @@
 	return step->spec->estimate_ms;
 }
 
+/* A gang works from the start of its last member on. */
+static uint64_t work_began_ms(const struct task *task)
+{
+	const struct step_run *step = task->step;
+	uint64_t began_ms = task->began_ms;
+
+	for (uint32_t i = 0; step->spec->gang && i < step->spec->count; i++) {
+		if (step->tasks[i].state == TASK_RUNNING)
+			began_ms = MAX(began_ms, step->tasks[i].began_ms);
+	}
+	return began_ms;
+}
+
 uint64_t plan_expected_end_ms(const struct plan *plan, const struct task *task, uint64_t now_ms)
 {
-	uint64_t elapsed_ms = now_ms > task->began_ms ? now_ms - task->began_ms : 0;
+	uint64_t began_ms;
+	uint64_t elapsed_ms;
 	uint64_t run_ms;
 
 	if (task->state == TASK_STOPPING)
 		return now_ms + plan->params.stop_ms;
 	if (task->step->spec->long_running)
 		return NEVER_MS;
-	if (task->percent > task->base_percent && task->percent_changed_ms > task->began_ms) {
-		double percent_ms = (double)(task->percent_changed_ms - task->began_ms) /
+	began_ms = work_began_ms(task);
+	if (task->percent > task->base_percent && task->percent_changed_ms > began_ms) {
+		double percent_ms = (double)(task->percent_changed_ms - began_ms) /
 				    (task->percent - task->base_percent);
 		uint64_t end_ms = task->percent_changed_ms +
 				  (uint64_t)(percent_ms * (PERCENT_DONE - task->percent));
@@ -53,9 +68,10 @@
 		return end_ms;
 	}
 	run_ms = plan_expected_run_ms(task->step);
+	elapsed_ms = now_ms > began_ms ? now_ms - began_ms : 0;
 	if (elapsed_ms >= run_ms)
 		return now_ms + (uint64_t)(OVERDUE_SHARE * (double)elapsed_ms);
-	return task->began_ms + run_ms;
+	return began_ms + run_ms;
 }
 
 static uint64_t earliest_end_ms(const struct plan *plan, const struct task *task, uint64_t now_ms)
--- a/tests/test_plandrain.c
+++ b/tests/test_plandrain.c
@@ -68,6 +68,34 @@
 	}
 }
 
+/*
+ * Guards against a stop of a gang that would have ended in time, because the time in which its
+ * first members waited for the last one is taken for time of its work.
+ */
+static void test_late_member_ends_in_time(void)
+{
+	struct plansim *sim = create_sim(4);
+
+	sim->workers[2].draining = true;
+	sim->workers[3].draining = true;
+	plansim_run(sim, 100);
+	plansim_add_job(sim, "g1", "batch", "b",
+			"[{\"tasks\":2,\"cpu_milli\":8000,\"accelerators\":8,\"gang\":true,"
+			"\"estimate_ms\":3000}]");
+	sim->workers[1].reachable = false; /* its start is not carried out */
+	plansim_run(sim, 2000);
+	CU_ASSERT_EQUAL_FATAL(plansim_count_runs(sim, "g1."), 1);
+	sim->workers[1].reachable = true;
+	sim->workers[2].draining = false;
+	sim->workers[3].draining = false;
+	plansim_run(sim, 1500);
+	plansim_give_notice(sim, 0, NOTICE_MS);
+	plansim_run(sim, NOTICE_MS);
+	CU_ASSERT_EQUAL(sim->stops, 0);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "g1"), PLAN_JOB_COMPLETED);
+	talloc_free(sim);
+}
+
 /* Guards against work of a task with checkpoints that is lost with its worker. */
 static void test_saves_in_time(void)
 {
@@ -216,6 +244,7 @@
 	CU_initialize_registry();
 	suite = CU_add_suite("plandrain", NULL, NULL);
 	CU_add_test(suite, "ends_in_time", test_ends_in_time);
+	CU_add_test(suite, "late_member_ends_in_time", test_late_member_ends_in_time);
 	CU_add_test(suite, "saves_in_time", test_saves_in_time);
 	CU_add_test(suite, "moved_at_once", test_moved_at_once);
 	CU_add_test(suite, "no_room_elsewhere", test_no_room_elsewhere);
