plandue: Expect only the rest of a run that was taken over

Cause: until a run showed progress to this leader, it was expected to take the time of a whole run from its first list on, also if that list showed 80% already. After a change of leader runs that would have ended in time were stopped on workers that leave. The same held for runs that continue from a checkpoint.

--- a/src/plandue.c
+++ b/src/plandue.c
@@ -44,6 +44,14 @@
 	return began_ms;
 }
 
+/* A run that was taken over, or continues from a checkpoint, has a part of its work behind it. */
+static uint64_t expected_work_ms(const struct task *task)
+{
+	double left = PERCENT_DONE - MIN(task->base_percent, PERCENT_DONE);
+
+	return (uint64_t)(left / PERCENT_DONE * (double)plan_expected_run_ms(task->step));
+}
+
 uint64_t plan_expected_end_ms(const struct plan *plan, const struct task *task, uint64_t now_ms)
 {
 	uint64_t began_ms;
@@ -67,7 +75,7 @@
 						     (double)(now_ms - task->percent_changed_ms));
 		return end_ms;
 	}
-	run_ms = plan_expected_run_ms(task->step);
+	run_ms = expected_work_ms(task);
 	elapsed_ms = now_ms > began_ms ? now_ms - began_ms : 0;
 	if (elapsed_ms >= run_ms)
 		return now_ms + (uint64_t)(OVERDUE_SHARE * (double)elapsed_ms);
--- a/tests/test_plandrain.c
+++ b/tests/test_plandrain.c
@@ -96,6 +96,26 @@
 	talloc_free(sim);
 }
 
+/*
+ * Guards against a stop of a run that would have ended in time, because a new leader expects it to
+ * begin when it hears of it.
+ */
+static void test_new_leader(void)
+{
+	struct plansim *sim = create_sim(3);
+
+	add_job(sim, "j1", "batch", 1, 5000, "");
+	plansim_run(sim, 4000);
+	plansim_restart_leader(sim, false);
+	plansim_give_notice(sim, worker_of(sim, "j1."), NOTICE_MS);
+	plansim_run(sim, 50);
+	plan_recovery_done(sim->plan);
+	plansim_run(sim, 1500);
+	CU_ASSERT_EQUAL(sim->stops, 0);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "j1"), PLAN_JOB_COMPLETED);
+	talloc_free(sim);
+}
+
 /* Guards against work of a task with checkpoints that is lost with its worker. */
 static void test_saves_in_time(void)
 {
@@ -245,6 +265,7 @@
 	suite = CU_add_suite("plandrain", NULL, NULL);
 	CU_add_test(suite, "ends_in_time", test_ends_in_time);
 	CU_add_test(suite, "late_member_ends_in_time", test_late_member_ends_in_time);
+	CU_add_test(suite, "new_leader", test_new_leader);
 	CU_add_test(suite, "saves_in_time", test_saves_in_time);
 	CU_add_test(suite, "moved_at_once", test_moved_at_once);
 	CU_add_test(suite, "no_room_elsewhere", test_no_room_elsewhere);
