plandrain: Stop nothing on a worker whose time is over

Cause: a worker that stays longer than it said reports 0 ms until it ends. What was left on it was stopped as soon as there was room elsewhere, although docs/design/short-notice.md says that it goes on: a stop then comes too late to save work and gives up a run that may still end.

Result: time_is_over of test_plandrain fails on the parent and passes now. The simulated workers can stay after their time for it.

--- a/src/plandrain.c
+++ b/src/plandrain.c
@@ -194,6 +194,9 @@
 	bool last_moment = now_ms + plan->params.stop_ms + ORDER_MS + DECISION_GAP_MS >= leaves_ms;
 	bool has_room;
 
+	/* The time is over: a stop comes too late to save anything, and the worker may stay. */
+	if (now_ms >= leaves_ms)
+		return false;
 	if (!may_stop(plan, task, now_ms))
 		return false;
 	if (ends_in_time(plan, task, leaves_ms, now_ms))
--- a/tests/lib_plansim.c
+++ b/tests/lib_plansim.c
@@ -607,7 +607,7 @@
 		sim->now_ms += sim->tick_ms;
 		for (uint32_t i = 0; i < sim->worker_count; i++) {
 			if (sim->workers[i].leaves_ms && sim->workers[i].up &&
-			    sim->workers[i].leaves_ms <= sim->now_ms)
+			    !sim->workers[i].stays && sim->workers[i].leaves_ms <= sim->now_ms)
 				plansim_remove_worker(sim, i);
 		}
 		advance_runs(sim);
--- a/tests/lib_plansim.h
+++ b/tests/lib_plansim.h
@@ -52,6 +52,7 @@
 	uint32_t slowdown; /* factor on the duration of its runs; 0 and 1: none */
 	uint64_t next_end;
 	uint64_t leaves_ms;   /* it drains, says so, and ends then with all its runs; 0: never */
+	bool stays;	      /* it goes on after leaves_ms and says that no time is left */
 	uint32_t health_good; /* consecutive answers that it reports */
 	uint32_t health_bad;
 	uint32_t stall_sum;
--- a/tests/test_plandrain.c
+++ b/tests/test_plandrain.c
@@ -116,6 +116,25 @@
 	talloc_free(sim);
 }
 
+/* Guards against stops of what still runs on a worker that stays longer than it has said. */
+static void test_time_is_over(void)
+{
+	struct plansim *sim = create_sim(2);
+
+	sim->workers[1].draining = true;
+	plansim_run(sim, 100);
+	add_job(sim, "j1", "batch", 1, 20000, "");
+	plansim_run(sim, 100);
+	plansim_give_notice(sim, 0, NOTICE_MS);
+	sim->workers[0].stays = true;
+	plansim_run(sim, NOTICE_MS + 100);
+	sim->workers[1].draining = false;
+	plansim_run(sim, 20000);
+	CU_ASSERT_EQUAL(sim->stops, 0);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "j1"), PLAN_JOB_COMPLETED);
+	talloc_free(sim);
+}
+
 /* Guards against work of a task with checkpoints that is lost with its worker. */
 static void test_saves_in_time(void)
 {
@@ -266,6 +285,7 @@
 	CU_add_test(suite, "ends_in_time", test_ends_in_time);
 	CU_add_test(suite, "late_member_ends_in_time", test_late_member_ends_in_time);
 	CU_add_test(suite, "new_leader", test_new_leader);
+	CU_add_test(suite, "time_is_over", test_time_is_over);
 	CU_add_test(suite, "saves_in_time", test_saves_in_time);
 	CU_add_test(suite, "moved_at_once", test_moved_at_once);
 	CU_add_test(suite, "no_room_elsewhere", test_no_room_elsewhere);
