--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -204,7 +204,8 @@
 	uint32_t suspicions;	   /* times it became suspect since the last success */
 	double evidence;	   /* weight at @evidence_ms of what speaks against it */
 	uint64_t evidence_ms;
-	uint64_t bad_evidence_ms; /* when something last spoke against it; 0: never */
+	/* When a run or a refusal last spoke against it, not a health answer; 0: never. */
+	uint64_t bad_evidence_ms;
 	enum plan_evidence latest_evidence;
 	uint32_t health_good; /* consecutive answers as last reported */
 	uint32_t health_bad;
--- a/src/planevidence.c
+++ b/src/planevidence.c
@@ -18,9 +18,8 @@
 #define WEIGHT_MIN 0.01	   /* less counts as none, so that it decides between no equal workers */
 #define SUSPECT_WEIGHT 0.6 /* above one failure, and above one of two workers of a stalled gang */
 #define CLEAR_WEIGHT 0.3
-#define DONE_WEIGHT                                                                  \
-	0.4 /* a run that began after the latest evidence and is done takes this off \
-	     */
+/* Taken off by a run that began after the latest evidence and is done. */
+#define DONE_WEIGHT 0.4
 /*
  * What a worker without any evidence counts when the weight of a stall is shared. It is small, so
  * that a second gang puts most of it on the worker that both had.
--- a/src/planslow.c
+++ b/src/planslow.c
@@ -30,7 +30,7 @@
 #define MOVE_GAIN_MIN_MS 1000	  /* a move has to save at least this much */
 #define PERCENT_DONE 100.0
 #define STILL_LISTS_MIN 2   /* after the one with the latest progress; a single one may be late */
-#define SHARED_STALLS_MAX 2 /* a task that stands still on more workers speaks against none */
+#define SHARED_STALLS_MAX 2 /* from this many other workers on, a stall speaks against none */
 #define LIST_GAP_MIN_MS 100 /* a list that is reported again differs by less than this */
 /* The same as STALL_BACKOFF_BITS, for tasks of priority 0: the next worker may have the same fault.
  */
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -12,7 +12,11 @@
 #define LASTING_RETRY_MS ((uint64_t)50)
 #define LASTING_DOUBLINGS_MAX 6
 #define LASTING_SOUND_MS 10000 /* a run of this length ends the doubling */
-#define SLOW_END_FACTOR 5      /* tasks of a step differ by less, see SLOW_FACTOR in planslow.c */
+/*
+ * Tasks of a step may differ by more, see SLOW_FACTOR in planslow.c. A wrong suspicion decays
+ * within seconds and stops nothing.
+ */
+#define SLOW_END_FACTOR 5
 /* Failures of different jobs; a single failure may be the job's own fault. */
 #define SUSPECT_FAILURE_STREAK 2
 
