--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -77,7 +77,9 @@
 	/* When a lasting task that was at work ended by itself; 0: it is at work, has not been yet,
 	 * or an order has ended it since. */
 	uint64_t own_end_ms;
-	uint64_t adopted_ms;	 /* when its current run was taken over from a former leader */
+	/* When its current run was taken over, from a former leader or after it counted as lost; 0:
+	 * it was started by this leader. */
+	uint64_t adopted_ms;
 	uint64_t displaced_ms;	 /* when a lasting task was last stopped for another; 0: never */
 	bool reclaimable;	 /* see plan_mark_reclaimable() */
 	uint64_t assigned_ms;	 /* when its present run was decided or taken over */
@@ -202,7 +204,8 @@
 	uint32_t suspicions;	   /* times it became suspect since the last success */
 	double evidence;	   /* weight at @evidence_ms of what speaks against it */
 	uint64_t evidence_ms;
-	uint64_t bad_evidence_ms; /* when something last spoke against it; 0: never */
+	/* When a run or a refusal last spoke against it, not a health answer; 0: never. */
+	uint64_t bad_evidence_ms;
 	enum plan_evidence latest_evidence;
 	uint32_t health_good; /* consecutive answers as last reported */
 	uint32_t health_bad;
--- a/src/planworker.c
+++ b/src/planworker.c
@@ -12,7 +12,11 @@
 #define LASTING_RETRY_MS ((uint64_t)50)
 #define LASTING_DOUBLINGS_MAX 6
 #define LASTING_SOUND_MS 10000 /* a run of this length ends the doubling */
-#define SLOW_END_FACTOR 5      /* tasks of a step differ by less, see SLOW_FACTOR in planslow.c */
+/*
+ * Tasks of a step may differ by more, see SLOW_FACTOR in planslow.c. A wrong suspicion decays
+ * within seconds and stops nothing.
+ */
+#define SLOW_END_FACTOR 5
 /* Failures of different jobs; a single failure may be the job's own fault. */
 #define SUSPECT_FAILURE_STREAK 2
 
@@ -501,7 +505,8 @@
 	task->ended_run = run->run;
 	if (end == PLAN_END_DONE && !lasting) {
 		record_end_speed(plan, task, now_ms);
-		if (!task->checkpoint)
+		/* Of a run that was taken over, the time before is not known. */
+		if (!task->checkpoint && !task->adopted_ms)
 			task->step->measured_run_ms = MAX(now_ms - task->began_ms, 1);
 		record_success(worker);
 		plan_task_done(plan, task, now_ms);
