--- a/src/bodybudget.c
+++ b/src/bodybudget.c
@@ -74,21 +74,29 @@
 	budget->bodies[handle] = (struct body){0};
 }
 
+/* True if @bytes for @body would take from the share of small bodies. */
+static bool exceeds_large_share(const struct bodybudget *budget, const struct body *body,
+				size_t bytes)
+{
+	size_t large = budget->large_used - (is_large(budget, body->bytes) ? body->bytes : 0);
+
+	return is_large(budget, bytes) &&
+	       large + bytes > budget->limits.total - budget->limits.small_share;
+}
+
 /* True if @bytes for @body would fit. */
 static bool has_room(const struct bodybudget *budget, const struct body *body, size_t bytes)
 {
-	size_t used = budget->used - body->bytes + bytes;
-	size_t large = budget->large_used + (is_large(budget, bytes) ? bytes : 0) -
-		       (is_large(budget, body->bytes) ? body->bytes : 0);
-
-	return used <= budget->limits.total &&
-	       (!is_large(budget, bytes) ||
-		large <= budget->limits.total - budget->limits.small_share);
+	return budget->used - body->bytes + bytes <= budget->limits.total &&
+	       !exceeds_large_share(budget, body, bytes);
 }
 
-/* The unfinished body that has held most for longest without progress; NULL if none has. */
+/*
+ * The unfinished body that has held most for longest without progress; NULL if none has.
+ * @large_only: small bodies hold nothing that would help
+ */
 static struct body *find_victim(const struct bodybudget *budget, const struct body *self,
-				uint64_t now_ms)
+				bool large_only, uint64_t now_ms)
 {
 	struct body *worst = NULL;
 	double worst_cost = 0;
@@ -99,7 +107,8 @@
 		double cost = (double)body->bytes * (double)stalled_ms;
 
 		if (!body->owner || body == self || body->complete || body->bytes == 0 ||
-		    stalled_ms < STALLED_MS || (worst && cost <= worst_cost))
+		    (large_only && !is_large(budget, body->bytes)) || stalled_ms < STALLED_MS ||
+		    (worst && cost <= worst_cost))
 			continue;
 		worst = body;
 		worst_cost = cost;
@@ -112,7 +121,8 @@
 	struct body *body = &budget->bodies[handle];
 
 	while (!has_room(budget, body, bytes)) {
-		struct body *victim = find_victim(budget, body, now_ms);
+		struct body *victim =
+			find_victim(budget, body, exceeds_large_share(budget, body, bytes), now_ms);
 		void *owner;
 
 		if (!victim)
--- a/tests/test_bodybudget.c
+++ b/tests/test_bodybudget.c
@@ -89,6 +89,23 @@
 	talloc_free(f);
 }
 
+/* Guards against small calls that are closed for a large one which would not fit all the same. */
+static void test_small_stay(void)
+{
+	struct fixture *f = set_up();
+
+	reserve(f, 0, TOTAL - SMALL_SHARE, 0);
+	bodybudget_complete(f->budget, f->clients[0].handle);
+	for (int i = 1; i <= 5; i++)
+		reserve(f, i, SMALL_MAX, 0);
+	CU_ASSERT_FALSE(reserve(f, 6, 30000, 1000));
+	for (int i = 1; i <= 5; i++)
+		CU_ASSERT_FALSE(f->clients[i].dropped);
+	/* Where small ones hold what is short, they are dropped. */
+	CU_ASSERT_TRUE(reserve(f, 7, SMALL_MAX, 1000));
+	talloc_free(f);
+}
+
 /* Guards against clients that hold large bodies for hours by a byte now and then. */
 static void test_trickle(void)
 {
@@ -139,6 +156,7 @@
 	suite = CU_add_suite("bodybudget", NULL, NULL);
 	CU_add_test(suite, "limits", test_limits);
 	CU_add_test(suite, "order_of_victims", test_order_of_victims);
+	CU_add_test(suite, "small_stay", test_small_stay);
 	CU_add_test(suite, "trickle", test_trickle);
 	CU_add_test(suite, "many", test_many);
 	CU_basic_run_tests();
