soak: Evacuations of zones and workers that leave at short notice

Drawing 6 makes each rack a zone, evacuates and returns zones through the store stand-in, and lets workers announce in their heartbeats that they leave 2 s later. Nothing may start in an evacuated zone later than 5 s after the store's answer; the bound grows by 6 s where the store, or a link to it or to a worker, was disturbed, and a start that its worker has delayed counts from its order. The other drawings play as before.

--- a/bench/measure_fleet_faults.c
+++ b/bench/measure_fleet_faults.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #define TICK_MS 20
+#define ZONES_DRAWING 6	      /* the first drawing with several zones */
 #define START_MS 4000	      /* from the start of the processes to the first fault */
 #define GAP_MIN_MS 200	      /* between the beginnings of two faults */
 #define GAP_MAX_LEAST_MS 1200 /* limits of the longest gap, which differs by seed */
@@ -22,6 +23,9 @@
 #define SERIES_MOST 5
 #define SERIES_GAP_MAX_MS 600
 #define FOCUS_FACTOR 12
+#define EVACUATION_GAP_MIN_S 2 /* between the beginnings of two evacuations */
+#define EVACUATION_GAP_MAX_S 7
+#define NOTICE_MS 2000	  /* of a worker that leaves */
 #define RECOVERY_MS 60000 /* for all accepted jobs to end after the faults */
 #define SETTLE_MS 2000	  /* for starts after all jobs have ended */
 
@@ -236,6 +240,7 @@
 		fleethosts_cut(soak.fleet, &refusal, STORE_REFUSES_AFTER_MS, STORE_REFUSES_MS);
 	}
 	fleethosts_log(soak.fleet, "%s", path);
+	soak.fleet->store_fault = true;
 	fleethosts_put(soak.fleet, store, PORT_STORE, path, "");
 	later(random_ms(300, 4000), ACTION_STORE_FAULT, store, 0);
 }
@@ -584,6 +589,46 @@
 	later(drain_at + random_ms(2500, 6000), ACTION_KILL, worker, short_or_long_ms());
 }
 
+/* An operator takes a zone back after some time, and sometimes evacuates it again at once. */
+static void evacuate_zone(void)
+{
+	struct fleethost *store = fleethosts_at(soak.fleet, ROLE_STORE, 0);
+	unsigned int zone = random_ms(0, fleethosts_zones(soak.fleet));
+	uint32_t return_at = random_ms(2000, 12000);
+	uint32_t again_at = return_at + random_ms(100, 2000);
+
+	later(0, ACTION_EVACUATE, store, zone);
+	later(return_at, ACTION_RETURN, store, zone);
+	if (!chance(30))
+		return;
+	later(again_at, ACTION_EVACUATE, store, zone);
+	later(again_at + random_ms(2000, 9000), ACTION_RETURN, store, zone);
+}
+
+/* Beside the other faults, which would crowd it out of short runs. */
+static void on_evacuation(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+			  void *ctx)
+{
+	if (soak.next_fault_ms == UINT64_MAX)
+		return;
+	evacuate_zone();
+	tevent_add_timer(ev, ev,
+			 tevent_timeval_current_ofs(
+				 random_ms(EVACUATION_GAP_MIN_S, EVACUATION_GAP_MAX_S), 0),
+			 on_evacuation, NULL);
+}
+
+/* Workers say in their heartbeats when they will leave, and another one takes their place. */
+static void leave_at_short_notice(void)
+{
+	for (uint32_t i = random_ms(1, 3); i > 0; i--) {
+		struct fleethost *worker = pick_host(ROLE_WORKER);
+
+		later(0, ACTION_NOTICE, worker, NOTICE_MS);
+		later(NOTICE_MS, ACTION_REPLACE, worker, short_or_long_ms());
+	}
+}
+
 /* Faults that led to an incident are more frequent. */
 static const struct {
 	void (*begin)(void);
@@ -623,6 +668,7 @@
 	{replay_heartbeats_of_replaced, 8, 4, FOCUS_INPUT},
 	{drain_after_false_number, 6, 4, FOCUS_INPUT},
 	{send_unfinished_bodies, 8, 5, FOCUS_INPUT},
+	{leave_at_short_notice, 16, 6, FOCUS_WORKERS},
 };
 
 static unsigned int weight_of(size_t kind)
@@ -757,6 +803,8 @@
 	start_load();
 	run_for(START_MS / 4);
 	soak.next_fault_ms = 0;
+	if (soak.fleet->zoned)
+		on_evacuation(soak.ev, NULL, tevent_timeval_zero(), NULL);
 	run_for(soak.args.seconds * 1000ULL);
 	fleethosts_end_faults(soak.fleet);
 	soak.next_fault_ms = UINT64_MAX;
@@ -790,7 +838,8 @@
 	{"drawing", OPT_DRAWING, "N", 0,
 	 "1: without the faults that were added for the second incident; 2: without calls of other "
 	 "writers and exhausted agents; 3: without late heartbeats of replaced workers and without "
-	 "false numbers before a drain; default 4. 5 adds crowds of unfinished bodies",
+	 "false numbers before a drain; default 4. 5 adds crowds of unfinished bodies, 6 "
+	 "evacuations of zones and workers that leave at short notice",
 	 0},
 	{"json", OPT_JSON, NULL, 0, "Print the result on one line", 0},
 	{"regressions", OPT_REGRESSIONS, NULL, 0,
@@ -845,7 +894,7 @@
 		soak.focus = random_ms(0, soak.args.drawing > 2 ? FOCUS_COUNT : FOCUS_INPUT);
 	soak.next_fault_ms = UINT64_MAX;
 	soak.fleet = fleethosts_start(soak.ev, soak.check, soak.args.entries, soak.args.workers,
-				      soak.args.seed);
+				      soak.args.drawing >= ZONES_DRAWING, soak.args.seed);
 	if (!soak.fleet)
 		return EXIT_FAILURE;
 	soak.input = fleetinput_create(soak.ev, soak.fleet, soak.check);
--- a/tests/fake_minion.c
+++ b/tests/fake_minion.c
@@ -13,11 +13,11 @@
 /*
  * Stand-in for a worker of the platform, written from the platform's documentation.
  *
- * Usage: fake_minion ID SERVICE RACK CONTROL_ADDRESS ADDRESS [LATE_CALLS SEED]. Prints "listening
- * ip:port". The task_spec of a task is its run time in milliseconds, or "fail". The file LATE_CALLS
- * holds calls that will be carried out late, also by the next process of the same ID. The clock of
- * a process starts at about 0. What happens is written to standard error, where tests read it, with
- * times by util_clock_ms():
+ * Usage: fake_minion ID SERVICE RACK CONTROL_ADDRESS ADDRESS [LATE_CALLS SEED [CLOCK_BACK_MS
+ * [ZONE]]]. Prints "listening ip:port". The task_spec of a task is its run time in milliseconds, or
+ * "fail". The file LATE_CALLS holds calls that will be carried out late, also by the next process
+ * of the same ID. The clock of a process starts at about 0. What happens is written to standard
+ * error, where tests read it, with times by util_clock_ms():
  *
  *   born MS                       the start time that it announces
  *   start TASK RUN MS DEADLINE_MS   a run begins; DEADLINE_MS is the end of the lease in the order
@@ -29,7 +29,8 @@
  *   late MS ...                     a call is carried out late
  *
  * PUT /test/late/MS leaves half of the calls of the next MS milliseconds unanswered and carries
- * them out 2 to 12 s later; PUT /test/drain/ON sets whether the worker drains.
+ * them out 2 to 12 s later; PUT /test/drain/ON sets whether the worker drains; PUT /test/notice/MS
+ * lets it drain and announce that it leaves after MS milliseconds, which is left to the caller.
  */
 
 #define BODY_BYTES_MAX (1024 * 1024)
@@ -82,6 +83,7 @@
 	const char *id;
 	const char *service;
 	const char *rack;
+	const char *zone;
 	const char *control;
 	uint64_t born_ms;
 	uint64_t began_ms; /* by util_clock_ms() */
@@ -106,6 +108,7 @@
 	bool lapsed;
 	bool draining;
 	bool drain_told;
+	uint64_t leaves_ms; /* by util_clock_ms(); 0: it has given no notice */
 } minion;
 
 /* The worker's clock, which starts anew with each process. */
@@ -438,6 +441,12 @@
 		minion.late_until_ms = util_clock_ms() + value;
 	} else if (sscanf(path, "/test/drain/%u", &value) == 1) {
 		minion.draining = value != 0;
+		minion.leaves_ms = 0;
+		minion.drain_told = false;
+		minion.next_heartbeat_ms = 0;
+	} else if (sscanf(path, "/test/notice/%u", &value) == 1) {
+		minion.draining = true;
+		minion.leaves_ms = util_clock_ms() + value;
 		minion.drain_told = false;
 		minion.next_heartbeat_ms = 0;
 	}
@@ -493,22 +502,29 @@
 	char *url = g_strdup_printf("http://%s/v1/instances/%s", minion.control, minion.id);
 	json_t *json = json_pack(
 		"{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:{s:i, s:i, s:i}, s:[s, s], s:I, s:I, s:I}",
-		"service", minion.service, "address", httpd_address(minion.httpd), "zone", "z",
-		"version", "v1", "slots", 8, "state", minion.draining ? "draining" : "ready",
-		"cold_remaining_ms", 0, "capacity", "cpu", 128000, "mem_mb", 524288, "gpu",
-		ACCELERATORS, "labels", "a", minion.rack, "clock_ms", (json_int_t)worker_clock_ms(),
-		"seq", (json_int_t)++minion.sequence, "born", (json_int_t)minion.born_ms);
-	char *text = json_dumps(json, JSON_COMPACT);
+		"service", minion.service, "address", httpd_address(minion.httpd), "zone",
+		minion.zone, "version", "v1", "slots", 8, "state",
+		minion.draining ? "draining" : "ready", "cold_remaining_ms", 0, "capacity", "cpu",
+		128000, "mem_mb", 524288, "gpu", ACCELERATORS, "labels", "a", minion.rack,
+		"clock_ms", (json_int_t)worker_clock_ms(), "seq", (json_int_t)++minion.sequence,
+		"born", (json_int_t)minion.born_ms);
 	struct httpc_request request = {.method = "PUT",
 					.url = url,
 					.headers = headers,
 					.header_count = 1,
-					.body = text,
-					.body_len = strlen(text),
 					.timeout_ms = 1000,
 					.done = on_heartbeat_answer,
 					.ctx = GINT_TO_POINTER(minion.draining)};
+	uint64_t now_ms = util_clock_ms();
+	char *text;
 
+	if (minion.leaves_ms)
+		json_object_set_new(
+			json, "remaining_ms",
+			json_integer((json_int_t)(MAX(minion.leaves_ms, now_ms) - now_ms)));
+	text = json_dumps(json, JSON_COMPACT);
+	request.body = text;
+	request.body_len = strlen(text);
 	httpc_start(minion.httpc, &request);
 	free(text);
 	json_decref(json);
@@ -553,15 +569,16 @@
 	struct httpd_handlers handlers = {on_call, on_disconnect, NULL};
 	struct err err = {0};
 
-	if (argc != 6 && argc != 8 && argc != 9) {
+	if (argc != 6 && (argc < 8 || argc > 10)) {
 		fprintf(stderr, "usage: fake_minion ID SERVICE RACK CONTROL_ADDRESS ADDRESS "
-				"[LATE_CALLS SEED [CLOCK_BACK_MS]]\n");
+				"[LATE_CALLS SEED [CLOCK_BACK_MS [ZONE]]]\n");
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
 	minion.id = argv[1];
 	minion.service = argv[2];
 	minion.rack = argv[3];
+	minion.zone = argc > 9 ? argv[9] : "z";
 	minion.control = argv[4];
 	minion.born_ms = util_wall_ms();
 	if (argc > 8)
--- a/tests/lib_badinput.h
+++ b/tests/lib_badinput.h
@@ -44,7 +44,7 @@
 	char id[24];
 	char address[32];
 	char service[8];
-	char zone[8];
+	char zone[16];
 	char kind[8];
 	char rack[16];
 	uint64_t born_ms;
--- a/tests/lib_fleetcheck.c
+++ b/tests/lib_fleetcheck.c
@@ -8,6 +8,9 @@
 
 #define CANCEL_BOUND_MS 3000 /* from the acknowledgement to the last start */
 #define DRAIN_BOUND_MS 2000  /* from the answered heartbeat to the last start */
+/* A store that was disturbed up to this time before an evacuation may have delayed it. */
+#define STORE_SILENCE_MS 4000
+#define DISTURBED_EXTRA_MS 6000 /* of the bound of an evacuation */
 
 struct run {
 	char task[64];
@@ -18,18 +21,29 @@
 	uint64_t end_ms;     /* FLEETCHECK_NEVER while it runs */
 	uint64_t number;     /* of the end at the worker */
 	uint64_t seen_ms;    /* when the agent confirmed the end */
+	bool late;	     /* the worker has carried out the order late */
 	char how[12];
 };
 
 struct worker {
 	char name[24];
+	char zone[16];
+	bool late_call; /* its last line announced a call that is carried out late */
 	uint64_t gone_ms;
 	GArray *lapses;	 /* uint64_t: ends of the lease */
 	GArray *drained; /* uint64_t: begin and end of draining in turn */
 };
 
+struct evacuation {
+	char zone[16];
+	uint64_t from_ms;
+	uint64_t until_ms; /* FLEETCHECK_NEVER while it lasts */
+};
+
 struct fleetcheck {
 	uint64_t seed;
+	GArray *evacuations; /* struct evacuation */
+	GArray *disturbed;   /* uint64_t, in ascending order */
 	GPtrArray *workers;
 	GHashTable *tasks; /* name to GPtrArray of struct run */
 	GPtrArray *runs;
@@ -54,6 +68,8 @@
 	struct fleetcheck *check = g_new0(struct fleetcheck, 1);
 
 	check->seed = seed;
+	check->evacuations = g_array_new(FALSE, FALSE, sizeof(struct evacuation));
+	check->disturbed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	check->workers = g_ptr_array_new_with_free_func(free_worker);
 	check->tasks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     (GDestroyNotify)g_ptr_array_unref);
@@ -67,6 +83,8 @@
 
 void fleetcheck_free(struct fleetcheck *check)
 {
+	g_array_free(check->evacuations, TRUE);
+	g_array_free(check->disturbed, TRUE);
 	g_hash_table_destroy(check->counts);
 	g_hash_table_destroy(check->reported);
 	g_hash_table_destroy(check->jobs_by_id);
@@ -94,6 +112,34 @@
 	return g_ptr_array_index(check->workers, number);
 }
 
+void fleetcheck_zone(struct fleetcheck *check, unsigned int worker, const char *zone)
+{
+	g_strlcpy(worker_of(check, worker)->zone, zone, sizeof(worker_of(check, worker)->zone));
+}
+
+void fleetcheck_evacuated(struct fleetcheck *check, const char *zone, uint64_t ms)
+{
+	struct evacuation evacuation = {.from_ms = ms, .until_ms = FLEETCHECK_NEVER};
+
+	g_strlcpy(evacuation.zone, zone, sizeof(evacuation.zone));
+	g_array_append_val(check->evacuations, evacuation);
+}
+
+void fleetcheck_returned(struct fleetcheck *check, const char *zone, uint64_t ms)
+{
+	for (guint i = 0; i < check->evacuations->len; i++) {
+		struct evacuation *at = &g_array_index(check->evacuations, struct evacuation, i);
+
+		if (!strcmp(at->zone, zone))
+			at->until_ms = MIN(at->until_ms, ms);
+	}
+}
+
+void fleetcheck_disturbed(struct fleetcheck *check, uint64_t ms)
+{
+	g_array_append_val(check->disturbed, ms);
+}
+
 static void add_run(struct fleetcheck *check, const struct run *run)
 {
 	GPtrArray *list = g_hash_table_lookup(check->tasks, run->task);
@@ -139,11 +185,13 @@
 	struct run run = {.worker = worker,
 			  .end_ms = FLEETCHECK_NEVER,
 			  .seen_ms = FLEETCHECK_NEVER,
+			  .late = worker_of(check, worker)->late_call,
 			  .how = "runs"};
 	uint64_t number;
 	uint64_t ms;
 	int on;
 
+	worker_of(check, worker)->late_call = g_str_has_prefix(line, "late ");
 	if (sscanf(line, "start %63s %u %" SCNu64 " %" SCNu64, run.task, &run.run, &run.begin_ms,
 		   &ms) == 4) {
 		/* The agent takes the end of the lease from the time of the order. */
@@ -295,6 +343,38 @@
 	}
 }
 
+/* Whether the store was disturbed within a time or shortly before it. */
+static bool was_disturbed(const struct fleetcheck *check, uint64_t from_ms, uint64_t until_ms)
+{
+	for (guint i = 0; i < check->disturbed->len; i++) {
+		uint64_t ms = g_array_index(check->disturbed, uint64_t, i);
+
+		if (ms + STORE_SILENCE_MS >= from_ms && ms <= until_ms)
+			return true;
+	}
+	return false;
+}
+
+/* A start that its worker has delayed counts from its order, which nobody can take back. */
+static void check_evacuated(struct fleetcheck *check, const struct run *run)
+{
+	uint64_t start_ms = run->late ? run->ordered_ms : run->begin_ms;
+
+	for (guint i = 0; i < check->evacuations->len; i++) {
+		const struct evacuation *at =
+			&g_array_index(check->evacuations, struct evacuation, i);
+		uint64_t bound_ms = at->from_ms + FLEETCHECK_EVACUATE_MS;
+
+		if (strcmp(at->zone, worker_of(check, run->worker)->zone) != 0 ||
+		    start_ms <= bound_ms || run->begin_ms >= at->until_ms)
+			continue;
+		if (start_ms <= bound_ms + DISTURBED_EXTRA_MS &&
+		    was_disturbed(check, at->from_ms, start_ms))
+			continue;
+		report_task(check, "start in an evacuated zone", run);
+	}
+}
+
 static void check_run(struct fleetcheck *check, const struct run *run)
 {
 	char id[20];
@@ -304,6 +384,7 @@
 	id[strcspn(id, ".")] = '\0';
 	job = g_hash_table_lookup(check->jobs_by_id, id);
 	check_drained(check, run);
+	check_evacuated(check, run);
 	if (!job)
 		return;
 	if (job->refused && !job->accepted && !job->unclear && !job->pending)
--- a/tests/lib_fleetcheck.h
+++ b/tests/lib_fleetcheck.h
@@ -15,6 +15,7 @@
 
 #define FLEETCHECK_STEPS_MAX 4
 #define FLEETCHECK_NEVER UINT64_MAX
+#define FLEETCHECK_EVACUATE_MS 5000 /* the setting evacuate_ms of the entries */
 
 struct fleetcheck;
 
@@ -50,6 +51,22 @@
 /** fleetcheck_worker() - add a worker, or a new process of one; returns its number */
 unsigned int fleetcheck_worker(struct fleetcheck *check, const char *name);
 
+/** fleetcheck_zone() - the zone of a worker, which is "" until it is set */
+void fleetcheck_zone(struct fleetcheck *check, unsigned int worker, const char *zone);
+
+/**
+ * fleetcheck_evacuated() - the store has acknowledged the evacuation of a zone
+ *
+ * Nothing may start there later than FLEETCHECK_EVACUATE_MS after it.
+ */
+void fleetcheck_evacuated(struct fleetcheck *check, const char *zone, uint64_t ms);
+
+/** fleetcheck_returned() - the evacuation of a zone is being taken back */
+void fleetcheck_returned(struct fleetcheck *check, const char *zone, uint64_t ms);
+
+/** fleetcheck_disturbed() - the store or a link to it or to a worker is disturbed now */
+void fleetcheck_disturbed(struct fleetcheck *check, uint64_t ms);
+
 /** fleetcheck_line() - add a line of a worker's output, in the format of fake_minion */
 void fleetcheck_line(struct fleetcheck *check, unsigned int worker, const char *line);
 
--- a/tests/lib_fleethosts.c
+++ b/tests/lib_fleethosts.c
@@ -20,6 +20,7 @@
 #define RETRY_MS 100
 #define STOP_LIMIT_MS 9000 /* SIGTERM to the end of the process, which has 6 s of grace */
 #define SELF_RESTART_MS 1000
+#define RACK_WORKERS 3
 /*
  * poll() of a single descriptor fails below a limit of 1, which no lack of descriptors does; libzmq
  * ends the process then.
@@ -185,6 +186,8 @@
 	char *path = talloc_asprintf(NULL, "%s/%s.json", proc_log_folder(), host->name);
 	bool written;
 
+	if (fleet->zoned)
+		json_object_set_new(json, "evacuate_ms", json_integer(FLEETCHECK_EVACUATE_MS));
 	g_strlcpy(host->settings, path, sizeof(host->settings));
 	written = json_dump_file(json, path, 0) == 0;
 	json_decref(json);
@@ -192,6 +195,24 @@
 	return written;
 }
 
+static unsigned int worker_rack(const struct fleethost *worker)
+{
+	return worker->index / RACK_WORKERS;
+}
+
+unsigned int fleethosts_zones(const struct fleethosts *fleet)
+{
+	return fleet->zoned ? (fleet->workers + RACK_WORKERS - 1) / RACK_WORKERS : 1;
+}
+
+static void zone_name(const struct fleethosts *fleet, unsigned int zone, char *out, size_t len)
+{
+	if (fleet->zoned)
+		snprintf(out, len, "z%u", zone);
+	else
+		snprintf(out, len, "z");
+}
+
 /* While it exists, redirect_connect.c lets no connection begin. */
 static char *ports_file(const struct fleethost *host)
 {
@@ -211,6 +232,7 @@
 	const char *const environment[] = {redirect, preload, no_ports, NULL};
 	struct fleetlife life = {.identifier = host->identifiers};
 	char label[32];
+	char zone[16];
 
 	snprintf(label, sizeof(label), "%s-%u", host->name, ++host->processes);
 	if (!proc_spawn(&host->proc, program, label, arguments,
@@ -221,6 +243,8 @@
 	if (host->role == ROLE_WORKER) {
 		host->log = fopen(host->proc.log, "a+");
 		host->record = fleetcheck_worker(fleet->check, label);
+		zone_name(fleet, worker_rack(host), zone, sizeof(zone));
+		fleetcheck_zone(fleet->check, host->record, zone);
 		host->delayed_start = false;
 		host->draining = false;
 		life.began_ms = host->started_ms;
@@ -235,17 +259,13 @@
 	snprintf(out, len, "i-%u-%u", worker->index, identifier);
 }
 
-static unsigned int worker_rack(const struct fleethost *worker)
-{
-	return worker->index / 3;
-}
-
 static bool start_host(struct fleethosts *fleet, struct fleethost *host)
 {
 	const char *const node[] = {host->role == ROLE_ENTRY ? "entry" : "agent", "--config",
 				    host->settings, NULL};
 	g_autofree char *journal = g_strdup_printf("%s/store.journal", proc_log_folder());
 	char id[24];
+	char zone[16];
 	g_autofree char *late_calls = g_strdup_printf("%s/%s.late", proc_log_folder(), host->name);
 	g_autofree char *seed = g_strdup_printf(
 		"%" PRIu64, fleet->seed * 10000 + host->index * 100 + host->processes);
@@ -263,9 +283,11 @@
 		late_calls,
 		seed,
 		clock_back,
+		zone,
 		NULL};
 
 	worker_id(host, host->identifiers, id, sizeof(id));
+	zone_name(fleet, worker_rack(host), zone, sizeof(zone));
 	fleethosts_log(fleet, "start %s", host->name);
 	if (host->role == ROLE_STORE)
 		return spawn(fleet, host, "fake_platform", store);
@@ -305,7 +327,8 @@
 	if (!life->born_ms)
 		return false;
 	lasted_ms = (life->ended_ms ? life->ended_ms : util_clock_ms()) - life->began_ms;
-	*out = (struct badinput_worker){.service = "s", .zone = "z", .kind = "a"};
+	*out = (struct badinput_worker){.service = "s", .kind = "a"};
+	zone_name(fleet, worker_rack(worker), out->zone, sizeof(out->zone));
 	worker_id(worker, life->identifier, out->id, sizeof(out->id));
 	snprintf(out->rack, sizeof(out->rack), "r%u", worker_rack(worker));
 	snprintf(out->address, sizeof(out->address), "127.%u.0.%u:%u", fleet->network,
@@ -419,12 +442,64 @@
 	g_array_append_val(fleet->steps, step);
 }
 
+/* A key of an operator that the store has not acknowledged yet. */
+struct zone_call {
+	struct fleethosts *fleet;
+	unsigned int zone;
+	bool evacuate;
+	uint64_t sent_ms;
+};
+
+static void on_zone_answer(int status, int http_status, const char *body, size_t len, void *ctx)
+{
+	struct zone_call *call = ctx;
+	struct fleethosts *fleet = call->fleet;
+	struct fleethost *store = fleethosts_at(fleet, ROLE_STORE, 0);
+	bool stored = status == 0 && http_status == 200;
+	char zone[16];
+
+	zone_name(fleet, call->zone, zone, sizeof(zone));
+	fleethosts_log(fleet, "%s of %s %s", call->evacuate ? "evacuation" : "return", zone,
+		       stored ? "acknowledged" : "not acknowledged");
+	/* Which of two overlapping calls took effect last is not known. */
+	if (stored && call->evacuate && call->sent_ms > fleet->returned_ms)
+		fleetcheck_evacuated(fleet->check, zone, util_clock_ms());
+	else if (!stored && !call->evacuate)
+		fleethosts_later(fleet, RETRY_MS, ACTION_RETURN, store, call->zone);
+	talloc_free(call);
+}
+
+static void operate_zone(struct fleethosts *fleet, unsigned int number, bool evacuate)
+{
+	const struct fleethost *store = fleethosts_at(fleet, ROLE_STORE, 0);
+	struct zone_call *call = talloc_zero(fleet, struct zone_call);
+	struct httpc_request request = {.method = evacuate ? "PUT" : "DELETE",
+					.body = evacuate ? "{}" : "",
+					.body_len = evacuate ? 2 : 0,
+					.timeout_ms = 1000,
+					.done = on_zone_answer,
+					.ctx = call};
+	char zone[16];
+	char *url;
+
+	*call = (struct zone_call){fleet, number, evacuate, util_clock_ms()};
+	zone_name(fleet, number, zone, sizeof(zone));
+	url = talloc_asprintf(call, "http://%s/operator/op/evacuate/%s",
+			      fleethosts_address(fleet, NULL, store, PORT_STORE), zone);
+	request.url = url;
+	if (!evacuate) {
+		fleet->returned_ms = call->sent_ms;
+		fleetcheck_returned(fleet->check, zone, call->sent_ms);
+	}
+	httpc_start(fleet->http, &request);
+}
+
 static void take_step(struct fleethosts *fleet, const struct fleetstep *step)
 {
-	static const char *const names[] = {"kill",	  "terminate", "replace",     "crash",
-					    "freeze",	  "reload",    "reset",	      "descriptors",
-					    "ports",	  "clock",     "late orders", "drain",
-					    "store fault"};
+	static const char *const names[] = {"kill",   "terminate", "replace",	  "crash",
+					    "freeze", "reload",	   "reset",	  "descriptors",
+					    "ports",  "clock",	   "late orders", "drain",
+					    "notice", "evacuate",  "return",	  "store fault"};
 	struct fleethost *host = step->host;
 
 	if (step->action == ACTION_CLOCK) {
@@ -485,7 +560,16 @@
 		host->draining = host->draining || step->value;
 		put_number(fleet, host, PORT_WORKER, "/test/drain/", step->value);
 		break;
+	case ACTION_NOTICE:
+		host->draining = true;
+		put_number(fleet, host, PORT_WORKER, "/test/notice/", step->value);
+		break;
+	case ACTION_EVACUATE:
+	case ACTION_RETURN:
+		operate_zone(fleet, step->value, step->action == ACTION_EVACUATE);
+		break;
 	default:
+		fleet->store_fault = step->value != 0;
 		put_number(fleet, host, PORT_STORE, "/trouble/", step->value);
 		break;
 	}
@@ -639,6 +723,9 @@
 			fleethosts_later(fleet, 0, ACTION_DRAIN, host, 0);
 		if (host->role == ROLE_STORE)
 			fleethosts_later(fleet, RETRY_MS, ACTION_STORE_FAULT, host, 0);
+		for (unsigned int z = 0;
+		     host->role == ROLE_STORE && fleet->zoned && z < fleethosts_zones(fleet); z++)
+			fleethosts_later(fleet, RETRY_MS, ACTION_RETURN, host, z);
 	}
 	fleethosts_log(fleet, "the faults end");
 }
@@ -703,6 +790,24 @@
 	return fleethosts_at(fleet, ROLE_ENTRY, 0);
 }
 
+/* Whether a fault of the store or of a link to it or to a worker may delay a key or a start. */
+static bool is_disturbed(const struct fleethosts *fleet, uint64_t now_ms)
+{
+	bool disturbed = !is_free(&fleet->hosts[0]) || fleet->store_fault;
+
+	for (guint c = 0; c < fleet->cuts->len && !disturbed; c++) {
+		const struct fleetcut *cut = &g_array_index(fleet->cuts, struct fleetcut, c);
+
+		for (unsigned int i = 0; i < fleet->host_count; i++) {
+			enum fleetrole role = fleet->hosts[i].role;
+
+			if (role == ROLE_STORE || role == ROLE_WORKER)
+				disturbed |= cut->from_ms <= now_ms && (cut->from[i] || cut->to[i]);
+		}
+	}
+	return disturbed;
+}
+
 static void on_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
 		    void *ctx)
 {
@@ -714,6 +819,8 @@
 	for (unsigned int i = 0; i < fleet->host_count; i++)
 		check_process(fleet, &fleet->hosts[i], now_ms);
 	update_links(fleet, now_ms);
+	if (fleet->zoned && is_disturbed(fleet, now_ms))
+		fleetcheck_disturbed(fleet->check, now_ms);
 	if (now_ms >= fleet->next_poll_ms) {
 		poll_leader(fleet);
 		fleet->next_poll_ms = now_ms + LEADER_POLL_MS;
@@ -726,7 +833,8 @@
 }
 
 struct fleethosts *fleethosts_start(struct tevent_context *ev, struct fleetcheck *check,
-				    unsigned int entries, unsigned int workers, uint64_t seed)
+				    unsigned int entries, unsigned int workers, bool zoned,
+				    uint64_t seed)
 {
 	struct fleethosts *fleet = talloc_zero(ev, struct fleethosts);
 	g_autofree char *events = g_strdup_printf("%s/events.log", proc_log_folder());
@@ -736,6 +844,7 @@
 	fleet->seed = seed;
 	fleet->entries = entries;
 	fleet->workers = workers;
+	fleet->zoned = zoned;
 	fleet->events = fopen(events, "w");
 	if (!fleet->events || !take_network(fleet)) {
 		perror(events);
--- a/tests/lib_fleethosts.h
+++ b/tests/lib_fleethosts.h
@@ -48,6 +48,9 @@
 	ACTION_CLOCK,	    /* of a worker's host: set back by value until the next step */
 	ACTION_LATE_ORDERS, /* value: duration */
 	ACTION_DRAIN,	    /* value: on or off */
+	ACTION_NOTICE,	    /* of a worker: it drains and says that it leaves after value */
+	ACTION_EVACUATE,    /* of the store: value: number of the zone */
+	ACTION_RETURN,	    /* of the store: value: number of the zone */
 	ACTION_STORE_FAULT, /* value: enum memkv_fault */
 };
 
@@ -103,6 +106,9 @@
 	unsigned int network; /* second byte of all addresses */
 	unsigned int entries;
 	unsigned int workers;
+	bool zoned; /* each rack is a zone, which operators may evacuate; otherwise there is one */
+	uint64_t returned_ms; /* when the latest return of a zone was requested */
+	bool store_fault;     /* the store has a fault of enum memkv_fault */
 	struct fleethost hosts[FLEETHOSTS_MAX];
 	unsigned int host_count;
 	GArray *links;
@@ -114,13 +120,20 @@
 	char leader[32];
 };
 
-/** fleethosts_start() - start the proxies and processes; NULL if no network is free */
+/**
+ * fleethosts_start() - start the proxies and processes; NULL if no network is free
+ * @zoned: each rack is a zone of its own, and the entries follow evacuations
+ */
 struct fleethosts *fleethosts_start(struct tevent_context *ev, struct fleetcheck *check,
-				    unsigned int entries, unsigned int workers, uint64_t seed);
+				    unsigned int entries, unsigned int workers, bool zoned,
+				    uint64_t seed);
 
 /** fleethosts_stop() - kill all processes */
 void fleethosts_stop(struct fleethosts *fleet);
 
+/** fleethosts_zones() - number of zones */
+unsigned int fleethosts_zones(const struct fleethosts *fleet);
+
 unsigned int fleethosts_count(const struct fleethosts *fleet, enum fleetrole role);
 struct fleethost *fleethosts_at(struct fleethosts *fleet, enum fleetrole role, unsigned int index);
 
--- a/tests/test_fleetcheck.c
+++ b/tests/test_fleetcheck.c
@@ -131,6 +131,50 @@
 	}
 }
 
+/* Guards against starts in an evacuated zone that are not noticed, or are allowed ones. */
+static void test_evacuated(void)
+{
+	static const struct {
+		const char *zone;
+		uint64_t returned_ms;  /* 0: it was not */
+		uint64_t disturbed_ms; /* 0: it was not */
+		const char *line;      /* of an evacuation at 1000 */
+		bool found;
+	} cases[] = {
+		{"z", 0, 0, "start j.0.0.0 1 6000 10000", false},
+		{"z", 0, 0, "start j.0.0.0 1 6001 10001", true},
+		{"y", 0, 0, "start j.0.0.0 1 6001 10001", false},
+		{"z", 6001, 0, "start j.0.0.0 1 6001 10001", false},
+		{"z", 6002, 0, "start j.0.0.0 1 6001 10001", true},
+		{"z", 0, 5000, "start j.0.0.0 1 12000 16000", false},
+		{"z", 0, 5000, "start j.0.0.0 1 12001 16001", true},
+		{"z", 0, 13000, "start j.0.0.0 1 6001 10001", true},
+		/* Ordered at 5000 and carried out late. */
+		{"z", 0, 0, "late 9000 x\nstart j.0.0.0 1 9000 9000", false},
+		{"z", 0, 0, "late 9000 x\nstart j.0.0.0 1 9000 13000", true},
+		{"z", 0, 0, "late 9000 x\nseen 1 9000\nstart j.0.0.0 1 9000 9000", true},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct fleetcheck *check = fleetcheck_create(0);
+		g_auto(GStrv) lines = g_strsplit(cases[i].line, "\n", 0);
+		unsigned int worker = fleetcheck_worker(check, "w");
+
+		fleetcheck_zone(check, worker, "z");
+		fleetcheck_evacuated(check, cases[i].zone, 1000);
+		if (cases[i].returned_ms)
+			fleetcheck_returned(check, cases[i].zone, cases[i].returned_ms);
+		if (cases[i].disturbed_ms)
+			fleetcheck_disturbed(check, cases[i].disturbed_ms);
+		for (size_t k = 0; lines[k]; k++)
+			fleetcheck_line(check, worker, lines[k]);
+		fleetcheck_run(check);
+		CU_ASSERT_EQUAL(fleetcheck_count(check, "start in an evacuated zone"),
+				cases[i].found);
+		fleetcheck_free(check);
+	}
+}
+
 /* Guards against an accepted job that never ends and is not noticed. */
 static void test_not_completed(void)
 {
@@ -157,6 +201,7 @@
 	CU_initialize_registry();
 	suite = CU_add_suite("fleetcheck", NULL, NULL);
 	CU_add_test(suite, "rows", test_rows);
+	CU_add_test(suite, "evacuated", test_evacuated);
 	CU_add_test(suite, "not_completed", test_not_completed);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
