httpd: Count a body of just the small size as a small one

The budget now counts bodies without it. unfinished_bodies compared the use with more than two bodies, which held by the terminators only; it now compares it with exactly two.

--- a/src/httpd.c
+++ b/src/httpd.c
@@ -198,7 +198,8 @@
 	if (httpd->limits.bodies) {
 		if (call->budget == BODYBUDGET_NONE)
 			call->budget = bodybudget_open(httpd->limits.bodies, call, util_clock_ms());
-		if (!bodybudget_reserve(httpd->limits.bodies, call->budget, capacity,
+		/* Without the terminator, so that a body of just the small size is a small one. */
+		if (!bodybudget_reserve(httpd->limits.bodies, call->budget, capacity - 1,
 					util_clock_ms()))
 			return false;
 	}
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -113,6 +113,7 @@
 
 #define BODY_MAX 8192
 #define BUDGET_BYTES (3 * (BODY_MAX + 1))
+#define SMALL_BODY 512
 #define IDLE_MS 300
 
 /* A server whose limits a few clients reach. */
@@ -120,7 +121,7 @@
 {
 	struct fixture *f = talloc_zero(NULL, struct fixture);
 	struct httpd_handlers handlers = {answers ? answer_call : hold_call, on_disconnect, f};
-	struct bodybudget_limits budget = {BUDGET_BYTES, 1024, 512};
+	struct bodybudget_limits budget = {BUDGET_BYTES, 1024, SMALL_BODY};
 	struct httpd_limits limits = {
 		.body_max = BODY_MAX, .connections_max = connections_max, .body_idle_ms = IDLE_MS};
 	struct err err = {0};
@@ -213,6 +214,24 @@
 	close(larger);
 }
 
+/* Guards against a small body of exactly the limit that gets no part of the small ones' share. */
+static void test_small_body_at_limit(void)
+{
+	struct fixture *f = set_up_limited(8, false);
+	int calls[4] = {post(f, BODY_MAX, BODY_MAX), post(f, BODY_MAX, BODY_MAX),
+			post(f, 7000, 7000)};
+
+	memkv_run(f->ev, 50);
+	CU_ASSERT_EQUAL(f->held, 3);
+	calls[3] = post(f, SMALL_BODY, SMALL_BODY);
+	memkv_run(f->ev, 50);
+	CU_ASSERT_EQUAL(f->held, 4);
+	CU_ASSERT_EQUAL(count_refused(f, "body_budget"), 0);
+	talloc_free(f);
+	for (int i = 0; i < 4; i++)
+		close(calls[i]);
+}
+
 /*
  * Guards against a call that takes effect although its connection was closed in favour of another
  * one: its last byte had arrived before, and its answer can't be sent.
@@ -271,7 +290,7 @@
 	for (int i = 0; i < 3; i++)
 		stalled[i] = post(f, BODY_MAX, BODY_MAX - 1);
 	memkv_run(f->ev, 250);
-	CU_ASSERT(bodybudget_used(f->bodies) > 2 * BODY_MAX);
+	CU_ASSERT_EQUAL(bodybudget_used(f->bodies), 2 * BODY_MAX);
 	whole = post(f, BODY_MAX, BODY_MAX);
 	memkv_run(f->ev, 50);
 	CU_ASSERT_EQUAL(read_status(whole), 200);
@@ -303,6 +322,7 @@
 	CU_add_test(suite, "freed_with_open_calls", test_freed_with_open_calls);
 	CU_add_test(suite, "caller_gone", test_caller_gone);
 	CU_add_test(suite, "body_at_limit", test_body_at_limit);
+	CU_add_test(suite, "small_body_at_limit", test_small_body_at_limit);
 	CU_add_test(suite, "no_call_of_closed_connection", test_no_call_of_closed_connection);
 	CU_add_test(suite, "waiting_calls_stay", test_waiting_calls_stay);
 	CU_add_test(suite, "unfinished_bodies", test_unfinished_bodies);
