--- a/bench/measure_fleet_faults.c
+++ b/bench/measure_fleet_faults.c
@@ -23,8 +23,8 @@
 #define SERIES_MOST 5
 #define SERIES_GAP_MAX_MS 600
 #define FOCUS_FACTOR 12
-#define EVACUATION_GAP_MIN_S 2 /* between the beginnings of two evacuations */
-#define EVACUATION_GAP_MAX_S 7
+#define ZONE_FAULT_GAP_MIN_S 2 /* between the beginnings of two evacuations */
+#define ZONE_FAULT_GAP_MAX_S 7
 #define NOTICE_MS 2000	  /* of a worker that leaves */
 #define RECOVERY_MS 60000 /* for all accepted jobs to end after the faults */
 #define SETTLE_MS 2000	  /* for starts after all jobs have ended */
@@ -605,19 +605,6 @@
 	later(again_at + random_ms(2000, 9000), ACTION_RETURN, store, zone);
 }
 
-/* Beside the other faults, which would crowd it out of short runs. */
-static void on_evacuation(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
-			  void *ctx)
-{
-	if (soak.next_fault_ms == UINT64_MAX)
-		return;
-	evacuate_zone();
-	tevent_add_timer(ev, ev,
-			 tevent_timeval_current_ofs(
-				 random_ms(EVACUATION_GAP_MIN_S, EVACUATION_GAP_MAX_S), 0),
-			 on_evacuation, NULL);
-}
-
 /* Workers say in their heartbeats when they will leave, and another one takes their place. */
 static void leave_at_short_notice(void)
 {
@@ -629,6 +616,21 @@
 	}
 }
 
+/* Beside the other faults, which would crowd these out of short runs. */
+static void on_zone_fault(struct tevent_context *ev, struct tevent_timer *te, struct timeval now,
+			  void *ctx)
+{
+	if (soak.next_fault_ms == UINT64_MAX)
+		return;
+	evacuate_zone();
+	if (chance(50))
+		leave_at_short_notice();
+	tevent_add_timer(ev, ev,
+			 tevent_timeval_current_ofs(
+				 random_ms(ZONE_FAULT_GAP_MIN_S, ZONE_FAULT_GAP_MAX_S), 0),
+			 on_zone_fault, NULL);
+}
+
 /* Faults that led to an incident are more frequent. */
 static const struct {
 	void (*begin)(void);
@@ -668,7 +670,7 @@
 	{replay_heartbeats_of_replaced, 8, 4, FOCUS_INPUT},
 	{drain_after_false_number, 6, 4, FOCUS_INPUT},
 	{send_unfinished_bodies, 8, 5, FOCUS_INPUT},
-	{leave_at_short_notice, 16, 6, FOCUS_WORKERS},
+	{leave_at_short_notice, 8, 6, FOCUS_WORKERS},
 };
 
 static unsigned int weight_of(size_t kind)
@@ -804,7 +806,7 @@
 	run_for(START_MS / 4);
 	soak.next_fault_ms = 0;
 	if (soak.fleet->zoned)
-		on_evacuation(soak.ev, NULL, tevent_timeval_zero(), NULL);
+		on_zone_fault(soak.ev, NULL, tevent_timeval_zero(), NULL);
 	run_for(soak.args.seconds * 1000ULL);
 	fleethosts_end_faults(soak.fleet);
 	soak.next_fault_ms = UINT64_MAX;
