coord: Keep a zone closed for an agent that is given a session

The orders that give a session said nothing of the zone, so a process that reported anew in an evacuated zone could repeat a start that was held back. Found by review; test_coord/session_in_closed_zone fails without the change. Measured: test_coord, 842 checks, passes.

--- a/src/coord.c
+++ b/src/coord.c
@@ -94,12 +94,21 @@
 	talloc_free(text);
 }
 
+static bool zones_are_unknown(struct coord *coord);
+
+/* True if nothing may be started on the agent's worker, as its zone is or may be evacuated. */
+static bool is_closed(struct coord *coord, const struct agent_row *row)
+{
+	return zones_are_unknown(coord) || plan_worker_closed(coord->plan, row->node);
+}
+
 /* Gives a session to a process of the agent, which then reports again. */
 static void issue_session(struct coord *coord, struct agent_row *row, const char *peer)
 {
 	struct fleet_orders orders = {
 		.incarnation = "",
 		.report_ms = report_interval_ms(g_hash_table_size(coord->agents)),
+		.closed = is_closed(coord, row),
 	};
 
 	if (!row->issued_to || strcmp(row->issued_to, peer) != 0) {
@@ -148,7 +157,7 @@
 		.ends_stored = row->ends_stored,
 		.report_ms = report_interval_ms(g_hash_table_size(coord->agents)),
 		.unsure = coord->ending || leader_renewal_overdue(coord->deps.leader),
-		.closed = zones_are_unknown(coord) || plan_worker_closed(coord->plan, row->node),
+		.closed = is_closed(coord, row),
 		.health_path = plan_health_path(coord->plan, row->node),
 	};
 
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -1384,6 +1384,27 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against an agent that forgets that its zone is closed when it gets a session, and repeats
+ * a start then.
+ */
+static void test_session_in_closed_zone(void)
+{
+	struct fixture *f = set_up("");
+	struct agent *agent = &f->agents[0];
+
+	f->zones = zones_create(f);
+	f->zones_age_ms = UINT64_MAX;
+	elect_leader(f);
+	agent->ended = true; /* it does not report again */
+	deliver_report(agent, compose_report(f, 0, true, NULL, NULL));
+	RUN_UNTIL(f, agent->orders);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(agent->orders);
+	CU_ASSERT_TRUE(agent->orders->session > 0);
+	CU_ASSERT_TRUE(agent->orders->closed);
+	tear_down(f);
+}
+
 /* Guards against orders that let an agent start in an evacuated zone, and against none later. */
 static void test_evacuated_zone(void)
 {
@@ -1488,6 +1509,7 @@
 		{"end_is_told_to_agents", test_end_is_told_to_agents},
 		{"starts_nothing_before_zones_are_known",
 		 test_starts_nothing_before_zones_are_known},
+		{"session_in_closed_zone", test_session_in_closed_zone},
 		{"evacuated_zone", test_evacuated_zone},
 		{"overdue_zones", test_overdue_zones},
 		{"pause_after_decision", test_pause_after_decision},
