--- a/tests/test_fleet_sim.c
+++ b/tests/test_fleet_sim.c
@@ -15,6 +15,9 @@
  * agent's controllers are the real ones. Guards against two runs of one task, starts out of order,
  * starts without room, runs of cancelled jobs and jobs that never end.
  *
+ * Without arguments all tests are run; --days-with-faults and --days-with-idle-room each run a part
+ * of them, which ctest runs side by side.
+ *
  * test_fleet_sim FIRST COUNT [-v] [--new-ids] [--no-crashes] [--faults KIND,KIND...] [--ends MAX]
  * [--partitions] [--announcements] [--some-announcements] [--idle] [--detection] plays other seeds
  * by hand. --idle plays the days of sim_idle.h and prints for what steps waited.
@@ -313,19 +316,28 @@
 
 int main(int argc, char **argv)
 {
+	bool faults = argc < 2 || !strcmp(argv[1], "--days-with-faults");
+	bool idle = argc < 2 || !strcmp(argv[1], "--days-with-idle-room");
 	CU_pSuite suite;
 	unsigned int failures;
 
 	if (argc > 2)
 		return play_by_hand(argc, argv);
+	if (!faults && !idle) {
+		fprintf(stderr, "unknown option %s\n", argv[1]);
+		return 2;
+	}
 	CU_initialize_registry();
 	suite = CU_add_suite("fleet_sim", NULL, NULL);
-	CU_add_test(suite, "random_days", test_random_days);
-	CU_add_test(suite, "late_calls", test_late_calls);
-	CU_add_test(suite, "lists_cut_short", test_lists_cut_short);
-	CU_add_test(suite, "partitions", test_partitions);
-	CU_add_test(suite, "announcements_of_others", test_announcements_of_others);
-	CU_add_test(suite, "idle_room", test_idle_room);
+	if (faults) {
+		CU_add_test(suite, "random_days", test_random_days);
+		CU_add_test(suite, "late_calls", test_late_calls);
+		CU_add_test(suite, "lists_cut_short", test_lists_cut_short);
+		CU_add_test(suite, "partitions", test_partitions);
+		CU_add_test(suite, "announcements_of_others", test_announcements_of_others);
+	}
+	if (idle)
+		CU_add_test(suite, "idle_room", test_idle_room);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
 	CU_cleanup_registry();
