--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,13 @@
+#!/bin/bash
+# Builds the stand-ins of review/11 to 15 into target/review-3, with the packages of deploy/system.toml only.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-3
+packages="talloc tevent libzmq libmicrohttpd libcurl glib-2.0 jansson"
+for source in tests/fake_platform.c tests/fake_minion.c review/stand-3/*.c; do
+	# shellcheck disable=SC2046
+	gcc -std=gnu11 -O2 -Isrc -Iplatform -Itests $(pkg-config --cflags $packages) "$source" \
+		tests/lib_memkv.c src/{httpd,httpc,util,log,metrics,bodybudget,err,fields}.c \
+		$(pkg-config --libs $packages) -lpthread -lm \
+		-o "target/review-3/$(basename "$source" .c)"
+done
