--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -21,13 +21,16 @@
 	done
 }
 
-for ((n = 1; n <= 20; n++)); do add_minion "$n"; done
+for ((n = 1; n <= 32; n++)); do add_minion "$n"; done
 entry entry1 2
 entry entry2 3
 submit 1 12 300
 sleep 4
-for ((n = 21; n <= 26; n++)); do add_minion "$n"; done
-for ((n = 21; n <= 26; n++)); do
+for ((n = 33; n <= 41; n++)); do
+	add_minion "$n"
+	sleep 0.2
+done
+for ((n = 33; n <= 41; n++)); do
 	until_true 10 in_log "agent$n" worker_found || cannot_run "agent$n"
 done
 sleep 2
