--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -8,7 +8,7 @@
 sed 's/count >= ACCELERATORS/false/; s/^#define ENDS_MAX .*/#define ENDS_MAX 65536/' tests/fake_minion.c \
 	>target/review-3/large_minion.c
 for source in tests/fake_platform.c tests/fake_minion.c target/review-3/large_minion.c review/stand-3/*.c; do
-	# shellcheck disable=SC2046
+	# shellcheck disable=SC2046,SC2086
 	gcc -std=gnu11 -O2 -Isrc -Iplatform -Itests $(pkg-config --cflags $packages) "$source" \
 		tests/lib_memkv.c src/{httpd,httpc,util,log,metrics,bodybudget,err,fields}.c \
 		$(pkg-config --libs $packages) -lpthread -lm \
--- a/review/stand-3/store.c
+++ b/review/stand-3/store.c
@@ -27,7 +27,11 @@
 	struct httpd_call *call;
 };
 
-static enum { SOUND, LOSE_ELECTIONS, LOSE_GRANTS } mode;
+static enum {
+	SOUND,
+	LOSE_ELECTIONS,
+	LOSE_GRANTS
+} mode;
 static json_t *late[8];
 static size_t late_count;
 static uint64_t late_since_ms; /* first lost write; in LOSE_GRANTS: when they were carried out */
@@ -119,7 +123,8 @@
 static void on_store_call(struct httpd_call *call, void *ctx)
 {
 	const char *path = httpd_path(call);
-	bool reads_term = !strcmp(path, "/v1/kv-key") && !strcmp(query_argument(call, "key"), "term");
+	bool reads_term =
+		!strcmp(path, "/v1/kv-key") && !strcmp(query_argument(call, "key"), "term");
 
 	if (!strcmp(path, "/test/arm")) {
 		mode = LOSE_ELECTIONS;
