leader: Begin the term that a found key names

Cause: a process whose write of the leader key got no answer, and that found its key later through its watch, began the term of its next attempt. It had read the counter of terms again meanwhile, so the key and the counter said term 1 while it led in term 2, and the next process that was elected got term 2 as well. A record of the same term counts as one from outside the election, so each wrote its own over the other's.

Change: the process remembers the range of terms it has tried to gain, reads the term from the key that it finds, and is certain of nothing before it has renewed the lease of that key. Related paths use the same rule: the conflict of a later attempt, and the key of an attempt before the latest one, which it did not know for its own. An election that is under way when the key is found ends, and a lease that is granted to it afterwards is given back.

--- a/src/leader.c
+++ b/src/leader.c
@@ -68,12 +68,15 @@
 	bool rewriting; /* the key is being written again, see end_possible_resignation() */
 	bool resignation_unknown; /* the outcome of a request to a peer is unknown */
 	uint64_t next_term;
+	/* Range of terms whose key this process may have written; it has led none of them yet. */
+	uint64_t tried_from;
+	uint64_t tried_to;   /* 0: it has never tried */
+	int64_t tried_lease; /* of the latest attempt to write the key */
 	int64_t term_revision;
 	int64_t revision;	  /* of the leader key, while this is the leader */
 	uint64_t renewal_sent_ms; /* when the latest renewal was sent */
 	uint64_t confirmed_ms;
 	bool renewal_failed; /* by the latest answer to a renewal; a late answer is no failure */
-	char *key_value;     /* latest leader value that this process tried to write */
 	int64_t unreadable_revision; /* of a leader key with an unusable value; 0: it is usable */
 	uint64_t heard_term;	     /* latest term of another leader that an agent has reported */
 };
@@ -121,6 +124,7 @@
 		return;
 	log_warn("leader_lost", "", "term %" PRIu64 " ends: %s", leader->term, why);
 	TALLOC_FREE(leader->renewal_check);
+	leader->tried_from = leader->term + 1;
 	leader->term = 0;
 	leader->lease = 0;
 	leader->maybe_resigned_ms = 0;
@@ -189,43 +193,96 @@
 		leader->maybe_resigned_ms = 0;
 }
 
+/* Value of the leader key in a term of this process. */
+static char *key_value(TALLOC_CTX *mem, const struct leader *leader, uint64_t term)
+{
+	json_t *value = json_pack("{s:s, s:s, s:I}", "node", leader->node, "address",
+				  leader->address, "term", (json_int_t)term);
+	char *text = json_dumps(value, JSON_COMPACT);
+	char *copy = talloc_strdup(mem, text);
+
+	free(text);
+	json_decref(value);
+	return copy;
+}
+
 /*
- * Continues with the stored key of this process, whose write may have got no answer. If a late
- * write has bound the key to an earlier lease, that lease is the one to renew, and nothing is
- * certain before its renewal.
+ * The term of a leader key that this process has written, by its latest attempt or by an earlier
+ * one that was carried out late; 0 if the key is not its own or its term must not begin.
  */
-static void adopt_key(struct leader *leader, const struct kv_item *item)
+static uint64_t own_term(const struct leader *leader, const struct kv_item *item)
 {
-	leader->revision = item->revision;
-	if (item->lease == 0 || item->lease == leader->lease)
-		return;
-	log_info("leader_lease", "", "the leader key belongs to an earlier lease of this process");
-	leader->lease = item->lease;
-	leader->confirmed_ms = 0;
-	advance_after(leader, 0);
+	struct leader_record *record = leader_record_read(NULL, item);
+	uint64_t term = record ? record->term : 0;
+	char *own = key_value(NULL, leader, term);
+	bool may_begin = term >= leader->tried_from && term <= leader->tried_to &&
+			 term > leader->heard_term && term != leader->resigned_term;
+
+	if (strcmp(item->value, own) != 0 || (term != leader->term && !may_begin))
+		term = 0;
+	talloc_free(own);
+	talloc_free(record);
+	return term;
 }
 
-static void become_leader(struct leader *leader, int64_t revision)
+/*
+ * The leader key is that of a term of this process. The term is the one that the key names: no
+ * other process gets that one, while the counter may have been read again since the key was
+ * written.
+ *
+ * @confirmed_ms: see struct leader; 0: nothing is certain before the lease is renewed
+ */
+static void hold_key(struct leader *leader, uint64_t term, int64_t revision, int64_t lease,
+		     uint64_t confirmed_ms)
 {
-	bool again = leader->term == leader->next_term;
+	bool again = leader->term == term;
 
+	if (!again)
+		end_term(leader, "this process has written the key of a later term");
 	leader->revision = revision;
+	leader->lease = lease;
 	leader->vacant = false;
 	leader->replaceable_revision = 0;
 	leader->maybe_resigned_ms = 0;
 	leader->resignation_unknown = false;
-	record_confirmation(leader);
+	leader->confirmed_ms = confirmed_ms;
+	leader->renewal_failed = false;
+	advance_after(leader, confirmed_ms ? leader->ttl_ms / RENEWALS_PER_LEASE : 0);
 	if (again)
 		return;
-	leader->term = leader->next_term;
+	leader->term = term;
 	schedule_renewal_check(leader);
 	log_info("leader_gained", "", "term %" PRIu64, leader->term);
 	leader->handlers.on_gained(leader->term, leader->handlers.ctx);
 }
 
+/* Begins the term of a key whose write got no answer. */
+static void begin_found_term(struct leader *leader, uint64_t term, const struct kv_item *item)
+{
+	log_info("leader_found", "",
+		 "the key of term %" PRIu64 " was written by an attempt without an answer", term);
+	hold_key(leader, term, item->revision, item->lease ? item->lease : leader->lease, 0);
+}
+
 /*
- * After a lost answer, the leader key shows whether the attempt took effect. Returns false if it
- * did not, or if a resignation of the term is stored.
+ * Continues the term with its stored key, whose write may have got no answer. If a late write has
+ * bound the key to an earlier lease, that lease is the one to renew, and nothing is certain before
+ * its renewal.
+ */
+static void adopt_key(struct leader *leader, const struct kv_item *item)
+{
+	leader->revision = item->revision;
+	if (item->lease == 0 || item->lease == leader->lease)
+		return;
+	log_info("leader_lease", "", "the leader key belongs to an earlier lease of this process");
+	leader->lease = item->lease;
+	leader->confirmed_ms = 0;
+	advance_after(leader, 0);
+}
+
+/*
+ * After a lost answer, the leader key shows whether an attempt took effect. Returns false if none
+ * did, or if a resignation of the term is stored.
  */
 static bool take_own_key(struct leader *leader, const struct kv_result *result)
 {
@@ -237,13 +294,12 @@
 
 		if (item->revision == 0)
 			continue;
-		if (!strcmp(item->key, LEADER_KEY) && !strcmp(item->value, leader->key_value))
+		if (!strcmp(item->key, LEADER_KEY) && own_term(leader, item))
 			own = item;
 		resigned = resigned || g_str_has_prefix(item->key, RESIGNED_PREFIX);
 	}
 	if (own && !resigned) {
-		become_leader(leader, own->revision);
-		adopt_key(leader, own);
+		begin_found_term(leader, own_term(leader, own), own);
 		return true;
 	}
 	/* A resignation of a term that has not begun: the term is left out. */
@@ -260,13 +316,14 @@
 	if (!leader || leader->resigned)
 		return; /* leader_resign() ends the lease */
 	if (status == 0) {
-		become_leader(leader, result->revision);
+		hold_key(leader, leader->next_term, result->revision, leader->tried_lease,
+			 leader->renewal_sent_ms);
 		return;
 	}
 	if (status == -ERR_CONFLICT && take_own_key(leader, result))
 		return;
 	/* No key is known to belong to this lease, so a renewal would confirm nothing. */
-	if (leader->term && leader->vacant)
+	if (leader->term && (leader->vacant || leader->replaceable_revision))
 		leader->lease = 0;
 	advance_after(leader, RETRY_MS);
 }
@@ -285,22 +342,21 @@
 	const char *removes[1] = {resigned};
 	struct kv_txn txn = {
 		.expects = expects, .expect_count = 3, .puts = puts, .removes = removes};
-	json_t *value = json_pack("{s:s, s:s, s:I}", "node", leader->node, "address",
-				  leader->address, "term", (json_int_t)leader->next_term);
-	char *text = json_dumps(value, JSON_COMPACT);
+	char *value = key_value(NULL, leader, leader->next_term);
 
-	talloc_free(leader->key_value);
-	leader->key_value = talloc_strdup(leader, text);
-	free(text);
-	json_decref(value);
+	if (!leader->tried_to)
+		leader->tried_from = leader->next_term;
+	leader->tried_to = leader->next_term;
+	leader->tried_lease = leader->lease;
 	snprintf(term_text, sizeof(term_text), "%" PRIu64, leader->next_term);
-	puts[0].value = leader->key_value;
+	puts[0].value = value;
 	/* A leader that continues its own term does not increment the counter. */
 	txn.put_count = again ? 1 : 2;
 	/* The next leader removes the resignation of the one it replaces. */
 	txn.remove_count = !leader->term && leader->resigned_term > 0 &&
 			   leader->resigned_term == leader->next_term - 1;
 	leader->kv->ops->txn(leader->kv->impl, &txn, begin_call(leader, on_leader_key_written));
+	talloc_free(value);
 	talloc_free(resigned);
 	talloc_free(own_resignation);
 }
@@ -311,6 +367,12 @@
 		log_info("leader_resign", "", "the lease could not be revoked; it will expire");
 }
 
+/* True if the key of an earlier attempt was found during an election, which then ends. */
+static bool holds_key(const struct leader *leader)
+{
+	return leader->term && leader->lease;
+}
+
 static void on_lease_granted(int status, const struct kv_result *result, void *ctx)
 {
 	struct leader *leader = end_call(ctx);
@@ -321,9 +383,11 @@
 		advance_after(leader, RETRY_MS);
 		return;
 	}
-	if (leader->resigned) {
+	if (leader->resigned || holds_key(leader)) {
 		leader->kv->ops->lease_end(leader->kv->impl, result->lease,
 					   (struct kv_cb){on_lease_revoked, NULL});
+		if (!leader->resigned)
+			advance_after(leader, 0);
 		return;
 	}
 	leader->lease = result->lease;
@@ -356,8 +420,8 @@
 
 	if (!leader || leader->resigned)
 		return;
-	if (status) {
-		advance_after(leader, RETRY_MS);
+	if (status || holds_key(leader)) {
+		advance_after(leader, status ? RETRY_MS : 0);
 		return;
 	}
 	leader->term_revision = 0;
@@ -387,7 +451,7 @@
 		} else if (item->revision == 0) {
 			leader->lease = 0;
 			leader->vacant = true;
-		} else if (strcmp(item->value, leader->key_value) != 0) {
+		} else if (own_term(leader, item) != leader->term) {
 			end_term(leader, "another process was elected");
 			break;
 		} else {
@@ -424,11 +488,13 @@
 {
 	char *resigned = resigned_key(NULL, leader->term);
 	struct kv_expect expects[2] = {leader_expect(leader), {resigned, 0}};
-	struct kv_put put = {LEADER_KEY, leader->key_value, leader->lease};
+	char *value = key_value(NULL, leader, leader->term);
+	struct kv_put put = {LEADER_KEY, value, leader->lease};
 	struct kv_txn txn = {.expects = expects, .expect_count = 2, .puts = &put, .put_count = 1};
 
 	leader->rewriting = true;
 	leader->kv->ops->txn(leader->kv->impl, &txn, begin_call(leader, on_key_rewritten));
+	talloc_free(value);
 	talloc_free(resigned);
 }
 
@@ -502,7 +568,7 @@
 static void note_stale_key(struct leader *leader, const struct kv_item *item, const char *node)
 {
 	leader->replaceable_revision =
-		!leader->key_value && !strcmp(node, leader->node) ? item->revision : 0;
+		!leader->tried_to && !strcmp(node, leader->node) ? item->revision : 0;
 	if (!leader->replaceable_revision)
 		return;
 	log_info("leader_stale", "", "the leader key is left from an earlier process of this node");
@@ -597,7 +663,7 @@
 			      const struct leader_record *record)
 {
 	bool foreign = leader->term && item->revision > leader->revision &&
-		       record->term <= leader->term && strcmp(item->value, leader->key_value) != 0;
+		       record->term <= leader->term && own_term(leader, item) != leader->term;
 
 	if (foreign)
 		log_once("leader_unreadable", item->key,
@@ -609,6 +675,7 @@
 {
 	struct leader *leader = ctx;
 	struct leader_record *record;
+	uint64_t own;
 
 	if (g_str_has_prefix(item->key, RESIGNED_PREFIX))
 		note_resignation(leader, item);
@@ -626,19 +693,14 @@
 		handle_unreadable_key(leader, item);
 		return;
 	}
-	if (leader->term && record->term > leader->term)
+	/* If the key is its own, the answer to the attempt that wrote it was lost. */
+	own = own_term(leader, item);
+	if (leader->term && record->term > leader->term && !own)
 		end_term(leader, "another process was elected");
-	/* This process wrote the key, but the answer to its attempt was lost. */
-	if (leader->term && !strcmp(item->value, leader->key_value))
+	if (own && own == leader->term)
 		adopt_key(leader, item);
-	if (!leader->term && leader->lease && leader->key_value &&
-	    !strcmp(item->value, leader->key_value) && !leader->resigned) {
-		become_leader(leader, item->revision);
-		adopt_key(leader, item);
-		/* The key does not show when its lease was granted. */
-		leader->confirmed_ms = 0;
-		advance_after(leader, 0);
-	}
+	else if (own && !leader->resigned)
+		begin_found_term(leader, own, item);
 	leader->known_term = record->term;
 	leader->known_revision = item->revision;
 	note_stale_key(leader, item, record->node);
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -1,8 +1,10 @@
 #include "leader.h"
 #include "lib_memkv.h"
+#include "util.h"
 
 #include <CUnit/Basic.h>
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define TTL_MS 600
@@ -472,6 +474,122 @@
 	talloc_free(f);
 }
 
+/* Node 0 alone, whose first write of the key is carried out late and reported by no watch yet. */
+static struct fixture *set_up_late_write(void)
+{
+	struct fixture *f = talloc_zero(NULL, struct fixture);
+	struct node *node = &f->nodes[0];
+
+	f->ev = tevent_context_init(f);
+	f->store = memkv_create(f, f->ev);
+	start_node(f, node);
+	node->client->fault = MEMKV_DELAY_TXNS;
+	node->client->late_write_ms = 100;
+	for (int i = 0; i < 1000 && node->client->writes == 0; i++)
+		memkv_run(f->ev, 1);
+	memkv_run(f->ev, 5);
+	node->client->fault = MEMKV_EMPTY_POLLS;
+	return f;
+}
+
+/*
+ * Guards against two leaders in one term: a process that had read the counter again led in the term
+ * after the one that its late write had stored, and so did the next process that was elected.
+ */
+static void test_late_write_before_next_attempt(void)
+{
+	struct fixture *f = set_up_late_write();
+	struct node *node = &f->nodes[0];
+
+	/* The watch reports the key while the grant of the next attempt gets no answer. */
+	use_other_grants(node, grant_first);
+	grants = 1;
+	for (int i = 0; i < 100 && !node->term; i++)
+		memkv_run(f->ev, 10);
+	CU_ASSERT_EQUAL(node->term, 1);
+	CU_ASSERT_STRING_EQUAL(memkv_value(f->store, "term"), "1");
+	/* It renews no lease while it waits for the answer, so another process is elected. */
+	start_node(f, &f->nodes[1]);
+	memkv_run(f->ev, TTL_MS + 900);
+	CU_ASSERT_EQUAL(f->nodes[1].term, 2);
+	CU_ASSERT_EQUAL(node->term, 0);
+	talloc_free(f);
+}
+
+/*
+ * Guards against a process that does not know the key of an earlier attempt for its own, so that
+ * nobody leads until the lease of that key ends.
+ */
+static void test_key_of_earlier_attempt(void)
+{
+	struct fixture *f = set_up_late_write();
+	struct node *node = &f->nodes[0];
+
+	/* The watch stays silent: the next attempt finds the key by its conflict. */
+	for (int i = 0; i < TTL_MS / 20 && !leader_confirmed(node->leader); i++)
+		memkv_run(f->ev, 10);
+	CU_ASSERT_EQUAL(node->term, 1);
+	CU_ASSERT_TRUE(leader_confirmed(node->leader));
+	for (int i = 0; i < 120; i++) {
+		memkv_run(f->ev, 10);
+		CU_ASSERT(!leader_confirmed(node->leader) || memkv_value(f->store, "leader"));
+	}
+	CU_ASSERT_EQUAL(node->lost, 0);
+	talloc_free(f);
+}
+
+/*
+ * Guards against two processes that gain the same term, or are both certain to lead, whichever
+ * answers of the store are lost, late or slow.
+ */
+static void check_random_faults(uint64_t seed, int steps)
+{
+	static const enum memkv_fault faults[] = {MEMKV_REJECT_CALLS, MEMKV_LOSE_ANSWERS,
+						  MEMKV_DELAY_WRITES, MEMKV_DELAY_TXNS,
+						  MEMKV_EMPTY_POLLS,  MEMKV_SLOW};
+	struct util_rng rng = {seed};
+	struct fixture *f = set_up();
+	GHashTable *leaders = g_hash_table_new(NULL, NULL); /* term: node */
+
+	for (int step = 0; step < steps; step++) {
+		int confirmed = 0;
+
+		for (int i = 0; i < 3 && step % 10 == 0; i++) {
+			struct memkv_client *client = f->nodes[i].client;
+			size_t drawn = (size_t)util_rng_below(&rng, 2 * G_N_ELEMENTS(faults));
+
+			client->fault =
+				drawn < G_N_ELEMENTS(faults) ? faults[drawn] : MEMKV_FAULT_NONE;
+			client->late_write_ms = (uint32_t)util_rng_below(&rng, 2 * TTL_MS);
+		}
+		memkv_run(f->ev, 10);
+		for (int i = 0; i < 3; i++) {
+			struct node *node = &f->nodes[i];
+			gpointer term = GUINT_TO_POINTER((guint)node->term);
+			gpointer first = g_hash_table_lookup(leaders, term);
+
+			confirmed += leader_confirmed(node->leader);
+			if (!node->term)
+				continue;
+			CU_ASSERT(!first || first == node);
+			g_hash_table_insert(leaders, term, node);
+		}
+		CU_ASSERT(confirmed <= 1);
+	}
+	g_hash_table_destroy(leaders);
+	talloc_free(f);
+}
+
+static char **seeds;
+
+static void test_random_faults(void)
+{
+	for (char **seed = seeds; *seed; seed++)
+		check_random_faults(strtoull(*seed, NULL, 10), 2000);
+	if (!*seeds)
+		check_random_faults(1, 500);
+}
+
 static void grant_at_shutdown(void *impl, uint32_t ttl_ms, struct kv_cb cb)
 {
 	if (grants++ == 0)
@@ -619,12 +737,14 @@
 	talloc_free(f);
 }
 
-int main(void)
+/* With arguments, each is a seed of check_random_faults(), and no other test is run. */
+int main(int argc, char **argv)
 {
 	CU_pSuite suite;
 	unsigned int failures;
 
 	CU_initialize_registry();
+	seeds = argv + 1;
 	suite = CU_add_suite("leader", NULL, NULL);
 	CU_add_test(suite, "one_leader", test_one_leader);
 	CU_add_test(suite, "larger_hosts_go_first", test_larger_hosts_go_first);
@@ -643,6 +763,9 @@
 		    test_resignation_stored_without_answer);
 	CU_add_test(suite, "failed_write_after_lapse", test_failed_write_after_lapse);
 	CU_add_test(suite, "key_of_earlier_grant", test_key_of_earlier_grant);
+	CU_add_test(suite, "late_write_before_next_attempt", test_late_write_before_next_attempt);
+	CU_add_test(suite, "key_of_earlier_attempt", test_key_of_earlier_attempt);
+	CU_add_test(suite, "random_faults", test_random_faults);
 	CU_add_test(suite, "no_election_at_shutdown", test_no_election_at_shutdown);
 	CU_add_test(suite, "late_write_with_earlier_lease", test_late_write_with_earlier_lease);
 	CU_add_test(suite, "odd_leader_record", test_odd_leader_record);
