plan: Make room for a job in time that follows the number of tasks

Cause: choose_victims() looked for the cheapest task anew for each victim and went through all victims for each task, so a decision took the cube of the tasks on a worker; spare_needless_victims() added to it. The same cause on related paths: max_unavailable of long-running steps, gangs that make room or are stopped, single tasks that get room one by one, and the counting of evictions.

Change: planstopset.c holds the tasks to be stopped and answers in constant time; the tasks of a worker are sorted by cost once; what other workers offer is kept while room is made for the tasks of a step. The choice of victims and their order are the same.

--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -492,6 +492,7 @@
 
 /* planplace.c */
 void plan_add_resources(struct plan_resources *sum, const struct plan_resources *need);
+void plan_subtract_resources(struct plan_resources *sum, const struct plan_resources *need);
 bool plan_fits(const struct plan_resources *room, const struct plan_resources *used,
 	       const struct plan_resources *need);
 struct plan_resources plan_step_need(const struct jobspec_step *spec);
@@ -540,6 +541,33 @@
 bool plan_pick_gang_workers(struct plan *plan, struct step_run *step, bool evict,
 			    unsigned int waived, uint64_t now_ms, struct worker **out);
 
+/* planstopset.c */
+/*
+ * Tasks that are to be stopped together, chosen at one time. One member stands for its whole gang.
+ * A task is added before it is told to stop; no other task may change its state meanwhile.
+ */
+struct plan_stopset;
+/** plan_stopset_create() - make an empty set; freed by plan_stopset_destroy() */
+struct plan_stopset *plan_stopset_create(const struct plan *plan, uint64_t now_ms);
+void plan_stopset_destroy(struct plan_stopset *set);
+void plan_stopset_clear(struct plan_stopset *set);
+/* True if the task, or a member of its gang, was added. */
+bool plan_stopset_has(const struct plan_stopset *set, const struct task *task);
+/* @cost: by plan_eviction_cost() */
+void plan_stopset_add(struct plan_stopset *set, struct task *task, double cost);
+void plan_stopset_remove(struct plan_stopset *set, guint index);
+guint plan_stopset_count(const struct plan_stopset *set);
+/* In the order in which they were added. */
+struct task *plan_stopset_task(const struct plan_stopset *set, guint index);
+double plan_stopset_cost(const struct plan_stopset *set);
+/**
+ * plan_stopset_may_stop() - whether a stop of the task keeps to max_unavailable of its step
+ *
+ * All tasks of the set are counted as stopped. True for tasks that do not last and for steps that
+ * allow none, for which the caller decides.
+ */
+bool plan_stopset_may_stop(struct plan_stopset *set, const struct task *task);
+
 /* planlasting.c */
 bool plan_is_at_work(const struct task *task);
 
@@ -554,19 +582,13 @@
 
 /** plan_mark_reclaimable() - let plan_evictable() accept these tasks; false if nothing changed */
 bool plan_mark_reclaimable(struct plan *plan, enum plan_reclaim reclaim);
-/**
- * plan_may_stop_lasting() - whether a stop of the task keeps to max_unavailable of its step
- * @victims: tasks that are to be stopped as well
- *
- * True for other tasks and for steps that allow none, for which the caller decides.
- */
-bool plan_may_stop_lasting(const struct plan *plan, const struct task *task, GPtrArray *victims,
-			   uint64_t now_ms);
+/* True if a lasting task counts as unavailable once a task that is told to stop now has ended. */
+bool plan_is_unavailable(const struct plan *plan, const struct task *task, uint64_t now_ms);
 /** plan_spare_disallowed() - unmark the tasks that can't be stopped beside @victims
  *
  * Return: false if there was none.
  */
-bool plan_spare_disallowed(struct plan *plan, GPtrArray *victims, uint64_t now_ms);
+bool plan_spare_disallowed(struct plan *plan, struct plan_stopset *victims);
 /** plan_displace_task() - stop a task, and the other members of its gang, to make room */
 void plan_displace_task(struct plan *plan, struct task *task, const char *reason, uint64_t now_ms);
 
@@ -582,6 +604,19 @@
 
 /* planevict.c */
 bool plan_evictable(const struct task *task, const struct job *beneficiary);
+/* A task that may be stopped for a job. */
+struct plan_stoppable {
+	struct task *task;
+	double cost; /* by plan_eviction_cost() */
+};
+
+/**
+ * plan_list_stoppable() - tasks of a worker that may be stopped for a job, the cheapest first
+ *
+ * Return: struct plan_stoppable, without the tasks that are being stopped; owned by the caller.
+ */
+GArray *plan_list_stoppable(const struct worker *worker, const struct job *beneficiary,
+			    uint64_t now_ms);
 /* Room in use after the stops that are under way. */
 struct plan_resources plan_use_after_stops(const struct worker *worker);
 /* Stops tasks to make room for a step. @waived: preferences that a gang leaves aside */
--- a/src/plandrain.c
+++ b/src/plandrain.c
@@ -178,16 +178,9 @@
 	return job->guaranteed || (job->queue && job->queue->priority == 0);
 }
 
-static bool may_stop(const struct plan *plan, const struct task *task, uint64_t now_ms)
-{
-	GPtrArray *others = g_ptr_array_new();
-	bool may = plan_may_stop_lasting(plan, task, others, now_ms);
-
-	g_ptr_array_free(others, TRUE);
-	return may;
-}
-
-static bool should_move(struct plan *plan, struct task *task, uint64_t now_ms, GArray *claims)
+/* @moved: tasks that this decision moves */
+static bool should_move(struct plan *plan, struct task *task, uint64_t now_ms,
+			struct plan_stopset *moved, GArray *claims)
 {
 	const struct jobspec_step *spec = task->step->spec;
 	uint64_t leaves_ms = earliest_leave_ms(task);
@@ -197,7 +190,7 @@
 	/* The time is over: a stop comes too late to save anything, and the worker may stay. */
 	if (now_ms >= leaves_ms)
 		return false;
-	if (!may_stop(plan, task, now_ms))
+	if (!plan_stopset_may_stop(moved, task))
 		return false;
 	if (ends_in_time(plan, task, leaves_ms, now_ms))
 		return false;
@@ -212,16 +205,20 @@
 {
 	GPtrArray *units = list_units(plan);
 	GArray *claims = g_array_new(FALSE, FALSE, sizeof(struct claim));
+	struct plan_stopset *moved = plan_stopset_create(plan, now_ms);
 	bool work_left = units->len > 0;
 
 	for (guint i = 0; i < units->len; i++) {
 		struct task *task = units->pdata[i];
 
-		if (!is_active(task))
+		if (!is_active(task)) {
 			claim_room(plan, task, now_ms, claims);
-		else if (should_move(plan, task, now_ms, claims))
+		} else if (should_move(plan, task, now_ms, moved, claims)) {
+			plan_stopset_add(moved, task, 0);
 			plan_move_task(plan, task, PLAN_MOVE_LEAVES, now_ms);
+		}
 	}
+	plan_stopset_destroy(moved);
 	release_claims(claims);
 	g_ptr_array_free(units, TRUE);
 	return work_left;
--- a/src/planevict.c
+++ b/src/planevict.c
@@ -121,55 +121,104 @@
 	return used;
 }
 
-/* Tasks to be stopped; one member stands for its whole gang. */
-struct victims {
-	GPtrArray *tasks;
-	double cost;
-};
+/* Cost of stopping a task; that of a gang is found once, since it takes a look at all members. */
+static double cost_of_stop(const struct task *task, GHashTable *gang_costs, uint64_t now_ms)
+{
+	double *cost;
+
+	if (!task->step->spec->gang)
+		return plan_eviction_cost(task, now_ms);
+	cost = g_hash_table_lookup(gang_costs, task->step);
+	if (!cost) {
+		cost = g_new(double, 1);
+		*cost = plan_eviction_cost(task, now_ms);
+		g_hash_table_insert(gang_costs, task->step, cost);
+	}
+	return *cost;
+}
 
-static bool is_victim(const struct victims *victims, const struct task *task)
+static int compare_stoppable(gconstpointer first, gconstpointer second)
 {
-	for (guint i = 0; i < victims->tasks->len; i++) {
-		const struct task *victim = victims->tasks->pdata[i];
+	const struct plan_stoppable *left = first;
+	const struct plan_stoppable *right = second;
 
-		if (victim == task || (task->step->spec->gang && victim->step == task->step))
-			return true;
+	return left->cost < right->cost ? -1 : left->cost > right->cost;
+}
+
+GArray *plan_list_stoppable(const struct worker *worker, const struct job *beneficiary,
+			    uint64_t now_ms)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct plan_stoppable));
+	GHashTable *gang_costs = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+
+	for (struct task *task = worker->tasks; task; task = task->next_on_worker) {
+		struct plan_stoppable stoppable = {task, 0};
+
+		if (task->state == TASK_STOPPING || !plan_evictable(task, beneficiary))
+			continue;
+		stoppable.cost = cost_of_stop(task, gang_costs, now_ms);
+		g_array_append_val(list, stoppable);
 	}
-	return false;
+	/* A stable sort: tasks of equal cost keep the order of the worker's list. */
+	g_array_sort(list, compare_stoppable);
+	g_hash_table_destroy(gang_costs);
+	return list;
+}
+
+/* Room that a victim and the other members of its gang leave on a worker. */
+static struct plan_resources room_freed(const struct worker *worker, const struct task *victim)
+{
+	const struct step_run *step = victim->step;
+	struct plan_resources need = plan_step_need(step->spec);
+	struct plan_resources freed = {0};
+
+	if (!step->spec->gang)
+		return need;
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		const struct task *member = &step->tasks[i];
+
+		if (member->worker == worker && member->state != TASK_STOPPING)
+			plan_add_resources(&freed, &need);
+	}
+	return freed;
 }
 
 /* Room in use on a worker after the stops under way and those of the victims. */
 static struct plan_resources use_beside_victims(const struct worker *worker,
-						const struct victims *victims)
+						const struct plan_stopset *victims)
 {
 	struct plan_resources used = {0};
 
 	for (const struct task *task = worker->tasks; task; task = task->next_on_worker) {
 		struct plan_resources taken = plan_step_need(task->step->spec);
 
-		if (task->state != TASK_STOPPING && !is_victim(victims, task))
+		if (task->state != TASK_STOPPING && !plan_stopset_has(victims, task))
 			plan_add_resources(&used, &taken);
 	}
 	return used;
 }
 
-/* Leaves out the tasks of a worker that need not be stopped, the dearest first. */
+/*
+ * Leaves out the tasks of a worker that need not be stopped, the dearest first.
+ *
+ * @first: index of the first victim on this worker; the cheapest were added first
+ * @used: room in use beside the victims
+ */
 static void spare_needless_victims(const struct worker *worker, const struct plan_resources *need,
-				   guint first, uint64_t now_ms, struct victims *victims)
+				   guint first, struct plan_resources used,
+				   struct plan_stopset *victims)
 {
-	guint i = victims->tasks->len;
+	guint i = plan_stopset_count(victims);
 
-	/* The cheapest were added first. */
 	while (i-- > first) {
-		struct task *task = victims->tasks->pdata[i];
-		struct plan_resources used;
+		struct plan_resources freed = room_freed(worker, plan_stopset_task(victims, i));
+		struct plan_resources with = used;
 
-		g_ptr_array_remove_index(victims->tasks, i);
-		used = use_beside_victims(worker, victims);
-		if (plan_fits(&worker->room, &used, need))
-			victims->cost -= plan_eviction_cost(task, now_ms);
-		else
-			g_ptr_array_insert(victims->tasks, (gint)i, task);
+		plan_add_resources(&with, &freed);
+		if (!plan_fits(&worker->room, &with, need))
+			continue;
+		plan_stopset_remove(victims, i);
+		used = with;
 	}
 }
 
@@ -179,83 +228,93 @@
 }
 
 /* Adds all fillers of a worker; false if one of them has to stay. */
-static bool choose_fillers(const struct plan *plan, const struct worker *worker,
-			   const struct job *job, uint64_t now_ms, struct victims *victims)
+static bool choose_fillers(const struct worker *worker, const struct job *job, uint64_t now_ms,
+			   struct plan_stopset *victims)
 {
 	for (struct task *task = worker->tasks; task; task = task->next_on_worker) {
 		if (!task->step->spec->filler || task->state == TASK_STOPPING ||
-		    is_victim(victims, task))
+		    plan_stopset_has(victims, task))
 			continue;
 		if (plan_task_job(task)->guaranteed ||
 		    (plan_is_protected(task) && !job->evicts_protected) ||
-		    !plan_may_stop_lasting(plan, task, victims->tasks, now_ms))
+		    !plan_stopset_may_stop(victims, task))
 			return false;
-		victims->cost += plan_eviction_cost(task, now_ms);
-		g_ptr_array_add(victims->tasks, task);
+		plan_stopset_add(victims, task, plan_eviction_cost(task, now_ms));
 	}
 	return true;
 }
 
-/* Adds the cheapest tasks of a worker until @need fits beside the remaining tasks. */
-static bool choose_victims(const struct plan *plan, const struct worker *worker,
-			   const struct plan_resources *need, const struct job *job,
-			   uint64_t now_ms, struct victims *victims)
+/*
+ * Adds the cheapest tasks of a worker until @need fits beside the remaining tasks.
+ *
+ * @stoppable: by plan_list_stoppable(); some may be victims or be stopped by now
+ */
+static bool choose_victims(const struct worker *worker, const struct plan_resources *need,
+			   const GArray *stoppable, struct plan_stopset *victims)
 {
 	struct plan_resources used = use_beside_victims(worker, victims);
-	guint first = victims->tasks->len;
-
-	while (!plan_fits(&worker->room, &used, need)) {
-		struct task *cheapest = NULL;
-
-		for (struct task *task = worker->tasks; task; task = task->next_on_worker) {
-			if (task->state == TASK_STOPPING || is_victim(victims, task) ||
-			    !plan_evictable(task, job) ||
-			    !plan_may_stop_lasting(plan, task, victims->tasks, now_ms))
-				continue;
-			if (!cheapest ||
-			    plan_eviction_cost(task, now_ms) < plan_eviction_cost(cheapest, now_ms))
-				cheapest = task;
-		}
-		if (!cheapest)
-			return false;
-		victims->cost += plan_eviction_cost(cheapest, now_ms);
-		g_ptr_array_add(victims->tasks, cheapest);
-		/* Several members of a gang may be on the worker. */
-		used = use_beside_victims(worker, victims);
+	guint first = plan_stopset_count(victims);
+
+	for (guint i = 0; i < stoppable->len && !plan_fits(&worker->room, &used, need); i++) {
+		const struct plan_stoppable *next =
+			&g_array_index(stoppable, struct plan_stoppable, i);
+		struct plan_resources freed;
+
+		if (next->task->state == TASK_STOPPING || plan_stopset_has(victims, next->task) ||
+		    !plan_stopset_may_stop(victims, next->task))
+			continue;
+		freed = room_freed(worker, next->task);
+		plan_stopset_add(victims, next->task, next->cost);
+		plan_subtract_resources(&used, &freed);
 	}
-	spare_needless_victims(worker, need, first, now_ms, victims);
+	if (!plan_fits(&worker->room, &used, need))
+		return false;
+	spare_needless_victims(worker, need, first, used, victims);
 	return true;
 }
 
-static bool is_first_on_worker(struct worker *const *workers, uint32_t index)
+/* Sums the needs of a gang's members by worker; owned by the caller. */
+static GHashTable *sum_by_worker(const struct step_run *step, struct worker *const *workers)
 {
-	for (uint32_t i = 0; i < index; i++) {
-		if (workers[i] == workers[index])
-			return false;
+	GHashTable *sums = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	struct plan_resources need = plan_step_need(step->spec);
+
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		struct plan_resources *sum;
+
+		if (!workers[i])
+			continue;
+		sum = g_hash_table_lookup(sums, workers[i]);
+		if (!sum) {
+			sum = g_new0(struct plan_resources, 1);
+			g_hash_table_insert(sums, workers[i], sum);
+		}
+		plan_add_resources(sum, &need);
 	}
-	return workers[index] != NULL;
+	return sums;
 }
 
-static bool choose_gang_victims(const struct plan *plan, const struct step_run *step,
-				struct worker *const *workers, uint64_t now_ms,
-				struct victims *victims)
+static bool choose_gang_victims(const struct step_run *step, struct worker *const *workers,
+				uint64_t now_ms, struct plan_stopset *victims)
 {
-	struct plan_resources need = plan_step_need(step->spec);
+	const struct job *job = step->occurrence->job;
+	GHashTable *sums = sum_by_worker(step, workers);
+	bool found = true;
 
-	for (uint32_t i = 0; i < step->spec->count; i++) {
-		struct plan_resources sum = {0};
+	for (uint32_t i = 0; i < step->spec->count && found; i++) {
+		/* Room is made for all members on this worker together. */
+		const struct plan_resources *sum = g_hash_table_lookup(sums, workers[i]);
+		GArray *stoppable;
 
-		if (!is_first_on_worker(workers, i))
+		if (!sum)
 			continue;
-		/* Room is made for all members on this worker together. */
-		for (uint32_t k = i; k < step->spec->count; k++) {
-			if (workers[k] == workers[i])
-				plan_add_resources(&sum, &need);
-		}
-		if (!choose_victims(plan, workers[i], &sum, step->occurrence->job, now_ms, victims))
-			return false;
+		stoppable = plan_list_stoppable(workers[i], job, now_ms);
+		found = choose_victims(workers[i], sum, stoppable, victims);
+		g_array_free(stoppable, TRUE);
+		g_hash_table_remove(sums, workers[i]);
 	}
-	return true;
+	g_hash_table_destroy(sums);
+	return found;
 }
 
 /*
@@ -263,22 +322,22 @@
  * more tasks of a step than it allows is repeated without the surplus ones.
  */
 static bool choose_gang_room(struct plan *plan, struct step_run *step, unsigned int waived,
-			     uint64_t now_ms, struct worker **workers, struct victims *victims)
+			     uint64_t now_ms, struct worker **workers, struct plan_stopset *victims)
 {
 	do {
-		g_ptr_array_set_size(victims->tasks, 0);
-		victims->cost = 0;
+		plan_stopset_clear(victims);
 		if (!plan_pick_gang_workers(plan, step, true, waived, now_ms, workers))
 			return false;
-		if (choose_gang_victims(plan, step, workers, now_ms, victims))
+		if (choose_gang_victims(step, workers, now_ms, victims))
 			return true;
-	} while (plan_spare_disallowed(plan, victims->tasks, now_ms));
+	} while (plan_spare_disallowed(plan, victims));
 	return false;
 }
 
 /* The same; long-running tasks are evictable only for the guaranteed, and as few as will do. */
 static bool reclaim_gang_room(struct plan *plan, struct step_run *step, unsigned int waived,
-			      uint64_t now_ms, struct worker **workers, struct victims *victims)
+			      uint64_t now_ms, struct worker **workers,
+			      struct plan_stopset *victims)
 {
 	struct job *job = step->occurrence->job;
 	bool found = choose_gang_room(plan, step, waived, now_ms, workers, victims);
@@ -319,6 +378,18 @@
 		step->room_made_until_ms = now_ms + plan->params.stop_ms + ROOM_MADE_MARGIN_MS;
 }
 
+static void stop_victims(struct plan *plan, struct step_run *step,
+			 const struct plan_stopset *victims, enum plan_evict_reason reason,
+			 uint64_t now_ms)
+{
+	guint count = plan_stopset_count(victims);
+
+	for (guint i = 0; i < count; i++)
+		plan_evict_task(plan, plan_stopset_task(victims, i), step, reason, now_ms);
+	if (count > 0)
+		note_room_made(plan, step, now_ms);
+}
+
 /*
  * @firm: stops make room for the step, so it starts within the time that they take. The room is
  * not lent, even where a step that does not evict had reserved the worker and would lend it.
@@ -340,45 +411,26 @@
 {
 	const struct job *job = step->occurrence->job;
 	struct worker **workers = talloc_zero_array(NULL, struct worker *, step->spec->count);
-	struct victims victims = {.tasks = g_ptr_array_new()};
+	struct plan_stopset *victims = plan_stopset_create(plan, now_ms);
 	bool firm = false;
-	bool found =
-		reclaim_gang_room(plan, step, waived, now_ms, workers, &victims) &&
-		(job->guaranteed || victims.cost <= URGENT_WASTE_FACTOR * step->spec->count *
+	bool found = reclaim_gang_room(plan, step, waived, now_ms, workers, victims) &&
+		     (job->guaranteed ||
+		      plan_stopset_cost(victims) <= URGENT_WASTE_FACTOR * step->spec->count *
 							    plan_estimated_task_work(step->spec));
 
-	for (guint i = 0; found && i < victims.tasks->len; i++)
-		plan_evict_task(plan, victims.tasks->pdata[i], step,
-				eviction_reason(job, EVICT_URGENT), now_ms);
-	if (found && victims.tasks->len > 0)
-		note_room_made(plan, step, now_ms);
+	if (found)
+		stop_victims(plan, step, victims, eviction_reason(job, EVICT_URGENT), now_ms);
 	for (uint32_t i = 0; found && i < step->spec->count; i++)
 		firm = firm || (workers[i] && !has_room_now(workers[i], step));
 	for (uint32_t i = 0; found && i < step->spec->count; i++) {
 		if (workers[i])
 			reserve(workers[i], step, firm);
 	}
-	g_ptr_array_free(victims.tasks, TRUE);
+	plan_stopset_destroy(victims);
 	talloc_free(workers);
 	return found;
 }
 
-/* Makes room on one worker; fillers have to leave the worker of a task with a latency target. */
-static bool choose_on_worker(const struct plan *plan, const struct worker *worker,
-			     const struct plan_resources *need, const struct step_run *step,
-			     enum eviction_kind kind, uint64_t now_ms, struct victims *victims)
-{
-	const struct job *job = step->occurrence->job;
-	struct plan_resources used;
-
-	if (is_serving(step) && !choose_fillers(plan, worker, job, now_ms, victims))
-		return false;
-	if (kind == EVICT_URGENT)
-		return choose_victims(plan, worker, need, job, now_ms, victims);
-	used = use_beside_victims(worker, victims);
-	return plan_fits(&worker->room, &used, need);
-}
-
 /* As plan_worker_usable(), but fillers beside a task with a latency target can be stopped. */
 static bool usable_after_eviction(const struct worker *worker, const struct step_run *step,
 				  uint64_t now_ms)
@@ -391,19 +443,67 @@
 	       (!worker->kept_free || plan_may_use_headroom(step, now_ms));
 }
 
-/* The worker where one more task fits after an eviction, and the cost of that. */
-struct eviction {
-	guint worker_index; /* in plan.workers */
-	double cost;
-	GPtrArray *tasks; /* to be stopped; NULL: no worker was found */
+/*
+ * Room on one worker for more tasks of a step. Stops there don't change what other workers offer,
+ * except where a gang or a step with a limit for its stops has tasks on several of them.
+ */
+struct worker_room {
+	struct plan_resources placed; /* needs of the tasks of the step that get room here */
+	uint32_t placed_count;
+	GArray *stoppable;	      /* by plan_list_stoppable(); NULL: not made yet */
+	bool known;		      /* @victims is what room for the next task takes */
+	struct plan_stopset *victims; /* NULL: no room can be made */
 };
 
-/* Tasks of a step for which room was made so far, by index of the worker in plan.workers. */
-struct planned_use {
-	struct plan_resources *used;
-	uint32_t *count;
+/* Makes room for the tasks of a step on the workers, one task after the other. */
+struct room_search {
+	struct plan *plan;
+	struct step_run *step;
+	enum eviction_kind kind;
+	uint64_t now_ms;
+	struct worker_room *rooms; /* in the order of plan.workers */
 };
 
+static struct room_search *room_search_create(struct plan *plan, struct step_run *step,
+					      enum eviction_kind kind, uint64_t now_ms)
+{
+	struct room_search *search = g_new0(struct room_search, 1);
+
+	search->plan = plan;
+	search->step = step;
+	search->kind = kind;
+	search->now_ms = now_ms;
+	search->rooms = g_new0(struct worker_room, plan->workers->len);
+	return search;
+}
+
+static void forget_victims(struct worker_room *room)
+{
+	plan_stopset_destroy(room->victims);
+	room->victims = NULL;
+	room->known = false;
+}
+
+/* To be called when plan_evictable() answers otherwise than before. */
+static void forget_stoppable(struct room_search *search)
+{
+	for (guint i = 0; i < search->plan->workers->len; i++) {
+		struct worker_room *room = &search->rooms[i];
+
+		forget_victims(room);
+		if (room->stoppable)
+			g_array_free(room->stoppable, TRUE);
+		room->stoppable = NULL;
+	}
+}
+
+static void room_search_destroy(struct room_search *search)
+{
+	forget_stoppable(search);
+	g_free(search->rooms);
+	g_free(search);
+}
+
 static bool within_spread_limit(const struct worker *worker, const struct step_run *step,
 				uint32_t placed)
 {
@@ -411,71 +511,102 @@
 	       plan_count_siblings(worker, step) + placed < step->spec->spread_limit;
 }
 
-static struct eviction cheapest_eviction(const struct plan *plan, const struct step_run *step,
-					 enum eviction_kind kind, const struct planned_use *placed,
-					 uint64_t now_ms)
+/* Chooses what is stopped on one worker; fillers leave that of a task with a latency target. */
+static bool choose_on_worker(const struct room_search *search, guint index,
+			     struct plan_stopset *victims)
 {
-	struct plan_resources need = plan_step_need(step->spec);
-	struct eviction best = {0};
+	const struct worker *worker = search->plan->workers->pdata[index];
+	const struct job *job = search->step->occurrence->job;
+	struct plan_resources need = plan_step_need(search->step->spec);
+	struct worker_room *room = &search->rooms[index];
+	struct plan_resources used;
 
-	for (guint i = 0; i < plan->workers->len; i++) {
-		struct worker *worker = plan->workers->pdata[i];
-		struct plan_resources sum = placed->used[i];
-		struct victims victims = {0};
+	plan_add_resources(&need, &room->placed);
+	if (is_serving(search->step) && !choose_fillers(worker, job, search->now_ms, victims))
+		return false;
+	if (search->kind == EVICT_FILLERS) {
+		used = use_beside_victims(worker, victims);
+		return plan_fits(&worker->room, &used, &need);
+	}
+	if (!room->stoppable)
+		room->stoppable = plan_list_stoppable(worker, job, search->now_ms);
+	return choose_victims(worker, &need, room->stoppable, victims);
+}
 
-		if (!usable_after_eviction(worker, step, now_ms) ||
-		    !within_spread_limit(worker, step, placed->count[i]))
-			continue;
-		plan_add_resources(&sum, &need);
-		victims.tasks = g_ptr_array_new();
-		if (!choose_on_worker(plan, worker, &sum, step, kind, now_ms, &victims) ||
-		    (best.tasks && victims.cost >= best.cost)) {
-			g_ptr_array_free(victims.tasks, TRUE);
-			continue;
-		}
-		if (best.tasks)
-			g_ptr_array_free(best.tasks, TRUE);
-		best = (struct eviction){i, victims.cost, victims.tasks};
+/* What has to be stopped on a worker for one more task; NULL if no room can be made. */
+static struct plan_stopset *victims_on_worker(const struct room_search *search, guint index)
+{
+	const struct worker *worker = search->plan->workers->pdata[index];
+	struct worker_room *room = &search->rooms[index];
+
+	if (room->known)
+		return room->victims;
+	room->known = true;
+	if (!usable_after_eviction(worker, search->step, search->now_ms) ||
+	    !within_spread_limit(worker, search->step, room->placed_count))
+		return NULL;
+	room->victims = plan_stopset_create(search->plan, search->now_ms);
+	if (choose_on_worker(search, index, room->victims))
+		return room->victims;
+	plan_stopset_destroy(room->victims);
+	room->victims = NULL;
+	return NULL;
+}
+
+/* True if stops of these tasks change what other workers offer. */
+static bool affects_other_workers(const struct plan_stopset *victims)
+{
+	for (guint i = 0; i < plan_stopset_count(victims); i++) {
+		const struct jobspec_step *spec = plan_stopset_task(victims, i)->step->spec;
+
+		if (spec->gang || spec->long_running)
+			return true;
 	}
-	return best;
+	return false;
 }
 
 /* Makes room for one more task; false if no eviction is possible or worth its cost. */
-static bool evict_for_task(struct plan *plan, struct step_run *step, enum eviction_kind kind,
-			   struct planned_use *placed, uint64_t now_ms)
+static bool evict_for_task(struct room_search *search)
 {
+	struct step_run *step = search->step;
 	const struct job *job = step->occurrence->job;
 	struct plan_resources need = plan_step_need(step->spec);
-	struct eviction best = cheapest_eviction(plan, step, kind, placed, now_ms);
-	bool is_worth_cost =
-		kind == EVICT_FILLERS || job->guaranteed ||
-		best.cost <= URGENT_WASTE_FACTOR * plan_estimated_task_work(step->spec);
-	struct worker *worker;
+	struct plan_stopset *best = NULL;
+	struct worker_room *room = NULL;
+	struct worker *worker = NULL;
 
-	if (!best.tasks)
-		return false;
-	for (guint i = 0; is_worth_cost && i < best.tasks->len; i++)
-		plan_evict_task(plan, best.tasks->pdata[i], step, eviction_reason(job, kind),
-				now_ms);
-	if (is_worth_cost && best.tasks->len > 0)
-		note_room_made(plan, step, now_ms);
-	g_ptr_array_free(best.tasks, TRUE);
-	if (!is_worth_cost)
+	for (guint i = 0; i < search->plan->workers->len; i++) {
+		struct plan_stopset *victims = victims_on_worker(search, i);
+
+		if (!victims || (best && plan_stopset_cost(victims) >= plan_stopset_cost(best)))
+			continue;
+		best = victims;
+		room = &search->rooms[i];
+		worker = search->plan->workers->pdata[i];
+	}
+	if (!best ||
+	    (search->kind != EVICT_FILLERS && !job->guaranteed &&
+	     plan_stopset_cost(best) > URGENT_WASTE_FACTOR * plan_estimated_task_work(step->spec)))
 		return false;
-	worker = plan->workers->pdata[best.worker_index];
+	stop_victims(search->plan, step, best, eviction_reason(job, search->kind), search->now_ms);
 	reserve(worker, step, !has_room_now(worker, step));
-	plan_add_resources(&placed->used[best.worker_index], &need);
-	placed->count[best.worker_index]++;
+	plan_add_resources(&room->placed, &need);
+	room->placed_count++;
+	if (affects_other_workers(best)) {
+		for (guint i = 0; i < search->plan->workers->len; i++)
+			forget_victims(&search->rooms[i]);
+	} else {
+		forget_victims(room);
+	}
 	return true;
 }
 
 /* Number of tasks, up to @count, for which room was made. */
-static uint32_t evict_up_to(struct plan *plan, struct step_run *step, enum eviction_kind kind,
-			    uint32_t count, struct planned_use *placed, uint64_t now_ms)
+static uint32_t evict_up_to(struct room_search *search, uint32_t count)
 {
 	uint32_t found = 0;
 
-	while (found < count && evict_for_task(plan, step, kind, placed, now_ms))
+	while (found < count && evict_for_task(search))
 		found++;
 	return found;
 }
@@ -487,26 +618,24 @@
 static bool evict_for_tasks(struct plan *plan, struct step_run *step, enum eviction_kind kind,
 			    uint32_t count, uint64_t now_ms)
 {
-	TALLOC_CTX *mem = talloc_new(NULL);
-	struct planned_use placed = {
-		.used = talloc_zero_array(mem, struct plan_resources, plan->workers->len),
-		.count = talloc_zero_array(mem, uint32_t, plan->workers->len),
-	};
+	struct room_search *search = room_search_create(plan, step, kind, now_ms);
 	struct job *job = step->occurrence->job;
 	bool reclaims = kind == EVICT_URGENT && job->guaranteed;
 	uint32_t found = 0;
 
-	found += evict_up_to(plan, step, kind, count, &placed, now_ms);
+	found += evict_up_to(search, count);
 	if (reclaims && plan->has_protected) {
 		job->evicts_protected = true;
-		found += evict_up_to(plan, step, kind, count - found, &placed, now_ms);
+		forget_stoppable(search);
+		found += evict_up_to(search, count - found);
 	}
 	if (reclaims && found < count && plan_mark_reclaimable(plan, PLAN_RECLAIM_ALL)) {
-		found += evict_up_to(plan, step, kind, count - found, &placed, now_ms);
+		forget_stoppable(search);
+		found += evict_up_to(search, count - found);
 		plan_mark_reclaimable(plan, PLAN_RECLAIM_NONE);
 	}
 	job->evicts_protected = false;
-	talloc_free(mem);
+	room_search_destroy(search);
 	return found > 0;
 }
 
--- a/src/planlasting.c
+++ b/src/planlasting.c
@@ -22,8 +22,7 @@
 	       now_ms < task->adopted_ms + ORDER_DELAY_MS + plan->params.stop_ms;
 }
 
-/* True if the task counts as unavailable when a task that is told to stop now has ended. */
-static bool is_unavailable(const struct plan *plan, const struct task *task, uint64_t now_ms)
+bool plan_is_unavailable(const struct plan *plan, const struct task *task, uint64_t now_ms)
 {
 	uint64_t ends_ms = now_ms + ORDER_DELAY_MS + plan->params.stop_ms;
 
@@ -33,27 +32,6 @@
 	return !task->own_end_ms || ends_ms >= task->own_end_ms + plan->params.unavailable_after_ms;
 }
 
-bool plan_may_stop_lasting(const struct plan *plan, const struct task *task, GPtrArray *victims,
-			   uint64_t now_ms)
-{
-	const struct step_run *step = task->step;
-	uint32_t allowed = step->spec->max_unavailable;
-	uint32_t others = 0;
-
-	if (!step->spec->long_running || allowed == 0)
-		return true;
-	if (step->spec->gang)
-		return step->spec->count <= allowed;
-	for (uint32_t i = 0; i < step->spec->count && others < allowed; i++) {
-		struct task *other = &step->tasks[i];
-
-		if (other != task &&
-		    (is_unavailable(plan, other, now_ms) || g_ptr_array_find(victims, other, NULL)))
-			others++;
-	}
-	return others < allowed;
-}
-
 static bool was_displaced_last(const struct plan *plan, const struct task *task)
 {
 	return task->displaced_ms && task->displaced_ms == plan->displaced_ms;
@@ -96,7 +74,7 @@
 	return changed;
 }
 
-bool plan_spare_disallowed(struct plan *plan, GPtrArray *victims, uint64_t now_ms)
+bool plan_spare_disallowed(struct plan *plan, struct plan_stopset *victims)
 {
 	bool changed = false;
 
@@ -104,8 +82,8 @@
 		const struct worker *worker = plan->workers->pdata[i];
 
 		for (struct task *task = worker->tasks; task; task = task->next_on_worker) {
-			if (!task->reclaimable || g_ptr_array_find(victims, task, NULL) ||
-			    plan_may_stop_lasting(plan, task, victims, now_ms))
+			if (!task->reclaimable || plan_stopset_has(victims, task) ||
+			    plan_stopset_may_stop(victims, task))
 				continue;
 			task->reclaimable = false;
 			changed = true;
@@ -118,11 +96,11 @@
 {
 	struct step_run *step = task->step;
 
-	for (uint32_t i = 0; step->spec->long_running && i < step->spec->count; i++) {
-		if (step->spec->gang || &step->tasks[i] == task)
+	if (step->spec->long_running) {
+		for (uint32_t i = 0; step->spec->gang && i < step->spec->count; i++)
 			step->tasks[i].displaced_ms = now_ms;
-	}
-	if (step->spec->long_running)
+		task->displaced_ms = now_ms;
 		plan->displaced_ms = now_ms;
+	}
 	plan_stop_gang(task, reason);
 }
--- a/src/planplace.c
+++ b/src/planplace.c
@@ -22,6 +22,13 @@
 	sum->accelerators += need->accelerators;
 }
 
+void plan_subtract_resources(struct plan_resources *sum, const struct plan_resources *need)
+{
+	sum->cpu_milli -= need->cpu_milli;
+	sum->memory_mb -= need->memory_mb;
+	sum->accelerators -= need->accelerators;
+}
+
 bool plan_fits(const struct plan_resources *room, const struct plan_resources *used,
 	       const struct plan_resources *need)
 {
@@ -261,23 +268,17 @@
 	uint32_t *member_count;
 	double *stops_so_far; /* cost of the tasks that are stopped there for the members */
 	double *stop_cost;    /* the same, in addition for one more member; below 0: not known */
+	GPtrArray *stoppable; /* lists of plan_list_stoppable(); NULL: not made yet */
 	const struct job *evicts_for; /* NULL: nothing is stopped */
 	uint64_t now_ms;
 	double *evidence_score;
 	size_t count;
 };
 
-struct stoppable {
-	double cost;
-	const struct jobspec_step *spec;
-};
-
-static int compare_stoppable(gconstpointer first, gconstpointer second)
+static void free_list(gpointer list)
 {
-	const struct stoppable *left = first;
-	const struct stoppable *right = second;
-
-	return left->cost < right->cost ? -1 : left->cost > right->cost;
+	if (list)
+		g_array_free(list, TRUE);
 }
 
 /* Cost of the cheapest tasks of a worker whose stops make @need fit; whether enough is not said. */
@@ -286,31 +287,23 @@
 {
 	const struct worker *worker = candidates->workers[i];
 	struct plan_resources used = candidates->used_after_stops[i];
-	GArray *tasks;
+	GArray *tasks = candidates->stoppable->pdata[i];
 	double cost = 0;
 
 	if (plan_fits(&worker->room, &used, need))
 		return 0;
-	tasks = g_array_new(FALSE, FALSE, sizeof(struct stoppable));
-	for (const struct task *task = worker->tasks; task; task = task->next_on_worker) {
-		struct stoppable stoppable = {0, task->step->spec};
-
-		if (task->state == TASK_STOPPING || !plan_evictable(task, candidates->evicts_for))
-			continue;
-		stoppable.cost = plan_eviction_cost(task, candidates->now_ms);
-		g_array_append_val(tasks, stoppable);
+	if (!tasks) {
+		tasks = plan_list_stoppable(worker, candidates->evicts_for, candidates->now_ms);
+		candidates->stoppable->pdata[i] = tasks;
 	}
-	g_array_sort(tasks, compare_stoppable);
 	for (guint k = 0; k < tasks->len && !plan_fits(&worker->room, &used, need); k++) {
-		const struct stoppable *stopped = &g_array_index(tasks, struct stoppable, k);
-		struct plan_resources freed = plan_step_need(stopped->spec);
+		const struct plan_stoppable *stopped =
+			&g_array_index(tasks, struct plan_stoppable, k);
+		struct plan_resources freed = plan_step_need(stopped->task->step->spec);
 
-		used.cpu_milli -= freed.cpu_milli;
-		used.memory_mb -= freed.memory_mb;
-		used.accelerators -= freed.accelerators;
+		plan_subtract_resources(&used, &freed);
 		cost += stopped->cost;
 	}
-	g_array_free(tasks, TRUE);
 	return cost;
 }
 
@@ -533,10 +526,13 @@
 	struct place_score total;
 
 	collect_candidates(plan, step, evict, waived, now_ms, &candidates);
+	candidates.stoppable = g_ptr_array_new_with_free_func(free_list);
+	g_ptr_array_set_size(candidates.stoppable, (gint)candidates.count);
 	found = step->spec->one_rack && fit_on_best_rack(&candidates, step, out);
 	if (!found && (!step->spec->one_rack || (waived & PLAN_WAIVE_RACK) ||
 		       !some_rack_could_hold(plan, step)))
 		found = fit_on_racks(&candidates, step, NULL, out, &total);
+	g_ptr_array_free(candidates.stoppable, TRUE);
 	talloc_free(mem);
 	return found;
 }
--- a/src/planvictim.c
+++ b/src/planvictim.c
@@ -82,10 +82,10 @@
 {
 	struct step_run *own = task->step;
 
-	for (uint32_t i = 0; i < own->spec->count; i++) {
-		if (own->spec->gang || &own->tasks[i] == task)
-			count_eviction(plan, &own->tasks[i], step, reason, now_ms);
-	}
+	if (!own->spec->gang)
+		count_eviction(plan, task, step, reason, now_ms);
+	for (uint32_t i = 0; own->spec->gang && i < own->spec->count; i++)
+		count_eviction(plan, &own->tasks[i], step, reason, now_ms);
 	plan_displace_task(plan, task, stop_text(reason), now_ms);
 }
 
--- a/tests/lib_plansim.h
+++ b/tests/lib_plansim.h
@@ -86,7 +86,7 @@
 };
 
 #define SIM_JOBS_MAX 512
-#define SIM_LASTING_MAX 256
+#define SIM_LASTING_MAX 1024
 
 /* A task of a long-running step. */
 struct sim_lasting {
--- a/tests/test_planevict.c
+++ b/tests/test_planevict.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 
 /*
  * Which running work is stopped for urgent jobs, and how often. Organisation "a" is promised 16
@@ -16,6 +17,7 @@
 #define EVICTIONS_MAX 2
 #define TASKS_MAX 400
 #define LATE_STOP_MS 12000
+#define LEASE_MS 1500 /* of the leader; a decision that takes longer costs it the lead */
 
 struct stops {
 	char task[64];
@@ -249,6 +251,76 @@
 	}
 }
 
+/* Processor time of one decision, in ms. */
+static double time_decision(struct plansim *sim)
+{
+	clock_t began = clock();
+
+	plan_decide(sim->plan, sim->now_ms, NULL, NULL);
+	return (double)(clock() - began) * 1000 / CLOCKS_PER_SEC;
+}
+
+/*
+ * Guards against decisions that outlast the leader's lease: many small tasks make room for one
+ * step, so that all entries in turn were elected, hung and lost the lead.
+ *
+ * @small: steps of a job that fills the worker with @tasks tasks
+ * @urgent: steps of the job that is accepted next
+ * @stops: number of tasks that have to be stopped for it
+ */
+static void check_decision_on_small_tasks(const char *small, uint32_t tasks, const char *urgent,
+					  uint32_t stops)
+{
+	struct plansim *sim = plansim_create(NULL, 1);
+	double spent_ms;
+
+	sim->tick_ms = 500;
+	sim->lasting_go_on = true;
+	plansim_add_job(sim, "small", "batch", "b", small);
+	plansim_run(sim, 2000);
+	CU_ASSERT_EQUAL(plansim_count_runs(sim, "small."), tasks);
+	plansim_add_job(sim, "u1", "urgent", "a", urgent);
+	spent_ms = time_decision(sim);
+	CU_ASSERT(spent_ms < LEASE_MS);
+	plansim_run(sim, 1000);
+	CU_ASSERT_EQUAL(plansim_job_state(sim, "u1"), PLAN_JOB_RUNNING);
+	CU_ASSERT_EQUAL(sim->stops, stops);
+	if (spent_ms >= LEASE_MS || sim->stops != stops)
+		printf("\n%.0f ms, %u stops\n", spent_ms, sim->stops);
+	check_and_free(sim);
+}
+
+#define GANG                                                                                       \
+	"[{\"tasks\":2,\"cpu_milli\":31000,\"accelerators\":4,\"gang\":true,\"estimate_ms\":9000}" \
+	"]"
+
+static void test_gang_beside_small_tasks(void)
+{
+	check_decision_on_small_tasks("[{\"tasks\":3000,\"cpu_milli\":40,\"estimate_ms\":600000}]",
+				      3000, GANG, 1350);
+}
+
+static void test_small_tasks_beside_small_tasks(void)
+{
+	const char *steps = "[{\"tasks\":2000,\"cpu_milli\":64,\"estimate_ms\":600000}]";
+
+	check_decision_on_small_tasks(steps, 2000, steps, 2000);
+}
+
+static void test_gang_beside_large_gang(void)
+{
+	check_decision_on_small_tasks("[{\"tasks\":2000,\"cpu_milli\":60,\"gang\":true,"
+				      "\"estimate_ms\":600000}]",
+				      2000, GANG, 2000);
+}
+
+static void test_gang_beside_lasting_tasks(void)
+{
+	check_decision_on_small_tasks("[{\"tasks\":1000,\"cpu_milli\":120,\"long_running\":true,"
+				      "\"max_unavailable\":800,\"estimate_ms\":300}]",
+				      1000, GANG, 450);
+}
+
 int main(void)
 {
 	CU_pSuite suite;
@@ -262,6 +334,10 @@
 	CU_add_test(suite, "late_stop_beside_room", test_late_stop_beside_room);
 	CU_add_test(suite, "protected_filler_gives_way", test_protected_filler_gives_way);
 	CU_add_test(suite, "evicted_twice_at_most", test_evicted_twice_at_most);
+	CU_add_test(suite, "gang_beside_small_tasks", test_gang_beside_small_tasks);
+	CU_add_test(suite, "small_tasks_beside_small_tasks", test_small_tasks_beside_small_tasks);
+	CU_add_test(suite, "gang_beside_large_gang", test_gang_beside_large_gang);
+	CU_add_test(suite, "gang_beside_lasting_tasks", test_gang_beside_lasting_tasks);
 	CU_basic_run_tests();
 	return CU_get_number_of_failures() > 0;
 }
