plan: Go on with jobs whose queue was removed

Cause: a job took its priority, attempts, deadline and service from the present configuration alone. lookup_job_queue() left it without a queue when that was gone, and rank_waiting_steps() leaves out jobs without one.

Change: a job keeps its queue as it was last in the configuration, and the record of a job holds the queue's settings as of its acceptance for later leaders. Related paths: the limit of attempts and evictions apply as before the removal, and advice is asked for where a job needs it, also when no queue of the configuration does. Records of earlier releases that name the service go on as the least urgent.

--- a/src/coordstore.c
+++ b/src/coordstore.c
@@ -88,10 +88,36 @@
 	return queue ? (int)queue->priority : -1;
 }
 
+/*
+ * Reads the queue of a job as it was when the job was accepted; false if the record does not name
+ * its service. Records of earlier releases lack the settings, and some also the service: without
+ * settings a job is the least urgent, and its failures are not limited.
+ */
+static bool read_queue(const json_t *record, struct fleetconf_queue *queue)
+{
+	const json_t *stretch = json_object_get(record, "stretch");
+
+	*queue = (struct fleetconf_queue){
+		.name = json_string_value(json_object_get(record, "queue")),
+		.host = json_string_value(json_object_get(record, "host")),
+		.prefix = json_string_value(json_object_get(record, "prefix")),
+		.service = json_string_value(json_object_get(record, "service")),
+		.priority = FLEETCONF_PRIORITY_MAX,
+		.max_attempts = UINT32_MAX,
+		.stretch = json_is_number(stretch) ? json_number_value(stretch) : 1,
+		.advised = json_is_true(json_object_get(record, "advised")),
+	};
+	jsonread_u32(json_object_get(record, "priority"), FLEETCONF_PRIORITY_MAX, &queue->priority);
+	jsonread_u32(json_object_get(record, "max_attempts"), UINT32_MAX, &queue->max_attempts);
+	jsonread_u32(json_object_get(record, "allowance_ms"), UINT32_MAX, &queue->allowance_ms);
+	return queue->service != NULL;
+}
+
 static void add_job(struct coord *coord, const struct kv_item *item, const char *id)
 {
 	json_t *record = json_loadb(item->value, item->value_len, 0, NULL);
 	struct plan_job_info info = {.id = id};
+	struct fleetconf_queue last_queue;
 	json_int_t accepted_ms = 0;
 	uint64_t now_ms = util_clock_ms();
 	uint64_t wall_ms = util_wall_ms();
@@ -99,11 +125,8 @@
 	struct err err = {0};
 	uint64_t age_ms;
 
-	/* Records of earlier releases do not name the host, the prefix and the service. */
-	if (json_unpack(record, "{s:s, s?s, s?s, s?s, s:s, s:I, s:o}", "queue", &info.queue, "host",
-			&info.queue_host, "prefix", &info.queue_prefix, "service",
-			&info.queue_service, "organisation", &info.organisation, "accepted_ms",
-			&accepted_ms, "spec", &spec) ||
+	if (json_unpack(record, "{s:s, s:s, s:I, s:o}", "queue", &info.queue, "organisation",
+			&info.organisation, "accepted_ms", &accepted_ms, "spec", &spec) ||
 	    !(info.spec = jobspec_read(coord, spec, &jobspec_record_names, &err))) {
 		log_once("job_unreadable", id, "the stored job is malformed: %s", err.message);
 		json_decref(record);
@@ -113,6 +136,8 @@
 	age_ms = (uint64_t)accepted_ms < wall_ms ? wall_ms - (uint64_t)accepted_ms : 0;
 	info.accepted_ms = age_ms < now_ms ? now_ms - age_ms : 1;
 	info.wall_offset_ms = (int64_t)wall_ms - (int64_t)now_ms;
+	if (read_queue(record, &last_queue))
+		info.last_queue = &last_queue;
 	info.inherited = item->created < leader_expect(coord->deps.leader).revision;
 	/* A job that was accepted after the election of a later leader is started by that one only.
 	 */
--- a/src/fleetconf.c
+++ b/src/fleetconf.c
@@ -29,6 +29,17 @@
 	return best;
 }
 
+struct fleetconf_queue *fleetconf_copy_queue(TALLOC_CTX *mem, const struct fleetconf_queue *queue)
+{
+	struct fleetconf_queue *copy = talloc_memdup(mem, queue, sizeof(*queue));
+
+	copy->name = talloc_strdup(copy, queue->name);
+	copy->host = talloc_strdup(copy, queue->host);
+	copy->prefix = talloc_strdup(copy, queue->prefix);
+	copy->service = talloc_strdup(copy, queue->service);
+	return copy;
+}
+
 const struct fleetconf_queue *fleetconf_queue(const struct fleetconf *conf, const char *name)
 {
 	for (size_t i = 0; i < conf->queue_count; i++) {
--- a/src/fleetconf.h
+++ b/src/fleetconf.h
@@ -6,6 +6,8 @@
 #include <stdint.h>
 #include <talloc.h>
 
+#define FLEETCONF_PRIORITY_MAX 1000 /* the least urgent */
+
 /**
  * DOC: The operators' configuration of queues, services and organisations
  *
@@ -81,6 +83,9 @@
 const struct fleetconf_queue *fleetconf_route(const struct fleetconf *conf, const char *host,
 					      const char *path);
 
+/** fleetconf_copy_queue() - copy a queue with its texts; owned by @mem */
+struct fleetconf_queue *fleetconf_copy_queue(TALLOC_CTX *mem, const struct fleetconf_queue *queue);
+
 /** fleetconf_queue() - queue by name, or NULL */
 const struct fleetconf_queue *fleetconf_queue(const struct fleetconf *conf, const char *name);
 
--- a/src/intake.c
+++ b/src/intake.c
@@ -152,10 +152,13 @@
 		return;
 	}
 	request = create_request(intake, call, INTAKE_SUBMIT, id, queue);
-	record = json_pack("{s:s, s:s, s:s, s:s, s:s, s:I, s:o}", "queue", queue->name, "host",
-			   queue->host, "prefix", queue->prefix, "service", queue->service,
-			   "organisation", organisation ? organisation->name : "", "accepted_ms",
-			   (json_int_t)util_wall_ms(), "spec", jobspec_write(spec));
+	record = json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:f, s:I, s:b, s:s, s:I, s:o}", "queue",
+			   queue->name, "host", queue->host, "prefix", queue->prefix, "service",
+			   queue->service, "priority", (json_int_t)queue->priority, "max_attempts",
+			   (json_int_t)queue->max_attempts, "stretch", queue->stretch,
+			   "allowance_ms", (json_int_t)queue->allowance_ms, "advised",
+			   queue->advised, "organisation", organisation ? organisation->name : "",
+			   "accepted_ms", (json_int_t)util_wall_ms(), "spec", jobspec_write(spec));
 	text = json_dumps(record, JSON_COMPACT);
 	request->job_record = talloc_strdup(request, text);
 	free(text);
--- a/src/plan.h
+++ b/src/plan.h
@@ -202,7 +202,7 @@
 	PLAN_WAIT_NONE,		 /* it doesn't wait, or its reason has not been looked for yet */
 	PLAN_WAIT_FORMER_LEADER, /* its tasks may run already, started by a former leader */
 	PLAN_WAIT_HELD,		 /* see plan_release_held() */
-	PLAN_WAIT_QUEUE,	 /* its queue is not in the configuration */
+	PLAN_WAIT_QUEUE,	 /* its queue is neither in the configuration nor in its record */
 	PLAN_WAIT_MEMBERS,	 /* members of its last run have not ended */
 	PLAN_WAIT_RETRY,	 /* a task failed a short time ago */
 	PLAN_WAIT_ORPHAN,	 /* an earlier run of a task has to be stopped */
@@ -332,8 +332,8 @@
 
 /**
  * struct plan_job_info - an accepted job
- * @queue_host, @queue_prefix, @queue_service: of the queue when the job was accepted, by which a
- *queue that has been renamed is found; NULL: not known
+ * @last_queue: its queue when the job was accepted; copied. A queue that has been renamed is found
+ *	by it, and the job goes on by its settings where the queue was removed. NULL: not known
  * @spec: taken over with talloc_steal()
  * @accepted_ms: on the plan's clock
  * @wall_offset_ms: time since 1970 minus the plan's clock, to convert due times
@@ -344,9 +344,7 @@
 struct plan_job_info {
 	const char *id;
 	const char *queue;
-	const char *queue_host;
-	const char *queue_prefix;
-	const char *queue_service;
+	const struct fleetconf_queue *last_queue;
 	const char *organisation;
 	struct jobspec *spec;
 	uint64_t accepted_ms;
--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -143,14 +143,12 @@
 struct job {
 	char *id;
 	char *queue_name;
-	/* Of its queue when that was last in the configuration; a queue without a service is none.
-	 */
-	char *queue_host;
-	char *queue_prefix;
-	char *queue_service; /* NULL: not known */
+	/* Copy of its queue as it was last in the configuration; NULL: not known. */
+	struct fleetconf_queue *last_queue;
 	char *organisation;
 	struct jobspec *spec;
-	const struct fleetconf_queue *queue; /* NULL: not in the configuration */
+	/* In the configuration; @last_queue if it was removed; NULL: not known. */
+	const struct fleetconf_queue *queue;
 	uint64_t accepted_ms;
 	int64_t wall_offset_ms;
 	bool inherited;
--- a/src/planadvice.c
+++ b/src/planadvice.c
@@ -110,10 +110,13 @@
 	}
 }
 
-static bool some_queue_is_advised(const struct fleetconf *conf)
+/* The queue of a job may have been removed from the configuration. */
+static bool some_job_needs_advice(const struct plan *plan)
 {
-	for (size_t i = 0; conf && i < conf->queue_count; i++) {
-		if (conf->queues[i].advised)
+	for (guint i = 0; i < plan->active->len; i++) {
+		const struct job *job = plan->active->pdata[i];
+
+		if (job->queue && job->queue->advised)
 			return true;
 	}
 	return false;
@@ -125,7 +128,7 @@
 	struct step_run *step = NULL;
 	GPtrArray *steps;
 
-	if (!some_queue_is_advised(plan->conf))
+	if (!some_job_needs_advice(plan))
 		return false;
 	*query = (struct plan_advice_query){
 		.workers = talloc_zero_array(mem, const char *, QUERY_WORKERS_MAX)};
--- a/src/planjob.c
+++ b/src/planjob.c
@@ -32,31 +32,34 @@
 	return plan;
 }
 
-static void keep_text(struct job *job, char **field, const char *value)
+static void keep_queue(struct job *job, const struct fleetconf_queue *queue)
 {
-	if (*field && value && !strcmp(*field, value))
-		return;
-	talloc_free(*field);
-	*field = value ? talloc_strdup(job, value) : NULL;
-}
+	struct fleetconf_queue *former = job->last_queue;
 
-static void keep_queue_route(struct job *job, const char *host, const char *prefix,
-			     const char *service)
-{
-	keep_text(job, &job->queue_host, host);
-	keep_text(job, &job->queue_prefix, prefix);
-	keep_text(job, &job->queue_service, service);
+	job->last_queue = queue ? fleetconf_copy_queue(job, queue) : NULL;
+	talloc_free(former);
 }
 
-/* A queue that callers reach as before and that has the same workers is the same one. */
+/*
+ * A queue that callers reach as before and that has the same workers is the same one. A job whose
+ * queue was removed goes on as before, because it was accepted.
+ */
 static void lookup_job_queue(const struct plan *plan, struct job *job)
 {
-	job->queue = plan->conf ? fleetconf_queue(plan->conf, job->queue_name) : NULL;
-	if (!job->queue && plan->conf && job->queue_service)
-		job->queue = fleetconf_renamed_queue(plan->conf, job->queue_host, job->queue_prefix,
-						     job->queue_service);
-	if (job->queue)
-		keep_queue_route(job, job->queue->host, job->queue->prefix, job->queue->service);
+	const struct fleetconf_queue *last = job->last_queue;
+	const struct fleetconf_queue *queue;
+
+	/* The present configuration may say otherwise than the last one that is known. */
+	job->queue = NULL;
+	if (!plan->conf)
+		return;
+	queue = fleetconf_queue(plan->conf, job->queue_name);
+	if (!queue && last)
+		queue = fleetconf_renamed_queue(plan->conf, last->host, last->prefix,
+						last->service);
+	if (queue)
+		keep_queue(job, queue);
+	job->queue = queue ? queue : job->last_queue;
 }
 
 void plan_configure(struct plan *plan, const struct fleetconf *conf)
@@ -155,7 +158,7 @@
 	job = talloc_zero(plan, struct job);
 	job->id = talloc_strdup(job, info->id);
 	job->queue_name = talloc_strdup(job, info->queue);
-	keep_queue_route(job, info->queue_host, info->queue_prefix, info->queue_service);
+	keep_queue(job, info->last_queue);
 	job->organisation = talloc_strdup(job, info->organisation);
 	job->spec = talloc_steal(job, info->spec);
 	job->accepted_ms = info->accepted_ms;
@@ -497,6 +500,16 @@
 			       100 * excess);
 }
 
+static const char *describe_queue(const struct job *job)
+{
+	if (!job->queue)
+		return ", its queue is not in the configuration";
+	return job->queue == job->last_queue ? ", its queue was removed from the configuration, so "
+					       "it goes on by the last "
+					       "settings of that"
+					     : "";
+}
+
 char *plan_explain_job(const struct plan *plan, TALLOC_CTX *mem, const char *id)
 {
 	const struct job *job = plan_find_job(plan, id);
@@ -530,8 +543,7 @@
 		job->inherited ? ", waiting for reports of workers that the former leader used"
 			       : "",
 		job->held ? ", waiting for the store to confirm the leader" : "",
-		advice_pending ? ", waiting for advice on workers" : "",
-		job->queue ? "" : ", its queue is not in the configuration",
+		advice_pending ? ", waiting for advice on workers" : "", describe_queue(job),
 		job->overdue && !plan_job_ended(job)
 			? talloc_asprintf(
 				  mem, ", occurrences that are due and wait for earlier ones: %u",
--- a/tests/test_coord.c
+++ b/tests/test_coord.c
@@ -1425,6 +1425,32 @@
 	tear_down(f);
 }
 
+/*
+ * Guards against a leader that leaves an accepted job alone because no configuration it has read
+ * has the queue, be the record of this release or of an earlier one.
+ */
+static void test_job_of_removed_queue(void)
+{
+	struct fixture *f = set_up("");
+
+	memkv_put(f->store, "job/00000000000000a1",
+		  "{\"queue\":\"gone\",\"host\":\"h\",\"prefix\":\"/gone/\",\"service\":\"s\","
+		  "\"priority\":1,\"max_attempts\":2,\"stretch\":2.5,\"allowance_ms\":100,"
+		  "\"advised\":false,"
+		  "\"organisation\":\"o\",\"accepted_ms\":1,\"spec\":{\"payload\":\"p\",\"steps\":"
+		  "[{\"tasks\":1,\"cpu_milli\":1000,\"estimate_ms\":1000}]}}");
+	memkv_put(f->store, "job/00000000000000a2",
+		  "{\"queue\":\"gone\",\"host\":\"h\",\"prefix\":\"/gone/\",\"service\":\"s\","
+		  "\"organisation\":\"o\",\"accepted_ms\":1,\"spec\":{\"payload\":\"p\",\"steps\":"
+		  "[{\"tasks\":1,\"cpu_milli\":1000,\"estimate_ms\":1000}]}}");
+	elect_leader(f);
+	for (int i = 0; i < AGENTS; i++)
+		send_report(f, i, true, NULL, NULL);
+	await_starts(f, 2);
+	CU_ASSERT_EQUAL(count_starts(f), 2);
+	tear_down(f);
+}
+
 /*
  * Guards against starts in an evacuated zone by a leader that has not read the operators' keys yet,
  * and against jobs that then wait for ever.
@@ -1582,6 +1608,7 @@
 		{"overdue_zones", test_overdue_zones},
 		{"pause_after_decision", test_pause_after_decision},
 		{"job_of_renamed_queue", test_job_of_renamed_queue},
+		{"job_of_removed_queue", test_job_of_removed_queue},
 		CU_TEST_INFO_NULL,
 	};
 	CU_SuiteInfo suites[] = {
