--- a/src/plan_int.h
+++ b/src/plan_int.h
@@ -541,7 +541,7 @@
 
 /* planstopset.c */
 /*
- * Tasks that are to be stopped together, chosen at one time. One member stands for its whole gang.
+ * Tasks that are to be stopped together, by one decision. One member stands for its whole gang.
  * A task is added before it is told to stop; no other task may change its state meanwhile.
  */
 struct plan_stopset;
